--- /dev/null
+++ b/core/contract/service_terms.hpp
@@ -0,0 +1,25 @@
+#pragma once
+
+#include <tuple>
+
+#include "core/identity/names.hpp"
+#include "core/time/clock.hpp"
+
+namespace fuchsiaquay {
+
+/// What a contract says about calls to one plain service.
+struct service_terms {
+    service_id service;
+    /// False: a call may be executed at most once and needs an `Idempotency-Key`.
+    bool repeatable = true;
+    /// Whole time a call has.
+    duration deadline{};
+
+    friend bool operator==(const service_terms& a, const service_terms& b) {
+        return std::tie(a.service, a.repeatable, a.deadline) ==
+               std::tie(b.service, b.repeatable, b.deadline);
+    }
+    friend bool operator!=(const service_terms& a, const service_terms& b) { return !(a == b); }
+};
+
+}  // namespace fuchsiaquay
--- /dev/null
+++ b/core/hashing/hash.hpp
@@ -0,0 +1,12 @@
+#pragma once
+
+#include <cstdint>
+#include <string_view>
+
+namespace fuchsiaquay {
+
+/// 64-bit hash of `bytes`, the same on every host and in every version. Not for secrets.
+/// Source: XXH64 of the xxHash library.
+std::uint64_t stable_hash(std::string_view bytes, std::uint64_t seed = 0);
+
+}  // namespace fuchsiaquay
--- /dev/null
+++ b/core/hashing/rendezvous.hpp
@@ -0,0 +1,22 @@
+#pragma once
+
+/// @file
+/// Rendezvous (highest random weight) hashing: removing a host moves only the keys it held.
+
+#include <cstddef>
+#include <string_view>
+#include <vector>
+
+#include "core/identity/names.hpp"
+
+namespace fuchsiaquay {
+
+/// Hosts of `candidates` in falling order of their weight for `key`, at most `count` of them.
+/// The result does not depend on the order of `candidates`.
+std::vector<host_id> rendezvous_order(std::string_view key, const std::vector<host_id>& candidates,
+                                      std::size_t count);
+
+/// First host of `rendezvous_order`, or an empty id where there are no candidates.
+host_id rendezvous_owner(std::string_view key, const std::vector<host_id>& candidates);
+
+}  // namespace fuchsiaquay
--- /dev/null
+++ b/core/messages/budget_request.hpp
@@ -0,0 +1,29 @@
+#pragma once
+
+#include <cstdint>
+#include <tuple>
+#include
+#include "core/identity/names.hpp"
+
+namespace fuchsiaquay {
+
+/// Asks the limit keeper of a customer for a slice of its budget.
+struct budget_request {
+    customer_id customer;
+    host_id host;
+    std::int64_t contract_revision = 0;
+    /// Requests expected in the next lease period.
+    double wanted_requests = 0.0;
+    double wanted_tokens = 0.0;
+    std::int64_t wanted_concurrency = 0;
+
+    friend bool operator==(const budget_request& a, const budget_request& b) {
+        return std::tie(a.customer, a.host, a.contract_revision, a.wanted_requests, a.wanted_tokens,
+                        a.wanted_concurrency) == std::tie(b.customer, b.host, b.contract_revision,
+                                                          b.wanted_requests, b.wanted_tokens,
+                                                          b.wanted_concurrency);
+    }
+    friend bool operator!=(const budget_request& a, const budget_request& b) { return !(a == b); }
+};
+
+}  // namespace fuchsiaquay
--- /dev/null
+++ b/core/messages/gossip_message.hpp
@@ -0,0 +1,29 @@
+#pragma once
+
+#include <cstdint>
+#include <tuple>
+#include <vector>
+#include
+#include "core/identity/names.hpp"
+#include "core/messages/gossip_kind.hpp"
+#include "core/messages/member_update.hpp"
+
+namespace fuchsiaquay {
+
+/// Probe of the failure detector with membership updates riding on it.
+struct gossip_message {
+    gossip_kind kind = gossip_kind::ping;
+    /// Pairs an ack with its ping.
+    std::uint64_t sequence = 0;
+    /// Host to probe, for `ping_request` and its relayed ack.
+    host_id subject;
+    std::vector<member_update> updates;
+
+    friend bool operator==(const gossip_message& a, const gossip_message& b) {
+        return std::tie(a.kind, a.sequence, a.subject, a.updates) ==
+               std::tie(b.kind, b.sequence, b.subject, b.updates);
+    }
+    friend bool operator!=(const gossip_message& a, const gossip_message& b) { return !(a == b); }
+};
+
+}  // namespace fuchsiaquay
--- /dev/null
+++ b/scripts/test.sh
@@ -0,0 +1,8 @@
+#!/usr/bin/env bash
+# Installs packages, builds the release preset and runs every test.
+set -euo pipefail
+cd "$(dirname "$0")/.."
+scripts/packages.sh
+cmake --preset release >/dev/null
+cmake --build build
+ctest --test-dir build --output-on-failure -j 4 "$@"
--- /dev/null
+++ b/servers/decision_log.hpp
@@ -0,0 +1,29 @@
+#pragma once
+
+#include <initializer_list>
+#include <string>
+#include <string_view>
+
+namespace fuchsiaquay {
+
+/// Structured log of decisions, one line each, as key=value. Never give it prompt text or keys.
+class decision_log {
+public:
+    enum class level { debug, info, warning, error };
+    /// One key=value pair.
+    struct field {
+        std::string_view name;
+        std::string value;
+    };
+
+    decision_log() = default;
+    decision_log(const decision_log&) = delete;
+    decision_log& operator=(const decision_log&) = delete;
+    virtual ~decision_log() = default;
+
+    /// Writes one line: `event=<event>` and the fields in order. Safe from any thread.
+    virtual void write(level severity, std::string_view event,
+                       std::initializer_list<field> fields) = 0;
+};
+
+}  // namespace fuchsiaquay
--- /dev/null
+++ b/servers/store/watch_event.hpp
@@ -0,0 +1,15 @@
+#pragma once
+
+#include <cstdint>
+
+#include "servers/store/stored_value.hpp"
+
+namespace fuchsiaquay {
+
+/// One change seen by a watch. `value.revision` is the revision of the change.
+struct watch_event {
+    stored_value value;
+    bool erased = false;
+};
+
+}  // namespace fuchsiaquay
