--- /dev/null
+++ b/drivers/log/log4cxx_decision_log.cpp
@@ -0,0 +1,101 @@
+#include "drivers/log/log4cxx_decision_log.hpp"
+
+#include <log4cxx/consoleappender.h>
+#include <log4cxx/level.h>
+#include <log4cxx/logger.h>
+#include <log4cxx/patternlayout.h>
+
+#include <utility>
+
+namespace fuchsiaquay {
+
+namespace {
+
+log4cxx::LevelPtr native_level(decision_log::level severity) {
+    switch (severity) {
+        case decision_log::level::debug:
+            return log4cxx::Level::getDebug();
+        case decision_log::level::info:
+            return log4cxx::Level::getInfo();
+        case decision_log::level::warning:
+            return log4cxx::Level::getWarn();
+        case decision_log::level::error:
+            return log4cxx::Level::getError();
+    }
+    return log4cxx::Level::getError();
+}
+
+bool needs_quotes(const std::string& value) {
+    return value.empty() || value.find_first_of(" \"=\n\r\t") != std::string::npos;
+}
+
+void append_value(std::string& line, const std::string& value) {
+    if (!needs_quotes(value)) {
+        line += value;
+        return;
+    }
+    line += '"';
+    for (const char c : value) {
+        if (c == '"' || c == '\\') {
+            line += '\\';
+        }
+        line += c < ' ' ? ' ' : c;
+    }
+    line += '"';
+}
+
+}  // namespace
+
+class log4cxx_decision_log::binding {
+public:
+    log4cxx::LoggerPtr logger_ = log4cxx::Logger::getLogger("fuchsiaquay");
+};
+
+log4cxx_decision_log::log4cxx_decision_log(std::string host, const std::string& level)
+    : host_(std::move(host)), binding_(std::make_unique<binding>()) {
+    const log4cxx::LayoutPtr layout(
+        new log4cxx::PatternLayout("%d{yyyy-MM-dd'T'HH:mm:ss.SSS} %p %m%n"));
+    const log4cxx::AppenderPtr appender(new log4cxx::ConsoleAppender(layout));
+    binding_->logger_->removeAllAppenders();
+    binding_->logger_->addAppender(appender);
+    binding_->logger_->setAdditivity(false);
+    if (!set_level(level)) {
+        set_level("info");
+    }
+}
+
+log4cxx_decision_log::~log4cxx_decision_log() = default;
+
+void log4cxx_decision_log::write(level severity, std::string_view event,
+                                 std::initializer_list<field> fields) {
+    const log4cxx::LevelPtr native = native_level(severity);
+    if (!binding_->logger_->isEnabledFor(native)) {
+        return;
+    }
+    std::string line = "event=" + std::string(event) + " host=" + host_;
+    for (const field& pair : fields) {
+        line += ' ';
+        line += pair.name;
+        line += '=';
+        append_value(line, pair.value);
+    }
+    binding_->logger_->forcedLog(native, line,
+                                 log4cxx::spi::LocationInfo::getLocationUnavailable());
+}
+
+bool log4cxx_decision_log::set_level(const std::string& level) {
+    if (level == "debug") {
+        binding_->logger_->setLevel(log4cxx::Level::getDebug());
+    } else if (level == "info") {
+        binding_->logger_->setLevel(log4cxx::Level::getInfo());
+    } else if (level == "warning") {
+        binding_->logger_->setLevel(log4cxx::Level::getWarn());
+    } else if (level == "error") {
+        binding_->logger_->setLevel(log4cxx::Level::getError());
+    } else {
+        return false;
+    }
+    return true;
+}
+
+}  // namespace fuchsiaquay
--- /dev/null
+++ b/drivers/log/log4cxx_decision_log.hpp
@@ -0,0 +1,32 @@
+#pragma once
+
+#include <memory>
+#include <string>
+
+#include "servers/decision_log.hpp"
+
+namespace fuchsiaquay {
+
+/// Decision log on log4cxx: one line to standard output, `time level key=value ...`.
+class log4cxx_decision_log final : public decision_log {
+public:
+    /// @param host  added to every line as `host=`
+    /// @param level  debug, info, warning or error
+    log4cxx_decision_log(std::string host, const std::string& level);
+    log4cxx_decision_log(const log4cxx_decision_log&) = delete;
+    log4cxx_decision_log& operator=(const log4cxx_decision_log&) = delete;
+    ~log4cxx_decision_log() override;
+
+    void write(level severity, std::string_view event,
+               std::initializer_list<field> fields) override;
+    /// Changes the level at run time. Returns false for an unknown word.
+    bool set_level(const std::string& level);
+
+private:
+    class binding;
+
+    std::string host_;
+    std::unique_ptr<binding> binding_;
+};
+
+}  // namespace fuchsiaquay
