--- a/core/messages/budget_request.hpp
+++ b/core/messages/budget_request.hpp
@@ -2,7 +2,6 @@
 
 #include <cstdint>
 #include <tuple>
-#include
 #include "core/identity/names.hpp"
 
 namespace fuchsiaquay {
--- a/core/messages/gossip_message.hpp
+++ b/core/messages/gossip_message.hpp
@@ -3,7 +3,6 @@
 #include <cstdint>
 #include <tuple>
 #include <vector>
-#include
 #include "core/identity/names.hpp"
 #include "core/messages/gossip_kind.hpp"
 #include "core/messages/member_update.hpp"
--- a/core/messages/mark_query.hpp
+++ b/core/messages/mark_query.hpp
@@ -3,7 +3,6 @@
 #include <cstdint>
 #include <string>
 #include <tuple>
-#include
 #include "core/identity/names.hpp"
 
 namespace fuchsiaquay {
--- a/core/messages/reserve_reply.hpp
+++ b/core/messages/reserve_reply.hpp
@@ -3,7 +3,6 @@
 #include <cstdint>
 #include <string>
 #include <tuple>
-#include
 #include "core/identity/names.hpp"
 #include "core/messages/reserve_outcome.hpp"
 #include "core/time/clock.hpp"
