--- a/core/messages/gossip_message.hpp
+++ b/core/messages/gossip_message.hpp
@@ -3,7 +3,9 @@
 #include <cstdint>
 #include <tuple>
 #include <vector>
+
 #include "core/identity/names.hpp"
+#include "core/messages/data_centre_beat.hpp"
 #include "core/messages/gossip_kind.hpp"
 #include "core/messages/member_update.hpp"
 
@@ -14,13 +16,16 @@
     gossip_kind kind = gossip_kind::ping;
     /// Pairs an ack with its ping.
     std::uint64_t sequence = 0;
-    /// Host to probe, for `ping_request` and its relayed ack.
+    /// Host that the probe is meant for; for `ping_request` and its relayed ack, the host to probe.
     host_id subject;
     std::vector<member_update> updates;
+    /// Hash over the whole membership of the sender; unequal ones lead to a full exchange.
+    std::uint64_t digest = 0;
+    std::vector<data_centre_beat> beats;
 
     friend bool operator==(const gossip_message& a, const gossip_message& b) {
-        return std::tie(a.kind, a.sequence, a.subject, a.updates) ==
-               std::tie(b.kind, b.sequence, b.subject, b.updates);
+        return std::tie(a.kind, a.sequence, a.subject, a.updates, a.digest, a.beats) ==
+               std::tie(b.kind, b.sequence, b.subject, b.updates, b.digest, b.beats);
     }
     friend bool operator!=(const gossip_message& a, const gossip_message& b) { return !(a == b); }
 };
--- a/core/messages/peer_message.hpp
+++ b/core/messages/peer_message.hpp
@@ -12,12 +12,13 @@
 #include "core/messages/mark_query.hpp"
 #include "core/messages/reserve_reply.hpp"
 #include "core/messages/reserve_request.hpp"
+#include "core/messages/upstream_update.hpp"
 
 namespace fuchsiaquay {
 
 /// Every message that nodes send each other.
-using peer_message =
-    std::variant<gossip_message, reserve_request, reserve_reply, grant_release, grant_renewal,
-                 budget_request, budget_grant, mark_query, mark_answer, contract_update>;
+using peer_message = std::variant<gossip_message, reserve_request, reserve_reply, grant_release,
+                                  grant_renewal, budget_request, budget_grant, mark_query,
+                                  mark_answer, contract_update, upstream_update>;
 
 }  // namespace fuchsiaquay
--- /dev/null
+++ b/core/messages/upstream_update.hpp
@@ -0,0 +1,30 @@
+#pragma once
+
+#include <cstdint>
+#include <tuple>
+#include <vector>
+
+#include "core/messages/upstream_record.hpp"
+
+namespace fuchsiaquay {
+
+/// Passes on what an elected poller read from the host list. Views are numbered per poller; a
+/// receiver that misses a number asks for the complete view.
+struct upstream_update {
+    /// Number of the view after this update; grows within one incarnation of the poller.
+    std::uint64_t version = 0;
+    /// Number of the view that this update builds on; 0 for a complete view.
+    std::uint64_t base_version = 0;
+    /// True: the sender is no poller and asks the receiver for its complete view.
+    bool request = false;
+    /// Changed upstreams; the state `gone` marks one that left the list.
+    std::vector<upstream_record> upstreams;
+
+    friend bool operator==(const upstream_update& a, const upstream_update& b) {
+        return std::tie(a.version, a.base_version, a.request, a.upstreams) ==
+               std::tie(b.version, b.base_version, b.request, b.upstreams);
+    }
+    friend bool operator!=(const upstream_update& a, const upstream_update& b) { return !(a == b); }
+};
+
+}  // namespace fuchsiaquay
