Messages: contract updates name the change before them, budget requests the share in use

Cause: with reordered gossip a host could not tell whether it had every change up to a revision; and a new limit keeper could not tell what was already granted by the one before it. Both codec tables got appended fields; the round-trip test covers them.

--- a/core/messages/budget_grant.hpp
+++ b/core/messages/budget_grant.hpp
@@ -2,17 +2,21 @@
 
 #include <cstdint>
 #include <tuple>
+
 #include "core/identity/names.hpp"
 #include "core/time/clock.hpp"
 
 namespace fuchsiaquay {
 
-/// A slice of the budget of a customer, valid until its lifetime ends.
+/// A share of the limits of a customer, in force until its lifetime ends. Negative numbers stand
+/// for no ceiling.
 struct budget_grant {
     customer_id customer;
-    /// Requests that may start before the lease ends.
+    /// Requests a second.
     double requests = 0.0;
+    /// Tokens a second.
     double tokens = 0.0;
+    /// Requests at once.
     std::int64_t concurrency = 0;
     duration lifetime{};
 
--- a/core/messages/contract_update.hpp
+++ b/core/messages/contract_update.hpp
@@ -3,14 +3,17 @@
 #include <cstdint>
 #include <string>
 #include <tuple>
+
 #include "core/identity/names.hpp"
 
 namespace fuchsiaquay {
 
-/// Spreads a contract revision to peers that do not watch the store.
+/// Spreads a contract revision to peers that do not watch the store. With an empty customer it
+/// states only how far the sender has come, and asks a peer that is further for what it lacks.
 struct contract_update {
     customer_id customer;
-    /// Store revision of this document.
+    /// Store revision of this document; without a customer the revision up to which the sender
+    /// knows every change.
     std::int64_t revision = 0;
     /// Highest revision of any contract known to the sender.
     std::int64_t index_revision = 0;
@@ -18,10 +21,14 @@
     bool erased = false;
     /// JSON text of the contract; empty when erased.
     std::string document;
+    /// Revision of the change before this one in the order of the sender. A receiver that knows
+    /// every change up to there knows every change up to `revision` afterwards.
+    std::int64_t previous_revision = 0;
 
     friend bool operator==(const contract_update& a, const contract_update& b) {
-        return std::tie(a.customer, a.revision, a.index_revision, a.erased, a.document) ==
-               std::tie(b.customer, b.revision, b.index_revision, b.erased, b.document);
+        return std::tie(a.customer, a.revision, a.index_revision, a.erased, a.document,
+                        a.previous_revision) == std::tie(b.customer, b.revision, b.index_revision,
+                                                         b.erased, b.document, b.previous_revision);
     }
     friend bool operator!=(const contract_update& a, const contract_update& b) { return !(a == b); }
 };
--- a/drivers/frames/message_decoder.cpp
+++ b/drivers/frames/message_decoder.cpp
@@ -132,7 +132,10 @@
                           table.contract_revision(),
                           table.wanted_requests(),
                           table.wanted_tokens(),
-                          table.wanted_concurrency()};
+                          table.wanted_concurrency(),
+                          table.held_requests(),
+                          table.held_tokens(),
+                          table.held_concurrency()};
 }
 
 peer_message decode(const wire::BudgetGrant& table) {
@@ -152,8 +155,12 @@
 }
 
 peer_message decode(const wire::ContractUpdate& table) {
-    return contract_update{get_name<customer_id>(table.customer()), table.revision(),
-                           table.index_revision(), table.erased(), get(table.document())};
+    return contract_update{get_name<customer_id>(table.customer()),
+                           table.revision(),
+                           table.index_revision(),
+                           table.erased(),
+                           get(table.document()),
+                           table.previous_revision()};
 }
 
 std::optional<upstream_record> decode(const wire::UpstreamRecord& table) {
--- a/drivers/frames/message_encoder.cpp
+++ b/drivers/frames/message_encoder.cpp
@@ -141,7 +141,8 @@
         return body(wire::Body::BudgetRequest,
                     wire::CreateBudgetRequest(builder_, customer, host, message.contract_revision,
                                               message.wanted_requests, message.wanted_tokens,
-                                              message.wanted_concurrency));
+                                              message.wanted_concurrency, message.held_requests,
+                                              message.held_tokens, message.held_concurrency));
     }
 
     encoded_body operator()(const budget_grant& message) const {
@@ -168,9 +169,10 @@
     encoded_body operator()(const contract_update& message) const {
         const text customer = put(builder_, message.customer);
         const text document = put(builder_, message.document);
-        return body(wire::Body::ContractUpdate,
-                    wire::CreateContractUpdate(builder_, customer, message.revision,
-                                               message.index_revision, message.erased, document));
+        return body(
+            wire::Body::ContractUpdate,
+            wire::CreateContractUpdate(builder_, customer, message.revision, message.index_revision,
+                                       message.erased, document, message.previous_revision));
     }
 
     encoded_body operator()(const upstream_update& message) const {
--- a/drivers/frames/peer_frames_generated.h
+++ b/drivers/frames/peer_frames_generated.h
@@ -1237,7 +1237,10 @@
     VT_CONTRACT_REVISION = 8,
     VT_WANTED_REQUESTS = 10,
     VT_WANTED_TOKENS = 12,
-    VT_WANTED_CONCURRENCY = 14
+    VT_WANTED_CONCURRENCY = 14,
+    VT_HELD_REQUESTS = 16,
+    VT_HELD_TOKENS = 18,
+    VT_HELD_CONCURRENCY = 20
   };
   const flatbuffers::String *customer() const {
     return GetPointer<const flatbuffers::String *>(VT_CUSTOMER);
@@ -1257,6 +1260,15 @@
   int64_t wanted_concurrency() const {
     return GetField<int64_t>(VT_WANTED_CONCURRENCY, 0);
   }
+  double held_requests() const {
+    return GetField<double>(VT_HELD_REQUESTS, 0.0);
+  }
+  double held_tokens() const {
+    return GetField<double>(VT_HELD_TOKENS, 0.0);
+  }
+  int64_t held_concurrency() const {
+    return GetField<int64_t>(VT_HELD_CONCURRENCY, 0);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffset(verifier, VT_CUSTOMER) &&
@@ -1267,6 +1279,9 @@
            VerifyField<double>(verifier, VT_WANTED_REQUESTS, 8) &&
            VerifyField<double>(verifier, VT_WANTED_TOKENS, 8) &&
            VerifyField<int64_t>(verifier, VT_WANTED_CONCURRENCY, 8) &&
+           VerifyField<double>(verifier, VT_HELD_REQUESTS, 8) &&
+           VerifyField<double>(verifier, VT_HELD_TOKENS, 8) &&
+           VerifyField<int64_t>(verifier, VT_HELD_CONCURRENCY, 8) &&
            verifier.EndTable();
   }
 };
@@ -1293,6 +1308,15 @@
   void add_wanted_concurrency(int64_t wanted_concurrency) {
     fbb_.AddElement<int64_t>(BudgetRequest::VT_WANTED_CONCURRENCY, wanted_concurrency, 0);
   }
+  void add_held_requests(double held_requests) {
+    fbb_.AddElement<double>(BudgetRequest::VT_HELD_REQUESTS, held_requests, 0.0);
+  }
+  void add_held_tokens(double held_tokens) {
+    fbb_.AddElement<double>(BudgetRequest::VT_HELD_TOKENS, held_tokens, 0.0);
+  }
+  void add_held_concurrency(int64_t held_concurrency) {
+    fbb_.AddElement<int64_t>(BudgetRequest::VT_HELD_CONCURRENCY, held_concurrency, 0);
+  }
   explicit BudgetRequestBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -1311,8 +1335,14 @@
     int64_t contract_revision = 0,
     double wanted_requests = 0.0,
     double wanted_tokens = 0.0,
-    int64_t wanted_concurrency = 0) {
+    int64_t wanted_concurrency = 0,
+    double held_requests = 0.0,
+    double held_tokens = 0.0,
+    int64_t held_concurrency = 0) {
   BudgetRequestBuilder builder_(_fbb);
+  builder_.add_held_concurrency(held_concurrency);
+  builder_.add_held_tokens(held_tokens);
+  builder_.add_held_requests(held_requests);
   builder_.add_wanted_concurrency(wanted_concurrency);
   builder_.add_wanted_tokens(wanted_tokens);
   builder_.add_wanted_requests(wanted_requests);
@@ -1329,7 +1359,10 @@
     int64_t contract_revision = 0,
     double wanted_requests = 0.0,
     double wanted_tokens = 0.0,
-    int64_t wanted_concurrency = 0) {
+    int64_t wanted_concurrency = 0,
+    double held_requests = 0.0,
+    double held_tokens = 0.0,
+    int64_t held_concurrency = 0) {
   auto customer__ = customer ? _fbb.CreateString(customer) : 0;
   auto host__ = host ? _fbb.CreateString(host) : 0;
   return fuchsiaquay::wire::CreateBudgetRequest(
@@ -1339,7 +1372,10 @@
       contract_revision,
       wanted_requests,
       wanted_tokens,
-      wanted_concurrency);
+      wanted_concurrency,
+      held_requests,
+      held_tokens,
+      held_concurrency);
 }
 
 struct BudgetGrant FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
@@ -1600,7 +1636,8 @@
     VT_REVISION = 6,
     VT_INDEX_REVISION = 8,
     VT_ERASED = 10,
-    VT_DOCUMENT = 12
+    VT_DOCUMENT = 12,
+    VT_PREVIOUS_REVISION = 14
   };
   const flatbuffers::String *customer() const {
     return GetPointer<const flatbuffers::String *>(VT_CUSTOMER);
@@ -1617,6 +1654,9 @@
   const flatbuffers::String *document() const {
     return GetPointer<const flatbuffers::String *>(VT_DOCUMENT);
   }
+  int64_t previous_revision() const {
+    return GetField<int64_t>(VT_PREVIOUS_REVISION, 0);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffset(verifier, VT_CUSTOMER) &&
@@ -1626,6 +1666,7 @@
            VerifyField<uint8_t>(verifier, VT_ERASED, 1) &&
            VerifyOffset(verifier, VT_DOCUMENT) &&
            verifier.VerifyString(document()) &&
+           VerifyField<int64_t>(verifier, VT_PREVIOUS_REVISION, 8) &&
            verifier.EndTable();
   }
 };
@@ -1649,6 +1690,9 @@
   void add_document(flatbuffers::Offset<flatbuffers::String> document) {
     fbb_.AddOffset(ContractUpdate::VT_DOCUMENT, document);
   }
+  void add_previous_revision(int64_t previous_revision) {
+    fbb_.AddElement<int64_t>(ContractUpdate::VT_PREVIOUS_REVISION, previous_revision, 0);
+  }
   explicit ContractUpdateBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -1666,8 +1710,10 @@
     int64_t revision = 0,
     int64_t index_revision = 0,
     bool erased = false,
-    flatbuffers::Offset<flatbuffers::String> document = 0) {
+    flatbuffers::Offset<flatbuffers::String> document = 0,
+    int64_t previous_revision = 0) {
   ContractUpdateBuilder builder_(_fbb);
+  builder_.add_previous_revision(previous_revision);
   builder_.add_index_revision(index_revision);
   builder_.add_revision(revision);
   builder_.add_document(document);
@@ -1682,7 +1728,8 @@
     int64_t revision = 0,
     int64_t index_revision = 0,
     bool erased = false,
-    const char *document = nullptr) {
+    const char *document = nullptr,
+    int64_t previous_revision = 0) {
   auto customer__ = customer ? _fbb.CreateString(customer) : 0;
   auto document__ = document ? _fbb.CreateString(document) : 0;
   return fuchsiaquay::wire::CreateContractUpdate(
@@ -1691,7 +1738,8 @@
       revision,
       index_revision,
       erased,
-      document__);
+      document__,
+      previous_revision);
 }
 
 struct UpstreamRecord FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
--- a/tests/drivers/frames/frame_codec_test.cpp
+++ b/tests/drivers/frames/frame_codec_test.cpp
@@ -56,11 +56,11 @@
             grant_release{grant_id("g"), request_id("r"), upstream_id("u"), 3},
             grant_renewal{grant_id("g"), request_id("r"), upstream_id("u"), host_id("h"),
                           customer_id("c"), 2, 500},
-            budget_request{customer_id("c"), host_id("h"), 9, 1.5, 2.5, 3},
+            budget_request{customer_id("c"), host_id("h"), 9, 1.5, 2.5, 3, 0.5, 0.25, 2},
             budget_grant{customer_id("c"), 1.5, 2.5, 3, duration(4)},
             mark_query{3, "mark", host_id("h")},
             mark_answer{3, "mark", mark_use::never_used},
-            contract_update{customer_id("c"), 5, 6, true, "{}"},
+            contract_update{customer_id("c"), 5, 6, true, "{}", 4},
             upstream_update{8, 7, true, {record}}};
 }
 
