--- /dev/null
+++ b/core/request/dispatch_plan.hpp
@@ -0,0 +1,26 @@
+#pragma once
+
+#include <cstdint>
+
+#include "core/identity/names.hpp"
+#include "core/messages/upstream_record.hpp"
+#include "core/time/clock.hpp"
+
+namespace fuchsiaquay {
+
+/// Where and how one attempt of a request goes.
+struct dispatch_plan {
+    upstream_record target;
+    /// Grant at the owner of the upstream and stream id at the engine; empty for services.
+    grant_id grant;
+    /// Rank level, which is the priority at the engine.
+    int priority = 0;
+    /// Offset of the first token wanted from the engine.
+    std::int64_t resume_offset = 0;
+    /// The attempt must have ended by then.
+    instant deadline{};
+    /// The attempt must not start later than this.
+    instant grant_expiry{};
+};
+
+}  // namespace fuchsiaquay
--- /dev/null
+++ b/core/request/recorded_answer.hpp
@@ -0,0 +1,14 @@
+#pragma once
+
+#include <string>
+
+namespace fuchsiaquay {
+
+/// Answer of an earlier call with the same idempotency key.
+struct recorded_answer {
+    /// HTTP status.
+    int status = 0;
+    std::string body;
+};
+
+}  // namespace fuchsiaquay
--- /dev/null
+++ b/core/request/request_kind.hpp
@@ -0,0 +1,8 @@
+#pragma once
+
+namespace fuchsiaquay {
+
+/// What a caller asks for: tokens of a model, or a call to a plain service.
+enum class request_kind { completion, service_call };
+
+}  // namespace fuchsiaquay
--- /dev/null
+++ b/servers/requests/request_flow.hpp
@@ -0,0 +1,63 @@
+#pragma once
+
+#include <cstdint>
+#include <memory>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "core/contract/contract.hpp"
+#include "core/request/dispatch_plan.hpp"
+#include "core/request/request_context.hpp"
+#include "servers/timer_service.hpp"
+
+namespace fuchsiaquay {
+
+class request_listener;
+
+/// One request on its way through the filters. Used on the control thread only.
+class request_flow {
+public:
+    request_flow(request_context context, std::weak_ptr<request_listener> listener)
+        : context_(std::move(context)), listener_(std::move(listener)) {}
+
+    const request_context& context() const noexcept { return context_; }
+    std::shared_ptr<request_listener> listener() const { return listener_.lock(); }
+
+    bool ended() const noexcept { return ended_; }
+    void mark_ended() noexcept { ended_ = true; }
+
+    /// Set by the contract filter.
+    std::shared_ptr<const contract> terms;
+    rank chosen_rank;
+    instant deadline{};
+    /// Set by the contract filter for service calls.
+    bool repeatable = true;
+
+    /// Upstreams in the order to be tried, set by the route filter.
+    std::vector<upstream_record> candidates;
+    /// Upstreams that failed this request.
+    std::set<upstream_id> excluded;
+    /// Prompt tokens that the route filter expects in the cache of a candidate, same order.
+    std::vector<std::int64_t> cached_tokens;
+    std::int64_t expected_output_tokens = 0;
+
+    /// Built up by the attempt filters.
+    dispatch_plan plan;
+    int attempts = 0;
+    std::int64_t delivered_tokens = 0;
+    /// True while an attempt is at an upstream.
+    bool dispatched = false;
+    timer_service::subscription deadline_timer = 0;
+
+    /// Number of filters passed, so that exactly those are settled.
+    std::size_t request_filters_passed = 0;
+    std::size_t attempt_filters_passed = 0;
+
+private:
+    request_context context_;
+    std::weak_ptr<request_listener> listener_;
+    bool ended_ = false;
+};
+
+}  // namespace fuchsiaquay
--- /dev/null
+++ b/servers/requests/request_pipeline.hpp
@@ -0,0 +1,61 @@
+#pragma once
+
+#include <cstddef>
+#include <memory>
+#include <set>
+#include <vector>
+
+#include "core/request/attempt_result.hpp"
+#include "core/request/refusal.hpp"
+
+namespace fuchsiaquay {
+
+class decision_log;
+class request_filter;
+class request_flow;
+class retry_rules;
+class timer_service;
+
+/// The way of every request: request filters once, attempt filters for each attempt, and on every
+/// path a settlement of exactly the filters that were passed. Used on the control thread.
+class request_pipeline {
+public:
+    using filter_list = std::vector<std::unique_ptr<request_filter>>;
+
+    /// References must outlive the pipeline.
+    request_pipeline(timer_service& timers, decision_log& log, retry_rules& retries,
+                     filter_list request_filters, filter_list attempt_filters);
+    request_pipeline(const request_pipeline&) = delete;
+    request_pipeline& operator=(const request_pipeline&) = delete;
+    ~request_pipeline();
+
+    /// Starts a request. Its listener hears of the outcome.
+    void begin(const std::shared_ptr<request_flow>& flow);
+    /// The traffic side reports the end of an attempt.
+    void attempt_ended(const std::shared_ptr<request_flow>& flow, const attempt_result& result);
+    /// The caller left.
+    void abandon(const std::shared_ptr<request_flow>& flow, const attempt_result& result);
+
+    /// Requests that have not ended.
+    std::size_t active() const noexcept { return active_.size(); }
+
+private:
+    void run_request_filters(const std::shared_ptr<request_flow>& flow, std::size_t index);
+    void run_attempt_filters(const std::shared_ptr<request_flow>& flow, std::size_t index);
+    void start_attempt(const std::shared_ptr<request_flow>& flow);
+    void dispatch(const std::shared_ptr<request_flow>& flow);
+    void arm_deadline(const std::shared_ptr<request_flow>& flow);
+    void expire(const std::shared_ptr<request_flow>& flow);
+    void refuse(const std::shared_ptr<request_flow>& flow, const refusal& reason);
+    void settle_attempt(const std::shared_ptr<request_flow>& flow, const attempt_result& result);
+    void end(const std::shared_ptr<request_flow>& flow, const attempt_result& result);
+
+    timer_service& timers_;
+    decision_log& log_;
+    retry_rules& retries_;
+    filter_list request_filters_;
+    filter_list attempt_filters_;
+    std::set<std::shared_ptr<request_flow>> active_;
+};
+
+}  // namespace fuchsiaquay
--- /dev/null
+++ b/servers/views/host_view.hpp
@@ -0,0 +1,26 @@
+#pragma once
+
+#include <optional>
+#include <vector>
+
+#include "core/identity/names.hpp"
+#include "core/messages/member_update.hpp"
+
+namespace fuchsiaquay {
+
+/// The hosts as this node sees them now.
+class host_view {
+public:
+    host_view() = default;
+    host_view(const host_view&) = delete;
+    host_view& operator=(const host_view&) = delete;
+    virtual ~host_view() = default;
+
+    virtual const member_update& self() const = 0;
+    /// Hosts that may be given new work, this one included unless it is leaving.
+    virtual std::vector<member_update> live_hosts() const = 0;
+    /// Entry of a host in any state but dead.
+    virtual std::optional<member_update> find(const host_id& host) const = 0;
+};
+
+}  // namespace fuchsiaquay
--- /dev/null
+++ b/servers/views/upstream_view.hpp
@@ -0,0 +1,24 @@
+#pragma once
+
+#include <optional>
+#include <vector>
+
+#include "core/identity/names.hpp"
+#include "core/messages/upstream_record.hpp"
+
+namespace fuchsiaquay {
+
+/// The upstreams as this node sees them now.
+class upstream_view {
+public:
+    upstream_view() = default;
+    upstream_view(const upstream_view&) = delete;
+    upstream_view& operator=(const upstream_view&) = delete;
+    virtual ~upstream_view() = default;
+
+    /// Every upstream that is not gone, in the order of ids.
+    virtual std::vector<upstream_record> all() const = 0;
+    virtual std::optional<upstream_record> find(const upstream_id& id) const = 0;
+};
+
+}  // namespace fuchsiaquay
