--- /dev/null
+++ b/drivers/api/completion_session.cpp
@@ -0,0 +1,212 @@
+#include "drivers/api/completion_session.hpp"
+
+#include <pplx/pplxtasks.h>
+
+#include <utility>
+
+#include "core/request/recorded_answer.hpp"
+#include "core/request/refusal.hpp"
+#include "drivers/api/api_limits.hpp"
+#include "drivers/api/http_answer.hpp"
+#include "drivers/control/control_loop.hpp"
+#include "drivers/engine/engine_call.hpp"
+#include "drivers/engine/engine_client.hpp"
+#include "drivers/engine/engine_outcome.hpp"
+#include "drivers/http/monotonic_now.hpp"
+#include "servers/requests/request_flow.hpp"
+#include "servers/requests/request_pipeline.hpp"
+
+namespace fuchsiaquay {
+
+namespace http = web::http;
+
+completion_session::completion_session(api_services services, http::http_request message,
+                                       completion_body body, answer_format format)
+    : services_(std::move(services)),
+      message_(std::move(message)),
+      body_(std::move(body)),
+      format_(std::move(format)) {}
+
+completion_session::~completion_session() = default;
+
+void completion_session::begin(const std::shared_ptr<request_flow>& flow) {
+    flow_ = flow;
+    auto self = shared_from_this();
+    services_.loop.post([self] { self->services_.pipeline.begin(self->flow_); });
+}
+
+void completion_session::dispatch(const dispatch_plan& plan) {
+    auto self = shared_from_this();
+    // Building the body of a long prompt takes milliseconds: never on the control thread.
+    pplx::create_task([self, plan] { self->start_call(plan); });
+}
+
+void completion_session::start_call(const dispatch_plan& plan) {
+    engine_request request;
+    request.address = plan.target.address;
+    request.port = plan.target.port;
+    request.model = body_.model;
+    request.prompt = body_.prompt;
+    request.max_tokens = body_.max_tokens;
+    request.priority = plan.priority;
+    request.stream_id = plan.grant.value();
+    request.resume_from = plan.resume_offset;
+    request.stall_timeout = services_.limits.stall_timeout;
+    const std::int64_t prefill_seconds =
+        count_prompt_tokens(*body_.prompt) / services_.limits.min_prefill_rate;
+    request.first_token_timeout =
+        services_.limits.stall_timeout + std::chrono::seconds(prefill_seconds);
+    const std::lock_guard<std::mutex> lock(mutex_);
+    if (ended_) {
+        return;
+    }
+    dispatched_ = true;
+    attempt_tokens_ = 0;
+    last_write_ = monotonic_now();
+    call_ = services_.engines.start(request, shared_from_this());
+}
+
+void completion_session::tokens(const std::vector<token_event>& events) {
+    const std::lock_guard<std::mutex> lock(mutex_);
+    if (ended_) {
+        return;
+    }
+    attempt_tokens_ += static_cast<std::int64_t>(events.size());
+    total_tokens_ += static_cast<std::int64_t>(events.size());
+    if (!events.back().finish_reason.empty()) {
+        finish_reason_ = events.back().finish_reason;
+    }
+    if (body_.stream) {
+        open_stream();
+        write(format_.stream_chunk(events));
+        return;
+    }
+    for (const token_event& event : events) {
+        collected_ += event.text;
+    }
+}
+
+void completion_session::ended(const engine_outcome& outcome) {
+    attempt_result result;
+    result.completed = outcome.completed;
+    result.ran = outcome.ran;
+    result.failure = outcome.failure;
+    result.cached_tokens = outcome.cached_tokens;
+    {
+        const std::lock_guard<std::mutex> lock(mutex_);
+        result.delivered_tokens = attempt_tokens_;
+        result.generated_tokens = attempt_tokens_;
+        dispatched_ = false;
+        call_.reset();
+        if (outcome.completed && !ended_) {
+            finish_answer(outcome);
+        }
+    }
+    auto self = shared_from_this();
+    services_.loop.post(
+        [self, result] { self->services_.pipeline.attempt_ended(self->flow_, result); });
+}
+
+void completion_session::finish_answer(const engine_outcome& outcome) {
+    ended_ = true;
+    if (body_.stream) {
+        open_stream();
+        write(format_.stream_end());
+        close_stream();
+        return;
+    }
+    const std::string text =
+        format_.whole(collected_, finish_reason_, outcome.prompt_tokens, total_tokens_);
+    reply_json(message_, http::status_codes::OK, text);
+}
+
+void completion_session::refuse(const refusal& reason) {
+    std::shared_ptr<engine_call> call;
+    {
+        const std::lock_guard<std::mutex> lock(mutex_);
+        if (ended_) {
+            return;
+        }
+        ended_ = true;
+        call = std::move(call_);
+        if (stream_open_) {
+            write(format_.stream_error(reason));
+            close_stream();
+        } else {
+            reply_refusal(message_, reason);
+        }
+    }
+    if (call) {
+        call->cancel();
+    }
+}
+
+void completion_session::replay(const recorded_answer& /*answer*/) {
+    // Completions have no idempotency key: nothing is ever recorded for them.
+}
+
+bool completion_session::keep_alive(instant now) {
+    const std::lock_guard<std::mutex> lock(mutex_);
+    if (ended_) {
+        return false;
+    }
+    const bool quiet = now - last_write_ >= services_.limits.keep_alive_period;
+    if (body_.stream && (dispatched_ || stream_open_) && quiet) {
+        open_stream();
+        write(": keep-alive\n\n");
+    }
+    return true;
+}
+
+void completion_session::open_stream() {
+    if (stream_open_) {
+        return;
+    }
+    stream_open_ = true;
+    http::http_response response(http::status_codes::OK);
+    response.headers().set_content_type("text/event-stream");
+    response.headers().add("Cache-Control", "no-cache");
+    response.headers().add("X-Request-Id", flow_->context().id.value());
+    response.set_body(buffer_.create_istream());
+    auto self = shared_from_this();
+    message_.reply(response).then([self](const pplx::task<void>& replied) {
+        try {
+            replied.get();
+        } catch (const std::exception&) {
+            self->caller_left();
+        }
+    });
+}
+
+void completion_session::write(const std::string& text) {
+    last_write_ = monotonic_now();
+    buffer_.putn_nocopy(reinterpret_cast<const std::uint8_t*>(text.data()), text.size());
+    buffer_.sync();
+}
+
+void completion_session::close_stream() {
+    buffer_.close(std::ios_base::out);
+}
+
+void completion_session::caller_left() {
+    std::shared_ptr<engine_call> call;
+    attempt_result result;
+    {
+        const std::lock_guard<std::mutex> lock(mutex_);
+        if (ended_) {
+            return;
+        }
+        ended_ = true;
+        call = std::move(call_);
+        result.failure = "caller_left";
+        result.delivered_tokens = attempt_tokens_;
+        result.generated_tokens = attempt_tokens_;
+    }
+    if (call) {
+        call->cancel();
+    }
+    auto self = shared_from_this();
+    services_.loop.post([self, result] { self->services_.pipeline.abandon(self->flow_, result); });
+}
+
+}  // namespace fuchsiaquay
--- /dev/null
+++ b/drivers/api/completion_session.hpp
@@ -0,0 +1,78 @@
+#pragma once
+
+/// @file
+/// Brings cpprestsdk headers with it: include in drivers/api only.
+
+#include <cpprest/http_msg.h>
+#include <cpprest/producerconsumerstream.h>
+
+#include <memory>
+#include <mutex>
+#include <string>
+#include <vector>
+
+#include "core/request/attempt_result.hpp"
+#include "core/request/dispatch_plan.hpp"
+#include "drivers/api/answer_format.hpp"
+#include "drivers/api/api_services.hpp"
+#include "drivers/api/completion_body.hpp"
+#include "drivers/engine/engine_call_listener.hpp"
+#include "servers/requests/request_listener.hpp"
+
+namespace fuchsiaquay {
+
+class engine_call;
+class request_flow;
+
+/// The traffic side of one completion: relays tokens from engines to the caller, over several
+/// attempts if need be, and reports each attempt's end to the pipeline.
+class completion_session final : public request_listener,
+                                 public engine_call_listener,
+                                 public std::enable_shared_from_this<completion_session> {
+public:
+    completion_session(api_services services, web::http::http_request message,
+                       completion_body body, answer_format format);
+    ~completion_session() override;
+
+    /// Hands the request to the pipeline.
+    void begin(const std::shared_ptr<request_flow>& flow);
+
+    void dispatch(const dispatch_plan& plan) override;
+    void refuse(const refusal& reason) override;
+    void replay(const recorded_answer& answer) override;
+
+    void tokens(const std::vector<token_event>& events) override;
+    void ended(const engine_outcome& outcome) override;
+
+    /// Writes a comment on a stream that has been quiet for `keep_alive_period`.
+    /// @return false when the session has ended
+    bool keep_alive(instant now);
+
+private:
+    void start_call(const dispatch_plan& plan);
+    void open_stream();
+    void write(const std::string& text);
+    void finish_answer(const engine_outcome& outcome);
+    void close_stream();
+    void caller_left();
+
+    api_services services_;
+    web::http::http_request message_;
+    completion_body body_;
+    answer_format format_;
+    std::shared_ptr<request_flow> flow_;
+
+    std::mutex mutex_;
+    concurrency::streams::producer_consumer_buffer<std::uint8_t> buffer_;
+    std::shared_ptr<engine_call> call_;
+    bool stream_open_ = false;
+    bool dispatched_ = false;
+    bool ended_ = false;
+    instant last_write_{};
+    std::string collected_;
+    std::string finish_reason_;
+    std::int64_t total_tokens_ = 0;
+    std::int64_t attempt_tokens_ = 0;
+};
+
+}  // namespace fuchsiaquay
--- /dev/null
+++ b/drivers/api/service_session.hpp
@@ -0,0 +1,53 @@
+#pragma once
+
+/// @file
+/// Brings cpprestsdk headers with it: include in drivers/api only.
+
+#include <cpprest/http_msg.h>
+
+#include <memory>
+#include <mutex>
+#include <string>
+
+#include "core/request/attempt_result.hpp"
+#include "drivers/api/api_services.hpp"
+#include "servers/requests/request_listener.hpp"
+
+namespace fuchsiaquay {
+
+class request_flow;
+
+/// The traffic side of one call to a plain service.
+class service_session final : public request_listener,
+                              public std::enable_shared_from_this<service_session> {
+public:
+    /// @param path  path and query at the service, starting with `/`
+    service_session(api_services services, web::http::http_request message, std::string path,
+                    std::string body);
+
+    /// Hands the request to the pipeline.
+    void begin(const std::shared_ptr<request_flow>& flow);
+
+    void dispatch(const dispatch_plan& plan) override;
+    void refuse(const refusal& reason) override;
+    void replay(const recorded_answer& answer) override;
+
+private:
+    void start_call(const dispatch_plan& plan);
+    void answered(const web::http::http_response& response, const std::string& body);
+    void report(const attempt_result& result);
+    /// True for the first of all ends, which may answer the caller.
+    bool end();
+
+    api_services services_;
+    web::http::http_request message_;
+    std::string path_;
+    std::string body_;
+    std::shared_ptr<request_flow> flow_;
+
+    std::mutex mutex_;
+    pplx::cancellation_token_source cancellation_;
+    bool ended_ = false;
+};
+
+}  // namespace fuchsiaquay
--- /dev/null
+++ b/drivers/crypto/digest.hpp
@@ -0,0 +1,17 @@
+#pragma once
+
+#include <string>
+#include <string_view>
+
+namespace fuchsiaquay {
+
+/// SHA-256 of `bytes` in lower-case hexadecimal.
+std::string sha256_hex(std::string_view bytes);
+
+/// HMAC-SHA256 of `bytes` under `key` in lower-case hexadecimal.
+std::string hmac_sha256_hex(std::string_view key, std::string_view bytes);
+
+/// Compares without revealing by its duration where two texts differ.
+bool constant_time_equal(std::string_view a, std::string_view b);
+
+}  // namespace fuchsiaquay
--- /dev/null
+++ b/drivers/engine/engine_call_listener.hpp
@@ -0,0 +1,24 @@
+#pragma once
+
+#include <vector>
+
+namespace fuchsiaquay {
+
+struct engine_outcome;
+struct token_event;
+
+/// Receives the answer of one engine call. Called on traffic threads, one call at a time.
+class engine_call_listener {
+public:
+    engine_call_listener() = default;
+    engine_call_listener(const engine_call_listener&) = delete;
+    engine_call_listener& operator=(const engine_call_listener&) = delete;
+    virtual ~engine_call_listener() = default;
+
+    /// Tokens in order, as many as arrived together.
+    virtual void tokens(const std::vector<token_event>& events) = 0;
+    /// Called once, after the last token.
+    virtual void ended(const engine_outcome& outcome) = 0;
+};
+
+}  // namespace fuchsiaquay
--- /dev/null
+++ b/drivers/engine/engine_request.hpp
@@ -0,0 +1,26 @@
+#pragma once
+
+#include <cstdint>
+#include <memory>
+#include <string>
+
+#include "core/time/clock.hpp"
+
+namespace fuchsiaquay {
+
+/// One completion asked of an engine.
+struct engine_request {
+    std::string address;
+    std::uint16_t port = 0;
+    std::string model;
+    std::shared_ptr<const std::string> prompt;
+    std::int64_t max_tokens = 0;
+    int priority = 0;
+    std::string stream_id;
+    std::int64_t resume_from = 0;
+    /// Longest time until the first token; afterwards `stall_timeout` holds between events.
+    duration first_token_timeout{};
+    duration stall_timeout{};
+};
+
+}  // namespace fuchsiaquay
--- /dev/null
+++ b/drivers/http/client_pool.cpp
@@ -0,0 +1,36 @@
+#include "drivers/http/client_pool.hpp"
+
+#include <cpprest/http_client.h>
+
+namespace fuchsiaquay {
+
+namespace {
+
+/// The library's own timer is only a backstop: streams have stall timers, calls have deadlines.
+constexpr std::chrono::hours backstop_timeout(1);
+
+}  // namespace
+
+client_pool::client_pool() = default;
+client_pool::~client_pool() = default;
+
+std::shared_ptr<web::http::client::http_client> client_pool::get(const std::string& address,
+                                                                 std::uint16_t port) {
+    const std::lock_guard<std::mutex> lock(mutex_);
+    auto& entry = clients_[{address, port}];
+    if (!entry) {
+        web::http::client::http_client_config config;
+        config.set_timeout(backstop_timeout);
+        config.set_chunksize(1 << 16);
+        entry = std::make_shared<web::http::client::http_client>(
+            "http://" + address + ":" + std::to_string(port), config);
+    }
+    return entry;
+}
+
+void client_pool::drop(const std::string& address, std::uint16_t port) {
+    const std::lock_guard<std::mutex> lock(mutex_);
+    clients_.erase({address, port});
+}
+
+}  // namespace fuchsiaquay
--- /dev/null
+++ b/drivers/http/http_server.cpp
@@ -0,0 +1,75 @@
+#include "drivers/http/http_server.hpp"
+
+#include <cpprest/http_listener.h>
+
+#include <map>
+#include <utility>
+
+#include "core/error/step_error.hpp"
+
+namespace fuchsiaquay {
+
+namespace http = web::http;
+using http::experimental::listener::http_listener;
+
+class http_server::binding {
+public:
+    explicit binding(const std::string& uri) : uri_(uri), listener_(uri) {}
+
+    void serve(const http::http_request& message) const {
+        const std::string path = message.relative_uri().path();
+        for (auto route = routes_.rbegin(); route != routes_.rend(); ++route) {
+            if (path.compare(0, route->first.size(), route->first) == 0) {
+                route->second(message);
+                return;
+            }
+        }
+        message.reply(http::status_codes::NotFound,
+                      R"({"error":{"code":"no_such_path","message":"no such path"}})",
+                      "application/json");
+    }
+
+    std::string uri_;
+    http_listener listener_;
+    /// Sorted, so that of two matching prefixes the longer one comes later.
+    std::map<std::string, handler> routes_;
+    bool open_ = false;
+};
+
+http_server::http_server(std::string address, std::uint16_t port)
+    : binding_(std::make_unique<binding>("http://" + std::move(address) + ":" +
+                                         std::to_string(port) + "/")) {}
+
+http_server::~http_server() {
+    close();
+}
+
+void http_server::route(const std::string& prefix, handler handle) {
+    binding_->routes_[prefix] = std::move(handle);
+}
+
+void http_server::open() {
+    binding* target = binding_.get();
+    binding_->listener_.support(
+        [target](const http::http_request& message) { target->serve(message); });
+    try {
+        binding_->listener_.open().wait();
+    } catch (const std::exception& error) {
+        throw step_error("listen", binding_->uri_, error.what());
+    }
+    binding_->open_ = true;
+}
+
+void http_server::close() {
+    if (!binding_->open_) {
+        return;
+    }
+    binding_->open_ = false;
+    try {
+        binding_->listener_.close().wait();
+    } catch (const std::exception&) {
+        // The process is about to end; there is nobody left to serve.
+    }
+}
+
+}  // namespace fuchsiaquay
--- /dev/null
+++ b/drivers/http/monotonic_now.hpp
@@ -0,0 +1,13 @@
+#pragma once
+
+#include "core/time/clock.hpp"
+
+namespace fuchsiaquay {
+
+/// Monotonic time for traffic threads; the same clock as the control loop's.
+inline instant monotonic_now() {
+    const auto since_start = std::chrono::steady_clock::now().time_since_epoch();
+    return instant(std::chrono::duration_cast<duration>(since_start));
+}
+
+}  // namespace fuchsiaquay
--- /dev/null
+++ b/servers/directory/entrypoint_source.hpp
@@ -0,0 +1,21 @@
+#pragma once
+
+#include <memory>
+
+namespace fuchsiaquay {
+
+struct contract;
+struct entrypoint_answer;
+
+/// Tells callers which hosts to use. Used on the control thread.
+class entrypoint_source {
+public:
+    entrypoint_source() = default;
+    entrypoint_source(const entrypoint_source&) = delete;
+    entrypoint_source& operator=(const entrypoint_source&) = delete;
+    virtual ~entrypoint_source() = default;
+
+    virtual entrypoint_answer entrypoints(const contract& terms) const = 0;
+};
+
+}  // namespace fuchsiaquay
--- a/servers/requests/request_flow.hpp
+++ b/servers/requests/request_flow.hpp
@@ -18,14 +18,18 @@
 /// One request on its way through the filters. Used on the control thread only.
 class request_flow {
 public:
-    request_flow(request_context context, std::weak_ptr<request_listener> listener)
+    request_flow(request_context context, std::shared_ptr<request_listener> listener)
         : context_(std::move(context)), listener_(std::move(listener)) {}
 
     const request_context& context() const noexcept { return context_; }
-    std::shared_ptr<request_listener> listener() const { return listener_.lock(); }
+    /// Null after the end.
+    const std::shared_ptr<request_listener>& listener() const noexcept { return listener_; }
 
     bool ended() const noexcept { return ended_; }
-    void mark_ended() noexcept { ended_ = true; }
+    void mark_ended() noexcept {
+        ended_ = true;
+        listener_.reset();
+    }
 
     /// Set by the contract filter.
     std::shared_ptr<const contract> terms;
@@ -56,7 +60,7 @@
 
 private:
     request_context context_;
-    std::weak_ptr<request_listener> listener_;
+    std::shared_ptr<request_listener> listener_;
     bool ended_ = false;
 };
 
