--- /dev/null
+++ b/core/scheduling/engine_stream.hpp
@@ -0,0 +1,26 @@
+#pragma once
+
+#include <cstdint>
+#include <tuple>
+
+#include "core/identity/names.hpp"
+#include "core/scheduling/stream_phase.hpp"
+
+namespace fuchsiaquay {
+
+/// One stream in an engine's own list.
+struct engine_stream {
+    /// The stream id at the engine.
+    grant_id grant;
+    std::int64_t memory_tokens = 0;
+    std::int64_t generated_tokens = 0;
+    stream_phase phase = stream_phase::waiting;
+
+    friend bool operator==(const engine_stream& a, const engine_stream& b) {
+        return std::tie(a.grant, a.memory_tokens, a.generated_tokens, a.phase) ==
+               std::tie(b.grant, b.memory_tokens, b.generated_tokens, b.phase);
+    }
+    friend bool operator!=(const engine_stream& a, const engine_stream& b) { return !(a == b); }
+};
+
+}  // namespace fuchsiaquay
--- /dev/null
+++ b/core/scheduling/fair_rank_policy.cpp
@@ -0,0 +1,312 @@
+#include "core/scheduling/fair_rank_policy.hpp"
+
+#include <algorithm>
+
+#include "core/scheduling/admission.hpp"
+
+namespace fuchsiaquay {
+namespace {
+
+/// Credit and debt of a level are kept within this much time of its floor.
+constexpr double credit_seconds = 2.0;
+/// A level goes first once it is owed this much time of its floor.
+constexpr double due_seconds = 0.3;
+/// A customer is over its share above this multiple of it.
+constexpr double over_share_factor = 1.5;
+/// Below this part of the upstream a customer is never over its share.
+constexpr double min_over_share = 0.1;
+/// Parts of the upstream below this are not counted on by estimates.
+constexpr double min_speed_share = 0.02;
+
+constexpr int level_step = 10;
+constexpr int over_share_step = 5;
+constexpr int long_base = 100;
+
+/// Prompts up to these sizes pass larger ones of the same level at the engine.
+constexpr std::int64_t size_steps[] = {4096, 8192, 16384};
+
+int size_class(std::int64_t tokens) {
+    int size = 0;
+    for (const std::int64_t step : size_steps) {
+        size += tokens > step ? 1 : 0;
+    }
+    return size;
+}
+
+}  // namespace
+
+fair_rank_policy::fair_rank_policy(double tokens_per_second)
+    : tokens_per_second_(tokens_per_second) {}
+
+void fair_rank_policy::push(const queued_request& queued, instant now) {
+    level_state& state = levels_[queued.request.level];
+    settle_credit(state, now);
+    state.floor_share = std::max(state.floor_share, queued.request.floor_share);
+    lane& current = state.lanes[queued.is_long ? 1 : 0];
+    flow& own = current.flows[queued.request.customer];
+    own.weight = std::max(queued.request.weight, 1e-6);
+    const double start_tag = std::max(current.virtual_time, own.finish_tag);
+    own.finish_tag = start_tag + queued.cost / own.weight;
+    own.waiting.push_back(tagged_request{queued, start_tag});
+    current.waiting_cost += queued.cost;
+    ++current.waiting_count;
+    index_[queued.request.request.value()] = {queued.request.level, queued.is_long};
+}
+
+std::optional<queued_request> fair_rank_policy::remove(const request_id& request) {
+    const auto place = index_.find(request.value());
+    if (place == index_.end()) {
+        return std::nullopt;
+    }
+    lane& current = levels_[place->second.first].lanes[place->second.second ? 1 : 0];
+    index_.erase(place);
+    for (auto& [customer, own] : current.flows) {
+        const auto found = std::find_if(own.waiting.begin(), own.waiting.end(),
+                                        [&request](const tagged_request& each) {
+                                            return each.queued.request.request == request;
+                                        });
+        if (found == own.waiting.end()) {
+            continue;
+        }
+        const queued_request removed = found->queued;
+        const double cost = removed.cost;
+        for (auto later = found + 1; later != own.waiting.end(); ++later) {
+            later->start_tag -= cost / own.weight;
+        }
+        own.finish_tag -= cost / own.weight;
+        current.waiting_cost -= cost;
+        --current.waiting_count;
+        own.waiting.erase(found);
+        return removed;
+    }
+    return std::nullopt;
+}
+
+bool fair_rank_policy::contains(const request_id& request) const {
+    return index_.count(request.value()) > 0;
+}
+
+std::optional<policy_pick> fair_rank_policy::pop(const admission& gate, instant now) {
+    for (const bool is_long : {false, true}) {
+        for (const int level : level_order(now)) {
+            level_state& state = levels_[level];
+            lane& current = state.lanes[is_long ? 1 : 0];
+            flow* chosen = next_flow(current, now);
+            if (chosen == nullptr) {
+                continue;
+            }
+            const queued_request& head = chosen->waiting.front().queued;
+            const bool due = is_due(state, now);
+            const int priority = engine_priority(head, now);
+            if (!gate.fits(head, priority, due)) {
+                break;
+            }
+            return take_front(state, current, *chosen, priority, now);
+        }
+    }
+    return std::nullopt;
+}
+
+int fair_rank_policy::engine_priority(const queued_request& queued, instant now) const {
+    const int level = queued.request.level;
+    if (queued.is_long) {
+        return long_base + level * level_step;
+    }
+    const auto found = levels_.find(level);
+    if (found == levels_.end()) {
+        return level * level_step + size_class(queued.prefill_tokens);
+    }
+    const bool due = is_due(found->second, now);
+    const bool over = over_share(found->second.lanes[0], queued.request.customer, now);
+    return (due ? 0 : level * level_step) + (over ? over_share_step : 0) +
+           size_class(queued.prefill_tokens);
+}
+
+double fair_rank_policy::work_before(const queued_request& queued) const {
+    const auto found = levels_.find(queued.request.level);
+    if (found == levels_.end()) {
+        return 0.0;
+    }
+    const lane& current = found->second.lanes[queued.is_long ? 1 : 0];
+    const auto own = current.flows.find(queued.request.customer);
+    const double own_tag = own == current.flows.end()
+                               ? current.virtual_time
+                               : std::max(current.virtual_time, own->second.finish_tag);
+    double before = 0.0;
+    for (const auto& [customer, each] : current.flows) {
+        for (const tagged_request& waiting : each.waiting) {
+            if (waiting.start_tag > own_tag) {
+                break;
+            }
+            before += waiting.queued.cost;
+        }
+    }
+    return before;
+}
+
+double fair_rank_policy::urgent_usage(int level, instant now) const {
+    double usage = 0.0;
+    for (const auto& [other, state] : levels_) {
+        if (other < level) {
+            usage += state.short_usage.at(now);
+        }
+    }
+    return usage;
+}
+
+double fair_rank_policy::expected_speed(const queued_request& queued, double speed,
+                                        instant now) const {
+    double left = speed - urgent_usage(queued.request.level, now);
+    if (queued.is_long) {
+        for (const auto& [level, state] : levels_) {
+            left -= level >= queued.request.level ? state.short_usage.at(now) : 0.0;
+        }
+    }
+    return std::max({left, queued.request.floor_share * speed * (queued.is_long ? 0.5 : 1.0),
+                     min_speed_share * speed});
+}
+
+duration fair_rank_policy::expected_wait(const queued_request& queued, double speed,
+                                         instant now) const {
+    double urgent = 0.0;
+    for (const auto& [level, state] : levels_) {
+        if (level < queued.request.level) {
+            urgent += state.lanes[queued.is_long ? 1 : 0].waiting_cost;
+        }
+    }
+    const double by_order = (urgent + work_before(queued)) / expected_speed(queued, speed, now);
+    const double floor_speed = queued.request.floor_share * speed;
+    const double by_floor = floor_speed > 0.0 ? work_before(queued) / floor_speed : by_order;
+    return from_seconds(std::min(by_order, by_floor));
+}
+
+void fair_rank_policy::account(int level, bool is_long, double tokens, instant now) {
+    level_state& state = levels_[level];
+    settle_credit(state, now);
+    state.credit -= tokens;
+    (is_long ? state.long_usage : state.short_usage).add(tokens, now);
+}
+
+bool fair_rank_policy::floor_due(int level, instant now) const {
+    const auto found = levels_.find(level);
+    return found != levels_.end() && is_due(found->second, now);
+}
+
+const queued_request* fair_rank_policy::next_long() const {
+    for (const auto& [level, state] : levels_) {
+        const tagged_request* first = nullptr;
+        for (const auto& [customer, own] : state.lanes[1].flows) {
+            if (!own.waiting.empty() &&
+                (first == nullptr || own.waiting.front().start_tag < first->start_tag)) {
+                first = &own.waiting.front();
+            }
+        }
+        if (first != nullptr) {
+            return &first->queued;
+        }
+    }
+    return nullptr;
+}
+
+std::vector<std::pair<int, double>> fair_rank_policy::floors() const {
+    std::vector<std::pair<int, double>> known;
+    for (const auto& [level, state] : levels_) {
+        known.emplace_back(level, state.floor_share);
+    }
+    return known;
+}
+
+std::size_t fair_rank_policy::size() const {
+    return index_.size();
+}
+
+double fair_rank_policy::queued_cost(bool is_long) const {
+    double cost = 0.0;
+    for (const auto& [level, state] : levels_) {
+        cost += state.lanes[is_long ? 1 : 0].waiting_cost;
+    }
+    return cost;
+}
+
+fair_rank_policy::flow* fair_rank_policy::next_flow(lane& current, instant /*now*/) const {
+    flow* first = nullptr;
+    for (auto& [customer, own] : current.flows) {
+        if (!own.waiting.empty() && (first == nullptr || own.waiting.front().start_tag <
+                                                             first->waiting.front().start_tag)) {
+            first = &own;
+        }
+    }
+    return first;
+}
+
+std::vector<int> fair_rank_policy::level_order(instant now) const {
+    std::vector<std::pair<double, int>> keys;
+    for (const auto& [level, state] : levels_) {
+        if (!state.waiting()) {
+            continue;
+        }
+        const bool due = is_due(state, now);
+        keys.emplace_back(
+            due ? -credit_at(state, now) / state.floor_share : static_cast<double>(level), level);
+    }
+    std::sort(keys.begin(), keys.end());
+    std::vector<int> order;
+    order.reserve(keys.size());
+    for (const auto& [key, level] : keys) {
+        order.push_back(level);
+    }
+    return order;
+}
+
+double fair_rank_policy::credit_at(const level_state& state, instant now) const {
+    const double floor_speed = state.floor_share * tokens_per_second_;
+    const double bound = floor_speed * credit_seconds;
+    const double earned = state.credit + floor_speed * to_seconds(now - state.credit_at);
+    // A level that does not wait is owed nothing.
+    return std::clamp(earned, -bound, state.waiting() ? bound : 0.0);
+}
+
+bool fair_rank_policy::is_due(const level_state& state, instant now) const {
+    const double floor_speed = state.floor_share * tokens_per_second_;
+    return floor_speed > 0.0 && credit_at(state, now) > floor_speed * due_seconds;
+}
+
+void fair_rank_policy::settle_credit(level_state& state, instant now) {
+    state.credit = credit_at(state, now);
+    state.credit_at = now;
+}
+
+bool fair_rank_policy::over_share(const lane& current, const customer_id& customer,
+                                  instant now) const {
+    const auto own = current.flows.find(customer);
+    if (own == current.flows.end()) {
+        return false;
+    }
+    double weights = 0.0;
+    for (const auto& [name, each] : current.flows) {
+        weights += each.weight;
+    }
+    const double share = own->second.weight / weights;
+    const double used = own->second.usage.at(now) / tokens_per_second_;
+    return used > std::max(share * over_share_factor, min_over_share);
+}
+
+policy_pick fair_rank_policy::take_front(level_state& state, lane& current, flow& chosen,
+                                         int priority, instant now) {
+    settle_credit(state, now);
+    policy_pick pick{chosen.waiting.front().queued, priority};
+    current.virtual_time = std::max(current.virtual_time, chosen.waiting.front().start_tag);
+    chosen.usage.add(pick.queued.cost, now);
+    forget_front(current, chosen);
+    return pick;
+}
+
+void fair_rank_policy::forget_front(lane& current, flow& chosen) {
+    const queued_request& head = chosen.waiting.front().queued;
+    current.waiting_cost -= head.cost;
+    --current.waiting_count;
+    index_.erase(head.request.request.value());
+    chosen.waiting.pop_front();
+}
+
+}  // namespace fuchsiaquay
--- /dev/null
+++ b/core/scheduling/fair_rank_policy.hpp
@@ -0,0 +1,93 @@
+#pragma once
+
+#include <deque>
+#include <map>
+#include <string>
+#include <unordered_map>
+#include <utility>
+
+#include "core/scheduling/decaying_rate.hpp"
+#include "core/scheduling/queue_policy.hpp"
+
+namespace fuchsiaquay {
+
+/// Levels by urgency, each with a floor; inside a level start-time fair queueing of the customers
+/// over tokens, by weight. Short and long prompts wait in lanes of their own, so that neither
+/// blocks the other.
+///
+/// A level that waits and is served less than its floor collects credit and goes first until the
+/// credit is used. What a level leaves unused goes to the others and comes back with its next
+/// request, since the engine priority lets it pass what is already granted.
+class fair_rank_policy : public queue_policy {
+public:
+    /// @param tokens_per_second  speed of the upstream, of which the floors are parts
+    explicit fair_rank_policy(double tokens_per_second);
+
+    void push(const queued_request& queued, instant now) override;
+    std::optional<queued_request> remove(const request_id& request) override;
+    bool contains(const request_id& request) const override;
+    std::optional<policy_pick> pop(const admission& gate, instant now) override;
+    int engine_priority(const queued_request& queued, instant now) const override;
+    duration expected_wait(const queued_request& queued, double speed, instant now) const override;
+    double expected_speed(const queued_request& queued, double speed, instant now) const override;
+    void account(int level, bool is_long, double tokens, instant now) override;
+    bool floor_due(int level, instant now) const override;
+    const queued_request* next_long() const override;
+    std::vector<std::pair<int, double>> floors() const override;
+    std::size_t size() const override;
+    double queued_cost(bool is_long) const override;
+
+protected:
+    struct tagged_request {
+        queued_request queued;
+        double start_tag = 0.0;
+    };
+    struct flow {
+        std::deque<tagged_request> waiting;
+        double finish_tag = 0.0;
+        double weight = 1.0;
+        decaying_rate usage{std::chrono::seconds(5)};
+    };
+    /// The short or the long prompts of one level.
+    struct lane {
+        std::map<customer_id, flow> flows;
+        double virtual_time = 0.0;
+        double waiting_cost = 0.0;
+        std::size_t waiting_count = 0;
+    };
+    struct level_state {
+        lane lanes[2];
+        double floor_share = 0.0;
+        /// Tokens owed to the level.
+        double credit = 0.0;
+        instant credit_at{};
+        decaying_rate short_usage{std::chrono::seconds(5)};
+        decaying_rate long_usage{std::chrono::seconds(5)};
+        bool waiting() const { return lanes[0].waiting_count + lanes[1].waiting_count > 0; }
+    };
+
+    /// The flow of a lane to be served next; null when none waits.
+    virtual flow* next_flow(lane& current, instant now) const;
+    /// Waiting levels in the order in which they may be served.
+    virtual std::vector<int> level_order(instant now) const;
+
+    const std::map<int, level_state>& levels() const { return levels_; }
+    double tokens_per_second() const { return tokens_per_second_; }
+
+private:
+    double credit_at(const level_state& state, instant now) const;
+    bool is_due(const level_state& state, instant now) const;
+    void settle_credit(level_state& state, instant now);
+    bool over_share(const lane& current, const customer_id& customer, instant now) const;
+    policy_pick take_front(level_state& state, lane& current, flow& chosen, int priority,
+                           instant now);
+    void forget_front(lane& current, flow& chosen);
+    double work_before(const queued_request& queued) const;
+    double urgent_usage(int level, instant now) const;
+
+    double tokens_per_second_;
+    std::map<int, level_state> levels_;
+    std::unordered_map<std::string, std::pair<int, bool>> index_;  // request -> level, is_long
+};
+
+}  // namespace fuchsiaquay
--- /dev/null
+++ b/core/scheduling/grant_record.hpp
@@ -0,0 +1,31 @@
+#pragma once
+
+#include <cstdint>
+
+#include "core/identity/names.hpp"
+#include "core/time/clock.hpp"
+
+namespace fuchsiaquay {
+
+/// A grant as its owner keeps it.
+struct grant_record {
+    grant_id grant;
+    request_id request;
+    host_id entry_host;
+    customer_id customer;
+    int level = 0;
+    bool is_long = false;
+    std::int64_t memory_tokens = 0;
+    std::int64_t output_tokens = 0;
+    /// Predicted prefill work that the engine has not done yet, in tokens.
+    double prefill_left = 0.0;
+    int engine_priority = 0;
+    /// Grants of equal priority are served in this order.
+    std::uint64_t order = 0;
+    instant granted_at{};
+    instant expires_at{};
+    /// The engine has listed the stream.
+    bool seen = false;
+};
+
+}  // namespace fuchsiaquay
--- /dev/null
+++ b/core/scheduling/served_work.hpp
@@ -0,0 +1,12 @@
+#pragma once
+
+namespace fuchsiaquay {
+
+/// Work that the engine is taken to have done for one level.
+struct served_work {
+    int level = 0;
+    bool is_long = false;
+    double tokens = 0.0;
+};
+
+}  // namespace fuchsiaquay
--- /dev/null
+++ b/core/scheduling/stream_phase.hpp
@@ -0,0 +1,8 @@
+#pragma once
+
+namespace fuchsiaquay {
+
+/// State of a stream in an engine's list.
+enum class stream_phase { waiting, prefill, decode, held };
+
+}  // namespace fuchsiaquay
--- /dev/null
+++ b/core/scheduling/upstream_queue.cpp
@@ -0,0 +1,409 @@
+#include "core/scheduling/upstream_queue.hpp"
+
+#include <algorithm>
+#include <utility>
+
+#include "core/scheduling/engine_report.hpp"
+
+namespace fuchsiaquay {
+namespace {
+
+/// Time between two looks at a queue that waits for the engine.
+constexpr duration dispatch_interval = std::chrono::milliseconds(10);
+constexpr duration min_retry_after = std::chrono::milliseconds(500);
+constexpr double min_speed_ratio = 0.3;
+constexpr double max_speed_ratio = 2.0;
+/// Prefill goes on at this part of the speed at least, however many streams decode.
+constexpr double min_prefill_share = 0.2;
+/// Short work that may be granted at once beside a long prefill.
+constexpr double allowance_seconds = 1.0;
+
+}  // namespace
+
+/// Decides whether the upstream can take a request now.
+class upstream_queue::gate final : public admission {
+public:
+    explicit gate(const upstream_queue& owner) : owner_(owner) {}
+
+    bool fits(const queued_request& queued, int engine_priority, bool floor_due) const override {
+        if (!fits_memory(queued) || !fits_count(queued)) {
+            return false;
+        }
+        if (owner_.rebuilding_ && !fits_rebuild(queued)) {
+            return false;
+        }
+        return queued.is_long ? fits_long(queued) : fits_short(queued, engine_priority, floor_due);
+    }
+
+private:
+    const upstream_settings& settings() const { return owner_.settings_; }
+
+    bool fits_memory(const queued_request& queued) const {
+        const auto memory = static_cast<double>(settings().memory_tokens);
+        double held_back = 0.0;
+        for (const auto& [level, share] : owner_.policy_->floors()) {
+            if (level != queued.request.level) {
+                const double kept = std::min(share, settings().floor_memory_share) * memory;
+                held_back +=
+                    std::max(kept - static_cast<double>(owner_.grants_.memory_used(level)), 0.0);
+            }
+        }
+        const std::int64_t needed = owner_.grants_.memory_used() + queued.request.memory_tokens;
+        return static_cast<double>(needed) + held_back <= memory;
+    }
+
+    bool fits_count(const queued_request& queued) const {
+        const auto most = static_cast<double>(settings().max_running);
+        double held_back = 0.0;
+        for (const auto& [level, share] : owner_.policy_->floors()) {
+            if (level != queued.request.level) {
+                const double kept = std::min(share, settings().floor_memory_share) * most;
+                held_back += std::max(kept - static_cast<double>(owner_.grants_.size(level)), 0.0);
+            }
+        }
+        return static_cast<double>(owner_.grants_.size()) + 1.0 + held_back <= most;
+    }
+
+    bool fits_rebuild(const queued_request& queued) const {
+        const double most =
+            settings().rebuild_memory_share * static_cast<double>(settings().memory_tokens);
+        const std::int64_t granted = owner_.rebuild_granted_ + queued.request.memory_tokens;
+        return !queued.is_long && static_cast<double>(granted) <= most;
+    }
+
+    bool fits_long(const queued_request& queued) const {
+        const std::int64_t used = owner_.grants_.long_memory() + queued.request.memory_tokens;
+        return owner_.grants_.long_prefills() < settings().max_long_prefills &&
+               used <= settings().memory_tokens - settings().short_memory_tokens;
+    }
+
+    bool fits_short(const queued_request& queued, int engine_priority, bool floor_due) const {
+        const double window = owner_.prefill_speed() * to_seconds(settings().dispatch_window);
+        if (owner_.grants_.prefill_ahead(engine_priority) > window) {
+            return false;
+        }
+        const int long_level = owner_.grants_.long_prefill_level();
+        const bool yields = long_level >= 0 && !floor_due &&
+                            (long_level <= queued.request.level ||
+                             owner_.policy_->floor_due(long_level, owner_.progressed_at_));
+        if (yields && owner_.short_allowance_ < 0.0) {
+            return false;
+        }
+        return !takes_long_memory(queued);
+    }
+
+    /// A long prompt that waits for memory gets what short ones give back.
+    bool takes_long_memory(const queued_request& queued) const {
+        const queued_request* waiting = owner_.policy_->next_long();
+        if (waiting == nullptr || !fits_long(*waiting)) {
+            return false;
+        }
+        const std::int64_t used = owner_.grants_.memory_used() + queued.request.memory_tokens;
+        const std::int64_t short_used = used - owner_.grants_.long_memory();
+        return short_used > settings().short_memory_tokens &&
+               used + waiting->request.memory_tokens > settings().memory_tokens;
+    }
+
+    const upstream_queue& owner_;
+};
+
+upstream_queue::upstream_queue(const upstream_settings& settings,
+                               std::unique_ptr<queue_policy> policy, bool rebuilding, instant now)
+    : settings_(settings),
+      policy_(std::move(policy)),
+      progressed_at_(now),
+      rebuilding_(rebuilding),
+      started_at_(now) {
+    grants_.advance(now, 0.0);
+}
+
+scheduling_actions upstream_queue::reserve(const reserve_request& request, instant now) {
+    progress(now);
+    scheduling_actions actions;
+    const grant_record* known = grants_.find_request(request.request);
+    if (known != nullptr) {
+        reserve_reply reply = make_reply(request.request);
+        reply.outcome = reserve_outcome::granted;
+        reply.grant = known->grant;
+        reply.grant_lifetime = std::max(known->expires_at - now, duration::zero());
+        reply.engine_priority = known->engine_priority;
+        reply.reason = "repeated";
+        actions.replies.push_back(addressed_reply{request.entry_host, reply});
+        return actions;
+    }
+    queued_request queued = make_queued(request, now);
+    if (never_fits(queued)) {
+        refuse(request, settings_.max_retry_after, "too_large", actions);
+        return actions;
+    }
+    const bool repeated = policy_->contains(request.request);
+    queued.expected_wait = expected_wait(queued, now);
+    if (!repeated) {
+        const duration slack = queued.deadline - now - service_time(queued, now);
+        const bool hopeless =
+            slack < duration::zero() || (settings_.refuse_early && queued.expected_wait > slack);
+        if (hopeless) {
+            refuse(request, retry_time(queued.expected_wait, slack), "deadline", actions);
+            return actions;
+        }
+        policy_->push(queued, now);
+        latest_starts_.emplace(queued.latest_start, request.request);
+        dispatch(now, actions);
+    }
+    if (policy_->contains(request.request)) {
+        reserve_reply reply = make_reply(request.request);
+        reply.outcome = reserve_outcome::queued;
+        reply.start_estimate = queued.expected_wait;
+        reply.reason = rebuilding_ ? "rebuilding" : "busy";
+        actions.replies.push_back(addressed_reply{request.entry_host, reply});
+    }
+    return actions;
+}
+
+scheduling_actions upstream_queue::release(const grant_release& release, instant now) {
+    progress(now);
+    scheduling_actions actions;
+    const std::optional<queued_request> waiting = policy_->remove(release.request);
+    if (waiting) {
+        latest_starts_.erase({waiting->latest_start, release.request});
+    }
+    const grant_record* by_request = grants_.find_request(release.request);
+    const grant_id grant =
+        release.grant.empty() && by_request != nullptr ? by_request->grant : release.grant;
+    const grant_record* record = grants_.find(grant);
+    if (record != nullptr) {
+        const std::int64_t unexpected = release.generated_tokens - record->output_tokens;
+        if (unexpected > 0) {
+            policy_->account(record->level, record->is_long, static_cast<double>(unexpected), now);
+        }
+        grants_.erase(grant);
+    }
+    dispatch(now, actions);
+    return actions;
+}
+
+scheduling_actions upstream_queue::renew(const grant_renewal& renewal, instant now) {
+    progress(now);
+    scheduling_actions actions;
+    grant_record* known = grants_.find(renewal.grant);
+    if (known != nullptr) {
+        known->expires_at = now + settings_.grant_lifetime;
+        return actions;
+    }
+    if (grants_.ended(renewal.grant)) {
+        return actions;
+    }
+    grant_record record;
+    record.grant = renewal.grant;
+    record.request = renewal.request;
+    record.entry_host = renewal.entry_host;
+    record.customer = renewal.customer;
+    record.level = renewal.level;
+    record.memory_tokens = renewal.memory_tokens;
+    record.is_long = renewal.memory_tokens > settings_.long_prompt_tokens;
+    record.granted_at = now;
+    record.expires_at = now + settings_.grant_lifetime;
+    grants_.add(record);
+    return actions;
+}
+
+scheduling_actions upstream_queue::tick(instant now) {
+    progress(now);
+    scheduling_actions actions;
+    if (rebuilding_ && engine_listed_ && now - started_at_ >= settings_.rebuild_time) {
+        rebuilding_ = false;
+    }
+    end_expired(now, actions);
+    give_up_hopeless(now, actions);
+    dispatch(now, actions);
+    return actions;
+}
+
+scheduling_actions upstream_queue::observe_engine(const engine_report& report, instant now) {
+    progress(now);
+    engine_listed_ = true;
+    if (report.memory_tokens > 0) {
+        settings_.memory_tokens = report.memory_tokens;
+    }
+    scheduling_actions actions;
+    // Entry hosts have not registered their grants again yet while the owner rebuilds.
+    const duration grace =
+        rebuilding_ ? settings_.orphan_grace + settings_.rebuild_time : settings_.orphan_grace;
+    actions.cancels = grants_.observe(report, grace, now);
+    speed_ratio_ = std::clamp(speed_ratio_ * grants_.take_speed_correction(), min_speed_ratio,
+                              max_speed_ratio);
+    dispatch(now, actions);
+    return actions;
+}
+
+instant upstream_queue::next_wakeup(instant now) const {
+    instant next = grants_.next_expiry();
+    if (!latest_starts_.empty()) {
+        next =
+            std::min({next, latest_starts_.begin()->first + duration(1), now + dispatch_interval});
+    }
+    if (rebuilding_) {
+        next = std::min(next, now + settings_.rebuild_time);
+    }
+    return std::max(next, now + duration(1));
+}
+
+std::int64_t upstream_queue::free_memory_tokens() const noexcept {
+    return std::max<std::int64_t>(settings_.memory_tokens - grants_.memory_used(), 0);
+}
+
+void upstream_queue::progress(instant now) {
+    const double seconds = std::max(to_seconds(now - progressed_at_), 0.0);
+    const double speed = prefill_speed();
+    for (const served_work& work : grants_.advance(now, speed)) {
+        policy_->account(work.level, work.is_long, work.tokens, now);
+    }
+    const double short_speed = (1.0 - settings_.long_share) * speed;
+    short_allowance_ =
+        std::min(short_allowance_ + short_speed * seconds, short_speed * allowance_seconds);
+    if (grants_.long_prefill_level() < 0) {
+        short_allowance_ = short_speed * allowance_seconds;
+    }
+    progressed_at_ = now;
+}
+
+void upstream_queue::dispatch(instant now, scheduling_actions& actions) {
+    const gate entrance(*this);
+    while (const std::optional<policy_pick> pick = policy_->pop(entrance, now)) {
+        latest_starts_.erase({pick->queued.latest_start, pick->queued.request.request});
+        grant(pick->queued, pick->engine_priority, now, actions);
+    }
+}
+
+void upstream_queue::give_up_hopeless(instant now, scheduling_actions& actions) {
+    while (!latest_starts_.empty() && latest_starts_.begin()->first < now) {
+        const request_id request = latest_starts_.begin()->second;
+        latest_starts_.erase(latest_starts_.begin());
+        const std::optional<queued_request> waiting = policy_->remove(request);
+        if (waiting) {
+            refuse(waiting->request, retry_time(now - waiting->arrived, duration::zero()),
+                   "given_up", actions);
+        }
+    }
+}
+
+void upstream_queue::end_expired(instant now, scheduling_actions& actions) {
+    for (const grant_record& record : grants_.expired(now)) {
+        grants_.erase(record.grant);
+        actions.cancels.push_back(record.grant);
+    }
+}
+
+void upstream_queue::grant(const queued_request& queued, int engine_priority, instant now,
+                           scheduling_actions& actions) {
+    grant_record record;
+    record.grant = next_grant_id();
+    record.request = queued.request.request;
+    record.entry_host = queued.request.entry_host;
+    record.customer = queued.request.customer;
+    record.level = queued.request.level;
+    record.is_long = queued.is_long;
+    record.memory_tokens = queued.request.memory_tokens;
+    record.output_tokens = queued.request.expected_output_tokens;
+    record.prefill_left = static_cast<double>(queued.prefill_tokens);
+    record.engine_priority = engine_priority;
+    record.granted_at = now;
+    record.expires_at = now + settings_.grant_lifetime;
+    grants_.add(record);
+    if (!queued.is_long) {
+        short_allowance_ -= record.prefill_left;
+    }
+    if (rebuilding_) {
+        rebuild_granted_ += record.memory_tokens;
+    }
+    start_error_.add(queued.expected_wait, now - queued.arrived);
+    reserve_reply reply = make_reply(record.request);
+    reply.outcome = reserve_outcome::granted;
+    reply.grant = record.grant;
+    reply.grant_lifetime = settings_.grant_lifetime;
+    reply.start_estimate = from_seconds(
+        (grants_.prefill_ahead(engine_priority) - record.prefill_left) / prefill_speed());
+    reply.engine_priority = engine_priority;
+    reply.reason = "fits";
+    actions.replies.push_back(addressed_reply{record.entry_host, reply});
+}
+
+void upstream_queue::refuse(const reserve_request& request, duration retry_after,
+                            const std::string& reason, scheduling_actions& actions) const {
+    reserve_reply reply = make_reply(request.request);
+    reply.outcome = reserve_outcome::refused;
+    reply.retry_after = retry_after;
+    reply.reason = reason;
+    actions.replies.push_back(addressed_reply{request.entry_host, reply});
+}
+
+reserve_reply upstream_queue::make_reply(const request_id& request) const {
+    reserve_reply reply;
+    reply.request = request;
+    reply.upstream = settings_.upstream;
+    reply.free_memory_tokens = free_memory_tokens();
+    const double long_left = grants_.prefill_left(true) + policy_->queued_cost(true);
+    const double short_left = grants_.prefill_left(false) + policy_->queued_cost(false);
+    reply.queued_long_tokens = static_cast<std::int64_t>(long_left);
+    reply.queued_prefill_tokens = static_cast<std::int64_t>(long_left + short_left);
+    reply.running_requests = static_cast<std::int64_t>(grants_.size());
+    return reply;
+}
+
+queued_request upstream_queue::make_queued(const reserve_request& request, instant now) const {
+    queued_request queued;
+    queued.request = request;
+    queued.arrived = now;
+    queued.deadline = now + request.time_left;
+    queued.prefill_tokens =
+        std::max<std::int64_t>(request.prompt_tokens - request.cached_tokens, 1);
+    queued.cost = static_cast<double>(queued.prefill_tokens + request.expected_output_tokens);
+    queued.is_long = queued.prefill_tokens > settings_.long_prompt_tokens;
+    queued.latest_start = queued.deadline - service_time(queued, now);
+    return queued;
+}
+
+duration upstream_queue::service_time(const queued_request& queued, instant now) const {
+    const double speed =
+        queued.is_long ? policy_->expected_speed(queued, total_speed(), now) : prefill_speed();
+    const double prefill = static_cast<double>(queued.prefill_tokens) / speed;
+    const double decode = static_cast<double>(queued.request.expected_output_tokens) *
+                          to_seconds(settings_.decode_step);
+    return from_seconds((prefill + decode) * settings_.service_margin);
+}
+
+duration upstream_queue::expected_wait(const queued_request& queued, instant now) const {
+    const int priority = policy_->engine_priority(queued, now);
+    const double ahead =
+        queued.is_long ? grants_.prefill_left(true) : grants_.prefill_ahead(priority);
+    const duration granted = from_seconds(ahead / prefill_speed());
+    const duration waiting = policy_->expected_wait(queued, total_speed(), now);
+    return from_seconds(to_seconds(granted + waiting) * start_error_.correction());
+}
+
+duration upstream_queue::retry_time(duration wait, duration slack) const {
+    return std::clamp(wait - std::max(slack, duration::zero()), min_retry_after,
+                      settings_.max_retry_after);
+}
+
+bool upstream_queue::never_fits(const queued_request& queued) const {
+    const std::int64_t kept = queued.is_long ? settings_.short_memory_tokens : 0;
+    return queued.request.memory_tokens > settings_.memory_tokens - kept;
+}
+
+double upstream_queue::prefill_speed() const {
+    const double decode_speed =
+        static_cast<double>(grants_.decoding()) / to_seconds(settings_.decode_step);
+    return std::max(total_speed() - decode_speed, total_speed() * min_prefill_share);
+}
+
+double upstream_queue::total_speed() const {
+    return settings_.tokens_per_second * speed_ratio_;
+}
+
+grant_id upstream_queue::next_grant_id() {
+    return grant_id(settings_.owner.value() + "-" + std::to_string(settings_.incarnation) + "-" +
+                    settings_.upstream.value() + "-" + std::to_string(++last_grant_));
+}
+
+}  // namespace fuchsiaquay
