--- /dev/null
+++ b/core/routing/group_reservation.cpp
@@ -0,0 +1,126 @@
+#include "core/routing/group_reservation.hpp"
+
+#include <algorithm>
+#include <utility>
+
+namespace fuchsiaquay {
+namespace {
+
+constexpr duration group_retry_after = std::chrono::seconds(5);
+
+}  // namespace
+
+group_reservation::group_reservation(const reserve_request& request, std::vector<group_part> parts,
+                                     const reservation_settings& settings, instant now)
+    : request_(request),
+      parts_(std::move(parts)),
+      settings_(settings),
+      deadline_(now + request.time_left),
+      give_up_at_(now + std::min(settings.group_wait, request.time_left)) {}
+
+routing_actions group_reservation::start(instant now) {
+    routing_actions actions;
+    if (parts_.empty()) {
+        give_up(group_retry_after, "no_group", actions);
+        return actions;
+    }
+    ask_next(now, actions);
+    return actions;
+}
+
+routing_actions group_reservation::on_reply(const reserve_reply& reply, instant now) {
+    routing_actions actions;
+    const std::size_t current = grants_.size();
+    if (finished_ || current >= parts_.size() || reply.request != part_request(current)) {
+        for (std::size_t part = 0; part < asked_; ++part) {
+            const bool held = std::any_of(
+                grants_.begin(), grants_.end(),
+                [&reply](const reserve_reply& each) { return each.grant == reply.grant; });
+            if (reply.outcome == reserve_outcome::granted && !held &&
+                reply.request == part_request(part)) {
+                actions.releases.push_back(make_release(part, reply.grant));
+            }
+        }
+        return actions;
+    }
+    if (reply.outcome == reserve_outcome::refused) {
+        give_up(reply.retry_after, reply.reason, actions);
+        return actions;
+    }
+    reply_due_ = instant::max();
+    if (reply.outcome == reserve_outcome::queued) {
+        return actions;
+    }
+    grants_.push_back(reply);
+    if (grants_.size() < parts_.size()) {
+        ask_next(now, actions);
+        return actions;
+    }
+    finished_ = true;
+    actions.outcome = routing_outcome{true, grants_, duration::zero(), "group"};
+    return actions;
+}
+
+routing_actions group_reservation::tick(instant now) {
+    routing_actions actions;
+    if (!finished_ && now >= std::min(give_up_at_, reply_due_)) {
+        give_up(group_retry_after, now >= reply_due_ ? "owner_silent" : "group_wait", actions);
+    }
+    return actions;
+}
+
+routing_actions group_reservation::cancel(instant /*now*/) {
+    routing_actions actions;
+    if (!finished_) {
+        release_all(actions);
+        finished_ = true;
+    }
+    return actions;
+}
+
+instant group_reservation::next_wakeup() const {
+    return finished_ ? instant::max() : std::min(give_up_at_, reply_due_);
+}
+
+void group_reservation::ask_next(instant now, routing_actions& actions) {
+    const group_part& part = parts_[asked_];
+    reserve_request request = request_;
+    request.request = part_request(asked_);
+    request.upstream = part.upstream;
+    request.prompt_tokens = part.prompt_tokens;
+    request.cached_tokens = 0;
+    request.memory_tokens = part.memory_tokens;
+    request.expected_output_tokens = part.generates ? request_.expected_output_tokens : 0;
+    request.time_left = deadline_ - now;
+    reply_due_ = now + settings_.reply_timeout;
+    ++asked_;
+    actions.reserves.push_back(request);
+}
+
+void group_reservation::give_up(duration retry_after, const std::string& reason,
+                                routing_actions& actions) {
+    release_all(actions);
+    finished_ = true;
+    actions.outcome = routing_outcome{false, {}, retry_after, reason};
+}
+
+void group_reservation::release_all(routing_actions& actions) {
+    for (std::size_t part = 0; part < asked_; ++part) {
+        const grant_id grant = part < grants_.size() ? grants_[part].grant : grant_id();
+        actions.releases.push_back(make_release(part, grant));
+    }
+}
+
+request_id group_reservation::part_request(std::size_t part) const {
+    return request_id(request_.request.value() + "/" + std::to_string(part));
+}
+
+grant_release group_reservation::make_release(std::size_t part, const grant_id& grant) const {
+    grant_release release;
+    release.grant = grant;
+    release.request = part_request(part);
+    release.upstream = parts_[part].upstream;
+    return release;
+}
+
+}  // namespace fuchsiaquay
--- /dev/null
+++ b/core/routing/group_reservation.hpp
@@ -0,0 +1,52 @@
+#pragma once
+
+#include <cstddef>
+#include <vector>
+
+#include "core/messages/reserve_reply.hpp"
+#include "core/messages/reserve_request.hpp"
+#include "core/routing/group_part.hpp"
+#include "core/routing/reservation_settings.hpp"
+#include "core/routing/routing_actions.hpp"
+#include "core/time/clock.hpp"
+
+namespace fuchsiaquay {
+
+/// Reserves memory on all engines of a group or on none. The parts are asked for one after the
+/// other in the order of their upstream ids, the same on every host, so that two groups cannot
+/// wait for each other; the wait is bounded and every path gives back what was granted.
+class group_reservation {
+public:
+    /// @param request  the whole request; each part gets its own tokens and memory, and the id
+    ///                 `<request>/<part>`
+    group_reservation(const reserve_request& request, std::vector<group_part> parts,
+                      const reservation_settings& settings, instant now);
+
+    routing_actions start(instant now);
+    routing_actions on_reply(const reserve_reply& reply, instant now);
+    /// Gives up once the bounded wait is over or the owner is silent.
+    routing_actions tick(instant now);
+    routing_actions cancel(instant now);
+    instant next_wakeup() const;
+    bool finished() const noexcept { return finished_; }
+    const std::vector<group_part>& parts() const noexcept { return parts_; }
+
+private:
+    void ask_next(instant now, routing_actions& actions);
+    void give_up(duration retry_after, const std::string& reason, routing_actions& actions);
+    void release_all(routing_actions& actions);
+    request_id part_request(std::size_t part) const;
+    grant_release make_release(std::size_t part, const grant_id& grant) const;
+
+    reserve_request request_;
+    std::vector<group_part> parts_;
+    reservation_settings settings_;
+    instant deadline_{};
+    instant give_up_at_{};
+    instant reply_due_ = instant::max();
+    std::vector<reserve_reply> grants_;
+    std::size_t asked_ = 0;
+    bool finished_ = false;
+};
+
+}  // namespace fuchsiaquay
--- /dev/null
+++ b/core/routing/least_requests_selector.hpp
@@ -0,0 +1,16 @@
+#pragma once
+
+#include "core/routing/upstream_selector.hpp"
+
+namespace fuchsiaquay {
+
+/// The fewest outstanding requests of this entry host. Baseline for measurements.
+class least_requests_selector final : public upstream_selector {
+public:
+    std::vector<scored_candidate> order(const routing_request& request,
+                                        const std::vector<routing_candidate>& candidates,
+                                        instant now) override;
+    std::string name() const override;
+};
+
+}  // namespace fuchsiaquay
--- /dev/null
+++ b/core/routing/length_aware_selector.cpp
@@ -0,0 +1,90 @@
+#include "core/routing/length_aware_selector.hpp"
+
+#include <algorithm>
+
+#include "core/hashing/hash.hpp"
+#include "core/routing/score_order.hpp"
+
+namespace fuchsiaquay {
+namespace {
+
+/// Added where the memory is not free now, so that such upstreams come last.
+constexpr double full_memory_seconds = 1.0;
+
+}  // namespace
+
+length_aware_selector::length_aware_selector(const length_aware_settings& settings)
+    : settings_(settings) {}
+
+std::vector<scored_candidate> length_aware_selector::order(
+    const routing_request& request, const std::vector<routing_candidate>& candidates,
+    instant /*now*/) {
+    if (request.prompt_tokens > settings_.long_prompt_tokens) {
+        return order_long(request, candidates);
+    }
+    std::vector<scored_candidate> scored;
+    for (const routing_candidate& candidate : candidates) {
+        if (can_hold(candidate, request)) {
+            scored.push_back(score_short(request, candidate));
+        }
+    }
+    sort_by_score(scored);
+    return scored;
+}
+
+std::string length_aware_selector::name() const {
+    return "length_aware";
+}
+
+scored_candidate length_aware_selector::score_short(const routing_request& request,
+                                                    const routing_candidate& candidate) const {
+    const double wait = seconds(candidate.queued_short_tokens);
+    const bool busy = wait > to_seconds(settings_.affinity_wait);
+    const std::int64_t cached = busy ? 0 : candidate.cached_tokens;
+    const double prefill = seconds(static_cast<double>(request.prompt_tokens - cached));
+    const double interference = candidate.long_presence * to_seconds(settings_.long_interference);
+    const double running =
+        static_cast<double>(candidate.running_requests) * to_seconds(settings_.running_cost);
+    const bool full = candidate.free_memory_tokens < request.memory_tokens;
+    const double score = wait + prefill + interference + running +
+                         (full ? full_memory_seconds : 0.0) +
+                         tie_breaker(request, candidate) * to_seconds(settings_.spread);
+    return scored_candidate{candidate.upstream, score, candidate.cached_tokens,
+                            cached > 0 ? "prefix" : "wait"};
+}
+
+std::vector<scored_candidate> length_aware_selector::order_long(
+    const routing_request& request, const std::vector<routing_candidate>& candidates) const {
+    std::vector<const routing_candidate*> shared_order;
+    for (const routing_candidate& candidate : candidates) {
+        if (can_hold(candidate, request)) {
+            shared_order.push_back(&candidate);
+        }
+    }
+    const std::uint64_t seed = stable_hash(request.model.value());
+    std::sort(shared_order.begin(), shared_order.end(),
+              [seed](const routing_candidate* a, const routing_candidate* b) {
+                  return stable_hash(a->upstream.value(), seed) <
+                         stable_hash(b->upstream.value(), seed);
+              });
+    std::vector<scored_candidate> scored;
+    for (std::size_t i = 0; i < shared_order.size(); ++i) {
+        const routing_candidate& candidate = *shared_order[i];
+        const double wait = seconds(candidate.queued_long_tokens);
+        const bool full = candidate.free_memory_tokens < request.memory_tokens;
+        const bool open = wait <= to_seconds(settings_.long_wait) && !full;
+        const double saved = seconds(static_cast<double>(candidate.cached_tokens));
+        const double place = static_cast<double>(i) * to_seconds(settings_.spread);
+        // Upstreams that are open go by the shared order, the others by their wait.
+        const double score =
+            open ? place - saved
+                 : wait + full_memory_seconds +
+                       static_cast<double>(shared_order.size()) * to_seconds(settings_.spread);
+        scored.push_back(scored_candidate{candidate.upstream, score, candidate.cached_tokens,
+                                          open ? "long_part" : "long_busy"});
+    }
+    sort_by_score(scored);
+    return scored;
+}
+
+}  // namespace fuchsiaquay
--- /dev/null
+++ b/core/routing/length_aware_selector.hpp
@@ -0,0 +1,34 @@
+#pragma once
+
+#include "core/routing/length_aware_settings.hpp"
+#include "core/routing/upstream_selector.hpp"
+
+namespace fuchsiaquay {
+
+/// Orders upstreams by the expected time to the first token, apart for short and long prompts.
+///
+/// Long prompts fill the upstreams in one order that every entry host shares, and take a further
+/// one only when the wait exceeds `long_wait`: so the part of the fleet that serves them grows and
+/// shrinks with demand, without any agreement. Short prompts avoid that part while others are as
+/// good. Cached tokens count as saved prefill, only where the upstream is not busy, so that
+/// affinity cannot build a hot one.
+class length_aware_selector final : public upstream_selector {
+public:
+    explicit length_aware_selector(const length_aware_settings& settings);
+
+    std::vector<scored_candidate> order(const routing_request& request,
+                                        const std::vector<routing_candidate>& candidates,
+                                        instant now) override;
+    std::string name() const override;
+
+private:
+    scored_candidate score_short(const routing_request& request,
+                                 const routing_candidate& candidate) const;
+    std::vector<scored_candidate> order_long(
+        const routing_request& request, const std::vector<routing_candidate>& candidates) const;
+    double seconds(double tokens) const { return tokens / settings_.tokens_per_second; }
+
+    length_aware_settings settings_;
+};
+
+}  // namespace fuchsiaquay
--- /dev/null
+++ b/core/routing/output_estimator.cpp
@@ -0,0 +1,40 @@
+#include "core/routing/output_estimator.hpp"
+
+#include <algorithm>
+#include <cmath>
+
+namespace fuchsiaquay {
+namespace {
+
+/// Expected before anything was learned.
+constexpr double initial_tokens = 256.0;
+constexpr double learning_rate = 0.05;
+/// Customers and models kept; the map starts afresh beyond.
+constexpr std::size_t max_entries = 32'768;
+
+}  // namespace
+
+std::int64_t output_estimator::estimate(const customer_id& customer, const model_id& model,
+                                        std::int64_t max_tokens) const {
+    const auto found = means_.find({customer, model});
+    const double mean = found == means_.end() ? initial_tokens : found->second;
+    return std::min(std::max<std::int64_t>(std::llround(mean), 1), max_tokens);
+}
+
+void output_estimator::observe(const customer_id& customer, const model_id& model,
+                               std::int64_t output_tokens) {
+    if (means_.size() >= max_entries) {
+        means_.clear();
+    }
+    const auto actual = static_cast<double>(output_tokens);
+    double& mean = means_.try_emplace({customer, model}, initial_tokens).first->second;
+    error_sum_ += std::abs(mean - actual) / std::max(actual, 1.0);
+    ++error_count_;
+    mean += learning_rate * (actual - mean);
+}
+
+double output_estimator::mean_relative_error() const {
+    return error_count_ == 0 ? 0.0 : error_sum_ / static_cast<double>(error_count_);
+}
+
+}  // namespace fuchsiaquay
--- /dev/null
+++ b/core/routing/output_estimator.hpp
@@ -0,0 +1,29 @@
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <utility>
+
+#include "core/identity/names.hpp"
+
+namespace fuchsiaquay {
+
+/// Learns the length of answers for each customer and model.
+class output_estimator {
+public:
+    /// Expected tokens of an answer that may have `max_tokens`.
+    std::int64_t estimate(const customer_id& customer, const model_id& model,
+                          std::int64_t max_tokens) const;
+    void observe(const customer_id& customer, const model_id& model, std::int64_t output_tokens);
+    /// Mean relative error of the estimates so far.
+    double mean_relative_error() const;
+
+private:
+    using key = std::pair<customer_id, model_id>;
+
+    std::map<key, double> means_;
+    double error_sum_ = 0.0;
+    std::int64_t error_count_ = 0;
+};
+
+}  // namespace fuchsiaquay
