--- /dev/null
+++ b/core/journal/shard_state.hpp
@@ -0,0 +1,60 @@
+#pragma once
+
+#include <cstddef>
+#include <cstdint>
+#include <vector>
+
+#include "core/journal/journal_entry.hpp"
+
+namespace fuchsiaquay {
+
+/// Estimate of the encoded size of a shard without entries and writers, in bytes.
+constexpr std::size_t encoded_shard_overhead = 1'024;
+
+/// Value of one shard: its entries in key order, and the horizon before which keys are forgotten.
+class shard_state {
+public:
+    shard_state() = default;
+    /// @param entries  in any order, one a record
+    shard_state(std::vector<journal_entry> entries, std::int64_t horizon_ms);
+
+    const std::vector<journal_entry>& entries() const noexcept { return entries_; }
+    /// Keys issued before this time (milliseconds since the Unix epoch) are refused: their
+    /// entries may be gone. Never goes back.
+    std::int64_t horizon_ms() const noexcept { return horizon_ms_; }
+    /// Estimate of the encoded size in bytes, without the table of writers.
+    std::size_t encoded_bytes() const noexcept { return encoded_bytes_; }
+
+    /// Entry of `record`, or null.
+    const journal_entry* find(const record_id& record) const;
+    /// Adds an entry or replaces the one of the same record.
+    void put(journal_entry entry);
+    /// Sets the outcome of the entry that carries `mark`. False when there is none.
+    bool set_outcome(const record_id& record, const writer_mark& mark,
+                     const journal_outcome& outcome);
+    /// Removes the entry of `record` if it carries `mark`.
+    void erase(const record_id& record, const writer_mark& mark);
+    /// Forgets keys issued before `horizon_ms`. The horizon never passes the newest key, so that
+    /// one host's wrong clock cannot move it.
+    /// @param retention_ms  distance from the newest key that the horizon keeps
+    void forget_before(std::int64_t horizon_ms, std::int64_t retention_ms);
+    /// Reduces the answers of keys issued before `issued_ms` to their digests.
+    void trim_answers(std::int64_t issued_ms);
+
+    friend bool operator==(const shard_state& a, const shard_state& b) {
+        return a.horizon_ms_ == b.horizon_ms_ && a.entries_ == b.entries_;
+    }
+    friend bool operator!=(const shard_state& a, const shard_state& b) { return !(a == b); }
+
+private:
+    std::vector<journal_entry>::iterator position(const record_id& record);
+
+    std::vector<journal_entry> entries_;
+    std::int64_t horizon_ms_ = 0;
+    std::size_t encoded_bytes_ = encoded_shard_overhead;
+};
+
+/// Upper estimate of what one entry adds to the encoded size, in bytes.
+std::size_t encoded_entry_bytes(const journal_entry& entry);
+
+}  // namespace fuchsiaquay
--- /dev/null
+++ b/core/journal/start_decision.hpp
@@ -0,0 +1,29 @@
+#pragma once
+
+#include <optional>
+#include <string>
+#include <tuple>
+
+#include "core/journal/begin_verdict.hpp"
+#include "core/journal/journal_outcome.hpp"
+#include "core/journal/writer_mark.hpp"
+
+namespace fuchsiaquay {
+
+/// Answer to a `start_request`, named by its mark.
+struct start_decision {
+    writer_mark mark;
+    begin_verdict verdict = begin_verdict::not_run;
+    /// Stable short word for logs and errors; empty for `started` and `finished`.
+    std::string reason;
+    /// Set for `finished`.
+    std::optional<journal_outcome> outcome;
+
+    friend bool operator==(const start_decision& a, const start_decision& b) {
+        return std::tie(a.mark, a.verdict, a.reason, a.outcome) ==
+               std::tie(b.mark, b.verdict, b.reason, b.outcome);
+    }
+    friend bool operator!=(const start_decision& a, const start_decision& b) { return !(a == b); }
+};
+
+}  // namespace fuchsiaquay
--- /dev/null
+++ b/core/journal/write_pacer.cpp
@@ -0,0 +1,53 @@
+#include "core/journal/write_pacer.hpp"
+
+#include <algorithm>
+
+namespace fuchsiaquay {
+
+namespace {
+
+/// Keeps the wait finite when a node has no part of the budget.
+constexpr double min_writes_per_second = 0.01;
+
+}  // namespace
+
+write_pacer::write_pacer(double per_second, double burst)
+    : per_second_(std::max(per_second, min_writes_per_second)), burst_(burst), tokens_(burst) {}
+
+bool write_pacer::try_take(instant now) {
+    refill(now);
+    if (tokens_ < 1.0) {
+        return false;
+    }
+    tokens_ -= 1.0;
+    return true;
+}
+
+void write_pacer::give_back() {
+    tokens_ = std::min(burst_, tokens_ + 1.0);
+}
+
+duration write_pacer::wait_after(std::size_t ahead, instant now) {
+    refill(now);
+    const double missing = static_cast<double>(ahead) + 1.0 - tokens_;
+    if (missing <= 0.0) {
+        return duration::zero();
+    }
+    // Rounded up, so that the budget allows the write when the wait is over.
+    return from_seconds(missing / per_second_) + duration(1);
+}
+
+void write_pacer::set_rate(double per_second, instant now) {
+    refill(now);
+    per_second_ = std::max(per_second, min_writes_per_second);
+}
+
+void write_pacer::refill(instant now) {
+    if (now <= last_) {
+        return;
+    }
+    tokens_ = std::min(burst_, tokens_ + per_second_ * to_seconds(now - last_));
+    last_ = now;
+}
+
+}  // namespace fuchsiaquay
--- /dev/null
+++ b/core/journal/write_pacer.hpp
@@ -0,0 +1,34 @@
+#pragma once
+
+#include <cstddef>
+
+#include "core/time/clock.hpp"
+
+namespace fuchsiaquay {
+
+/// Token bucket that keeps writes within a rate.
+class write_pacer {
+public:
+    /// @param per_second  writes a second, above 0
+    /// @param burst       writes that may follow each other at once, at least 1
+    write_pacer(double per_second, double burst);
+
+    /// Takes one write if the budget allows it now.
+    bool try_take(instant now);
+    /// Returns a write that was taken and not made.
+    void give_back();
+    /// Time until the budget allows one more write after `ahead` others. Zero when it does now.
+    duration wait_after(std::size_t ahead, instant now);
+    /// Changes the rate from now on.
+    void set_rate(double per_second, instant now);
+
+private:
+    void refill(instant now);
+
+    double per_second_;
+    double burst_;
+    double tokens_;
+    instant last_{};
+};
+
+}  // namespace fuchsiaquay
--- /dev/null
+++ b/core/journal/writer_mark.hpp
@@ -0,0 +1,41 @@
+#pragma once
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <tuple>
+
+#include "core/identity/names.hpp"
+
+namespace fuchsiaquay {
+
+/// Unique id of one append to the journal: which process made it, and its how-manieth it was.
+struct writer_mark {
+    host_id host;
+    /// Differs at every start of the process.
+    std::uint64_t incarnation = 0;
+    std::uint32_t sequence = 0;
+
+    /// Text for messages: `<host>/<incarnation>/<sequence>`.
+    std::string to_string() const;
+    /// True when both marks come from one process.
+    bool same_writer(const writer_mark& other) const {
+        return host == other.host && incarnation == other.incarnation;
+    }
+
+    friend bool operator==(const writer_mark& a, const writer_mark& b) {
+        return std::tie(a.host, a.incarnation, a.sequence) ==
+               std::tie(b.host, b.incarnation, b.sequence);
+    }
+    friend bool operator!=(const writer_mark& a, const writer_mark& b) { return !(a == b); }
+    friend bool operator<(const writer_mark& a, const writer_mark& b) {
+        return std::tie(a.host, a.incarnation, a.sequence) <
+               std::tie(b.host, b.incarnation, b.sequence);
+    }
+};
+
+/// Reads the text of a mark. Nothing when it is malformed.
+std::optional<writer_mark> parse_writer_mark(std::string_view text);
+
+}  // namespace fuchsiaquay
--- /dev/null
+++ b/servers/journal/begin_result.hpp
@@ -0,0 +1,33 @@
+#pragma once
+
+#include <optional>
+#include <string>
+#include <tuple>
+
+#include "core/journal/begin_verdict.hpp"
+#include "core/journal/journal_outcome.hpp"
+#include "core/time/clock.hpp"
+#include "servers/journal/journal_token.hpp"
+
+namespace fuchsiaquay {
+
+/// Answer to `journal_service::begin`.
+struct begin_result {
+    begin_verdict verdict = begin_verdict::not_run;
+    /// Stable short word for logs and errors.
+    std::string reason;
+    /// When to ask again; set for `not_run` and `in_progress`.
+    duration retry_after{};
+    /// Set for `started`.
+    journal_token token;
+    /// Set for `finished`.
+    std::optional<journal_outcome> outcome;
+
+    friend bool operator==(const begin_result& a, const begin_result& b) {
+        return std::tie(a.verdict, a.reason, a.retry_after, a.token, a.outcome) ==
+               std::tie(b.verdict, b.reason, b.retry_after, b.token, b.outcome);
+    }
+    friend bool operator!=(const begin_result& a, const begin_result& b) { return !(a == b); }
+};
+
+}  // namespace fuchsiaquay
--- /dev/null
+++ b/servers/journal/shard_codec.hpp
@@ -0,0 +1,24 @@
+#pragma once
+
+#include <string>
+#include <string_view>
+
+#include "core/journal/shard_state.hpp"
+
+namespace fuchsiaquay {
+
+/// Wire format of a shard's value in the store.
+class shard_codec {
+public:
+    shard_codec() = default;
+    shard_codec(const shard_codec&) = delete;
+    shard_codec& operator=(const shard_codec&) = delete;
+    virtual ~shard_codec() = default;
+
+    virtual std::string encode(const shard_state& state) const = 0;
+    /// Verifies and reads a value. An empty value is an empty shard.
+    /// @throws journal_format_error  when the value is not a well-formed shard
+    virtual shard_state decode(std::string_view value) const = 0;
+};
+
+}  // namespace fuchsiaquay
--- /dev/null
+++ b/tests/servers/journal/fake_store_client.hpp
@@ -0,0 +1,98 @@
+#pragma once
+
+#include <memory>
+#include <random>
+#include <utility>
+
+#include "servers/store/key_value_store.hpp"
+#include "servers/timer_service.hpp"
+#include "tests/servers/journal/fake_store.hpp"
+
+namespace fuchsiaquay {
+
+/// One node's connection to a `fake_store` in virtual time: 2 to 5 ms a call from a seed, with
+/// outages, lost answers and writes that land late. Leases and watches do nothing.
+class fake_store_client final : public key_value_store {
+public:
+    fake_store_client(fake_store& store, timer_service& timers, unsigned seed)
+        : store_(store), timers_(timers), random_(seed) {}
+
+    /// Calls fail after the time-out and have no effect.
+    bool out_ = false;
+    /// Number of the next writes that take effect and whose answer is lost.
+    int lose_answers_ = 0;
+    /// Number of the next writes that land after `landing_delay_`, their answer lost.
+    int land_late_ = 0;
+    duration landing_delay_ = std::chrono::seconds(5);
+    /// Time to the answer "unknown".
+    duration call_timeout_ = std::chrono::milliseconds(500);
+
+    /// Drops every outstanding answer, as the end of the process does.
+    void disconnect() { connected_ = std::make_shared<bool>(true); }
+
+    void read(const std::string& key, read_handler done) override {
+        if (out_) {
+            answer(call_timeout_, [done] { done({"store unavailable", {}, 0}); });
+            return;
+        }
+        timers_.after(half_trip(), [this, key, done] {
+            read_result result;
+            result.store_revision = store_.revision();
+            const stored_value value = store_.get(key);
+            if (value.revision != 0) {
+                result.values.push_back(value);
+            }
+            answer(half_trip(), [done, result] { done(result); });
+        });
+    }
+
+    void commit(const transaction& change, write_handler done) override {
+        const auto lost = [done] { done({write_outcome::unknown, 0, "no answer"}); };
+        if (out_) {
+            answer(call_timeout_, lost);
+        } else if (land_late_ > 0) {
+            --land_late_;
+            timers_.after(landing_delay_, [this, change] { store_.apply(change); });
+            answer(call_timeout_, lost);
+        } else if (lose_answers_ > 0) {
+            --lose_answers_;
+            timers_.after(half_trip(), [this, change] { store_.apply(change); });
+            answer(call_timeout_, lost);
+        } else {
+            timers_.after(half_trip(), [this, change, done] {
+                const write_result result = store_.apply(change);
+                answer(half_trip(), [done, result] { done(result); });
+            });
+        }
+    }
+
+    void read_prefix(const std::string&, read_handler) override {}
+    void grant_lease(duration, lease_handler) override {}
+    void keep_alive(std::int64_t, keep_alive_handler) override {}
+    void revoke_lease(std::int64_t) override {}
+    watch_id watch(const std::string&, std::int64_t, watch_handler, watch_end_handler) override {
+        return 0;
+    }
+    void cancel_watch(watch_id) override {}
+
+private:
+    duration half_trip() {
+        return duration(std::uniform_int_distribution<std::int64_t>(1'000, 2'500)(random_));
+    }
+
+    void answer(duration delay, std::function<void()> deliver) {
+        const std::weak_ptr<bool> connected = connected_;
+        timers_.after(delay, [connected, deliver = std::move(deliver)] {
+            if (!connected.expired()) {
+                deliver();
+            }
+        });
+    }
+
+    fake_store& store_;
+    timer_service& timers_;
+    std::mt19937 random_;
+    std::shared_ptr<bool> connected_ = std::make_shared<bool>(true);
+};
+
+}  // namespace fuchsiaquay
