--- a/core/journal/begin_verdict.hpp
+++ b/core/journal/begin_verdict.hpp
@@ -12,7 +12,8 @@
     in_progress,
     /// The call was started and its end is not known. It is never run again.
     may_have_run,
-    /// Nothing ran under this attempt and nothing will; the caller may ask again.
+    /// This attempt did not run and will not; the caller may ask again. Says nothing about
+    /// earlier attempts with the key unless `key_unused` is set beside it.
     not_run,
     /// The key is not a UUIDv7.
     opaque_key,
--- a/core/journal/shard_writer.cpp
+++ b/core/journal/shard_writer.cpp
@@ -182,7 +182,9 @@
 
 void shard_writer::decide(const pending_start& start, begin_verdict verdict, const char* reason,
                           std::optional<journal_outcome> outcome) {
-    decisions_.push_back({start.request.mark, verdict, reason, std::move(outcome)});
+    const bool consulted = known_ && read_known_ > start.reads_at_arrival;
+    const bool key_unused = consulted && known_->find(start.request.record) == nullptr;
+    decisions_.push_back({start.request.mark, verdict, reason, std::move(outcome), key_unused});
 }
 
 bool shard_writer::decide_locally(const pending_start& start) {
--- a/core/journal/start_decision.hpp
+++ b/core/journal/start_decision.hpp
@@ -18,10 +18,13 @@
     std::string reason;
     /// Set for `finished`.
     std::optional<journal_outcome> outcome;
+    /// With `not_run`: the journal was read after the start arrived and carries no trace of the
+    /// key, so that no earlier attempt ran either. False: only this attempt is known not to run.
+    bool key_unused = false;
 
     friend bool operator==(const start_decision& a, const start_decision& b) {
-        return std::tie(a.mark, a.verdict, a.reason, a.outcome) ==
-               std::tie(b.mark, b.verdict, b.reason, b.outcome);
+        return std::tie(a.mark, a.verdict, a.reason, a.outcome, a.key_unused) ==
+               std::tie(b.mark, b.verdict, b.reason, b.outcome, b.key_unused);
     }
     friend bool operator!=(const start_decision& a, const start_decision& b) { return !(a == b); }
 };
--- a/servers/journal/begin_result.hpp
+++ b/servers/journal/begin_result.hpp
@@ -22,10 +22,13 @@
     journal_token token;
     /// Set for `finished`.
     std::optional<journal_outcome> outcome;
+    /// With `not_run`: no earlier attempt with this key ran either. False: the journal could not
+    /// be consulted, and only this attempt is known not to have run.
+    bool key_unused = false;
 
     friend bool operator==(const begin_result& a, const begin_result& b) {
-        return std::tie(a.verdict, a.reason, a.retry_after, a.token, a.outcome) ==
-               std::tie(b.verdict, b.reason, b.retry_after, b.token, b.outcome);
+        return std::tie(a.verdict, a.reason, a.retry_after, a.token, a.outcome, a.key_unused) ==
+               std::tie(b.verdict, b.reason, b.retry_after, b.token, b.outcome, b.key_unused);
     }
     friend bool operator!=(const begin_result& a, const begin_result& b) { return !(a == b); }
 };
--- a/servers/journal/journal_service.cpp
+++ b/servers/journal/journal_service.cpp
@@ -203,6 +203,7 @@
     starts_.erase(found);
     begin_result result = refused(decision.verdict, decision.reason.c_str());
     result.outcome = decision.outcome;
+    result.key_unused = decision.key_unused;
     if (decision.verdict == begin_verdict::started) {
         ++counters_.started;
         result.token = {start.shard, start.record, decision.mark};
--- /dev/null
+++ b/tests/servers/journal/journal_scenario.hpp
@@ -0,0 +1,95 @@
+#pragma once
+
+/// @file
+/// The counter-examples of specs/journal.pml played on the journal, with a mechanism taken out or
+/// whole.
+
+#include <string>
+#include <vector>
+
+#include "tests/servers/journal/journal_fleet.hpp"
+
+namespace fuchsiaquay {
+
+/// What a scenario ends with: executions of its key, and the last verdict that a caller got.
+struct journal_scenario_end {
+    int executions = 0;
+    begin_verdict last = begin_verdict::not_run;
+};
+
+/// The write of node a is lost and lands when b has already run the key.
+inline journal_scenario_end start_lost_and_run_elsewhere(journal_fault fault) {
+    journal_fleet fleet(fault);
+    const std::string key = fleet.new_key();
+    fleet.at("a").store_.land_late_ = 1;
+    std::vector<begin_result> first;
+    fleet.call("a", key, first);
+    fleet.timers_.advance(std::chrono::milliseconds(100));
+    const begin_result second = fleet.call_and_wait("b", key);
+    fleet.timers_.advance(std::chrono::seconds(10));
+    return {fleet.executions_[key], second.verdict};
+}
+
+/// The call is sent and not answered; the caller asks again at another node.
+inline journal_scenario_end call_unanswered_and_asked_again(journal_fault fault) {
+    journal_fleet fleet(fault);
+    const std::string key = fleet.new_key();
+    fleet.unanswered_ = true;
+    fleet.call_and_wait("a", key);
+    fleet.timers_.advance(std::chrono::seconds(1));
+    const begin_result second = fleet.call_and_wait("b", key);
+    return {fleet.executions_[key], second.verdict};
+}
+
+/// Node a has the call in hand while the caller asks at b.
+inline journal_scenario_end call_in_hand_and_asked_elsewhere(journal_fault fault) {
+    journal_fleet fleet(fault);
+    const std::string key = fleet.new_key();
+    std::vector<begin_result> first;
+    fleet.call("a", key, first);
+    fleet.timers_.advance(std::chrono::milliseconds(12));
+    const begin_result second = fleet.call_and_wait("b", key);
+    return {fleet.executions_[key], second.verdict};
+}
+
+/// Node a ends after its call and a new process answers in its place.
+inline journal_scenario_end writer_replaced_after_its_call(journal_fault fault) {
+    journal_fleet fleet(fault);
+    const std::string key = fleet.new_key();
+    std::vector<begin_result> first;
+    fleet.call("a", key, first);
+    fleet.timers_.advance(std::chrono::milliseconds(12));
+    fleet.at("a").start();
+    const begin_result second = fleet.call_and_wait("b", key);
+    return {fleet.executions_[key], second.verdict};
+}
+
+/// The start of node a lands after a gave it up and told its caller "not run"; the caller asks
+/// again at b.
+inline journal_scenario_end abandoned_start_lands_late(journal_fault fault) {
+    journal_fleet fleet(fault);
+    const std::string key = fleet.new_key();
+    fleet.at("a").store_.land_late_ = 100;
+    fleet.at("a").store_.landing_delay_ = std::chrono::seconds(3);
+    fleet.call_and_wait("a", key);
+    // Node a cannot reach the store to move the shard on before the write lands.
+    fleet.at("a").store_.out_ = true;
+    fleet.timers_.advance(std::chrono::seconds(4));
+    const begin_result second = fleet.call_and_wait("b", key);
+    return {fleet.executions_[key], second.verdict};
+}
+
+/// A finished key leaves the journal and is presented again at a node whose clock is behind.
+inline journal_scenario_end key_presented_after_expiry(journal_fault fault) {
+    journal_fleet fleet(fault);
+    const std::string key = fleet.new_key();
+    fleet.call_and_wait("a", key);
+    fleet.timers_.advance(std::chrono::hours(24) + std::chrono::seconds(10));
+    fleet.call_and_wait("a", fleet.new_key());
+    fleet.timers_.advance(std::chrono::seconds(1));
+    fleet.at("b").clock_.error_ms_ = -60'000;
+    const begin_result second = fleet.call_and_wait("b", key);
+    return {fleet.executions_[key], second.verdict};
+}
+
+}  // namespace fuchsiaquay
--- a/tests/servers/journal/journal_service_test.cpp
+++ b/tests/servers/journal/journal_service_test.cpp
@@ -128,6 +128,7 @@
 TEST(journal_service, full_shard_refuses_new_starts_and_takes_outcomes) {
     fleet_.settings_.max_shard_bytes = 1'400;
     fleet_.at("a").start();
+    fleet_.at("b").start();
     std::vector<std::string> keys;
     begin_result result;
     for (int call = 0; call < 10; ++call) {
@@ -137,6 +138,10 @@
     }
     check_verdict(begin_verdict::not_run, result);
     STRCMP_EQUAL("journal_shard_full", result.reason.c_str());
+    CHECK_FALSE(result.key_unused);
+    result = fleet_.call_and_wait("b", keys.back());
+    STRCMP_EQUAL("journal_shard_full", result.reason.c_str());
+    CHECK_TRUE(result.key_unused);
     check_verdict(begin_verdict::finished, fleet_.call_and_wait("b", keys.front()));
     const std::size_t stored = fleet_.store_.get("fuchsiaquay/journal/0").value.size();
     CHECK_TRUE(stored <= fleet_.settings_.max_shard_bytes);
