--- a/core/identity/names.hpp
+++ b/core/identity/names.hpp
@@ -14,7 +14,7 @@
 /// A customer, the holder of a contract.
 using customer_id = identifier<struct customer_kind>;
 /// An upstream: a model engine or a plain service replica.
-using upstream_id = identifier<struct upstream_kind>;
+using upstream_id = identifier<struct upstream_name_kind>;
 /// A model that engines serve.
 using model_id = identifier<struct model_kind>;
 /// A plain service that is routed to by name.
--- a/core/messages/upstream_update.hpp
+++ b/core/messages/upstream_update.hpp
@@ -4,7 +4,8 @@
 #include <tuple>
 #include <vector>
 
-#include "core/messages/upstream_record.hpp"
+#include "core/identity/names.hpp"
+#include "core/upstreams/upstream.hpp"
 
 namespace fuchsiaquay {
 
@@ -17,12 +18,14 @@
     std::uint64_t base_version = 0;
     /// True: the sender is no poller and asks the receiver for its complete view.
     bool request = false;
-    /// Changed upstreams; the state `gone` marks one that left the list.
-    std::vector<upstream_record> upstreams;
+    /// New and changed upstreams.
+    std::vector<upstream> changed;
+    /// Upstreams that left the list.
+    std::vector<upstream_id> gone;
 
     friend bool operator==(const upstream_update& a, const upstream_update& b) {
-        return std::tie(a.version, a.base_version, a.request, a.upstreams) ==
-               std::tie(b.version, b.base_version, b.request, b.upstreams);
+        return std::tie(a.version, a.base_version, a.request, a.changed, a.gone) ==
+               std::tie(b.version, b.base_version, b.request, b.changed, b.gone);
     }
     friend bool operator!=(const upstream_update& a, const upstream_update& b) { return !(a == b); }
 };
--- a/drivers/frames/message_decoder.cpp
+++ b/drivers/frames/message_decoder.cpp
@@ -30,9 +30,6 @@
 bool known(wire::UpstreamKind value) {
     return value >= wire::UpstreamKind::MIN && value <= wire::UpstreamKind::MAX;
 }
-bool known(wire::UpstreamState value) {
-    return value >= wire::UpstreamState::MIN && value <= wire::UpstreamState::MAX;
-}
 
 std::optional<member_update> decode(const wire::MemberUpdate& table) {
     if (!known(table.state())) {
@@ -156,18 +153,18 @@
                            table.index_revision(), table.erased(), get(table.document())};
 }
 
-std::optional<upstream_record> decode(const wire::UpstreamRecord& table) {
-    if (!known(table.kind()) || !known(table.state())) {
+std::optional<upstream> decode(const wire::Upstream& table) {
+    if (!known(table.kind())) {
         return std::nullopt;
     }
-    upstream_record record;
+    upstream record;
     record.id = get_name<upstream_id>(table.id());
-    record.type = static_cast<upstream_type>(table.kind());
+    record.kind = static_cast<upstream_kind>(table.kind());
     record.service = get_name<service_id>(table.service());
     record.address = get(table.address());
     record.port = table.port();
     record.data_centre = get_name<data_centre_id>(table.data_centre());
-    record.state = static_cast<upstream_state>(table.state());
+    record.leaving = table.leaving();
     record.checks_orders = table.checks_orders();
     record.memory_tokens = table.memory_tokens();
     if (table.models() != nullptr) {
@@ -183,13 +180,18 @@
     message.version = table.version();
     message.base_version = table.base_version();
     message.request = table.request();
-    if (table.upstreams() != nullptr) {
-        for (const wire::UpstreamRecord* entry : *table.upstreams()) {
-            std::optional<upstream_record> record = decode(*entry);
+    if (table.changed() != nullptr) {
+        for (const wire::Upstream* entry : *table.changed()) {
+            std::optional<upstream> record = decode(*entry);
             if (!record) {
                 return std::nullopt;
             }
-            message.upstreams.push_back(std::move(*record));
+            message.changed.push_back(std::move(*record));
+        }
+    }
+    if (table.gone() != nullptr) {
+        for (const flatbuffers::String* id : *table.gone()) {
+            message.gone.emplace_back(id->str());
         }
     }
     return message;
--- a/drivers/frames/message_encoder.cpp
+++ b/drivers/frames/message_encoder.cpp
@@ -35,8 +35,7 @@
                                     static_cast<wire::MemberState>(update.state));
 }
 
-flatbuffers::Offset<wire::UpstreamRecord> put(builder_type& builder,
-                                              const upstream_record& record) {
+flatbuffers::Offset<wire::Upstream> put(builder_type& builder, const upstream& record) {
     std::vector<text> models;
     models.reserve(record.models.size());
     for (const model_id& model : record.models) {
@@ -47,10 +46,9 @@
     const text address = put(builder, record.address);
     const text data_centre = put_shared(builder, record.data_centre);
     const auto model_list = builder.CreateVector(models);
-    return wire::CreateUpstreamRecord(builder, id, static_cast<wire::UpstreamKind>(record.type),
-                                      service, address, record.port, data_centre,
-                                      static_cast<wire::UpstreamState>(record.state), model_list,
-                                      record.checks_orders, record.memory_tokens);
+    return wire::CreateUpstream(builder, id, static_cast<wire::UpstreamKind>(record.kind), service,
+                                address, record.port, data_centre, record.leaving, model_list,
+                                record.checks_orders, record.memory_tokens);
 }
 
 template <typename table>
@@ -174,15 +172,21 @@
     }
 
     encoded_body operator()(const upstream_update& message) const {
-        std::vector<flatbuffers::Offset<wire::UpstreamRecord>> records;
-        records.reserve(message.upstreams.size());
-        for (const upstream_record& record : message.upstreams) {
-            records.push_back(put(builder_, record));
+        std::vector<flatbuffers::Offset<wire::Upstream>> changed;
+        changed.reserve(message.changed.size());
+        for (const upstream& record : message.changed) {
+            changed.push_back(put(builder_, record));
         }
-        const auto list = builder_.CreateVector(records);
+        std::vector<text> gone;
+        gone.reserve(message.gone.size());
+        for (const upstream_id& id : message.gone) {
+            gone.push_back(builder_.CreateString(id.value()));
+        }
+        const auto changed_list = builder_.CreateVector(changed);
+        const auto gone_list = builder_.CreateVector(gone);
         return body(wire::Body::UpstreamUpdate,
                     wire::CreateUpstreamUpdate(builder_, message.version, message.base_version,
-                                               message.request, list));
+                                               message.request, changed_list, gone_list));
     }
 
 private:
--- a/drivers/frames/peer_frames_generated.h
+++ b/drivers/frames/peer_frames_generated.h
@@ -51,8 +51,8 @@
 struct ContractUpdate;
 struct ContractUpdateBuilder;
 
-struct UpstreamRecord;
-struct UpstreamRecordBuilder;
+struct Upstream;
+struct UpstreamBuilder;
 
 struct UpstreamUpdate;
 struct UpstreamUpdateBuilder;
@@ -231,39 +231,6 @@
   return EnumNamesUpstreamKind()[index];
 }
 
-enum class UpstreamState : int8_t {
-  live = 0,
-  leaving = 1,
-  gone = 2,
-  MIN = live,
-  MAX = gone
-};
-
-inline const UpstreamState (&EnumValuesUpstreamState())[3] {
-  static const UpstreamState values[] = {
-    UpstreamState::live,
-    UpstreamState::leaving,
-    UpstreamState::gone
-  };
-  return values;
-}
-
-inline const char * const *EnumNamesUpstreamState() {
-  static const char * const names[4] = {
-    "live",
-    "leaving",
-    "gone",
-    nullptr
-  };
-  return names;
-}
-
-inline const char *EnumNameUpstreamState(UpstreamState e) {
-  if (flatbuffers::IsOutRange(e, UpstreamState::live, UpstreamState::gone)) return "";
-  const size_t index = static_cast<size_t>(e);
-  return EnumNamesUpstreamState()[index];
-}
-
 enum class Body : uint8_t {
   NONE = 0,
   Gossip = 1,
@@ -1694,8 +1661,8 @@
       document__);
 }
 
-struct UpstreamRecord FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
-  typedef UpstreamRecordBuilder Builder;
+struct Upstream FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef UpstreamBuilder Builder;
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
     VT_ID = 4,
     VT_KIND = 6,
@@ -1703,7 +1670,7 @@
     VT_ADDRESS = 10,
     VT_PORT = 12,
     VT_DATA_CENTRE = 14,
-    VT_STATE = 16,
+    VT_LEAVING = 16,
     VT_MODELS = 18,
     VT_CHECKS_ORDERS = 20,
     VT_MEMORY_TOKENS = 22
@@ -1726,8 +1693,8 @@
   const flatbuffers::String *data_centre() const {
     return GetPointer<const flatbuffers::String *>(VT_DATA_CENTRE);
   }
-  fuchsiaquay::wire::UpstreamState state() const {
-    return static_cast<fuchsiaquay::wire::UpstreamState>(GetField<int8_t>(VT_STATE, 0));
+  bool leaving() const {
+    return GetField<uint8_t>(VT_LEAVING, 0) != 0;
   }
   const flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>> *models() const {
     return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>> *>(VT_MODELS);
@@ -1750,7 +1717,7 @@
            VerifyField<uint16_t>(verifier, VT_PORT, 2) &&
            VerifyOffset(verifier, VT_DATA_CENTRE) &&
            verifier.VerifyString(data_centre()) &&
-           VerifyField<int8_t>(verifier, VT_STATE, 1) &&
+           VerifyField<uint8_t>(verifier, VT_LEAVING, 1) &&
            VerifyOffset(verifier, VT_MODELS) &&
            verifier.VerifyVector(models()) &&
            verifier.VerifyVectorOfStrings(models()) &&
@@ -1760,52 +1727,52 @@
   }
 };
 
-struct UpstreamRecordBuilder {
-  typedef UpstreamRecord Table;
+struct UpstreamBuilder {
+  typedef Upstream Table;
   flatbuffers::FlatBufferBuilder &fbb_;
   flatbuffers::uoffset_t start_;
   void add_id(flatbuffers::Offset<flatbuffers::String> id) {
-    fbb_.AddOffset(UpstreamRecord::VT_ID, id);
+    fbb_.AddOffset(Upstream::VT_ID, id);
   }
   void add_kind(fuchsiaquay::wire::UpstreamKind kind) {
-    fbb_.AddElement<int8_t>(UpstreamRecord::VT_KIND, static_cast<int8_t>(kind), 0);
+    fbb_.AddElement<int8_t>(Upstream::VT_KIND, static_cast<int8_t>(kind), 0);
   }
   void add_service(flatbuffers::Offset<flatbuffers::String> service) {
-    fbb_.AddOffset(UpstreamRecord::VT_SERVICE, service);
+    fbb_.AddOffset(Upstream::VT_SERVICE, service);
   }
   void add_address(flatbuffers::Offset<flatbuffers::String> address) {
-    fbb_.AddOffset(UpstreamRecord::VT_ADDRESS, address);
+    fbb_.AddOffset(Upstream::VT_ADDRESS, address);
   }
   void add_port(uint16_t port) {
-    fbb_.AddElement<uint16_t>(UpstreamRecord::VT_PORT, port, 0);
+    fbb_.AddElement<uint16_t>(Upstream::VT_PORT, port, 0);
   }
   void add_data_centre(flatbuffers::Offset<flatbuffers::String> data_centre) {
-    fbb_.AddOffset(UpstreamRecord::VT_DATA_CENTRE, data_centre);
+    fbb_.AddOffset(Upstream::VT_DATA_CENTRE, data_centre);
   }
-  void add_state(fuchsiaquay::wire::UpstreamState state) {
-    fbb_.AddElement<int8_t>(UpstreamRecord::VT_STATE, static_cast<int8_t>(state), 0);
+  void add_leaving(bool leaving) {
+    fbb_.AddElement<uint8_t>(Upstream::VT_LEAVING, static_cast<uint8_t>(leaving), 0);
   }
   void add_models(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>>> models) {
-    fbb_.AddOffset(UpstreamRecord::VT_MODELS, models);
+    fbb_.AddOffset(Upstream::VT_MODELS, models);
   }
   void add_checks_orders(bool checks_orders) {
-    fbb_.AddElement<uint8_t>(UpstreamRecord::VT_CHECKS_ORDERS, static_cast<uint8_t>(checks_orders), 0);
+    fbb_.AddElement<uint8_t>(Upstream::VT_CHECKS_ORDERS, static_cast<uint8_t>(checks_orders), 0);
   }
   void add_memory_tokens(int64_t memory_tokens) {
-    fbb_.AddElement<int64_t>(UpstreamRecord::VT_MEMORY_TOKENS, memory_tokens, 0);
+    fbb_.AddElement<int64_t>(Upstream::VT_MEMORY_TOKENS, memory_tokens, 0);
   }
-  explicit UpstreamRecordBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+  explicit UpstreamBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
   }
-  flatbuffers::Offset<UpstreamRecord> Finish() {
+  flatbuffers::Offset<Upstream> Finish() {
     const auto end = fbb_.EndTable(start_);
-    auto o = flatbuffers::Offset<UpstreamRecord>(end);
+    auto o = flatbuffers::Offset<Upstream>(end);
     return o;
   }
 };
 
-inline flatbuffers::Offset<UpstreamRecord> CreateUpstreamRecord(
+inline flatbuffers::Offset<Upstream> CreateUpstream(
     flatbuffers::FlatBufferBuilder &_fbb,
     flatbuffers::Offset<flatbuffers::String> id = 0,
     fuchsiaquay::wire::UpstreamKind kind = fuchsiaquay::wire::UpstreamKind::engine,
@@ -1813,11 +1780,11 @@
     flatbuffers::Offset<flatbuffers::String> address = 0,
     uint16_t port = 0,
     flatbuffers::Offset<flatbuffers::String> data_centre = 0,
-    fuchsiaquay::wire::UpstreamState state = fuchsiaquay::wire::UpstreamState::live,
+    bool leaving = false,
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>>> models = 0,
     bool checks_orders = false,
     int64_t memory_tokens = 0) {
-  UpstreamRecordBuilder builder_(_fbb);
+  UpstreamBuilder builder_(_fbb);
   builder_.add_memory_tokens(memory_tokens);
   builder_.add_models(models);
   builder_.add_data_centre(data_centre);
@@ -1826,12 +1793,12 @@
   builder_.add_id(id);
   builder_.add_port(port);
   builder_.add_checks_orders(checks_orders);
-  builder_.add_state(state);
+  builder_.add_leaving(leaving);
   builder_.add_kind(kind);
   return builder_.Finish();
 }
 
-inline flatbuffers::Offset<UpstreamRecord> CreateUpstreamRecordDirect(
+inline flatbuffers::Offset<Upstream> CreateUpstreamDirect(
     flatbuffers::FlatBufferBuilder &_fbb,
     const char *id = nullptr,
     fuchsiaquay::wire::UpstreamKind kind = fuchsiaquay::wire::UpstreamKind::engine,
@@ -1839,7 +1806,7 @@
     const char *address = nullptr,
     uint16_t port = 0,
     const char *data_centre = nullptr,
-    fuchsiaquay::wire::UpstreamState state = fuchsiaquay::wire::UpstreamState::live,
+    bool leaving = false,
     const std::vector<flatbuffers::Offset<flatbuffers::String>> *models = nullptr,
     bool checks_orders = false,
     int64_t memory_tokens = 0) {
@@ -1848,7 +1815,7 @@
   auto address__ = address ? _fbb.CreateString(address) : 0;
   auto data_centre__ = data_centre ? _fbb.CreateString(data_centre) : 0;
   auto models__ = models ? _fbb.CreateVector<flatbuffers::Offset<flatbuffers::String>>(*models) : 0;
-  return fuchsiaquay::wire::CreateUpstreamRecord(
+  return fuchsiaquay::wire::CreateUpstream(
       _fbb,
       id__,
       kind,
@@ -1856,7 +1823,7 @@
       address__,
       port,
       data_centre__,
-      state,
+      leaving,
       models__,
       checks_orders,
       memory_tokens);
@@ -1868,7 +1835,8 @@
     VT_VERSION = 4,
     VT_BASE_VERSION = 6,
     VT_REQUEST = 8,
-    VT_UPSTREAMS = 10
+    VT_CHANGED = 10,
+    VT_GONE = 12
   };
   uint64_t version() const {
     return GetField<uint64_t>(VT_VERSION, 0);
@@ -1879,17 +1847,23 @@
   bool request() const {
     return GetField<uint8_t>(VT_REQUEST, 0) != 0;
   }
-  const flatbuffers::Vector<flatbuffers::Offset<fuchsiaquay::wire::UpstreamRecord>> *upstreams() const {
-    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<fuchsiaquay::wire::UpstreamRecord>> *>(VT_UPSTREAMS);
+  const flatbuffers::Vector<flatbuffers::Offset<fuchsiaquay::wire::Upstream>> *changed() const {
+    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<fuchsiaquay::wire::Upstream>> *>(VT_CHANGED);
+  }
+  const flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>> *gone() const {
+    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>> *>(VT_GONE);
   }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint64_t>(verifier, VT_VERSION, 8) &&
            VerifyField<uint64_t>(verifier, VT_BASE_VERSION, 8) &&
            VerifyField<uint8_t>(verifier, VT_REQUEST, 1) &&
-           VerifyOffset(verifier, VT_UPSTREAMS) &&
-           verifier.VerifyVector(upstreams()) &&
-           verifier.VerifyVectorOfTables(upstreams()) &&
+           VerifyOffset(verifier, VT_CHANGED) &&
+           verifier.VerifyVector(changed()) &&
+           verifier.VerifyVectorOfTables(changed()) &&
+           VerifyOffset(verifier, VT_GONE) &&
+           verifier.VerifyVector(gone()) &&
+           verifier.VerifyVectorOfStrings(gone()) &&
            verifier.EndTable();
   }
 };
@@ -1907,8 +1881,11 @@
   void add_request(bool request) {
     fbb_.AddElement<uint8_t>(UpstreamUpdate::VT_REQUEST, static_cast<uint8_t>(request), 0);
   }
-  void add_upstreams(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<fuchsiaquay::wire::UpstreamRecord>>> upstreams) {
-    fbb_.AddOffset(UpstreamUpdate::VT_UPSTREAMS, upstreams);
+  void add_changed(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<fuchsiaquay::wire::Upstream>>> changed) {
+    fbb_.AddOffset(UpstreamUpdate::VT_CHANGED, changed);
+  }
+  void add_gone(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>>> gone) {
+    fbb_.AddOffset(UpstreamUpdate::VT_GONE, gone);
   }
   explicit UpstreamUpdateBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
@@ -1926,11 +1903,13 @@
     uint64_t version = 0,
     uint64_t base_version = 0,
     bool request = false,
-    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<fuchsiaquay::wire::UpstreamRecord>>> upstreams = 0) {
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<fuchsiaquay::wire::Upstream>>> changed = 0,
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>>> gone = 0) {
   UpstreamUpdateBuilder builder_(_fbb);
   builder_.add_base_version(base_version);
   builder_.add_version(version);
-  builder_.add_upstreams(upstreams);
+  builder_.add_gone(gone);
+  builder_.add_changed(changed);
   builder_.add_request(request);
   return builder_.Finish();
 }
@@ -1940,14 +1919,17 @@
     uint64_t version = 0,
     uint64_t base_version = 0,
     bool request = false,
-    const std::vector<flatbuffers::Offset<fuchsiaquay::wire::UpstreamRecord>> *upstreams = nullptr) {
-  auto upstreams__ = upstreams ? _fbb.CreateVector<flatbuffers::Offset<fuchsiaquay::wire::UpstreamRecord>>(*upstreams) : 0;
+    const std::vector<flatbuffers::Offset<fuchsiaquay::wire::Upstream>> *changed = nullptr,
+    const std::vector<flatbuffers::Offset<flatbuffers::String>> *gone = nullptr) {
+  auto changed__ = changed ? _fbb.CreateVector<flatbuffers::Offset<fuchsiaquay::wire::Upstream>>(*changed) : 0;
+  auto gone__ = gone ? _fbb.CreateVector<flatbuffers::Offset<flatbuffers::String>>(*gone) : 0;
   return fuchsiaquay::wire::CreateUpstreamUpdate(
       _fbb,
       version,
       base_version,
       request,
-      upstreams__);
+      changed__,
+      gone__);
 }
 
 struct Frame FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
--- a/tests/drivers/frames/frame_codec_test.cpp
+++ b/tests/drivers/frames/frame_codec_test.cpp
@@ -40,16 +40,17 @@
                         4,
                         5,
                         6};
-    upstream_record record{upstream_id("e"),
-                           upstream_type::service,
-                           service_id("orders"),
-                           "127.0.0.1",
-                           9000,
-                           data_centre_id("b"),
-                           upstream_state::leaving,
-                           {model_id("m1"), model_id("m2")},
-                           true,
-                           77};
+    upstream record;
+    record.id = upstream_id("e");
+    record.kind = upstream_kind::service;
+    record.service = service_id("orders");
+    record.address = "127.0.0.1";
+    record.port = 9000;
+    record.data_centre = data_centre_id("b");
+    record.leaving = true;
+    record.models = {model_id("m1"), model_id("m2")};
+    record.checks_orders = false;
+    record.memory_tokens = 77;
     return {gossip,
             request,
             reply,
@@ -61,7 +62,7 @@
             mark_query{3, "mark", host_id("h")},
             mark_answer{3, "mark", mark_use::never_used},
             contract_update{customer_id("c"), 5, 6, true, "{}"},
-            upstream_update{8, 7, true, {record}}};
+            upstream_update{8, 7, true, {record}, {upstream_id("f")}}};
 }
 
 }  // namespace
