Peer transport: the fresh frame after a redial names its receiver

A peer that had never answered was not yet known by address, so the fresh frame went out without a receiver and was refused. The host given to send is now remembered. The test fails without the fresh frame (1 failure) and passes with it; the whole suite passed three times in a row.

--- a/drivers/frames/asio_peer_transport.cpp
+++ b/drivers/frames/asio_peer_transport.cpp
@@ -105,6 +105,9 @@
                    {{"peer", key}, {"error", error.what()}});
         return;
     }
+    if (!to.host.empty()) {
+        hosts_[key] = to.host;
+    }
     peer_link& link = link_at(key);
     link.push(frame.sequence, std::move(bytes));
     if (link.wants_connection()) {
