--- /dev/null
+++ b/tests/scenarios/runner/caller.cpp
@@ -0,0 +1,244 @@
+#include "tests/scenarios/runner/caller.hpp"
+
+#include <cpprest/json.h>
+
+#include <algorithm>
+#include <chrono>
+#include <thread>
+
+#include "core/hashing/hash.hpp"
+#include "tests/scenarios/runner/http_calls.hpp"
+#include "tests/scenarios/runner/stream_reader.hpp"
+#include "tests/scenarios/runner/uuid.hpp"
+#include "tests/stand_ins/support/text.hpp"
+
+namespace fuchsiaquay::scenarios {
+
+namespace json = web::json;
+
+namespace {
+
+constexpr int ok = 200;
+/// A caller asks again for this many deadlines in all.
+constexpr std::int64_t deadlines_until_given_up = 3;
+constexpr std::int64_t shortest_retry_ms = 100;
+constexpr std::int64_t longest_retry_ms = 3000;
+constexpr std::int64_t milliseconds_per_second = 1000;
+
+std::int64_t between(std::mt19937_64& random, std::int64_t low, std::int64_t high) {
+    return std::uniform_int_distribution<std::int64_t>(low, std::max(low, high))(random);
+}
+
+std::string make_prompt(std::mt19937_64& random, std::int64_t bytes) {
+    std::string prompt;
+    while (static_cast<std::int64_t>(prompt.size()) < bytes) {
+        prompt += stand_ins::hex16(random()) + " ";
+    }
+    prompt.resize(static_cast<std::size_t>(bytes));
+    return prompt;
+}
+
+/// Judges a reply that is not a whole answer.
+void judge_failure(const http_reply& reply, attempt& tried) {
+    tried.status = reply.status;
+    if (reply.timed_out) {
+        tried.end = attempt_end::timed_out;
+        return;
+    }
+    if (reply.unreachable) {
+        tried.end = attempt_end::unreachable;
+        return;
+    }
+    tried.end = attempt_end::cut;
+    if (!reply.error.empty() || reply.status == 0) {
+        return;
+    }
+    tried.end = attempt_end::failed;
+    try {
+        const json::value error = json::value::parse(reply.body).at("error");
+        tried.error_code = error.at("code").as_string();
+        if (error.at("executed").as_string() == "no") {
+            tried.end = attempt_end::not_run;
+        }
+    } catch (const json::json_exception&) {
+        tried.error_code = "reply without a typed error";
+    }
+}
+
+std::int64_t retry_after_ms(const http_reply& reply) {
+    const auto found = reply.headers.find("Retry-After");
+    if (found == reply.headers.end()) {
+        return shortest_retry_ms;
+    }
+    return std::clamp<std::int64_t>(std::atoll(found->second.c_str()) * milliseconds_per_second,
+                      shortest_retry_ms, longest_retry_ms);
+}
+
+}  // namespace
+
+caller::caller(const load_terms& terms, std::vector<entrypoint> nodes, std::uint64_t seed,
+               const std::atomic<load_phase>& phase)
+    : terms_(terms),
+      directory_(std::move(nodes), terms.caller_key),
+      random_(seed),
+      phase_(phase) {}
+
+std::int64_t caller::pause_ms() {
+    return terms_.pause_ms == 0 ? 0 : between(random_, 0, 2 * terms_.pause_ms);
+}
+
+call_record caller::new_call(std::int64_t id) {
+    call_record call;
+    call.id = id;
+    call.deadline_ms = terms_.deadline_ms;
+    call.body =
+        make_prompt(random_, between(random_, terms_.prompt_bytes_min, terms_.prompt_bytes_max));
+    if (terms_.kind == "service") {
+        call.what = call_record::kind::service;
+        call.key = make_uuid_v7(stand_ins::wall_clock_ms(), random_());
+        call.repeatable = terms_.repeatable;
+    } else {
+        call.max_tokens = between(random_, terms_.max_tokens_min, terms_.max_tokens_max);
+    }
+    return call;
+}
+
+call_record caller::make_call(std::int64_t id) {
+    call_record call = new_call(id);
+    last_event_id_.clear();
+    gives_up_at_ms_ =
+        stand_ins::wall_clock_ms() + deadlines_until_given_up * terms_.deadline_ms;
+    std::string last_node;
+    do {
+        const entrypoint node = directory_.choose(last_node, random_);
+        call.attempts.push_back(try_once(call, node));
+        last_node = node.node;
+    } while (wait_for_retry(call, call.attempts.back()));
+    call.ended = true;
+    return call;
+}
+
+attempt caller::try_once(call_record& call, const entrypoint& node) {
+    attempt tried;
+    tried.node = node.node;
+    tried.start_ms = stand_ins::wall_clock_ms();
+    tried.directory_valid = directory_.valid(tried.start_ms);
+    retry_after_ms_ = shortest_retry_ms;
+    if (call.what == call_record::kind::service) {
+        try_service(call, node, tried);
+    } else if (terms_.kind == "stream") {
+        try_stream(call, node, tried);
+    } else {
+        try_completion(call, node, tried);
+    }
+    tried.end_ms = stand_ins::wall_clock_ms();
+    return tried;
+}
+
+bool caller::wait_for_retry(const call_record& call, const attempt& tried) {
+    const std::int64_t now_ms = stand_ins::wall_clock_ms();
+    if (tried.end == attempt_end::answered || now_ms > gives_up_at_ms_) {
+        return false;
+    }
+    if (tried.end == attempt_end::failed && call.what == call_record::kind::service) {
+        return false;
+    }
+    const load_phase phase = phase_;
+    if (phase == load_phase::abandoned ||
+        (phase == load_phase::stopping && tried.end == attempt_end::not_run)) {
+        return false;
+    }
+    if (tried.end != attempt_end::not_run) {
+        directory_.forget();
+    }
+    std::this_thread::sleep_for(std::chrono::milliseconds(retry_after_ms_));
+    return true;
+}
+
+void caller::try_service(call_record& call, const entrypoint& node, attempt& tried) {
+    http_request_terms terms;
+    terms.method = "POST";
+    terms.port = node.port;
+    terms.path = "/v1/services/" + terms_.service + "/orders";
+    terms.headers["Authorization"] = "Bearer " + terms_.caller_key;
+    terms.headers["Idempotency-Key"] = call.key;
+    terms.body = call.body;
+    terms.limit = std::chrono::milliseconds(call.deadline_ms + terms_.patience_ms);
+    const http_reply reply = call_http(terms);
+    retry_after_ms_ = retry_after_ms(reply);
+    if (reply.status != ok || !reply.error.empty()) {
+        judge_failure(reply, tried);
+        return;
+    }
+    tried.status = reply.status;
+    tried.ends_seen = 1;
+    const json::value answer = json::value::parse(reply.body);
+    const bool own = answer.at("echo").as_string() == stand_ins::hex16(stable_hash(call.body));
+    call.answer = own ? answer.at("key").as_string() : "another body";
+}
+
+void caller::try_completion(call_record& call, const entrypoint& node, attempt& tried) {
+    json::value body;
+    body["model"] = json::value::string(terms_.model);
+    body["prompt"] = json::value::string(call.body);
+    body["max_tokens"] = json::value::number(call.max_tokens);
+    http_request_terms terms;
+    terms.method = "POST";
+    terms.port = node.port;
+    terms.path = "/v1/completions";
+    terms.headers["Authorization"] = "Bearer " + terms_.caller_key;
+    terms.headers["X-Rank"] = terms_.rank;
+    terms.body = body.serialize();
+    terms.limit = std::chrono::milliseconds(call.deadline_ms + terms_.patience_ms);
+    const http_reply reply = call_http(terms);
+    retry_after_ms_ = retry_after_ms(reply);
+    if (reply.status != ok || !reply.error.empty()) {
+        judge_failure(reply, tried);
+        return;
+    }
+    tried.status = reply.status;
+    tried.ends_seen = 1;
+    call.answer =
+        json::value::parse(reply.body).at("choices").at(0).at("text").as_string();
+}
+
+void caller::try_stream(call_record& call, const entrypoint& node, attempt& tried) {
+    json::value body;
+    body["model"] = json::value::string(terms_.model);
+    body["prompt"] = json::value::string(call.body);
+    body["max_tokens"] = json::value::number(call.max_tokens);
+    body["stream"] = json::value::boolean(true);
+    http_request_terms terms;
+    terms.method = "POST";
+    terms.port = node.port;
+    terms.path = "/v1/completions";
+    terms.headers["Authorization"] = "Bearer " + terms_.caller_key;
+    terms.headers["X-Rank"] = terms_.rank;
+    if (last_event_id_.empty()) {
+        call.answer.clear();
+    } else {
+        terms.headers["Last-Event-ID"] = last_event_id_;
+    }
+    terms.body = body.serialize();
+    terms.limit = std::chrono::milliseconds(call.deadline_ms + terms_.patience_ms);
+    stream_reader reader(call.answer, last_event_id_);
+    const http_reply reply =
+        stream_http(terms, [&](const std::string& line) { reader.read(line); });
+    retry_after_ms_ = retry_after_ms(reply);
+    tried.status = reply.status;
+    tried.ends_seen = reader.ends();
+    if (reader.ends() > 0) {
+        return;
+    }
+    judge_failure(reply, tried);
+    if (reply.status == ok) {
+        tried.end = reader.error().empty() ? tried.end : attempt_end::failed;
+        tried.error_code = reader.error();
+        tried.end = tried.end == attempt_end::failed && reader.error().empty() ? attempt_end::cut
+                                                                              : tried.end;
+    } else if (tried.end == attempt_end::failed) {
+        last_event_id_.clear();
+    }
+}
+
+}  // namespace fuchsiaquay::scenarios
--- /dev/null
+++ b/tests/scenarios/runner/entrypoint.hpp
@@ -0,0 +1,14 @@
+#pragma once
+
+#include <cstdint>
+#include <string>
+
+namespace fuchsiaquay::scenarios {
+
+/// Where a caller reaches a node.
+struct entrypoint {
+    std::string node;
+    std::uint16_t port = 0;
+};
+
+}  // namespace fuchsiaquay::scenarios
--- /dev/null
+++ b/tests/scenarios/runner/load_terms.hpp
@@ -0,0 +1,32 @@
+#pragma once
+
+#include <cstdint>
+#include <string>
+
+namespace fuchsiaquay::scenarios {
+
+/// Load that a scenario offers. Each of `callers` makes one call after another.
+struct load_terms {
+    /// "stream", "plain" or "service".
+    std::string kind = "stream";
+    std::int64_t callers = 4;
+    /// Calls in all; 0 means until the load is stopped.
+    std::int64_t calls = 0;
+    /// Mean pause of a caller between two calls.
+    std::int64_t pause_ms = 20;
+    std::string caller_key;
+    std::string rank;
+    std::string model;
+    std::int64_t prompt_bytes_min = 40;
+    std::int64_t prompt_bytes_max = 400;
+    std::int64_t max_tokens_min = 4;
+    std::int64_t max_tokens_max = 24;
+    std::int64_t deadline_ms = 10000;
+    /// Time over the deadline that a caller waits, so that a node which keeps its promise always
+    /// answers first.
+    std::int64_t patience_ms = 5000;
+    std::string service;
+    bool repeatable = false;
+};
+
+}  // namespace fuchsiaquay::scenarios
--- /dev/null
+++ b/tests/stand_ins/cut_proxy/cut_proxy.hpp
@@ -0,0 +1,53 @@
+#pragma once
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <chrono>
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <string>
+#include <thread>
+#include <vector>
+
+namespace fuchsiaquay::stand_ins {
+
+class proxy_connection;
+
+/// A TCP hop on loopback that can be cut, silenced or delayed. Runs a thread of its own; the
+/// commands may be called from any thread and take effect before they return.
+class cut_proxy {
+public:
+    /// @param port         port to listen on, 0 for a free one
+    /// @param target_port  port on 127.0.0.1 to connect to
+    cut_proxy(std::uint16_t port, std::uint16_t target_port);
+    ~cut_proxy();
+    cut_proxy(const cut_proxy&) = delete;
+    cut_proxy& operator=(const cut_proxy&) = delete;
+
+    std::uint16_t port() const { return port_; }
+
+    /// Resets every open connection; new ones work.
+    void cut();
+    /// Open connections stay open and silent for good; new ones work.
+    void silence();
+    /// True: open connections go silent and so does each new one, as when two sites are parted.
+    void part(bool parted);
+    /// Delays every piece of bytes, each way, on connections that open from now on.
+    void delay(std::chrono::milliseconds value);
+
+private:
+    void accept();
+    void run_on_thread(const std::function<void()>& command);
+
+    boost::asio::io_context context_;
+    boost::asio::ip::tcp::acceptor acceptor_;
+    boost::asio::ip::tcp::endpoint target_;
+    std::uint16_t port_;
+    std::vector<std::shared_ptr<proxy_connection>> connections_;
+    std::chrono::milliseconds delay_{0};
+    bool parted_ = false;
+    std::thread thread_;
+};
+
+}  // namespace fuchsiaquay::stand_ins
