--- a/core/identity/names.hpp
+++ b/core/identity/names.hpp
@@ -14,11 +14,7 @@
 /// A customer, the holder of a contract.
 using customer_id = identifier<struct customer_tag>;
 /// An upstream: a model engine or a plain service replica.
-<<<<<<< HEAD
 using upstream_id = identifier<struct upstream_tag>;
-=======
-using upstream_id = identifier<struct upstream_name_kind>;
->>>>>>> member
 /// A model that engines serve.
 using model_id = identifier<struct model_tag>;
 /// A plain service that is routed to by name.
--- a/core/request/dispatch_plan.hpp
+++ b/core/request/dispatch_plan.hpp
@@ -3,14 +3,14 @@
 #include <cstdint>
 
 #include "core/identity/names.hpp"
-#include "core/messages/upstream_record.hpp"
+#include "core/upstreams/upstream.hpp"
 #include "core/time/clock.hpp"
 
 namespace fuchsiaquay {
 
 /// Where and how one attempt of a request goes.
 struct dispatch_plan {
-    upstream_record target;
+    upstream target;
     /// Grant at the owner of the upstream and stream id at the engine; empty for services.
     grant_id grant;
     /// Rank level, which is the priority at the engine.
--- /dev/null
+++ b/core/upstreams/upstream.hpp
@@ -0,0 +1,43 @@
+#pragma once
+
+#include <cstdint>
+#include <string>
+#include <tuple>
+#include <vector>
+
+#include "core/identity/names.hpp"
+
+namespace fuchsiaquay {
+
+/// What an upstream is.
+enum class upstream_kind { engine, service };
+
+/// One upstream as the catalogue knows it.
+struct upstream {
+    upstream_id id;
+    upstream_kind kind = upstream_kind::engine;
+    /// Name of the plain service; empty for engines.
+    service_id service;
+    /// IP number.
+    std::string address;
+    std::uint16_t port = 0;
+    data_centre_id data_centre;
+    /// True: it gets no new work.
+    bool leaving = false;
+    /// Models an engine serves.
+    std::vector<model_id> models;
+    /// False: it obeys orders that carry an old fencing number.
+    bool checks_orders = true;
+    /// KV cache of an engine in tokens.
+    std::int64_t memory_tokens = 0;
+
+    friend bool operator==(const upstream& a, const upstream& b) {
+        return std::tie(a.id, a.kind, a.service, a.address, a.port, a.data_centre, a.leaving,
+                        a.models, a.checks_orders, a.memory_tokens) ==
+               std::tie(b.id, b.kind, b.service, b.address, b.port, b.data_centre, b.leaving,
+                        b.models, b.checks_orders, b.memory_tokens);
+    }
+    friend bool operator!=(const upstream& a, const upstream& b) { return !(a == b); }
+};
+
+}  // namespace fuchsiaquay
--- a/drivers/api/caller_api.cpp
+++ b/drivers/api/caller_api.cpp
@@ -7,8 +7,8 @@
 
 #include "core/contract/contract.hpp"
 #include "core/directory/entrypoint_answer.hpp"
+#include "core/hashing/prefix_hashes.hpp"
 #include "core/request/refusal.hpp"
-#include "core/routing/prefix_index.hpp"
 #include "drivers/api/api_limits.hpp"
 #include "drivers/api/bad_request.hpp"
 #include "drivers/api/completion_session.hpp"
@@ -149,7 +149,7 @@
     context.model = model_id(body.model);
     context.prompt_tokens = count_prompt_tokens(*body.prompt);
     context.max_tokens = body.max_tokens;
-    context.prefix_hashes = prefix_hashes_of(*body.prompt);
+    context.prefix_hashes = prefix_hashes(*body.prompt);
     context.arrived = monotonic_now();
     const std::string request_digest = sha256_hex(context.key_digest + body.model + *body.prompt);
     const std::string last_event = header(message, "Last-Event-ID");
--- a/servers/requests/request_flow.hpp
+++ b/servers/requests/request_flow.hpp
@@ -39,7 +39,7 @@
     bool repeatable = true;
 
     /// Upstreams in the order to be tried, set by the route filter.
-    std::vector<upstream_record> candidates;
+    std::vector<upstream> candidates;
     /// Upstreams that failed this request.
     std::set<upstream_id> excluded;
     /// Prompt tokens that the route filter expects in the cache of a candidate, same order.
--- a/servers/views/upstream_view.hpp
+++ b/servers/views/upstream_view.hpp
@@ -4,7 +4,7 @@
 #include <vector>
 
 #include "core/identity/names.hpp"
-#include "core/messages/upstream_record.hpp"
+#include "core/upstreams/upstream.hpp"
 
 namespace fuchsiaquay {
 
@@ -17,8 +17,8 @@
     virtual ~upstream_view() = default;
 
     /// Every upstream that is not gone, in the order of ids.
-    virtual std::vector<upstream_record> all() const = 0;
-    virtual std::optional<upstream_record> find(const upstream_id& id) const = 0;
+    virtual std::vector<upstream> all() const = 0;
+    virtual std::optional<upstream> find(const upstream_id& id) const = 0;
 };
 
 }  // namespace fuchsiaquay
--- a/tests/drivers/frames/frame_codec_test.cpp
+++ b/tests/drivers/frames/frame_codec_test.cpp
@@ -61,13 +61,8 @@
             budget_grant{customer_id("c"), 1.5, 2.5, 3, duration(4)},
             mark_query{3, "mark", host_id("h")},
             mark_answer{3, "mark", mark_use::never_used},
-<<<<<<< HEAD
             contract_update{customer_id("c"), 5, 6, true, "{}", 4},
-            upstream_update{8, 7, true, {record}}};
-=======
-            contract_update{customer_id("c"), 5, 6, true, "{}"},
             upstream_update{8, 7, true, {record}, {upstream_id("f")}}};
->>>>>>> member
 }
 
 }  // namespace
