--- /dev/null
+++ b/core/directory/entrypoint_answer.hpp
@@ -0,0 +1,26 @@
+#pragma once
+
+#include <tuple>
+#include <vector>
+
+#include "core/directory/entrypoint.hpp"
+#include "core/time/clock.hpp"
+
+namespace fuchsiaquay {
+
+/// Answer of `GET /v1/entrypoints`.
+struct entrypoint_answer {
+    /// The best first.
+    std::vector<entrypoint> hosts;
+    /// How long the caller may keep the answer.
+    duration keep_for{};
+
+    friend bool operator==(const entrypoint_answer& a, const entrypoint_answer& b) {
+        return std::tie(a.hosts, a.keep_for) == std::tie(b.hosts, b.keep_for);
+    }
+    friend bool operator!=(const entrypoint_answer& a, const entrypoint_answer& b) {
+        return !(a == b);
+    }
+};
+
+}  // namespace fuchsiaquay
--- a/servers/requests/request_flow.hpp
+++ b/servers/requests/request_flow.hpp
@@ -9,6 +9,8 @@
 #include "core/contract/contract.hpp"
 #include "core/request/dispatch_plan.hpp"
 #include "core/request/request_context.hpp"
+#include "core/routing/routing_request.hpp"
+#include "core/routing/scored_candidate.hpp"
 #include "servers/timer_service.hpp"
 
 namespace fuchsiaquay {
@@ -38,13 +40,18 @@
     /// Set by the contract filter for service calls.
     bool repeatable = true;
 
-    /// Upstreams in the order to be tried, set by the route filter.
-    std::vector<upstream> candidates;
     /// Upstreams that failed this request.
     std::set<upstream_id> excluded;
-    /// Prompt tokens that the route filter expects in the cache of a candidate, same order.
-    std::vector<std::int64_t> cached_tokens;
-    std::int64_t expected_output_tokens = 0;
+    /// Set by the route filter for completions: the request as routed, the choices best first.
+    routing_request routing;
+    std::vector<scored_candidate> choices;
+    /// Set by the route filter for service calls: the replica whose calls count this one.
+    upstream_id counted_service;
+    /// Prompt tokens expected in the cache of the upstream chosen.
+    std::int64_t expected_cached_tokens = 0;
+
+    /// Set by the reserve filter: id of this attempt's reservation.
+    request_id reservation_id;
 
     /// Built up by the attempt filters.
     dispatch_plan plan;
--- /dev/null
+++ b/servers/reservation/reserve_filter.hpp
@@ -0,0 +1,59 @@
+#pragma once
+
+#include <map>
+#include <memory>
+
+#include "core/identity/names.hpp"
+#include "core/routing/reservation_settings.hpp"
+#include "servers/requests/request_filter.hpp"
+#include "servers/timer_service.hpp"
+
+namespace fuchsiaquay {
+
+class decision_log;
+class engine_router;
+class host_view;
+class reservation_link;
+class upstream_view;
+struct grant_renewal;
+struct reserve_reply;
+struct routing_actions;
+struct routing_outcome;
+
+/// Reserves memory and a queue place at the owner of an engine, keeps the grant alive while the
+/// attempt runs, and gives it back on every path. Used on the control thread.
+class reserve_filter final : public request_filter {
+public:
+    /// References must outlive the filter.
+    reserve_filter(timer_service& timers, decision_log& log, const host_view& hosts,
+                   const upstream_view& upstreams, engine_router& router, reservation_link& link,
+                   reservation_settings settings);
+    ~reserve_filter() override;
+
+    void admit(const std::shared_ptr<request_flow>& flow, const verdict& decide) override;
+    void settle(const std::shared_ptr<request_flow>& flow, const attempt_result& result) override;
+
+    /// An owner's reply, from a peer or from this host.
+    void on_reply(const reserve_reply& reply);
+
+private:
+    struct entry;
+
+    void carry_out(const std::shared_ptr<entry>& item, const routing_actions& actions);
+    void conclude(const std::shared_ptr<entry>& item, const routing_outcome& outcome);
+    void tick();
+    void renew_grants();
+
+    timer_service& timers_;
+    decision_log& log_;
+    const host_view& hosts_;
+    const upstream_view& upstreams_;
+    engine_router& router_;
+    reservation_link& link_;
+    reservation_settings settings_;
+    std::map<request_id, std::shared_ptr<entry>> entries_;
+    timer_service::subscription tick_timer_;
+    timer_service::subscription renew_timer_;
+};
+
+}  // namespace fuchsiaquay
--- /dev/null
+++ b/servers/routing/engine_router.hpp
@@ -0,0 +1,51 @@
+#pragma once
+
+#include <memory>
+#include <vector>
+
+#include "core/identity/names.hpp"
+#include "core/routing/output_estimator.hpp"
+#include "core/routing/prefix_index.hpp"
+#include "core/routing/routing_request.hpp"
+#include "core/routing/scored_candidate.hpp"
+#include "core/routing/upstream_loads.hpp"
+#include "core/time/clock.hpp"
+
+namespace fuchsiaquay {
+
+class request_flow;
+class upstream_selector;
+class upstream_view;
+struct attempt_result;
+struct reserve_reply;
+
+/// What this host knows of the engines' load and caches, and the order in which it tries them.
+class engine_router {
+public:
+    /// @param tokens_per_second  speed at which known work is taken to shrink
+    engine_router(const upstream_view& upstreams, std::unique_ptr<upstream_selector> selector,
+                  double tokens_per_second);
+    engine_router(const engine_router&) = delete;
+    engine_router& operator=(const engine_router&) = delete;
+    ~engine_router();
+
+    /// The request as the selector sees it.
+    routing_request describe(const request_flow& flow, instant now) const;
+    /// Engines that serve the model and have not failed this request, best first.
+    std::vector<scored_candidate> order(const request_flow& flow, const routing_request& request,
+                                        instant now);
+
+    void observe(const reserve_reply& reply, instant now);
+    void started(const request_flow& flow, instant now);
+    void ended(const request_flow& flow, const attempt_result& result);
+    const output_estimator& estimator() const noexcept { return estimator_; }
+
+private:
+    const upstream_view& upstreams_;
+    std::unique_ptr<upstream_selector> selector_;
+    upstream_loads loads_;
+    prefix_index prefixes_;
+    output_estimator estimator_;
+};
+
+}  // namespace fuchsiaquay
