--- /dev/null
+++ b/core/health/circuit_breaker.hpp
@@ -0,0 +1,39 @@
+#pragma once
+
+#include "core/health/attempt_evidence.hpp"
+#include "core/health/breaker_settings.hpp"
+#include "core/health/breaker_state.hpp"
+#include "core/time/clock.hpp"
+
+namespace fuchsiaquay {
+
+/// Circuit breaker of one upstream, fed by what requests experience. Closed: requests pass. Open:
+/// none. Half open: a bounded number of trials at once; the first answer closes, a failure opens
+/// again for twice the time.
+class circuit_breaker {
+public:
+    explicit circuit_breaker(const breaker_settings& settings);
+
+    breaker_state state(instant now) const;
+    /// True when a request may be sent now.
+    bool allows(instant now) const;
+    /// Counts a request that is being sent.
+    void on_sent(instant now);
+    /// Takes the result of a request that was sent.
+    void on_result(attempt_evidence evidence, instant now);
+
+private:
+    void open(instant now);
+    void close();
+    bool trials_lost(instant now) const;
+
+    breaker_settings settings_;
+    int failures_ = 0;
+    int trials_ = 0;
+    bool open_ = false;
+    duration open_time_{};
+    instant open_until_{};
+    instant last_trial_{};
+};
+
+}  // namespace fuchsiaquay
