Contracts: book, store feed and gossip, editor with compare-and-swap and history

Cause: an accepted change has to be durable in the store, in force everywhere within seconds, and never taken back by an old answer, reordered gossip, a restart or a racing operator. The book applies only higher revisions; at or below its complete revision an unknown customer was deleted. The editor writes contract, history and index in one transaction under a mark; after a lost answer it sends the same transaction again, so that at most one copy holds, and finds its mark in the history. Ruled out: giving up after a lost answer (the write may land later), and a counter in the index as condition (operators of different customers would conflict).

--- /dev/null
+++ b/core/contract/contract_book.cpp
@@ -0,0 +1,164 @@
+#include "core/contract/contract_book.hpp"
+
+#include <algorithm>
+#include <set>
+#include <utility>
+
+namespace fuchsiaquay {
+
+contract_book::contract_book(duration freshness_limit, std::size_t max_tombstones)
+    : freshness_limit_(freshness_limit), max_tombstones_(max_tombstones) {}
+
+bool contract_book::apply(const contract_change& change, const contract& parsed) {
+    hear_of(change.revision);
+    const auto found = entries_.find(change.customer);
+    const std::int64_t known = found == entries_.end() ? complete_ : found->second.change.revision;
+    if (change.revision <= known) {
+        return false;
+    }
+    const bool was_tombstone = found != entries_.end() && found->second.change.erased;
+    tombstones_ += change.erased ? 1 : 0;
+    tombstones_ -= was_tombstone ? 1 : 0;
+    entry next{change, nullptr};
+    if (!change.erased) {
+        next.value = std::make_shared<const contract>(parsed);
+    }
+    entries_[change.customer] = std::move(next);
+    last_change_ = std::max(last_change_, change.revision);
+    forget_tombstones();
+    table_.reset();
+    return true;
+}
+
+void contract_book::advance(std::int64_t previous, std::int64_t revision) {
+    hear_of(previous);
+    if (previous <= complete_ && revision > complete_) {
+        complete_ = revision;
+    }
+}
+
+std::vector<customer_id> contract_book::reconcile(const std::vector<customer_id>& present,
+                                                  std::int64_t index_revision,
+                                                  std::int64_t store_revision) {
+    const std::set<customer_id> named(present.begin(), present.end());
+    std::vector<customer_id> deleted;
+    for (auto& [customer, held] : entries_) {
+        const bool older = held.change.revision <= store_revision;
+        if (older && !held.change.erased && named.count(customer) == 0) {
+            held = entry{contract_change{customer, store_revision, true, ""}, nullptr};
+            ++tombstones_;
+            deleted.push_back(customer);
+        }
+    }
+    if (!deleted.empty()) {
+        last_change_ = std::max(last_change_, store_revision);
+        forget_tombstones();
+        table_.reset();
+    }
+    hear_of(index_revision);
+    if (store_revision > complete_) {
+        // The latest change may be the deletion of a customer that this book never held.
+        last_change_ = std::max(last_change_, index_revision);
+        // Changes between the old and the new complete revision may have been deletions of
+        // customers that this book never held; peers that did hold them cannot learn them here.
+        horizon_ = store_revision;
+        complete_ = store_revision;
+    }
+    return deleted;
+}
+
+void contract_book::clear() {
+    if (caught_up_) {
+        return;
+    }
+    entries_.clear();
+    table_.reset();
+    complete_ = 0;
+    last_change_ = 0;
+    horizon_ = 0;
+    tombstones_ = 0;
+}
+
+void contract_book::hear_of(std::int64_t revision) {
+    known_ = std::max(known_, revision);
+}
+
+void contract_book::confirm(instant at) {
+    confirmed_ = confirmed_ ? std::max(*confirmed_, at) : at;
+}
+
+contract_freshness contract_book::freshness(instant now) const {
+    contract_freshness result;
+    result.complete_revision = complete_;
+    result.known_revision = known_;
+    if (!caught_up_) {
+        return result;
+    }
+    result.age = confirmed_ ? now - *confirmed_ : duration::max();
+    if (known_ > std::max(complete_, last_change_)) {
+        result.standing = contract_standing::behind;
+    } else if (result.age <= freshness_limit_) {
+        result.standing = contract_standing::current;
+    } else {
+        result.standing = contract_standing::unproved;
+    }
+    return result;
+}
+
+std::string contract_book::document(const customer_id& customer) const {
+    const auto found = entries_.find(customer);
+    return found == entries_.end() ? std::string() : found->second.change.document;
+}
+
+bool contract_book::can_list_after(std::int64_t cursor) const {
+    // A peer that starts from nothing holds no contract that would have to be deleted.
+    return cursor == 0 || cursor >= horizon_;
+}
+
+std::vector<contract_change> contract_book::changes_after(std::int64_t cursor) const {
+    std::vector<contract_change> changes;
+    for (const auto& [customer, held] : entries_) {
+        if (held.change.revision > cursor) {
+            changes.push_back(held.change);
+        }
+    }
+    std::sort(changes.begin(), changes.end(),
+              [](const auto& a, const auto& b) { return a.revision < b.revision; });
+    return changes;
+}
+
+std::shared_ptr<const contract_table> contract_book::table() const {
+    if (table_) {
+        return table_;
+    }
+    std::vector<std::shared_ptr<const contract>> contracts;
+    for (const auto& [customer, held] : entries_) {
+        if (held.value) {
+            contracts.push_back(held.value);
+        }
+    }
+    table_ = std::make_shared<const contract_table>(std::move(contracts));
+    return table_;
+}
+
+void contract_book::forget_tombstones() {
+    while (tombstones_ > max_tombstones_) {
+        auto oldest = entries_.end();
+        for (auto it = entries_.begin(); it != entries_.end(); ++it) {
+            const bool erased = it->second.change.erased;
+            if (erased && (oldest == entries_.end() ||
+                           it->second.change.revision < oldest->second.change.revision)) {
+                oldest = it;
+            }
+        }
+        // A deletion above the complete revision still guards against an older change.
+        if (oldest->second.change.revision > complete_) {
+            return;
+        }
+        horizon_ = std::max(horizon_, oldest->second.change.revision);
+        entries_.erase(oldest);
+        --tombstones_;
+    }
+}
+
+}  // namespace fuchsiaquay
--- a/core/messages/contract_update.hpp
+++ b/core/messages/contract_update.hpp
@@ -15,9 +15,11 @@
     /// Store revision of this document; without a customer the revision up to which the sender
     /// knows every change.
     std::int64_t revision = 0;
-    /// Highest revision of any contract known to the sender.
+    /// Highest revision of any contract known to the sender. Without a customer it is above 0
+    /// only if the sender has just proved with the store that there is nothing newer.
     std::int64_t index_revision = 0;
-    /// True: the contract was deleted at `revision`.
+    /// True: the contract was deleted at `revision`; without a customer, that the sender is still
+    /// catching up.
     bool erased = false;
     /// JSON text of the contract; empty when erased.
     std::string document;
--- a/drivers/json/field_reader.cpp
+++ b/drivers/json/field_reader.cpp
@@ -84,7 +84,9 @@
 
 std::string field_reader::text_or(const std::string& name, std::size_t longest,
                                   std::string fallback) {
-    return has(name) ? text(name, longest) : std::move(fallback);
+    const bool empty =
+        has(name) && value_.at(name).is_string() && value_.at(name).as_string().empty();
+    return has(name) && !empty ? text(name, longest) : std::move(fallback);
 }
 
 std::string field_reader::name(const std::string& name) {
--- a/drivers/json/field_reader.hpp
+++ b/drivers/json/field_reader.hpp
@@ -36,6 +36,7 @@
     bool has(const std::string& name);
     /// A text of 1 to `longest` bytes.
     std::string text(const std::string& name, std::size_t longest);
+    /// As `text`; an empty text gives the fallback too.
     std::string text_or(const std::string& name, std::size_t longest, std::string fallback);
     /// A name: 1 to 64 of letters, digits, '.', '_' and '-', beginning with a letter or digit.
     std::string name(const std::string& name);
--- /dev/null
+++ b/servers/contracts/contract_gossip.cpp
@@ -0,0 +1,188 @@
+#include "servers/contracts/contract_gossip.hpp"
+
+#include <algorithm>
+#include <utility>
+
+#include "core/hashing/rendezvous.hpp"
+#include "servers/contracts/contract_feed.hpp"
+#include "servers/contracts/contract_intake.hpp"
+#include "servers/contracts/data_centre_peers.hpp"
+#include "servers/peer_transport.hpp"
+
+namespace fuchsiaquay {
+
+contract_gossip::contract_gossip(contract_book& book, contract_intake& intake,
+                                 const contract_feed& feed, timer_service& timers,
+                                 peer_transport& transport, const data_centre_peers& peers,
+                                 const contract_watcher_settings& settings)
+    : book_(book),
+      intake_(intake),
+      feed_(feed),
+      timers_(timers),
+      transport_(transport),
+      peers_(peers),
+      settings_(settings),
+      random_(settings.seed) {}
+
+std::vector<host_id> contract_gossip::elected() const {
+    std::vector<host_id> hosts;
+    for (const member_update& peer : peers_.live()) {
+        hosts.push_back(peer.host);
+    }
+    return rendezvous_order("contracts/" + peers_.data_centre().value(), hosts, settings_.watchers);
+}
+
+std::vector<member_update> contract_gossip::others() const {
+    std::vector<member_update> hosts = peers_.live();
+    const host_id self = peers_.self();
+    hosts.erase(std::remove_if(hosts.begin(), hosts.end(),
+                               [&self](const member_update& peer) { return peer.host == self; }),
+                hosts.end());
+    return hosts;
+}
+
+member_update contract_gossip::random_of(const std::vector<member_update>& hosts) {
+    return hosts[random_() % hosts.size()];
+}
+
+void contract_gossip::push(const contract_change& change, std::int64_t previous,
+                           const host_id& except) {
+    const contract_update message{change.customer, change.revision, book_.known_revision(),
+                                  change.erased,   change.document, previous};
+    std::vector<member_update> targets = others();
+    std::shuffle(targets.begin(), targets.end(), random_);
+    std::size_t sent = 0;
+    for (const member_update& target : targets) {
+        if (sent == settings_.fan_out) {
+            return;
+        }
+        if (target.host != except) {
+            transport_.send(target, message);
+            ++sent;
+        }
+    }
+}
+
+duration contract_gossip::compare_period() const {
+    const auto hosts = static_cast<std::int64_t>(peers_.live().size());
+    return std::clamp(settings_.compare_period_per_host * hosts, settings_.shortest_compare_period,
+                      settings_.longest_compare_period);
+}
+
+void contract_gossip::compare() {
+    const std::vector<member_update> hosts = others();
+    if (hosts.empty() || filling()) {
+        return;
+    }
+    const bool any_peer = !book_.caught_up();
+    std::vector<member_update> watchers;
+    const std::vector<host_id> chosen = elected();
+    for (const member_update& peer : hosts) {
+        if (std::find(chosen.begin(), chosen.end(), peer.host) != chosen.end()) {
+            watchers.push_back(peer);
+        }
+    }
+    const member_update target = random_of(any_peer || watchers.empty() ? hosts : watchers);
+    asked_ = target.host;
+    send_position(target);
+}
+
+void contract_gossip::fill_from_peer() {
+    const std::vector<member_update> hosts = others();
+    filling_ = false;
+    if (hosts.empty() || book_.caught_up()) {
+        return;
+    }
+    book_.clear();
+    filling_ = true;
+    agreed_ = false;
+    const member_update target = random_of(hosts);
+    asked_ = target.host;
+    send_position(target);
+}
+
+void contract_gossip::receive(const host_id& sender, const contract_update& message) {
+    if (message.customer.empty()) {
+        receive_position(sender, message);
+    } else {
+        receive_change(sender, message);
+    }
+}
+
+void contract_gossip::receive_change(const host_id& sender, const contract_update& message) {
+    if (filling() && sender != asked_) {
+        // Only the peer that fills the book may: what it held and deleted it also says.
+        return;
+    }
+    book_.hear_of(message.index_revision);
+    const contract_change change{message.customer, message.revision, message.erased,
+                                 message.document};
+    const bool taken = intake_.take(change, "peer");
+    book_.advance(message.previous_revision, message.revision);
+    if (taken && book_.caught_up()) {
+        push(change, message.previous_revision, sender);
+    }
+}
+
+void contract_gossip::receive_position(const host_id& sender, const contract_update& message) {
+    const bool vouches = message.index_revision > 0;
+    book_.hear_of(message.index_revision);
+    if (!filling() || sender == asked_) {
+        book_.advance(message.previous_revision, message.revision);
+    }
+    const bool as_far = book_.complete_revision() >= message.revision;
+    if (!message.erased && as_far && sender == asked_) {
+        agreed_ = true;
+        filling_ = false;
+        if (vouches) {
+            book_.confirm(timers_.now() - settings_.vouch_limit);
+        }
+    }
+    if (!book_.caught_up()) {
+        return;
+    }
+    // Compared with the latest change, not with the complete revision: that one also grows with
+    // writes to other keys.
+    const bool sender_is_behind =
+        message.erased ||
+        message.revision < std::min(book_.last_change(), book_.complete_revision());
+    if (!sender_is_behind && (vouches || !feed_.can_vouch())) {
+        return;
+    }
+    for (const member_update& peer : peers_.live()) {
+        if (peer.host == sender) {
+            send_changes(peer, message.revision);
+            send_position(peer);
+            return;
+        }
+    }
+}
+
+void contract_gossip::send_changes(const member_update& to, std::int64_t cursor) {
+    if (!book_.can_list_after(cursor)) {
+        return;
+    }
+    std::int64_t previous = cursor;
+    for (const contract_change& change : book_.changes_after(cursor)) {
+        // Above the complete revision there may be changes that this node does not know.
+        const bool ordered = change.revision <= book_.complete_revision();
+        transport_.send(to, contract_update{change.customer, change.revision,
+                                            book_.known_revision(), change.erased, change.document,
+                                            ordered ? previous : change.revision});
+        previous = change.revision;
+    }
+}
+
+void contract_gossip::send_position(const member_update& to) {
+    contract_update position;
+    position.revision = book_.complete_revision();
+    position.erased = !book_.caught_up();
+    position.previous_revision = std::min(book_.last_change(), book_.complete_revision());
+    if (book_.caught_up() && feed_.can_vouch()) {
+        // Above 0 even when there is no contract yet.
+        position.index_revision = std::max<std::int64_t>(1, book_.known_revision());
+    }
+    transport_.send(to, position);
+}
+
+}  // namespace fuchsiaquay
--- /dev/null
+++ b/servers/contracts/contract_history.hpp
@@ -0,0 +1,55 @@
+#pragma once
+
+#include <cstdint>
+#include <string>
+#include <tuple>
+#include <vector>
+
+namespace fuchsiaquay {
+
+/// Who made one change to a contract and how to recognise it.
+struct contract_edit {
+    /// Unique for each attempt of an operator; found again after a lost answer.
+    std::string mark;
+    /// Name of the operator.
+    std::string author;
+    /// UTC time in ISO 8601 as the editing node saw it.
+    std::string at;
+    bool erased = false;
+
+    friend bool operator==(const contract_edit& a, const contract_edit& b) {
+        return std::tie(a.mark, a.author, a.at, a.erased) ==
+               std::tie(b.mark, b.author, b.at, b.erased);
+    }
+    friend bool operator!=(const contract_edit& a, const contract_edit& b) { return !(a == b); }
+};
+
+/// A revision that was replaced.
+struct past_revision {
+    std::int64_t revision = 0;
+    contract_edit edit;
+    /// JSON text; empty for a deletion.
+    std::string document;
+
+    friend bool operator==(const past_revision& a, const past_revision& b) {
+        return std::tie(a.revision, a.edit, a.document) == std::tie(b.revision, b.edit, b.document);
+    }
+    friend bool operator!=(const past_revision& a, const past_revision& b) { return !(a == b); }
+};
+
+/// Earlier revisions of the contract of one customer. Written in the same transaction as the
+/// contract, so the current revision is the store revision of both keys.
+struct contract_history {
+    contract_edit current;
+    /// The latest first; bounded in number and bytes.
+    std::vector<past_revision> past;
+
+    friend bool operator==(const contract_history& a, const contract_history& b) {
+        return std::tie(a.current, a.past) == std::tie(b.current, b.past);
+    }
+    friend bool operator!=(const contract_history& a, const contract_history& b) {
+        return !(a == b);
+    }
+};
+
+}  // namespace fuchsiaquay
