--- a/tests/core/scheduling/fair_rank_policy_test.cpp
+++ b/tests/core/scheduling/fair_rank_policy_test.cpp
@@ -1,9 +1,7 @@
 #include "core/scheduling/fair_rank_policy.hpp"
 
-// Before CppUTest, which redefines `new`.
 #include <CppUTest/TestHarness.h>
 
-#include <functional>
 #include <map>
 #include <string>
 
@@ -45,9 +43,8 @@
     }
 
     // Serves at the upstream's speed while `refill` keeps the queue full; tokens by key.
-    std::map<std::string, double> serve(
-        int rounds, const std::function<std::string(const queued_request&)>& key,
-        const std::function<void()>& more) {
+    template <typename key_of, typename refill>
+    std::map<std::string, double> serve(int rounds, key_of key, refill more) {
         std::map<std::string, double> served;
         for (int i = 0; i < rounds; ++i) {
             more();
