--- a/core/request/request_context.hpp
+++ b/core/request/request_context.hpp
@@ -29,6 +29,8 @@
     /// Set for service calls.
     service_id service;
     std::string idempotency_key;
+    /// Hash of method, service, path and body.
+    std::uint64_t body_fingerprint = 0;
     instant arrived{};
 };
 
--- a/drivers/api/caller_api.cpp
+++ b/drivers/api/caller_api.cpp
@@ -7,6 +7,7 @@
 
 #include "core/contract/contract.hpp"
 #include "core/directory/entrypoint_answer.hpp"
+#include "core/hashing/hash.hpp"
 #include "core/hashing/prefix_hashes.hpp"
 #include "core/request/refusal.hpp"
 #include "drivers/api/api_limits.hpp"
@@ -200,6 +201,8 @@
     if (path.empty() || path.front() != '/') {
         path.insert(0, "/");
     }
+    context.body_fingerprint =
+        stable_hash(body, stable_hash(message.method() + "\n" + target));
     auto session = std::make_shared<service_session>(services_, message, std::move(path), body);
     session->begin(std::make_shared<request_flow>(std::move(context), session));
 }
--- /dev/null
+++ b/drivers/engine/http_engine_admin.cpp
@@ -0,0 +1,111 @@
+#include "drivers/engine/http_engine_admin.hpp"
+
+#include <cpprest/http_client.h>
+
+#include <memory>
+#include <utility>
+
+#include "core/scheduling/engine_report.hpp"
+#include "core/upstreams/upstream.hpp"
+#include "drivers/control/control_loop.hpp"
+#include "drivers/http/client_pool.hpp"
+
+namespace fuchsiaquay {
+
+namespace json = web::json;
+namespace http = web::http;
+
+namespace {
+
+/// An engine that does not list its streams within this is asked again on a new connection.
+constexpr duration list_timeout = std::chrono::seconds(2);
+
+stream_phase parse_phase(const std::string& text) {
+    if (text == "prefill") {
+        return stream_phase::prefill;
+    }
+    if (text == "decode") {
+        return stream_phase::decode;
+    }
+    return text == "held" ? stream_phase::held : stream_phase::waiting;
+}
+
+engine_report parse_report(const json::value& answer) {
+    engine_report report;
+    report.memory_tokens = answer.at("memory_tokens").as_number().to_int64();
+    for (const json::value& item : answer.at("streams").as_array()) {
+        engine_stream stream;
+        stream.grant = grant_id(item.at("stream_id").as_string());
+        stream.memory_tokens = item.at("memory_tokens").as_number().to_int64();
+        stream.generated_tokens = item.at("generated").as_number().to_int64();
+        stream.phase = parse_phase(item.at("state").as_string());
+        report.streams.push_back(std::move(stream));
+    }
+    return report;
+}
+
+/// Answers once, whichever of the engine and the timer comes first.
+class listing {
+public:
+    explicit listing(engine_admin::report_handler done) : done_(std::move(done)) {}
+
+    void end(const std::string& failure, const engine_report& report) {
+        if (ended_) {
+            return;
+        }
+        ended_ = true;
+        done_(failure, report);
+    }
+
+    bool ended() const { return ended_; }
+
+private:
+    engine_admin::report_handler done_;
+    bool ended_ = false;
+};
+
+}  // namespace
+
+http_engine_admin::http_engine_admin(control_loop& loop, client_pool& clients)
+    : loop_(loop), clients_(clients) {}
+
+void http_engine_admin::list_streams(const upstream& engine, report_handler done) {
+    auto state = std::make_shared<listing>(std::move(done));
+    const std::string address = engine.address;
+    const std::uint16_t port = engine.port;
+    loop_.after(list_timeout, [this, state, address, port] {
+        if (!state->ended()) {
+            clients_.drop(address, port);
+            state->end("no answer", engine_report());
+        }
+    });
+    control_loop& loop = loop_;
+    auto client = clients_.get(address, port);
+    client->request(http::methods::GET, "/v1/streams")
+        .then([client](const http::http_response& response) { return response.extract_json(true); })
+        .then([&loop, state](const pplx::task<json::value>& answer) {
+            std::string failure;
+            engine_report report;
+            try {
+                report = parse_report(answer.get());
+            } catch (const std::exception& error) {
+                failure = error.what();
+            }
+            loop.post([state, failure, report] { state->end(failure, report); });
+        });
+}
+
+void http_engine_admin::cancel_stream(const upstream& engine, const grant_id& stream) {
+    auto client = clients_.get(engine.address, engine.port);
+    const std::string path = "/v1/streams/" + web::uri::encode_data_string(stream.value());
+    client->request(http::methods::DEL, path)
+        .then([client](const pplx::task<http::http_response>& answer) {
+            try {
+                answer.wait();
+            } catch (const std::exception&) {
+                // The owner cancels again when the stream shows up in the next list.
+            }
+        });
+}
+
+}  // namespace fuchsiaquay
--- /dev/null
+++ b/main/node_settings.cpp
@@ -0,0 +1,129 @@
+#include "main/node_settings.hpp"
+
+#include "drivers/settings/setting_definition.hpp"
+#include "drivers/settings/settings.hpp"
+
+namespace fuchsiaquay {
+
+namespace {
+
+constexpr std::int64_t max_port = 65'535;
+constexpr std::int64_t max_milliseconds = 3'600'000;
+
+setting_definition text(const char* section, const char* key, const char* value,
+                        const char* description) {
+    setting_definition definition;
+    definition.section = section;
+    definition.key = key;
+    definition.default_value = value;
+    definition.description = description;
+    return definition;
+}
+
+setting_definition required(setting_definition definition) {
+    definition.required = true;
+    return definition;
+}
+
+setting_definition address(const char* section, const char* key, const char* description) {
+    setting_definition definition = text(section, key, "127.0.0.1", description);
+    definition.type = setting_type::ip_address;
+    return definition;
+}
+
+setting_definition integer(const char* section, const char* key, std::int64_t value,
+                           std::int64_t minimum, std::int64_t maximum, const char* unit,
+                           const char* description) {
+    setting_definition definition = text(section, key, "", description);
+    definition.type = setting_type::integer;
+    definition.default_value = std::to_string(value);
+    definition.minimum = minimum;
+    definition.maximum = maximum;
+    definition.unit = unit;
+    return definition;
+}
+
+setting_definition milliseconds(const char* section, const char* key, std::int64_t value,
+                                const char* description) {
+    return integer(section, key, value, 1, max_milliseconds, "ms", description);
+}
+
+std::vector<setting_definition> make_definitions() {
+    return {
+        required(text("node", "host", "", "name of this host, unique in the fleet")),
+        required(text("node", "data_centre", "", "data centre of this host")),
+        address("node", "address", "IP number to listen at, for callers and for peers"),
+        required(integer("node", "http_port", 0, 1, max_port, "", "port towards callers")),
+        required(integer("node", "peer_port", 0, 1, max_port, "", "port towards peers")),
+        integer("node", "seed", 1, 0, 1'000'000'000, "", "seed of random choices"),
+        required(text("cluster", "key", "", "secret shared by all hosts, authenticates frames")),
+        text("cluster", "other_key", "", "second secret accepted during a rotation"),
+        text("cluster", "seeds", "",
+             "first peers: host@address:peer_port@data_centre, comma-separated"),
+        address("platform", "address", "IP number of the platform's service"),
+        required(integer("platform", "port", 0, 1, max_port, "", "port of the platform")),
+        milliseconds("platform", "timeout_ms", 1'000, "longest wait for an answer of the store"),
+        milliseconds("platform", "host_list_period_ms", 500, "period of reading the host list"),
+        text("log", "level", "info", "debug, info, warning or error"),
+        text("admin", "bootstrap_operator_digest", "",
+             "SHA-256 of an operator token that may change everything"),
+        integer("http", "max_body_bytes", 16'777'216, 1'024, 268'435'456, "bytes",
+                "largest request body"),
+        milliseconds("http", "body_timeout_ms", 20'000, "longest time to send a body"),
+        milliseconds("engine", "stall_timeout_ms", 2'000,
+                     "silence after which a stream's connection is given up"),
+        integer("engine", "tokens_per_second", 14'800, 100, 10'000'000, "tokens/s",
+                "speed of one engine in full batches"),
+        milliseconds("directory", "keep_for_ms", 5'000, "how long callers may keep an answer"),
+        milliseconds("directory", "drain_timeout_ms", 60'000,
+                     "longest time a stopping host waits for its requests"),
+        integer("journal", "writes_per_second", 40, 1, 400, "writes/s",
+                "this host's part of the fleet's write budget"),
+    };
+}
+
+duration ms(const settings& values, const char* section, const char* key) {
+    return std::chrono::milliseconds(values.integer(section, key));
+}
+
+std::uint16_t port(const settings& values, const char* section, const char* key) {
+    return static_cast<std::uint16_t>(values.integer(section, key));
+}
+
+}  // namespace
+
+const std::vector<setting_definition>& node_setting_definitions() {
+    static const std::vector<setting_definition> definitions = make_definitions();
+    return definitions;
+}
+
+node_settings load_node_settings(const std::string& file,
+                                 const std::vector<std::string>& overrides) {
+    const settings values = load_settings(file, node_setting_definitions(), overrides);
+    node_settings result;
+    result.host = values.text("node", "host");
+    result.data_centre = values.text("node", "data_centre");
+    result.address = values.text("node", "address");
+    result.http_port = port(values, "node", "http_port");
+    result.peer_port = port(values, "node", "peer_port");
+    result.seed = static_cast<std::uint64_t>(values.integer("node", "seed"));
+    result.cluster_key = values.text("cluster", "key");
+    result.other_cluster_key = values.text("cluster", "other_key");
+    result.seeds = values.list("cluster", "seeds");
+    result.platform_address = values.text("platform", "address");
+    result.platform_port = port(values, "platform", "port");
+    result.platform_timeout = ms(values, "platform", "timeout_ms");
+    result.host_list_period = ms(values, "platform", "host_list_period_ms");
+    result.log_level = values.text("log", "level");
+    result.bootstrap_operator_digest = values.text("admin", "bootstrap_operator_digest");
+    result.max_body_bytes = values.integer("http", "max_body_bytes");
+    result.body_timeout = ms(values, "http", "body_timeout_ms");
+    result.stall_timeout = ms(values, "engine", "stall_timeout_ms");
+    result.engine_tokens_per_second = values.integer("engine", "tokens_per_second");
+    result.keep_for = ms(values, "directory", "keep_for_ms");
+    result.drain_timeout = ms(values, "directory", "drain_timeout_ms");
+    result.journal_writes_per_second = values.integer("journal", "writes_per_second");
+    return result;
+}
+
+}  // namespace fuchsiaquay
--- /dev/null
+++ b/main/node_settings.hpp
@@ -0,0 +1,53 @@
+#pragma once
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+#include "core/time/clock.hpp"
+
+namespace fuchsiaquay {
+
+struct setting_definition;
+
+/// Settings of a node, as checked values.
+struct node_settings {
+    std::string host;
+    std::string data_centre;
+    std::string address;
+    std::uint16_t http_port = 0;
+    std::uint16_t peer_port = 0;
+
+    std::string cluster_key;
+    std::string other_cluster_key;
+    /// `host@address:peer_port@data_centre` of first peers.
+    std::vector<std::string> seeds;
+
+    std::string platform_address;
+    std::uint16_t platform_port = 0;
+    duration platform_timeout{};
+    duration host_list_period{};
+
+    std::string log_level;
+    std::string bootstrap_operator_digest;
+
+    std::int64_t max_body_bytes = 0;
+    duration body_timeout{};
+    duration stall_timeout{};
+    duration keep_for{};
+    duration drain_timeout{};
+
+    std::int64_t engine_tokens_per_second = 0;
+    std::int64_t journal_writes_per_second = 0;
+    std::uint64_t seed = 0;
+};
+
+/// Definitions of every setting of a node.
+const std::vector<setting_definition>& node_setting_definitions();
+
+/// Reads and checks a node's INI file.
+/// @throws settings_error
+node_settings load_node_settings(const std::string& file,
+                                 const std::vector<std::string>& overrides);
+
+}  // namespace fuchsiaquay
--- /dev/null
+++ b/servers/requests/deduplicate_filter.hpp
@@ -0,0 +1,29 @@
+#pragma once
+
+#include "servers/requests/request_filter.hpp"
+
+namespace fuchsiaquay {
+
+class journal_service;
+class timer_service;
+struct begin_result;
+
+/// Lets a call that may not be repeated pass only after its start is durable in the journal, and
+/// records its outcome. Other requests pass untouched.
+class deduplicate_filter final : public request_filter {
+public:
+    deduplicate_filter(timer_service& timers, journal_service& journal)
+        : timers_(timers), journal_(journal) {}
+
+    void admit(const std::shared_ptr<request_flow>& flow, const verdict& decide) override;
+    void settle(const std::shared_ptr<request_flow>& flow, const attempt_result& result) override;
+
+private:
+    void take(const std::shared_ptr<request_flow>& flow, const verdict& decide,
+              const begin_result& result);
+
+    timer_service& timers_;
+    journal_service& journal_;
+};
+
+}  // namespace fuchsiaquay
--- a/servers/requests/request_flow.hpp
+++ b/servers/requests/request_flow.hpp
@@ -2,6 +2,7 @@
 
 #include <cstdint>
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
 #include <vector>
@@ -11,6 +12,7 @@
 #include "core/request/request_context.hpp"
 #include "core/routing/routing_request.hpp"
 #include "core/routing/scored_candidate.hpp"
+#include "servers/journal/journal_token.hpp"
 #include "servers/timer_service.hpp"
 
 namespace fuchsiaquay {
@@ -40,6 +42,9 @@
     /// Set by the contract filter for service calls.
     bool repeatable = true;
 
+    /// Set by the deduplicate filter while the journal holds a started entry.
+    std::optional<journal_token> journal_entry;
+
     /// Upstreams that failed this request.
     std::set<upstream_id> excluded;
     /// Set by the route filter for completions: the request as routed, the choices best first.
--- a/servers/requests/request_pipeline.cpp
+++ b/servers/requests/request_pipeline.cpp
@@ -87,6 +87,9 @@
         return;
     }
     ++flow->attempts;
+    if (flow->attempts == 1) {
+        retries_.first_attempt(*flow, timers_.now());
+    }
     flow->plan = dispatch_plan{};
     flow->plan.deadline = flow->deadline;
     flow->plan.priority = flow->chosen_rank.level;
--- a/servers/requests/retry_rules.hpp
+++ b/servers/requests/retry_rules.hpp
@@ -15,6 +15,8 @@
     retry_rules& operator=(const retry_rules&) = delete;
     virtual ~retry_rules() = default;
 
+    /// Counts the first attempt of a request.
+    virtual void first_attempt(const request_flow& flow, instant now) = 0;
     /// True: try again after `delay`.
     virtual bool allow(const request_flow& flow, const attempt_result& failed, instant now,
                        duration& delay) = 0;
