--- /dev/null
+++ b/drivers/control/system_wall_clock.hpp
@@ -0,0 +1,13 @@
+#pragma once
+
+#include "servers/wall_clock.hpp"
+
+namespace fuchsiaquay {
+
+/// The system's time of day.
+class system_wall_clock final : public wall_clock {
+public:
+    std::int64_t unix_ms() const override;
+};
+
+}  // namespace fuchsiaquay
--- a/drivers/store/etcd_store.cpp
+++ b/drivers/store/etcd_store.cpp
@@ -19,6 +19,10 @@
 
 namespace {
 
+/// The library's timer also runs between two pieces of a stream: a quiet watch ends after this and
+/// is opened again where it stopped.
+constexpr std::chrono::seconds watch_idle_timeout(60);
+
 http_client_config client_config(duration timeout) {
     http_client_config config;
     config.set_timeout(timeout);
@@ -81,7 +85,7 @@
         entry->end = std::move(end);
         watches_[id] = entry;
         auto self = shared_from_this();
-        auto client = make_client();
+        auto client = make_client(watch_idle_timeout);
         client
             ->request(web::http::methods::POST, "/v3/watch", watch_request(prefix, from_revision),
                       entry->cancellation.get_token())
@@ -114,7 +118,11 @@
 
 private:
     std::shared_ptr<http_client> make_client() const {
-        return std::make_shared<http_client>(base_uri_, client_config(call_timeout_));
+        return make_client(call_timeout_);
+    }
+
+    std::shared_ptr<http_client> make_client(duration timeout) const {
+        return std::make_shared<http_client>(base_uri_, client_config(timeout));
     }
 
     void read_events(watch_id id, const std::shared_ptr<http_client>& client,
--- /dev/null
+++ b/main/control_plane.cpp
@@ -0,0 +1,185 @@
+#include "main/control_plane.hpp"
+
+#include <utility>
+#include <vector>
+
+#include "core/error/step_error.hpp"
+#include "core/membership/member_change.hpp"
+#include "drivers/control/control_loop.hpp"
+#include "drivers/json/node_record.hpp"
+#include "main/node_settings.hpp"
+#include "servers/decision_log.hpp"
+
+namespace fuchsiaquay {
+
+namespace {
+
+/// A host whose node has ended vanishes from the store after this.
+constexpr duration lease_lifetime = std::chrono::seconds(30);
+constexpr duration keep_alive_period = std::chrono::seconds(10);
+/// Contracts not proved current for this long are reported as unproved.
+constexpr duration contract_freshness_limit = std::chrono::seconds(5);
+const char* const node_prefix = "fuchsiaquay/nodes/";
+
+transport_settings make_transport_settings(const node_settings& settings,
+                                           std::uint64_t incarnation) {
+    transport_settings result;
+    result.self = host_id(settings.host);
+    result.address = settings.address;
+    result.port = settings.peer_port;
+    result.incarnation = incarnation;
+    result.keys.current = settings.cluster_key;
+    result.keys.other = settings.other_cluster_key;
+    return result;
+}
+
+member_update make_self(const node_settings& settings, std::uint64_t incarnation) {
+    member_update self;
+    self.host = host_id(settings.host);
+    self.data_centre = data_centre_id(settings.data_centre);
+    self.address = settings.address;
+    self.peer_port = settings.peer_port;
+    self.http_port = settings.http_port;
+    self.incarnation = incarnation;
+    return self;
+}
+
+/// `host@address:peer_port@data_centre`
+member_update parse_seed(const std::string& text) {
+    const std::size_t first = text.find('@');
+    const std::size_t colon = text.find(':', first + 1);
+    const std::size_t second = text.find('@', colon + 1);
+    if (first == std::string::npos || colon == std::string::npos ||
+        second == std::string::npos) {
+        throw step_error("read seeds", text, "allowed: host@address:peer_port@data_centre");
+    }
+    member_update peer;
+    peer.host = host_id(text.substr(0, first));
+    peer.address = text.substr(first + 1, colon - first - 1);
+    peer.peer_port =
+        static_cast<std::uint16_t>(std::stoi(text.substr(colon + 1, second - colon - 1)));
+    peer.data_centre = data_centre_id(text.substr(second + 1));
+    return peer;
+}
+
+std::vector<member_update> parse_seeds(const std::vector<std::string>& texts) {
+    std::vector<member_update> peers;
+    peers.reserve(texts.size());
+    for (const std::string& text : texts) {
+        peers.push_back(parse_seed(text));
+    }
+    return peers;
+}
+
+std::string platform_uri(const node_settings& settings) {
+    return "http://" + settings.platform_address + ":" + std::to_string(settings.platform_port);
+}
+
+contract_watcher_settings make_watcher_settings(const node_settings& settings) {
+    contract_watcher_settings result;
+    result.seed = settings.seed;
+    return result;
+}
+
+journal_settings make_journal_settings(const node_settings& settings) {
+    journal_settings result;
+    result.writes_per_second = static_cast<double>(settings.journal_writes_per_second);
+    return result;
+}
+
+}  // namespace
+
+control_plane::control_plane(const node_settings& settings, std::uint64_t incarnation,
+                             control_loop& loop, decision_log& log)
+    : loop_(loop),
+      log_(log),
+      store_(loop, platform_uri(settings), settings.platform_timeout),
+      transport_(loop.context(), loop, log, make_transport_settings(settings, incarnation)),
+      members_(loop, transport_, log, membership_settings(), make_self(settings, incarnation),
+               settings.seed),
+      hosts_(members_, transport_),
+      book_(contract_freshness_limit),
+      contracts_(book_),
+      watcher_(book_, store_, loop, transport_, hosts_, format_, log,
+               make_watcher_settings(settings)),
+      editor_(store_, loop, format_, settings.host + "-" + std::to_string(incarnation)),
+      journal_(make_journal_settings(settings), {host_id(settings.host), incarnation}, store_,
+               loop, clock_, shard_codec_, hosts_),
+      host_list_(loop, platform_uri(settings), settings.platform_timeout),
+      seeds_(parse_seeds(settings.seeds)) {
+    members_.set_first_peers(seeds_);
+    members_.on_change([this](const member_change&) {
+        if (changed_) {
+            changed_();
+        }
+    });
+    editor_.on_accepted([this](const contract_change& change) { watcher_.apply_own(change); });
+    watcher_.start();
+    read_first_peers();
+    register_host();
+    read_host_list();
+    loop.every(settings.host_list_period, [this] { read_host_list(); });
+    loop.every(keep_alive_period, [this] { keep_registered(); });
+}
+
+control_plane::~control_plane() = default;
+
+void control_plane::read_host_list() {
+    if (reading_list_) {
+        return;
+    }
+    reading_list_ = true;
+    host_list_.read([this](const std::string& failure, const std::vector<upstream>& list) {
+        reading_list_ = false;
+        if (!failure.empty() || !upstreams_.replace(list)) {
+            return;
+        }
+        log_.write(decision_log::level::info, "upstreams_changed",
+                   {{"count", std::to_string(list.size())}});
+        if (changed_) {
+            changed_();
+        }
+    });
+}
+
+void control_plane::read_first_peers() {
+    store_.read_prefix(node_prefix, [this](const read_result& result) {
+        std::vector<member_update> peers = seeds_;
+        for (const stored_value& value : result.values) {
+            try {
+                peers.push_back(parse_node_record(value.value));
+            } catch (const step_error& error) {
+                log_.write(decision_log::level::warning, "node_record_unreadable",
+                           {{"key", value.key}, {"error", error.what()}});
+            }
+        }
+        members_.set_first_peers(peers);
+    });
+}
+
+void control_plane::register_host() {
+    store_.grant_lease(lease_lifetime, [this](std::int64_t lease) {
+        if (lease == 0) {
+            return;
+        }
+        lease_ = lease;
+        transaction change;
+        const std::string key = node_prefix + members_.self().host.value();
+        change.writes.push_back({key, print_node_record(members_.self()), false, lease});
+        store_.commit(change, [](const write_result&) {});
+    });
+}
+
+void control_plane::keep_registered() {
+    if (lease_ == 0) {
+        register_host();
+        return;
+    }
+    store_.keep_alive(lease_, [this](bool held) {
+        if (!held) {
+            lease_ = 0;
+        }
+    });
+}
+
+}  // namespace fuchsiaquay
--- /dev/null
+++ b/main/control_plane.hpp
@@ -0,0 +1,79 @@
+#pragma once
+
+#include <memory>
+#include <string>
+
+#include "core/contract/contract_book.hpp"
+#include "drivers/control/system_wall_clock.hpp"
+#include "drivers/frames/asio_peer_transport.hpp"
+#include "drivers/journal/flatbuffers_shard_codec.hpp"
+#include "drivers/json/json_contract_format.hpp"
+#include "drivers/platform/host_list_client.hpp"
+#include "drivers/store/etcd_store.hpp"
+#include "servers/contracts/book_contract_view.hpp"
+#include "servers/contracts/contract_editor.hpp"
+#include "servers/contracts/contract_watcher.hpp"
+#include "servers/journal/journal_service.hpp"
+#include "servers/membership/membership_service.hpp"
+#include "servers/upstreams/listed_upstreams.hpp"
+#include "servers/views/membership_view.hpp"
+
+namespace fuchsiaquay {
+
+class control_loop;
+class decision_log;
+struct node_settings;
+
+/// What a node shares with the others: membership, contracts, upstreams, journal.
+class control_plane {
+public:
+    /// @param incarnation  start of this process in milliseconds since the Unix epoch
+    control_plane(const node_settings& settings, std::uint64_t incarnation, control_loop& loop,
+                  decision_log& log);
+    control_plane(const control_plane&) = delete;
+    control_plane& operator=(const control_plane&) = delete;
+    ~control_plane();
+
+    /// Calls `changed` after the hosts or the upstreams have changed.
+    void on_topology_change(std::function<void()> changed) { changed_ = std::move(changed); }
+
+    asio_peer_transport& transport() { return transport_; }
+    membership_service& members() { return members_; }
+    const membership_view& hosts() const { return hosts_; }
+    const listed_upstreams& upstreams() const { return upstreams_; }
+    const contract_book& book() const { return book_; }
+    const book_contract_view& contracts() const { return contracts_; }
+    contract_watcher& watcher() { return watcher_; }
+    contract_editor& editor() { return editor_; }
+    journal_service& journal() { return journal_; }
+    etcd_store& store() { return store_; }
+
+private:
+    void read_host_list();
+    void read_first_peers();
+    void register_host();
+    void keep_registered();
+
+    control_loop& loop_;
+    decision_log& log_;
+    etcd_store store_;
+    asio_peer_transport transport_;
+    membership_service members_;
+    membership_view hosts_;
+    json_contract_format format_;
+    contract_book book_;
+    book_contract_view contracts_;
+    contract_watcher watcher_;
+    contract_editor editor_;
+    system_wall_clock clock_;
+    flatbuffers_shard_codec shard_codec_;
+    journal_service journal_;
+    host_list_client host_list_;
+    listed_upstreams upstreams_;
+    std::vector<member_update> seeds_;
+    std::function<void()> changed_;
+    std::int64_t lease_ = 0;
+    bool reading_list_ = false;
+};
+
+}  // namespace fuchsiaquay
--- /dev/null
+++ b/main/main.cpp
@@ -0,0 +1,157 @@
+/// @file
+/// Entry point of `fuchsiaquay`, the node that runs on every entry host.
+
+#include <getopt.h>
+
+#include <boost/asio/signal_set.hpp>
+#include <csignal>
+#include <iostream>
+#include <string>
+#include <vector>
+
+#include "core/error/step_error.hpp"
+#include "drivers/control/control_loop.hpp"
+#include "drivers/log/log4cxx_decision_log.hpp"
+#include "drivers/settings/setting_definition.hpp"
+#include "drivers/settings/settings_error.hpp"
+#include "main/node.hpp"
+#include "main/node_settings.hpp"
+
+namespace {
+
+constexpr int exit_ok = 0;
+constexpr int exit_failed = 1;
+constexpr int exit_bad_settings = 2;
+
+const char* const usage =
+    "fuchsiaquay --config FILE [options]\n"
+    "  --config FILE            INI settings, see docs/CONFIGURATION.md\n"
+    "  --check-config           check the settings and exit\n"
+    "  --log-level LEVEL        debug, info, warning or error\n"
+    "  --set SECTION.KEY=VALUE  override a setting; may be repeated\n"
+    "  --print-settings         print every setting with type, default and range\n"
+    "  --version                print the version\n"
+    "  --help                   print this text\n"
+    "Exit codes: 0 ended as asked, 1 failed, 2 bad command line or settings.\n"
+    "SIGTERM or SIGINT: graceful shutdown.\n";
+
+struct command_line {
+    std::string config;
+    std::vector<std::string> overrides;
+    bool check_only = false;
+    /// Set when the program is to end at once.
+    bool finished = false;
+    int exit_code = exit_ok;
+};
+
+void print_settings() {
+    for (const fuchsiaquay::setting_definition& item : fuchsiaquay::node_setting_definitions()) {
+        std::cout << "| `" << item.section << "` | `" << item.key << "` | ";
+        if (item.required) {
+            std::cout << "required";
+        } else {
+            std::cout << (item.default_value.empty() ? "empty" : "`" + item.default_value + "`");
+        }
+        std::cout << " | ";
+        if (item.type == fuchsiaquay::setting_type::integer) {
+            std::cout << item.minimum << " to " << item.maximum;
+        } else {
+            std::cout << (item.type == fuchsiaquay::setting_type::ip_address ? "IP number" : "text");
+        }
+        std::cout << " | " << item.unit << " | " << item.description << " |\n";
+    }
+}
+
+enum option_code { option_check = 256, option_set, option_print };
+
+command_line parse_command_line(int argc, char** argv) {
+    const option options[] = {{"config", required_argument, nullptr, 'c'},
+                              {"check-config", no_argument, nullptr, option_check},
+                              {"log-level", required_argument, nullptr, 'l'},
+                              {"set", required_argument, nullptr, option_set},
+                              {"print-settings", no_argument, nullptr, option_print},
+                              {"version", no_argument, nullptr, 'v'},
+                              {"help", no_argument, nullptr, 'h'},
+                              {nullptr, 0, nullptr, 0}};
+    command_line result;
+    int code = 0;
+    while ((code = getopt_long(argc, argv, "c:l:vh", options, nullptr)) != -1) {
+        switch (code) {
+            case 'c':
+                result.config = optarg;
+                break;
+            case 'l':
+                result.overrides.push_back(std::string("log.level=") + optarg);
+                break;
+            case option_set:
+                result.overrides.emplace_back(optarg);
+                break;
+            case option_check:
+                result.check_only = true;
+                break;
+            case option_print:
+                print_settings();
+                result.finished = true;
+                return result;
+            case 'v':
+                std::cout << "fuchsiaquay " FUCHSIAQUAY_VERSION "\n";
+                result.finished = true;
+                return result;
+            case 'h':
+                std::cout << usage;
+                result.finished = true;
+                return result;
+            default:
+                std::cerr << usage;
+                result.finished = true;
+                result.exit_code = exit_bad_settings;
+                return result;
+        }
+    }
+    if (result.config.empty()) {
+        std::cerr << usage;
+        result.finished = true;
+        result.exit_code = exit_bad_settings;
+    }
+    return result;
+}
+
+void run_node(const fuchsiaquay::node_settings& settings) {
+    fuchsiaquay::control_loop loop;
+    fuchsiaquay::log4cxx_decision_log log(settings.host, settings.log_level);
+    fuchsiaquay::node node(settings, loop, log);
+    boost::asio::signal_set signals(loop.context(), SIGTERM, SIGINT);
+    signals.async_wait([&](const boost::system::error_code& error, int /*signal*/) {
+        if (!error) {
+            node.drain([&loop] { loop.stop(); });
+        }
+    });
+    loop.run();
+}
+
+}  // namespace
+
+int main(int argc, char** argv) {
+    const command_line arguments = parse_command_line(argc, argv);
+    if (arguments.finished) {
+        return arguments.exit_code;
+    }
+    try {
+        const auto settings =
+            fuchsiaquay::load_node_settings(arguments.config, arguments.overrides);
+        if (arguments.check_only) {
+            std::cout << "settings are valid\n";
+            return exit_ok;
+        }
+        run_node(settings);
+        return exit_ok;
+    } catch (const fuchsiaquay::settings_error& error) {
+        for (const std::string& fault : error.faults()) {
+            std::cerr << fault << "\n";
+        }
+        return exit_bad_settings;
+    } catch (const std::exception& error) {
+        std::cerr << error.what() << "\n";
+        return exit_failed;
+    }
+}
--- /dev/null
+++ b/main/node.cpp
@@ -0,0 +1,103 @@
+#include "main/node.hpp"
+
+#include <cpprest/http_msg.h>
+
+#include <utility>
+#include <variant>
+
+#include "drivers/api/http_answer.hpp"
+#include "drivers/control/control_loop.hpp"
+#include "drivers/log/log4cxx_decision_log.hpp"
+#include "main/control_plane.hpp"
+#include "main/message_router.hpp"
+#include "main/node_settings.hpp"
+#include "main/request_plane.hpp"
+#include "servers/reservation/reserve_filter.hpp"
+
+namespace fuchsiaquay {
+
+namespace {
+
+constexpr int status_ok = 200;
+constexpr int status_unavailable = 503;
+/// Time in which every host has heard that this one leaves.
+constexpr duration leave_spread_time = std::chrono::seconds(3);
+constexpr duration drain_check_period = std::chrono::milliseconds(100);
+/// Time for the last answers to leave the sockets after their requests have ended.
+constexpr duration flush_time = std::chrono::milliseconds(500);
+
+}  // namespace
+
+node::node(const node_settings& settings, control_loop& loop, log4cxx_decision_log& log)
+    : loop_(loop),
+      log_(log),
+      keep_for_(settings.keep_for),
+      drain_timeout_(settings.drain_timeout) {
+    const auto incarnation = static_cast<std::uint64_t>(system_wall_clock().unix_ms());
+    control_ = std::make_unique<control_plane>(settings, incarnation, loop, log);
+    requests_ = std::make_unique<request_plane>(settings, incarnation, loop, log, *control_);
+    route_messages();
+    add_health_routes();
+    requests_->server().open();
+    log_.write(decision_log::level::info, "started",
+               {{"address", settings.address},
+                {"http_port", std::to_string(settings.http_port)},
+                {"peer_port", std::to_string(settings.peer_port)},
+                {"data_centre", settings.data_centre}});
+}
+
+node::~node() {
+    requests_->server().close();
+}
+
+void node::route_messages() {
+    control_->transport().on_message(
+        [this](const host_id& sender, const peer_message& message) {
+            std::visit(message_router{sender, *control_, *requests_}, message);
+        });
+}
+
+void node::add_health_routes() {
+    requests_->server().route("/healthz", [](const web::http::http_request& message) {
+        reply_json(message, status_ok, R"({"status":"alive"})");
+    });
+    requests_->server().route("/readyz", [this](const web::http::http_request& message) {
+        loop_.post([this, message] {
+            const bool ready = control_->contracts().ready() && !drained_;
+            reply_json(message, ready ? status_ok : status_unavailable,
+                       ready ? R"({"status":"ready"})" : R"({"status":"not ready"})");
+        });
+    });
+}
+
+void node::drain(std::function<void()> done) {
+    if (drained_) {
+        return;
+    }
+    drained_ = std::move(done);
+    control_->members().leave();
+    drain_until_ = loop_.now() + leave_spread_time + keep_for_;
+    drain_limit_ = drain_until_ + drain_timeout_;
+    log_.write(decision_log::level::info, "drain_started",
+               {{"requests", std::to_string(requests_->pipeline().active())}});
+    loop_.every(drain_check_period, [this] { finish_when_idle(); });
+}
+
+void node::finish_when_idle() {
+    const instant now = loop_.now();
+    const bool idle = now >= drain_until_ && requests_->pipeline().active() == 0;
+    if (!drained_ || (!idle && now < drain_limit_)) {
+        return;
+    }
+    log_.write(decision_log::level::info, "drain_finished",
+               {{"requests", std::to_string(requests_->pipeline().active())}});
+    auto done = std::exchange(drained_, nullptr);
+    loop_.after(flush_time, [this, done] {
+        control_->journal().drain([this, done] {
+            control_->members().stop();
+            done();
+        });
+    });
+}
+
+}  // namespace fuchsiaquay
--- a/servers/reservation/owner_service.cpp
+++ b/servers/reservation/owner_service.cpp
@@ -20,6 +20,8 @@
 namespace {
 
 constexpr duration tick_period = std::chrono::milliseconds(5);
+/// A queue with nothing pending still ends its rebuilding and expired grants.
+constexpr duration idle_tick_period = std::chrono::milliseconds(200);
 constexpr duration poll_period = std::chrono::seconds(1);
 constexpr duration refused_retry_after = std::chrono::milliseconds(200);
 
@@ -43,6 +45,7 @@
     upstream target;
     upstream_queue queue;
     bool polling = false;
+    instant ticked_at{};
 };
 
 owner_service::owner_service(timer_service& timers, decision_log& log, const host_view& hosts,
@@ -110,7 +113,7 @@
     for (const upstream& target : upstreams_.all()) {
         const auto owner = owners_.owner_of(target);
         if (target.kind == upstream_kind::engine && owner &&
-            owner->host == hosts_.self().host) {
+            owner->host == hosts_.host().host) {
             mine.emplace(target.id, target);
         }
     }
@@ -135,8 +138,8 @@
 void owner_service::add(const upstream& target) {
     upstream_settings settings = defaults_;
     settings.upstream = target.id;
-    settings.owner = hosts_.self().host;
-    settings.incarnation = (hosts_.self().incarnation << 16U) + ++takeovers_;
+    settings.owner = hosts_.host().host;
+    settings.incarnation = (hosts_.host().incarnation << 16U) + ++takeovers_;
     if (target.memory_tokens > 0) {
         settings.memory_tokens = target.memory_tokens;
     }
@@ -151,7 +154,9 @@
     const instant now = timers_.now();
     for (const auto& entry : queues_) {
         owned_upstream& owned = *entry.second;
-        if (owned.queue.next_wakeup(now) <= now) {
+        const bool due = owned.queue.next_wakeup(now) <= now + tick_period;
+        if (due || now - owned.ticked_at >= idle_tick_period) {
+            owned.ticked_at = now;
             carry_out(owned, owned.queue.tick(now));
         }
     }
@@ -191,7 +196,7 @@
                     {"outcome", std::to_string(static_cast<int>(item.reply.outcome))},
                     {"reason", item.reply.reason},
                     {"wait_ms", std::to_string(to_milliseconds(item.reply.start_estimate))}});
-        if (item.to == hosts_.self().host) {
+        if (item.to == hosts_.host().host) {
             // Through the loop, so that a reply never arrives inside the call that asked.
             timers_.after(duration::zero(), [this, reply = item.reply] { deliver_(reply); });
             continue;
--- a/servers/reservation/reservation_link.cpp
+++ b/servers/reservation/reservation_link.cpp
@@ -32,7 +32,7 @@
 
 void reservation_link::send(const reserve_request& message) {
     const auto owner = find_owner(upstreams_, owners_, message.upstream);
-    if (owner && owner->host == hosts_.self().host) {
+    if (owner && owner->host == hosts_.host().host) {
         local_.reserve(message);
     } else if (owner) {
         transport_.send(*owner, message);
@@ -41,7 +41,7 @@
 
 void reservation_link::send(const grant_release& message) {
     const auto owner = find_owner(upstreams_, owners_, message.upstream);
-    if (owner && owner->host == hosts_.self().host) {
+    if (owner && owner->host == hosts_.host().host) {
         local_.release(message);
     } else if (owner) {
         transport_.send(*owner, message);
@@ -50,7 +50,7 @@
 
 void reservation_link::send(const grant_renewal& message) {
     const auto owner = find_owner(upstreams_, owners_, message.upstream);
-    if (owner && owner->host == hosts_.self().host) {
+    if (owner && owner->host == hosts_.host().host) {
         local_.renew(message);
     } else if (owner) {
         transport_.send(*owner, message);
--- a/servers/reservation/reserve_filter.cpp
+++ b/servers/reservation/reserve_filter.cpp
@@ -94,7 +94,7 @@
         return;
     }
     const instant now = timers_.now();
-    const reserve_request request = make_reserve_request(*flow, hosts_.self().host, now);
+    const reserve_request request = make_reserve_request(*flow, hosts_.host().host, now);
     auto item = std::make_shared<entry>(request, flow, settings_, now, decide);
     entries_[request.request] = item;
     flow->reservation_id = request.request;
@@ -144,6 +144,7 @@
     const instant now = timers_.now();
     flow.plan.target = *target;
     flow.plan.grant = grant.grant;
+    flow.plan.priority = grant.engine_priority;
     flow.plan.grant_expiry = now + grant.grant_lifetime;
     for (const scored_candidate& choice : flow.choices) {
         if (choice.upstream == grant.upstream) {
@@ -195,7 +196,7 @@
         renewal.grant = item->grant->grant;
         renewal.request = id;
         renewal.upstream = item->grant->upstream;
-        renewal.entry_host = hosts_.self().host;
+        renewal.entry_host = hosts_.host().host;
         renewal.customer = item->request.customer;
         renewal.level = item->request.level;
         renewal.memory_tokens = item->request.memory_tokens;
--- a/servers/views/host_view.hpp
+++ b/servers/views/host_view.hpp
@@ -16,7 +16,8 @@
     host_view& operator=(const host_view&) = delete;
     virtual ~host_view() = default;
 
-    virtual const member_update& self() const = 0;
+    /// This host.
+    virtual const member_update& host() const = 0;
     /// Hosts that may be given new work, this one included unless it is leaving.
     virtual std::vector<member_update> live_hosts() const = 0;
     /// Entry of a host in any state but dead.
