Membership: SWIM inside a data centre, a few bridges between them

Cause: every node must know who lives, without the store. Probes, indirect probes, suspicion with refutation by incarnation, leaving and dead; updates ride on probes, unequal views are exchanged whole after 5 s; three bridges a data centre (rendezvous) exchange updates and beats with the others, so a parted data centre is unreachable without 1 death declared. Shown to fail first, each with the mechanism removed: ping to the suspect (2 tests), refutation (5), introduction after a pause (1), pause excused (2), leave announced (1), digest exchange (1), first peers tried again (6), indirect probes (1), forgetting (2). Ruled out: declaring remote hosts dead by probes of their bridges, since a parted region would be declared dead host by host and refute on return. Found on the way: suspicion that crossed to other data centres buried hosts there that their own data centre had cleared (14 death reports in 10 rounds of pauses; 0 since only the own data centre buries). Conclusion: 16 membership tests and 2 service tests pass in virtual time.

--- /dev/null
+++ b/core/membership/data_centre_monitor.cpp
@@ -0,0 +1,51 @@
+#include "core/membership/data_centre_monitor.hpp"
+
+#include <algorithm>
+
+#include "core/hashing/hash.hpp"
+
+namespace fuchsiaquay {
+
+data_centre_monitor::data_centre_monitor(const data_centre_id& own, duration silent_after,
+                                         instant now)
+    : own_key_(stable_hash(own.value())), silent_after_(silent_after), started_(now) {}
+
+void data_centre_monitor::advance_own() {
+    ++entries_[own_key_].beat;
+}
+
+void data_centre_monitor::receive(const std::vector<data_centre_beat>& beats, instant now) {
+    for (const data_centre_beat& beat : beats) {
+        entry& known = entries_[beat.data_centre_key];
+        if (beat.beat > known.beat) {
+            known.beat = beat.beat;
+            known.heard = now;
+        }
+    }
+}
+
+void data_centre_monitor::excuse(instant now) {
+    started_ = now;
+}
+
+bool data_centre_monitor::reachable(const data_centre_id& data_centre, instant now) const {
+    const std::uint64_t key = stable_hash(data_centre.value());
+    if (key == own_key_) {
+        return true;
+    }
+    const auto known = entries_.find(key);
+    const instant heard =
+        known == entries_.end() ? started_ : std::max(known->second.heard, started_);
+    return now - heard < silent_after_;
+}
+
+std::vector<data_centre_beat> data_centre_monitor::beats() const {
+    std::vector<data_centre_beat> list;
+    list.reserve(entries_.size());
+    for (const auto& [key, known] : entries_) {
+        list.push_back(data_centre_beat{key, known.beat});
+    }
+    return list;
+}
+
+}  // namespace fuchsiaquay
--- /dev/null
+++ b/core/membership/member_entry.hpp
@@ -0,0 +1,17 @@
+#pragma once
+
+#include "core/messages/member_update.hpp"
+#include "core/time/clock.hpp"
+
+namespace fuchsiaquay {
+
+/// One host in the member table.
+struct member_entry {
+    member_update update;
+    /// When the host came into its present state.
+    instant since{};
+    /// True: a probe of this leaving host failed at `since`.
+    bool unanswered = false;
+};
+
+}  // namespace fuchsiaquay
--- /dev/null
+++ b/core/membership/member_table.cpp
@@ -0,0 +1,157 @@
+#include "core/membership/member_table.hpp"
+
+#include <algorithm>
+#include <set>
+#include <string>
+#include <utility>
+
+#include "core/hashing/hash.hpp"
+
+namespace fuchsiaquay {
+namespace {
+
+bool supersedes(const member_update& news, const member_update& known) {
+    if (news.incarnation != known.incarnation) {
+        return news.incarnation > known.incarnation;
+    }
+    return news.state > known.state;
+}
+
+bool live(member_state state) {
+    return state == member_state::alive || state == member_state::suspect;
+}
+
+}  // namespace
+
+bool member_table::apply(const member_update& update, instant now) {
+    const auto known = entries_.find(update.host);
+    if (known == entries_.end()) {
+        if (update.host.empty() || update.state == member_state::dead) {
+            return false;
+        }
+        retire_predecessor(update, now);
+        set(update, now);
+        return true;
+    }
+    if (!supersedes(update, known->second.update)) {
+        return false;
+    }
+    set(update, now);
+    return true;
+}
+
+void member_table::retire_predecessor(const member_update& update, instant now) {
+    for (const auto& [host, entry] : entries_) {
+        const member_update& other = entry.update;
+        if (other.address != update.address || other.peer_port != update.peer_port ||
+            other.incarnation >= update.incarnation || other.state == member_state::dead) {
+            continue;
+        }
+        member_update retired = other;
+        retired.state = member_state::dead;
+        set(retired, now);
+        return;
+    }
+}
+
+void member_table::set(const member_update& update, instant now) {
+    member_entry& entry = entries_[update.host];
+    std::optional<member_state> before;
+    if (!entry.update.host.empty()) {
+        before = entry.update.state;
+    }
+    changes_.push_back(member_change{update, before});
+    entry = member_entry{update, now, false};
+    digest_stale_ = true;
+}
+
+const member_entry* member_table::find(const host_id& host) const {
+    const auto known = entries_.find(host);
+    return known == entries_.end() ? nullptr : &known->second;
+}
+
+void member_table::mark_unanswered(const host_id& host, instant now) {
+    const auto known = entries_.find(host);
+    if (known != entries_.end() && !known->second.unanswered) {
+        known->second.unanswered = true;
+        known->second.since = now;
+    }
+}
+
+std::vector<host_id> member_table::live_hosts(const data_centre_id& data_centre) const {
+    std::vector<host_id> hosts;
+    for (const auto& [host, entry] : entries_) {
+        if (entry.update.data_centre == data_centre && live(entry.update.state)) {
+            hosts.push_back(host);
+        }
+    }
+    return hosts;
+}
+
+std::vector<data_centre_id> member_table::data_centres() const {
+    std::set<data_centre_id> names;
+    for (const auto& [host, entry] : entries_) {
+        names.insert(entry.update.data_centre);
+    }
+    return {names.begin(), names.end()};
+}
+
+std::vector<member_update> member_table::overdue(instant limit) const {
+    std::vector<member_update> found;
+    for (const auto& [host, entry] : entries_) {
+        const bool suspected = entry.update.state == member_state::suspect ||
+                               (entry.update.state == member_state::leaving && entry.unanswered);
+        if (suspected && entry.since <= limit) {
+            found.push_back(entry.update);
+        }
+    }
+    return found;
+}
+
+void member_table::forget(instant limit) {
+    for (auto it = entries_.begin(); it != entries_.end();) {
+        const member_entry& entry = it->second;
+        const bool over = entry.update.state == member_state::dead && entry.since <= limit;
+        it = over ? entries_.erase(it) : std::next(it);
+    }
+}
+
+void member_table::excuse(duration gap) {
+    for (auto& [host, entry] : entries_) {
+        if (entry.update.state == member_state::suspect || entry.unanswered) {
+            entry.since += gap;
+        }
+    }
+}
+
+std::uint64_t member_table::digest() const {
+    if (!digest_stale_) {
+        return digest_;
+    }
+    digest_ = 0;
+    for (const auto& [host, entry] : entries_) {
+        if (entry.update.state == member_state::dead) {
+            continue;
+        }
+        const bool leaving = entry.update.state == member_state::leaving;
+        const std::uint64_t seed = entry.update.incarnation * 2 + (leaving ? 1 : 0);
+        digest_ ^= stable_hash(host.value(), seed);
+    }
+    digest_stale_ = false;
+    return digest_;
+}
+
+std::vector<member_update> member_table::all_updates() const {
+    std::vector<member_update> updates;
+    updates.reserve(entries_.size());
+    for (const auto& [host, entry] : entries_) {
+        updates.push_back(entry.update);
+    }
+    return updates;
+}
+
+std::vector<member_change> member_table::take_changes() {
+    return std::exchange(changes_, {});
+}
+
+}  // namespace fuchsiaquay
--- /dev/null
+++ b/core/membership/membership.cpp
@@ -0,0 +1,389 @@
+#include "core/membership/membership.hpp"
+
+#include <algorithm>
+#include <utility>
+
+namespace fuchsiaquay {
+namespace {
+
+bool answers(member_state state) {
+    return state != member_state::dead;
+}
+
+duration random_part(std::mt19937_64& random, duration whole) {
+    return duration(
+        static_cast<std::int64_t>(random() % static_cast<std::uint64_t>(whole.count())));
+}
+
+}  // namespace
+
+membership::membership(membership_settings settings, member_update self, std::uint64_t seed,
+                       instant now)
+    : settings_(settings),
+      self_(std::move(self)),
+      random_(seed),
+      monitor_(self_.data_centre, settings.silent_after, now),
+      bridges_(settings.bridges),
+      last_tick_(now),
+      introduce_until_(now + settings.silent_after),
+      next_probe_(now + random_part(random_, settings.probe_period)),
+      next_bridge_(now + random_part(random_, settings.bridge_period)),
+      next_join_(now),
+      next_rejoin_(now + settings.join_period),
+      next_exchange_(now + settings.unequal_before_exchange),
+      unequal_since_(now) {
+    self_.state = member_state::alive;
+    table_.apply(self_, now);
+}
+
+void membership::set_first_peers(std::vector<member_update> peers) {
+    first_peers_ = std::move(peers);
+}
+
+void membership::tick(instant now) {
+    const duration gap = now - last_tick_;
+    last_tick_ = now;
+    if (gap > settings_.pause_threshold) {
+        recover_from_pause(gap, now);
+    }
+    run_probe(now);
+    bury_overdue(now);
+    run_bridge(now);
+    run_joins(now);
+    table_.forget(now - settings_.forget_after);
+    for (auto it = relays_.begin(); it != relays_.end();) {
+        const bool over = now - it->second.started > settings_.probe_period;
+        it = over ? relays_.erase(it) : std::next(it);
+    }
+}
+
+void membership::recover_from_pause(duration gap, instant now) {
+    introduce_until_ = now + settings_.silent_after;
+    probe_.pending = false;
+    table_.excuse(gap);
+    monitor_.excuse(now);
+}
+
+void membership::run_probe(instant now) {
+    if (probe_.pending && !probe_.indirect && now - probe_.sent >= settings_.ping_timeout) {
+        request_indirect_probes();
+    }
+    if (now < next_probe_) {
+        return;
+    }
+    next_probe_ += settings_.probe_period;
+    if (next_probe_ <= now) {
+        next_probe_ = now + settings_.probe_period;
+    }
+    if (probe_.pending) {
+        probe_failed(now);
+    }
+    start_probe(now);
+}
+
+void membership::start_probe(instant now) {
+    const host_id target = round_.next(table_, self_, random_);
+    if (target.empty()) {
+        return;
+    }
+    probe_ = probe{target, ++last_sequence_, now, false, true};
+    send(table_.find(target)->update, gossip_kind::ping, probe_.sequence, target);
+}
+
+void membership::request_indirect_probes() {
+    probe_.indirect = true;
+    for (const host_id& helper : random_peers(settings_.indirect_probes, probe_.target)) {
+        send(table_.find(helper)->update, gossip_kind::ping_request, probe_.sequence,
+             probe_.target);
+    }
+}
+
+std::vector<host_id> membership::random_peers(std::size_t count, const host_id& except) {
+    std::vector<host_id> peers = table_.live_hosts(self_.data_centre);
+    peers.erase(
+        std::remove_if(peers.begin(), peers.end(),
+                       [&](const host_id& host) { return host == self_.host || host == except; }),
+        peers.end());
+    std::shuffle(peers.begin(), peers.end(), random_);
+    peers.resize(std::min(count, peers.size()));
+    return peers;
+}
+
+void membership::probe_failed(instant now) {
+    probe_.pending = false;
+    const member_entry* entry = table_.find(probe_.target);
+    if (entry == nullptr) {
+        return;
+    }
+    if (entry->update.state == member_state::leaving) {
+        table_.mark_unanswered(probe_.target, now);
+        return;
+    }
+    if (entry->update.state == member_state::alive) {
+        member_update suspicion = entry->update;
+        suspicion.state = member_state::suspect;
+        note(suspicion, now);
+        // Waits in the socket of a paused process, which refutes as soon as it wakes.
+        send(suspicion, gossip_kind::ping, ++last_sequence_, suspicion.host);
+    }
+}
+
+void membership::bury_overdue(instant now) {
+    for (member_update& late : table_.overdue(now - settings_.suspicion_timeout)) {
+        // Only the data centre of a host, which probes it, declares it dead.
+        if (late.data_centre == self_.data_centre) {
+            late.state = member_state::dead;
+            note(late, now);
+        }
+    }
+}
+
+void membership::run_bridge(instant now) {
+    if (now < next_bridge_) {
+        return;
+    }
+    next_bridge_ = now + settings_.bridge_period;
+    const std::vector<host_id> own = bridges_.bridges_of(table_, self_.data_centre);
+    bridge_ = std::find(own.begin(), own.end(), self_.host) != own.end();
+    if (!bridge_) {
+        return;
+    }
+    monitor_.advance_own();
+    const std::optional<member_update> remote =
+        bridges_.next_remote(table_, self_.data_centre, random_);
+    if (remote) {
+        send(*remote, gossip_kind::ping, ++last_sequence_, remote->host);
+    }
+}
+
+void membership::run_joins(instant now) {
+    if (first_peers_.empty()) {
+        return;
+    }
+    const bool alone = table_.live_hosts(self_.data_centre).size() <= 1;
+    if ((!joined_ || alone) && now >= next_join_) {
+        next_join_ = now + (joined_ ? settings_.suspicion_timeout : settings_.join_period);
+        try_first_peer();
+    }
+    const bool young = now < introduce_until_;
+    if ((bridge_ || young) && now >= next_rejoin_) {
+        next_rejoin_ = now + (young ? settings_.join_period : settings_.rejoin_period);
+        try_first_peer();
+    }
+}
+
+void membership::try_first_peer() {
+    std::vector<member_update> strangers;
+    for (const member_update& peer : first_peers_) {
+        const bool known =
+            std::any_of(table_.entries().begin(), table_.entries().end(), [&](const auto& listed) {
+                const member_update& member = listed.second.update;
+                return answers(member.state) && member.address == peer.address &&
+                       member.peer_port == peer.peer_port;
+            });
+        if (!known) {
+            strangers.push_back(peer);
+        }
+    }
+    if (!strangers.empty()) {
+        send_list(strangers[random_() % strangers.size()], gossip_kind::join);
+    }
+}
+
+void membership::receive(const host_id& sender, const gossip_message& message, instant now) {
+    if (sender == self_.host) {
+        return;
+    }
+    joined_ = true;
+    for (const member_update& update : message.updates) {
+        if (update.host == self_.host) {
+            refute(update, now);
+        } else {
+            note(update, now);
+        }
+    }
+    monitor_.receive(message.beats, now);
+    answer(sender, message, now);
+    compare_digest(sender, message, now);
+}
+
+void membership::answer(const host_id& sender, const gossip_message& message, instant now) {
+    const member_entry* from = table_.find(sender);
+    if (from == nullptr) {
+        return;
+    }
+    switch (message.kind) {
+        case gossip_kind::ping:
+            if (message.subject == self_.host) {
+                send(from->update, gossip_kind::ack, message.sequence, self_.host);
+            }
+            break;
+        case gossip_kind::ping_request: {
+            const member_entry* target = table_.find(message.subject);
+            if (target != nullptr) {
+                relays_[++last_sequence_] = relay{sender, message.sequence, message.subject, now};
+                send(target->update, gossip_kind::ping, last_sequence_, message.subject);
+            }
+            break;
+        }
+        case gossip_kind::ack:
+            handle_ack(sender, message);
+            break;
+        case gossip_kind::join:
+            send_list(from->update, gossip_kind::join_reply);
+            break;
+        case gossip_kind::join_reply:
+            break;
+    }
+}
+
+void membership::handle_ack(const host_id& sender, const gossip_message& message) {
+    if (probe_.pending && message.sequence == probe_.sequence && message.subject == probe_.target) {
+        probe_.pending = false;
+        return;
+    }
+    const auto relayed = relays_.find(message.sequence);
+    if (relayed == relays_.end() || relayed->second.target != sender) {
+        return;
+    }
+    const member_entry* requester = table_.find(relayed->second.requester);
+    if (requester != nullptr) {
+        send(requester->update, gossip_kind::ack, relayed->second.requester_sequence, sender);
+    }
+    relays_.erase(relayed);
+}
+
+void membership::compare_digest(const host_id& sender, const gossip_message& message, instant now) {
+    const bool probe_kind = message.kind == gossip_kind::ping || message.kind == gossip_kind::ack;
+    if (!probe_kind) {
+        return;
+    }
+    if (message.digest == table_.digest()) {
+        unequal_ = false;
+        return;
+    }
+    if (!unequal_) {
+        unequal_ = true;
+        unequal_since_ = now;
+        return;
+    }
+    const member_entry* from = table_.find(sender);
+    if (from == nullptr || now < next_exchange_ ||
+        now - unequal_since_ < settings_.unequal_before_exchange) {
+        return;
+    }
+    next_exchange_ = now + settings_.exchange_period;
+    unequal_ = false;
+    send_list(from->update, gossip_kind::join);
+}
+
+void membership::note(const member_update& update, instant now) {
+    if (table_.apply(update, now)) {
+        unequal_ = false;
+        spread(update);
+    }
+}
+
+void membership::spread(const member_update& update) {
+    const std::size_t hosts = table_.live_hosts(self_.data_centre).size();
+    local_queue_.add(update, settings_.spread_factor * update_queue::decimal_digits(hosts + 1));
+    if (bridge_ && update.state != member_state::suspect) {
+        remote_queue_.add(update, 2 * table_.data_centres().size());
+    }
+}
+
+void membership::refute(const member_update& claim, instant now) {
+    const bool newer = claim.incarnation > self_.incarnation;
+    const bool wrong = claim.incarnation == self_.incarnation && claim.state > self_.state;
+    if (!newer && !wrong) {
+        return;
+    }
+    self_.incarnation = claim.incarnation + 1;
+    table_.apply(self_, now);
+    spread(self_);
+    for (const host_id& peer : random_peers(settings_.indirect_probes, self_.host)) {
+        send(table_.find(peer)->update, gossip_kind::ping, ++last_sequence_, peer);
+    }
+}
+
+void membership::leave(instant now) {
+    self_.state = member_state::leaving;
+    announce(self_, now);
+}
+
+void membership::stop(instant now) {
+    self_.state = member_state::dead;
+    announce(self_, now);
+}
+
+void membership::announce(const member_update& update, instant now) {
+    table_.apply(update, now);
+    spread(update);
+    for (const data_centre_id& data_centre : table_.data_centres()) {
+        const std::vector<host_id> hosts = data_centre == self_.data_centre
+                                               ? table_.live_hosts(data_centre)
+                                               : bridges_.bridges_of(table_, data_centre);
+        for (const host_id& host : hosts) {
+            if (host != self_.host) {
+                const member_update& to = table_.find(host)->update;
+                outgoing_.push_back(
+                    outgoing_gossip{to, make_message(gossip_kind::ping, ++last_sequence_, host)});
+                outgoing_.back().message.updates = {update};
+            }
+        }
+    }
+}
+
+gossip_message membership::make_message(gossip_kind kind, std::uint64_t sequence,
+                                        const host_id& subject) const {
+    gossip_message message;
+    message.kind = kind;
+    message.sequence = sequence;
+    message.subject = subject;
+    message.digest = table_.digest();
+    message.beats = monitor_.beats();
+    return message;
+}
+
+void membership::send(const member_update& to, gossip_kind kind, std::uint64_t sequence,
+                      const host_id& subject) {
+    const bool near = to.data_centre == self_.data_centre;
+    gossip_message message = make_message(kind, sequence, subject);
+    message.updates = (near ? local_queue_ : remote_queue_).take(settings_.max_updates);
+    // A host that is doubted learns it first-hand, so that it can refute.
+    const bool doubted = to.state == member_state::suspect || to.state == member_state::dead;
+    if (doubted) {
+        message.updates.push_back(to);
+    }
+    if (last_tick_ < introduce_until_) {
+        message.updates.push_back(self_);
+    }
+    outgoing_.push_back(outgoing_gossip{to, std::move(message)});
+}
+
+void membership::send_list(const member_update& to, gossip_kind kind) {
+    gossip_message message = make_message(kind, 0, to.host);
+    message.updates = table_.all_updates();
+    outgoing_.push_back(outgoing_gossip{to, std::move(message)});
+}
+
+std::vector<outgoing_gossip> membership::take_outgoing() {
+    return std::exchange(outgoing_, {});
+}
+
+std::vector<member_change> membership::take_changes() {
+    return table_.take_changes();
+}
+
+bool membership::reachable(const data_centre_id& data_centre, instant now) const {
+    return monitor_.reachable(data_centre, now);
+}
+
+std::vector<host_id> membership::live_hosts(const data_centre_id& data_centre, instant now) const {
+    if (!reachable(data_centre, now)) {
+        return {};
+    }
+    return table_.live_hosts(data_centre);
+}
+
+}  // namespace fuchsiaquay
