--- a/core/routing/group_reservation.cpp
+++ b/core/routing/group_reservation.cpp
@@ -11,12 +11,17 @@
 }  // namespace
 
 group_reservation::group_reservation(const reserve_request& request, std::vector<group_part> parts,
-                                     const reservation_settings& settings, instant now)
+                                     const reservation_settings& settings, std::size_t attempt,
+                                     instant now)
     : request_(request),
       parts_(std::move(parts)),
       settings_(settings),
+      attempt_(attempt),
       deadline_(now + request.time_left),
-      give_up_at_(now + std::min(settings.group_wait, request.time_left)) {}
+      give_up_at_(now + std::min(attempt < settings.quick_group_attempts
+                                     ? settings.acceptable_group_wait
+                                     : settings.group_wait,
+                                 request.time_left)) {}
 
 routing_actions group_reservation::start(instant now) {
     routing_actions actions;
@@ -49,6 +54,9 @@
     }
     reply_due_ = instant::max();
     if (reply.outcome == reserve_outcome::queued) {
+        if (quick() && reply.start_estimate > settings_.acceptable_group_wait) {
+            give_up(reply.start_estimate, "group_busy", actions);
+        }
         return actions;
     }
     grants_.push_back(reply);
@@ -112,7 +120,8 @@
 }
 
 request_id group_reservation::part_request(std::size_t part) const {
-    return request_id(request_.request.value() + "/" + std::to_string(part));
+    return request_id(request_.request.value() + "/" + std::to_string(attempt_) + "." +
+                      std::to_string(part));
 }
 
 grant_release group_reservation::make_release(std::size_t part, const grant_id& grant) const {
--- a/core/routing/group_reservation.hpp
+++ b/core/routing/group_reservation.hpp
@@ -15,12 +15,16 @@
 /// Reserves memory on all engines of a group or on none. The parts are asked for one after the
 /// other in the order of their upstream ids, the same on every host, so that two groups cannot
 /// wait for each other; the wait is bounded and every path gives back what was granted.
+///
+/// The first attempts are quick: a part that would wait ends them with the reason `group_busy`, and
+/// the entry host tries again after a pause with other engines. The last one waits.
 class group_reservation {
 public:
     /// @param request  the whole request; each part gets its own tokens and memory, and the id
-    ///                 `<request>/<part>`
+    ///                 `<request>/<attempt>.<part>`
+    /// @param attempt  0 for the first
     group_reservation(const reserve_request& request, std::vector<group_part> parts,
-                      const reservation_settings& settings, instant now);
+                      const reservation_settings& settings, std::size_t attempt, instant now);
 
     routing_actions start(instant now);
     routing_actions on_reply(const reserve_reply& reply, instant now);
@@ -29,9 +33,12 @@
     routing_actions cancel(instant now);
     instant next_wakeup() const;
     bool finished() const noexcept { return finished_; }
+    /// True when another attempt is worth while after this one was refused.
+    bool may_retry() const noexcept { return quick() && !parts_.empty(); }
     const std::vector<group_part>& parts() const noexcept { return parts_; }
 
 private:
+    bool quick() const noexcept { return attempt_ < settings_.quick_group_attempts; }
     void ask_next(instant now, routing_actions& actions);
     void give_up(duration retry_after, const std::string& reason, routing_actions& actions);
     void release_all(routing_actions& actions);
@@ -41,6 +48,7 @@
     reserve_request request_;
     std::vector<group_part> parts_;
     reservation_settings settings_;
+    std::size_t attempt_ = 0;
     instant deadline_{};
     instant give_up_at_{};
     instant reply_due_ = instant::max();
--- a/core/routing/output_estimator.cpp
+++ b/core/routing/output_estimator.cpp
@@ -16,21 +16,23 @@
 
 std::int64_t output_estimator::estimate(const customer_id& customer, const model_id& model,
                                         std::int64_t max_tokens) const {
-    const auto found = means_.find({customer, model});
-    const double mean = found == means_.end() ? initial_tokens : found->second;
+    const auto found = learned_.find({customer, model});
+    const double mean = found == learned_.end() ? initial_tokens : found->second.mean;
     return std::min(std::max<std::int64_t>(std::llround(mean), 1), max_tokens);
 }
 
 void output_estimator::observe(const customer_id& customer, const model_id& model,
                                std::int64_t output_tokens) {
-    if (means_.size() >= max_entries) {
-        means_.clear();
+    if (learned_.size() >= max_entries) {
+        learned_.clear();
     }
     const auto actual = static_cast<double>(output_tokens);
-    double& mean = means_.try_emplace({customer, model}, initial_tokens).first->second;
-    error_sum_ += std::abs(mean - actual) / std::max(actual, 1.0);
+    learned& known =
+        learned_.try_emplace({customer, model}, learned{initial_tokens, 0.0}).first->second;
+    error_sum_ += std::abs(known.mean - actual) / std::max(actual, 1.0);
     ++error_count_;
-    mean += learning_rate * (actual - mean);
+    known.count += 1.0;
+    known.mean += std::max(learning_rate, 1.0 / known.count) * (actual - known.mean);
 }
 
 double output_estimator::mean_relative_error() const {
--- a/core/routing/output_estimator.hpp
+++ b/core/routing/output_estimator.hpp
@@ -21,7 +21,12 @@
 private:
     using key = std::pair<customer_id, model_id>;
 
-    std::map<key, double> means_;
+    struct learned {
+        double mean = 0.0;
+        double count = 0.0;
+    };
+
+    std::map<key, learned> learned_;
     double error_sum_ = 0.0;
     std::int64_t error_count_ = 0;
 };
--- a/core/routing/reservation_settings.hpp
+++ b/core/routing/reservation_settings.hpp
@@ -14,8 +14,14 @@
     duration acceptable_wait = std::chrono::milliseconds(50);
     /// An owner that has not answered by then is left out.
     duration reply_timeout = std::chrono::milliseconds(250);
-    /// Longest that a group may wait for all its parts.
-    duration group_wait = std::chrono::seconds(20);
+    /// Attempts of a group that end as soon as a part would wait longer than
+    /// `acceptable_group_wait`; the entry host plans each anew with the loads it has learned.
+    std::size_t quick_group_attempts = 4;
+    duration acceptable_group_wait = std::chrono::seconds(2);
+    /// Pause between two attempts.
+    duration group_pause = std::chrono::seconds(1);
+    /// Longest that the last attempt waits for all its parts.
+    duration group_wait = std::chrono::seconds(60);
 };
 
 }  // namespace fuchsiaquay
--- a/core/scheduling/grant_table.cpp
+++ b/core/scheduling/grant_table.cpp
@@ -11,8 +11,6 @@
 
 /// How long an ended grant is remembered, so that a late renewal does not bring it back.
 constexpr duration ended_retention = std::chrono::seconds(60);
-/// A granted stream that the engine has not listed by then was never started.
-constexpr duration start_grace = std::chrono::seconds(5);
 /// Work assumed left when the engine is behind the prediction, in tokens.
 constexpr double late_prefill_tokens = 400.0;
 constexpr double correction_step = 0.01;
@@ -145,9 +143,9 @@
     orphans_ = std::move(orphans);
     std::vector<grant_id> gone;
     for (const auto& [id, record] : grants_) {
-        const bool expected = record.seen ? record.granted_at < report.asked_at
-                                          : record.granted_at + start_grace < report.asked_at;
-        if (expected && listed.count(id) == 0) {
+        // A stream that was never listed may start late, as the last part of a group does; such a
+        // grant ends by its lifetime.
+        if (record.seen && record.granted_at < report.asked_at && listed.count(id) == 0) {
             gone.push_back(id);
         }
     }
--- a/core/scheduling/grant_table.hpp
+++ b/core/scheduling/grant_table.hpp
@@ -32,7 +32,6 @@
     std::vector<served_work> advance(instant now, double prefill_speed);
     /// Compares with the engine's own list. Corrects predictions, drops grants whose stream has
     /// ended, and returns streams to cancel since no grant covers them for `orphan_grace`.
-    /// @param never_started  a grant the engine does not list is dropped after this time
     std::vector<grant_id> observe(const engine_report& report, duration orphan_grace, instant now);
 
     std::int64_t memory_used() const noexcept { return memory_used_ + orphan_memory_; }
--- /dev/null
+++ b/ctl/bench/experiment_result.hpp
@@ -0,0 +1,24 @@
+#pragma once
+
+#include <cstdint>
+#include <vector>
+
+#include "core/time/clock.hpp"
+#include "ctl/bench/request_record.hpp"
+
+namespace fuchsiaquay {
+
+/// Outcome of one run.
+struct experiment_result {
+    std::vector<request_record> records;
+    /// Engine memory still in use or still promised after everything ended, in tokens.
+    std::int64_t lost_memory_tokens = 0;
+    /// Times that an engine refused a granted stream for want of memory.
+    std::int64_t engine_refusals = 0;
+    std::int64_t reservation_messages = 0;
+    /// Mean error of the owners' start estimates and of the entry hosts' output estimates.
+    duration start_estimate_error{};
+    double output_estimate_error = 0.0;
+};
+
+}  // namespace fuchsiaquay
--- a/tests/core/scheduling/upstream_queue_test.cpp
+++ b/tests/core/scheduling/upstream_queue_test.cpp
@@ -173,6 +173,16 @@
     LONGS_EQUAL(settings_.memory_tokens, queue_->free_memory_tokens());
 }
 
+TEST(upstream_queue, renewed_grant_may_start_late) {
+    const std::string grant = only(queue_->reserve(make_request(1000), now_)).grant.value();
+    for (int i = 0; i < 20; ++i) {
+        now_ += seconds(3);
+        queue_->renew(make_renewal(grant, 1100), now_);
+        queue_->observe_engine(make_report({}), now_);
+    }
+    LONGS_EQUAL(1, queue_->granted());
+}
+
 TEST(upstream_queue, orphan_stream_cancelled_after_its_grace) {
     queue_->observe_engine(make_report({"lost"}), now_);
     LONGS_EQUAL(settings_.memory_tokens - 1000, queue_->free_memory_tokens());
