--- a/tests/ctl/bench/experiment_test.cpp
+++ b/tests/ctl/bench/experiment_test.cpp
@@ -1,10 +1,13 @@
 #include "ctl/bench/experiment.hpp"
 
-#include <CppUTest/TestHarness.h>
-
+// CppUTest redefines `new`, so headers of the standard library go first.
+// clang-format off
 #include "ctl/bench/result_queries.hpp"
 #include "ctl/bench/workload.hpp"
 
+#include <CppUTest/TestHarness.h>
+// clang-format on
+
 using namespace fuchsiaquay;
 
 TEST_GROUP(experiment) {
