--- a/core/scheduling/admission.hpp
+++ b/core/scheduling/admission.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "core/scheduling/admission_terms.hpp"
 #include "core/scheduling/queued_request.hpp"
 
 namespace fuchsiaquay {
@@ -12,9 +13,8 @@
     admission& operator=(const admission&) = delete;
     virtual ~admission() = default;
 
-    /// True when memory and backlog allow `queued` at `engine_priority`.
-    /// @param floor_due  the level of the request is served less than its floor
-    virtual bool fits(const queued_request& queued, int engine_priority, bool floor_due) const = 0;
+    /// True when memory and backlog allow `queued` under `terms`.
+    virtual bool fits(const queued_request& queued, const admission_terms& terms) const = 0;
 };
 
 }  // namespace fuchsiaquay
--- a/core/scheduling/fair_rank_policy.cpp
+++ b/core/scheduling/fair_rank_policy.cpp
@@ -96,30 +96,33 @@
                 continue;
             }
             const queued_request& head = chosen->waiting.front().queued;
-            const bool due = is_due(state, now);
-            const int priority = engine_priority(head, now);
-            if (!gate.fits(head, priority, due)) {
+            const admission_terms wanted = terms(head, now);
+            if (!gate.fits(head, wanted)) {
                 break;
             }
-            return take_front(state, current, *chosen, priority, now);
+            return take_front(state, current, *chosen, wanted.engine_priority, now);
         }
     }
     return std::nullopt;
 }
 
-int fair_rank_policy::engine_priority(const queued_request& queued, instant now) const {
+admission_terms fair_rank_policy::terms(const queued_request& queued, instant now) const {
     const int level = queued.request.level;
-    if (queued.is_long) {
-        return long_base + level * level_step;
-    }
+    admission_terms result;
     const auto found = levels_.find(level);
-    if (found == levels_.end()) {
-        return level * level_step + size_class(queued.prefill_tokens);
+    if (found != levels_.end()) {
+        const lane& current = found->second.lanes[queued.is_long ? 1 : 0];
+        result.floor_due = is_due(found->second, now);
+        result.over_share = over_share(current, queued.request.customer, now);
+    }
+    if (queued.is_long) {
+        result.engine_priority = long_base + level * level_step;
+        return result;
     }
-    const bool due = is_due(found->second, now);
-    const bool over = over_share(found->second.lanes[0], queued.request.customer, now);
-    return (due ? 0 : level * level_step) + (over ? over_share_step : 0) +
-           size_class(queued.prefill_tokens);
+    result.engine_priority = (result.floor_due ? 0 : level * level_step) +
+                             (result.over_share ? over_share_step : 0) +
+                             size_class(queued.prefill_tokens);
+    return result;
 }
 
 double fair_rank_policy::work_before(const queued_request& queued) const {
@@ -187,6 +190,15 @@
     (is_long ? state.long_usage : state.short_usage).add(tokens, now);
 }
 
+void fair_rank_policy::set_engine_level(int level, instant now) {
+    for (auto& [other, state] : levels_) {
+        if (state.in_engine != (other == level)) {
+            settle_credit(state, now);
+            state.in_engine = other == level;
+        }
+    }
+}
+
 bool fair_rank_policy::floor_due(int level, instant now) const {
     const auto found = levels_.find(level);
     return found != levels_.end() && is_due(found->second, now);
@@ -262,8 +274,9 @@
     const double floor_speed = state.floor_share * tokens_per_second_;
     const double bound = floor_speed * credit_seconds;
     const double earned = state.credit + floor_speed * to_seconds(now - state.credit_at);
-    // A level that does not wait is owed nothing.
-    return std::clamp(earned, -bound, state.waiting() ? bound : 0.0);
+    // A level without work is owed nothing.
+    const bool has_work = state.waiting() || state.in_engine;
+    return std::clamp(earned, -bound, has_work ? bound : 0.0);
 }
 
 bool fair_rank_policy::is_due(const level_state& state, instant now) const {
--- a/core/scheduling/fair_rank_policy.hpp
+++ b/core/scheduling/fair_rank_policy.hpp
@@ -27,10 +27,11 @@
     std::optional<queued_request> remove(const request_id& request) override;
     bool contains(const request_id& request) const override;
     std::optional<policy_pick> pop(const admission& gate, instant now) override;
-    int engine_priority(const queued_request& queued, instant now) const override;
+    admission_terms terms(const queued_request& queued, instant now) const override;
     duration expected_wait(const queued_request& queued, double speed, instant now) const override;
     double expected_speed(const queued_request& queued, double speed, instant now) const override;
     void account(int level, bool is_long, double tokens, instant now) override;
+    void set_engine_level(int level, instant now) override;
     bool floor_due(int level, instant now) const override;
     const queued_request* next_long() const override;
     std::vector<std::pair<int, double>> floors() const override;
@@ -46,7 +47,7 @@
         std::deque<tagged_request> waiting;
         double finish_tag = 0.0;
         double weight = 1.0;
-        decaying_rate usage{std::chrono::seconds(5)};
+        decaying_rate usage{std::chrono::seconds(20)};
     };
     /// The short or the long prompts of one level.
     struct lane {
@@ -63,6 +64,8 @@
         instant credit_at{};
         decaying_rate short_usage{std::chrono::seconds(5)};
         decaying_rate long_usage{std::chrono::seconds(5)};
+        /// A long prompt of the level is in prefill at the engine.
+        bool in_engine = false;
         bool waiting() const { return lanes[0].waiting_count + lanes[1].waiting_count > 0; }
     };
 
--- a/core/scheduling/fifo_policy.cpp
+++ b/core/scheduling/fifo_policy.cpp
@@ -31,7 +31,7 @@
 }
 
 std::optional<policy_pick> fifo_policy::pop(const admission& gate, instant /*now*/) {
-    if (waiting_.empty() || !gate.fits(waiting_.front(), 0, false)) {
+    if (waiting_.empty() || !gate.fits(waiting_.front(), admission_terms{})) {
         return std::nullopt;
     }
     const policy_pick pick{waiting_.front(), 0};
@@ -39,8 +39,8 @@
     return pick;
 }
 
-int fifo_policy::engine_priority(const queued_request& /*queued*/, instant /*now*/) const {
-    return 0;
+admission_terms fifo_policy::terms(const queued_request& /*queued*/, instant /*now*/) const {
+    return admission_terms{};
 }
 
 duration fifo_policy::expected_wait(const queued_request& /*queued*/, double speed,
@@ -55,6 +55,8 @@
 
 void fifo_policy::account(int /*level*/, bool /*is_long*/, double /*tokens*/, instant /*now*/) {}
 
+void fifo_policy::set_engine_level(int /*level*/, instant /*now*/) {}
+
 bool fifo_policy::floor_due(int /*level*/, instant /*now*/) const {
     return false;
 }
--- a/core/scheduling/fifo_policy.hpp
+++ b/core/scheduling/fifo_policy.hpp
@@ -13,10 +13,11 @@
     std::optional<queued_request> remove(const request_id& request) override;
     bool contains(const request_id& request) const override;
     std::optional<policy_pick> pop(const admission& gate, instant now) override;
-    int engine_priority(const queued_request& queued, instant now) const override;
+    admission_terms terms(const queued_request& queued, instant now) const override;
     duration expected_wait(const queued_request& queued, double speed, instant now) const override;
     double expected_speed(const queued_request& queued, double speed, instant now) const override;
     void account(int level, bool is_long, double tokens, instant now) override;
+    void set_engine_level(int level, instant now) override;
     bool floor_due(int level, instant now) const override;
     const queued_request* next_long() const override;
     std::vector<std::pair<int, double>> floors() const override;
--- a/core/scheduling/queue_policy.hpp
+++ b/core/scheduling/queue_policy.hpp
@@ -6,6 +6,7 @@
 #include <vector>
 
 #include "core/identity/names.hpp"
+#include "core/scheduling/admission_terms.hpp"
 #include "core/scheduling/policy_pick.hpp"
 #include "core/scheduling/queued_request.hpp"
 #include "core/time/clock.hpp"
@@ -29,8 +30,8 @@
     /// Takes the next request that `gate` lets in; nothing when the next in order must wait.
     virtual std::optional<policy_pick> pop(const admission& gate, instant now) = 0;
 
-    /// Engine priority that `queued` would get if it were granted now.
-    virtual int engine_priority(const queued_request& queued, instant now) const = 0;
+    /// Terms on which `queued` would be let in now.
+    virtual admission_terms terms(const queued_request& queued, instant now) const = 0;
     /// Expected time until `queued` is granted once it is pushed.
     /// @param speed  tokens a second of the upstream
     virtual duration expected_wait(const queued_request& queued, double speed,
@@ -40,7 +41,10 @@
                                   instant now) const = 0;
     /// Accounts work the engine did for a level.
     virtual void account(int level, bool is_long, double tokens, instant now) = 0;
-    /// True while `level` waits and is served less than its floor.
+    /// Tells which level has a long prompt in prefill at the engine, -1 for none; that level
+    /// collects what it is owed although nothing of it waits here.
+    virtual void set_engine_level(int level, instant now) = 0;
+    /// True while `level` has work and is served less than its floor.
     virtual bool floor_due(int level, instant now) const = 0;
 
     /// First waiting long request, for which memory is being kept; null when there is none.
--- a/core/scheduling/upstream_queue.cpp
+++ b/core/scheduling/upstream_queue.cpp
@@ -25,14 +25,14 @@
 public:
     explicit gate(const upstream_queue& owner) : owner_(owner) {}
 
-    bool fits(const queued_request& queued, int engine_priority, bool floor_due) const override {
+    bool fits(const queued_request& queued, const admission_terms& terms) const override {
         if (!fits_memory(queued) || !fits_count(queued)) {
             return false;
         }
         if (owner_.rebuilding_ && !fits_rebuild(queued)) {
             return false;
         }
-        return queued.is_long ? fits_long(queued) : fits_short(queued, engine_priority, floor_due);
+        return queued.is_long ? fits_long(queued) : fits_short(queued, terms);
     }
 
 private:
@@ -77,14 +77,14 @@
                used <= settings().memory_tokens - settings().short_memory_tokens;
     }
 
-    bool fits_short(const queued_request& queued, int engine_priority, bool floor_due) const {
+    bool fits_short(const queued_request& queued, const admission_terms& terms) const {
         const double window = owner_.prefill_speed() * to_seconds(settings().dispatch_window);
-        if (owner_.grants_.prefill_ahead(engine_priority) > window) {
+        if (owner_.grants_.prefill_ahead(terms.engine_priority) > window) {
             return false;
         }
         const int long_level = owner_.grants_.long_prefill_level();
-        const bool yields = long_level >= 0 && !floor_due &&
-                            (long_level <= queued.request.level ||
+        const bool yields = long_level >= 0 && !terms.floor_due &&
+                            ((terms.over_share && long_level <= queued.request.level) ||
                              owner_.policy_->floor_due(long_level, owner_.progressed_at_));
         if (yields && owner_.short_allowance_ < 0.0) {
             return false;
@@ -259,10 +259,11 @@
         policy_->account(work.level, work.is_long, work.tokens, now);
     }
     const double short_speed = (1.0 - settings_.long_share) * speed;
-    short_allowance_ =
-        std::min(short_allowance_ + short_speed * seconds, short_speed * allowance_seconds);
+    const double most = short_speed * allowance_seconds;
+    short_allowance_ = std::clamp(short_allowance_ + short_speed * seconds, -most, most);
+    policy_->set_engine_level(grants_.long_prefill_level(), now);
     if (grants_.long_prefill_level() < 0) {
-        short_allowance_ = short_speed * allowance_seconds;
+        short_allowance_ = most;
     }
     progressed_at_ = now;
 }
@@ -373,7 +374,7 @@
 }
 
 duration upstream_queue::expected_wait(const queued_request& queued, instant now) const {
-    const int priority = policy_->engine_priority(queued, now);
+    const int priority = policy_->terms(queued, now).engine_priority;
     const double ahead =
         queued.is_long ? grants_.prefill_left(true) : grants_.prefill_ahead(priority);
     const duration granted = from_seconds(ahead / prefill_speed());
--- a/tests/core/scheduling/fair_rank_policy_test.cpp
+++ b/tests/core/scheduling/fair_rank_policy_test.cpp
@@ -14,8 +14,7 @@
 
 class open_gate final : public admission {
 public:
-    bool fits(const queued_request& /*queued*/, int /*engine_priority*/,
-              bool /*floor_due*/) const override {
+    bool fits(const queued_request& /*queued*/, const admission_terms& /*terms*/) const override {
         return true;
     }
 };
