Group reservations renew the parts they hold while they wait

Cause: a part granted early expired after 10 s while the others were awaited, its stream was then an orphan and was cancelled, and the rest of the group held memory to the deadline.

--- a/core/routing/group_reservation.cpp
+++ b/core/routing/group_reservation.cpp
@@ -60,6 +60,7 @@
         return actions;
     }
     grants_.push_back(reply);
+    renew_at_ = std::min(renew_at_, now + settings_.group_renewal);
     if (grants_.size() < parts_.size()) {
         ask_next(now, actions);
         return actions;
@@ -71,8 +72,13 @@
 
 routing_actions group_reservation::tick(instant now) {
     routing_actions actions;
-    if (!finished_ && now >= std::min(give_up_at_, reply_due_)) {
+    if (finished_) {
+        return actions;
+    }
+    if (now >= std::min(give_up_at_, reply_due_)) {
         give_up(group_retry_after, now >= reply_due_ ? "owner_silent" : "group_wait", actions);
+    } else if (now >= renew_at_) {
+        renew_all(now, actions);
     }
     return actions;
 }
@@ -87,7 +93,7 @@
 }
 
 instant group_reservation::next_wakeup() const {
-    return finished_ ? instant::max() : std::min(give_up_at_, reply_due_);
+    return finished_ ? instant::max() : std::min({give_up_at_, reply_due_, renew_at_});
 }
 
 void group_reservation::ask_next(instant now, routing_actions& actions) {
@@ -112,6 +118,21 @@
     actions.outcome = routing_outcome{false, {}, retry_after, reason};
 }
 
+void group_reservation::renew_all(instant now, routing_actions& actions) {
+    for (std::size_t part = 0; part < grants_.size(); ++part) {
+        grant_renewal renewal;
+        renewal.grant = grants_[part].grant;
+        renewal.request = part_request(part);
+        renewal.upstream = parts_[part].upstream;
+        renewal.entry_host = request_.entry_host;
+        renewal.customer = request_.customer;
+        renewal.level = request_.level;
+        renewal.memory_tokens = parts_[part].memory_tokens;
+        actions.renewals.push_back(renewal);
+    }
+    renew_at_ = now + settings_.group_renewal;
+}
+
 void group_reservation::release_all(routing_actions& actions) {
     for (std::size_t part = 0; part < asked_; ++part) {
         const grant_id grant = part < grants_.size() ? grants_[part].grant : grant_id();
--- a/core/routing/group_reservation.hpp
+++ b/core/routing/group_reservation.hpp
@@ -28,7 +28,8 @@
 
     routing_actions start(instant now);
     routing_actions on_reply(const reserve_reply& reply, instant now);
-    /// Gives up once the bounded wait is over or the owner is silent.
+    /// Renews the parts granted so far; gives up once the bounded wait is over or the owner is
+    /// silent.
     routing_actions tick(instant now);
     routing_actions cancel(instant now);
     instant next_wakeup() const;
@@ -41,6 +42,7 @@
     bool quick() const noexcept { return attempt_ < settings_.quick_group_attempts; }
     void ask_next(instant now, routing_actions& actions);
     void give_up(duration retry_after, const std::string& reason, routing_actions& actions);
+    void renew_all(instant now, routing_actions& actions);
     void release_all(routing_actions& actions);
     request_id part_request(std::size_t part) const;
     grant_release make_release(std::size_t part, const grant_id& grant) const;
@@ -52,6 +54,7 @@
     instant deadline_{};
     instant give_up_at_{};
     instant reply_due_ = instant::max();
+    instant renew_at_ = instant::max();
     std::vector<reserve_reply> grants_;
     std::size_t asked_ = 0;
     bool finished_ = false;
--- a/core/routing/reservation_settings.hpp
+++ b/core/routing/reservation_settings.hpp
@@ -20,8 +20,10 @@
     duration acceptable_group_wait = std::chrono::seconds(2);
     /// Pause between two attempts.
     duration group_pause = std::chrono::seconds(1);
+    /// Between two renewals of the parts granted so far.
+    duration group_renewal = std::chrono::seconds(3);
     /// Longest that the last attempt waits for all its parts.
-    duration group_wait = std::chrono::seconds(60);
+    duration group_wait = std::chrono::seconds(120);
 };
 
 }  // namespace fuchsiaquay
--- a/core/routing/routing_actions.hpp
+++ b/core/routing/routing_actions.hpp
@@ -4,6 +4,7 @@
 #include <vector>
 
 #include "core/messages/grant_release.hpp"
+#include "core/messages/grant_renewal.hpp"
 #include "core/messages/reserve_request.hpp"
 #include "core/routing/routing_outcome.hpp"
 
@@ -13,6 +14,7 @@
 struct routing_actions {
     std::vector<reserve_request> reserves;
     std::vector<grant_release> releases;
+    std::vector<grant_renewal> renewals;
     std::optional<routing_outcome> outcome;
 };
 
