--- a/core/scheduling/fair_rank_policy.cpp
+++ b/core/scheduling/fair_rank_policy.cpp
@@ -8,13 +8,19 @@
 namespace {
 
 /// Credit and debt of a level are kept within this much time of its floor.
-constexpr double credit_seconds = 2.0;
+constexpr double credit_seconds = 6.0;
 /// A level goes first once it is owed this much time of its floor.
 constexpr double due_seconds = 0.3;
+/// Short prompts stand back for a long prefill once its level is owed this much time.
+constexpr double long_due_seconds = 3.0;
 /// A customer is over its share above this multiple of it.
 constexpr double over_share_factor = 1.5;
 /// Below this part of the upstream a customer is never over its share.
 constexpr double min_over_share = 0.1;
+/// A level with a long prompt in prefill is owed this multiple of its floor, at most
+/// `max_long_floor`, since the level has such a prompt on a part of the fleet only.
+constexpr double long_floor_factor = 2.0;
+constexpr double max_long_floor = 0.5;
 /// Parts of the upstream below this are not counted on by estimates.
 constexpr double min_speed_share = 0.02;
 
@@ -33,6 +39,10 @@
     return size;
 }
 
+double long_floor(double floor_share) {
+    return std::min(floor_share * long_floor_factor, max_long_floor);
+}
+
 }  // namespace
 
 fair_rank_policy::fair_rank_policy(double tokens_per_second)
@@ -165,8 +175,9 @@
             left -= level >= queued.request.level ? state.short_usage.at(now) : 0.0;
         }
     }
-    return std::max({left, queued.request.floor_share * speed * (queued.is_long ? 0.5 : 1.0),
-                     min_speed_share * speed});
+    const double owed = queued.is_long ? long_floor(queued.request.floor_share)
+                                       : queued.request.floor_share;
+    return std::max({left, owed * speed, min_speed_share * speed});
 }
 
 duration fair_rank_policy::expected_wait(const queued_request& queued, double speed,
@@ -178,7 +189,8 @@
         }
     }
     const double by_order = (urgent + work_before(queued)) / expected_speed(queued, speed, now);
-    const double floor_speed = queued.request.floor_share * speed;
+    const double floor_speed = speed * (queued.is_long ? long_floor(queued.request.floor_share)
+                                                       : queued.request.floor_share);
     const double by_floor = floor_speed > 0.0 ? work_before(queued) / floor_speed : by_order;
     return from_seconds(std::min(by_order, by_floor));
 }
@@ -199,9 +211,9 @@
     }
 }
 
-bool fair_rank_policy::floor_due(int level, instant now) const {
+bool fair_rank_policy::long_floor_due(int level, instant now) const {
     const auto found = levels_.find(level);
-    return found != levels_.end() && is_due(found->second, now);
+    return found != levels_.end() && owed_seconds(found->second, now) > long_due_seconds;
 }
 
 const queued_request* fair_rank_policy::next_long() const {
@@ -270,18 +282,27 @@
     return order;
 }
 
+double fair_rank_policy::floor_speed(const level_state& state) const {
+    return tokens_per_second_ *
+           (state.in_engine ? long_floor(state.floor_share) : state.floor_share);
+}
+
 double fair_rank_policy::credit_at(const level_state& state, instant now) const {
-    const double floor_speed = state.floor_share * tokens_per_second_;
-    const double bound = floor_speed * credit_seconds;
-    const double earned = state.credit + floor_speed * to_seconds(now - state.credit_at);
+    const double speed = floor_speed(state);
+    const double bound = speed * credit_seconds;
+    const double earned = state.credit + speed * to_seconds(now - state.credit_at);
     // A level without work is owed nothing.
     const bool has_work = state.waiting() || state.in_engine;
     return std::clamp(earned, -bound, has_work ? bound : 0.0);
 }
 
+double fair_rank_policy::owed_seconds(const level_state& state, instant now) const {
+    const double speed = floor_speed(state);
+    return speed > 0.0 ? credit_at(state, now) / speed : 0.0;
+}
+
 bool fair_rank_policy::is_due(const level_state& state, instant now) const {
-    const double floor_speed = state.floor_share * tokens_per_second_;
-    return floor_speed > 0.0 && credit_at(state, now) > floor_speed * due_seconds;
+    return owed_seconds(state, now) > due_seconds;
 }
 
 void fair_rank_policy::settle_credit(level_state& state, instant now) {
--- a/core/scheduling/fair_rank_policy.hpp
+++ b/core/scheduling/fair_rank_policy.hpp
@@ -32,7 +32,7 @@
     double expected_speed(const queued_request& queued, double speed, instant now) const override;
     void account(int level, bool is_long, double tokens, instant now) override;
     void set_engine_level(int level, instant now) override;
-    bool floor_due(int level, instant now) const override;
+    bool long_floor_due(int level, instant now) const override;
     const queued_request* next_long() const override;
     std::vector<std::pair<int, double>> floors() const override;
     std::size_t size() const override;
@@ -78,7 +78,9 @@
     double tokens_per_second() const { return tokens_per_second_; }
 
 private:
+    double floor_speed(const level_state& state) const;
     double credit_at(const level_state& state, instant now) const;
+    double owed_seconds(const level_state& state, instant now) const;
     bool is_due(const level_state& state, instant now) const;
     void settle_credit(level_state& state, instant now);
     bool over_share(const lane& current, const customer_id& customer, instant now) const;
--- a/core/scheduling/fifo_policy.cpp
+++ b/core/scheduling/fifo_policy.cpp
@@ -57,7 +57,7 @@
 
 void fifo_policy::set_engine_level(int /*level*/, instant /*now*/) {}
 
-bool fifo_policy::floor_due(int /*level*/, instant /*now*/) const {
+bool fifo_policy::long_floor_due(int /*level*/, instant /*now*/) const {
     return false;
 }
 
--- a/core/scheduling/fifo_policy.hpp
+++ b/core/scheduling/fifo_policy.hpp
@@ -18,7 +18,7 @@
     double expected_speed(const queued_request& queued, double speed, instant now) const override;
     void account(int level, bool is_long, double tokens, instant now) override;
     void set_engine_level(int level, instant now) override;
-    bool floor_due(int level, instant now) const override;
+    bool long_floor_due(int level, instant now) const override;
     const queued_request* next_long() const override;
     std::vector<std::pair<int, double>> floors() const override;
     std::size_t size() const override;
--- a/core/scheduling/queue_policy.hpp
+++ b/core/scheduling/queue_policy.hpp
@@ -44,8 +44,8 @@
     /// Tells which level has a long prompt in prefill at the engine, -1 for none; that level
     /// collects what it is owed although nothing of it waits here.
     virtual void set_engine_level(int level, instant now) = 0;
-    /// True while `level` has work and is served less than its floor.
-    virtual bool floor_due(int level, instant now) const = 0;
+    /// True while `level` has work and has long been served less than its floor.
+    virtual bool long_floor_due(int level, instant now) const = 0;
 
     /// First waiting long request, for which memory is being kept; null when there is none.
     virtual const queued_request* next_long() const = 0;
--- a/core/scheduling/upstream_queue.cpp
+++ b/core/scheduling/upstream_queue.cpp
@@ -85,7 +85,7 @@
         const int long_level = owner_.grants_.long_prefill_level();
         const bool yields = long_level >= 0 && !terms.floor_due &&
                             ((terms.over_share && long_level <= queued.request.level) ||
-                             owner_.policy_->floor_due(long_level, owner_.progressed_at_));
+                             owner_.policy_->long_floor_due(long_level, owner_.progressed_at_));
         if (yields && owner_.short_allowance_ < 0.0) {
             return false;
         }
--- a/core/scheduling/upstream_settings.hpp
+++ b/core/scheduling/upstream_settings.hpp
@@ -30,9 +30,9 @@
     /// Most long prompts in prefill at once.
     std::int64_t max_long_prefills = 1;
     /// Memory that long prompts cannot take.
-    std::int64_t short_memory_tokens = 80'000;
+    std::int64_t short_memory_tokens = 110'000;
     /// Memory held free for each other level's floor, at most, as a part of the whole.
-    double floor_memory_share = 0.05;
+    double floor_memory_share = 0.10;
 
     /// Prefill work granted ahead of need, so that the engine is never idle between two grants.
     duration dispatch_window = std::chrono::milliseconds(100);
--- a/ctl/bench/measure_policy.cpp
+++ b/ctl/bench/measure_policy.cpp
@@ -12,6 +12,9 @@
 
 constexpr double flood_factor = 10.0;
 constexpr double overload = 2.0;
+/// Rows that compare with a rate need the backlog of long prompts to be steady.
+constexpr duration steady_length = std::chrono::seconds(480);
+constexpr duration steady_warm_up = std::chrono::seconds(160);
 /// Of the refused requests, one in so many is tried with unlimited time at the owners.
 constexpr std::size_t forced_stride = 25;
 constexpr std::size_t max_forced = 40;
@@ -99,6 +102,8 @@
     double floor_served() {
         workload_scenario flood = scenario_;
         flood.flooded_level = 0;
+        flood.length = steady_length;
+        flood.warm_up = steady_warm_up;
         flood.level_factor = flood_factor;
         const experiment_result result = run_scenario(flood);
         double least = std::numeric_limits<double>::infinity();
@@ -147,6 +152,8 @@
     std::pair<double, double> overload_rows() {
         workload_scenario heavy = scenario_;
         heavy.scale = overload * capacity() / offered_tokens_per_second(profile_);
+        heavy.length = steady_length;
+        heavy.warm_up = steady_warm_up;
         const experiment_result result = run_scenario(heavy);
         const double served = served_tokens_per_second(
             result, heavy, [](const request_record& record) { return record.request.assistant; });
