--- a/core/contract/contract_book.cpp
+++ b/core/contract/contract_book.cpp
@@ -19,7 +19,7 @@
     const bool was_tombstone = found != entries_.end() && found->second.change.erased;
     tombstones_ += change.erased ? 1 : 0;
     tombstones_ -= was_tombstone ? 1 : 0;
-    entry next{change, nullptr};
+    entry next{change, nullptr, false};
     if (!change.erased) {
         next.value = std::make_shared<const contract>(parsed);
     }
@@ -32,9 +32,34 @@
 
 void contract_book::advance(std::int64_t previous, std::int64_t revision) {
     hear_of(previous);
-    if (previous <= complete_ && revision > complete_) {
-        complete_ = revision;
+    if (previous > complete_ || revision <= complete_) {
+        return;
+    }
+    for (auto& [customer, held] : entries_) {
+        const std::int64_t at = held.change.revision;
+        if (at > complete_ && at < revision && !held.change.erased) {
+            held.doubtful = true;
+        }
+    }
+    complete_ = revision;
+}
+
+std::vector<customer_id> contract_book::settle_doubtful(std::int64_t revision) {
+    std::vector<customer_id> deleted;
+    for (auto& [customer, held] : entries_) {
+        if (held.doubtful && held.change.revision <= revision) {
+            erase_entry(held, revision);
+            deleted.push_back(customer);
+        }
     }
+    return deleted;
+}
+
+void contract_book::erase_entry(entry& held, std::int64_t revision) {
+    held = entry{contract_change{held.change.customer, revision, true, ""}, nullptr, false};
+    ++tombstones_;
+    last_change_ = std::max(last_change_, revision);
+    table_.reset();
 }
 
 std::vector<customer_id> contract_book::reconcile(const std::vector<customer_id>& present,
@@ -45,23 +70,18 @@
     for (auto& [customer, held] : entries_) {
         const bool older = held.change.revision <= store_revision;
         if (older && !held.change.erased && named.count(customer) == 0) {
-            held = entry{contract_change{customer, store_revision, true, ""}, nullptr};
-            ++tombstones_;
+            erase_entry(held, store_revision);
             deleted.push_back(customer);
         }
     }
-    if (!deleted.empty()) {
-        last_change_ = std::max(last_change_, store_revision);
-        forget_tombstones();
-        table_.reset();
-    }
+    forget_tombstones();
     hear_of(index_revision);
     if (store_revision > complete_) {
         // The latest change may be the deletion of a customer that this book never held.
         last_change_ = std::max(last_change_, index_revision);
-        // Changes between the old and the new complete revision may have been deletions of
-        // customers that this book never held; peers that did hold them cannot learn them here.
-        horizon_ = store_revision;
+        // Customers created and deleted in between were never held here, so a peer that is
+        // complete up to somewhere in between cannot learn of those deletions from this book.
+        add_gap({complete_, store_revision});
         complete_ = store_revision;
     }
     return deleted;
@@ -75,7 +95,7 @@
     table_.reset();
     complete_ = 0;
     last_change_ = 0;
-    horizon_ = 0;
+    gaps_.clear();
     tombstones_ = 0;
 }
 
@@ -111,8 +131,19 @@
 }
 
 bool contract_book::can_list_after(std::int64_t cursor) const {
-    // A peer that starts from nothing holds no contract that would have to be deleted.
-    return cursor == 0 || cursor >= horizon_;
+    return std::none_of(gaps_.begin(), gaps_.end(), [cursor](const gap& unseen) {
+        return unseen.from < cursor && cursor < unseen.to;
+    });
+}
+
+void contract_book::add_gap(gap unseen) {
+    constexpr std::size_t max_gaps = 16;
+    gaps_.push_back(unseen);
+    if (gaps_.size() > max_gaps) {
+        gaps_[1].from = std::min(gaps_[0].from, gaps_[1].from);
+        gaps_[1].to = std::max(gaps_[0].to, gaps_[1].to);
+        gaps_.erase(gaps_.begin());
+    }
 }
 
 std::vector<contract_change> contract_book::changes_after(std::int64_t cursor) const {
@@ -155,7 +186,7 @@
         if (oldest->second.change.revision > complete_) {
             return;
         }
-        horizon_ = std::max(horizon_, oldest->second.change.revision);
+        add_gap({0, oldest->second.change.revision});
         entries_.erase(oldest);
         --tombstones_;
     }
--- a/core/contract/contract_book.hpp
+++ b/core/contract/contract_book.hpp
@@ -31,10 +31,15 @@
     /// @param parsed  the contract of `change`; ignored when erased
     bool apply(const contract_change& change, const contract& parsed);
 
-    /// States that no change lies between `previous` and `revision`. Advances the complete
-    /// revision if every change up to `previous` is known.
+    /// States that no latest change of a customer lies between `previous` and `revision`. Advances
+    /// the complete revision if every change up to `previous` is known. A contract of this book
+    /// that does lie between has been replaced or deleted since, so it becomes doubtful.
     void advance(std::int64_t previous, std::int64_t revision);
 
+    /// Deletes the doubtful contracts that nothing has replaced, after all changes up to
+    /// `revision` were given. Returns their customers.
+    std::vector<customer_id> settle_doubtful(std::int64_t revision);
+
     /// Takes in a reading of every contract at `store_revision`: applies `present` before the
     /// call, then names its customers here. A customer of the book whose revision is not above
     /// `store_revision` and that is not named was deleted by then.
@@ -65,7 +70,8 @@
     /// JSON text of a contract as it was applied; empty when there is none.
     std::string document(const customer_id& customer) const;
 
-    /// Whether `changes_after(cursor)` is complete. It is not when deletions were forgotten.
+    /// Whether `changes_after(cursor)` tells a peer that is complete up to `cursor` everything. It
+    /// does not where deletions were forgotten or passed unseen between two readings.
     bool can_list_after(std::int64_t cursor) const;
     /// Latest change of each customer above `cursor`, in revision order.
     std::vector<contract_change> changes_after(std::int64_t cursor) const;
@@ -74,8 +80,16 @@
     struct entry {
         contract_change change;
         std::shared_ptr<const contract> value;
+        bool doubtful = false;
+    };
+    /// Revisions between which deletions may have passed unseen.
+    struct gap {
+        std::int64_t from = 0;
+        std::int64_t to = 0;
     };
 
+    void add_gap(gap unseen);
+    void erase_entry(entry& held, std::int64_t revision);
     void forget_tombstones();
 
     duration freshness_limit_;
@@ -86,8 +100,7 @@
     std::int64_t complete_ = 0;
     std::int64_t last_change_ = 0;
     std::int64_t known_ = 0;
-    /// Deletions up to here may have been forgotten or never seen.
-    std::int64_t horizon_ = 0;
+    std::vector<gap> gaps_;
     std::size_t tombstones_ = 0;
     bool caught_up_ = false;
     std::optional<instant> confirmed_;
--- a/servers/contracts/contract_feed.cpp
+++ b/servers/contracts/contract_feed.cpp
@@ -124,6 +124,7 @@
     for (const customer_id& customer :
          book_.reconcile(present, index_revision, reading.store_revision)) {
         taken.push_back({customer, reading.store_revision, true, ""});
+        intake_.report(taken.back(), "store");
     }
     if (first || !news_) {
         return;
--- a/servers/contracts/contract_gossip.cpp
+++ b/servers/contracts/contract_gossip.cpp
@@ -84,6 +84,7 @@
     }
     const member_update target = random_of(any_peer || watchers.empty() ? hosts : watchers);
     asked_ = target.host;
+    answered_ = false;
     send_position(target);
 }
 
@@ -98,6 +99,7 @@
     agreed_ = false;
     const member_update target = random_of(hosts);
     asked_ = target.host;
+    answered_ = false;
     send_position(target);
 }
 
@@ -131,6 +133,10 @@
         book_.advance(message.previous_revision, message.revision);
     }
     const bool as_far = book_.complete_revision() >= message.revision;
+    if (!message.erased && as_far) {
+        settle_doubtful(message.revision);
+    }
+    answered_ = answered_ || sender == asked_;
     if (!message.erased && as_far && sender == asked_) {
         agreed_ = true;
         filling_ = false;
@@ -158,6 +164,12 @@
     }
 }
 
+void contract_gossip::settle_doubtful(std::int64_t revision) {
+    for (const customer_id& customer : book_.settle_doubtful(revision)) {
+        intake_.report({customer, revision, true, ""}, "peer");
+    }
+}
+
 void contract_gossip::send_changes(const member_update& to, std::int64_t cursor) {
     if (!book_.can_list_after(cursor)) {
         return;
--- a/servers/contracts/contract_gossip.hpp
+++ b/servers/contracts/contract_gossip.hpp
@@ -39,6 +39,8 @@
     /// from the store.
     void fill_from_peer();
     bool filling() const { return filling_ && !book_.caught_up(); }
+    /// Whether the peer asked last has answered, or none was asked.
+    bool answered() const noexcept { return answered_; }
     /// Whether a peer has confirmed since the start that this node knows as much as it does.
     bool agreed() const noexcept { return agreed_; }
     /// Hosts of the data centre that watch the store, chosen by the same rule on every host.
@@ -47,6 +49,7 @@
 private:
     void receive_position(const host_id& sender, const contract_update& message);
     void receive_change(const host_id& sender, const contract_update& message);
+    void settle_doubtful(std::int64_t revision);
     void send_changes(const member_update& to, std::int64_t cursor);
     void send_position(const member_update& to);
     std::vector<member_update> others() const;
@@ -62,6 +65,7 @@
     std::mt19937_64 random_;
     host_id asked_;
     bool filling_ = false;
+    bool answered_ = true;
     bool agreed_ = false;
 };
 
--- a/servers/contracts/contract_intake.cpp
+++ b/servers/contracts/contract_intake.cpp
@@ -25,6 +25,11 @@
     if (!book_.apply(change, parsed)) {
         return false;
     }
+    report(change, source);
+    return true;
+}
+
+void contract_intake::report(const contract_change& change, const char* source) {
     log_.write(decision_log::level::info, "contract_applied",
                {{"customer", change.customer.value()},
                 {"revision", std::to_string(change.revision)},
@@ -33,7 +38,6 @@
     if (changed_) {
         changed_(change);
     }
-    return true;
 }
 
 }  // namespace fuchsiaquay
--- a/servers/contracts/contract_intake.hpp
+++ b/servers/contracts/contract_intake.hpp
@@ -25,6 +25,8 @@
     /// the contract as it was.
     /// @param source  where the change came from, for the log
     bool take(const contract_change& change, const char* source);
+    /// Logs and announces a change that is in the book already.
+    void report(const contract_change& change, const char* source);
 
 private:
     contract_book& book_;
--- a/servers/contracts/contract_watcher.cpp
+++ b/servers/contracts/contract_watcher.cpp
@@ -69,7 +69,8 @@
     } else {
         repair();
     }
-    if (timers_.now() >= next_compare_ && !feed_.can_vouch()) {
+    const bool due = timers_.now() >= next_compare_ || !gossip_.answered();
+    if (due && !feed_.can_vouch()) {
         next_compare_ = timers_.now() + gossip_.compare_period();
         gossip_.compare();
     }
--- a/tests/core/contract/contract_book_test.cpp
+++ b/tests/core/contract/contract_book_test.cpp
@@ -104,3 +104,24 @@
     apply(erase("a", 3));
     CHECK_TRUE(book_.table()->find_by_key("key of a") == nullptr);
 }
+
+TEST(contract_book, contract_that_a_claim_passes_over_is_deleted_when_settled) {
+    book_.reconcile({}, 0, 10);
+    apply(put("a", 11));
+    // A peer whose latest changes are at 10 and 14 never saw "a", which was deleted at 13.
+    apply(put("b", 14));
+    book_.advance(10, 14);
+    CHECK_TRUE(holds("a"));
+    LONGS_EQUAL(1, book_.settle_doubtful(14).size());
+    CHECK_FALSE(holds("a"));
+    CHECK_TRUE(holds("b"));
+    CHECK_FALSE(apply(put("a", 12)));
+}
+
+TEST(contract_book, peer_between_two_readings_cannot_be_told_everything) {
+    book_.reconcile({}, 0, 10);
+    book_.reconcile({}, 0, 20);
+    CHECK_TRUE(book_.can_list_after(10));
+    CHECK_FALSE(book_.can_list_after(15));
+    CHECK_TRUE(book_.can_list_after(20));
+}
--- a/tests/servers/contracts/contract_editor_test.cpp
+++ b/tests/servers/contracts/contract_editor_test.cpp
@@ -8,6 +8,7 @@
 #include "tests/servers/virtual_timer_service.hpp"
 
 using namespace fuchsiaquay;
+using namespace fuchsiaquay::testing;
 using std::chrono::milliseconds;
 using std::chrono::seconds;
 
@@ -96,6 +97,18 @@
     LONGS_EQUAL(2, store_.revision());
 }
 
+TEST(contract_editor, late_write_does_not_bring_a_deleted_contract_back) {
+    store_.late_writes = 1;
+    store_.lateness = seconds(5);
+    editor_.edit(request(text("1"), 0), [](const edit_result&) {});
+    timers_.advance(seconds(3));
+    CHECK_FALSE(stored().empty());
+    other_.edit(request("", 2), [](const edit_result&) {});
+    timers_.advance(seconds(20));
+    CHECK_TRUE(stored().empty());
+    LONGS_EQUAL(3, store_.revision());
+}
+
 TEST(contract_editor, lost_answer_overtaken_by_another_operator_is_still_accepted) {
     store_.lost_answers = 1;
     edit_result result;
--- a/tests/servers/quiet_log.hpp
+++ b/tests/servers/quiet_log.hpp
@@ -5,7 +5,7 @@
 
 #include "servers/decision_log.hpp"
 
-namespace fuchsiaquay {
+namespace fuchsiaquay::testing {
 
 /// Log that keeps the lines for a test to look at.
 class quiet_log final : public decision_log {
@@ -29,4 +29,4 @@
     std::vector<std::string> lines;
 };
 
-}  // namespace fuchsiaquay
+}  // namespace fuchsiaquay::testing
--- a/tests/servers/store/fake_store.hpp
+++ b/tests/servers/store/fake_store.hpp
@@ -10,7 +10,7 @@
 #include "servers/store/key_value_store.hpp"
 #include "servers/timer_service.hpp"
 
-namespace fuchsiaquay {
+namespace fuchsiaquay::testing {
 
 /// Key-value store in virtual time that can be told to fail.
 class fake_store final : public key_value_store {
@@ -43,6 +43,9 @@
         return apply(change).revision;
     }
 
+    /// Applies a transaction at once and returns its revision.
+    std::int64_t write_now(const transaction& change) { return apply(change).revision; }
+
     /// Ends every watch, as a failover does.
     void end_watches() {
         auto ended = std::move(watches_);
@@ -187,4 +190,4 @@
     watch_id last_watch_ = 0;
 };
 
-}  // namespace fuchsiaquay
+}  // namespace fuchsiaquay::testing
