--- a/tests/servers/contracts/contract_watcher_test.cpp
+++ b/tests/servers/contracts/contract_watcher_test.cpp
@@ -101,9 +101,11 @@
     fleet_->timers.advance(today);
     fleet_->store.stale_at = old + 1;
     for (const char* name : {"n0", "n1", "n2", "n3"}) {
+        fleet_->loss = 1.0;
         fleet_->start(name);
         for (int step = 0; step < 100; ++step) {
             fleet_->timers.advance(milliseconds(100));
+            fleet_->loss = step < 5 ? 1.0 : 0.0;
             if (fleet_->node(name).book().caught_up()) {
                 CHECK_EQUAL(now, fleet_->node(name).holds("a"));
                 CHECK_EQUAL(0, fleet_->node(name).holds("b"));
@@ -139,6 +141,16 @@
     CHECK_EQUAL(fleet_->size(), fleet_->standing(contract_standing::current));
 }
 
+TEST(contract_watcher, old_answers_of_the_store_prove_nothing) {
+    settle();
+    const std::int64_t revision = fleet_->put("a", 1);
+    fleet_->timers.advance(today);
+    fleet_->store.stale_at = 1;
+    fleet_->timers.advance(seconds(30));
+    CHECK_EQUAL(fleet_->size(), fleet_->standing(contract_standing::unproved));
+    check_everywhere("a", revision);
+}
+
 TEST(contract_watcher, change_during_an_outage_of_the_answers_arrives_afterwards) {
     settle();
     fleet_->store.out = true;
