Limits: shares leased from a customer's limit keeper, bounded also when parted

Cause: requests, tokens and requests at once have to hold over all hosts of a customer without a round trip for each request.

--- /dev/null
+++ b/servers/limits/limit_filter.cpp
@@ -0,0 +1,52 @@
+#include "servers/limits/limit_filter.hpp"
+
+#include <string>
+
+#include "core/request/attempt_result.hpp"
+#include "core/request/refusal.hpp"
+#include "servers/limits/limit_service.hpp"
+#include "servers/requests/request_flow.hpp"
+
+namespace fuchsiaquay {
+namespace {
+
+constexpr int status_too_many_requests = 429;
+
+double estimated_tokens(const request_context& context) {
+    return static_cast<double>(context.prompt_tokens + context.max_tokens);
+}
+
+}  // namespace
+
+void limit_filter::admit(const std::shared_ptr<request_flow>& flow, const verdict& decide) {
+    const request_context& context = flow->context();
+    const double estimated = estimated_tokens(context);
+    const limit_verdict answer = limits_.admit(*flow->terms, estimated);
+    if (answer.admitted()) {
+        admitted_[context.id] = estimated;
+        decide.proceed();
+        return;
+    }
+    refusal reason;
+    reason.status = status_too_many_requests;
+    reason.code = "limit_reached";
+    reason.message = std::string("the contract's ") + to_text(answer.reached) + " is reached";
+    reason.retry_after = answer.retry_after;
+    decide.refuse(reason);
+}
+
+void limit_filter::settle(const std::shared_ptr<request_flow>& flow, const attempt_result& result) {
+    const auto found = admitted_.find(flow->context().id);
+    if (found == admitted_.end()) {
+        return;
+    }
+    const double estimated = found->second;
+    admitted_.erase(found);
+    const bool ran = result.ran != execution::no;
+    const auto generated = static_cast<double>(result.generated_tokens);
+    const double actual =
+        ran ? static_cast<double>(flow->context().prompt_tokens) + generated : 0.0;
+    limits_.finish(flow->terms->customer, estimated, actual);
+}
+
+}  // namespace fuchsiaquay
--- /dev/null
+++ b/servers/limits/limit_service.cpp
@@ -0,0 +1,168 @@
+#include "servers/limits/limit_service.hpp"
+
+#include <algorithm>
+#include <iterator>
+#include <string>
+
+#include "core/contract/contract.hpp"
+#include "core/hashing/rendezvous.hpp"
+#include "servers/decision_log.hpp"
+#include "servers/peer_transport.hpp"
+#include "servers/views/contract_view.hpp"
+#include "servers/views/host_view.hpp"
+
+namespace fuchsiaquay {
+namespace {
+
+constexpr duration tick_period = std::chrono::milliseconds(200);
+
+std::string keeper_key(const customer_id& customer) {
+    return "limits/" + customer.value();
+}
+
+}  // namespace
+
+limit_service::limit_service(timer_service& timers, peer_transport& transport,
+                             const host_view& hosts, const contract_view& contracts,
+                             decision_log& log, std::size_t hosts_per_customer)
+    : timers_(timers),
+      transport_(transport),
+      hosts_(hosts),
+      contracts_(contracts),
+      log_(log),
+      static_fraction_(1.0 / static_cast<double>(std::max<std::size_t>(1, hosts_per_customer))) {}
+
+limit_service::~limit_service() {
+    stop();
+}
+
+void limit_service::start() {
+    observe_hosts();
+    subscription_ = timers_.every(tick_period, [this] { tick(); });
+}
+
+void limit_service::stop() {
+    timers_.cancel(subscription_);
+}
+
+void limit_service::observe_hosts() {
+    std::vector<host_id> live;
+    for (const member_update& host : hosts_.live_hosts()) {
+        live.push_back(host.host);
+    }
+    std::vector<host_id> left;
+    for (const host_id& known : memory_.live()) {
+        const auto found = hosts_.find(known);
+        if (found && found->state == member_state::leaving) {
+            left.push_back(known);
+        }
+    }
+    memory_.observe(live, left, timers_.now());
+}
+
+void limit_service::tick() {
+    observe_hosts();
+    const instant now = timers_.now();
+    for (auto it = budgets_.begin(); it != budgets_.end();) {
+        customer_budget& budget = it->second;
+        budget.check_keeper(now);
+        if (budget.idle(now)) {
+            // States that nothing is held, which gives the share back.
+            ask(it->first, budget);
+            it = budgets_.erase(it);
+            continue;
+        }
+        if (now - budget.asked_at() >= budget.ask_period(now)) {
+            ask(it->first, budget);
+        }
+        ++it;
+    }
+    keeper_.expire(now);
+}
+
+host_id limit_service::keeper_of(const customer_id& customer) const {
+    return rendezvous_owner(keeper_key(customer), memory_.live());
+}
+
+limit_verdict limit_service::admit(const contract& terms, double tokens) {
+    const instant now = timers_.now();
+    auto found = budgets_.find(terms.customer);
+    if (found == budgets_.end()) {
+        found =
+            budgets_.emplace(terms.customer, customer_budget(terms.limits, static_fraction_, now))
+                .first;
+        ask(terms.customer, found->second);
+    }
+    customer_budget& budget = found->second;
+    budget.set_limits(terms.limits, now);
+    const limit_verdict verdict = budget.admit(tokens, now);
+    if (!verdict.admitted()) {
+        log_.write(decision_log::level::info, "limit_reached",
+                   {{"customer", terms.customer.value()},
+                    {"limit", to_text(verdict.reached)},
+                    {"running", std::to_string(budget.running())},
+                    {"share_requests", std::to_string(budget.share().requests)},
+                    {"share_tokens", std::to_string(budget.share().tokens)},
+                    {"share_concurrency", std::to_string(budget.share().concurrency)}});
+    }
+    return verdict;
+}
+
+void limit_service::finish(const customer_id& customer, double estimated, double actual) {
+    const auto found = budgets_.find(customer);
+    if (found != budgets_.end()) {
+        found->second.finish(estimated, actual);
+    }
+}
+
+void limit_service::ask(const customer_id& customer, customer_budget& budget) {
+    const auto terms = contracts_.find(customer);
+    const budget_request request = budget.make_request(customer, hosts_.self().host,
+                                                       terms ? terms->revision : 0, timers_.now());
+    const host_id keeper = keeper_of(customer);
+    if (keeper == hosts_.self().host || keeper.empty()) {
+        budget.apply(decide(request), timers_.now());
+        return;
+    }
+    const auto target = hosts_.find(keeper);
+    if (target) {
+        transport_.send(*target, request);
+    }
+}
+
+budget_grant limit_service::decide(const budget_request& request) {
+    const instant now = timers_.now();
+    const auto terms = contracts_.find(request.customer);
+    const bool new_keeper = memory_.is_new_first(keeper_key(request.customer), hosts_.self().host,
+                                                 limit_keeper::hold, now);
+    return keeper_.grant(request, terms ? terms->limits : customer_limits{},
+                         {memory_.live_fraction(now), new_keeper}, now);
+}
+
+void limit_service::receive(const host_id& sender, const budget_request& request) {
+    const auto target = hosts_.find(sender);
+    // A host that knows no contract yet cannot divide it, and one that is not the keeper would
+    // divide it a second time.
+    const bool keeps = keeper_of(request.customer) == hosts_.self().host;
+    if (target && keeps && contracts_.find(request.customer)) {
+        transport_.send(*target, decide(request));
+    }
+}
+
+void limit_service::receive(const host_id& sender, const budget_grant& grant) {
+    const auto found = budgets_.find(grant.customer);
+    if (found != budgets_.end() && sender == keeper_of(grant.customer)) {
+        found->second.apply(grant, timers_.now());
+    }
+}
+
+std::vector<limit_usage> limit_service::usage() const {
+    std::vector<limit_usage> all;
+    for (const auto& [customer, budget] : budgets_) {
+        all.push_back({customer, budget.limits(), budget.share(), budget.running(),
+                       keeper_of(customer), budget.age(timers_.now())});
+    }
+    return all;
+}
+
+}  // namespace fuchsiaquay
--- /dev/null
+++ b/servers/limits/limit_usage.hpp
@@ -0,0 +1,24 @@
+#pragma once
+
+#include <cstdint>
+
+#include "core/contract/customer_limits.hpp"
+#include "core/identity/names.hpp"
+#include "core/limits/limit_share.hpp"
+#include "core/time/clock.hpp"
+
+namespace fuchsiaquay {
+
+/// What one customer uses of its limits on this host.
+struct limit_usage {
+    customer_id customer;
+    customer_limits limits;
+    /// Share of this host.
+    limit_share share;
+    std::int64_t running = 0;
+    host_id keeper;
+    /// Time since the keeper last answered.
+    duration age{};
+};
+
+}  // namespace fuchsiaquay
--- /dev/null
+++ b/tests/servers/limits/limit_service_test.cpp
@@ -0,0 +1,133 @@
+#include "servers/limits/limit_service.hpp"
+
+#include <CppUTest/TestHarness.h>
+
+#include <cstdio>
+#include <cstdlib>
+
+#include "tests/servers/limits/limit_fleet.hpp"
+
+using namespace fuchsiaquay;
+using namespace fuchsiaquay::testing;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+/// The bounds are those of docs/design/limits.md.
+TEST_GROUP(limit_service) {
+    static constexpr double rate = 60.0;
+    static constexpr std::int64_t places = 90;
+    static constexpr int hosts = 9;
+    static constexpr double parted_factor = 1.25;
+
+    limit_fleet fleet_{hosts, customer_limits{rate, 0.0, places}};
+
+    static double most_allowed(double factor, double window) {
+        return factor * rate * (window + 1.0) + 2.0 * hosts;
+    }
+    /// Prints the figures when FUCHSIAQUAY_FIGURES is set.
+    void report(const char* name) {
+        if (std::getenv("FUCHSIAQUAY_FIGURES") != nullptr) {
+            std::printf(
+                "%s: most in 1 s %zu, in 10 s %zu, in 60 s %zu, at once %d, mean %.1f\n", name,
+                fleet_.most_in(seconds(1)), fleet_.most_in(seconds(10)),
+                fleet_.most_in(seconds(60)), fleet_.most_running,
+                static_cast<double>(fleet_.admitted.size()) /
+                    std::max(1.0, to_seconds(fleet_.admitted.back() - fleet_.admitted.front())));
+        }
+    }
+    void check_bounds(const char* name, double factor) {
+        report(name);
+        for (const double window : {1.0, 10.0, 60.0}) {
+            const auto most = static_cast<double>(fleet_.most_in(from_seconds(window)));
+            CHECK_TRUE(most <= most_allowed(factor, window));
+        }
+        CHECK_TRUE(fleet_.most_running <= factor * static_cast<double>(places) + hosts);
+    }
+    void offer_to(std::initializer_list<const char*> names, double each,
+                  duration length = milliseconds(500)) {
+        for (const char* name : names) {
+            fleet_.offer(name, each, 100.0, length);
+        }
+    }
+};
+
+TEST(limit_service, demand_on_three_hosts_gets_the_limit_and_no_more) {
+    offer_to({"h0", "h1", "h2"}, 50.0);
+    fleet_.timers.advance(seconds(5));
+    check_bounds("start", 1.0);
+    fleet_.measure();
+    fleet_.timers.advance(seconds(60));
+    check_bounds("three hosts", 1.0);
+    CHECK_TRUE(static_cast<double>(fleet_.admitted.size()) >= 0.9 * rate * 60.0);
+}
+
+TEST(limit_service, uneven_demand_gets_the_whole_limit) {
+    offer_to({"h0"}, 100.0);
+    offer_to({"h1", "h2"}, 2.0);
+    fleet_.timers.advance(seconds(5));
+    fleet_.measure();
+    fleet_.timers.advance(seconds(60));
+    check_bounds("uneven", 1.0);
+    CHECK_TRUE(static_cast<double>(fleet_.admitted.size()) >= 0.9 * rate * 60.0);
+}
+
+TEST(limit_service, demand_that_moves_is_followed_within_the_bound) {
+    offer_to({"h0"}, 100.0);
+    fleet_.timers.advance(seconds(20));
+    fleet_.measure();
+    offer_to({"h1", "h2", "h3"}, 100.0);
+    fleet_.timers.advance(seconds(60));
+    check_bounds("moved", 1.0);
+}
+
+TEST(limit_service, dead_keeper_keeps_the_total_within_the_bound) {
+    offer_to({"h0", "h1", "h2"}, 50.0);
+    fleet_.timers.advance(seconds(5));
+    fleet_.measure();
+    fleet_.kill(fleet_.keeper("h0"));
+    fleet_.timers.advance(seconds(60));
+    check_bounds("keeper dead", 1.0);
+}
+
+TEST(limit_service, parted_hosts_stay_within_the_bound) {
+    offer_to({"h0", "h3", "h6"}, 100.0);
+    fleet_.timers.advance(seconds(5));
+    fleet_.measure();
+    fleet_.part({{"h0", "h1", "h2"}, {"h3", "h4", "h5"}, {"h6", "h7", "h8"}});
+    fleet_.timers.advance(seconds(120));
+    check_bounds("parted 3/3/3", parted_factor);
+    fleet_.measure();
+    fleet_.heal();
+    fleet_.timers.advance(seconds(60));
+    check_bounds("healed", parted_factor);
+}
+
+TEST(limit_service, host_parted_alone_stays_within_the_bound) {
+    offer_to({"h0", "h8"}, 100.0);
+    fleet_.timers.advance(seconds(5));
+    fleet_.measure();
+    fleet_.part({{"h0", "h1", "h2", "h3", "h4", "h5", "h6", "h7"}, {"h8"}});
+    fleet_.timers.advance(seconds(120));
+    check_bounds("parted 8/1", parted_factor);
+}
+
+TEST(limit_service, long_requests_hold_their_places) {
+    offer_to({"h0", "h1", "h2"}, 30.0, seconds(20));
+    fleet_.timers.advance(seconds(5));
+    fleet_.measure();
+    fleet_.timers.advance(seconds(60));
+    offer_to({"h4", "h5"}, 30.0, seconds(20));
+    fleet_.timers.advance(seconds(60));
+    check_bounds("long requests", 1.0);
+}
+
+TEST(limit_service, large_requests_pay_their_debt) {
+    limit_fleet fleet{hosts, customer_limits{0.0, 1000.0, 0}};
+    fleet.offer("h0", 10.0, 5000.0, milliseconds(500));
+    fleet.offer("h1", 10.0, 5000.0, milliseconds(500));
+    fleet.timers.advance(seconds(5));
+    fleet.measure();
+    fleet.timers.advance(seconds(120));
+    CHECK_TRUE(fleet.tokens_admitted <= 1000.0 * 121.0 + 2 * 5000.0);
+    CHECK_TRUE(fleet.tokens_admitted >= 0.8 * 1000.0 * 120.0);
+}
