--- a/tests/scenarios/checker/history_checker.cpp
+++ b/tests/scenarios/checker/history_checker.cpp
@@ -138,8 +138,8 @@
     }
     for (const std::int64_t at_ms : executed->second) {
         if (at_ms < earliest_ms) {
-            report("not run", name_of(call) + " was told \"not run\" and ran at " +
-                                  std::to_string(at_ms));
+            report("not run",
+                   name_of(call) + " was told \"not run\" and ran at " + std::to_string(at_ms));
         }
     }
 }
--- a/tests/scenarios/runner/caller.cpp
+++ b/tests/scenarios/runner/caller.cpp
@@ -174,7 +174,7 @@
     terms.headers["Idempotency-Key"] = call.key;
     terms.body = call.body;
     terms.limit = std::chrono::milliseconds(call.deadline_ms + terms_.patience_ms);
-    const http_reply reply = call_http(terms);
+    http_reply reply = call_http(terms);
     if (reply.status != ok || !reply.error.empty()) {
         judge_failure(reply, tried);
     } else {
