--- a/tests/scenarios/prelude.lua
+++ b/tests/scenarios/prelude.lua
@@ -205,7 +205,14 @@
 
 [cluster]
 key = %s
-]], node.name, node.data_centre, node.http_port, node.peer_port, store_link_port, CLUSTER_KEY)
+
+[admin]
+bootstrap_operator_digest = %s
+
+[directory]
+keep_for_ms = 1500
+]], node.name, node.data_centre, node.http_port, node.peer_port, store_link_port, CLUSTER_KEY,
+        sha256_hex(OPERATOR_TOKEN))
 end
 
 local function run_node(node)
--- a/tests/scenarios/runner/directory.cpp
+++ b/tests/scenarios/runner/directory.cpp
@@ -12,7 +12,6 @@
 namespace {
 constexpr int ok = 200;
 constexpr std::chrono::milliseconds ask_limit(1500);
-constexpr std::int64_t milliseconds_per_second = 1000;
 }  // namespace
 
 directory::directory(std::vector<entrypoint> initial, std::string caller_key)
@@ -39,8 +38,8 @@
             return false;
         }
         current_ = found;
-        valid_until_ms_ = stand_ins::wall_clock_ms() +
-                          body.at("keep_seconds").as_integer() * milliseconds_per_second;
+        valid_until_ms_ =
+            stand_ins::wall_clock_ms() + body.at("keep_for_ms").as_number().to_int64();
         return true;
     } catch (const web::json::json_exception&) {
         return false;
