--- a/core/journal/shard_writer.cpp
+++ b/core/journal/shard_writer.cpp
@@ -182,6 +182,9 @@
 
 void shard_writer::decide(const pending_start& start, begin_verdict verdict, const char* reason,
                           std::optional<journal_outcome> outcome) {
+    if (verdict != begin_verdict::started) {
+        remember_if_sent(start);
+    }
     const bool consulted = known_ && read_known_ > start.reads_at_arrival;
     const bool key_unused = consulted && known_->find(start.request.record) == nullptr;
     decisions_.push_back({start.request.mark, verdict, reason, std::move(outcome), key_unused});
@@ -224,7 +227,6 @@
             kept.push_back(std::move(start));
             continue;
         }
-        remember_if_sent(start);
         decide(start, begin_verdict::not_run, "start_not_durable_in_time");
     }
     pending_ = std::move(kept);
@@ -360,7 +362,6 @@
         const start_request& request = start.request;
         journal_entry entry{request.record, request.fingerprint, request.mark, std::nullopt};
         if (next.encoded_bytes() + encoded_entry_bytes(entry) > settings_.max_shard_bytes) {
-            remember_if_sent(start);
             decide(start, begin_verdict::not_run, "journal_shard_full");
             continue;
         }
