--- a/servers/requests/request_flow.hpp
+++ b/servers/requests/request_flow.hpp
@@ -2,6 +2,7 @@
 
 #include <cstdint>
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
 #include <vector>
@@ -9,6 +10,9 @@
 #include "core/contract/contract.hpp"
 #include "core/request/dispatch_plan.hpp"
 #include "core/request/request_context.hpp"
+#include "core/routing/routing_request.hpp"
+#include "core/routing/scored_candidate.hpp"
+#include "servers/journal/journal_token.hpp"
 #include "servers/timer_service.hpp"
 
 namespace fuchsiaquay {
@@ -18,14 +22,18 @@
 /// One request on its way through the filters. Used on the control thread only.
 class request_flow {
 public:
-    request_flow(request_context context, std::weak_ptr<request_listener> listener)
+    request_flow(request_context context, std::shared_ptr<request_listener> listener)
         : context_(std::move(context)), listener_(std::move(listener)) {}
 
     const request_context& context() const noexcept { return context_; }
-    std::shared_ptr<request_listener> listener() const { return listener_.lock(); }
+    /// Null after the end.
+    const std::shared_ptr<request_listener>& listener() const noexcept { return listener_; }
 
     bool ended() const noexcept { return ended_; }
-    void mark_ended() noexcept { ended_ = true; }
+    void mark_ended() noexcept {
+        ended_ = true;
+        listener_.reset();
+    }
 
     /// Set by the contract filter.
     std::shared_ptr<const contract> terms;
@@ -34,13 +42,21 @@
     /// Set by the contract filter for service calls.
     bool repeatable = true;
 
-    /// Upstreams in the order to be tried, set by the route filter.
-    std::vector<upstream_record> candidates;
+    /// Set by the deduplicate filter while the journal holds a started entry.
+    std::optional<journal_token> journal_entry;
+
     /// Upstreams that failed this request.
     std::set<upstream_id> excluded;
-    /// Prompt tokens that the route filter expects in the cache of a candidate, same order.
-    std::vector<std::int64_t> cached_tokens;
-    std::int64_t expected_output_tokens = 0;
+    /// Set by the route filter for completions: the request as routed, the choices best first.
+    routing_request routing;
+    std::vector<scored_candidate> choices;
+    /// Set by the route filter for service calls: the replica whose calls count this one.
+    upstream_id counted_service;
+    /// Prompt tokens expected in the cache of the upstream chosen.
+    std::int64_t expected_cached_tokens = 0;
+
+    /// Set by the reserve filter: id of this attempt's reservation.
+    request_id reservation_id;
 
     /// Built up by the attempt filters.
     dispatch_plan plan;
@@ -56,7 +72,7 @@
 
 private:
     request_context context_;
-    std::weak_ptr<request_listener> listener_;
+    std::shared_ptr<request_listener> listener_;
     bool ended_ = false;
 };
 
