--- a/core/membership/data_centre_monitor.cpp
+++ b/core/membership/data_centre_monitor.cpp
@@ -5,10 +5,17 @@
 #include "core/hashing/hash.hpp"
 
 namespace fuchsiaquay {
+namespace {
+
+std::uint32_t key_of(const data_centre_id& data_centre) {
+    return static_cast<std::uint32_t>(stable_hash(data_centre.value()));
+}
+
+}  // namespace
 
 data_centre_monitor::data_centre_monitor(const data_centre_id& own, duration silent_after,
                                          instant now)
-    : own_key_(stable_hash(own.value())), silent_after_(silent_after), started_(now) {}
+    : own_key_(key_of(own)), silent_after_(silent_after), started_(now) {}
 
 void data_centre_monitor::advance_own() {
     ++entries_[own_key_].beat;
@@ -29,7 +36,7 @@
 }
 
 bool data_centre_monitor::reachable(const data_centre_id& data_centre, instant now) const {
-    const std::uint64_t key = stable_hash(data_centre.value());
+    const std::uint32_t key = key_of(data_centre);
     if (key == own_key_) {
         return true;
     }
--- a/core/membership/data_centre_monitor.hpp
+++ b/core/membership/data_centre_monitor.hpp
@@ -27,14 +27,14 @@
 
 private:
     struct entry {
-        std::uint64_t beat = 0;
+        std::uint32_t beat = 0;
         instant heard{};
     };
 
-    std::uint64_t own_key_;
+    std::uint32_t own_key_;
     duration silent_after_;
     instant started_;
-    std::map<std::uint64_t, entry> entries_;
+    std::map<std::uint32_t, entry> entries_;
 };
 
 }  // namespace fuchsiaquay
--- a/core/membership/member_entry.hpp
+++ b/core/membership/member_entry.hpp
@@ -12,6 +12,8 @@
     instant since{};
     /// True: a probe of this leaving host failed at `since`.
     bool unanswered = false;
+    /// True: this suspect was asked directly whether it lives.
+    bool asked = false;
 };
 
 }  // namespace fuchsiaquay
--- a/core/membership/member_table.cpp
+++ b/core/membership/member_table.cpp
@@ -61,7 +61,7 @@
         before = entry.update.state;
     }
     changes_.push_back(member_change{update, before});
-    entry = member_entry{update, now, false};
+    entry = member_entry{update, now, false, false};
     digest_stale_ = true;
 }
 
@@ -108,6 +108,19 @@
     return found;
 }
 
+std::vector<member_update> member_table::take_unasked(const data_centre_id& data_centre,
+                                                      instant limit) {
+    std::vector<member_update> found;
+    for (auto& [host, entry] : entries_) {
+        if (entry.update.state == member_state::suspect && !entry.asked && entry.since <= limit &&
+            entry.update.data_centre == data_centre) {
+            entry.asked = true;
+            found.push_back(entry.update);
+        }
+    }
+    return found;
+}
+
 void member_table::forget(instant limit) {
     for (auto it = entries_.begin(); it != entries_.end();) {
         const member_entry& entry = it->second;
--- a/core/membership/member_table.hpp
+++ b/core/membership/member_table.hpp
@@ -24,6 +24,8 @@
     std::vector<data_centre_id> data_centres() const;
     /// Suspects, and leaving hosts that stopped answering, since before `limit`.
     std::vector<member_update> overdue(instant limit) const;
+    /// Suspects of `data_centre` since before `limit` that were not returned by this call yet.
+    std::vector<member_update> take_unasked(const data_centre_id& data_centre, instant limit);
     /// Removes hosts dead since before `limit`.
     void forget(instant limit);
     /// Moves every pending suspicion by `gap`, a time in which this process was paused.
--- a/core/membership/membership.cpp
+++ b/core/membership/membership.cpp
@@ -87,7 +87,7 @@
         return;
     }
     probe_ = probe{target, ++last_sequence_, now, false, true};
-    send(table_.find(target)->update, gossip_kind::ping, probe_.sequence, target);
+    send(table_.find(target)->update, gossip_kind::ping, probe_.sequence, host_id());
 }
 
 void membership::request_indirect_probes() {
@@ -124,11 +124,16 @@
         suspicion.state = member_state::suspect;
         note(suspicion, now);
         // Waits in the socket of a paused process, which refutes as soon as it wakes.
-        send(suspicion, gossip_kind::ping, ++last_sequence_, suspicion.host);
+        send(suspicion, gossip_kind::ping, ++last_sequence_, host_id());
     }
 }
 
 void membership::bury_overdue(instant now) {
+    // Gossip may miss a host: each one asks a suspect itself before it holds it for dead.
+    const instant half = now - settings_.suspicion_timeout / 2;
+    for (const member_update& suspect : table_.take_unasked(self_.data_centre, half)) {
+        send(suspect, gossip_kind::ping, ++last_sequence_, host_id());
+    }
     for (member_update& late : table_.overdue(now - settings_.suspicion_timeout)) {
         // Only the data centre of a host, which probes it, declares it dead.
         if (late.data_centre == self_.data_centre) {
@@ -152,7 +157,7 @@
     const std::optional<member_update> remote =
         bridges_.next_remote(table_, self_.data_centre, random_);
     if (remote) {
-        send(*remote, gossip_kind::ping, ++last_sequence_, remote->host);
+        send(*remote, gossip_kind::ping, ++last_sequence_, host_id());
     }
 }
 
@@ -214,15 +219,13 @@
     }
     switch (message.kind) {
         case gossip_kind::ping:
-            if (message.subject == self_.host) {
-                send(from->update, gossip_kind::ack, message.sequence, self_.host);
-            }
+            send(from->update, gossip_kind::ack, message.sequence, host_id());
             break;
         case gossip_kind::ping_request: {
             const member_entry* target = table_.find(message.subject);
             if (target != nullptr) {
                 relays_[++last_sequence_] = relay{sender, message.sequence, message.subject, now};
-                send(target->update, gossip_kind::ping, last_sequence_, message.subject);
+                send(target->update, gossip_kind::ping, last_sequence_, host_id());
             }
             break;
         }
@@ -238,7 +241,8 @@
 }
 
 void membership::handle_ack(const host_id& sender, const gossip_message& message) {
-    if (probe_.pending && message.sequence == probe_.sequence && message.subject == probe_.target) {
+    const host_id& subject = message.subject.empty() ? sender : message.subject;
+    if (probe_.pending && message.sequence == probe_.sequence && subject == probe_.target) {
         probe_.pending = false;
         return;
     }
@@ -286,9 +290,12 @@
 
 void membership::spread(const member_update& update) {
     const std::size_t hosts = table_.live_hosts(self_.data_centre).size();
-    local_queue_.add(update, settings_.spread_factor * update_queue::decimal_digits(hosts + 1));
+    // A suspicion runs out in its own data centre, where the refutation must not wait.
+    const bool urgent = update.data_centre == self_.data_centre;
+    local_queue_.add(update, settings_.spread_factor * update_queue::decimal_digits(hosts + 1),
+                     urgent);
     if (bridge_ && update.state != member_state::suspect) {
-        remote_queue_.add(update, 2 * table_.data_centres().size());
+        remote_queue_.add(update, 2 * table_.data_centres().size(), urgent);
     }
 }
 
@@ -302,7 +309,7 @@
     table_.apply(self_, now);
     spread(self_);
     for (const host_id& peer : random_peers(settings_.indirect_probes, self_.host)) {
-        send(table_.find(peer)->update, gossip_kind::ping, ++last_sequence_, peer);
+        send(table_.find(peer)->update, gossip_kind::ping, ++last_sequence_, host_id());
     }
 }
 
@@ -326,8 +333,8 @@
         for (const host_id& host : hosts) {
             if (host != self_.host) {
                 const member_update& to = table_.find(host)->update;
-                outgoing_.push_back(
-                    outgoing_gossip{to, make_message(gossip_kind::ping, ++last_sequence_, host)});
+                outgoing_.push_back(outgoing_gossip{
+                    to, make_message(gossip_kind::ping, ++last_sequence_, host_id())});
                 outgoing_.back().message.updates = {update};
             }
         }
@@ -362,7 +369,7 @@
 }
 
 void membership::send_list(const member_update& to, gossip_kind kind) {
-    gossip_message message = make_message(kind, 0, to.host);
+    gossip_message message = make_message(kind, 0, host_id());
     message.updates = table_.all_updates();
     outgoing_.push_back(outgoing_gossip{to, std::move(message)});
 }
--- a/core/membership/update_queue.cpp
+++ b/core/membership/update_queue.cpp
@@ -1,6 +1,7 @@
 #include "core/membership/update_queue.hpp"
 
 #include <algorithm>
+#include <tuple>
 
 namespace fuchsiaquay {
 
@@ -13,9 +14,9 @@
     return digits;
 }
 
-void update_queue::add(const member_update& update, std::size_t transmissions) {
+void update_queue::add(const member_update& update, std::size_t transmissions, bool urgent) {
     if (transmissions != 0) {
-        pending_[update.host] = entry{update, transmissions};
+        pending_[update.host] = entry{update, transmissions, urgent};
     }
 }
 
@@ -25,8 +26,9 @@
     for (auto& [host, waiting] : pending_) {
         order.push_back(&waiting);
     }
-    std::stable_sort(order.begin(), order.end(),
-                     [](const entry* a, const entry* b) { return a->left > b->left; });
+    std::stable_sort(order.begin(), order.end(), [](const entry* a, const entry* b) {
+        return std::tie(a->urgent, a->left) > std::tie(b->urgent, b->left);
+    });
     order.resize(std::min(count, order.size()));
     std::vector<member_update> taken;
     taken.reserve(order.size());
--- a/core/membership/update_queue.hpp
+++ b/core/membership/update_queue.hpp
@@ -8,11 +8,12 @@
 
 namespace fuchsiaquay {
 
-/// Updates still to be spread, the least often sent first. Holds at most one a host.
+/// Updates still to be spread: urgent ones first, then the least often sent. Holds at most one a
+/// host.
 class update_queue {
 public:
     /// Queues `update` for `transmissions` messages, in place of an earlier one about its host.
-    void add(const member_update& update, std::size_t transmissions);
+    void add(const member_update& update, std::size_t transmissions, bool urgent);
     /// Up to `count` updates for one message.
     std::vector<member_update> take(std::size_t count);
     /// Smallest k with 10^k >= `count`, at least 1: the rounds in which gossip reaches all hosts.
@@ -23,6 +24,7 @@
     struct entry {
         member_update update;
         std::size_t left = 0;
+        bool urgent = false;
     };
     std::map<host_id, entry> pending_;
 };
--- a/core/messages/data_centre_beat.hpp
+++ b/core/messages/data_centre_beat.hpp
@@ -7,9 +7,9 @@
 
 /// Proof of life of a data centre: a counter that its bridge hosts advance.
 struct data_centre_beat {
-    /// `stable_hash` of the name of the data centre; keeps the message short.
-    std::uint64_t data_centre_key = 0;
-    std::uint64_t beat = 0;
+    /// Low half of `stable_hash` of the name of the data centre; keeps the message short.
+    std::uint32_t data_centre_key = 0;
+    std::uint32_t beat = 0;
 
     friend bool operator==(const data_centre_beat& a, const data_centre_beat& b) {
         return std::tie(a.data_centre_key, a.beat) == std::tie(b.data_centre_key, b.beat);
--- a/core/messages/gossip_message.hpp
+++ b/core/messages/gossip_message.hpp
@@ -16,7 +16,7 @@
     gossip_kind kind = gossip_kind::ping;
     /// Pairs an ack with its ping.
     std::uint64_t sequence = 0;
-    /// Host that the probe is meant for; for `ping_request` and its relayed ack, the host to probe.
+    /// Host to probe, for `ping_request` and its relayed ack; empty in direct ones.
     host_id subject;
     std::vector<member_update> updates;
     /// Hash over the whole membership of the sender; unequal ones lead to a full exchange.
--- /dev/null
+++ b/core/ownership/ownership.cpp
@@ -0,0 +1,26 @@
+#include "core/ownership/ownership.hpp"
+
+#include <utility>
+
+#include "core/hashing/rendezvous.hpp"
+#include "core/upstreams/upstream.hpp"
+
+namespace fuchsiaquay {
+
+ownership::ownership(live_hosts hosts, data_centres centres)
+    : hosts_(std::move(hosts)), centres_(std::move(centres)) {}
+
+host_id ownership::owner_of(const upstream& target) const {
+    const std::vector<host_id> near = hosts_(target.data_centre);
+    if (!near.empty()) {
+        return rendezvous_owner(target.id.value(), near);
+    }
+    std::vector<host_id> all;
+    for (const data_centre_id& centre : centres_()) {
+        const std::vector<host_id> hosts = hosts_(centre);
+        all.insert(all.end(), hosts.begin(), hosts.end());
+    }
+    return rendezvous_owner(target.id.value(), all);
+}
+
+}  // namespace fuchsiaquay
--- /dev/null
+++ b/core/upstreams/polled_upstreams.cpp
@@ -0,0 +1,61 @@
+#include "core/upstreams/polled_upstreams.hpp"
+
+#include <utility>
+
+namespace fuchsiaquay {
+
+std::optional<upstream_update> polled_upstreams::refresh() {
+    std::map<upstream_id, upstream> merged;
+    for (const upstream& listed : list_) {
+        merged[listed.id] = listed;
+    }
+    for (const upstream_override& decided : overrides_) {
+        if (decided.added && merged.count(decided.id) == 0) {
+            merged[decided.id] = *decided.added;
+        }
+        const auto found = merged.find(decided.id);
+        if (found != merged.end() && decided.drained) {
+            found->second.leaving = true;
+        }
+    }
+    upstream_update update;
+    for (const auto& [id, target] : merged) {
+        const auto known = view_.find(id);
+        if (known == view_.end() || known->second != target) {
+            update.changed.push_back(target);
+        }
+    }
+    for (const auto& [id, target] : view_) {
+        if (merged.count(id) == 0) {
+            update.gone.push_back(id);
+        }
+    }
+    if (update.changed.empty() && update.gone.empty()) {
+        return std::nullopt;
+    }
+    update.base_version = version_;
+    update.version = ++version_;
+    view_ = std::move(merged);
+    return update;
+}
+
+std::vector<upstream_update> polled_upstreams::complete(std::size_t max_upstreams) const {
+    std::vector<upstream_update> parts(1);
+    parts.front().version = version_;
+    for (const auto& [id, target] : view_) {
+        if (parts.back().changed.size() == max_upstreams) {
+            parts.push_back(reminder());
+        }
+        parts.back().changed.push_back(target);
+    }
+    return parts;
+}
+
+upstream_update polled_upstreams::reminder() const {
+    upstream_update update;
+    update.version = version_;
+    update.base_version = version_;
+    return update;
+}
+
+}  // namespace fuchsiaquay
--- /dev/null
+++ b/core/upstreams/polled_upstreams.hpp
@@ -0,0 +1,40 @@
+#pragma once
+
+#include <cstddef>
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <vector>
+
+#include "core/messages/upstream_update.hpp"
+#include "core/upstreams/upstream_override.hpp"
+
+namespace fuchsiaquay {
+
+/// The view of an elected poller: the host list under the overrides of the operators. Numbers each
+/// state of the view and makes the updates that carry it to the other hosts.
+class polled_upstreams {
+public:
+    /// @param first_version  must exceed every version of earlier processes of the host, for
+    ///                       example the start of the process in milliseconds since the epoch
+    explicit polled_upstreams(std::uint64_t first_version) : version_(first_version) {}
+
+    void set_list(std::vector<upstream> list) { list_ = std::move(list); }
+    void set_overrides(std::vector<upstream_override> overrides) {
+        overrides_ = std::move(overrides);
+    }
+    /// Takes in the list and the overrides. Returns the changes, nothing if there are none.
+    std::optional<upstream_update> refresh();
+    /// The whole view, in as many messages as `max_upstreams` a message needs; apply in order.
+    std::vector<upstream_update> complete(std::size_t max_upstreams) const;
+    /// An update without changes, by which a receiver finds that it missed one.
+    upstream_update reminder() const;
+
+private:
+    std::vector<upstream> list_;
+    std::vector<upstream_override> overrides_;
+    std::map<upstream_id, upstream> view_;
+    std::uint64_t version_;
+};
+
+}  // namespace fuchsiaquay
--- a/drivers/frames/frame_codec.cpp
+++ b/drivers/frames/frame_codec.cpp
@@ -4,6 +4,7 @@
 #include <openssl/evp.h>
 #include <openssl/hmac.h>
 
+#include <algorithm>
 #include <array>
 #include <utility>
 
@@ -24,13 +25,15 @@
 }
 
 mac_value mac_of(const std::string& key, std::string_view table) {
-    mac_value mac{};
+    std::array<unsigned char, EVP_MAX_MD_SIZE> full{};
     unsigned int length = 0;
     const unsigned char* made = HMAC(EVP_sha256(), key.data(), static_cast<int>(key.size()),
-                                     bytes_of(table), table.size(), mac.data(), &length);
-    if (made == nullptr || length != mac.size()) {
+                                     bytes_of(table), table.size(), full.data(), &length);
+    mac_value mac{};
+    if (made == nullptr || length < mac.size()) {
         throw frame_error("sign frame", "local", "HMAC-SHA256 failed");
     }
+    std::copy_n(full.begin(), mac.size(), mac.begin());
     return mac;
 }
 
--- a/drivers/frames/frame_codec.hpp
+++ b/drivers/frames/frame_codec.hpp
@@ -1,8 +1,8 @@
 #pragma once
 
 /// @file
-/// Bytes of a frame: length (4 bytes, little endian, of what follows), HMAC-SHA256 (32 bytes) over
-/// the rest, FlatBuffers table `Frame` of peer_frames.fbs.
+/// Bytes of a frame: length (4 bytes, little endian, of what follows), HMAC-SHA256
+/// truncated to 16 bytes (RFC 4868) over the rest, FlatBuffers table `Frame` of peer_frames.fbs.
 
 #include <cstddef>
 #include <cstdint>
@@ -19,7 +19,7 @@
 class frame_codec {
 public:
     static constexpr std::size_t length_bytes = 4;
-    static constexpr std::size_t mac_bytes = 32;
+    static constexpr std::size_t mac_bytes = 16;
     /// Largest accepted value of the length field.
     static constexpr std::size_t max_payload_bytes = std::size_t{256} * 1024;
 
--- a/drivers/frames/peer_frames_generated.h
+++ b/drivers/frames/peer_frames_generated.h
@@ -342,28 +342,28 @@
 bool VerifyBody(flatbuffers::Verifier &verifier, const void *obj, Body type);
 bool VerifyBodyVector(flatbuffers::Verifier &verifier, const flatbuffers::Vector<flatbuffers::Offset<void>> *values, const flatbuffers::Vector<Body> *types);
 
-FLATBUFFERS_MANUALLY_ALIGNED_STRUCT(8) DataCentreBeat FLATBUFFERS_FINAL_CLASS {
+FLATBUFFERS_MANUALLY_ALIGNED_STRUCT(4) DataCentreBeat FLATBUFFERS_FINAL_CLASS {
  private:
-  uint64_t data_centre_key_;
-  uint64_t beat_;
+  uint32_t data_centre_key_;
+  uint32_t beat_;
 
  public:
   DataCentreBeat()
       : data_centre_key_(0),
         beat_(0) {
   }
-  DataCentreBeat(uint64_t _data_centre_key, uint64_t _beat)
+  DataCentreBeat(uint32_t _data_centre_key, uint32_t _beat)
       : data_centre_key_(flatbuffers::EndianScalar(_data_centre_key)),
         beat_(flatbuffers::EndianScalar(_beat)) {
   }
-  uint64_t data_centre_key() const {
+  uint32_t data_centre_key() const {
     return flatbuffers::EndianScalar(data_centre_key_);
   }
-  uint64_t beat() const {
+  uint32_t beat() const {
     return flatbuffers::EndianScalar(beat_);
   }
 };
-FLATBUFFERS_STRUCT_END(DataCentreBeat, 16);
+FLATBUFFERS_STRUCT_END(DataCentreBeat, 8);
 
 struct MemberUpdate FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
   typedef MemberUpdateBuilder Builder;
--- /dev/null
+++ b/servers/upstreams/upstream_service.cpp
@@ -0,0 +1,174 @@
+#include "servers/upstreams/upstream_service.hpp"
+
+#include <algorithm>
+#include <string>
+#include <utility>
+
+#include "core/hashing/rendezvous.hpp"
+#include "servers/decision_log.hpp"
+#include "servers/membership/membership_service.hpp"
+#include "servers/peer_transport.hpp"
+#include "servers/upstreams/host_list_source.hpp"
+
+namespace fuchsiaquay {
+namespace {
+
+constexpr const char* poller_key = "host-list";
+constexpr std::size_t pollers_per_data_centre = 2;
+/// Keeps a message far below the frame bound: an upstream takes about 200 bytes.
+constexpr std::size_t max_upstreams_per_message = 500;
+/// A lost update is noticed within this.
+constexpr duration remind_period = std::chrono::seconds(10);
+
+}  // namespace
+
+upstream_service::upstream_service(timer_service& timers, peer_transport& transport,
+                                   decision_log& log, const membership_service& members,
+                                   host_list_source& list, duration poll_period)
+    : timers_(timers),
+      transport_(transport),
+      log_(log),
+      members_(members),
+      list_(list),
+      polled_(members.self().incarnation) {
+    poll_timer_ = timers_.every(poll_period, [this] { poll(); });
+    remind_timer_ = timers_.every(remind_period, [this] { remind(); });
+}
+
+upstream_service::~upstream_service() {
+    timers_.cancel(poll_timer_);
+    timers_.cancel(remind_timer_);
+}
+
+void upstream_service::elect() {
+    pollers_ = rendezvous_order(poller_key, members_.live_hosts(members_.self().data_centre),
+                                pollers_per_data_centre);
+    const host_id& self = members_.self().host;
+    poller_ = std::find(pollers_.begin(), pollers_.end(), self) != pollers_.end();
+    if (!poller_) {
+        informed_.clear();
+    }
+    if (catalogue_.retain(pollers_)) {
+        notify();
+    }
+}
+
+void upstream_service::poll() {
+    elect();
+    if (!poller_ || reading_) {
+        return;
+    }
+    reading_ = true;
+    list_.read([this](const std::string& failure, const std::vector<upstream>& upstreams) {
+        reading_ = false;
+        if (!failure.empty()) {
+            log_.write(decision_log::level::warning, "host_list_unread", {{"error", failure}});
+            return;
+        }
+        listed_ = true;
+        polled_.set_list(upstreams);
+        publish();
+    });
+}
+
+void upstream_service::set_overrides(std::vector<upstream_override> overrides) {
+    polled_.set_overrides(std::move(overrides));
+    if (poller_ && listed_) {
+        publish();
+    }
+}
+
+void upstream_service::publish() {
+    const host_id& self = members_.self().host;
+    const std::optional<upstream_update> changes = polled_.refresh();
+    if (changes) {
+        log_.write(decision_log::level::info, "upstreams_changed",
+                   {{"changed", std::to_string(changes->changed.size())},
+                    {"gone", std::to_string(changes->gone.size())}});
+        broadcast(*changes);
+    }
+    for (const upstream_update& part : polled_.complete(max_upstreams_per_message)) {
+        apply(self, part);
+    }
+    for (const host_id& host : members_.live_hosts(members_.self().data_centre)) {
+        if (host != self && informed_.insert(host).second) {
+            send_complete(host);
+        }
+    }
+}
+
+void upstream_service::broadcast(const upstream_update& update) {
+    for (const host_id& host : informed_) {
+        send(host, update);
+    }
+}
+
+void upstream_service::send_complete(const host_id& to) {
+    for (const upstream_update& part : polled_.complete(max_upstreams_per_message)) {
+        send(to, part);
+    }
+}
+
+void upstream_service::remind() {
+    if (!poller_ || !listed_) {
+        return;
+    }
+    for (auto it = informed_.begin(); it != informed_.end();) {
+        it = members_.find(*it) ? std::next(it) : informed_.erase(it);
+    }
+    broadcast(polled_.reminder());
+}
+
+void upstream_service::send(const host_id& to, const upstream_update& update) {
+    if (const std::optional<member_update> member = members_.find(to)) {
+        transport_.send(*member, update);
+    }
+}
+
+void upstream_service::receive(const host_id& sender, const upstream_update& message) {
+    if (message.request) {
+        if (poller_ && listed_) {
+            informed_.insert(sender);
+            send_complete(sender);
+        }
+        return;
+    }
+    apply(sender, message);
+}
+
+void upstream_service::apply(const host_id& poller, const upstream_update& update) {
+    switch (catalogue_.apply(poller, update)) {
+        case upstream_catalogue::outcome::unchanged:
+            break;
+        case upstream_catalogue::outcome::changed:
+            notify();
+            break;
+        case upstream_catalogue::outcome::incomplete: {
+            upstream_update request;
+            request.request = true;
+            send(poller, request);
+            break;
+        }
+    }
+}
+
+void upstream_service::notify() {
+    for (const observer& changed : observers_) {
+        changed();
+    }
+}
+
+std::vector<upstream> upstream_service::all() const {
+    std::vector<upstream> list;
+    list.reserve(catalogue_.all().size());
+    for (const auto& [id, target] : catalogue_.all()) {
+        list.push_back(target);
+    }
+    return list;
+}
+
+std::optional<upstream> upstream_service::find(const upstream_id& id) const {
+    return catalogue_.find(id);
+}
+
+}  // namespace fuchsiaquay
--- a/tests/core/membership/virtual_fleet.hpp
+++ b/tests/core/membership/virtual_fleet.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <algorithm>
 #include <cstdint>
 #include <functional>
 #include <map>
@@ -129,18 +130,25 @@
         return update;
     }
 
+    std::map<host_id, node>::iterator find(const member_update& to) {
+        if (!to.host.empty()) {
+            return nodes_.find(to.host);
+        }
+        return std::find_if(nodes_.begin(), nodes_.end(), [&](const auto& entry) {
+            return entry.second.logic->self().address == to.address;
+        });
+    }
+
     void deliver() {
         while (!network_.empty() && network_.top().due <= now) {
             const delivery next = network_.top();
             network_.pop();
-            for (auto& [host, member] : nodes_) {
-                const member_update& self = member.logic->self();
-                const bool named = next.out.to.host.empty() ? self.address == next.out.to.address
-                                                            : host == next.out.to.host;
-                if (named && member.running && !(cut && cut(next.from_update, self))) {
-                    member.inbox.emplace_back(next.from, next.out.message);
-                    break;
-                }
+            const auto found = find(next.out.to);
+            if (found == nodes_.end() || !found->second.running) {
+                continue;
+            }
+            if (!cut || !cut(next.from_update, found->second.logic->self())) {
+                found->second.inbox.emplace_back(next.from, next.out.message);
             }
         }
     }
