Two owners at once leave each other's streams alone

Cause, found by test: an owner cancelled after 5 s every engine stream that it had not granted. And an owner that woke from a pause longer than a grant's lifetime cancelled streams that others had kept alive meanwhile. Now a stream whose granting owner cannot be reached is left alone for 2 minutes, one of a reachable owner is cancelled after 5 s as before (its entry hosts share the membership and register again); an owner paused for more than 2 s starts anew, as one that takes over. Ruled out: never cancelling foreign streams (a host that dies as owner and entry would cost memory until the stream ends); asking the engine who reads a stream (it does not say).

--- a/core/ownership/ownership.cpp
+++ b/core/ownership/ownership.cpp
@@ -1,5 +1,6 @@
 #include "core/ownership/ownership.hpp"
 
+#include <string>
 #include <utility>
 
 #include "core/hashing/rendezvous.hpp"
@@ -23,4 +24,9 @@
     return rendezvous_owner(target.id.value(), all);
 }
 
+bool granted_by(const grant_id& grant, const host_id& host) {
+    const std::string prefix = host.value() + "-";
+    return grant.value().compare(0, prefix.size(), prefix) == 0;
+}
+
 }  // namespace fuchsiaquay
--- a/core/ownership/ownership.hpp
+++ b/core/ownership/ownership.hpp
@@ -30,4 +30,8 @@
     data_centres centres_;
 };
 
+/// True if `host` granted `grant` as owner, by the form of grant ids. A host whose name begins with
+/// that of another one and a dash may be taken for it.
+bool granted_by(const grant_id& grant, const host_id& host);
+
 }  // namespace fuchsiaquay
--- a/core/scheduling/grant_table.cpp
+++ b/core/scheduling/grant_table.cpp
@@ -118,7 +118,7 @@
 }
 
 std::vector<grant_id> grant_table::observe(const engine_report& report, duration orphan_grace,
-                                           instant now) {
+                                           duration parted_grace, instant now) {
     std::vector<grant_id> to_cancel;
     std::map<grant_id, instant> orphans;
     orphan_memory_ = 0;
@@ -136,7 +136,7 @@
         const instant since = known == orphans_.end() ? now : known->second;
         orphans[stream.grant] = since;
         orphan_memory_ += stream.memory_tokens;
-        if (now - since >= orphan_grace) {
+        if (now - since >= (stream.issuer_parted ? parted_grace : orphan_grace)) {
             to_cancel.push_back(stream.grant);
         }
     }
--- a/core/scheduling/grant_table.hpp
+++ b/core/scheduling/grant_table.hpp
@@ -31,8 +31,10 @@
     /// @param prefill_speed  tokens a second
     std::vector<served_work> advance(instant now, double prefill_speed);
     /// Compares with the engine's own list. Corrects predictions, drops grants whose stream has
-    /// ended, and returns streams to cancel since no grant covers them for `orphan_grace`.
-    std::vector<grant_id> observe(const engine_report& report, duration orphan_grace, instant now);
+    /// ended, and returns streams to cancel since no grant covers them for `orphan_grace`, or for
+    /// `parted_grace` if the owner that granted them cannot be reached.
+    std::vector<grant_id> observe(const engine_report& report, duration orphan_grace,
+                                  duration parted_grace, instant now);
 
     std::int64_t memory_used() const noexcept { return memory_used_ + orphan_memory_; }
     std::int64_t memory_used(int level) const;
--- a/core/scheduling/upstream_queue.cpp
+++ b/core/scheduling/upstream_queue.cpp
@@ -229,7 +229,7 @@
     // Entry hosts have not registered their grants again yet while the owner rebuilds.
     const duration grace =
         rebuilding_ ? settings_.orphan_grace + settings_.rebuild_time : settings_.orphan_grace;
-    actions.cancels = grants_.observe(report, grace, now);
+    actions.cancels = grants_.observe(report, grace, settings_.parted_orphan_grace, now);
     speed_ratio_ = std::clamp(speed_ratio_ * grants_.take_speed_correction(), min_speed_ratio,
                               max_speed_ratio);
     dispatch(now, actions);
--- a/core/scheduling/upstream_settings.hpp
+++ b/core/scheduling/upstream_settings.hpp
@@ -46,6 +46,9 @@
     duration grant_lifetime = std::chrono::seconds(10);
     /// Time an engine stream may be without a grant before it is cancelled.
     duration orphan_grace = std::chrono::seconds(5);
+    /// The same for a stream whose granting owner cannot be reached: it may be parted rather than
+    /// dead, and its entry hosts with it.
+    duration parted_orphan_grace = std::chrono::minutes(2);
     /// Time a new owner waits for entry hosts to register their grants again.
     duration rebuild_time = std::chrono::seconds(4);
     /// Memory a new owner may grant before it has rebuilt its state, as a part of the whole.
--- a/servers/reservation/owner_service.cpp
+++ b/servers/reservation/owner_service.cpp
@@ -1,9 +1,11 @@
 #include "servers/reservation/owner_service.hpp"
 
+#include <algorithm>
 #include <string>
 #include <utility>
 #include <vector>
 
+#include "core/ownership/ownership.hpp"
 #include "core/scheduling/engine_report.hpp"
 #include "core/scheduling/fair_rank_policy.hpp"
 #include "core/scheduling/upstream_queue.hpp"
@@ -23,6 +25,8 @@
 /// A queue with nothing pending still ends its rebuilding and expired grants.
 constexpr duration idle_tick_period = std::chrono::milliseconds(200);
 constexpr duration poll_period = std::chrono::seconds(1);
+/// Below the suspicion time-out of the membership: no other owner can have been chosen earlier.
+constexpr duration pause_limit = std::chrono::seconds(2);
 constexpr duration refused_retry_after = std::chrono::milliseconds(200);
 
 reserve_reply not_owner(const reserve_request& request) {
@@ -40,7 +44,8 @@
 struct owner_service::owned_upstream {
     owned_upstream(upstream known, const upstream_settings& settings, instant now)
         : target(std::move(known)),
-          queue(settings, std::make_unique<fair_rank_policy>(settings.tokens_per_second), true, now) {}
+          queue(settings, std::make_unique<fair_rank_policy>(settings.tokens_per_second), true,
+                now) {}
 
     upstream target;
     upstream_queue queue;
@@ -60,6 +65,7 @@
       transport_(transport),
       engines_(engines),
       defaults_(std::move(defaults)),
+      last_tick_(timers.now()),
       tick_timer_(timers.every(tick_period, [this] { tick(); })),
       poll_timer_(timers.every(poll_period, [this] { poll_engines(); })) {}
 
@@ -112,8 +118,7 @@
     std::map<upstream_id, upstream> mine;
     for (const upstream& target : upstreams_.all()) {
         const auto owner = owners_.owner_of(target);
-        if (target.kind == upstream_kind::engine && owner &&
-            owner->host == hosts_.host().host) {
+        if (target.kind == upstream_kind::engine && owner && owner->host == hosts_.host().host) {
             mine.emplace(target.id, target);
         }
     }
@@ -150,8 +155,23 @@
     poll_engines();
 }
 
+void owner_service::recover_from_pause(duration gap) {
+    // Others may have owned these upstreams meanwhile and renewed their grants: what this host
+    // remembers is stale, so it starts anew as an owner that takes over.
+    log_.write(decision_log::level::warning, "ownership_restarted",
+               {{"paused_ms", std::to_string(to_milliseconds(gap))},
+                {"upstreams", std::to_string(queues_.size())}});
+    queues_.clear();
+    refresh();
+}
+
 void owner_service::tick() {
     const instant now = timers_.now();
+    const duration gap = now - last_tick_;
+    last_tick_ = now;
+    if (gap > pause_limit) {
+        recover_from_pause(gap);
+    }
     for (const auto& entry : queues_) {
         owned_upstream& owned = *entry.second;
         const bool due = owned.queue.next_wakeup(now) <= now + tick_period;
@@ -183,11 +203,25 @@
             }
             engine_report dated = report;
             dated.asked_at = asked_at;
+            mark_parted(dated);
             carry_out(*current, current->queue.observe_engine(dated, timers_.now()));
         });
     }
 }
 
+void owner_service::mark_parted(engine_report& report) const {
+    const host_id& self = hosts_.host().host;
+    const std::vector<member_update> live = hosts_.live_hosts();
+    for (engine_stream& stream : report.streams) {
+        if (granted_by(stream.grant, self)) {
+            continue;
+        }
+        stream.issuer_parted = std::none_of(
+            live.begin(), live.end(),
+            [&](const member_update& member) { return granted_by(stream.grant, member.host); });
+    }
+}
+
 void owner_service::carry_out(const owned_upstream& owned, const scheduling_actions& actions) {
     for (const addressed_reply& item : actions.replies) {
         log_.write(decision_log::level::debug, "reserve_reply",
--- a/servers/reservation/owner_service.hpp
+++ b/servers/reservation/owner_service.hpp
@@ -60,6 +60,9 @@
     owned_upstream* find(const upstream_id& id);
     void add(const upstream& target);
     void tick();
+    void recover_from_pause(duration gap);
+    /// Marks streams whose granting owner cannot be reached from here.
+    void mark_parted(engine_report& report) const;
     void poll_engines();
     void carry_out(const owned_upstream& owned, const scheduling_actions& actions);
 
@@ -71,6 +74,7 @@
     peer_transport& transport_;
     engine_admin& engines_;
     upstream_settings defaults_;
+    instant last_tick_;
     local_reply deliver_;
     std::map<upstream_id, std::unique_ptr<owned_upstream>> queues_;
     timer_service::subscription tick_timer_;
