--- a/core/routing/group_reservation.cpp
+++ b/core/routing/group_reservation.cpp
@@ -62,6 +62,9 @@
     grants_.push_back(reply);
     renew_at_ = std::min(renew_at_, now + settings_.group_renewal);
     if (grants_.size() < parts_.size()) {
+        if (!quick()) {
+            actions.early_grants.push_back(reply);
+        }
         ask_next(now, actions);
         return actions;
     }
--- a/core/routing/reservation_settings.hpp
+++ b/core/routing/reservation_settings.hpp
@@ -16,7 +16,7 @@
     duration reply_timeout = std::chrono::milliseconds(250);
     /// Attempts of a group that end as soon as a part would wait longer than
     /// `acceptable_group_wait`; the entry host plans each anew with the loads it has learned.
-    std::size_t quick_group_attempts = 4;
+    std::size_t quick_group_attempts = 30;
     duration acceptable_group_wait = std::chrono::seconds(2);
     /// Pause between two attempts.
     duration group_pause = std::chrono::seconds(1);
--- a/core/routing/routing_actions.hpp
+++ b/core/routing/routing_actions.hpp
@@ -15,6 +15,9 @@
     std::vector<reserve_request> reserves;
     std::vector<grant_release> releases;
     std::vector<grant_renewal> renewals;
+    /// Parts of a group that were granted while others are awaited; their prefill may start now, to
+    /// be cancelled when the outcome is not granted.
+    std::vector<reserve_reply> early_grants;
     std::optional<routing_outcome> outcome;
 };
 
--- a/core/scheduling/fair_rank_policy.cpp
+++ b/core/scheduling/fair_rank_policy.cpp
@@ -175,8 +175,8 @@
             left -= level >= queued.request.level ? state.short_usage.at(now) : 0.0;
         }
     }
-    const double owed = queued.is_long ? long_floor(queued.request.floor_share)
-                                       : queued.request.floor_share;
+    const double owed =
+        queued.is_long ? long_floor(queued.request.floor_share) : queued.request.floor_share;
     return std::max({left, owed * speed, min_speed_share * speed});
 }
 
--- a/ctl/bench/simulated_entry.hpp
+++ b/ctl/bench/simulated_entry.hpp
@@ -46,6 +46,7 @@
         std::int64_t memory_tokens = 0;
         int engine_priority = 0;
         bool generates = true;
+        bool submitted = false;
         bool held = false;
     };
     struct active_request {
@@ -56,6 +57,8 @@
         std::unique_ptr<group_reservation> group;
         std::vector<dispatched_part> parts;
         std::int64_t expected_cached = 0;
+        /// Every part is granted.
+        bool complete = false;
         int engine_retries = 0;
         std::size_t group_attempts = 0;
     };
@@ -64,6 +67,7 @@
     void carry_out(const std::string& id, const routing_actions& actions);
     void retry_group(const std::string& id);
     void schedule_tick(const std::string& id, instant when);
+    void add_part(active_request& active, const reserve_reply& grant);
     void dispatch(active_request& active, const routing_outcome& outcome);
     void submit_part(const std::string& id, std::size_t part);
     void submit_ready(active_request& active);
