--- a/core/routing/reservation_settings.hpp
+++ b/core/routing/reservation_settings.hpp
@@ -23,7 +23,7 @@
     /// Between two renewals of the parts granted so far.
     duration group_renewal = std::chrono::seconds(3);
     /// Longest that the last attempt waits for all its parts.
-    duration group_wait = std::chrono::seconds(120);
+    duration group_wait = std::chrono::seconds(45);
 };
 
 }  // namespace fuchsiaquay
