Administration API: routes, operators, contracts, keys, upstreams, nodes, limits, explain, status

Cause: operators drive the system by changing contracts and upstreams on any node. Operators are read from the store only when one calls, so idle nodes cost it nothing.

--- /dev/null
+++ b/drivers/admin/operator_directory.cpp
@@ -0,0 +1,65 @@
+#include "drivers/admin/operator_directory.hpp"
+
+#include <utility>
+
+#include "core/error/step_error.hpp"
+#include "servers/decision_log.hpp"
+#include "servers/store/key_value_store.hpp"
+
+namespace fuchsiaquay {
+
+operator_directory::operator_directory(key_value_store& store, timer_service& timers,
+                                       decision_log& log, std::string bootstrap_digest)
+    : store_(store), timers_(timers), log_(log), bootstrap_digest_(std::move(bootstrap_digest)) {
+    load("");
+}
+
+void operator_directory::find(const std::string& token, identity_handler done) {
+    const bool fresh = loaded_ && timers_.now() - loaded_at_ < keep_time;
+    if (fresh) {
+        done(list_.find(token));
+        return;
+    }
+    waiting_.emplace_back(token, std::move(done));
+    if (waiting_.size() > 1) {
+        return;
+    }
+    std::weak_ptr<bool> alive = alive_;
+    store_.read(operators_key, [this, alive](const read_result& reading) {
+        if (alive.expired()) {
+            return;
+        }
+        if (reading.ok()) {
+            load(reading.values.empty() ? "" : reading.values.front().value);
+            loaded_ = true;
+            loaded_at_ = timers_.now();
+        }
+        answer_waiting();
+    });
+}
+
+void operator_directory::load(const std::string& text) {
+    operator_list next;
+    try {
+        if (!text.empty()) {
+            next = operator_list::parse(text);
+        }
+    } catch (const step_error& error) {
+        log_.write(decision_log::level::error, "operators_unreadable", {{"error", error.what()}});
+        return;
+    }
+    if (!bootstrap_digest_.empty()) {
+        next.add({{"bootstrap", operator_role::change}, bootstrap_digest_});
+    }
+    list_ = std::move(next);
+}
+
+void operator_directory::answer_waiting() {
+    const auto waiting = std::move(waiting_);
+    waiting_.clear();
+    for (const auto& [token, done] : waiting) {
+        done(list_.find(token));
+    }
+}
+
+}  // namespace fuchsiaquay
--- /dev/null
+++ b/servers/admin/node_operations.hpp
@@ -0,0 +1,29 @@
+#pragma once
+
+#include <functional>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "core/identity/names.hpp"
+
+namespace fuchsiaquay {
+
+/// What operators can do with nodes, and what a node reports of itself.
+class node_operations {
+public:
+    /// Receives an empty text on success.
+    using done_handler = std::function<void(const std::string& failure)>;
+
+    node_operations() = default;
+    node_operations(const node_operations&) = delete;
+    node_operations& operator=(const node_operations&) = delete;
+    virtual ~node_operations() = default;
+
+    /// Starts the graceful shutdown of a node.
+    virtual void drain(const host_id& host, const done_handler& done) = 0;
+    /// Figures of this node for `status`, with names as in the metrics.
+    virtual std::vector<std::pair<std::string, double>> figures() const = 0;
+};
+
+}  // namespace fuchsiaquay
