--- a/main/control_plane.cpp
+++ b/main/control_plane.cpp
@@ -26,7 +26,8 @@
     transport_settings result;
     result.self = host_id(settings.host);
     result.address = settings.address;
-    result.port = settings.peer_port;
+    result.port = settings.peer_listen_port;
+    result.advertised_port = settings.peer_port;
     result.incarnation = incarnation;
     result.keys.current = settings.cluster_key;
     result.keys.other = settings.other_cluster_key;
@@ -49,8 +50,7 @@
     const std::size_t first = text.find('@');
     const std::size_t colon = text.find(':', first + 1);
     const std::size_t second = text.find('@', colon + 1);
-    if (first == std::string::npos || colon == std::string::npos ||
-        second == std::string::npos) {
+    if (first == std::string::npos || colon == std::string::npos || second == std::string::npos) {
         throw step_error("read seeds", text, "allowed: host@address:peer_port@data_centre");
     }
     member_update peer;
@@ -103,8 +103,8 @@
       watcher_(book_, store_, loop, transport_, hosts_, format_, log,
                make_watcher_settings(settings)),
       editor_(store_, loop, format_, settings.host + "-" + std::to_string(incarnation)),
-      journal_(make_journal_settings(settings), {host_id(settings.host), incarnation}, store_,
-               loop, clock_, shard_codec_, hosts_),
+      journal_(make_journal_settings(settings), {host_id(settings.host), incarnation}, store_, loop,
+               clock_, shard_codec_, hosts_),
       host_list_(loop, platform_uri(settings), settings.platform_timeout),
       seeds_(parse_seeds(settings.seeds)) {
     members_.set_first_peers(seeds_);
@@ -166,7 +166,8 @@
         transaction change;
         const std::string key = node_prefix + members_.self().host.value();
         change.writes.push_back({key, print_node_record(members_.self()), false, lease});
-        store_.commit(change, [](const write_result&) {});
+        // Of two hosts that start at once, the later to register sees the earlier one.
+        store_.commit(change, [this](const write_result&) { read_first_peers(); });
     });
 }
 
