--- a/tests/servers/journal/journal_fleet.hpp
+++ b/tests/servers/journal/journal_fleet.hpp
@@ -10,7 +10,7 @@
 #include "servers/journal/journal_peers.hpp"
 #include "servers/journal/journal_service.hpp"
 #include "servers/wall_clock.hpp"
-#include "tests/servers/journal/fake_store_client.hpp"
+#include "tests/servers/journal/journal_store_client.hpp"
 #include "tests/servers/virtual_timer_service.hpp"
 
 namespace fuchsiaquay {
@@ -72,7 +72,7 @@
 
         journal_fleet& fleet_;
         host_id host_;
-        fake_store_client store_;
+        journal_store_client store_;
         virtual_wall_clock clock_;
         std::uint64_t incarnation_ = 0;
         std::unique_ptr<journal_service> journal_;
@@ -131,7 +131,7 @@
     virtual_timer_service timers_;
     journal_settings settings_;
     journal_fault fault_;
-    fake_store store_;
+    journal_store store_;
     flatbuffers_shard_codec codec_;
     std::map<std::string, int> executions_;
     /// Hosts that the membership holds for dead.
--- a/tests/servers/journal/journal_scenario.hpp
+++ b/tests/servers/journal/journal_scenario.hpp
@@ -30,6 +30,18 @@
     return {fleet.executions_[key], second.verdict};
 }
 
+/// Nodes a and b take the key up at the same time.
+inline journal_scenario_end presented_at_two_nodes_at_once(bool compare) {
+    journal_fleet fleet;
+    fleet.store_.compare_ = compare;
+    const std::string key = fleet.new_key();
+    std::vector<begin_result> first;
+    fleet.call("a", key, first);
+    const begin_result second = fleet.call_and_wait("b", key);
+    fleet.timers_.advance(std::chrono::seconds(1));
+    return {fleet.executions_[key], second.verdict};
+}
+
 /// The call is sent and not answered; the caller asks again at another node.
 inline journal_scenario_end call_unanswered_and_asked_again(journal_fault fault) {
     journal_fleet fleet(fault);
--- a/tests/servers/journal/journal_scenario_test.cpp
+++ b/tests/servers/journal/journal_scenario_test.cpp
@@ -25,6 +25,11 @@
                                         begin_verdict::started);
 }
 
+TEST(journal_scenario, write_without_compare_runs_twice) {
+    LONGS_EQUAL(2, fuchsiaquay::presented_at_two_nodes_at_once(false).executions);
+    LONGS_EQUAL(1, fuchsiaquay::presented_at_two_nodes_at_once(true).executions);
+}
+
 TEST(journal_scenario, forgotten_unanswered_call_runs_twice) {
     check_runs_once_only_with_mechanism(fuchsiaquay::call_unanswered_and_asked_again,
                                         journal_fault::forget_unanswered_call,
--- a/tests/servers/journal/fake_store.hpp
+++ b/tests/servers/journal/journal_store.hpp
@@ -10,9 +10,12 @@
 
 namespace fuchsiaquay {
 
-/// Values behind every `fake_store_client`, with revisions as the platform's store gives them.
-class fake_store {
+/// Values behind every `journal_store_client`, with revisions as the platform's store gives them.
+class journal_store {
 public:
+    /// False: writes take effect whatever their conditions, as no correct store lets them.
+    bool compare_ = true;
+
     stored_value get(const std::string& key) const {
         const auto found = values_.find(key);
         return found == values_.end() ? stored_value{key, "", 0} : found->second;
@@ -20,7 +23,7 @@
 
     write_result apply(const transaction& change) {
         for (const transaction::condition& condition : change.conditions) {
-            if (get(condition.key).revision != condition.revision) {
+            if (compare_ && get(condition.key).revision != condition.revision) {
                 return {write_outcome::conflict, 0, ""};
             }
         }
--- a/tests/servers/journal/fake_store_client.hpp
+++ b/tests/servers/journal/journal_store_client.hpp
@@ -6,15 +6,15 @@
 
 #include "servers/store/key_value_store.hpp"
 #include "servers/timer_service.hpp"
-#include "tests/servers/journal/fake_store.hpp"
+#include "tests/servers/journal/journal_store.hpp"
 
 namespace fuchsiaquay {
 
-/// One node's connection to a `fake_store` in virtual time: 2 to 5 ms a call from a seed, with
+/// One node's connection to a `journal_store` in virtual time: 2 to 5 ms a call from a seed, with
 /// outages, lost answers and writes that land late. Leases and watches do nothing.
-class fake_store_client final : public key_value_store {
+class journal_store_client final : public key_value_store {
 public:
-    fake_store_client(fake_store& store, timer_service& timers, unsigned seed)
+    journal_store_client(journal_store& store, timer_service& timers, unsigned seed)
         : store_(store), timers_(timers), random_(seed) {}
 
     /// Calls fail after the time-out and have no effect.
@@ -89,7 +89,7 @@
         });
     }
 
-    fake_store& store_;
+    journal_store& store_;
     timer_service& timers_;
     std::mt19937 random_;
     std::shared_ptr<bool> connected_ = std::make_shared<bool>(true);
