Node: catalogue, ownership, limits, circuit breakers, administration API and explain wired in

Every message kind now has its part. A node answered entry points before it was listed in the membership (empty answer seen in the demo): readiness now waits for that and for the upstreams.

--- /dev/null
+++ b/drivers/admin/admin_endpoint.cpp
@@ -0,0 +1,92 @@
+#include "drivers/admin/admin_endpoint.hpp"
+
+#include <cpprest/http_msg.h>
+
+#include <string>
+#include <utility>
+
+#include "drivers/admin/admin_api.hpp"
+#include "drivers/control/control_loop.hpp"
+#include "drivers/http/http_server.hpp"
+#include "drivers/http/limited_body.hpp"
+#include "servers/admin/admin_reply.hpp"
+#include "servers/admin/admin_request.hpp"
+
+namespace fuchsiaquay {
+
+namespace http = web::http;
+
+namespace {
+
+/// Contracts are the largest bodies of operators.
+constexpr std::size_t max_admin_body_bytes = 262'144;
+constexpr duration admin_body_timeout = std::chrono::seconds(10);
+
+std::string header(const http::http_request& message, const char* name) {
+    const auto found = message.headers().find(name);
+    return found == message.headers().end() ? "" : found->second;
+}
+
+std::string bearer_token(const http::http_request& message) {
+    constexpr std::string_view scheme = "Bearer ";
+    const std::string value = header(message, "Authorization");
+    return value.compare(0, scheme.size(), scheme) == 0 ? value.substr(scheme.size()) : "";
+}
+
+admin_request make_request(const http::http_request& message, const std::string& body) {
+    admin_request request;
+    request.method = message.method();
+    request.path = web::uri::decode(message.relative_uri().path());
+    for (const auto& [name, value] : web::uri::split_query(message.relative_uri().query())) {
+        request.query[web::uri::decode(name)] = web::uri::decode(value);
+    }
+    request.token = bearer_token(message);
+    request.if_match = header(message, "If-Match");
+    request.if_none_match = header(message, "If-None-Match");
+    request.body = body;
+    return request;
+}
+
+void send_reply(const http::http_request& message, const admin_reply& reply) {
+    http::http_response response(static_cast<http::status_code>(reply.status));
+    for (const auto& [name, value] : reply.headers) {
+        response.headers().add(name, value);
+    }
+    response.set_body(reply.body, "application/json");
+    message.reply(response).then([](const pplx::task<void>& replied) {
+        try {
+            replied.get();
+        } catch (const std::exception&) {
+            // The operator has left; the change stands and can be read again.
+        }
+    });
+}
+
+void refuse_body(const http::http_request& message) {
+    admin_reply reply;
+    reply.status = http::status_codes::RequestEntityTooLarge;
+    reply.body = R"({"error":{"code":"body_refused","message":"the body is too large or too slow"}})";
+    send_reply(message, reply);
+}
+
+}  // namespace
+
+void add_admin_route(http_server& server, control_loop& loop, admin_api& api) {
+    server.route("/admin/v1", [&loop, &api](const http::http_request& message) {
+        read_limited_body(
+            loop, message, max_admin_body_bytes, admin_body_timeout,
+            [&loop, &api, message](body_outcome outcome, const std::string& body) {
+                if (outcome != body_outcome::complete) {
+                    refuse_body(message);
+                    return;
+                }
+                loop.post([&api, message, request = make_request(message, body)] {
+                    api.handle(request, [message](const admin_reply& reply) {
+                        send_reply(message, reply);
+                    });
+                });
+            });
+    });
+}
+
+}  // namespace fuchsiaquay
--- a/main/control_plane.cpp
+++ b/main/control_plane.cpp
@@ -4,9 +4,12 @@
 #include <vector>
 
 #include "core/error/step_error.hpp"
+#include "core/directory/directory_settings.hpp"
 #include "core/membership/member_change.hpp"
+#include "core/upstreams/upstream_override.hpp"
 #include "drivers/control/control_loop.hpp"
 #include "drivers/json/node_record.hpp"
+#include "drivers/json/upstream_codec.hpp"
 #include "main/node_settings.hpp"
 #include "servers/decision_log.hpp"
 
@@ -16,6 +19,8 @@
 
 /// A host whose node has ended vanishes from the store after this.
 constexpr duration lease_lifetime = std::chrono::seconds(30);
+/// Operators' decisions about upstreams reach the pollers within this.
+constexpr duration upstream_record_period = std::chrono::seconds(1);
 constexpr duration keep_alive_period = std::chrono::seconds(10);
 /// Contracts not proved current for this long are reported as unproved.
 constexpr duration contract_freshness_limit = std::chrono::seconds(5);
@@ -81,6 +86,16 @@
     return result;
 }
 
+upstream_override make_override(const operator_upstream& record) {
+    upstream_override result;
+    result.id = record.value.id;
+    result.drained = record.wish != operator_wish::serve;
+    if (record.described) {
+        result.added = record.value;
+    }
+    return result;
+}
+
 journal_settings make_journal_settings(const node_settings& settings) {
     journal_settings result;
     result.writes_per_second = static_cast<double>(settings.journal_writes_per_second);
@@ -106,39 +121,47 @@
       journal_(make_journal_settings(settings), {host_id(settings.host), incarnation}, store_, loop,
                clock_, shard_codec_, hosts_),
       host_list_(loop, platform_uri(settings), settings.platform_timeout),
+      upstreams_(loop, transport_, log, members_, host_list_, settings.host_list_period),
+      limits_(loop, transport_, hosts_, contracts_, log, directory_settings().hosts_per_customer),
       seeds_(parse_seeds(settings.seeds)) {
     members_.set_first_peers(seeds_);
-    members_.on_change([this](const member_change&) {
-        if (changed_) {
-            changed_();
-        }
-    });
+    members_.on_change([this](const member_change&) { topology_changed(); });
+    upstreams_.on_change([this] { topology_changed(); });
     editor_.on_accepted([this](const contract_change& change) { watcher_.apply_own(change); });
     watcher_.start();
     read_first_peers();
     register_host();
-    read_host_list();
-    loop.every(settings.host_list_period, [this] { read_host_list(); });
+    limits_.start();
+    loop.every(upstream_record_period, [this] { read_upstream_records(); });
     loop.every(keep_alive_period, [this] { keep_registered(); });
 }
 
 control_plane::~control_plane() = default;
 
-void control_plane::read_host_list() {
-    if (reading_list_) {
+void control_plane::topology_changed() const {
+    if (changed_) {
+        changed_();
+    }
+}
+
+void control_plane::read_upstream_records() {
+    if (!upstreams_.is_poller()) {
         return;
     }
-    reading_list_ = true;
-    host_list_.read([this](const std::string& failure, const std::vector<upstream>& list) {
-        reading_list_ = false;
-        if (!failure.empty() || !upstreams_.replace(list)) {
+    store_.read_prefix(operator_upstream_prefix, [this](const read_result& result) {
+        if (!result.ok()) {
             return;
         }
-        log_.write(decision_log::level::info, "upstreams_changed",
-                   {{"count", std::to_string(list.size())}});
-        if (changed_) {
-            changed_();
+        std::vector<upstream_override> overrides;
+        for (const stored_value& value : result.values) {
+            try {
+                overrides.push_back(make_override(parse_operator_upstream(value.value)));
+            } catch (const step_error& error) {
+                log_.write(decision_log::level::warning, "upstream_record_unreadable",
+                           {{"key", value.key}, {"error", error.what()}});
+            }
         }
+        upstreams_.set_overrides(std::move(overrides));
     });
 }
 
--- a/main/control_plane.hpp
+++ b/main/control_plane.hpp
@@ -15,7 +15,8 @@
 #include "servers/contracts/contract_watcher.hpp"
 #include "servers/journal/journal_service.hpp"
 #include "servers/membership/membership_service.hpp"
-#include "servers/upstreams/listed_upstreams.hpp"
+#include "servers/limits/limit_service.hpp"
+#include "servers/upstreams/upstream_service.hpp"
 #include "servers/views/membership_view.hpp"
 
 namespace fuchsiaquay {
@@ -40,8 +41,10 @@
     asio_peer_transport& transport() { return transport_; }
     membership_service& members() { return members_; }
     const membership_view& hosts() const { return hosts_; }
-    const listed_upstreams& upstreams() const { return upstreams_; }
-    const contract_book& book() const { return book_; }
+    upstream_service& upstreams() { return upstreams_; }
+    limit_service& limits() { return limits_; }
+    contract_book& book() { return book_; }
+    const system_wall_clock& clock() const { return clock_; }
     const book_contract_view& contracts() const { return contracts_; }
     contract_watcher& watcher() { return watcher_; }
     contract_editor& editor() { return editor_; }
@@ -49,7 +52,8 @@
     etcd_store& store() { return store_; }
 
 private:
-    void read_host_list();
+    void topology_changed() const;
+    void read_upstream_records();
     void read_first_peers();
     void register_host();
     void keep_registered();
@@ -69,11 +73,11 @@
     flatbuffers_shard_codec shard_codec_;
     journal_service journal_;
     host_list_client host_list_;
-    listed_upstreams upstreams_;
+    upstream_service upstreams_;
+    limit_service limits_;
     std::vector<member_update> seeds_;
     std::function<void()> changed_;
     std::int64_t lease_ = 0;
-    bool reading_list_ = false;
 };
 
 }  // namespace fuchsiaquay
--- a/main/main.cpp
+++ b/main/main.cpp
@@ -119,7 +119,7 @@
 void run_node(const fuchsiaquay::node_settings& settings) {
     fuchsiaquay::control_loop loop;
     fuchsiaquay::log4cxx_decision_log log(settings.host, settings.log_level);
-    fuchsiaquay::node node(settings, loop, log);
+    fuchsiaquay::node node(settings, loop, log, [] { std::raise(SIGTERM); });
     boost::asio::signal_set signals(loop.context(), SIGTERM, SIGINT);
     signals.async_wait([&](const boost::system::error_code& error, int /*signal*/) {
         if (!error) {
--- a/main/message_router.hpp
+++ b/main/message_router.hpp
@@ -26,8 +26,11 @@
         control.journal().on_peer_message(sender, message);
     }
     void operator()(const contract_update& message) { control.watcher().receive(sender, message); }
-    template <typename other>
-    void operator()(const other& /*message*/) {}
+    void operator()(const upstream_update& message) {
+        control.upstreams().receive(sender, message);
+    }
+    void operator()(const budget_request& message) { control.limits().receive(sender, message); }
+    void operator()(const budget_grant& message) { control.limits().receive(sender, message); }
 };
 
 }  // namespace fuchsiaquay
--- a/main/node.cpp
+++ b/main/node.cpp
@@ -10,6 +10,7 @@
 #include "drivers/log/log4cxx_decision_log.hpp"
 #include "main/control_plane.hpp"
 #include "main/message_router.hpp"
+#include "main/node_administration.hpp"
 #include "main/node_settings.hpp"
 #include "main/request_plane.hpp"
 #include "servers/reservation/reserve_filter.hpp"
@@ -22,22 +23,29 @@
 constexpr int status_unavailable = 503;
 /// Time in which every host has heard that this one leaves.
 constexpr duration leave_spread_time = std::chrono::seconds(3);
+/// A fleet may start before its first upstream.
+constexpr duration upstream_patience = std::chrono::seconds(3);
 constexpr duration drain_check_period = std::chrono::milliseconds(100);
 /// Time for the last answers to leave the sockets after their requests have ended.
 constexpr duration flush_time = std::chrono::milliseconds(500);
 
 }  // namespace
 
-node::node(const node_settings& settings, control_loop& loop, log4cxx_decision_log& log)
+node::node(const node_settings& settings, control_loop& loop, log4cxx_decision_log& log,
+           std::function<void()> stop)
     : loop_(loop),
       log_(log),
       keep_for_(settings.keep_for),
-      drain_timeout_(settings.drain_timeout) {
+      drain_timeout_(settings.drain_timeout),
+      stop_(std::move(stop)),
+      started_at_(loop.now()) {
     const auto incarnation = static_cast<std::uint64_t>(system_wall_clock().unix_ms());
     control_ = std::make_unique<control_plane>(settings, incarnation, loop, log);
     requests_ = std::make_unique<request_plane>(settings, incarnation, loop, log, *control_);
     route_messages();
     add_health_routes();
+    administration_ = std::make_unique<node_administration>(
+        settings, loop, log, *control_, *requests_, [this] { stop_(); });
     requests_->server().open();
     log_.write(decision_log::level::info, "started",
                {{"address", settings.address},
@@ -63,13 +71,20 @@
     });
     requests_->server().route("/readyz", [this](const web::http::http_request& message) {
         loop_.post([this, message] {
-            const bool ready = control_->contracts().ready() && !drained_;
+            const bool ready = this->ready();
             reply_json(message, ready ? status_ok : status_unavailable,
                        ready ? R"({"status":"ready"})" : R"({"status":"not ready"})");
         });
     });
 }
 
+bool node::ready() const {
+    const bool listed = !control_->hosts().live_hosts().empty();
+    const bool knows_upstreams = !control_->upstreams().all().empty() ||
+                                 loop_.now() - started_at_ > upstream_patience;
+    return control_->contracts().ready() && listed && knows_upstreams && !drained_;
+}
+
 void node::drain(std::function<void()> done) {
     if (drained_) {
         return;
--- a/main/request_plane.cpp
+++ b/main/request_plane.cpp
@@ -8,6 +8,7 @@
 #include "drivers/control/control_loop.hpp"
 #include "main/control_plane.hpp"
 #include "main/node_settings.hpp"
+#include "servers/limits/limit_filter.hpp"
 #include "servers/requests/contract_filter.hpp"
 #include "servers/requests/deduplicate_filter.hpp"
 #include "servers/reservation/reserve_filter.hpp"
@@ -33,6 +34,12 @@
     return defaults;
 }
 
+directory_settings make_directory_settings(const node_settings& settings) {
+    directory_settings result;
+    result.keep_for = settings.keep_for;
+    return result;
+}
+
 std::unique_ptr<upstream_selector> make_selector(const node_settings& settings) {
     length_aware_settings options;
     options.tokens_per_second = static_cast<double>(settings.engine_tokens_per_second);
@@ -53,7 +60,7 @@
               static_cast<double>(settings.engine_tokens_per_second)),
       retries_(retry_settings(), settings.seed),
       pipeline_(make_pipeline(settings, loop, log, control)),
-      entrypoints_(control.hosts(), settings.keep_for),
+      entrypoints_(control.hosts(), make_directory_settings(settings)),
       server_(settings.address, settings.http_port) {
     const api_services services{loop,     *pipeline_, engines_,
                                 clients_, limits_,    settings.cluster_key};
@@ -76,6 +83,7 @@
                                                                control_plane& control) {
     request_pipeline::filter_list request_filters;
     request_filters.push_back(std::make_unique<contract_filter>(control.contracts()));
+    request_filters.push_back(std::make_unique<limit_filter>(control.limits()));
     request_filters.push_back(std::make_unique<deduplicate_filter>(loop, control.journal()));
     request_pipeline::filter_list attempt_filters;
     attempt_filters.push_back(
--- a/main/request_plane.hpp
+++ b/main/request_plane.hpp
@@ -36,6 +36,7 @@
     http_server& server() { return server_; }
     request_pipeline& pipeline() { return *pipeline_; }
     owner_service& owner() { return owner_; }
+    engine_router& router() { return router_; }
     reserve_filter& reservations() { return *reserve_; }
 
 private:
--- a/servers/directory/rendezvous_entrypoints.hpp
+++ b/servers/directory/rendezvous_entrypoints.hpp
@@ -1,23 +1,23 @@
 #pragma once
 
-#include "core/time/clock.hpp"
+#include "core/directory/directory_settings.hpp"
 #include "servers/directory/entrypoint_source.hpp"
 
 namespace fuchsiaquay {
 
 class host_view;
 
-/// Names a few live hosts for each customer by rendezvous hashing; leaving hosts are omitted.
+/// Answers from the membership: few hosts for each customer, near this one, leaving ones omitted.
 class rendezvous_entrypoints final : public entrypoint_source {
 public:
-    rendezvous_entrypoints(const host_view& hosts, duration keep_for)
-        : hosts_(hosts), keep_for_(keep_for) {}
+    rendezvous_entrypoints(const host_view& hosts, const directory_settings& settings)
+        : hosts_(hosts), settings_(settings) {}
 
     entrypoint_answer entrypoints(const contract& terms) const override;
 
 private:
     const host_view& hosts_;
-    duration keep_for_;
+    directory_settings settings_;
 };
 
 }  // namespace fuchsiaquay
--- a/servers/reservation/reserve_filter.cpp
+++ b/servers/reservation/reserve_filter.cpp
@@ -171,7 +171,7 @@
     }
     link_.send(grant_release{item->grant->grant, item->request.request, item->grant->upstream,
                              result.generated_tokens});
-    router_.ended(*flow, result);
+    router_.ended(*flow, result, timers_.now());
 }
 
 void reserve_filter::tick() {
--- a/servers/routing/engine_router.cpp
+++ b/servers/routing/engine_router.cpp
@@ -22,7 +22,7 @@
 
 engine_router::engine_router(const upstream_view& upstreams,
                              std::unique_ptr<upstream_selector> selector, double tokens_per_second)
-    : upstreams_(upstreams), selector_(std::move(selector)), loads_(tokens_per_second) {}
+    : upstreams_(upstreams), selector_(std::move(selector)), loads_(tokens_per_second), health_(breaker_settings()) {}
 
 engine_router::~engine_router() = default;
 
@@ -47,7 +47,8 @@
                                                    const routing_request& request, instant now) {
     std::vector<routing_candidate> candidates;
     for (const upstream& engine : upstreams_.all()) {
-        if (!serves(engine, request.model) || flow.excluded.count(engine.id) > 0) {
+        if (!serves(engine, request.model) || flow.excluded.count(engine.id) > 0 ||
+            !health_.allows(engine.id, now)) {
             continue;
         }
         loads_.add_upstream(engine.id, engine.memory_tokens);
@@ -63,11 +64,24 @@
 }
 
 void engine_router::started(const request_flow& flow, instant now) {
+    sent(flow.plan.target.id, now);
     loads_.started(flow.plan.target.id, flow.context().prompt_tokens);
     prefixes_.stored(flow.plan.target.id, flow.context().prefix_hashes, now);
 }
 
-void engine_router::ended(const request_flow& flow, const attempt_result& result) {
+void engine_router::learned(const upstream_id& id, const attempt_result& result, instant now) {
+    if (result.completed || result.failure == "out_of_memory") {
+        health_.on_result(id, attempt_evidence::answered, now);
+    } else if (result.failure == "stalled") {
+        health_.on_result(id, attempt_evidence::stalled_reused_connection, now);
+    } else if (result.failure == "connect" || result.failure == "broken" ||
+               result.failure == "closed") {
+        health_.on_result(id, attempt_evidence::failed, now);
+    }
+}
+
+void engine_router::ended(const request_flow& flow, const attempt_result& result, instant now) {
+    learned(flow.plan.target.id, result, now);
     loads_.ended(flow.plan.target.id, flow.context().prompt_tokens);
     if (!result.completed) {
         return;
--- a/servers/routing/engine_router.hpp
+++ b/servers/routing/engine_router.hpp
@@ -3,6 +3,7 @@
 #include <memory>
 #include <vector>
 
+#include "core/health/upstream_health.hpp"
 #include "core/identity/names.hpp"
 #include "core/routing/output_estimator.hpp"
 #include "core/routing/prefix_index.hpp"
@@ -37,7 +38,12 @@
 
     void observe(const reserve_reply& reply, instant now);
     void started(const request_flow& flow, instant now);
-    void ended(const request_flow& flow, const attempt_result& result);
+    void ended(const request_flow& flow, const attempt_result& result, instant now);
+    /// False while the circuit of the upstream is open.
+    bool usable(const upstream_id& id, instant now) const { return health_.allows(id, now); }
+    /// Counts an attempt that is being sent, and what it showed about its upstream.
+    void sent(const upstream_id& id, instant now) { health_.on_sent(id, now); }
+    void learned(const upstream_id& id, const attempt_result& result, instant now);
     const output_estimator& estimator() const noexcept { return estimator_; }
 
 private:
@@ -46,6 +52,7 @@
     upstream_loads loads_;
     prefix_index prefixes_;
     output_estimator estimator_;
+    upstream_health health_;
 };
 
 }  // namespace fuchsiaquay
--- a/servers/routing/route_filter.cpp
+++ b/servers/routing/route_filter.cpp
@@ -58,7 +58,8 @@
     for (const upstream& replica : upstreams_.all()) {
         const bool fits = replica.kind == upstream_kind::service && !replica.leaving &&
                           replica.service == flow->context().service &&
-                          flow->excluded.count(replica.id) == 0;
+                          flow->excluded.count(replica.id) == 0 &&
+                          router_.usable(replica.id, timers_.now());
         if (fits && (!best || service_calls_[replica.id] < service_calls_[best->id])) {
             best = replica;
         }
@@ -71,6 +72,7 @@
     flow->plan.grant_expiry = flow->deadline;
     flow->counted_service = best->id;
     ++service_calls_[best->id];
+    router_.sent(best->id, timers_.now());
     log_.write(decision_log::level::info, "route",
                {{"request", flow->context().id.value()},
                 {"customer", flow->terms->customer.value()},
@@ -113,11 +115,12 @@
 }
 
 void route_filter::settle(const std::shared_ptr<request_flow>& flow,
-                          const attempt_result& /*result*/) {
+                          const attempt_result& result) {
     if (flow->counted_service.empty()) {
         return;
     }
     --service_calls_[flow->counted_service];
+    router_.learned(flow->counted_service, result, timers_.now());
     flow->counted_service = upstream_id();
 }
 
--- a/servers/views/membership_view.cpp
+++ b/servers/views/membership_view.cpp
@@ -1,6 +1,6 @@
 #include "servers/views/membership_view.hpp"
 
-#include "core/hashing/rendezvous.hpp"
+#include "core/ownership/ownership.hpp"
 #include "core/upstreams/upstream.hpp"
 #include "servers/membership/membership_service.hpp"
 #include "servers/peer_transport.hpp"
@@ -31,13 +31,9 @@
 }
 
 std::optional<member_update> membership_view::owner_of(const upstream& target) const {
-    std::vector<host_id> candidates = members_.live_hosts(target.data_centre);
-    if (candidates.empty()) {
-        for (const member_update& member : live_hosts()) {
-            candidates.push_back(member.host);
-        }
-    }
-    const host_id owner = rendezvous_owner(target.id.value(), candidates);
+    const ownership owners([this](const data_centre_id& centre) { return members_.live_hosts(centre); },
+                           [this] { return members_.data_centres(); });
+    const host_id owner = owners.owner_of(target);
     return owner.empty() ? std::nullopt : find(owner);
 }
 
