--- a/tests/measure/membership_cost.cpp
+++ b/tests/measure/membership_cost.cpp
@@ -38,7 +38,7 @@
     void reset() {
         sent_.clear();
         received_.clear();
-        codec_seconds_ = 0;
+        by_kind_.clear();
         suspicions_ = 0;
         deaths_ = 0;
         start_ = fleet_.now;
@@ -65,6 +65,12 @@
             "frames_sent_per_s=%.2f cpu_share=%.4f%% suspicions=%d deaths=%d\n",
             label, hosts, mean / hosts, highest, frames / hosts, 100 * wall / span / hosts,
             suspicions_, deaths_);
+        static const char* const names[] = {"ping", "ack", "ping_request", "join", "join_reply"};
+        for (const auto& [kind, total] : by_kind_) {
+            std::printf("  %s: %.3f frames/s a host, %.0f bytes each\n",
+                        names[static_cast<int>(kind)], total.frames / span / hosts,
+                        total.bytes / total.frames);
+        }
     }
 
 private:
@@ -81,6 +87,8 @@
         // The receiver decodes what it gets.
         codec_.decode(std::string_view(bytes).substr(frame_codec::length_bytes));
         add(from, out.to.host, bytes.size());
+        by_kind_[out.message.kind].frames += 1;
+        by_kind_[out.message.kind].bytes += static_cast<double>(bytes.size());
         if (out.message.kind == gossip_kind::ack) {
             // The last frame of an exchange is acknowledged by a bare frame.
             frame.message.reset();
@@ -99,7 +107,7 @@
     std::map<host_id, traffic> sent_;
     std::map<host_id, traffic> received_;
     std::uint64_t sequence_ = 0;
-    double codec_seconds_ = 0;
+    std::map<gossip_kind, traffic> by_kind_;
     int suspicions_ = 0;
     int deaths_ = 0;
     instant start_{};
@@ -112,11 +120,11 @@
     for (int i = 0; i < count; ++i) {
         const int index = 3 + i;
         fleet.logic(index).leave(fleet.now);
-        fleet.run(seconds(60) / count / 2);
+        fleet.run(duration(seconds(60)) / count / 2);
         fleet.logic(index).stop(fleet.now);
         fleet.run(std::chrono::milliseconds(200));
         fleet.start(index, index % data_centres, 100000 + static_cast<std::uint64_t>(i));
-        fleet.run(seconds(60) / count / 2);
+        fleet.run(duration(seconds(60)) / count / 2);
     }
 }
 
