Customers near or over their share go behind all others, at their level and the more urgent ones

Cause: a large customer's tenfold urgent and standard work went before a small one's patient work, and its long prompts held the floor of their level. customer_shares compares each customer's recent use of the upstream with its weight among the customers of the level; short prompts beyond 0.7 of the share go behind all within it, long prompts beyond 1.5 claim no floor.

--- a/core/scheduling/fair_rank_policy.cpp
+++ b/core/scheduling/fair_rank_policy.cpp
@@ -13,10 +13,6 @@
 constexpr double due_seconds = 0.3;
 /// Short prompts stand back for a long prefill once its level is owed this much time.
 constexpr double long_due_seconds = 3.0;
-/// A customer is over its share above this multiple of it.
-constexpr double over_share_factor = 1.5;
-/// Below this part of the upstream a customer is never over its share.
-constexpr double min_over_share = 0.1;
 /// A level with a long prompt in prefill is owed this multiple of its floor, at most
 /// `max_long_floor`, since the level has such a prompt on a part of the fleet only.
 constexpr double long_floor_factor = 2.0;
@@ -24,9 +20,13 @@
 /// Parts of the upstream below this are not counted on by estimates.
 constexpr double min_speed_share = 0.02;
 
+constexpr double min_weight = 1e-6;
+
 constexpr int level_step = 10;
-constexpr int over_share_step = 5;
+/// Short prompts of customers over their share go behind all others, long prompts behind these.
+constexpr int over_share_base = 50;
 constexpr int long_base = 100;
+constexpr int over_share_step = 5;
 
 /// Prompts up to these sizes pass larger ones of the same level at the engine.
 constexpr std::int64_t size_steps[] = {4096, 8192, 16384};
@@ -46,7 +46,7 @@
 }  // namespace
 
 fair_rank_policy::fair_rank_policy(double tokens_per_second)
-    : tokens_per_second_(tokens_per_second) {}
+    : tokens_per_second_(tokens_per_second), shares_(tokens_per_second) {}
 
 void fair_rank_policy::push(const queued_request& queued, instant now) {
     level_state& state = levels_[queued.request.level];
@@ -54,7 +54,8 @@
     state.floor_share = std::max(state.floor_share, queued.request.floor_share);
     lane& current = state.lanes[queued.is_long ? 1 : 0];
     flow& own = current.flows[queued.request.customer];
-    own.weight = std::max(queued.request.weight, 1e-6);
+    own.weight = std::max(queued.request.weight, min_weight);
+    shares_.set_weight(queued.request.customer, queued.request.level, own.weight);
     const double start_tag = std::max(current.virtual_time, own.finish_tag);
     own.finish_tag = start_tag + queued.cost / own.weight;
     own.waiting.push_back(tagged_request{queued, start_tag});
@@ -98,40 +99,58 @@
 
 std::optional<policy_pick> fair_rank_policy::pop(const admission& gate, instant now) {
     for (const bool is_long : {false, true}) {
-        for (const int level : level_order(now)) {
-            level_state& state = levels_[level];
-            lane& current = state.lanes[is_long ? 1 : 0];
-            flow* chosen = next_flow(current, now);
-            if (chosen == nullptr) {
-                continue;
-            }
-            const queued_request& head = chosen->waiting.front().queued;
-            const admission_terms wanted = terms(head, now);
-            if (!gate.fits(head, wanted)) {
+        bool blocked = false;
+        for (const bool over_share : {false, true}) {
+            std::optional<policy_pick> pick = pop_lane(gate, is_long, over_share, now, blocked);
+            if (pick || blocked) {
+                if (pick) {
+                    return pick;
+                }
                 break;
             }
-            return take_front(state, current, *chosen, wanted.engine_priority, now);
         }
     }
     return std::nullopt;
 }
 
+std::optional<policy_pick> fair_rank_policy::pop_lane(const admission& gate, bool is_long,
+                                                      bool over_share, instant now, bool& blocked) {
+    for (const int level : level_order(now)) {
+        level_state& state = levels_[level];
+        lane& current = state.lanes[is_long ? 1 : 0];
+        flow* chosen = next_flow(current, over_share, now);
+        if (chosen == nullptr && !over_share && is_due(state, now)) {
+            chosen = next_flow(current, true, now);
+        }
+        if (chosen == nullptr) {
+            continue;
+        }
+        const queued_request& head = chosen->waiting.front().queued;
+        const admission_terms wanted = terms(head, now);
+        if (!gate.fits(head, wanted)) {
+            blocked = true;
+            return std::nullopt;
+        }
+        return take_front(state, current, *chosen, wanted, now);
+    }
+    return std::nullopt;
+}
+
 admission_terms fair_rank_policy::terms(const queued_request& queued, instant now) const {
     const int level = queued.request.level;
     admission_terms result;
     const auto found = levels_.find(level);
     if (found != levels_.end()) {
-        const lane& current = found->second.lanes[queued.is_long ? 1 : 0];
         result.floor_due = is_due(found->second, now);
-        result.over_share = over_share(current, queued.request.customer, now);
     }
+    result.over_share = shares_.over_share(queued.request.customer, level, queued.is_long, now);
     if (queued.is_long) {
-        result.engine_priority = long_base + level * level_step;
+        result.engine_priority =
+            long_base + level * level_step + (result.over_share ? over_share_step : 0);
         return result;
     }
-    result.engine_priority = (result.floor_due ? 0 : level * level_step) +
-                             (result.over_share ? over_share_step : 0) +
-                             size_class(queued.prefill_tokens);
+    const int base = level * level_step + (result.over_share ? over_share_base : 0);
+    result.engine_priority = (result.floor_due ? 0 : base) + size_class(queued.prefill_tokens);
     return result;
 }
 
@@ -252,11 +271,18 @@
     return cost;
 }
 
-fair_rank_policy::flow* fair_rank_policy::next_flow(lane& current, instant /*now*/) const {
+fair_rank_policy::flow* fair_rank_policy::next_flow(lane& current, bool over_share,
+                                                    instant now) const {
     flow* first = nullptr;
     for (auto& [customer, own] : current.flows) {
-        if (!own.waiting.empty() && (first == nullptr || own.waiting.front().start_tag <
-                                                             first->waiting.front().start_tag)) {
+        if (own.waiting.empty()) {
+            continue;
+        }
+        const queued_request& head = own.waiting.front().queued;
+        if (shares_.over_share(customer, head.request.level, head.is_long, now) != over_share) {
+            continue;
+        }
+        if (first == nullptr || own.waiting.front().start_tag < first->waiting.front().start_tag) {
             first = &own;
         }
     }
@@ -310,27 +336,13 @@
     state.credit_at = now;
 }
 
-bool fair_rank_policy::over_share(const lane& current, const customer_id& customer,
-                                  instant now) const {
-    const auto own = current.flows.find(customer);
-    if (own == current.flows.end()) {
-        return false;
-    }
-    double weights = 0.0;
-    for (const auto& [name, each] : current.flows) {
-        weights += each.weight;
-    }
-    const double share = own->second.weight / weights;
-    const double used = own->second.usage.at(now) / tokens_per_second_;
-    return used > std::max(share * over_share_factor, min_over_share);
-}
-
 policy_pick fair_rank_policy::take_front(level_state& state, lane& current, flow& chosen,
-                                         int priority, instant now) {
+                                         const admission_terms& wanted, instant now) {
     settle_credit(state, now);
-    policy_pick pick{chosen.waiting.front().queued, priority};
+    policy_pick pick{chosen.waiting.front().queued, wanted};
     current.virtual_time = std::max(current.virtual_time, chosen.waiting.front().start_tag);
-    chosen.usage.add(pick.queued.cost, now);
+    shares_.add_use(pick.queued.request.customer, pick.queued.request.level, pick.queued.is_long,
+                    pick.queued.cost, now);
     forget_front(current, chosen);
     return pick;
 }
--- a/core/scheduling/fair_rank_policy.hpp
+++ b/core/scheduling/fair_rank_policy.hpp
@@ -6,6 +6,7 @@
 #include <unordered_map>
 #include <utility>
 
+#include "core/scheduling/customer_shares.hpp"
 #include "core/scheduling/decaying_rate.hpp"
 #include "core/scheduling/queue_policy.hpp"
 
@@ -47,7 +48,6 @@
         std::deque<tagged_request> waiting;
         double finish_tag = 0.0;
         double weight = 1.0;
-        decaying_rate usage{std::chrono::seconds(20)};
     };
     /// The short or the long prompts of one level.
     struct lane {
@@ -69,8 +69,9 @@
         bool waiting() const { return lanes[0].waiting_count + lanes[1].waiting_count > 0; }
     };
 
-    /// The flow of a lane to be served next; null when none waits.
-    virtual flow* next_flow(lane& current, instant now) const;
+    /// The flow of a lane to be served next, among the customers within or over their share; null
+    /// when none waits.
+    virtual flow* next_flow(lane& current, bool over_share, instant now) const;
     /// Waiting levels in the order in which they may be served.
     virtual std::vector<int> level_order(instant now) const;
 
@@ -83,14 +84,16 @@
     double owed_seconds(const level_state& state, instant now) const;
     bool is_due(const level_state& state, instant now) const;
     void settle_credit(level_state& state, instant now);
-    bool over_share(const lane& current, const customer_id& customer, instant now) const;
-    policy_pick take_front(level_state& state, lane& current, flow& chosen, int priority,
-                           instant now);
+    policy_pick take_front(level_state& state, lane& current, flow& chosen,
+                           const admission_terms& wanted, instant now);
+    std::optional<policy_pick> pop_lane(const admission& gate, bool is_long, bool over_share,
+                                        instant now, bool& blocked);
     void forget_front(lane& current, flow& chosen);
     double work_before(const queued_request& queued) const;
     double urgent_usage(int level, instant now) const;
 
     double tokens_per_second_;
+    customer_shares shares_;
     std::map<int, level_state> levels_;
     std::unordered_map<std::string, std::pair<int, bool>> index_;  // request -> level, is_long
 };
--- a/core/scheduling/fifo_policy.cpp
+++ b/core/scheduling/fifo_policy.cpp
@@ -34,7 +34,7 @@
     if (waiting_.empty() || !gate.fits(waiting_.front(), admission_terms{})) {
         return std::nullopt;
     }
-    const policy_pick pick{waiting_.front(), 0};
+    const policy_pick pick{waiting_.front(), admission_terms{}};
     remove(pick.queued.request.request);
     return pick;
 }
--- a/core/scheduling/grant_record.hpp
+++ b/core/scheduling/grant_record.hpp
@@ -15,6 +15,8 @@
     customer_id customer;
     int level = 0;
     bool is_long = false;
+    /// The customer was over its share when the grant was given.
+    bool over_share = false;
     std::int64_t memory_tokens = 0;
     std::int64_t output_tokens = 0;
     /// Predicted prefill work that the engine has not done yet, in tokens.
--- a/core/scheduling/grant_table.cpp
+++ b/core/scheduling/grant_table.cpp
@@ -198,7 +198,7 @@
     int level = -1;
     for (const grant_id& id : prefilling_) {
         const grant_record& record = grants_.at(id);
-        if (record.is_long && (level < 0 || record.level < level)) {
+        if (record.is_long && !record.over_share && (level < 0 || record.level < level)) {
             level = record.level;
         }
     }
--- a/core/scheduling/grant_table.hpp
+++ b/core/scheduling/grant_table.hpp
@@ -42,7 +42,8 @@
     /// Streams past their prefill.
     std::int64_t decoding() const noexcept;
     std::int64_t long_prefills() const;
-    /// Most urgent level among the long prompts in prefill; -1 when there is none.
+    /// Most urgent level among the long prompts in prefill of customers within their share; -1 when
+    /// there is none.
     int long_prefill_level() const;
     /// Prefill work of this or a more urgent priority.
     double prefill_ahead(int engine_priority) const;
--- a/core/scheduling/policy_pick.hpp
+++ b/core/scheduling/policy_pick.hpp
@@ -1,13 +1,14 @@
 #pragma once
 
+#include "core/scheduling/admission_terms.hpp"
 #include "core/scheduling/queued_request.hpp"
 
 namespace fuchsiaquay {
 
-/// A request taken from the queue, with its priority at the engine (0 is the most urgent).
+/// A request taken from the queue, with the terms on which it was let in.
 struct policy_pick {
     queued_request queued;
-    int engine_priority = 0;
+    admission_terms terms;
 };
 
 }  // namespace fuchsiaquay
--- a/core/scheduling/upstream_queue.cpp
+++ b/core/scheduling/upstream_queue.cpp
@@ -272,7 +272,7 @@
     const gate entrance(*this);
     while (const std::optional<policy_pick> pick = policy_->pop(entrance, now)) {
         latest_starts_.erase({pick->queued.latest_start, pick->queued.request.request});
-        grant(pick->queued, pick->engine_priority, now, actions);
+        grant(*pick, now, actions);
     }
 }
 
@@ -295,8 +295,9 @@
     }
 }
 
-void upstream_queue::grant(const queued_request& queued, int engine_priority, instant now,
-                           scheduling_actions& actions) {
+void upstream_queue::grant(const policy_pick& pick, instant now, scheduling_actions& actions) {
+    const queued_request& queued = pick.queued;
+    const int engine_priority = pick.terms.engine_priority;
     grant_record record;
     record.grant = next_grant_id();
     record.request = queued.request.request;
@@ -304,6 +305,7 @@
     record.customer = queued.request.customer;
     record.level = queued.request.level;
     record.is_long = queued.is_long;
+    record.over_share = pick.terms.over_share;
     record.memory_tokens = queued.request.memory_tokens;
     record.output_tokens = queued.request.expected_output_tokens;
     record.prefill_left = static_cast<double>(queued.prefill_tokens);
--- a/core/scheduling/upstream_queue.hpp
+++ b/core/scheduling/upstream_queue.hpp
@@ -65,8 +65,7 @@
     void dispatch(instant now, scheduling_actions& actions);
     void give_up_hopeless(instant now, scheduling_actions& actions);
     void end_expired(instant now, scheduling_actions& actions);
-    void grant(const queued_request& queued, int engine_priority, instant now,
-               scheduling_actions& actions);
+    void grant(const policy_pick& pick, instant now, scheduling_actions& actions);
     void refuse(const reserve_request& request, duration retry_after, const std::string& reason,
                 scheduling_actions& actions) const;
     reserve_reply make_reply(const request_id& request) const;
