--- a/drivers/admin/fleet_handlers.cpp
+++ b/drivers/admin/fleet_handlers.cpp
@@ -296,7 +296,7 @@
         items[count++] = item;
     }
     web::json::value body = web::json::value::object(true);
-    body["host"] = text(services_.hosts.self().host.value());
+    body["host"] = text(services_.hosts.host().host.value());
     body["limits"] = items;
     call.done(json_reply(status_ok, body));
 }
@@ -337,7 +337,7 @@
         figures[name] = web::json::value::number(value);
     }
     web::json::value body = web::json::value::object(true);
-    body["node"] = print_node(services_.hosts.self());
+    body["node"] = print_node(services_.hosts.host());
     body["nodes"] = web::json::value::number(static_cast<int>(services_.hosts.live_hosts().size()));
     body["contracts"] = contracts;
     body["upstreams"] = upstreams;
--- a/servers/limits/limit_service.cpp
+++ b/servers/limits/limit_service.cpp
@@ -117,10 +117,10 @@
 
 void limit_service::ask(const customer_id& customer, customer_budget& budget) {
     const auto terms = contracts_.find(customer);
-    const budget_request request = budget.make_request(customer, hosts_.self().host,
+    const budget_request request = budget.make_request(customer, hosts_.host().host,
                                                        terms ? terms->revision : 0, timers_.now());
     const host_id keeper = keeper_of(customer);
-    if (keeper == hosts_.self().host || keeper.empty()) {
+    if (keeper == hosts_.host().host || keeper.empty()) {
         budget.apply(decide(request), timers_.now());
         return;
     }
@@ -133,7 +133,7 @@
 budget_grant limit_service::decide(const budget_request& request) {
     const instant now = timers_.now();
     const auto terms = contracts_.find(request.customer);
-    const bool new_keeper = memory_.is_new_first(keeper_key(request.customer), hosts_.self().host,
+    const bool new_keeper = memory_.is_new_first(keeper_key(request.customer), hosts_.host().host,
                                                  limit_keeper::hold, now);
     return keeper_.grant(request, terms ? terms->limits : customer_limits{},
                          {memory_.live_fraction(now), new_keeper}, now);
@@ -143,7 +143,7 @@
     const auto target = hosts_.find(sender);
     // A host that knows no contract yet cannot divide it, and one that is not the keeper would
     // divide it a second time.
-    const bool keeps = keeper_of(request.customer) == hosts_.self().host;
+    const bool keeps = keeper_of(request.customer) == hosts_.host().host;
     if (target && keeps && contracts_.find(request.customer)) {
         transport_.send(*target, decide(request));
     }
--- a/tests/drivers/admin/admin_bench.hpp
+++ b/tests/drivers/admin/admin_bench.hpp
@@ -69,7 +69,7 @@
         return call(request);
     }
 
-    const member_update& self() const override { return self_; }
+    const member_update& host() const override { return self_; }
     std::vector<member_update> live_hosts() const override { return {self_}; }
     std::optional<member_update> find(const host_id& host) const override {
         return host == self_.host ? std::optional<member_update>(self_) : std::nullopt;
--- a/tests/servers/limits/limit_fleet.hpp
+++ b/tests/servers/limits/limit_fleet.hpp
@@ -27,7 +27,7 @@
 
     void send(const member_update& to, const peer_message& message) override;
     void on_message(handler) override {}
-    const member_update& self() const override { return self_; }
+    const member_update& host() const override { return self_; }
     std::vector<member_update> live_hosts() const override;
     std::optional<member_update> find(const host_id& host) const override;
     std::shared_ptr<const contract> find_by_key(const std::string&) const override;
