--- a/main/node.cpp
+++ b/main/node.cpp
@@ -27,6 +27,8 @@
 constexpr duration upstream_patience = std::chrono::seconds(3);
 constexpr duration drain_check_period = std::chrono::milliseconds(100);
 /// Time for the last answers to leave the sockets after their requests have ended.
+/// Longest wait for the last outcomes to be durable in the journal.
+constexpr duration journal_drain_limit = std::chrono::seconds(10);
 constexpr duration flush_time = std::chrono::milliseconds(500);
 
 }  // namespace
@@ -107,12 +109,13 @@
     log_.write(decision_log::level::info, "drain_finished",
                {{"requests", std::to_string(requests_->pipeline().active())}});
     auto done = std::exchange(drained_, nullptr);
-    loop_.after(flush_time, [this, done] {
-        control_->journal().drain([this, done] {
-            control_->members().stop();
-            done();
-        });
-    });
+    const auto finish = [this, done] {
+        control_->members().stop();
+        done();
+    };
+    loop_.after(flush_time, [this, finish] { control_->journal().drain(finish); });
+    // With the store out the last outcomes cannot be written; they read as "may have run".
+    loop_.after(flush_time + journal_drain_limit, finish);
 }
 
 }  // namespace fuchsiaquay
