--- a/main/request_plane.cpp
+++ b/main/request_plane.cpp
@@ -83,7 +83,7 @@
                                                                control_plane& control) {
     request_pipeline::filter_list request_filters;
     request_filters.push_back(std::make_unique<contract_filter>(control.contracts()));
-    request_filters.push_back(std::make_unique<limit_filter>(control.limits()));
+    request_filters.push_back(std::make_unique<limit_filter>(loop, control.limits()));
     request_filters.push_back(std::make_unique<deduplicate_filter>(loop, control.journal()));
     request_pipeline::filter_list attempt_filters;
     attempt_filters.push_back(
--- a/servers/limits/limit_filter.cpp
+++ b/servers/limits/limit_filter.cpp
@@ -6,6 +6,7 @@
 #include "core/request/refusal.hpp"
 #include "servers/limits/limit_service.hpp"
 #include "servers/requests/request_flow.hpp"
+#include "servers/timer_service.hpp"
 
 namespace fuchsiaquay {
 namespace {
@@ -19,6 +20,14 @@
 }  // namespace
 
 void limit_filter::admit(const std::shared_ptr<request_flow>& flow, const verdict& decide) {
+    try_admit(flow, decide, timers_.now() + smoothing_limit);
+}
+
+void limit_filter::try_admit(const std::shared_ptr<request_flow>& flow, const verdict& decide,
+                             instant give_up_at) {
+    if (flow->ended()) {
+        return;
+    }
     const request_context& context = flow->context();
     const double estimated = estimated_tokens(context);
     const limit_verdict answer = limits_.admit(*flow->terms, estimated);
@@ -27,6 +36,14 @@
         decide.proceed();
         return;
     }
+    const bool smoothed = answer.reached != limit_kind::concurrency &&
+                          timers_.now() + answer.retry_after <= give_up_at;
+    if (smoothed) {
+        timers_.after(answer.retry_after, [this, flow, decide, give_up_at] {
+            try_admit(flow, decide, give_up_at);
+        });
+        return;
+    }
     refusal reason;
     reason.status = status_too_many_requests;
     reason.code = "limit_reached";
