--- a/core/scheduling/fair_rank_policy.cpp
+++ b/core/scheduling/fair_rank_policy.cpp
@@ -143,7 +143,7 @@
     if (found != levels_.end()) {
         result.floor_due = is_due(found->second, now);
     }
-    result.over_share = shares_.over_share(queued.request.customer, level, queued.is_long, now);
+    result.over_share = is_over_share(queued, now);
     if (queued.is_long) {
         result.engine_priority =
             long_base + level * level_step + (result.over_share ? over_share_step : 0);
@@ -278,8 +278,7 @@
         if (own.waiting.empty()) {
             continue;
         }
-        const queued_request& head = own.waiting.front().queued;
-        if (shares_.over_share(customer, head.request.level, head.is_long, now) != over_share) {
+        if (is_over_share(own.waiting.front().queued, now) != over_share) {
             continue;
         }
         if (first == nullptr || own.waiting.front().start_tag < first->waiting.front().start_tag) {
@@ -289,6 +288,10 @@
     return first;
 }
 
+bool fair_rank_policy::is_over_share(const queued_request& queued, instant now) const {
+    return shares_.over_share(queued.request.customer, queued.request.level, queued.is_long, now);
+}
+
 std::vector<int> fair_rank_policy::level_order(instant now) const {
     std::vector<std::pair<double, int>> keys;
     for (const auto& [level, state] : levels_) {
@@ -343,6 +346,7 @@
     current.virtual_time = std::max(current.virtual_time, chosen.waiting.front().start_tag);
     shares_.add_use(pick.queued.request.customer, pick.queued.request.level, pick.queued.is_long,
                     pick.queued.cost, now);
+    chosen.recent.add(pick.queued.cost, now);
     forget_front(current, chosen);
     return pick;
 }
--- a/core/scheduling/fair_rank_policy.hpp
+++ b/core/scheduling/fair_rank_policy.hpp
@@ -48,6 +48,8 @@
         std::deque<tagged_request> waiting;
         double finish_tag = 0.0;
         double weight = 1.0;
+        /// Work granted of late.
+        decaying_rate recent{std::chrono::seconds(1)};
     };
     /// The short or the long prompts of one level.
     struct lane {
@@ -74,6 +76,8 @@
     virtual flow* next_flow(lane& current, bool over_share, instant now) const;
     /// Waiting levels in the order in which they may be served.
     virtual std::vector<int> level_order(instant now) const;
+    /// True when requests like `queued` go behind those of customers within their share.
+    virtual bool is_over_share(const queued_request& queued, instant now) const;
 
     const std::map<int, level_state>& levels() const { return levels_; }
     double tokens_per_second() const { return tokens_per_second_; }
--- /dev/null
+++ b/core/scheduling/upstream_gate.hpp
@@ -0,0 +1,36 @@
+#pragma once
+
+#include "core/scheduling/admission.hpp"
+#include "core/scheduling/gate_state.hpp"
+
+namespace fuchsiaquay {
+
+class grant_table;
+class queue_policy;
+struct upstream_settings;
+
+/// Decides whether an upstream can take a request now: memory with the other levels' floors kept
+/// free, the number of streams, the prefill work granted ahead, and the bounded part of the speed
+/// for long prompts. Valid while its arguments are.
+class upstream_gate final : public admission {
+public:
+    upstream_gate(const upstream_settings& settings, const grant_table& grants,
+                  const queue_policy& policy, const gate_state& state);
+
+    bool fits(const queued_request& queued, const admission_terms& terms) const override;
+
+private:
+    bool fits_memory(const queued_request& queued) const;
+    bool fits_count(const queued_request& queued) const;
+    bool fits_rebuild(const queued_request& queued) const;
+    bool fits_long(const queued_request& queued) const;
+    bool fits_short(const queued_request& queued, const admission_terms& terms) const;
+    bool takes_long_memory(const queued_request& queued) const;
+
+    const upstream_settings& settings_;
+    const grant_table& grants_;
+    const queue_policy& policy_;
+    gate_state state_;
+};
+
+}  // namespace fuchsiaquay
--- a/core/scheduling/upstream_queue.cpp
+++ b/core/scheduling/upstream_queue.cpp
@@ -20,93 +20,6 @@
 
 }  // namespace
 
-/// Decides whether the upstream can take a request now.
-class upstream_queue::gate final : public admission {
-public:
-    explicit gate(const upstream_queue& owner) : owner_(owner) {}
-
-    bool fits(const queued_request& queued, const admission_terms& terms) const override {
-        if (!fits_memory(queued) || !fits_count(queued)) {
-            return false;
-        }
-        if (owner_.rebuilding_ && !fits_rebuild(queued)) {
-            return false;
-        }
-        return queued.is_long ? fits_long(queued) : fits_short(queued, terms);
-    }
-
-private:
-    const upstream_settings& settings() const { return owner_.settings_; }
-
-    bool fits_memory(const queued_request& queued) const {
-        const auto memory = static_cast<double>(settings().memory_tokens);
-        double held_back = 0.0;
-        for (const auto& [level, share] : owner_.policy_->floors()) {
-            if (level != queued.request.level) {
-                const double kept = std::min(share, settings().floor_memory_share) * memory;
-                held_back +=
-                    std::max(kept - static_cast<double>(owner_.grants_.memory_used(level)), 0.0);
-            }
-        }
-        const std::int64_t needed = owner_.grants_.memory_used() + queued.request.memory_tokens;
-        return static_cast<double>(needed) + held_back <= memory;
-    }
-
-    bool fits_count(const queued_request& queued) const {
-        const auto most = static_cast<double>(settings().max_running);
-        double held_back = 0.0;
-        for (const auto& [level, share] : owner_.policy_->floors()) {
-            if (level != queued.request.level) {
-                const double kept = std::min(share, settings().floor_memory_share) * most;
-                held_back += std::max(kept - static_cast<double>(owner_.grants_.size(level)), 0.0);
-            }
-        }
-        return static_cast<double>(owner_.grants_.size()) + 1.0 + held_back <= most;
-    }
-
-    bool fits_rebuild(const queued_request& queued) const {
-        const double most =
-            settings().rebuild_memory_share * static_cast<double>(settings().memory_tokens);
-        const std::int64_t granted = owner_.rebuild_granted_ + queued.request.memory_tokens;
-        return !queued.is_long && static_cast<double>(granted) <= most;
-    }
-
-    bool fits_long(const queued_request& queued) const {
-        const std::int64_t used = owner_.grants_.long_memory() + queued.request.memory_tokens;
-        return owner_.grants_.long_prefills() < settings().max_long_prefills &&
-               used <= settings().memory_tokens - settings().short_memory_tokens;
-    }
-
-    bool fits_short(const queued_request& queued, const admission_terms& terms) const {
-        const double window = owner_.prefill_speed() * to_seconds(settings().dispatch_window);
-        if (owner_.grants_.prefill_ahead(terms.engine_priority) > window) {
-            return false;
-        }
-        const int long_level = owner_.grants_.long_prefill_level();
-        const bool yields = long_level >= 0 && !terms.floor_due &&
-                            ((terms.over_share && long_level <= queued.request.level) ||
-                             owner_.policy_->long_floor_due(long_level, owner_.progressed_at_));
-        if (yields && owner_.short_allowance_ < 0.0) {
-            return false;
-        }
-        return !takes_long_memory(queued);
-    }
-
-    /// A long prompt that waits for memory gets what short ones give back.
-    bool takes_long_memory(const queued_request& queued) const {
-        const queued_request* waiting = owner_.policy_->next_long();
-        if (waiting == nullptr || !fits_long(*waiting)) {
-            return false;
-        }
-        const std::int64_t used = owner_.grants_.memory_used() + queued.request.memory_tokens;
-        const std::int64_t short_used = used - owner_.grants_.long_memory();
-        return short_used > settings().short_memory_tokens &&
-               used + waiting->request.memory_tokens > settings().memory_tokens;
-    }
-
-    const upstream_queue& owner_;
-};
-
 upstream_queue::upstream_queue(const upstream_settings& settings,
                                std::unique_ptr<queue_policy> policy, bool rebuilding, instant now)
     : settings_(settings),
@@ -269,8 +182,7 @@
 }
 
 void upstream_queue::dispatch(instant now, scheduling_actions& actions) {
-    const gate entrance(*this);
-    while (const std::optional<policy_pick> pick = policy_->pop(entrance, now)) {
+    while (const std::optional<policy_pick> pick = policy_->pop(make_gate(), now)) {
         latest_starts_.erase({pick->queued.latest_start, pick->queued.request.request});
         grant(*pick, now, actions);
     }
@@ -340,6 +252,12 @@
     actions.replies.push_back(addressed_reply{request.entry_host, reply});
 }
 
+upstream_gate upstream_queue::make_gate() const {
+    return upstream_gate(settings_, grants_, *policy_,
+                         gate_state{prefill_speed(), short_allowance_, progressed_at_, rebuilding_,
+                                    rebuild_granted_});
+}
+
 reserve_reply upstream_queue::make_reply(const request_id& request) const {
     reserve_reply reply;
     reply.request = request;
--- a/core/scheduling/upstream_queue.hpp
+++ b/core/scheduling/upstream_queue.hpp
@@ -9,11 +9,11 @@
 #include "core/messages/grant_release.hpp"
 #include "core/messages/grant_renewal.hpp"
 #include "core/messages/reserve_request.hpp"
-#include "core/scheduling/admission.hpp"
 #include "core/scheduling/estimate_error.hpp"
 #include "core/scheduling/grant_table.hpp"
 #include "core/scheduling/queue_policy.hpp"
 #include "core/scheduling/scheduling_actions.hpp"
+#include "core/scheduling/upstream_gate.hpp"
 #include "core/scheduling/upstream_settings.hpp"
 
 namespace fuchsiaquay {
@@ -59,8 +59,7 @@
     const upstream_settings& settings() const noexcept { return settings_; }
 
 private:
-    class gate;
-
+    upstream_gate make_gate() const;
     void progress(instant now);
     void dispatch(instant now, scheduling_actions& actions);
     void give_up_hopeless(instant now, scheduling_actions& actions);
--- a/ctl/bench/bench_policies.cpp
+++ b/ctl/bench/bench_policies.cpp
@@ -23,6 +23,7 @@
         {"least_requests", selector::least_requests, queue::fifo},
         {"least_tokens", selector::least_tokens, queue::fifo},
         {"affinity_load", selector::affinity_load, queue::fifo},
+        {"layered", selector::length_aware, queue::layered},
     };
     return variants;
 }
--- a/ctl/bench/policy_variant.cpp
+++ b/ctl/bench/policy_variant.cpp
@@ -7,6 +7,7 @@
 #include "core/routing/round_robin_selector.hpp"
 #include "core/scheduling/fair_rank_policy.hpp"
 #include "core/scheduling/fifo_policy.hpp"
+#include "core/scheduling/layered_policy.hpp"
 
 namespace fuchsiaquay {
 
@@ -30,6 +31,9 @@
     if (order == queue::fifo) {
         return std::make_unique<fifo_policy>();
     }
+    if (order == queue::layered) {
+        return std::make_unique<layered_policy>(tokens_per_second);
+    }
     return std::make_unique<fair_rank_policy>(tokens_per_second);
 }
 
