Groups of engines: prompts larger than one engine are served

Cause: a prompt of 700,000 tokens was refused as no_upstream: no single engine of 400,000 could hold it. The reserve filter now plans parts and reserves them all or none; the traffic side prefills the parts at once, waits for their export, and lets the last engine generate.

--- a/core/request/attempt_result.hpp
+++ b/core/request/attempt_result.hpp
@@ -3,6 +3,7 @@
 #include <cstdint>
 #include <string>
 
+#include "core/identity/names.hpp"
 #include "core/request/execution.hpp"
 
 namespace fuchsiaquay {
@@ -20,6 +21,8 @@
     std::int64_t cached_tokens = 0;
     /// Stable word for the failure, for example "connect", "stalled", "out_of_memory".
     std::string failure;
+    /// Upstream at fault; empty for the target of the plan.
+    upstream_id culprit;
     /// HTTP status of a service answer and a bounded copy of its body, for the journal.
     int status = 0;
     std::string answer;
--- a/core/request/dispatch_plan.hpp
+++ b/core/request/dispatch_plan.hpp
@@ -1,8 +1,10 @@
 #pragma once
 
 #include <cstdint>
+#include <vector>
 
 #include "core/identity/names.hpp"
+#include "core/request/plan_part.hpp"
 #include "core/upstreams/upstream.hpp"
 #include "core/time/clock.hpp"
 
@@ -11,6 +13,9 @@
 /// Where and how one attempt of a request goes.
 struct dispatch_plan {
     upstream target;
+    /// Parts held by other engines, in the order of the prompt; the target holds the rest. Empty
+    /// unless the prompt is larger than one engine.
+    std::vector<plan_part> parts;
     /// Grant at the owner of the upstream and stream id at the engine; empty for services.
     grant_id grant;
     /// Rank level, which is the priority at the engine.
--- a/core/routing/group_reservation.hpp
+++ b/core/routing/group_reservation.hpp
@@ -7,6 +7,7 @@
 #include "core/messages/reserve_request.hpp"
 #include "core/routing/group_part.hpp"
 #include "core/routing/reservation_settings.hpp"
+#include "core/routing/reservation_steps.hpp"
 #include "core/routing/routing_actions.hpp"
 #include "core/time/clock.hpp"
 
@@ -18,7 +19,7 @@
 ///
 /// The first attempts are quick: a part that would wait ends them with the reason `group_busy`, and
 /// the entry host tries again after a pause with other engines. The last one waits.
-class group_reservation {
+class group_reservation final : public reservation_steps {
 public:
     /// @param request  the whole request; each part gets its own tokens and memory, and the id
     ///                 `<request>/<attempt>.<part>`
@@ -26,16 +27,16 @@
     group_reservation(const reserve_request& request, std::vector<group_part> parts,
                       const reservation_settings& settings, std::size_t attempt, instant now);
 
-    routing_actions start(instant now);
-    routing_actions on_reply(const reserve_reply& reply, instant now);
+    routing_actions start(instant now) override;
+    routing_actions on_reply(const reserve_reply& reply, instant now) override;
     /// Renews the parts granted so far; gives up once the bounded wait is over or the owner is
     /// silent.
-    routing_actions tick(instant now);
-    routing_actions cancel(instant now);
-    instant next_wakeup() const;
-    bool finished() const noexcept { return finished_; }
+    routing_actions tick(instant now) override;
+    routing_actions cancel(instant now) override;
+    instant next_wakeup() const override;
+    bool finished() const noexcept override { return finished_; }
     /// True when another attempt is worth while after this one was refused.
-    bool may_retry() const noexcept { return quick() && !parts_.empty(); }
+    bool may_retry() const noexcept override { return quick() && !parts_.empty(); }
     const std::vector<group_part>& parts() const noexcept { return parts_; }
 
 private:
--- a/core/routing/reservation.hpp
+++ b/core/routing/reservation.hpp
@@ -6,6 +6,7 @@
 #include "core/messages/reserve_reply.hpp"
 #include "core/messages/reserve_request.hpp"
 #include "core/routing/reservation_settings.hpp"
+#include "core/routing/reservation_steps.hpp"
 #include "core/routing/routing_actions.hpp"
 #include "core/routing/scored_candidate.hpp"
 #include "core/time/clock.hpp"
@@ -15,22 +16,22 @@
 /// The entry side of one reservation: asks the owner of the best upstream; when the place in the
 /// queue is bad or refused, asks the next ones, keeps the best place and gives the others back.
 /// Holds at most one grant. After the outcome, a late grant is released at once.
-class reservation {
+class reservation final : public reservation_steps {
 public:
     /// @param request     what to reserve; `upstream` and `cached_tokens` are set from the choices
     /// @param candidates  best first
     reservation(const reserve_request& request, std::vector<scored_candidate> candidates,
                 const reservation_settings& settings, instant now);
 
-    routing_actions start(instant now);
-    routing_actions on_reply(const reserve_reply& reply, instant now);
+    routing_actions start(instant now) override;
+    routing_actions on_reply(const reserve_reply& reply, instant now) override;
     /// Handles owners that did not answer.
-    routing_actions tick(instant now);
+    routing_actions tick(instant now) override;
     /// The caller went away or its time is over.
-    routing_actions cancel(instant now);
+    routing_actions cancel(instant now) override;
     /// When `tick` is due; `instant::max()` when no answer is awaited.
-    instant next_wakeup() const;
-    bool finished() const noexcept { return finished_; }
+    instant next_wakeup() const override;
+    bool finished() const noexcept override { return finished_; }
 
 private:
     enum class state { awaiting, queued, over };
--- a/drivers/api/completion_session.cpp
+++ b/drivers/api/completion_session.cpp
@@ -12,6 +12,7 @@
 #include "drivers/engine/engine_call.hpp"
 #include "drivers/engine/engine_client.hpp"
 #include "drivers/engine/engine_outcome.hpp"
+#include "drivers/engine/group_prefill.hpp"
 #include "drivers/http/monotonic_now.hpp"
 #include "servers/requests/request_flow.hpp"
 #include "servers/requests/request_pipeline.hpp"
@@ -51,6 +52,7 @@
     request.priority = plan.priority;
     request.stream_id = plan.grant.value();
     request.resume_from = plan.resume_offset;
+    request.parts = plan.parts;
     request.stall_timeout = services_.limits.stall_timeout;
     const std::int64_t prefill_seconds =
         count_prompt_tokens(*body_.prompt) / services_.limits.min_prefill_rate;
@@ -63,7 +65,31 @@
     dispatched_ = true;
     attempt_tokens_ = 0;
     last_write_ = monotonic_now();
-    call_ = services_.engines.start(request, shared_from_this());
+    if (plan.parts.empty()) {
+        call_ = services_.engines.start(request, shared_from_this());
+        return;
+    }
+    auto self = shared_from_this();
+    group_ = std::make_shared<group_prefill>(
+        services_.loop, services_.clients, plan.parts, body_.model, body_.prompt, plan.priority,
+        [self, request](const std::string& failure, const upstream_id& culprit) {
+            self->group_held(request, failure, culprit);
+        });
+    group_->start();
+}
+
+void completion_session::group_held(const engine_request& request, const std::string& failure,
+                                    const upstream_id& culprit) {
+    if (!failure.empty()) {
+        engine_outcome outcome;
+        outcome.failure = failure;
+        report_end(outcome, culprit);
+        return;
+    }
+    const std::lock_guard<std::mutex> lock(mutex_);
+    if (!ended_) {
+        call_ = services_.engines.start(request, shared_from_this());
+    }
 }
 
 void completion_session::tokens(const std::vector<token_event>& events) {
@@ -87,17 +113,23 @@
 }
 
 void completion_session::ended(const engine_outcome& outcome) {
+    report_end(outcome, upstream_id());
+}
+
+void completion_session::report_end(const engine_outcome& outcome, const upstream_id& culprit) {
     attempt_result result;
     result.completed = outcome.completed;
     result.ran = outcome.ran;
     result.failure = outcome.failure;
     result.cached_tokens = outcome.cached_tokens;
+    result.culprit = culprit;
     {
         const std::lock_guard<std::mutex> lock(mutex_);
         result.delivered_tokens = attempt_tokens_;
         result.generated_tokens = attempt_tokens_;
         dispatched_ = false;
         call_.reset();
+        release_group();
         if (outcome.completed && !ended_) {
             finish_answer(outcome);
         }
@@ -129,6 +161,7 @@
         }
         ended_ = true;
         call = std::move(call_);
+        release_group();
         if (stream_open_) {
             write(format_.stream_error(reason));
             close_stream();
@@ -158,6 +191,14 @@
     return true;
 }
 
+void completion_session::release_group() {
+    if (group_) {
+        group_->cancel();
+        group_->release_parts();
+        group_.reset();
+    }
+}
+
 void completion_session::open_stream() {
     if (stream_open_) {
         return;
@@ -198,6 +239,7 @@
         }
         ended_ = true;
         call = std::move(call_);
+        release_group();
         result.failure = "caller_left";
         result.delivered_tokens = attempt_tokens_;
         result.generated_tokens = attempt_tokens_;
--- a/drivers/api/completion_session.hpp
+++ b/drivers/api/completion_session.hpp
@@ -22,7 +22,9 @@
 namespace fuchsiaquay {
 
 class engine_call;
+class group_prefill;
 class request_flow;
+struct engine_request;
 
 /// The traffic side of one completion: relays tokens from engines to the caller, over several
 /// attempts if need be, and reports each attempt's end to the pipeline.
@@ -50,6 +52,11 @@
 
 private:
     void start_call(const dispatch_plan& plan);
+    /// Every part of a group is held, or one failed.
+    void group_held(const engine_request& request, const std::string& failure,
+                    const upstream_id& culprit);
+    void report_end(const engine_outcome& outcome, const upstream_id& culprit);
+    void release_group();
     void open_stream();
     void write(const std::string& text);
     void finish_answer(const engine_outcome& outcome);
@@ -65,6 +72,7 @@
     std::mutex mutex_;
     concurrency::streams::producer_consumer_buffer<std::uint8_t> buffer_;
     std::shared_ptr<engine_call> call_;
+    std::shared_ptr<group_prefill> group_;
     bool stream_open_ = false;
     bool dispatched_ = false;
     bool ended_ = false;
--- a/drivers/engine/engine_call.cpp
+++ b/drivers/engine/engine_call.cpp
@@ -28,6 +28,18 @@
     body["priority"] = json::value::number(request.priority);
     body["stream_id"] = json::value::string(request.stream_id);
     body["resume_from"] = json::value::number(request.resume_from);
+    std::vector<json::value> parts;
+    for (const plan_part& part : request.parts) {
+        json::value entry = json::value::object();
+        entry["engine"] =
+            json::value::string(part.target.address + ":" + std::to_string(part.target.port));
+        entry["stream_id"] = json::value::string(part.grant.value());
+        entry["tokens"] = json::value::number(part.prompt_tokens);
+        parts.push_back(entry);
+    }
+    if (!parts.empty()) {
+        body["kv_parts"] = json::value::array(parts);
+    }
     return body.serialize();
 }
 
--- a/drivers/engine/engine_request.hpp
+++ b/drivers/engine/engine_request.hpp
@@ -3,7 +3,9 @@
 #include <cstdint>
 #include <memory>
 #include <string>
+#include <vector>
 
+#include "core/request/plan_part.hpp"
 #include "core/time/clock.hpp"
 
 namespace fuchsiaquay {
@@ -18,6 +20,8 @@
     int priority = 0;
     std::string stream_id;
     std::int64_t resume_from = 0;
+    /// Parts of the prompt that other engines hold.
+    std::vector<plan_part> parts;
     /// Longest time until the first token; afterwards `stall_timeout` holds between events.
     duration first_token_timeout{};
     duration stall_timeout{};
--- a/servers/requests/request_pipeline.cpp
+++ b/servers/requests/request_pipeline.cpp
@@ -142,7 +142,7 @@
         end(flow, result);
         return;
     }
-    flow->excluded.insert(flow->plan.target.id);
+    flow->excluded.insert(result.culprit.empty() ? flow->plan.target.id : result.culprit);
     settle_attempt(flow, result);
     duration delay{};
     const bool again = retries_.allow(*flow, result, timers_.now(), delay);
--- a/servers/reservation/reserve_filter.cpp
+++ b/servers/reservation/reserve_filter.cpp
@@ -9,8 +9,12 @@
 #include "core/messages/grant_renewal.hpp"
 #include "core/request/attempt_result.hpp"
 #include "core/request/refusal.hpp"
+#include "core/routing/group_part.hpp"
+#include "core/routing/group_planner.hpp"
+#include "core/routing/group_reservation.hpp"
 #include "core/routing/reservation.hpp"
 #include "core/routing/routing_actions.hpp"
+#include "core/scheduling/upstream_settings.hpp"
 #include "servers/decision_log.hpp"
 #include "servers/requests/request_flow.hpp"
 #include "servers/reservation/reservation_link.hpp"
@@ -24,6 +28,10 @@
 
 constexpr int status_too_many = 429;
 constexpr int status_unavailable = 503;
+/// KV cache of an engine whose record does not say it.
+constexpr std::int64_t default_memory_tokens = 400'000;
+/// Prompt tokens of a group that stay with the engine that generates.
+constexpr std::int64_t generator_prompt_tokens = 16'000;
 constexpr duration tick_period = std::chrono::milliseconds(20);
 /// Well inside the lifetime of a grant, so that two lost renewals do no harm.
 constexpr duration renew_period = std::chrono::seconds(2);
@@ -44,6 +52,20 @@
     return request;
 }
 
+/// KV cache that one engine may give to a long prompt: the smallest engine of the choices without
+/// the part that long prompts cannot take.
+std::int64_t part_memory(const upstream_view& upstreams,
+                         const std::vector<scored_candidate>& choices) {
+    std::int64_t smallest = default_memory_tokens;
+    for (const scored_candidate& choice : choices) {
+        const std::optional<upstream> engine = upstreams.find(choice.upstream);
+        if (engine && engine->memory_tokens > 0) {
+            smallest = std::min(smallest, engine->memory_tokens);
+        }
+    }
+    return smallest - upstream_settings().short_memory_tokens;
+}
+
 refusal make_refusal(const routing_outcome& outcome) {
     refusal reason;
     reason.status = outcome.reason == "no_upstream" ? status_unavailable : status_too_many;
@@ -56,18 +78,14 @@
 }  // namespace
 
 struct reserve_filter::entry {
-    entry(const reserve_request& asked, std::shared_ptr<request_flow> owner,
-          const reservation_settings& settings, instant now, verdict how)
-        : request(asked),
-          flow(std::move(owner)),
-          decide(std::move(how)),
-          steps(request, flow->choices, settings, now) {}
-
     reserve_request request;
     std::shared_ptr<request_flow> flow;
     verdict decide;
-    reservation steps;
-    std::optional<reserve_reply> grant;
+    std::unique_ptr<reservation_steps> steps;
+    /// Set for a prompt larger than one engine: its parts, in the order of the grants.
+    std::vector<group_part> parts;
+    std::size_t group_attempts = 0;
+    std::vector<reserve_reply> grants;
 };
 
 reserve_filter::reserve_filter(timer_service& timers, decision_log& log, const host_view& hosts,
@@ -93,21 +111,53 @@
         decide.proceed();
         return;
     }
+    auto item = std::make_shared<entry>();
+    item->request = make_reserve_request(*flow, hosts_.host().host, timers_.now());
+    item->flow = flow;
+    item->decide = decide;
+    entries_[item->request.request] = item;
+    flow->reservation_id = item->request.request;
+    start(item);
+}
+
+void reserve_filter::start(const std::shared_ptr<entry>& item) {
     const instant now = timers_.now();
-    const reserve_request request = make_reserve_request(*flow, hosts_.host().host, now);
-    auto item = std::make_shared<entry>(request, flow, settings_, now, decide);
-    entries_[request.request] = item;
-    flow->reservation_id = request.request;
-    carry_out(item, item->steps.start(now));
+    const request_flow& flow = *item->flow;
+    item->request.time_left = flow.deadline - now;
+    const group_planner planner(part_memory(upstreams_, flow.choices), generator_prompt_tokens);
+    if (planner.needs_group(flow.routing)) {
+        routing_request part = flow.routing;
+        part.memory_tokens = 0;  // the parts fit, the whole does not
+        item->parts = planner.plan(flow.routing, router_.order(flow, part, now));
+        item->steps = std::make_unique<group_reservation>(item->request, item->parts, settings_,
+                                                          item->group_attempts++, now);
+    } else {
+        item->steps =
+            std::make_unique<reservation>(item->request, flow.choices, settings_, now);
+    }
+    carry_out(item, item->steps->start(now));
+}
+
+void reserve_filter::retry_later(const std::shared_ptr<entry>& item) {
+    timers_.after(settings_.group_pause, [this, item] {
+        if (!item->flow->ended() && entries_.count(item->request.request) > 0) {
+            start(item);
+        }
+    });
+}
+
+std::shared_ptr<reserve_filter::entry> reserve_filter::find(const request_id& reservation) const {
+    // Parts of a group are named after the whole: `<request>/<attempt>.<part>`.
+    const std::string& name = reservation.value();
+    const auto found = entries_.find(request_id(name.substr(0, name.find('/'))));
+    return found == entries_.end() ? nullptr : found->second;
 }
 
 void reserve_filter::on_reply(const reserve_reply& reply) {
     const instant now = timers_.now();
     router_.observe(reply, now);
-    const auto found = entries_.find(reply.request);
-    if (found != entries_.end()) {
-        const std::shared_ptr<entry> item = found->second;
-        carry_out(item, item->steps.on_reply(reply, now));
+    if (const std::shared_ptr<entry> item = find(reply.request)) {
+        carry_out(item, item->steps->on_reply(reply, now));
         return;
     }
     if (reply.outcome == reserve_outcome::granted) {
@@ -123,36 +173,55 @@
     for (const reserve_request& request : actions.reserves) {
         link_.send(request);
     }
+    for (const grant_renewal& renewal : actions.renewals) {
+        link_.send(renewal);
+    }
     if (actions.outcome) {
         conclude(item, *actions.outcome);
     }
 }
 
 void reserve_filter::conclude(const std::shared_ptr<entry>& item, const routing_outcome& outcome) {
-    request_flow& flow = *item->flow;
+    if (!outcome.granted && item->steps->may_retry()) {
+        retry_later(item);
+        return;
+    }
     if (!outcome.granted) {
         item->decide.refuse(make_refusal(outcome));
         return;
     }
-    const reserve_reply& grant = outcome.grants.front();
-    const std::optional<upstream> target = upstreams_.find(grant.upstream);
-    item->grant = grant;
-    if (!target) {
+    item->grants = outcome.grants;
+    if (!make_plan(*item)) {
         item->decide.refuse(make_refusal(routing_outcome{false, {}, {}, "no_upstream"}));
         return;
     }
-    const instant now = timers_.now();
-    flow.plan.target = *target;
-    flow.plan.grant = grant.grant;
-    flow.plan.priority = grant.engine_priority;
-    flow.plan.grant_expiry = now + grant.grant_lifetime;
+    router_.started(*item->flow, timers_.now());
+    item->decide.proceed();
+}
+
+bool reserve_filter::make_plan(entry& item) const {
+    request_flow& flow = *item.flow;
+    for (std::size_t i = 0; i < item.grants.size(); ++i) {
+        const reserve_reply& grant = item.grants[i];
+        const std::optional<upstream> target = upstreams_.find(grant.upstream);
+        if (!target) {
+            return false;
+        }
+        if (!item.parts.empty() && !item.parts[i].generates) {
+            flow.plan.parts.push_back({*target, grant.grant, item.parts[i].prompt_tokens});
+            continue;
+        }
+        flow.plan.target = *target;
+        flow.plan.grant = grant.grant;
+        flow.plan.priority = grant.engine_priority;
+        flow.plan.grant_expiry = timers_.now() + grant.grant_lifetime;
+    }
     for (const scored_candidate& choice : flow.choices) {
-        if (choice.upstream == grant.upstream) {
+        if (choice.upstream == flow.plan.target.id) {
             flow.expected_cached_tokens = choice.cached_tokens;
         }
     }
-    router_.started(flow, now);
-    item->decide.proceed();
+    return true;
 }
 
 void reserve_filter::settle(const std::shared_ptr<request_flow>& flow,
@@ -163,14 +232,17 @@
     }
     const std::shared_ptr<entry> item = found->second;
     entries_.erase(found);
-    if (!item->grant) {
-        for (const grant_release& release : item->steps.cancel(timers_.now()).releases) {
+    if (item->grants.empty()) {
+        for (const grant_release& release : item->steps->cancel(timers_.now()).releases) {
             link_.send(release);
         }
         return;
     }
-    link_.send(grant_release{item->grant->grant, item->request.request, item->grant->upstream,
-                             result.generated_tokens});
+    for (const reserve_reply& grant : item->grants) {
+        const bool generates = grant.grant == flow->plan.grant;
+        link_.send(grant_release{grant.grant, grant.request, grant.upstream,
+                                 generates ? result.generated_tokens : 0});
+    }
     router_.ended(*flow, result, timers_.now());
 }
 
@@ -178,29 +250,30 @@
     const instant now = timers_.now();
     std::vector<std::shared_ptr<entry>> due;
     for (const auto& [id, item] : entries_) {
-        if (!item->steps.finished() && item->steps.next_wakeup() <= now) {
+        if (!item->steps->finished() && item->steps->next_wakeup() <= now) {
             due.push_back(item);
         }
     }
     for (const std::shared_ptr<entry>& item : due) {
-        carry_out(item, item->steps.tick(now));
+        carry_out(item, item->steps->tick(now));
     }
 }
 
 void reserve_filter::renew_grants() {
     for (const auto& [id, item] : entries_) {
-        if (!item->grant) {
-            continue;
+        for (std::size_t i = 0; i < item->grants.size(); ++i) {
+            const reserve_reply& grant = item->grants[i];
+            grant_renewal renewal;
+            renewal.grant = grant.grant;
+            renewal.request = grant.request;
+            renewal.upstream = grant.upstream;
+            renewal.entry_host = hosts_.host().host;
+            renewal.customer = item->request.customer;
+            renewal.level = item->request.level;
+            renewal.memory_tokens =
+                item->parts.empty() ? item->request.memory_tokens : item->parts[i].memory_tokens;
+            link_.send(renewal);
         }
-        grant_renewal renewal;
-        renewal.grant = item->grant->grant;
-        renewal.request = id;
-        renewal.upstream = item->grant->upstream;
-        renewal.entry_host = hosts_.host().host;
-        renewal.customer = item->request.customer;
-        renewal.level = item->request.level;
-        renewal.memory_tokens = item->request.memory_tokens;
-        link_.send(renewal);
     }
 }
 
--- a/servers/reservation/reserve_filter.hpp
+++ b/servers/reservation/reserve_filter.hpp
@@ -39,8 +39,12 @@
 private:
     struct entry;
 
+    void start(const std::shared_ptr<entry>& item);
+    void retry_later(const std::shared_ptr<entry>& item);
+    std::shared_ptr<entry> find(const request_id& reservation) const;
     void carry_out(const std::shared_ptr<entry>& item, const routing_actions& actions);
     void conclude(const std::shared_ptr<entry>& item, const routing_outcome& outcome);
+    bool make_plan(entry& item) const;
     void tick();
     void renew_grants();
 
--- a/servers/routing/route_filter.cpp
+++ b/servers/routing/route_filter.cpp
@@ -87,6 +87,12 @@
     const instant now = timers_.now();
     flow->routing = router_.describe(*flow, now);
     flow->choices = router_.order(*flow, flow->routing, now);
+    if (flow->choices.empty()) {
+        // Larger than any engine: the parts of a group are placed one by one.
+        routing_request part = flow->routing;
+        part.memory_tokens = 0;
+        flow->choices = router_.order(*flow, part, now);
+    }
     if (flow->choices.empty()) {
         decide.refuse(no_upstream("model " + flow->context().model.value()));
         return;
