--- /dev/null
+++ b/ctl/console/command_registry.hpp
@@ -0,0 +1,43 @@
+#pragma once
+
+#include <functional>
+#include <iosfwd>
+#include <string>
+#include <vector>
+
+#include "ctl/console/console.hpp"
+#include "ctl/console/exit_code.hpp"
+
+namespace fuchsiaquay {
+
+/// One command of `fuchsiaquayctl`.
+struct ctl_command {
+    /// One or two words, such as "contract get".
+    std::string name;
+    /// Arguments as the help shows them.
+    std::string arguments;
+    std::string summary;
+    std::size_t least_arguments = 0;
+    std::function<exit_code(const console&)> run;
+};
+
+/// The commands by name. Other folders add theirs, such as `bench`.
+class command_registry {
+public:
+    void add(ctl_command command) { commands_.push_back(std::move(command)); }
+    const std::vector<ctl_command>& all() const noexcept { return commands_; }
+
+    /// Runs the command that the words of the options name.
+    exit_code run(const ctl_options& options, admin_channel& channel, std::ostream& out,
+                  std::ostream& err) const;
+    void print_help(std::ostream& out) const;
+
+private:
+    std::vector<ctl_command> commands_;
+};
+
+/// Every command that calls the administration API.
+void add_contract_commands(command_registry& registry);
+void add_fleet_commands(command_registry& registry);
+
+}  // namespace fuchsiaquay
--- /dev/null
+++ b/ctl/console/ctl_options.hpp
@@ -0,0 +1,35 @@
+#pragma once
+
+#include <iosfwd>
+#include <map>
+#include <string>
+#include <vector>
+
+namespace fuchsiaquay {
+
+/// Command line of `fuchsiaquayctl`.
+struct ctl_options {
+    /// Nodes as ADDRESS:PORT, tried in this order.
+    std::vector<std::string> nodes;
+    std::string token;
+    bool json = false;
+    bool dry_run = false;
+    bool help = false;
+    /// Seconds that a call may take.
+    int timeout_s = 15;
+    /// Options of single commands by name, such as "revision" or "interval".
+    std::map<std::string, std::string> values;
+    /// Words that are not options: the command and its arguments.
+    std::vector<std::string> words;
+
+    std::string value(const std::string& name, const std::string& fallback) const {
+        const auto found = values.find(name);
+        return found == values.end() ? fallback : found->second;
+    }
+};
+
+/// Reads the command line; the environment gives FUCHSIAQUAY_NODES and FUCHSIAQUAY_TOKEN.
+/// Returns false after an error was written to `err`.
+bool parse_options(int argc, char** argv, ctl_options& options, std::ostream& err);
+
+}  // namespace fuchsiaquay
--- /dev/null
+++ b/ctl/console/fleet_commands.cpp
@@ -0,0 +1,208 @@
+#include <chrono>
+#include <cstdlib>
+#include <fstream>
+#include <ostream>
+#include <set>
+#include <sstream>
+#include <thread>
+
+#include "ctl/console/admin_channel.hpp"
+#include "ctl/console/answer_report.hpp"
+#include "ctl/console/command_registry.hpp"
+#include "ctl/console/text_table.hpp"
+#include "drivers/json/field_reader.hpp"
+#include "drivers/json/json_text.hpp"
+#include "drivers/json/json_writer.hpp"
+
+namespace fuchsiaquay {
+namespace {
+
+constexpr int status_ok = 200;
+constexpr std::size_t most_items = 100000;
+constexpr int default_interval_s = 2;
+
+std::string cell(const web::json::value& value) {
+    if (value.is_null()) {
+        return "-";
+    }
+    return value.is_string() ? value.as_string() : write_json(value, json_layout::one_line);
+}
+
+std::string cell(const web::json::value& object, const std::string& name) {
+    return object.has_field(name) ? cell(object.at(name)) : "-";
+}
+
+admin_channel::answer send(const console& at, const std::string& method, const std::string& path,
+                           const std::string& body = "") {
+    admin_channel::call call;
+    call.method = method;
+    call.path = path + (at.options.dry_run && method != "GET" ? "?dry_run=true" : "");
+    call.body = body;
+    return at.channel.send(call);
+}
+
+exit_code print_body(const console& at, const admin_channel::answer& answer) {
+    const exit_code code = report_failure(at, answer);
+    if (code == exit_code::done) {
+        at.out << indent_json(answer.body);
+    }
+    return code;
+}
+
+/// Prints the members of the objects in the array `list` as a table.
+exit_code print_list(const console& at, const std::string& path, const std::string& list,
+                     const std::vector<std::string>& members) {
+    const auto answer = send(at, "GET", path);
+    if (at.options.json || answer.status != status_ok) {
+        return print_body(at, answer);
+    }
+    text_table table(members);
+    const web::json::value body = parse_object(answer.body);
+    for (const web::json::value& item : body.at(list).as_array()) {
+        std::vector<std::string> row;
+        row.reserve(members.size());
+        for (const std::string& member : members) {
+            row.push_back(cell(item, member));
+        }
+        table.add(row);
+    }
+    table.print(at.out);
+    return exit_code::done;
+}
+
+exit_code list_upstreams(const console& at) {
+    return print_list(at, "/upstreams", "upstreams",
+                      {"id", "kind", "state", "data_centre", "address", "port", "models"});
+}
+
+exit_code list_nodes(const console& at) {
+    return print_list(at, "/nodes", "nodes",
+                      {"host", "data_centre", "state", "address", "http_port"});
+}
+
+exit_code add_upstream(const console& at) {
+    std::ifstream file(at.arguments[0]);
+    std::ostringstream text;
+    text << file.rdbuf();
+    const std::string id = field_reader(parse_object(text.str()), "").name("id");
+    return print_body(at, send(at, "PUT", "/upstreams/" + id, text.str()));
+}
+
+exit_code explain(const console& at) {
+    web::json::value body = web::json::value::object(true);
+    for (const char* name : {"customer", "rank", "model", "service"}) {
+        const std::string value = at.options.value(name, "");
+        if (!value.empty()) {
+            body[name] = web::json::value::string(value);
+        }
+    }
+    body["prompt_tokens"] =
+        web::json::value::number(std::atoi(at.options.value("prompt-tokens", "0").c_str()));
+    body["max_tokens"] =
+        web::json::value::number(std::atoi(at.options.value("max-tokens", "0").c_str()));
+    const auto answer = send(at, "POST", "/explain", write_json(body, json_layout::one_line));
+    if (at.options.json || answer.status != status_ok) {
+        return print_body(at, answer);
+    }
+    const web::json::value found = parse_object(answer.body);
+    at.out << "outcome " << cell(found, "outcome") << "  rank " << cell(found, "rank") << "  level "
+           << cell(found, "level") << "  owner " << cell(found, "owner") << "  contract "
+           << cell(found, "contract_revision") << "\nprice " << cell(found, "price") << "\n";
+    text_table table({"UPSTREAM", "SCORE", "CACHED", "REASON"});
+    for (const web::json::value& item : found.at("candidates").as_array()) {
+        table.add({cell(item, "upstream"), cell(item, "score"), cell(item, "cached_tokens"),
+                   cell(item, "reason")});
+    }
+    table.print(at.out);
+    return exit_code::done;
+}
+
+std::vector<std::string> status_row(const console& at, const web::json::value& node,
+                                    std::set<std::string>& revisions) {
+    admin_channel::call call;
+    call.method = "GET";
+    call.path = "/status";
+    call.node = cell(node, "address") + ":" + cell(node, "http_port");
+    const auto answer = at.channel.send(call);
+    std::vector<std::string> row{cell(node, "host"), cell(node, "data_centre"),
+                                 cell(node, "state")};
+    if (answer.status != status_ok) {
+        revisions.insert("unknown");
+        row.insert(row.end(), {"no answer", "-", "-", "-", "-"});
+        return row;
+    }
+    const web::json::value status = parse_object(answer.body);
+    const web::json::value& contracts = status.at("contracts");
+    const web::json::value& upstreams = status.at("upstreams");
+    revisions.insert(cell(contracts, "last_change"));
+    row.insert(
+        row.end(),
+        {cell(contracts, "standing"), cell(contracts, "last_change"), cell(contracts, "age_ms"),
+         cell(upstreams, "live") + "/" + cell(upstreams, "leaving"), cell(status, "figures")});
+    return row;
+}
+
+exit_code status(const console& at) {
+    const auto answer = send(at, "GET", "/nodes");
+    if (answer.status != status_ok) {
+        return report_failure(at, answer);
+    }
+    if (at.options.json) {
+        return print_body(at, send(at, "GET", "/status"));
+    }
+    std::set<std::string> revisions;
+    text_table table({"NODE", "DATA CENTRE", "STATE", "CONTRACTS", "REVISION", "AGE MS",
+                      "UPSTREAMS LIVE/LEAVING", "FIGURES"});
+    const web::json::value body = parse_object(answer.body);
+    for (const web::json::value& node : body.at("nodes").as_array()) {
+        table.add(status_row(at, node, revisions));
+    }
+    table.print(at.out);
+    const bool same = revisions.size() == 1 && revisions.count("unknown") == 0;
+    at.out << (same ? "contracts: revision " + *revisions.begin() + " on every node\n"
+                    : std::string("contracts: not the same revision on every node\n"));
+    print_list(at, "/models", "models", {"model", "engines", "leaving", "contracts"});
+    return exit_code::done;
+}
+
+exit_code watch(const console& at) {
+    const int interval = std::atoi(at.options.value("interval", "").c_str());
+    const int pause = interval > 0 ? interval : default_interval_s;
+    const int rounds = std::atoi(at.options.value("count", "0").c_str());
+    for (int round = 1;; ++round) {
+        const exit_code code = status(at);
+        at.out << std::endl;
+        if (round == rounds) {
+            return code;
+        }
+        std::this_thread::sleep_for(std::chrono::seconds(pause));
+    }
+}
+
+ctl_command post_command(const std::string& name, const std::string& argument,
+                         const std::string& summary, const std::string& method,
+                         const std::string& path, const std::string& suffix) {
+    return {name, argument, summary, 1, [method, path, suffix](const console& at) {
+                return print_body(at, send(at, method, path + at.arguments[0] + suffix));
+            }};
+}
+
+}  // namespace
+
+void add_fleet_commands(command_registry& registry) {
+    registry.add({"upstream list", "", "upstreams as the node sees them", 0, list_upstreams});
+    registry.add({"upstream add", "FILE", "add or describe an upstream", 1, add_upstream});
+    registry.add(post_command("upstream drain", "ID", "give an upstream no new work", "POST",
+                              "/upstreams/", "/drain"));
+    registry.add(post_command("upstream remove", "ID", "leave an upstream out", "DELETE",
+                              "/upstreams/", ""));
+    registry.add({"node list", "", "nodes as the node sees them", 0, list_nodes});
+    registry.add(post_command("node drain", "HOST", "start the graceful shutdown of a node", "POST",
+                              "/nodes/", "/drain"));
+    registry.add({"status", "", "nodes, contracts and models on one screen", 0, status});
+    registry.add({"watch", "", "status again and again", 0, watch});
+    registry.add(
+        {"explain", "", "where a request would go and why (--customer --model ...)", 0, explain});
+}
+
+}  // namespace fuchsiaquay
--- /dev/null
+++ b/ctl/console/http_admin_channel.cpp
@@ -0,0 +1,70 @@
+#include "ctl/console/http_admin_channel.hpp"
+
+#include <cpprest/http_client.h>
+
+#include <system_error>
+#include <utility>
+
+namespace fuchsiaquay {
+namespace {
+
+/// Whether the failure arose before anything was sent.
+bool never_sent(const std::error_code& code) {
+    return code == std::errc::connection_refused || code == std::errc::host_unreachable ||
+           code == std::errc::network_unreachable;
+}
+
+}  // namespace
+
+http_admin_channel::http_admin_channel(std::vector<std::string> nodes, std::string token,
+                                       int timeout_s)
+    : nodes_(std::move(nodes)), token_(std::move(token)), timeout_s_(timeout_s) {}
+
+admin_channel::answer http_admin_channel::send(const call& wanted) {
+    if (!wanted.node.empty()) {
+        return send_to(wanted.node, wanted);
+    }
+    answer last;
+    last.failure = "no node given; use --node or FUCHSIAQUAY_NODES";
+    for (const std::string& node : nodes_) {
+        last = send_to(node, wanted);
+        const bool answered =
+            last.status != 0 && last.status != web::http::status_codes::ServiceUnavailable;
+        if (answered || (last.in_doubt && !wanted.repeatable)) {
+            return last;
+        }
+    }
+    return last;
+}
+
+admin_channel::answer http_admin_channel::send_to(const std::string& node,
+                                                  const call& wanted) const {
+    answer result;
+    try {
+        web::http::client::http_client_config config;
+        config.set_timeout(std::chrono::seconds(timeout_s_));
+        web::http::client::http_client client("http://" + node, config);
+        web::http::http_request request(wanted.method);
+        request.set_request_uri("/admin/v1" + wanted.path);
+        request.headers().add("Authorization", "Bearer " + token_);
+        for (const auto& [name, value] : wanted.headers) {
+            request.headers().add(name, value);
+        }
+        if (!wanted.body.empty()) {
+            request.set_body(wanted.body, "application/json");
+        }
+        const web::http::http_response response = client.request(request).get();
+        result.status = response.status_code();
+        result.body = response.extract_utf8string(true).get();
+        const auto etag = response.headers().find("ETag");
+        result.etag = etag == response.headers().end() ? "" : etag->second;
+    } catch (const web::http::http_exception& error) {
+        result.failure = node + ": " + error.what();
+        result.in_doubt = wanted.method != "GET" && !never_sent(error.error_code());
+    } catch (const std::exception& error) {
+        result.failure = node + ": " + error.what();
+    }
+    return result;
+}
+
+}  // namespace fuchsiaquay
