Scenarios: refused connections, evidence that outlives a kill, callers that leave

A killed upstream's link still accepted, so a node could not tell "not run"; a link can now refuse, keeping its port bound (closing it lost the port to others). A killed service took its record along: executions are read from its log, written before the answer.

--- a/tests/scenarios/prelude.lua
+++ b/tests/scenarios/prelude.lua
@@ -300,11 +300,10 @@
     end
 end
 
+-- Executions are read from the service's log, which a kill cannot take away.
 local function keep_record(name)
     local service = fleet_services[name]
-    if not service then return end
-    local _, body = http { port = service.port, path = "/_record" }
-    service.earlier[#service.earlier + 1] = body
+    if service then service.earlier[#service.earlier + 1] = output(name) end
 end
 
 local function expect_up(name)
@@ -315,9 +314,10 @@
     expect_up(name)
     note("kill " .. name)
     fault_begins(name)
-    keep_record(name)
     signal(name, KILL)
     wait_for_end(name, GENEROUS)
+    keep_record(name)
+    if not fleet_nodes[name] then link(name, "refuse") end
 end
 
 function freeze(name)
@@ -340,8 +340,10 @@
         wait_for_node(name)
     elseif fleet_engines[name] then
         run_engine(fleet_engines[name])
+        link(name, "accept")
     else
         run_service(fleet_services[name])
+        link(name, "accept")
     end
     fault_over(name)
 end
@@ -391,11 +393,12 @@
 
 function offer_streams(terms) return offer_kind("stream", terms or {}) end
 function offer_plain(terms) return offer_kind("plain", terms or {}) end
--- A caller asks for a streamed answer to a prompt of so many tokens and leaves after a second.
-function leave_during_prefill(node, prompt_tokens)
-    note("a caller leaves " .. node .. " during its prefill")
+-- A caller asks for a streamed answer to a prompt of so many tokens, in the background, and leaves
+-- after some seconds.
+function leave_during_prefill(node, prompt_tokens, seconds)
+    note("a caller will leave " .. node .. " during its prefill")
     http { method = "POST", port = fleet_nodes[node].http_port, path = "/v1/completions",
-        seconds = 1,
+        seconds = seconds, background = true,
         headers = { Authorization = "Bearer " .. caller_key("greenline"), ["X-Rank"] = "normal" },
         body = to_json { model = "assistant-7b", prompt = string.rep("log ", prompt_tokens),
                          max_tokens = 4, stream = true } }
@@ -439,9 +442,9 @@
         local service = fleet_services[name]
         if running(name) then keep_record(name) end
         for _, text in ipairs(service.earlier) do
-            for _, each in ipairs(from_json(text)) do
-                fact("execution", { name = name, key = each.key, at_ms = each.at_ms })
-                fact("use", { name = name, at_ms = each.at_ms })
+            for key, at_ms in text:gmatch "executed (%S+) (%d+)" do
+                fact("execution", { name = name, key = key, at_ms = tonumber(at_ms) })
+                fact("use", { name = name, at_ms = tonumber(at_ms) })
             end
         end
     end
@@ -485,6 +488,11 @@
     return "load " .. load .. ": " .. table.concat(words, ", ")
 end
 
+-- Also called by the runner after a failure.
+function report_loads()
+    for _, load in ipairs(loads) do print(summary_line(load)) end
+end
+
 -- Ends the load, waits for quiet, and has the checker go over the whole history.
 function expect_all_holds()
     end_all_loads()
@@ -494,12 +502,12 @@
     collect_services()
     collect_engines()
     sample_revisions()
-    for _, load in ipairs(loads) do print(summary_line(load)) end
     local found = violations(SLACK_MS)
     if #found > 0 then
         local shown = table.concat(found, "\n  ", 1, math.min(#found, 12))
         error(#found .. " violations:\n  " .. shown, 2)
     end
+    report_loads()
     note("the checker found nothing")
 end
 
--- a/tests/scenarios/runner/lua_bindings.cpp
+++ b/tests/scenarios/runner/lua_bindings.cpp
@@ -117,6 +117,8 @@
         link.silence();
     } else if (command == "part" || command == "join") {
         link.part(command == "part");
+    } else if (command == "refuse" || command == "accept") {
+        link.refuse(command == "refuse");
     } else if (command == "delay") {
         link.delay(std::chrono::milliseconds(luaL_checkinteger(state, 3)));
     } else {
@@ -141,6 +143,10 @@
             lua_pop(state, 1);
         }
     }
+    if (flag_argument(state, 1, "background", false)) {
+        std::thread([terms] { call_http(terms); }).detach();
+        return 0;
+    }
     const http_reply reply = call_http(terms);
     lua_pushinteger(state, reply.error.empty() ? reply.status : 0);
     lua_pushlstring(state, reply.body.data(), reply.body.size());
--- a/tests/scenarios/runner/scenario_main.cpp
+++ b/tests/scenarios/runner/scenario_main.cpp
@@ -7,6 +7,8 @@
 
 #include <chrono>
 #include <csignal>
+#include <cstdlib>
+#include <exception>
 #include <iostream>
 #include <memory>
 #include <thread>
@@ -48,6 +50,9 @@
         return true;
     }
     std::cout << "FAILED: " << lua_tostring(state, -1) << '\n';
+    if (lua_getglobal(state, "report_loads") == LUA_TFUNCTION) {
+        lua_pcall(state, 0, 0, 0);
+    }
     return false;
 }
 
@@ -63,6 +68,10 @@
 
 int main(int argc, char** argv) {
     std::signal(SIGPIPE, SIG_IGN);
+    std::set_terminate([] {
+        scenarios::child_process::kill_all();
+        std::abort();
+    });
     stand_ins::options settings({{"build", "build"},
                                  {"prelude", ""},
                                  {"script", ""},
--- a/tests/stand_ins/cut_proxy/cut_proxy.cpp
+++ b/tests/stand_ins/cut_proxy/cut_proxy.cpp
@@ -13,9 +13,9 @@
 using asio::ip::tcp;
 
 cut_proxy::cut_proxy(std::uint16_t port, std::uint16_t target_port)
-    : acceptor_(context_, tcp::endpoint(asio::ip::address_v4::loopback(), port)),
-      target_(asio::ip::address_v4::loopback(), target_port),
-      port_(acceptor_.local_endpoint().port()) {
+    : acceptor_(context_), target_(asio::ip::address_v4::loopback(), target_port), port_(port) {
+    bind();
+    acceptor_.listen();
     accept();
     thread_ = std::thread([this] { context_.run(); });
 }
@@ -25,6 +25,14 @@
     thread_.join();
 }
 
+void cut_proxy::bind() {
+    const tcp::endpoint endpoint(asio::ip::address_v4::loopback(), port_);
+    acceptor_.open(endpoint.protocol());
+    acceptor_.set_option(tcp::acceptor::reuse_address(true));
+    acceptor_.bind(endpoint);
+    port_ = acceptor_.local_endpoint().port();
+}
+
 void cut_proxy::accept() {
     acceptor_.async_accept([this](const boost::system::error_code& error, tcp::socket socket) {
         if (error) {
@@ -78,6 +86,22 @@
     run_on_thread([this, parted] { parted_ = parted; });
 }
 
+void cut_proxy::refuse(bool refused) {
+    if (refused) {
+        run_on_thread([this] {
+            acceptor_.close();
+            // Bound but not listening: the port stays ours, and connections are refused.
+            bind();
+        });
+        cut();
+        return;
+    }
+    run_on_thread([this] {
+        acceptor_.listen();
+        accept();
+    });
+}
+
 void cut_proxy::delay(std::chrono::milliseconds value) {
     run_on_thread([this, value] { delay_ = value; });
 }
--- a/tests/stand_ins/cut_proxy/cut_proxy.hpp
+++ b/tests/stand_ins/cut_proxy/cut_proxy.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <boost/asio/executor_work_guard.hpp>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <chrono>
@@ -33,14 +34,20 @@
     void silence();
     /// True: open connections go silent and so does each new one, as when two sites are parted.
     void part(bool parted);
+    /// True: new connections are refused, as where no process listens; open ones are reset.
+    void refuse(bool refused);
     /// Delays every piece of bytes, each way, on connections that open from now on.
     void delay(std::chrono::milliseconds value);
 
 private:
+    void bind();
     void accept();
     void run_on_thread(const std::function<void()>& command);
 
     boost::asio::io_context context_;
+    /// Keeps the thread alive while nothing listens.
+    boost::asio::executor_work_guard<boost::asio::io_context::executor_type> work_{
+        context_.get_executor()};
     boost::asio::ip::tcp::acceptor acceptor_;
     boost::asio::ip::tcp::endpoint target_;
     std::uint16_t port_;
--- a/tests/stand_ins/cut_proxy/cut_proxy_main.cpp
+++ b/tests/stand_ins/cut_proxy/cut_proxy_main.cpp
@@ -1,6 +1,6 @@
 /// @file
 /// A TCP hop for use by hand. Reads its commands from the standard input, one a line: cut,
-/// silence, part, join, delay MILLISECONDS. Ends at the end of the input.
+/// silence, part, join, refuse, accept, delay MILLISECONDS. Ends at the end of the input.
 
 #include <iostream>
 #include <sstream>
@@ -28,6 +28,8 @@
             proxy.silence();
         } else if (command == "part" || command == "join") {
             proxy.part(command == "part");
+        } else if (command == "refuse" || command == "accept") {
+            proxy.refuse(command == "refuse");
         } else if (command == "delay") {
             proxy.delay(std::chrono::milliseconds(value));
         } else {
--- a/tests/stand_ins/service/execution_record.cpp
+++ b/tests/stand_ins/service/execution_record.cpp
@@ -1,10 +1,15 @@
 #include "tests/stand_ins/service/execution_record.hpp"
 
+#include <iostream>
+
 namespace fuchsiaquay::stand_ins {
 
 std::int64_t execution_record::add(const execution& call) {
     const std::lock_guard<std::mutex> lock(mutex_);
     calls_.push_back(call);
+    // The log outlives a killed process, so that no execution is ever missing from the evidence.
+    std::cout << "executed " << (call.key.empty() ? "-" : call.key) << ' ' << call.at_ms
+              << std::endl;
     return static_cast<std::int64_t>(calls_.size());
 }
 
--- a/tests/stand_ins/service/execution_record.hpp
+++ b/tests/stand_ins/service/execution_record.hpp
@@ -12,7 +12,7 @@
 /// Every call that a plain service has executed, in order. Thread safe.
 class execution_record {
 public:
-    /// Adds a call and returns its number, from 1.
+    /// Adds a call, writes it to the standard output and returns its number, from 1.
     std::int64_t add(const execution& call);
 
     std::vector<execution> all() const;
