--- a/core/journal/journal_settings.hpp
+++ b/core/journal/journal_settings.hpp
@@ -7,10 +7,11 @@
 
 namespace fuchsiaquay {
 
-/// Settings of the journal. All nodes of a fleet need the same shard counts and retention.
+/// Settings of the journal. All nodes of a fleet need the same shard count, period and retention.
 struct journal_settings {
     std::uint32_t shard_count = 1024;
-    std::uint32_t shards_per_customer = 4;
+    /// Keys of one customer issued in the same period share a shard. At least 1 ms.
+    duration shard_period = std::chrono::seconds(10);
     /// Time for which a key is remembered, counted from its issue.
     duration retention = std::chrono::hours(24);
     /// Time for which answers are kept whole; afterwards status and digest remain.
@@ -24,7 +25,7 @@
     /// Largest time a call may wait for its start to be durable.
     duration start_timeout = std::chrono::seconds(2);
     /// Largest time an outcome waits for a write to share.
-    duration outcome_delay = std::chrono::milliseconds(200);
+    duration outcome_delay = std::chrono::seconds(1);
     /// This node's part of the fleet's write budget.
     double writes_per_second = 40.0;
     /// Writes that may follow each other at once.
--- a/core/journal/record_id.cpp
+++ b/core/journal/record_id.cpp
@@ -9,9 +9,9 @@
 }
 
 std::uint32_t journal_shard(const customer_id& customer, const idempotency_key& key,
-                            std::uint32_t shard_count, std::uint32_t shards_per_customer) {
-    const std::uint64_t slot = stable_hash(key.to_string()) % shards_per_customer;
-    return static_cast<std::uint32_t>(stable_hash(customer.value(), slot) % shard_count);
+                            std::uint32_t shard_count, duration period) {
+    const auto number = static_cast<std::uint64_t>(key.issued_ms() / to_milliseconds(period));
+    return static_cast<std::uint32_t>(stable_hash(customer.value(), number) % shard_count);
 }
 
 }  // namespace fuchsiaquay
--- a/core/journal/record_id.hpp
+++ b/core/journal/record_id.hpp
@@ -5,6 +5,7 @@
 
 #include "core/identity/names.hpp"
 #include "core/journal/idempotency_key.hpp"
+#include "core/time/clock.hpp"
 
 namespace fuchsiaquay {
 
@@ -26,9 +27,10 @@
 /// Record of `key` when `customer` presents it.
 record_id make_record_id(const customer_id& customer, const idempotency_key& key);
 
-/// Shard of a record. The keys of one customer share `shards_per_customer` shards, so that the
-/// few hosts that serve the customer meet in few values and their batches grow.
+/// Shard of a record. Keys of one customer that were issued in the same `period` share a shard, so
+/// that calls made together share writes, while over time the calls of all customers spread evenly
+/// over the shards.
 std::uint32_t journal_shard(const customer_id& customer, const idempotency_key& key,
-                            std::uint32_t shard_count, std::uint32_t shards_per_customer);
+                            std::uint32_t shard_count, duration period);
 
 }  // namespace fuchsiaquay
--- a/core/journal/shard_writer.cpp
+++ b/core/journal/shard_writer.cpp
@@ -333,7 +333,8 @@
 
 bool shard_writer::outcome_due(instant now) const {
     return std::any_of(running_.begin(), running_.end(), [this, now](const auto& call) {
-        return call.second.outcome && now >= call.second.ended + settings_.outcome_delay;
+        const duration delay = outcomes_hastened_ ? duration::zero() : settings_.outcome_delay;
+        return call.second.outcome && now >= call.second.ended + delay;
     });
 }
 
--- a/core/journal/shard_writer.hpp
+++ b/core/journal/shard_writer.hpp
@@ -38,6 +38,9 @@
     /// Gives back a confirmed start whose call was never sent.
     void abandon(const record_id& record, const writer_mark& mark);
 
+    /// From now on outcomes do not wait for other changes to share a write with.
+    void hasten_outcomes() { outcomes_hastened_ = true; }
+
     /// Settles what can be settled and says which store call is wanted.
     step next_step(instant now);
     /// Marks of other writers about which `next_step` wants an inquiry. Clears the list.
@@ -116,6 +119,7 @@
     journal_settings settings_;
     journal_fault fault_;
     bool busy_ = false;
+    bool outcomes_hastened_ = false;
     std::optional<shard_state> known_;
     std::int64_t revision_ = 0;
     std::uint64_t reads_begun_ = 0;
--- a/servers/journal/journal_service.cpp
+++ b/servers/journal/journal_service.cpp
@@ -72,7 +72,7 @@
         return;
     }
     const std::uint32_t shard =
-        journal_shard(request.customer, *key, settings_.shard_count, settings_.shards_per_customer);
+        journal_shard(request.customer, *key, settings_.shard_count, settings_.shard_period);
     const record_id record = make_record_id(request.customer, *key);
     shard_slot& slot = slot_of(shard);
     duration retry_after{};
@@ -115,6 +115,9 @@
 
 void journal_service::drain(std::function<void()> done) {
     drained_ = std::move(done);
+    for (const auto& [shard, slot] : slots_) {
+        slot->writer.hasten_outcomes();
+    }
     finish_drain();
 }
 
--- a/tests/servers/journal/journal_service_test.cpp
+++ b/tests/servers/journal/journal_service_test.cpp
@@ -163,7 +163,7 @@
     fleet_.call("a", fleet_.new_key(), refused);
     check_verdict(begin_verdict::not_run, refused.at(0));
     CHECK_FALSE(drained);
-    fleet_.timers_.advance(seconds(1));
+    fleet_.timers_.advance(milliseconds(100));
     CHECK_TRUE(drained);
     fleet_.at("a").crash();
     check_verdict(begin_verdict::finished, fleet_.call_and_wait("b", key));
