--- a/core/scheduling/upstream_queue.hpp
+++ b/core/scheduling/upstream_queue.hpp
@@ -9,11 +9,11 @@
 #include "core/messages/grant_release.hpp"
 #include "core/messages/grant_renewal.hpp"
 #include "core/messages/reserve_request.hpp"
-#include "core/scheduling/admission.hpp"
 #include "core/scheduling/estimate_error.hpp"
 #include "core/scheduling/grant_table.hpp"
 #include "core/scheduling/queue_policy.hpp"
 #include "core/scheduling/scheduling_actions.hpp"
+#include "core/scheduling/upstream_gate.hpp"
 #include "core/scheduling/upstream_settings.hpp"
 
 namespace fuchsiaquay {
@@ -59,14 +59,12 @@
     const upstream_settings& settings() const noexcept { return settings_; }
 
 private:
-    class gate;
-
+    upstream_gate make_gate() const;
     void progress(instant now);
     void dispatch(instant now, scheduling_actions& actions);
     void give_up_hopeless(instant now, scheduling_actions& actions);
     void end_expired(instant now, scheduling_actions& actions);
-    void grant(const queued_request& queued, int engine_priority, instant now,
-               scheduling_actions& actions);
+    void grant(const policy_pick& pick, instant now, scheduling_actions& actions);
     void refuse(const reserve_request& request, duration retry_after, const std::string& reason,
                 scheduling_actions& actions) const;
     reserve_reply make_reply(const request_id& request) const;
