--- a/core/request/dispatch_plan.hpp
+++ b/core/request/dispatch_plan.hpp
@@ -18,7 +18,9 @@
     std::vector<plan_part> parts;
     /// Grant at the owner of the upstream and stream id at the engine; empty for services.
     grant_id grant;
-    /// Rank level, which is the priority at the engine.
+    /// Rank level of the request.
+    int level = 0;
+    /// Priority at the engine, 0 is the most urgent.
     int priority = 0;
     /// Offset of the first token wanted from the engine.
     std::int64_t resume_offset = 0;
--- a/core/scheduling/upstream_settings.hpp
+++ b/core/scheduling/upstream_settings.hpp
@@ -55,4 +55,10 @@
     double rebuild_memory_share = 0.05;
 };
 
+/// Memory of an engine of `memory_tokens` that long prompts cannot take: a fifth.
+constexpr std::int64_t short_memory_of(std::int64_t memory_tokens) {
+    constexpr std::int64_t short_part = 5;
+    return memory_tokens / short_part;
+}
+
 }  // namespace fuchsiaquay
--- a/drivers/api/api_services.hpp
+++ b/drivers/api/api_services.hpp
@@ -7,6 +7,7 @@
 class client_pool;
 class control_loop;
 class engine_client;
+class request_metrics;
 class request_pipeline;
 struct api_limits;
 
@@ -16,6 +17,7 @@
     request_pipeline& pipeline;
     engine_client& engines;
     client_pool& clients;
+    request_metrics& metrics;
     const api_limits& limits;
     std::string cluster_key;
 };
--- a/drivers/api/completion_session.cpp
+++ b/drivers/api/completion_session.cpp
@@ -14,6 +14,7 @@
 #include "drivers/engine/engine_outcome.hpp"
 #include "drivers/engine/group_prefill.hpp"
 #include "drivers/http/monotonic_now.hpp"
+#include "servers/request_metrics.hpp"
 #include "servers/requests/request_flow.hpp"
 #include "servers/requests/request_pipeline.hpp"
 
@@ -63,6 +64,7 @@
         return;
     }
     dispatched_ = true;
+    level_ = plan.level;
     attempt_tokens_ = 0;
     last_write_ = monotonic_now();
     if (plan.parts.empty()) {
@@ -97,6 +99,7 @@
     if (ended_) {
         return;
     }
+    count(static_cast<std::int64_t>(events.size()));
     attempt_tokens_ += static_cast<std::int64_t>(events.size());
     total_tokens_ += static_cast<std::int64_t>(events.size());
     if (!events.back().finish_reason.empty()) {
@@ -112,6 +115,17 @@
     }
 }
 
+void completion_session::count(std::int64_t tokens) {
+    const instant now = monotonic_now();
+    if (total_tokens_ == 0) {
+        services_.metrics.first_token(level_, flow_->context().prompt_tokens,
+                                      now - flow_->context().arrived);
+    } else {
+        services_.metrics.token_gap(now - last_tokens_, tokens);
+    }
+    last_tokens_ = now;
+}
+
 void completion_session::ended(const engine_outcome& outcome) {
     report_end(outcome, upstream_id());
 }
--- a/drivers/api/completion_session.hpp
+++ b/drivers/api/completion_session.hpp
@@ -57,6 +57,7 @@
                     const upstream_id& culprit);
     void report_end(const engine_outcome& outcome, const upstream_id& culprit);
     void release_group();
+    void count(std::int64_t tokens);
     void open_stream();
     void write(const std::string& text);
     void finish_answer(const engine_outcome& outcome);
@@ -77,6 +78,8 @@
     bool dispatched_ = false;
     bool ended_ = false;
     instant last_write_{};
+    instant last_tokens_{};
+    int level_ = 0;
     std::string collected_;
     std::string finish_reason_;
     std::int64_t total_tokens_ = 0;
--- /dev/null
+++ b/drivers/metrics/histogram_metrics.hpp
@@ -0,0 +1,44 @@
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <mutex>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "servers/request_metrics.hpp"
+
+namespace fuchsiaquay {
+
+/// Metrics on Boost.Histogram, shown in the Prometheus text format.
+class histogram_metrics final : public request_metrics {
+public:
+    /// Names and values of figures that are read at each scrape.
+    using figures = std::vector<std::pair<std::string, double>>;
+
+    histogram_metrics();
+    ~histogram_metrics() override;
+
+    void first_token(int level, std::int64_t prompt_tokens, duration waited) override;
+    void token_gap(duration gap, std::int64_t tokens) override;
+    void refused(const std::string& code) override;
+    void retried(const std::string& failure) override;
+    void answered() override;
+
+    /// Text of `/metrics`.
+    /// @param current  gauges of the node, named without the prefix
+    std::string text(const figures& current) const;
+
+private:
+    class histograms;
+
+    mutable std::mutex mutex_;
+    std::unique_ptr<histograms> histograms_;
+    std::map<std::string, std::uint64_t> refusals_;
+    std::map<std::string, std::uint64_t> retries_;
+    std::uint64_t answered_ = 0;
+};
+
+}  // namespace fuchsiaquay
--- a/main/node.cpp
+++ b/main/node.cpp
@@ -21,8 +21,6 @@
 
 constexpr int status_ok = 200;
 constexpr int status_unavailable = 503;
-/// Time in which every host has heard that this one leaves.
-constexpr duration leave_spread_time = std::chrono::seconds(3);
 /// A fleet may start before its first upstream.
 constexpr duration upstream_patience = std::chrono::seconds(3);
 constexpr duration drain_check_period = std::chrono::milliseconds(100);
@@ -37,7 +35,7 @@
            std::function<void()> stop)
     : loop_(loop),
       log_(log),
-      keep_for_(settings.keep_for),
+      drain_time_(settings.gossip_delay + settings.keep_for),
       drain_timeout_(settings.drain_timeout),
       stop_(std::move(stop)),
       started_at_(loop.now()) {
@@ -71,6 +69,12 @@
     requests_->server().route("/healthz", [](const web::http::http_request& message) {
         reply_json(message, status_ok, R"({"status":"alive"})");
     });
+    requests_->server().route("/metrics", [this](const web::http::http_request& message) {
+        loop_.post([this, message] {
+            reply_body(message, status_ok, "text/plain; version=0.0.4",
+                       requests_->metrics().text(administration_->figures()));
+        });
+    });
     requests_->server().route("/readyz", [this](const web::http::http_request& message) {
         loop_.post([this, message] {
             const bool ready = this->ready();
@@ -93,7 +97,7 @@
     }
     drained_ = std::move(done);
     control_->members().leave();
-    drain_until_ = loop_.now() + leave_spread_time + keep_for_;
+    drain_until_ = loop_.now() + drain_time_;
     drain_limit_ = drain_until_ + drain_timeout_;
     log_.write(decision_log::level::info, "drain_started",
                {{"requests", std::to_string(requests_->pipeline().active())}});
--- a/main/node.hpp
+++ b/main/node.hpp
@@ -40,7 +40,8 @@
 
     control_loop& loop_;
     log4cxx_decision_log& log_;
-    duration keep_for_;
+    /// Time until the last answer that named this host has lapsed.
+    duration drain_time_;
     duration drain_timeout_;
     std::function<void()> stop_;
     instant started_at_;
--- a/main/node_administration.cpp
+++ b/main/node_administration.cpp
@@ -1,5 +1,7 @@
 #include "main/node_administration.hpp"
 
+#include <ctime>
+
 #include "drivers/admin/admin_endpoint.hpp"
 #include "drivers/admin/admin_services.hpp"
 #include "drivers/control/control_loop.hpp"
@@ -9,6 +11,19 @@
 
 namespace fuchsiaquay {
 
+namespace {
+
+/// Processor time of this process, all threads.
+double cpu_seconds() {
+    timespec used{};
+    clock_gettime(CLOCK_PROCESS_CPUTIME_ID, &used);
+    constexpr double nanoseconds_per_second = 1e9;
+    return static_cast<double>(used.tv_sec) +
+           static_cast<double>(used.tv_nsec) / nanoseconds_per_second;
+}
+
+}  // namespace
+
 node_administration::node_administration(const node_settings& settings, control_loop& loop,
                                          decision_log& log, control_plane& control,
                                          request_plane& requests,
@@ -36,6 +51,9 @@
 std::vector<std::pair<std::string, double>> node_administration::figures() const {
     return {{"requests_active", static_cast<double>(requests_.pipeline().active())},
             {"upstreams_owned", static_cast<double>(requests_.owner().owned())},
+            {"peer_bytes_sent_total", static_cast<double>(control_.transport().counters().bytes_sent)},
+            {"peer_bytes_received_total", static_cast<double>(control_.transport().counters().bytes_received)},
+            {"process_cpu_seconds_total", cpu_seconds()},
             {"store_calls_total", static_cast<double>(control_.store().call_count())},
             {"contract_revision", static_cast<double>(control_.book().complete_revision())}};
 }
--- a/main/node_settings.cpp
+++ b/main/node_settings.cpp
@@ -77,6 +77,8 @@
         integer("engine", "tokens_per_second", 14'800, 100, 10'000'000, "tokens/s",
                 "speed of one engine in full batches"),
         milliseconds("directory", "keep_for_ms", 5'000, "how long callers may keep an answer"),
+        milliseconds("directory", "gossip_delay_ms", 10'000,
+                     "bound on the time until every host has heard that one leaves"),
         milliseconds("directory", "drain_timeout_ms", 60'000,
                      "longest time a stopping host waits for its requests"),
         integer("journal", "writes_per_second", 40, 1, 400, "writes/s",
@@ -125,6 +127,7 @@
     result.stall_timeout = ms(values, "engine", "stall_timeout_ms");
     result.engine_tokens_per_second = values.integer("engine", "tokens_per_second");
     result.keep_for = ms(values, "directory", "keep_for_ms");
+    result.gossip_delay = ms(values, "directory", "gossip_delay_ms");
     result.drain_timeout = ms(values, "directory", "drain_timeout_ms");
     result.journal_writes_per_second = values.integer("journal", "writes_per_second");
     return result;
--- a/main/node_settings.hpp
+++ b/main/node_settings.hpp
@@ -38,6 +38,7 @@
     duration body_timeout{};
     duration stall_timeout{};
     duration keep_for{};
+    duration gossip_delay{};
     duration drain_timeout{};
 
     std::int64_t engine_tokens_per_second = 0;
--- a/main/request_plane.cpp
+++ b/main/request_plane.cpp
@@ -37,6 +37,7 @@
 directory_settings make_directory_settings(const node_settings& settings) {
     directory_settings result;
     result.keep_for = settings.keep_for;
+    result.gossip_delay = settings.gossip_delay;
     return result;
 }
 
@@ -62,8 +63,8 @@
       pipeline_(make_pipeline(settings, loop, log, control)),
       entrypoints_(control.hosts(), make_directory_settings(settings)),
       server_(settings.address, settings.http_port) {
-    const api_services services{loop,     *pipeline_, engines_,
-                                clients_, limits_,    settings.cluster_key};
+    const api_services services{loop,     *pipeline_, engines_,            clients_,
+                                metrics_, limits_,    settings.cluster_key};
     callers_ = std::make_shared<caller_api>(services, control.contracts(), entrypoints_,
                                             settings.host + "-" + std::to_string(incarnation));
     callers_->add_routes(server_);
@@ -93,7 +94,7 @@
                                                     reservation_settings());
     reserve_ = reserve.get();
     attempt_filters.push_back(std::move(reserve));
-    return std::make_unique<request_pipeline>(loop, log, retries_, std::move(request_filters),
+    return std::make_unique<request_pipeline>(loop, log, metrics_, retries_, std::move(request_filters),
                                               std::move(attempt_filters));
 }
 
--- a/main/request_plane.hpp
+++ b/main/request_plane.hpp
@@ -8,6 +8,7 @@
 #include "drivers/engine/http_engine_admin.hpp"
 #include "drivers/http/client_pool.hpp"
 #include "drivers/http/http_server.hpp"
+#include "drivers/metrics/histogram_metrics.hpp"
 #include "servers/directory/rendezvous_entrypoints.hpp"
 #include "servers/requests/budgeted_retry_rules.hpp"
 #include "servers/requests/request_pipeline.hpp"
@@ -37,6 +38,7 @@
     request_pipeline& pipeline() { return *pipeline_; }
     owner_service& owner() { return owner_; }
     engine_router& router() { return router_; }
+    const histogram_metrics& metrics() const { return metrics_; }
     reserve_filter& reservations() { return *reserve_; }
 
 private:
@@ -45,6 +47,7 @@
                                                     control_plane& control);
 
     api_limits limits_;
+    histogram_metrics metrics_;
     client_pool clients_;
     engine_client engines_;
     http_engine_admin engine_admin_;
--- /dev/null
+++ b/servers/request_metrics.hpp
@@ -0,0 +1,29 @@
+#pragma once
+
+#include <cstdint>
+#include <string>
+
+#include "core/time/clock.hpp"
+
+namespace fuchsiaquay {
+
+/// Counts what requests experience. Safe from any thread.
+class request_metrics {
+public:
+    request_metrics() = default;
+    request_metrics(const request_metrics&) = delete;
+    request_metrics& operator=(const request_metrics&) = delete;
+    virtual ~request_metrics() = default;
+
+    /// Time from arrival to the first token.
+    /// @param level  rank level, 0 is the most urgent
+    virtual void first_token(int level, std::int64_t prompt_tokens, duration waited) = 0;
+    /// Time between two pieces of a stream, which carried `tokens` tokens.
+    virtual void token_gap(duration gap, std::int64_t tokens) = 0;
+    /// A request ended without an answer.
+    virtual void refused(const std::string& code) = 0;
+    virtual void retried(const std::string& failure) = 0;
+    virtual void answered() = 0;
+};
+
+}  // namespace fuchsiaquay
--- a/servers/requests/request_pipeline.cpp
+++ b/servers/requests/request_pipeline.cpp
@@ -6,6 +6,7 @@
 #include <utility>
 
 #include "servers/decision_log.hpp"
+#include "servers/request_metrics.hpp"
 #include "servers/requests/request_filter.hpp"
 #include "servers/requests/request_flow.hpp"
 #include "servers/requests/request_listener.hpp"
@@ -38,10 +39,12 @@
 
 }  // namespace
 
-request_pipeline::request_pipeline(timer_service& timers, decision_log& log, retry_rules& retries,
+request_pipeline::request_pipeline(timer_service& timers, decision_log& log,
+                                   request_metrics& metrics, retry_rules& retries,
                                    filter_list request_filters, filter_list attempt_filters)
     : timers_(timers),
       log_(log),
+      metrics_(metrics),
       retries_(retries),
       request_filters_(std::move(request_filters)),
       attempt_filters_(std::move(attempt_filters)) {}
@@ -92,6 +95,7 @@
     }
     flow->plan = dispatch_plan{};
     flow->plan.deadline = flow->deadline;
+    flow->plan.level = flow->chosen_rank.level;
     flow->plan.priority = flow->chosen_rank.level;
     flow->plan.resume_offset = flow->context().resume_offset + flow->delivered_tokens;
     run_attempt_filters(flow, 0);
@@ -139,6 +143,7 @@
     flow->dispatched = false;
     flow->delivered_tokens += result.delivered_tokens;
     if (result.completed) {
+        metrics_.answered();
         end(flow, result);
         return;
     }
@@ -156,6 +161,7 @@
         refuse(flow, failure_refusal(result));
         return;
     }
+    metrics_.retried(result.failure);
     timers_.after(delay, [this, flow] { start_attempt(flow); });
 }
 
@@ -196,6 +202,7 @@
                 {"code", reason.code},
                 {"ran", to_word(reason.ran)},
                 {"retry_after_ms", std::to_string(to_milliseconds(reason.retry_after))}});
+    metrics_.refused(reason.code);
     const std::shared_ptr<request_listener> listener = flow->listener();
     attempt_result result;
     result.ran = reason.ran;
--- a/servers/requests/request_pipeline.hpp
+++ b/servers/requests/request_pipeline.hpp
@@ -11,6 +11,7 @@
 namespace fuchsiaquay {
 
 class decision_log;
+class request_metrics;
 class request_filter;
 class request_flow;
 class retry_rules;
@@ -23,8 +24,8 @@
     using filter_list = std::vector<std::unique_ptr<request_filter>>;
 
     /// References must outlive the pipeline.
-    request_pipeline(timer_service& timers, decision_log& log, retry_rules& retries,
-                     filter_list request_filters, filter_list attempt_filters);
+    request_pipeline(timer_service& timers, decision_log& log, request_metrics& metrics,
+                     retry_rules& retries, filter_list request_filters, filter_list attempt_filters);
     request_pipeline(const request_pipeline&) = delete;
     request_pipeline& operator=(const request_pipeline&) = delete;
     ~request_pipeline();
@@ -52,6 +53,7 @@
 
     timer_service& timers_;
     decision_log& log_;
+    request_metrics& metrics_;
     retry_rules& retries_;
     filter_list request_filters_;
     filter_list attempt_filters_;
--- a/servers/reservation/owner_service.cpp
+++ b/servers/reservation/owner_service.cpp
@@ -147,6 +147,7 @@
     settings.incarnation = (hosts_.host().incarnation << 16U) + ++takeovers_;
     if (target.memory_tokens > 0) {
         settings.memory_tokens = target.memory_tokens;
+        settings.short_memory_tokens = short_memory_of(target.memory_tokens);
     }
     queues_[target.id] = std::make_unique<owned_upstream>(target, settings, timers_.now());
     log_.write(decision_log::level::info, "ownership_gained",
--- a/servers/reservation/reserve_filter.cpp
+++ b/servers/reservation/reserve_filter.cpp
@@ -63,7 +63,7 @@
             smallest = std::min(smallest, engine->memory_tokens);
         }
     }
-    return smallest - upstream_settings().short_memory_tokens;
+    return smallest - short_memory_of(smallest);
 }
 
 refusal make_refusal(const routing_outcome& outcome) {
@@ -125,7 +125,8 @@
     const request_flow& flow = *item->flow;
     item->request.time_left = flow.deadline - now;
     const group_planner planner(part_memory(upstreams_, flow.choices), generator_prompt_tokens);
-    if (planner.needs_group(flow.routing)) {
+    const bool is_long = flow.routing.prompt_tokens > upstream_settings().long_prompt_tokens;
+    if (is_long && planner.needs_group(flow.routing)) {
         routing_request part = flow.routing;
         part.memory_tokens = 0;  // the parts fit, the whole does not
         item->parts = planner.plan(flow.routing, router_.order(flow, part, now));
