Owner ticks only while there is work; three hosts of a data centre stay registered; control measure

Cause: store calls grew with the fleet by a keep-alive of every host, and an idle owner woke 200 times a second.

--- a/main/control_plane.cpp
+++ b/main/control_plane.cpp
@@ -1,9 +1,11 @@
 #include "main/control_plane.hpp"
 
+#include <algorithm>
 #include <utility>
 #include <vector>
 
 #include "core/error/step_error.hpp"
+#include "core/hashing/rendezvous.hpp"
 #include "core/directory/directory_settings.hpp"
 #include "core/membership/member_change.hpp"
 #include "core/upstreams/upstream_override.hpp"
@@ -21,6 +23,8 @@
 constexpr duration lease_lifetime = std::chrono::seconds(30);
 /// Operators' decisions about upstreams reach the pollers within this.
 constexpr duration upstream_record_period = std::chrono::seconds(1);
+/// Hosts of a data centre that stay in the store, so that its calls do not grow with the fleet.
+constexpr std::size_t registered_hosts = 3;
 constexpr duration keep_alive_period = std::chrono::seconds(10);
 /// Contracts not proved current for this long are reported as unproved.
 constexpr duration contract_freshness_limit = std::chrono::seconds(5);
@@ -194,7 +198,20 @@
     });
 }
 
+bool control_plane::registers() const {
+    std::vector<host_id> live;
+    for (const member_update& member : hosts_.live()) {
+        live.push_back(member.host);
+    }
+    const std::vector<host_id> elected =
+        rendezvous_order(node_prefix + hosts_.data_centre().value(), live, registered_hosts);
+    return std::find(elected.begin(), elected.end(), hosts_.self()) != elected.end();
+}
+
 void control_plane::keep_registered() {
+    if (!registers()) {
+        return;
+    }
     if (lease_ == 0) {
         register_host();
         return;
--- a/main/control_plane.hpp
+++ b/main/control_plane.hpp
@@ -55,6 +55,8 @@
     void topology_changed() const;
     void read_upstream_records();
     void read_first_peers();
+    /// True while this host is one of those that first peers are found by.
+    bool registers() const;
     void register_host();
     void keep_registered();
 
--- a/scripts/fleet.sh
+++ b/scripts/fleet.sh
@@ -60,5 +60,5 @@
 [platform]
 port = $platform_port
 INI
-  fleet_start "$1" build/main/fuchsiaquay --config "$fleet_dir/$1.ini"
+  fleet_start "$1" ${BUILD_DIR:-build}/main/fuchsiaquay --config "$fleet_dir/$1.ini"
 }
--- a/servers/reservation/owner_service.cpp
+++ b/servers/reservation/owner_service.cpp
@@ -66,7 +66,7 @@
       engines_(engines),
       defaults_(std::move(defaults)),
       last_tick_(timers.now()),
-      tick_timer_(timers.every(tick_period, [this] { tick(); })),
+      tick_timer_(timers.after(idle_tick_period, [this] { tick(); })),
       poll_timer_(timers.every(poll_period, [this] { poll_engines(); })) {}
 
 owner_service::~owner_service() {
@@ -100,6 +100,7 @@
         return;
     }
     carry_out(*owned, owned->queue.reserve(request, timers_.now()));
+    wake();
 }
 
 void owner_service::release(const grant_release& release) {
@@ -111,6 +112,7 @@
 void owner_service::renew(const grant_renewal& renewal) {
     if (owned_upstream* owned = find(renewal.upstream)) {
         carry_out(*owned, owned->queue.renew(renewal, timers_.now()));
+        wake();
     }
 }
 
@@ -166,6 +168,15 @@
     refresh();
 }
 
+void owner_service::wake() {
+    if (busy_) {
+        return;
+    }
+    busy_ = true;
+    timers_.cancel(tick_timer_);
+    tick_timer_ = timers_.after(tick_period, [this] { tick(); });
+}
+
 void owner_service::tick() {
     const instant now = timers_.now();
     const duration gap = now - last_tick_;
@@ -173,6 +184,7 @@
     if (gap > pause_limit) {
         recover_from_pause(gap);
     }
+    busy_ = false;
     for (const auto& entry : queues_) {
         owned_upstream& owned = *entry.second;
         const bool due = owned.queue.next_wakeup(now) <= now + tick_period;
@@ -180,7 +192,10 @@
             owned.ticked_at = now;
             carry_out(owned, owned.queue.tick(now));
         }
+        busy_ = busy_ || owned.queue.queued() > 0 || owned.queue.granted() > 0;
     }
+    // Idle queues need no quick ticks: most of a quiet node's wake-ups would be these.
+    tick_timer_ = timers_.after(busy_ ? tick_period : idle_tick_period, [this] { tick(); });
 }
 
 void owner_service::poll_engines() {
--- a/servers/reservation/owner_service.hpp
+++ b/servers/reservation/owner_service.hpp
@@ -59,6 +59,8 @@
 
     owned_upstream* find(const upstream_id& id);
     void add(const upstream& target);
+    /// Ticks soon: work has come to an idle owner.
+    void wake();
     void tick();
     void recover_from_pause(duration gap);
     /// Marks streams whose granting owner cannot be reached from here.
@@ -77,6 +79,8 @@
     instant last_tick_;
     local_reply deliver_;
     std::map<upstream_id, std::unique_ptr<owned_upstream>> queues_;
+    /// True while a queue has work, which needs quick ticks.
+    bool busy_ = false;
     timer_service::subscription tick_timer_;
     timer_service::subscription poll_timer_;
     /// Upstreams are taken over without rebuilding only in the first refresh of a fresh fleet.
