Service calls: a connection of their own, since the HTTP library sends again on a kept one

The service ran the order and died; cpprestsdk saw the kept connection break before an answer, silently sent the request again on a new one, was refused, and the node took that for "never sent". On a first-used connection the library does not send again. Ruled out: calling a refused connection "maybe", which keeps the second execution. Cost: one TCP connection a service call.

--- a/drivers/api/service_session.cpp
+++ b/drivers/api/service_session.cpp
@@ -46,14 +46,14 @@
         call.headers().add("Idempotency-Key", flow_->context().idempotency_key);
     }
     call.headers().add("X-Request-Id", flow_->context().id.value());
-    auto client = services_.clients.get(plan.target.address, plan.target.port);
+    auto client = client_pool::fresh(plan.target.address, plan.target.port);
     auto self = shared_from_this();
     client->request(call, cancellation_.get_token())
         .then([self, client](const http::http_response& response) {
             return response.extract_utf8string(true).then(
                 [self, response](const std::string& body) { self->answered(response, body); });
         })
-        .then([self, client, plan](const pplx::task<void>& done) {
+        .then([self, client](const pplx::task<void>& done) {
             attempt_result result;
             try {
                 done.get();
@@ -65,7 +65,6 @@
             } catch (const std::exception&) {
                 result.failure = "broken";
             }
-            self->services_.clients.drop(plan.target.address, plan.target.port);
             self->report(result);
         });
 }
--- a/drivers/http/client_pool.cpp
+++ b/drivers/http/client_pool.cpp
@@ -19,15 +19,20 @@
     const std::lock_guard<std::mutex> lock(mutex_);
     auto& entry = clients_[{address, port}];
     if (!entry) {
-        web::http::client::http_client_config config;
-        config.set_timeout(backstop_timeout);
-        config.set_chunksize(1 << 16);
-        entry = std::make_shared<web::http::client::http_client>(
-            "http://" + address + ":" + std::to_string(port), config);
+        entry = fresh(address, port);
     }
     return entry;
 }
 
+std::shared_ptr<web::http::client::http_client> client_pool::fresh(const std::string& address,
+                                                                   std::uint16_t port) {
+    web::http::client::http_client_config config;
+    config.set_timeout(backstop_timeout);
+    config.set_chunksize(1 << 16);
+    return std::make_shared<web::http::client::http_client>(
+        "http://" + address + ":" + std::to_string(port), config);
+}
+
 void client_pool::drop(const std::string& address, std::uint16_t port) {
     const std::lock_guard<std::mutex> lock(mutex_);
     clients_.erase({address, port});
