--- a/servers/journal/journal_service.cpp
+++ b/servers/journal/journal_service.cpp
@@ -227,7 +227,11 @@
     ++counters_.store_reads;
     slot_of(shard).writer.read_begun();
     store_.read(shard_key(shard),
-                [this, shard](const read_result& result) { on_read(shard, result); });
+                [this, shard, alive = std::weak_ptr<bool>(alive_)](const read_result& result) {
+                    if (!alive.expired()) {
+                        on_read(shard, result);
+                    }
+                });
 }
 
 void journal_service::on_read(std::uint32_t shard, const read_result& result) {
@@ -291,7 +295,11 @@
     ++counters_.store_writes;
     counters_.bytes_written += value.size();
     store_.commit(compare_and_swap(shard_key(shard), slot.writer.expected_revision(), value),
-                  [this, shard](const write_result& result) { on_write(shard, result); });
+                  [this, shard, alive = std::weak_ptr<bool>(alive_)](const write_result& result) {
+                      if (!alive.expired()) {
+                          on_write(shard, result);
+                      }
+                  });
 }
 
 void journal_service::on_write(std::uint32_t shard, const write_result& result) {
--- a/servers/journal/journal_service.hpp
+++ b/servers/journal/journal_service.hpp
@@ -28,8 +28,7 @@
 class wall_clock;
 
 /// Journal of calls that may not be repeated, kept in the store in shards
-/// (`fuchsiaquay/journal/<shard>`). Used on the control thread only; must outlive the store calls
-/// it made.
+/// (`fuchsiaquay/journal/<shard>`). Used on the control thread only.
 class journal_service {
 public:
     using begin_handler = std::function<void(const begin_result&)>;
@@ -120,6 +119,8 @@
     timer_service::subscription line_timer_ = 0;
     std::function<void()> drained_;
     journal_counters counters_;
+    /// Ends with the service; answers of the store that come later are dropped.
+    std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
 };
 
 }  // namespace fuchsiaquay
--- a/tests/servers/journal/journal_store_client.hpp
+++ b/tests/servers/journal/journal_store_client.hpp
@@ -32,36 +32,38 @@
 
     void read(const std::string& key, read_handler done) override {
         if (out_) {
-            answer(call_timeout_, [done] { done({"store unavailable", {}, 0}); });
+            answer(connected_, call_timeout_, [done] { done({"store unavailable", {}, 0}); });
             return;
         }
-        timers_.after(half_trip(), [this, key, done] {
+        const connection caller = connected_;
+        timers_.after(half_trip(), [this, caller, key, done] {
             read_result result;
             result.store_revision = store_.revision();
             const stored_value value = store_.get(key);
             if (value.revision != 0) {
                 result.values.push_back(value);
             }
-            answer(half_trip(), [done, result] { done(result); });
+            answer(caller, half_trip(), [done, result] { done(result); });
         });
     }
 
     void commit(const transaction& change, write_handler done) override {
         const auto lost = [done] { done({write_outcome::unknown, 0, "no answer"}); };
         if (out_) {
-            answer(call_timeout_, lost);
+            answer(connected_, call_timeout_, lost);
         } else if (land_late_ > 0) {
             --land_late_;
             timers_.after(landing_delay_, [this, change] { store_.apply(change); });
-            answer(call_timeout_, lost);
+            answer(connected_, call_timeout_, lost);
         } else if (lose_answers_ > 0) {
             --lose_answers_;
             timers_.after(half_trip(), [this, change] { store_.apply(change); });
-            answer(call_timeout_, lost);
+            answer(connected_, call_timeout_, lost);
         } else {
-            timers_.after(half_trip(), [this, change, done] {
+            const connection caller = connected_;
+            timers_.after(half_trip(), [this, caller, change, done] {
                 const write_result result = store_.apply(change);
-                answer(half_trip(), [done, result] { done(result); });
+                answer(caller, half_trip(), [done, result] { done(result); });
             });
         }
     }
@@ -76,14 +78,16 @@
     void cancel_watch(watch_id) override {}
 
 private:
+    using connection = std::weak_ptr<bool>;
+
     duration half_trip() {
         return duration(std::uniform_int_distribution<std::int64_t>(1'000, 2'500)(random_));
     }
 
-    void answer(duration delay, std::function<void()> deliver) {
-        const std::weak_ptr<bool> connected = connected_;
-        timers_.after(delay, [connected, deliver = std::move(deliver)] {
-            if (!connected.expired()) {
+    /// Delivers to the process that made the call, if it still runs.
+    void answer(const connection& caller, duration delay, std::function<void()> deliver) {
+        timers_.after(delay, [caller, deliver = std::move(deliver)] {
+            if (!caller.expired()) {
                 deliver();
             }
         });
