Frames: reserve_reply carries engine_priority and queued_long_tokens

Without them a grant from another host's queue had priority 0 at the engine, so that long prefills blocked short ones, and the load view could not tell long work from short. The codec test now fills both fields with distinct values.

--- a/drivers/frames/message_decoder.cpp
+++ b/drivers/frames/message_decoder.cpp
@@ -105,6 +105,8 @@
     message.free_memory_tokens = table.free_memory_tokens();
     message.queued_prefill_tokens = table.queued_prefill_tokens();
     message.running_requests = table.running_requests();
+    message.queued_long_tokens = table.queued_long_tokens();
+    message.engine_priority = table.engine_priority();
     return message;
 }
 
--- a/drivers/frames/peer_frames_generated.h
+++ b/drivers/frames/peer_frames_generated.h
@@ -810,7 +810,9 @@
     VT_REASON = 18,
     VT_FREE_MEMORY_TOKENS = 20,
     VT_QUEUED_PREFILL_TOKENS = 22,
-    VT_RUNNING_REQUESTS = 24
+    VT_RUNNING_REQUESTS = 24,
+    VT_QUEUED_LONG_TOKENS = 26,
+    VT_ENGINE_PRIORITY = 28
   };
   const flatbuffers::String *request() const {
     return GetPointer<const flatbuffers::String *>(VT_REQUEST);
@@ -845,6 +847,12 @@
   int64_t running_requests() const {
     return GetField<int64_t>(VT_RUNNING_REQUESTS, 0);
   }
+  int64_t queued_long_tokens() const {
+    return GetField<int64_t>(VT_QUEUED_LONG_TOKENS, 0);
+  }
+  int32_t engine_priority() const {
+    return GetField<int32_t>(VT_ENGINE_PRIORITY, 0);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffset(verifier, VT_REQUEST) &&
@@ -862,6 +870,8 @@
            VerifyField<int64_t>(verifier, VT_FREE_MEMORY_TOKENS, 8) &&
            VerifyField<int64_t>(verifier, VT_QUEUED_PREFILL_TOKENS, 8) &&
            VerifyField<int64_t>(verifier, VT_RUNNING_REQUESTS, 8) &&
+           VerifyField<int64_t>(verifier, VT_QUEUED_LONG_TOKENS, 8) &&
+           VerifyField<int32_t>(verifier, VT_ENGINE_PRIORITY, 4) &&
            verifier.EndTable();
   }
 };
@@ -903,6 +913,12 @@
   void add_running_requests(int64_t running_requests) {
     fbb_.AddElement<int64_t>(ReserveReply::VT_RUNNING_REQUESTS, running_requests, 0);
   }
+  void add_queued_long_tokens(int64_t queued_long_tokens) {
+    fbb_.AddElement<int64_t>(ReserveReply::VT_QUEUED_LONG_TOKENS, queued_long_tokens, 0);
+  }
+  void add_engine_priority(int32_t engine_priority) {
+    fbb_.AddElement<int32_t>(ReserveReply::VT_ENGINE_PRIORITY, engine_priority, 0);
+  }
   explicit ReserveReplyBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -926,14 +942,18 @@
     flatbuffers::Offset<flatbuffers::String> reason = 0,
     int64_t free_memory_tokens = 0,
     int64_t queued_prefill_tokens = 0,
-    int64_t running_requests = 0) {
+    int64_t running_requests = 0,
+    int64_t queued_long_tokens = 0,
+    int32_t engine_priority = 0) {
   ReserveReplyBuilder builder_(_fbb);
+  builder_.add_queued_long_tokens(queued_long_tokens);
   builder_.add_running_requests(running_requests);
   builder_.add_queued_prefill_tokens(queued_prefill_tokens);
   builder_.add_free_memory_tokens(free_memory_tokens);
   builder_.add_retry_after(retry_after);
   builder_.add_start_estimate(start_estimate);
   builder_.add_grant_lifetime(grant_lifetime);
+  builder_.add_engine_priority(engine_priority);
   builder_.add_reason(reason);
   builder_.add_grant(grant);
   builder_.add_upstream(upstream);
@@ -954,7 +974,9 @@
     const char *reason = nullptr,
     int64_t free_memory_tokens = 0,
     int64_t queued_prefill_tokens = 0,
-    int64_t running_requests = 0) {
+    int64_t running_requests = 0,
+    int64_t queued_long_tokens = 0,
+    int32_t engine_priority = 0) {
   auto request__ = request ? _fbb.CreateString(request) : 0;
   auto upstream__ = upstream ? _fbb.CreateString(upstream) : 0;
   auto grant__ = grant ? _fbb.CreateString(grant) : 0;
@@ -971,7 +993,9 @@
       reason__,
       free_memory_tokens,
       queued_prefill_tokens,
-      running_requests);
+      running_requests,
+      queued_long_tokens,
+      engine_priority);
 }
 
 struct GrantRelease FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
--- a/tests/drivers/frames/frame_codec_test.cpp
+++ b/tests/drivers/frames/frame_codec_test.cpp
@@ -39,7 +39,9 @@
                         "memory",
                         4,
                         5,
-                        6};
+                        6,
+                        7,
+                        8};
     upstream record;
     record.id = upstream_id("e");
     record.kind = upstream_kind::service;
