--- a/drivers/frames/message_encoder.cpp
+++ b/drivers/frames/message_encoder.cpp
@@ -110,8 +110,8 @@
                 builder_, request, upstream, static_cast<wire::ReserveOutcome>(message.outcome),
                 grant, message.grant_lifetime.count(), message.start_estimate.count(),
                 message.retry_after.count(), reason, message.free_memory_tokens,
-                message.queued_prefill_tokens, message.running_requests,
-                message.queued_long_tokens, message.engine_priority));
+                message.queued_prefill_tokens, message.running_requests, message.queued_long_tokens,
+                message.engine_priority));
     }
 
     encoded_body operator()(const grant_release& message) const {
