--- a/core/request/attempt_result.hpp
+++ b/core/request/attempt_result.hpp
@@ -23,8 +23,9 @@
     std::string failure;
     /// Upstream at fault; empty for the target of the plan.
     upstream_id culprit;
-    /// HTTP status of a service answer and a bounded copy of its body, for the journal.
+    /// Answer of a service, for the journal, which keeps it whole or not at all.
     int status = 0;
+    std::string content_type;
     std::string answer;
 };
 
--- a/core/request/recorded_answer.hpp
+++ b/core/request/recorded_answer.hpp
@@ -8,6 +8,7 @@
 struct recorded_answer {
     /// HTTP status.
     int status = 0;
+    std::string content_type;
     std::string body;
 };
 
--- a/drivers/api/completion_session.cpp
+++ b/drivers/api/completion_session.cpp
@@ -22,10 +22,11 @@
 
 namespace http = web::http;
 
-completion_session::completion_session(api_services services, http::http_request message,
+completion_session::completion_session(const api_services& services,
+                                       const http::http_request& message,
                                        completion_body body, answer_format format)
-    : services_(std::move(services)),
-      message_(std::move(message)),
+    : services_(services),
+      message_(message),
       body_(std::move(body)),
       format_(std::move(format)) {}
 
--- a/drivers/api/completion_session.hpp
+++ b/drivers/api/completion_session.hpp
@@ -32,7 +32,7 @@
                                  public engine_call_listener,
                                  public std::enable_shared_from_this<completion_session> {
 public:
-    completion_session(api_services services, web::http::http_request message,
+    completion_session(const api_services& services, const web::http::http_request& message,
                        completion_body body, answer_format format);
     ~completion_session() override;
 
--- a/drivers/api/service_session.cpp
+++ b/drivers/api/service_session.cpp
@@ -17,10 +17,10 @@
 
 namespace http = web::http;
 
-service_session::service_session(api_services services, http::http_request message,
+service_session::service_session(const api_services& services, const http::http_request& message,
                                  std::string path, std::string body)
-    : services_(std::move(services)),
-      message_(std::move(message)),
+    : services_(services),
+      message_(message),
       path_(std::move(path)),
       body_(std::move(body)) {}
 
@@ -70,12 +70,14 @@
 }
 
 void service_session::answered(const http::http_response& response, const std::string& body) {
+    attempt_result result;
+    result.content_type = response.headers().content_type();
+    if (result.content_type.empty()) {
+        result.content_type = "application/octet-stream";
+    }
     if (end()) {
-        const utility::string_t content_type = response.headers().content_type();
-        reply_body(message_, response.status_code(),
-                   content_type.empty() ? "application/octet-stream" : content_type, body);
+        reply_body(message_, response.status_code(), result.content_type, body);
     }
-    attempt_result result;
     result.completed = true;
     result.ran = execution::yes;
     result.status = response.status_code();
@@ -99,7 +101,7 @@
 
 void service_session::replay(const recorded_answer& answer) {
     if (end()) {
-        reply_body(message_, answer.status, "application/json", answer.body);
+        reply_body(message_, answer.status, answer.content_type, answer.body);
     }
 }
 
--- a/drivers/api/service_session.hpp
+++ b/drivers/api/service_session.hpp
@@ -22,8 +22,8 @@
                               public std::enable_shared_from_this<service_session> {
 public:
     /// @param path  path and query at the service, starting with `/`
-    service_session(api_services services, web::http::http_request message, std::string path,
-                    std::string body);
+    service_session(const api_services& services, const web::http::http_request& message,
+                    std::string path, std::string body);
 
     /// Hands the request to the pipeline.
     void begin(const std::shared_ptr<request_flow>& flow);
--- a/drivers/engine/engine_call.cpp
+++ b/drivers/engine/engine_call.cpp
@@ -62,6 +62,7 @@
     std::shared_ptr<engine_call_listener> listener_;
     stream_parser parser_;
     pplx::cancellation_token_source cancellation_;
+    std::shared_ptr<http::client::http_client> client_;
     instant give_up_at_ = instant::max();
     bool answered_ = false;
     bool ended_ = false;
@@ -76,6 +77,7 @@
 engine_call::~engine_call() = default;
 
 void engine_call::start(const std::shared_ptr<http::client::http_client>& client) {
+    state_->client_ = client;
     state_->give_up_at_ = monotonic_now() + request_.first_token_timeout;
     http::http_request message(http::methods::POST);
     message.set_request_uri("/v1/completions");
@@ -172,9 +174,27 @@
         state_->cause_ = "cancelled";
     }
     state_->cancellation_.cancel();
+    free_stream();
     fail("cancelled");
 }
 
+void engine_call::free_stream() {
+    // Closing the connection alone leaves the stream in the engine until a write to it fails.
+    const std::shared_ptr<http::client::http_client> client = state_->client_;
+    if (!client) {
+        return;
+    }
+    const std::string path = "/v1/streams/" + web::uri::encode_data_string(request_.stream_id);
+    client->request(http::methods::DEL, path)
+        .then([client](const pplx::task<http::http_response>& answer) {
+            try {
+                answer.wait();
+            } catch (const std::exception&) {
+                // The owner cancels streams without a grant.
+            }
+        });
+}
+
 bool engine_call::check(instant now) {
     {
         const std::lock_guard<std::mutex> lock(state_->mutex_);
--- a/drivers/engine/engine_call.hpp
+++ b/drivers/engine/engine_call.hpp
@@ -39,6 +39,8 @@
     class state;
 
     void accept(const std::string& piece);
+    /// Asks the engine to cancel the stream. Best effort.
+    void free_stream();
     void finish(const engine_outcome& outcome);
     void fail(const std::string& failure);
 
--- a/drivers/store/etcd_store.cpp
+++ b/drivers/store/etcd_store.cpp
@@ -50,9 +50,22 @@
     /// Posts `body` to `path`; one of the handlers runs on the control thread, once.
     void call(const std::string& path, const json::value& body, answer_handler answered,
               failure_handler failed) {
+        call_over(client_, path, body, std::move(answered), std::move(failed));
+    }
+
+    /// The same on a connection of its own: the library sends a request a second time when a kept
+    /// connection breaks under it, and the second copy of a write that took effect reads as a
+    /// conflict.
+    void call_once(const std::string& path, const json::value& body, answer_handler answered,
+                   failure_handler failed) {
+        call_over(make_client(), path, body, std::move(answered), std::move(failed));
+    }
+
+    void call_over(const std::shared_ptr<http_client>& client, const std::string& path,
+                   const json::value& body, answer_handler answered, failure_handler failed) {
         ++calls_;
         auto self = shared_from_this();
-        client_->request(web::http::methods::POST, path, body)
+        client->request(web::http::methods::POST, path, body)
             .then([](const web::http::http_response& response) {
                 if (response.status_code() != web::http::status_codes::OK) {
                     throw web::http::http_exception("status " +
@@ -60,7 +73,7 @@
                 }
                 return response.extract_json(true);
             })
-            .then([self, answered = std::move(answered),
+            .then([self, client, answered = std::move(answered),
                    failed = std::move(failed)](const pplx::task<json::value>& answer) {
                 try {
                     const json::value value = answer.get();
@@ -223,7 +236,7 @@
 }
 
 void etcd_store::commit(const transaction& change, write_handler done) {
-    binding_->call(
+    binding_->call_once(
         "/v3/kv/txn", txn_request(change),
         [done](const json::value& answer) { done(parse_txn(answer)); },
         [done](const std::string& failure) {
--- a/servers/requests/deduplicate_filter.cpp
+++ b/servers/requests/deduplicate_filter.cpp
@@ -44,8 +44,13 @@
             return key_refusal(status_bad_request, "idempotency_key_required",
                                "Idempotency-Key: allowed: a UUIDv7");
         case begin_verdict::expired_key:
-            return key_refusal(status_bad_request, "idempotency_key_expired",
-                               "the key is older than the retention period");
+        {
+            // What the key stood for is forgotten: an earlier attempt may have run.
+            refusal reason = key_refusal(status_bad_request, "idempotency_key_expired",
+                                         "the key is older than the retention period");
+            reason.ran = execution::maybe;
+            return reason;
+        }
         case begin_verdict::future_key:
             return key_refusal(status_bad_request, "idempotency_key_from_future",
                                "the key was issued ahead of the clock");
@@ -74,6 +79,7 @@
 recorded_answer replayed(const journal_outcome& outcome) {
     recorded_answer answer;
     answer.status = outcome.status;
+    answer.content_type = outcome.content_type;
     answer.body = outcome.body;
     return answer;
 }
@@ -148,7 +154,7 @@
         return;
     }
     journal_.finish(token, journal_outcome::answered(static_cast<std::uint16_t>(result.status),
-                                                     "application/json", result.answer));
+                                                     result.content_type, result.answer));
 }
 
 }  // namespace fuchsiaquay
--- a/servers/reservation/owner_service.cpp
+++ b/servers/reservation/owner_service.cpp
@@ -24,7 +24,9 @@
 constexpr duration tick_period = std::chrono::milliseconds(5);
 /// A queue with nothing pending still ends its rebuilding and expired grants.
 constexpr duration idle_tick_period = std::chrono::milliseconds(200);
-constexpr duration poll_period = std::chrono::seconds(1);
+/// Engines with grants are asked for their streams this often, others once a second.
+constexpr duration poll_period = std::chrono::milliseconds(250);
+constexpr duration idle_poll_period = std::chrono::seconds(1);
 /// Below the suspicion time-out of the membership: no other owner can have been chosen earlier.
 constexpr duration pause_limit = std::chrono::seconds(2);
 constexpr duration refused_retry_after = std::chrono::milliseconds(200);
@@ -51,6 +53,7 @@
     upstream_queue queue;
     bool polling = false;
     instant ticked_at{};
+    instant polled_at{};
 };
 
 owner_service::owner_service(timer_service& timers, decision_log& log, const host_view& hosts,
@@ -201,10 +204,13 @@
 void owner_service::poll_engines() {
     for (const auto& entry : queues_) {
         owned_upstream& owned = *entry.second;
-        if (owned.polling) {
+        const bool quiet = owned.queue.granted() == 0 && !owned.queue.rebuilding() &&
+                           timers_.now() - owned.polled_at < idle_poll_period;
+        if (owned.polling || quiet) {
             continue;
         }
         owned.polling = true;
+        owned.polled_at = timers_.now();
         const upstream_id id = entry.first;
         const instant asked_at = timers_.now();
         engines_.list_streams(owned.target, [this, id, asked_at](const std::string& failure,
--- a/servers/reservation/reserve_filter.cpp
+++ b/servers/reservation/reserve_filter.cpp
@@ -30,8 +30,10 @@
 constexpr int status_unavailable = 503;
 /// KV cache of an engine whose record does not say it.
 constexpr std::int64_t default_memory_tokens = 400'000;
-/// Prompt tokens of a group that stay with the engine that generates.
+/// Prompt tokens of a group that stay with the engine that generates, at most, and as a divisor of
+/// what an engine gives to a part.
 constexpr std::int64_t generator_prompt_tokens = 16'000;
+constexpr std::int64_t generator_part = 10;
 constexpr duration tick_period = std::chrono::milliseconds(20);
 /// Well inside the lifetime of a grant, so that two lost renewals do no harm.
 constexpr duration renew_period = std::chrono::seconds(2);
@@ -52,10 +54,16 @@
     return request;
 }
 
-/// KV cache that one engine may give to a long prompt: the smallest engine of the choices without
-/// the part that long prompts cannot take.
-std::int64_t part_memory(const upstream_view& upstreams,
-                         const std::vector<scored_candidate>& choices) {
+/// KV cache that one engine gives to a part of a prompt: nine tenths of what long prompts can take.
+std::int64_t part_memory_of(std::int64_t engine_memory) {
+    constexpr std::int64_t tenths = 9;
+    constexpr std::int64_t whole = 10;
+    return (engine_memory - short_memory_of(engine_memory)) * tenths / whole;
+}
+
+/// KV cache of the smallest engine of the choices, in tokens.
+std::int64_t smallest_engine(const upstream_view& upstreams,
+                             const std::vector<scored_candidate>& choices) {
     std::int64_t smallest = default_memory_tokens;
     for (const scored_candidate& choice : choices) {
         const std::optional<upstream> engine = upstreams.find(choice.upstream);
@@ -63,7 +71,7 @@
             smallest = std::min(smallest, engine->memory_tokens);
         }
     }
-    return smallest - short_memory_of(smallest);
+    return smallest;
 }
 
 refusal make_refusal(const routing_outcome& outcome) {
@@ -86,6 +94,9 @@
     std::vector<group_part> parts;
     std::size_t group_attempts = 0;
     std::vector<reserve_reply> grants;
+    /// Reservations that stand in a queue. An owner that takes over does not know them.
+    std::map<upstream_id, reserve_request> queued;
+    std::map<upstream_id, reserve_request> asked;
 };
 
 reserve_filter::reserve_filter(timer_service& timers, decision_log& log, const host_view& hosts,
@@ -99,7 +110,10 @@
       link_(link),
       settings_(settings),
       tick_timer_(timers.every(tick_period, [this] { tick(); })),
-      renew_timer_(timers.every(renew_period, [this] { renew_grants(); })) {}
+      renew_timer_(timers.every(renew_period, [this] {
+          renew_grants();
+          repeat_queued();
+      })) {}
 
 reserve_filter::~reserve_filter() {
     timers_.cancel(tick_timer_);
@@ -124,9 +138,13 @@
     const instant now = timers_.now();
     const request_flow& flow = *item->flow;
     item->request.time_left = flow.deadline - now;
-    const group_planner planner(part_memory(upstreams_, flow.choices), generator_prompt_tokens);
+    const std::int64_t engine_memory = smallest_engine(upstreams_, flow.choices);
+    const std::int64_t part_memory = part_memory_of(engine_memory);
+    const group_planner planner(part_memory,
+                                std::min(generator_prompt_tokens, part_memory / generator_part));
     const bool is_long = flow.routing.prompt_tokens > upstream_settings().long_prompt_tokens;
-    if (is_long && planner.needs_group(flow.routing)) {
+    const bool fits_one = flow.routing.memory_tokens <= engine_memory;
+    if ((is_long || !fits_one) && planner.needs_group(flow.routing)) {
         routing_request part = flow.routing;
         part.memory_tokens = 0;  // the parts fit, the whole does not
         item->parts = planner.plan(flow.routing, router_.order(flow, part, now));
@@ -158,6 +176,7 @@
     const instant now = timers_.now();
     router_.observe(reply, now);
     if (const std::shared_ptr<entry> item = find(reply.request)) {
+        note_queued(*item, reply);
         carry_out(item, item->steps->on_reply(reply, now));
         return;
     }
@@ -167,11 +186,37 @@
     }
 }
 
+void reserve_filter::note_queued(entry& item, const reserve_reply& reply) {
+    const auto asked = item.asked.find(reply.upstream);
+    const bool stands = reply.outcome == reserve_outcome::queued && asked != item.asked.end() &&
+                        asked->second.request == reply.request;
+    if (stands) {
+        item.queued[reply.upstream] = asked->second;
+    } else {
+        item.queued.erase(reply.upstream);
+    }
+}
+
+void reserve_filter::repeat_queued() {
+    const instant now = timers_.now();
+    for (const auto& [id, item] : entries_) {
+        if (!item->grants.empty()) {
+            continue;
+        }
+        for (auto& [upstream, request] : item->queued) {
+            request.time_left = item->flow->deadline - now;
+            link_.send(request);
+        }
+    }
+}
+
 void reserve_filter::carry_out(const std::shared_ptr<entry>& item, const routing_actions& actions) {
     for (const grant_release& release : actions.releases) {
+        item->queued.erase(release.upstream);
         link_.send(release);
     }
     for (const reserve_request& request : actions.reserves) {
+        item->asked[request.upstream] = request;
         link_.send(request);
     }
     for (const grant_renewal& renewal : actions.renewals) {
--- a/servers/reservation/reserve_filter.hpp
+++ b/servers/reservation/reserve_filter.hpp
@@ -47,6 +47,10 @@
     bool make_plan(entry& item) const;
     void tick();
     void renew_grants();
+    void note_queued(entry& item, const reserve_reply& reply);
+    /// Asks again for places in queues, since an owner may have changed. Idempotent at one that
+    /// knows them.
+    void repeat_queued();
 
     timer_service& timers_;
     decision_log& log_;
