--- a/core/directory/entrypoint.hpp
+++ b/core/directory/entrypoint.hpp
@@ -16,8 +16,7 @@
     std::uint16_t http_port = 0;
 
     friend bool operator==(const entrypoint& a, const entrypoint& b) {
-        return std::tie(a.host, a.address, a.http_port) ==
-               std::tie(b.host, b.address, b.http_port);
+        return std::tie(a.host, a.address, a.http_port) == std::tie(b.host, b.address, b.http_port);
     }
     friend bool operator!=(const entrypoint& a, const entrypoint& b) { return !(a == b); }
 };
--- a/core/messages/grant_renewal.hpp
+++ b/core/messages/grant_renewal.hpp
@@ -2,6 +2,7 @@
 
 #include <cstdint>
 #include <tuple>
+
 #include "core/identity/names.hpp"
 
 namespace fuchsiaquay {
--- a/core/messages/mark_answer.hpp
+++ b/core/messages/mark_answer.hpp
@@ -3,6 +3,7 @@
 #include <cstdint>
 #include <string>
 #include <tuple>
+
 #include "core/messages/mark_use.hpp"
 
 namespace fuchsiaquay {
--- a/core/messages/mark_query.hpp
+++ b/core/messages/mark_query.hpp
@@ -3,6 +3,7 @@
 #include <cstdint>
 #include <string>
 #include <tuple>
+
 #include "core/identity/names.hpp"
 
 namespace fuchsiaquay {
--- a/core/messages/member_update.hpp
+++ b/core/messages/member_update.hpp
@@ -3,6 +3,7 @@
 #include <cstdint>
 #include <string>
 #include <tuple>
+
 #include "core/identity/names.hpp"
 #include "core/messages/member_state.hpp"
 
--- a/core/request/dispatch_plan.hpp
+++ b/core/request/dispatch_plan.hpp
@@ -5,8 +5,8 @@
 
 #include "core/identity/names.hpp"
 #include "core/request/plan_part.hpp"
-#include "core/upstreams/upstream.hpp"
 #include "core/time/clock.hpp"
+#include "core/upstreams/upstream.hpp"
 
 namespace fuchsiaquay {
 
--- a/core/scheduling/upstream_settings.hpp
+++ b/core/scheduling/upstream_settings.hpp
@@ -55,10 +55,11 @@
     double rebuild_memory_share = 0.05;
 };
 
-/// Memory of an engine of `memory_tokens` that long prompts cannot take: a fifth.
+/// Memory of an engine of `memory_tokens` that long prompts cannot take: 110,000 of 400,000.
 constexpr std::int64_t short_memory_of(std::int64_t memory_tokens) {
-    constexpr std::int64_t short_part = 5;
-    return memory_tokens / short_part;
+    constexpr std::int64_t fortieths = 11;
+    constexpr std::int64_t whole = 40;
+    return memory_tokens * fortieths / whole;
 }
 
 }  // namespace fuchsiaquay
--- a/ctl/console/ctl_main.cpp
+++ b/ctl/console/ctl_main.cpp
@@ -6,6 +6,8 @@
 #include "ctl/console/command_registry.hpp"
 #include "ctl/console/ctl_options.hpp"
 #include "ctl/console/http_admin_channel.hpp"
+#include "ctl/load/load_options.hpp"
+#include "ctl/load/node_bench.hpp"
 
 using namespace fuchsiaquay;
 
@@ -37,6 +39,25 @@
     return static_cast<exit_code>(run_bench_policies(options, at.out));
 }
 
+exit_code bench_node(const console& at) {
+    load_options options;
+    options.node_uri = at.options.nodes.empty() ? "" : at.options.nodes.front();
+    options.engine_uri = at.options.value("engine", "");
+    options.caller_key = at.options.value("key", "");
+    options.model = at.options.value("model", options.model);
+    options.streams = std::stoi(at.options.value("streams", std::to_string(options.streams)));
+    options.rounds = std::stoi(at.options.value("rounds", std::to_string(options.rounds)));
+    options.max_tokens =
+        std::stoi(at.options.value("max-tokens", std::to_string(options.max_tokens)));
+    options.prompt_bytes =
+        std::stoi(at.options.value("prompt-bytes", std::to_string(options.prompt_bytes)));
+    if (options.node_uri.empty() || options.engine_uri.empty()) {
+        at.err << "bench-node: --node and --engine are required\n";
+        return exit_code::usage;
+    }
+    return static_cast<exit_code>(run_node_bench(options, at.out));
+}
+
 }  // namespace
 
 int main(int argc, char** argv) {
@@ -49,6 +70,8 @@
     add_fleet_commands(registry);
     registry.add(
         {"bench", "", "measure the policies (--seeds --profiles --variants ...)", 0, bench});
+    registry.add(
+        {"bench-node", "", "stream through a node and directly from its engine", 0, bench_node});
     http_admin_channel channel(options.nodes, options.token, options.timeout_s);
     try {
         return static_cast<int>(registry.run(options, channel, std::cout, std::cerr));
--- a/ctl/console/ctl_options.cpp
+++ b/ctl/console/ctl_options.cpp
@@ -35,6 +35,11 @@
                                 {"threads", required_argument, nullptr, flag::other},
                                 {"csv", required_argument, nullptr, flag::other},
                                 {"svg", required_argument, nullptr, flag::other},
+                                {"engine", required_argument, nullptr, flag::other},
+                                {"key", required_argument, nullptr, flag::other},
+                                {"streams", required_argument, nullptr, flag::other},
+                                {"rounds", required_argument, nullptr, flag::other},
+                                {"prompt-bytes", required_argument, nullptr, flag::other},
                                 {nullptr, 0, nullptr, 0}};
 
 std::string environment(const char* name) {
--- a/drivers/admin/admin_endpoint.cpp
+++ b/drivers/admin/admin_endpoint.cpp
@@ -65,7 +65,8 @@
 void refuse_body(const http::http_request& message) {
     admin_reply reply;
     reply.status = http::status_codes::RequestEntityTooLarge;
-    reply.body = R"({"error":{"code":"body_refused","message":"the body is too large or too slow"}})";
+    reply.body =
+        R"({"error":{"code":"body_refused","message":"the body is too large or too slow"}})";
     send_reply(message, reply);
 }
 
@@ -73,19 +74,18 @@
 
 void add_admin_route(http_server& server, control_loop& loop, admin_api& api) {
     server.route("/admin/v1", [&loop, &api](const http::http_request& message) {
-        read_limited_body(
-            loop, message, max_admin_body_bytes, admin_body_timeout,
-            [&loop, &api, message](body_outcome outcome, const std::string& body) {
-                if (outcome != body_outcome::complete) {
-                    refuse_body(message);
-                    return;
-                }
-                loop.post([&api, message, request = make_request(message, body)] {
-                    api.handle(request, [message](const admin_reply& reply) {
-                        send_reply(message, reply);
-                    });
-                });
-            });
+        read_limited_body(loop, message, max_admin_body_bytes, admin_body_timeout,
+                          [&loop, &api, message](body_outcome outcome, const std::string& body) {
+                              if (outcome != body_outcome::complete) {
+                                  refuse_body(message);
+                                  return;
+                              }
+                              loop.post([&api, message, request = make_request(message, body)] {
+                                  api.handle(request, [message](const admin_reply& reply) {
+                                      send_reply(message, reply);
+                                  });
+                              });
+                          });
     });
 }
 
--- a/drivers/api/answer_format.cpp
+++ b/drivers/api/answer_format.cpp
@@ -69,8 +69,7 @@
 }
 
 std::string answer_format::whole(const std::string& text, const std::string& finish_reason,
-                                 std::int64_t prompt_tokens,
-                                 std::int64_t completion_tokens) const {
+                                 std::int64_t prompt_tokens, std::int64_t completion_tokens) const {
     json::value choice = json::value::object();
     choice["index"] = json::value::number(0);
     choice["finish_reason"] = json::value::string(finish_reason);
--- a/drivers/api/caller_api.cpp
+++ b/drivers/api/caller_api.cpp
@@ -186,8 +186,7 @@
 }
 
 void caller_api::begin_service(const http::http_request& message, const std::string& body) {
-    const std::string target =
-        message.relative_uri().to_string().substr(service_prefix.size());
+    const std::string target = message.relative_uri().to_string().substr(service_prefix.size());
     const std::size_t name_end = std::min(target.find_first_of("/?"), target.size());
     request_context context;
     context.id = request_id(next_request_id());
@@ -201,8 +200,7 @@
     if (path.empty() || path.front() != '/') {
         path.insert(0, "/");
     }
-    context.body_fingerprint =
-        stable_hash(body, stable_hash(message.method() + "\n" + target));
+    context.body_fingerprint = stable_hash(body, stable_hash(message.method() + "\n" + target));
     auto session = std::make_shared<service_session>(services_, message, std::move(path), body);
     session->begin(std::make_shared<request_flow>(std::move(context), session));
 }
@@ -213,7 +211,8 @@
     services_.loop.post([self, message, digest] {
         const std::shared_ptr<const contract> terms = self->contracts_.find_by_key(digest);
         if (!terms) {
-            reject(message, status_unauthorized, "unknown_key", "no contract holds this caller key");
+            reject(message, status_unauthorized, "unknown_key",
+                   "no contract holds this caller key");
             return;
         }
         reply_json(message, http::status_codes::OK,
--- a/drivers/api/completion_session.cpp
+++ b/drivers/api/completion_session.cpp
@@ -23,12 +23,9 @@
 namespace http = web::http;
 
 completion_session::completion_session(const api_services& services,
-                                       const http::http_request& message,
-                                       completion_body body, answer_format format)
-    : services_(services),
-      message_(message),
-      body_(std::move(body)),
-      format_(std::move(format)) {}
+                                       const http::http_request& message, completion_body body,
+                                       answer_format format)
+    : services_(services), message_(message), body_(std::move(body)), format_(std::move(format)) {}
 
 completion_session::~completion_session() = default;
 
--- a/drivers/api/completion_session.hpp
+++ b/drivers/api/completion_session.hpp
@@ -34,6 +34,8 @@
 public:
     completion_session(const api_services& services, const web::http::http_request& message,
                        completion_body body, answer_format format);
+    completion_session(const completion_session&) = delete;
+    completion_session& operator=(const completion_session&) = delete;
     ~completion_session() override;
 
     /// Hands the request to the pipeline.
--- a/drivers/api/service_session.cpp
+++ b/drivers/api/service_session.cpp
@@ -19,10 +19,7 @@
 
 service_session::service_session(const api_services& services, const http::http_request& message,
                                  std::string path, std::string body)
-    : services_(services),
-      message_(message),
-      path_(std::move(path)),
-      body_(std::move(body)) {}
+    : services_(services), message_(message), path_(std::move(path)), body_(std::move(body)) {}
 
 void service_session::begin(const std::shared_ptr<request_flow>& flow) {
     flow_ = flow;
--- a/drivers/engine/group_prefill.cpp
+++ b/drivers/engine/group_prefill.cpp
@@ -27,9 +27,9 @@
 
 }  // namespace
 
-group_prefill::group_prefill(control_loop& loop, client_pool& clients, std::vector<plan_part> parts, std::string model,
-                             std::shared_ptr<const std::string> prompt, int priority,
-                             done_handler done)
+group_prefill::group_prefill(control_loop& loop, client_pool& clients, std::vector<plan_part> parts,
+                             std::string model, std::shared_ptr<const std::string> prompt,
+                             int priority, done_handler done)
     : loop_(loop),
       clients_(clients),
       parts_(std::move(parts)),
--- a/drivers/engine/group_prefill.hpp
+++ b/drivers/engine/group_prefill.hpp
@@ -19,10 +19,12 @@
 public:
     /// Called once: an empty failure when every part is held, else the first failure and its
     /// upstream.
-    using done_handler = std::function<void(const std::string& failure, const upstream_id& culprit)>;
+    using done_handler =
+        std::function<void(const std::string& failure, const upstream_id& culprit)>;
 
-    group_prefill(control_loop& loop, client_pool& clients, std::vector<plan_part> parts, std::string model,
-                  std::shared_ptr<const std::string> prompt, int priority, done_handler done);
+    group_prefill(control_loop& loop, client_pool& clients, std::vector<plan_part> parts,
+                  std::string model, std::shared_ptr<const std::string> prompt, int priority,
+                  done_handler done);
     group_prefill(const group_prefill&) = delete;
     group_prefill& operator=(const group_prefill&) = delete;
     ~group_prefill();
--- a/drivers/metrics/histogram_metrics.cpp
+++ b/drivers/metrics/histogram_metrics.cpp
@@ -93,16 +93,15 @@
     const int lengths = static_cast<int>(length_bounds.size()) - 1;
     for (int level = 0; level < max_levels; ++level) {
         for (int length = 0; length < lengths; ++length) {
-            const std::string labels = "level=\"" + std::to_string(level) + "\",prompt=\"" +
-                                       length_names[length] + "\"";
+            const std::string labels =
+                "level=\"" + std::to_string(level) + "\",prompt=\"" + length_names[length] + "\"";
             write_series(out, "fuchsiaquay_first_token_seconds", labels, first_token_bounds,
                          [&](int i) { return histograms_->first_token_.at(i, level, length); });
         }
     }
     out << "# TYPE fuchsiaquay_token_gap_seconds histogram\n";
-    write_series(out, "fuchsiaquay_token_gap_seconds", "", gap_bounds, [&](int i) {
-        return static_cast<double>(histograms_->gap_.at(i));
-    });
+    write_series(out, "fuchsiaquay_token_gap_seconds", "", gap_bounds,
+                 [&](int i) { return static_cast<double>(histograms_->gap_.at(i)); });
     write_counters(out, "fuchsiaquay_refusals_total", "code", refusals_);
     write_counters(out, "fuchsiaquay_retries_total", "failure", retries_);
     out << "# TYPE fuchsiaquay_answers_total counter\nfuchsiaquay_answers_total " << answered_
--- a/drivers/metrics/histogram_metrics.hpp
+++ b/drivers/metrics/histogram_metrics.hpp
@@ -19,6 +19,8 @@
     using figures = std::vector<std::pair<std::string, double>>;
 
     histogram_metrics();
+    histogram_metrics(const histogram_metrics&) = delete;
+    histogram_metrics& operator=(const histogram_metrics&) = delete;
     ~histogram_metrics() override;
 
     void first_token(int level, std::int64_t prompt_tokens, duration waited) override;
--- a/drivers/platform/host_list_client.cpp
+++ b/drivers/platform/host_list_client.cpp
@@ -24,8 +24,8 @@
 upstream parse_upstream(const json::value& item) {
     upstream result;
     result.id = upstream_id(item.at("id").as_string());
-    result.kind = text_field(item, "kind") == "service" ? upstream_kind::service
-                                                         : upstream_kind::engine;
+    result.kind =
+        text_field(item, "kind") == "service" ? upstream_kind::service : upstream_kind::engine;
     result.service = service_id(text_field(item, "service"));
     result.address = item.at("address").as_string();
     result.port = static_cast<std::uint16_t>(item.at("port").as_integer());
--- a/drivers/store/etcd_store.cpp
+++ b/drivers/store/etcd_store.cpp
@@ -130,9 +130,7 @@
     std::uint64_t calls() const { return calls_; }
 
 private:
-    std::shared_ptr<http_client> make_client() const {
-        return make_client(call_timeout_);
-    }
+    std::shared_ptr<http_client> make_client() const { return make_client(call_timeout_); }
 
     std::shared_ptr<http_client> make_client(duration timeout) const {
         return std::make_shared<http_client>(base_uri_, client_config(timeout));
--- a/main/control_plane.cpp
+++ b/main/control_plane.cpp
@@ -4,9 +4,9 @@
 #include <utility>
 #include <vector>
 
+#include "core/directory/directory_settings.hpp"
 #include "core/error/step_error.hpp"
 #include "core/hashing/rendezvous.hpp"
-#include "core/directory/directory_settings.hpp"
 #include "core/membership/member_change.hpp"
 #include "core/upstreams/upstream_override.hpp"
 #include "drivers/control/control_loop.hpp"
--- a/main/control_plane.hpp
+++ b/main/control_plane.hpp
@@ -14,8 +14,8 @@
 #include "servers/contracts/contract_editor.hpp"
 #include "servers/contracts/contract_watcher.hpp"
 #include "servers/journal/journal_service.hpp"
-#include "servers/membership/membership_service.hpp"
 #include "servers/limits/limit_service.hpp"
+#include "servers/membership/membership_service.hpp"
 #include "servers/upstreams/upstream_service.hpp"
 #include "servers/views/membership_view.hpp"
 
--- a/main/main.cpp
+++ b/main/main.cpp
@@ -56,7 +56,8 @@
         if (item.type == fuchsiaquay::setting_type::integer) {
             std::cout << item.minimum << " to " << item.maximum;
         } else {
-            std::cout << (item.type == fuchsiaquay::setting_type::ip_address ? "IP number" : "text");
+            std::cout << (item.type == fuchsiaquay::setting_type::ip_address ? "IP number"
+                                                                             : "text");
         }
         std::cout << " | " << item.unit << " | " << item.description << " |\n";
     }
--- a/main/node.cpp
+++ b/main/node.cpp
@@ -44,8 +44,8 @@
     requests_ = std::make_unique<request_plane>(settings, incarnation, loop, log, *control_);
     route_messages();
     add_health_routes();
-    administration_ = std::make_unique<node_administration>(
-        settings, loop, log, *control_, *requests_, [this] { stop_(); });
+    administration_ = std::make_unique<node_administration>(settings, loop, log, *control_,
+                                                            *requests_, [this] { stop_(); });
     requests_->server().open();
     log_.write(decision_log::level::info, "started",
                {{"address", settings.address},
@@ -59,10 +59,9 @@
 }
 
 void node::route_messages() {
-    control_->transport().on_message(
-        [this](const host_id& sender, const peer_message& message) {
-            std::visit(message_router{sender, *control_, *requests_}, message);
-        });
+    control_->transport().on_message([this](const host_id& sender, const peer_message& message) {
+        std::visit(message_router{sender, *control_, *requests_}, message);
+    });
 }
 
 void node::add_health_routes() {
@@ -86,8 +85,8 @@
 
 bool node::ready() const {
     const bool listed = !control_->hosts().live_hosts().empty();
-    const bool knows_upstreams = !control_->upstreams().all().empty() ||
-                                 loop_.now() - started_at_ > upstream_patience;
+    const bool knows_upstreams =
+        !control_->upstreams().all().empty() || loop_.now() - started_at_ > upstream_patience;
     return control_->contracts().ready() && listed && knows_upstreams && !drained_;
 }
 
--- a/main/node_administration.cpp
+++ b/main/node_administration.cpp
@@ -26,8 +26,7 @@
 
 node_administration::node_administration(const node_settings& settings, control_loop& loop,
                                          decision_log& log, control_plane& control,
-                                         request_plane& requests,
-                                         std::function<void()> start_drain)
+                                         request_plane& requests, std::function<void()> start_drain)
     : control_(control),
       requests_(requests),
       start_drain_(std::move(start_drain)),
@@ -49,13 +48,15 @@
 }
 
 std::vector<std::pair<std::string, double>> node_administration::figures() const {
-    return {{"requests_active", static_cast<double>(requests_.pipeline().active())},
-            {"upstreams_owned", static_cast<double>(requests_.owner().owned())},
-            {"peer_bytes_sent_total", static_cast<double>(control_.transport().counters().bytes_sent)},
-            {"peer_bytes_received_total", static_cast<double>(control_.transport().counters().bytes_received)},
-            {"process_cpu_seconds_total", cpu_seconds()},
-            {"store_calls_total", static_cast<double>(control_.store().call_count())},
-            {"contract_revision", static_cast<double>(control_.book().complete_revision())}};
+    return {
+        {"requests_active", static_cast<double>(requests_.pipeline().active())},
+        {"upstreams_owned", static_cast<double>(requests_.owner().owned())},
+        {"peer_bytes_sent_total", static_cast<double>(control_.transport().counters().bytes_sent)},
+        {"peer_bytes_received_total",
+         static_cast<double>(control_.transport().counters().bytes_received)},
+        {"process_cpu_seconds_total", cpu_seconds()},
+        {"store_calls_total", static_cast<double>(control_.store().call_count())},
+        {"contract_revision", static_cast<double>(control_.book().complete_revision())}};
 }
 
 }  // namespace fuchsiaquay
--- a/main/request_plane.cpp
+++ b/main/request_plane.cpp
@@ -54,8 +54,8 @@
     : limits_(make_limits(settings)),
       engines_(clients_),
       engine_admin_(loop, clients_),
-      owner_(loop, log, control.hosts(), control.upstreams(), control.hosts(),
-             control.transport(), engine_admin_, make_queue_defaults(settings)),
+      owner_(loop, log, control.hosts(), control.upstreams(), control.hosts(), control.transport(),
+             engine_admin_, make_queue_defaults(settings)),
       link_(control.hosts(), control.upstreams(), control.hosts(), owner_, control.transport()),
       router_(control.upstreams(), make_selector(settings),
               static_cast<double>(settings.engine_tokens_per_second)),
@@ -63,8 +63,8 @@
       pipeline_(make_pipeline(settings, loop, log, control)),
       entrypoints_(control.hosts(), make_directory_settings(settings)),
       server_(settings.address, settings.http_port) {
-    const api_services services{loop,     *pipeline_, engines_,            clients_,
-                                metrics_, limits_,    settings.cluster_key};
+    const api_services services{loop,    *pipeline_,          engines_, clients_, metrics_,
+                                limits_, settings.cluster_key};
     callers_ = std::make_shared<caller_api>(services, control.contracts(), entrypoints_,
                                             settings.host + "-" + std::to_string(incarnation));
     callers_->add_routes(server_);
@@ -89,13 +89,12 @@
     request_pipeline::filter_list attempt_filters;
     attempt_filters.push_back(
         std::make_unique<route_filter>(loop, log, control.upstreams(), router_));
-    auto reserve = std::make_unique<reserve_filter>(loop, log, control.hosts(),
-                                                    control.upstreams(), router_, link_,
-                                                    reservation_settings());
+    auto reserve = std::make_unique<reserve_filter>(loop, log, control.hosts(), control.upstreams(),
+                                                    router_, link_, reservation_settings());
     reserve_ = reserve.get();
     attempt_filters.push_back(std::move(reserve));
-    return std::make_unique<request_pipeline>(loop, log, metrics_, retries_, std::move(request_filters),
-                                              std::move(attempt_filters));
+    return std::make_unique<request_pipeline>(
+        loop, log, metrics_, retries_, std::move(request_filters), std::move(attempt_filters));
 }
 
 }  // namespace fuchsiaquay
--- a/scripts/lint.sh
+++ b/scripts/lint.sh
@@ -16,5 +16,5 @@
   mapfile -t files < <(git ls-files --cached --others --exclude-standard '*.cpp' '*.hpp' | grep -v _generated)
 fi
 clang-format "${mode[@]}" "${files[@]}"
-printf '%s\n' "${files[@]}" | grep '\.cpp$' | xargs -P 8 -n 3 clang-tidy -p build --quiet 2>/dev/null
+printf '%s\n' "${files[@]}" | grep '\.cpp$' | xargs -P "$(nproc)" -n 1 clang-tidy -p build --quiet 2>/dev/null
 echo "lint: clean"
--- a/servers/limits/limit_filter.cpp
+++ b/servers/limits/limit_filter.cpp
@@ -39,9 +39,8 @@
     const bool smoothed = answer.reached != limit_kind::concurrency &&
                           timers_.now() + answer.retry_after <= give_up_at;
     if (smoothed) {
-        timers_.after(answer.retry_after, [this, flow, decide, give_up_at] {
-            try_admit(flow, decide, give_up_at);
-        });
+        timers_.after(answer.retry_after,
+                      [this, flow, decide, give_up_at] { try_admit(flow, decide, give_up_at); });
         return;
     }
     refusal reason;
--- a/servers/limits/limit_filter.hpp
+++ b/servers/limits/limit_filter.hpp
@@ -18,8 +18,7 @@
     /// Longest that a request is delayed to meet a rate.
     static constexpr duration smoothing_limit = std::chrono::milliseconds(100);
 
-    limit_filter(timer_service& timers, limit_service& limits)
-        : timers_(timers), limits_(limits) {}
+    limit_filter(timer_service& timers, limit_service& limits) : timers_(timers), limits_(limits) {}
 
     void admit(const std::shared_ptr<request_flow>& flow, const verdict& decide) override;
     void settle(const std::shared_ptr<request_flow>& flow, const attempt_result& result) override;
--- a/servers/requests/contract_filter.cpp
+++ b/servers/requests/contract_filter.cpp
@@ -58,8 +58,8 @@
     const request_context& context = flow->context();
     const std::shared_ptr<const contract> terms = contracts_.find_by_key(context.key_digest);
     if (!terms) {
-        decide.refuse(make_refusal(status_unauthorized, "unknown_key",
-                                   "no contract holds this caller key"));
+        decide.refuse(
+            make_refusal(status_unauthorized, "unknown_key", "no contract holds this caller key"));
         return;
     }
     const rank* chosen = find_rank(*terms, context.rank_name);
@@ -82,8 +82,8 @@
         decide.proceed();
         return;
     }
-    const bool allowed = std::find(terms->models.begin(), terms->models.end(), context.model) !=
-                         terms->models.end();
+    const bool allowed =
+        std::find(terms->models.begin(), terms->models.end(), context.model) != terms->models.end();
     if (!allowed) {
         decide.refuse(make_refusal(status_not_found, "unknown_model",
                                    "the contract does not name this model"));
--- a/servers/requests/deduplicate_filter.cpp
+++ b/servers/requests/deduplicate_filter.cpp
@@ -29,8 +29,8 @@
 }
 
 refusal not_run_refusal(const begin_result& result) {
-    refusal reason = key_refusal(status_unavailable, "not_run",
-                                 "this attempt was not run: " + result.reason);
+    refusal reason =
+        key_refusal(status_unavailable, "not_run", "this attempt was not run: " + result.reason);
     if (!result.key_unused) {
         reason.message += "; the journal could not say whether an earlier attempt with the key ran";
     }
@@ -43,8 +43,7 @@
         case begin_verdict::opaque_key:
             return key_refusal(status_bad_request, "idempotency_key_required",
                                "Idempotency-Key: allowed: a UUIDv7");
-        case begin_verdict::expired_key:
-        {
+        case begin_verdict::expired_key: {
             // What the key stood for is forgotten: an earlier attempt may have run.
             refusal reason = key_refusal(status_bad_request, "idempotency_key_expired",
                                          "the key is older than the retention period");
@@ -58,8 +57,8 @@
             return key_refusal(status_unprocessable, "idempotency_key_reused",
                                "the key came before with a different request");
         case begin_verdict::in_progress: {
-            refusal reason = key_refusal(status_conflict, "in_progress",
-                                         "a call with this key is under way");
+            refusal reason =
+                key_refusal(status_conflict, "in_progress", "a call with this key is under way");
             reason.ran = execution::maybe;
             reason.retry_after = result.retry_after;
             return reason;
@@ -96,9 +95,8 @@
     request.key = flow->context().idempotency_key;
     request.fingerprint = flow->context().body_fingerprint;
     request.time_left = flow->deadline - timers_.now();
-    journal_.begin(request, [this, flow, decide](const begin_result& result) {
-        take(flow, decide, result);
-    });
+    journal_.begin(
+        request, [this, flow, decide](const begin_result& result) { take(flow, decide, result); });
 }
 
 void deduplicate_filter::take(const std::shared_ptr<request_flow>& flow, const verdict& decide,
--- a/servers/requests/request_pipeline.cpp
+++ b/servers/requests/request_pipeline.cpp
@@ -1,7 +1,6 @@
 #include "servers/requests/request_pipeline.hpp"
 
 #include <algorithm>
-
 #include <string>
 #include <utility>
 
@@ -170,9 +169,9 @@
     if (flow->ended()) {
         return;
     }
-    log_.write(decision_log::level::info, "caller_left",
-               {{"request", flow->context().id.value()},
-                {"upstream", flow->plan.target.id.value()}});
+    log_.write(
+        decision_log::level::info, "caller_left",
+        {{"request", flow->context().id.value()}, {"upstream", flow->plan.target.id.value()}});
     end(flow, result);
 }
 
--- a/servers/requests/request_pipeline.hpp
+++ b/servers/requests/request_pipeline.hpp
@@ -25,7 +25,8 @@
 
     /// References must outlive the pipeline.
     request_pipeline(timer_service& timers, decision_log& log, request_metrics& metrics,
-                     retry_rules& retries, filter_list request_filters, filter_list attempt_filters);
+                     retry_rules& retries, filter_list request_filters,
+                     filter_list attempt_filters);
     request_pipeline(const request_pipeline&) = delete;
     request_pipeline& operator=(const request_pipeline&) = delete;
     ~request_pipeline();
--- a/servers/reservation/reservation_link.cpp
+++ b/servers/reservation/reservation_link.cpp
@@ -13,8 +13,8 @@
 
 namespace {
 
-std::optional<member_update> find_owner(const upstream_view& upstreams,
-                                        const owner_locator& owners, const upstream_id& id) {
+std::optional<member_update> find_owner(const upstream_view& upstreams, const owner_locator& owners,
+                                        const upstream_id& id) {
     const std::optional<upstream> target = upstreams.find(id);
     return target ? owners.owner_of(*target) : std::nullopt;
 }
@@ -24,11 +24,7 @@
 reservation_link::reservation_link(const host_view& hosts, const upstream_view& upstreams,
                                    const owner_locator& owners, owner_service& local,
                                    peer_transport& transport)
-    : hosts_(hosts),
-      upstreams_(upstreams),
-      owners_(owners),
-      local_(local),
-      transport_(transport) {}
+    : hosts_(hosts), upstreams_(upstreams), owners_(owners), local_(local), transport_(transport) {}
 
 void reservation_link::send(const reserve_request& message) {
     const auto owner = find_owner(upstreams_, owners_, message.upstream);
--- a/servers/reservation/reservation_link.hpp
+++ b/servers/reservation/reservation_link.hpp
@@ -18,8 +18,7 @@
 public:
     /// References must outlive the link.
     reservation_link(const host_view& hosts, const upstream_view& upstreams,
-                     const owner_locator& owners, owner_service& local,
-                     peer_transport& transport);
+                     const owner_locator& owners, owner_service& local, peer_transport& transport);
 
     /// Messages to an upstream without an owner are lost, like any message.
     void send(const reserve_request& message);
--- a/servers/reservation/reserve_filter.cpp
+++ b/servers/reservation/reserve_filter.cpp
@@ -40,8 +40,7 @@
 
 reserve_request make_reserve_request(const request_flow& flow, const host_id& self, instant now) {
     reserve_request request;
-    request.request =
-        request_id(flow.context().id.value() + "." + std::to_string(flow.attempts));
+    request.request = request_id(flow.context().id.value() + "." + std::to_string(flow.attempts));
     request.entry_host = self;
     request.customer = flow.terms->customer;
     request.weight = flow.terms->weight;
@@ -54,13 +53,6 @@
     return request;
 }
 
-/// KV cache that one engine gives to a part of a prompt: nine tenths of what long prompts can take.
-std::int64_t part_memory_of(std::int64_t engine_memory) {
-    constexpr std::int64_t tenths = 9;
-    constexpr std::int64_t whole = 10;
-    return (engine_memory - short_memory_of(engine_memory)) * tenths / whole;
-}
-
 /// KV cache of the smallest engine of the choices, in tokens.
 std::int64_t smallest_engine(const upstream_view& upstreams,
                              const std::vector<scored_candidate>& choices) {
@@ -139,7 +131,7 @@
     const request_flow& flow = *item->flow;
     item->request.time_left = flow.deadline - now;
     const std::int64_t engine_memory = smallest_engine(upstreams_, flow.choices);
-    const std::int64_t part_memory = part_memory_of(engine_memory);
+    const std::int64_t part_memory = engine_memory - short_memory_of(engine_memory);
     const group_planner planner(part_memory,
                                 std::min(generator_prompt_tokens, part_memory / generator_part));
     const bool is_long = flow.routing.prompt_tokens > upstream_settings().long_prompt_tokens;
@@ -151,8 +143,7 @@
         item->steps = std::make_unique<group_reservation>(item->request, item->parts, settings_,
                                                           item->group_attempts++, now);
     } else {
-        item->steps =
-            std::make_unique<reservation>(item->request, flow.choices, settings_, now);
+        item->steps = std::make_unique<reservation>(item->request, flow.choices, settings_, now);
     }
     carry_out(item, item->steps->start(now));
 }
@@ -228,6 +219,12 @@
 }
 
 void reserve_filter::conclude(const std::shared_ptr<entry>& item, const routing_outcome& outcome) {
+    log_.write(decision_log::level::info, "reserve",
+               {{"request", item->request.request.value()},
+                {"granted", outcome.granted ? "yes" : "no"},
+                {"parts", std::to_string(outcome.grants.size())},
+                {"reason", outcome.granted ? outcome.grants.front().reason : outcome.reason},
+                {"retry_after_ms", std::to_string(to_milliseconds(outcome.retry_after))}});
     if (!outcome.granted && item->steps->may_retry()) {
         retry_later(item);
         return;
--- a/servers/reservation/reserve_filter.hpp
+++ b/servers/reservation/reserve_filter.hpp
@@ -28,6 +28,8 @@
     reserve_filter(timer_service& timers, decision_log& log, const host_view& hosts,
                    const upstream_view& upstreams, engine_router& router, reservation_link& link,
                    reservation_settings settings);
+    reserve_filter(const reserve_filter&) = delete;
+    reserve_filter& operator=(const reserve_filter&) = delete;
     ~reserve_filter() override;
 
     void admit(const std::shared_ptr<request_flow>& flow, const verdict& decide) override;
--- a/servers/routing/engine_router.cpp
+++ b/servers/routing/engine_router.cpp
@@ -22,7 +22,10 @@
 
 engine_router::engine_router(const upstream_view& upstreams,
                              std::unique_ptr<upstream_selector> selector, double tokens_per_second)
-    : upstreams_(upstreams), selector_(std::move(selector)), loads_(tokens_per_second), health_(breaker_settings()) {}
+    : upstreams_(upstreams),
+      selector_(std::move(selector)),
+      loads_(tokens_per_second),
+      health_(breaker_settings()) {}
 
 engine_router::~engine_router() = default;
 
@@ -35,8 +38,8 @@
     request.level = flow.chosen_rank.level;
     request.prompt_tokens = context.prompt_tokens;
     const std::int64_t tokens_left = context.max_tokens - flow.plan.resume_offset;
-    request.expected_output_tokens =
-        estimator_.estimate(flow.terms->customer, context.model, std::max<std::int64_t>(tokens_left, 1));
+    request.expected_output_tokens = estimator_.estimate(flow.terms->customer, context.model,
+                                                         std::max<std::int64_t>(tokens_left, 1));
     request.memory_tokens = context.prompt_tokens + context.max_tokens;
     request.time_left = flow.deadline - now;
     request.prefix_hashes = context.prefix_hashes;
--- a/servers/routing/route_explainer.cpp
+++ b/servers/routing/route_explainer.cpp
@@ -24,9 +24,8 @@
 
 const rank* find_rank(const contract& terms, const std::string& name) {
     const auto found =
-        std::find_if(terms.ranks.begin(), terms.ranks.end(), [&name](const rank& item) {
-            return name.empty() || item.name == name;
-        });
+        std::find_if(terms.ranks.begin(), terms.ranks.end(),
+                     [&name](const rank& item) { return name.empty() || item.name == name; });
     return found == terms.ranks.end() ? nullptr : &*found;
 }
 
--- a/servers/routing/route_filter.cpp
+++ b/servers/routing/route_filter.cpp
@@ -40,8 +40,8 @@
 
 }  // namespace
 
-route_filter::route_filter(timer_service& timers, decision_log& log,
-                           const upstream_view& upstreams, engine_router& router)
+route_filter::route_filter(timer_service& timers, decision_log& log, const upstream_view& upstreams,
+                           engine_router& router)
     : timers_(timers), log_(log), upstreams_(upstreams), router_(router) {}
 
 void route_filter::admit(const std::shared_ptr<request_flow>& flow, const verdict& decide) {
@@ -52,8 +52,7 @@
     route_completion(flow, decide);
 }
 
-void route_filter::route_service(const std::shared_ptr<request_flow>& flow,
-                                 const verdict& decide) {
+void route_filter::route_service(const std::shared_ptr<request_flow>& flow, const verdict& decide) {
     std::optional<upstream> best;
     for (const upstream& replica : upstreams_.all()) {
         const bool fits = replica.kind == upstream_kind::service && !replica.leaving &&
@@ -120,8 +119,7 @@
                 {"reason", best.reason}});
 }
 
-void route_filter::settle(const std::shared_ptr<request_flow>& flow,
-                          const attempt_result& result) {
+void route_filter::settle(const std::shared_ptr<request_flow>& flow, const attempt_result& result) {
     if (flow->counted_service.empty()) {
         return;
     }
--- a/servers/views/membership_view.cpp
+++ b/servers/views/membership_view.cpp
@@ -31,8 +31,9 @@
 }
 
 std::optional<member_update> membership_view::owner_of(const upstream& target) const {
-    const ownership owners([this](const data_centre_id& centre) { return members_.live_hosts(centre); },
-                           [this] { return members_.data_centres(); });
+    const ownership owners(
+        [this](const data_centre_id& centre) { return members_.live_hosts(centre); },
+        [this] { return members_.data_centres(); });
     const host_id owner = owners.owner_of(target);
     return owner.empty() ? std::nullopt : find(owner);
 }
