--- a/core/messages/member_state.hpp
+++ b/core/messages/member_state.hpp
@@ -5,4 +5,19 @@
 /// State of a host in the membership. Order matters: at equal incarnation the later one wins.
 enum class member_state { alive, suspect, leaving, dead };
 
+/// Word for logs and operators.
+constexpr const char* to_word(member_state state) {
+    switch (state) {
+        case member_state::alive:
+            return "alive";
+        case member_state::suspect:
+            return "suspect";
+        case member_state::leaving:
+            return "leaving";
+        case member_state::dead:
+            return "dead";
+    }
+    return "unknown";
+}
+
 }  // namespace fuchsiaquay
--- a/drivers/admin/admin_endpoint.cpp
+++ b/drivers/admin/admin_endpoint.cpp
@@ -7,6 +7,7 @@
 
 #include "drivers/admin/admin_api.hpp"
 #include "drivers/control/control_loop.hpp"
+#include "drivers/http/http_headers.hpp"
 #include "drivers/http/http_server.hpp"
 #include "drivers/http/limited_body.hpp"
 #include "servers/admin/admin_reply.hpp"
@@ -22,17 +23,6 @@
 constexpr std::size_t max_admin_body_bytes = 262'144;
 constexpr duration admin_body_timeout = std::chrono::seconds(10);
 
-std::string header(const http::http_request& message, const char* name) {
-    const auto found = message.headers().find(name);
-    return found == message.headers().end() ? "" : found->second;
-}
-
-std::string bearer_token(const http::http_request& message) {
-    constexpr std::string_view scheme = "Bearer ";
-    const std::string value = header(message, "Authorization");
-    return value.compare(0, scheme.size(), scheme) == 0 ? value.substr(scheme.size()) : "";
-}
-
 admin_request make_request(const http::http_request& message, const std::string& body) {
     admin_request request;
     request.method = message.method();
@@ -40,9 +30,9 @@
     for (const auto& [name, value] : web::uri::split_query(message.relative_uri().query())) {
         request.query[web::uri::decode(name)] = web::uri::decode(value);
     }
-    request.token = bearer_token(message);
-    request.if_match = header(message, "If-Match");
-    request.if_none_match = header(message, "If-None-Match");
+    request.token = bearer_token_of(message);
+    request.if_match = header_of(message, "If-Match");
+    request.if_none_match = header_of(message, "If-None-Match");
     request.body = body;
     return request;
 }
--- a/drivers/admin/fleet_handlers.cpp
+++ b/drivers/admin/fleet_handlers.cpp
@@ -37,20 +37,6 @@
     return out;
 }
 
-const char* print_state(member_state state) {
-    switch (state) {
-        case member_state::alive:
-            return "alive";
-        case member_state::suspect:
-            return "suspect";
-        case member_state::leaving:
-            return "leaving";
-        case member_state::dead:
-            return "dead";
-    }
-    return "unknown";
-}
-
 web::json::value print_node(const member_update& node) {
     web::json::value out = web::json::value::object(true);
     out["host"] = text(node.host.value());
@@ -58,7 +44,7 @@
     out["address"] = text(node.address);
     out["http_port"] = web::json::value::number(static_cast<int>(node.http_port));
     out["peer_port"] = web::json::value::number(static_cast<int>(node.peer_port));
-    out["state"] = text(print_state(node.state));
+    out["state"] = text(to_word(node.state));
     return out;
 }
 
--- a/drivers/api/caller_api.cpp
+++ b/drivers/api/caller_api.cpp
@@ -18,6 +18,7 @@
 #include "drivers/api/service_session.hpp"
 #include "drivers/control/control_loop.hpp"
 #include "drivers/crypto/digest.hpp"
+#include "drivers/http/http_headers.hpp"
 #include "drivers/http/http_server.hpp"
 #include "drivers/http/limited_body.hpp"
 #include "drivers/http/monotonic_now.hpp"
@@ -38,18 +39,10 @@
 constexpr int status_too_large = 413;
 constexpr std::string_view service_prefix = "/v1/services/";
 
-std::string header(const http::http_request& message, const char* name) {
-    const auto found = message.headers().find(name);
-    return found == message.headers().end() ? "" : found->second;
-}
-
+/// Empty without a key, so that it matches no contract.
 std::string key_digest(const http::http_request& message) {
-    constexpr std::string_view scheme = "Bearer ";
-    const std::string value = header(message, "Authorization");
-    if (value.compare(0, scheme.size(), scheme) != 0) {
-        return "";
-    }
-    return sha256_hex(value.substr(scheme.size()));
+    const std::string key = bearer_token_of(message);
+    return key.empty() ? "" : sha256_hex(key);
 }
 
 void reject(const http::http_request& message, int status, const std::string& code,
@@ -146,14 +139,14 @@
     context.id = request_id(next_request_id());
     context.kind = request_kind::completion;
     context.key_digest = key_digest(message);
-    context.rank_name = header(message, "X-Rank");
+    context.rank_name = header_of(message, "X-Rank");
     context.model = model_id(body.model);
     context.prompt_tokens = count_prompt_tokens(*body.prompt);
     context.max_tokens = body.max_tokens;
     context.prefix_hashes = prefix_hashes(*body.prompt);
     context.arrived = monotonic_now();
     const std::string request_digest = sha256_hex(context.key_digest + body.model + *body.prompt);
-    const std::string last_event = header(message, "Last-Event-ID");
+    const std::string last_event = header_of(message, "Last-Event-ID");
     if (!last_event.empty()) {
         const auto offset = read_event_id(services_.cluster_key, request_digest, last_event);
         if (!offset) {
@@ -192,9 +185,9 @@
     context.id = request_id(next_request_id());
     context.kind = request_kind::service_call;
     context.key_digest = key_digest(message);
-    context.rank_name = header(message, "X-Rank");
+    context.rank_name = header_of(message, "X-Rank");
     context.service = service_id(target.substr(0, name_end));
-    context.idempotency_key = header(message, "Idempotency-Key");
+    context.idempotency_key = header_of(message, "Idempotency-Key");
     context.arrived = monotonic_now();
     std::string path = target.substr(name_end);
     if (path.empty() || path.front() != '/') {
--- a/main/control_plane.hpp
+++ b/main/control_plane.hpp
@@ -10,7 +10,7 @@
 #include "drivers/json/json_contract_format.hpp"
 #include "drivers/platform/host_list_client.hpp"
 #include "drivers/store/etcd_store.hpp"
-#include "servers/contracts/book_contract_view.hpp"
+#include "servers/contracts/contract_book_view.hpp"
 #include "servers/contracts/contract_editor.hpp"
 #include "servers/contracts/contract_watcher.hpp"
 #include "servers/journal/journal_service.hpp"
@@ -45,7 +45,7 @@
     limit_service& limits() { return limits_; }
     contract_book& book() { return book_; }
     const system_wall_clock& clock() const { return clock_; }
-    const book_contract_view& contracts() const { return contracts_; }
+    const contract_book_view& contracts() const { return contracts_; }
     contract_watcher& watcher() { return watcher_; }
     contract_editor& editor() { return editor_; }
     journal_service& journal() { return journal_; }
@@ -68,7 +68,7 @@
     membership_view hosts_;
     json_contract_format format_;
     contract_book book_;
-    book_contract_view contracts_;
+    contract_book_view contracts_;
     contract_watcher watcher_;
     contract_editor editor_;
     system_wall_clock clock_;
--- a/servers/membership/membership_service.cpp
+++ b/servers/membership/membership_service.cpp
@@ -10,20 +10,6 @@
 
 constexpr duration tick_period = std::chrono::milliseconds(100);
 
-const char* state_name(member_state state) {
-    switch (state) {
-        case member_state::alive:
-            return "alive";
-        case member_state::suspect:
-            return "suspect";
-        case member_state::leaving:
-            return "leaving";
-        case member_state::dead:
-            return "dead";
-    }
-    return "unknown";
-}
-
 }  // namespace
 
 std::string node_key(const host_id& host) {
@@ -79,8 +65,8 @@
     for (const member_change& change : membership_.take_changes()) {
         log_.write(decision_log::level::info, "member_change",
                    {{"host", change.member.host.value()},
-                    {"state", state_name(change.member.state)},
-                    {"before", change.before ? state_name(*change.before) : "unlisted"},
+                    {"state", to_word(change.member.state)},
+                    {"before", change.before ? to_word(*change.before) : "unlisted"},
                     {"incarnation", std::to_string(change.member.incarnation)}});
         for (const observer& notify : observers_) {
             notify(change);
