--- /dev/null
+++ b/core/fleet/announcement.hpp
@@ -0,0 +1,25 @@
+#pragma once
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+#include "core/fleet/host_record.hpp"
+#include "core/fleet/host_state.hpp"
+#include "core/placement/engine_work.hpp"
+
+namespace fuchsiaquay {
+
+/// What a host tells the others: that it lives, its state, and its work at the upstreams.
+struct announcement {
+    host_record sender;
+    host_state state = host_state::unready;
+    /// Grows with each announcement of one incarnation.
+    std::uint64_t sequence = 0;
+    /// True: `works` is all the work of the sender; false: only what changed.
+    bool complete = false;
+    /// `dispatched_at` is on the clock of whoever holds the announcement.
+    std::vector<engine_work> works;
+};
+
+}  // namespace fuchsiaquay
--- /dev/null
+++ b/core/fleet/fleet_configuration.cpp
@@ -0,0 +1,88 @@
+#include "core/fleet/fleet_configuration.hpp"
+
+#include <algorithm>
+#include <cctype>
+#include <utility>
+
+#include "core/hashing/hash.hpp"
+
+namespace fuchsiaquay {
+
+namespace {
+
+/// Host names compare without case and without a port.
+std::string normal_host(std::string_view host) {
+    std::string result(host.substr(0, host.find(':')));
+    std::transform(result.begin(), result.end(), result.begin(),
+                   [](unsigned char c) { return static_cast<char>(std::tolower(c)); });
+    return result;
+}
+
+bool begins_with(std::string_view text, std::string_view prefix) {
+    return text.substr(0, prefix.size()) == prefix;
+}
+
+}  // namespace
+
+fleet_configuration::fleet_configuration(std::int64_t version, caller_limits limits, bool keyed)
+    : version_(version), limits_(limits), keyed_(keyed) {}
+
+void fleet_configuration::add_route(route item) {
+    std::vector<route>& same_host = routes_[normal_host(item.host)];
+    const auto place =
+        std::upper_bound(same_host.begin(), same_host.end(), item,
+                         [](const route& a, const route& b) {
+                             return a.prefix.size() > b.prefix.size();
+                         });
+    same_host.insert(place, std::move(item));
+    ++route_count_;
+}
+
+void fleet_configuration::add_service(service_profile item) {
+    std::string name = item.name;
+    services_[std::move(name)] = std::move(item);
+}
+
+void fleet_configuration::add_key(const std::string& key, customer_terms terms) {
+    keys_[key] = std::move(terms);
+}
+
+const route* fleet_configuration::find_route(std::string_view host, std::string_view path) const {
+    const auto found = routes_.find(normal_host(host));
+    if (found == routes_.end()) {
+        return nullptr;
+    }
+    const auto match = std::find_if(
+        found->second.begin(), found->second.end(),
+        [path](const route& candidate) { return begins_with(path, candidate.prefix); });
+    return match == found->second.end() ? nullptr : &*match;
+}
+
+const customer_terms* fleet_configuration::find_customer(const std::string& key) const {
+    const auto found = keys_.find(key);
+    return found == keys_.end() ? nullptr : &found->second;
+}
+
+const service_profile* fleet_configuration::find_service(const std::string& name) const {
+    const auto found = services_.find(name);
+    return found == services_.end() ? nullptr : &found->second;
+}
+
+const std::string& choose_service(const route& terms, std::string_view id) {
+    double total = 0.0;
+    for (const weighted_service& part : terms.services) {
+        total += part.weight;
+    }
+    constexpr std::uint64_t resolution = 1'000'000;
+    double point = total * static_cast<double>(stable_hash(id) % resolution) /
+                   static_cast<double>(resolution);
+    for (const weighted_service& part : terms.services) {
+        if (point < part.weight) {
+            return part.service;
+        }
+        point -= part.weight;
+    }
+    return terms.services.back().service;
+}
+
+}  // namespace fuchsiaquay
--- /dev/null
+++ b/core/fleet/host_record.hpp
@@ -0,0 +1,34 @@
+#pragma once
+
+#include <cstdint>
+#include <string>
+#include <tuple>
+
+#include "core/fleet/network_address.hpp"
+
+namespace fuchsiaquay {
+
+/// Where a host can be reached.
+struct host_record {
+    std::string host;
+    std::string data_centre;
+    /// Where callers connect.
+    network_address callers;
+    /// Where announcements of other hosts are received.
+    network_address announcements;
+    /// Revision at which the process registered in the store; a later start has a larger one.
+    std::uint64_t incarnation = 0;
+
+    friend bool operator==(const host_record& a, const host_record& b) {
+        return std::tie(a.host, a.data_centre, a.callers, a.announcements, a.incarnation) ==
+               std::tie(b.host, b.data_centre, b.callers, b.announcements, b.incarnation);
+    }
+    friend bool operator!=(const host_record& a, const host_record& b) { return !(a == b); }
+};
+
+/// One line of text: `host data_centre callers announcements`; the incarnation is not part of it.
+std::string write_host_record(const host_record& record);
+/// @throws step_error  the text is no record
+host_record read_host_record(const std::string& text);
+
+}  // namespace fuchsiaquay
--- /dev/null
+++ b/core/fleet/host_state.hpp
@@ -0,0 +1,14 @@
+#pragma once
+
+namespace fuchsiaquay {
+
+/// What a host says of itself to the others.
+enum class host_state {
+    /// Not yet able to serve, or no longer sure of its configuration.
+    unready,
+    ready,
+    /// Finishes what it has and then stops.
+    leaving,
+};
+
+}  // namespace fuchsiaquay
--- /dev/null
+++ b/core/fleet/upstream_entry.hpp
@@ -0,0 +1,29 @@
+#pragma once
+
+#include <string>
+#include <tuple>
+
+#include "core/fleet/network_address.hpp"
+#include "core/fleet/upstream_state.hpp"
+
+namespace fuchsiaquay {
+
+/// An upstream as the catalogue lists it.
+struct upstream_entry {
+    /// New with most starts of the upstream.
+    std::string id;
+    std::string service;
+    network_address address;
+    std::string data_centre;
+    /// Requests that it processes at once.
+    int slots = 1;
+    upstream_state state = upstream_state::ready;
+
+    friend bool operator==(const upstream_entry& a, const upstream_entry& b) {
+        return std::tie(a.id, a.service, a.address, a.data_centre, a.slots, a.state) ==
+               std::tie(b.id, b.service, b.address, b.data_centre, b.slots, b.state);
+    }
+    friend bool operator!=(const upstream_entry& a, const upstream_entry& b) { return !(a == b); }
+};
+
+}  // namespace fuchsiaquay
--- /dev/null
+++ b/core/placement/engine_load.cpp
@@ -0,0 +1,92 @@
+#include "core/placement/engine_load.hpp"
+
+#include <algorithm>
+#include <limits>
+#include <vector>
+
+namespace fuchsiaquay {
+
+void engine_load::apply(const std::string& host, const engine_work& work) {
+    if (work.phase == work_phase::ended) {
+        remove(host, work.key);
+        return;
+    }
+    works_[{host, work.key}] = work;
+}
+
+void engine_load::remove(const std::string& host, std::uint64_t key) {
+    works_.erase({host, key});
+}
+
+void engine_load::remove_host(const std::string& host) {
+    const auto first = works_.lower_bound({host, 0});
+    const auto last =
+        works_.upper_bound({host, std::numeric_limits<std::uint64_t>::max()});
+    works_.erase(first, last);
+}
+
+int engine_load::requests() const {
+    return static_cast<int>(std::count_if(works_.begin(), works_.end(), [](const auto& item) {
+        return item.second.writes();
+    }));
+}
+
+int engine_load::writers() const {
+    return static_cast<int>(std::count_if(works_.begin(), works_.end(), [](const auto& item) {
+        return item.second.writes() && item.second.phase == work_phase::writing;
+    }));
+}
+
+std::int64_t engine_load::writer_context() const {
+    std::int64_t total = 0;
+    for (const auto& [key, work] : works_) {
+        if (work.writes() && work.phase == work_phase::writing) {
+            total += work.memory_tokens;
+        }
+    }
+    return total;
+}
+
+std::int64_t engine_load::memory_tokens() const {
+    std::int64_t total = 0;
+    for (const auto& [key, work] : works_) {
+        total += work.memory_tokens;
+    }
+    return total;
+}
+
+duration engine_load::pending_read(instant now) const {
+    std::vector<const engine_work*> reading;
+    for (const auto& [key, work] : works_) {
+        if (work.phase == work_phase::reading) {
+            reading.push_back(&work);
+        }
+    }
+    std::sort(reading.begin(), reading.end(), [](const engine_work* a, const engine_work* b) {
+        return a->dispatched_at < b->dispatched_at;
+    });
+    instant done{};
+    for (const engine_work* work : reading) {
+        done = std::max(done, work->dispatched_at) + work->read_time;
+    }
+    return std::max(duration::zero(), done - now);
+}
+
+duration engine_load::smallest_gap() const {
+    duration smallest = duration::max();
+    for (const auto& [key, work] : works_) {
+        if (work.writes()) {
+            smallest = std::min(smallest, work.target_gap);
+        }
+    }
+    return smallest;
+}
+
+int engine_load::disturbed_by(duration pass) const {
+    return static_cast<int>(
+        std::count_if(works_.begin(), works_.end(), [pass](const auto& item) {
+            return item.second.writes() && item.second.target_gap < pass;
+        }));
+}
+
+}  // namespace fuchsiaquay
--- /dev/null
+++ b/core/placement/engine_load.hpp
@@ -0,0 +1,38 @@
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <string>
+#include <utility>
+
+#include "core/placement/engine_work.hpp"
+
+namespace fuchsiaquay {
+
+/// What the hosts have sent to one engine and not seen the end of.
+class engine_load {
+public:
+    /// Adds the work of a host or replaces what was known of it; `ended` removes it.
+    void apply(const std::string& host, const engine_work& work);
+    void remove(const std::string& host, std::uint64_t key);
+    void remove_host(const std::string& host);
+
+    /// Requests that take or wait for a slot.
+    int requests() const;
+    int writers() const;
+    std::int64_t writer_context() const;
+    std::int64_t memory_tokens() const;
+    /// Time until everything that waits to be read has been read.
+    duration pending_read(instant now) const;
+    /// Smallest pause that one of the requests allows between events; `duration::max()` for none.
+    duration smallest_gap() const;
+    /// Requests that write or will write whose allowed pause is below `pass`.
+    int disturbed_by(duration pass) const;
+    bool empty() const { return works_.empty(); }
+
+private:
+    /// By host and key.
+    std::map<std::pair<std::string, std::uint64_t>, engine_work> works_;
+};
+
+}  // namespace fuchsiaquay
--- /dev/null
+++ b/core/placement/engine_view.hpp
@@ -0,0 +1,17 @@
+#pragma once
+
+#include <string>
+
+namespace fuchsiaquay {
+
+class engine_load;
+struct engine_profile;
+
+/// An engine that may be chosen. The referenced objects outlive the placement.
+struct engine_view {
+    std::string id;
+    const engine_profile* profile = nullptr;
+    const engine_load* load = nullptr;
+};
+
+}  // namespace fuchsiaquay
--- /dev/null
+++ b/core/placement/pass_timing.hpp
@@ -0,0 +1,24 @@
+#pragma once
+
+/// @file
+/// Timing of an engine's passes by its published figures.
+
+#include <cstdint>
+
+#include "core/time/clock.hpp"
+
+namespace fuchsiaquay {
+
+struct engine_profile;
+
+/// Time to read a prompt of `tokens`, with nothing else in the way.
+duration read_time(const engine_profile& profile, std::int64_t tokens);
+
+/// Time that the token steps of a pass take.
+/// @param context_tokens  context of all writers together
+duration write_pass_time(const engine_profile& profile, int writers, std::int64_t context_tokens);
+
+/// Most reading, as time, that one pass with writers takes in when `pending` waits to be read.
+duration read_share_of_pass(const engine_profile& profile, duration pending);
+
+}  // namespace fuchsiaquay
--- /dev/null
+++ b/core/placement/placement_request.hpp
@@ -0,0 +1,27 @@
+#pragma once
+
+#include <cstdint>
+#include <string>
+
+#include "core/time/clock.hpp"
+
+namespace fuchsiaquay {
+
+/// What placement needs to know of a prompt.
+struct placement_request {
+    std::uint64_t key = 0;
+    std::int64_t prompt_tokens = 0;
+    /// Estimated tokens of the answer.
+    std::int64_t answer_tokens = 0;
+    /// Time left until the first event is late; negative once it is.
+    duration target_left{};
+    /// Time left until the answer is worth nothing.
+    duration time_left{};
+    duration target_gap{};
+    /// 0 is the most urgent.
+    int rank = 0;
+    /// Upstream id that must not be chosen again; empty for none.
+    std::string excluded;
+};
+
+}  // namespace fuchsiaquay
--- /dev/null
+++ b/core/placement/undisturbed_settings.hpp
@@ -0,0 +1,23 @@
+#pragma once
+
+#include "core/time/clock.hpp"
+
+namespace fuchsiaquay {
+
+/// Settings of `undisturbed_placement`.
+struct undisturbed_settings {
+    /// Part of an allowed pause that a pass may fill; the rest is for the network and for work
+    /// that other hosts place at the same moment.
+    double pause_fill = 0.8;
+    /// Part of the time to the first event that the estimate may fill.
+    double target_fill = 0.85;
+    /// Part of an engine's memory that is given out; answers may grow beyond their estimate.
+    double memory_fill = 0.97;
+    /// Engines that may read parts of one prompt besides the one that answers. Source: the
+    /// engines' interface.
+    int max_helpers = 16;
+    /// Reading time below which a prompt counts as short and fills engines that already stream.
+    duration short_read = std::chrono::milliseconds(130);
+};
+
+}  // namespace fuchsiaquay
--- /dev/null
+++ b/core/placement/work_phase.hpp
@@ -0,0 +1,15 @@
+#pragma once
+
+namespace fuchsiaquay {
+
+/// How far an engine is with a request.
+enum class work_phase {
+    /// Its prompt is read or waits to be read.
+    reading,
+    /// Events have come.
+    writing,
+    /// Gone from the engine.
+    ended,
+};
+
+}  // namespace fuchsiaquay
--- /dev/null
+++ b/core/relay/event_splitter.cpp
@@ -0,0 +1,74 @@
+#include "core/relay/event_splitter.hpp"
+
+#include <algorithm>
+#include <charconv>
+
+namespace fuchsiaquay {
+
+namespace {
+
+constexpr std::string_view id_field = "id:";
+
+/// Position after the blank line that ends an event; npos when none ends.
+std::size_t end_of_event(std::string_view text) {
+    const auto plain = text.find("\n\n");
+    const auto crlf = text.find("\r\n\r\n");
+    if (plain == std::string_view::npos && crlf == std::string_view::npos) {
+        return std::string_view::npos;
+    }
+    if (crlf == std::string_view::npos || (plain != std::string_view::npos && plain < crlf)) {
+        return plain + 2;
+    }
+    return crlf + 4;
+}
+
+std::optional<std::int64_t> event_id(std::string_view event) {
+    std::size_t at = 0;
+    while (at < event.size()) {
+        const std::size_t end = std::min(event.find('\n', at), event.size());
+        std::string_view line = event.substr(at, end - at);
+        at = end + 1;
+        if (line.substr(0, id_field.size()) != id_field) {
+            continue;
+        }
+        line.remove_prefix(id_field.size());
+        line.remove_prefix(std::min(line.find_first_not_of(' '), line.size()));
+        std::int64_t value = 0;
+        const auto parsed = std::from_chars(line.data(), line.data() + line.size(), value);
+        if (parsed.ec == std::errc()) {
+            return value;
+        }
+    }
+    return std::nullopt;
+}
+
+}  // namespace
+
+std::string event_splitter::take(std::string_view bytes) {
+    partial_.append(bytes);
+    std::size_t whole = 0;
+    while (true) {
+        const std::string_view rest = std::string_view(partial_).substr(whole);
+        const std::size_t end = end_of_event(rest);
+        if (end == std::string_view::npos) {
+            break;
+        }
+        note(rest.substr(0, end));
+        whole += end;
+    }
+    std::string events = partial_.substr(0, whole);
+    partial_.erase(0, whole);
+    return events;
+}
+
+void event_splitter::note(std::string_view event) {
+    ++count_;
+    const std::optional<std::int64_t> id = event_id(event);
+    if (!id) {
+        return;
+    }
+    out_of_order_ = out_of_order_ || *id <= last_id_ || (last_id_ > 0 && *id != last_id_ + 1);
+    last_id_ = *id;
+}
+
+}  // namespace fuchsiaquay
--- /dev/null
+++ b/core/retry/fleet_retry_budget.hpp
@@ -0,0 +1,38 @@
+#pragma once
+
+#include <cstddef>
+#include <deque>
+#include <functional>
+#include <string>
+#include <unordered_map>
+
+#include "core/retry/fleet_retry_settings.hpp"
+#include "core/time/clock.hpp"
+
+namespace fuchsiaquay {
+
+/// This host's part of the retries that all hosts together may send to a service. In each sliding
+/// window it stays below a share of the host's own requests and a part of the fleet's allowance, so
+/// that the sum over the hosts keeps the fleet's bound however the hosts come and go.
+class fleet_retry_budget {
+public:
+    explicit fleet_retry_budget(fleet_retry_settings settings) : settings_(settings) {}
+
+    /// Counts a request of a caller to `service`.
+    void on_request(const std::string& service, instant now);
+    /// Takes one repeated attempt. False: the part is spent.
+    bool try_take(const std::string& service, instant now);
+
+private:
+    struct window {
+        std::deque<instant> requests;
+        std::deque<instant> repeats;
+    };
+
+    void forget_old(window& item, instant now) const;
+
+    fleet_retry_settings settings_;
+    std::unordered_map<std::string, window> services_;
+};
+
+}  // namespace fuchsiaquay
--- /dev/null
+++ b/drivers/announcements/udp_announcement_channel.cpp
@@ -0,0 +1,130 @@
+#include "drivers/announcements/udp_announcement_channel.hpp"
+
+#include <array>
+#include <boost/asio/ip/udp.hpp>
+#include <string>
+#include <utility>
+
+#include "core/error/step_error.hpp"
+#include "core/fleet/announcement.hpp"
+#include "drivers/announcements/announcement_codec.hpp"
+#include "drivers/control/control_loop.hpp"
+#include "servers/decision_log.hpp"
+
+namespace fuchsiaquay {
+
+namespace asio = boost::asio;
+using asio::ip::udp;
+using boost::system::error_code;
+
+namespace {
+
+/// Works in one datagram; about 100 bytes each, well below the largest datagram of 65,507 bytes.
+constexpr std::size_t max_works = 400;
+constexpr std::size_t max_datagram_bytes = 65'536;
+
+udp::endpoint to_udp(const network_address& address) {
+    return {asio::ip::make_address_v4(address.ip), address.port};
+}
+
+}  // namespace
+
+class udp_announcement_channel::binding : public std::enable_shared_from_this<binding> {
+public:
+    binding(control_loop& loop, decision_log& log, const network_address& address)
+        : loop_(loop), log_(log), socket_(loop.context()) {
+        try {
+            socket_.open(udp::v4());
+            socket_.non_blocking(true);
+            socket_.bind(to_udp(address));
+        } catch (const boost::system::system_error& error) {
+            throw step_error("listen for announcements", address.text(), error.what());
+        }
+    }
+
+    void receive_next() {
+        socket_.async_wait(udp::socket::wait_read,
+                           [self = shared_from_this()](const error_code& error) {
+                               if (error || !self->socket_.is_open()) {
+                                   return;
+                               }
+                               self->receive_all();
+                               self->receive_next();
+                           });
+    }
+
+    void send(const std::vector<network_address>& to, const std::string& bytes) {
+        for (const network_address& address : to) {
+            error_code lost;
+            // A datagram that cannot be sent now is a lost one: complete announcements follow.
+            socket_.send_to(asio::buffer(bytes), to_udp(address), 0, lost);
+        }
+    }
+
+    void close() {
+        error_code ignored;
+        socket_.close(ignored);
+    }
+
+    control_loop& loop_;
+    decision_log& log_;
+    handler receive_;
+
+private:
+    void receive_all() {
+        while (true) {
+            udp::endpoint sender;
+            error_code error;
+            const std::size_t bytes =
+                socket_.receive_from(asio::buffer(buffer_), sender, 0, error);
+            if (error) {
+                return;
+            }
+            deliver(std::string_view(buffer_.data(), bytes), sender);
+        }
+    }
+
+    void deliver(std::string_view bytes, const udp::endpoint& sender) {
+        try {
+            const announcement message = decode_announcement(bytes, loop_.now());
+            if (receive_) {
+                receive_(message);
+            }
+        } catch (const step_error& error) {
+            log_.write(decision_log::level::warning, "announcement_unreadable",
+                       {{"peer", sender.address().to_string()}, {"reason", error.what()}});
+        }
+    }
+
+    udp::socket socket_;
+    std::array<char, max_datagram_bytes> buffer_{};
+};
+
+udp_announcement_channel::udp_announcement_channel(control_loop& loop, decision_log& log,
+                                                   const network_address& address)
+    : binding_(std::make_shared<binding>(loop, log, address)) {
+    binding_->receive_next();
+}
+
+udp_announcement_channel::~udp_announcement_channel() {
+    binding_->close();
+}
+
+void udp_announcement_channel::send(const std::vector<network_address>& to,
+                                    const announcement& message) {
+    const instant now = binding_->loop_.now();
+    if (message.works.size() <= max_works) {
+        binding_->send(to, encode_announcement(message, now));
+        return;
+    }
+    // A host rarely has this much under way; what is left out follows with its next change.
+    announcement part = message;
+    part.works.resize(max_works);
+    binding_->send(to, encode_announcement(part, now));
+}
+
+void udp_announcement_channel::on_receive(handler receive) {
+    binding_->receive_ = std::move(receive);
+}
+
+}  // namespace fuchsiaquay
--- a/drivers/control/control_loop.cpp
+++ b/drivers/control/control_loop.cpp
@@ -1,5 +1,7 @@
 #include "drivers/control/control_loop.hpp"
 
+#include <time.h>
+
 #include <boost/asio/executor_work_guard.hpp>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/post.hpp>
@@ -39,8 +41,11 @@
 }
 
 instant control_loop::now() const {
-    const auto since_start = std::chrono::steady_clock::now().time_since_epoch();
-    return instant(std::chrono::duration_cast<duration>(since_start));
+    // The steady clock stands still while the host is suspended; leases held by others do not.
+    timespec time{};
+    clock_gettime(CLOCK_BOOTTIME, &time);
+    return instant(std::chrono::duration_cast<duration>(std::chrono::seconds(time.tv_sec) +
+                                                        std::chrono::nanoseconds(time.tv_nsec)));
 }
 
 void control_loop::arm(const std::shared_ptr<state>& owner, const std::shared_ptr<timer>& entry) {
--- /dev/null
+++ b/drivers/net/http_channel.cpp
@@ -0,0 +1,194 @@
+#include "drivers/net/http_channel.hpp"
+
+#include <boost/asio/steady_timer.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/http.hpp>
+#include <deque>
+#include <optional>
+#include <utility>
+
+#include "drivers/control/control_loop.hpp"
+#include "drivers/net/socket_setup.hpp"
+
+namespace fuchsiaquay {
+
+namespace asio = boost::asio;
+namespace http = boost::beast::http;
+using asio::ip::tcp;
+using boost::system::error_code;
+
+namespace {
+
+/// Largest answer that is read. A page of the store holds about one megabyte before its encoding.
+constexpr std::uint64_t max_answer_bytes = 16'777'216;
+constexpr int http_1_1 = 11;
+
+}  // namespace
+
+class http_channel::connection : public std::enable_shared_from_this<connection> {
+public:
+    connection(control_loop& loop, network_address server)
+        : context_(loop.context()), server_(std::move(server)), timer_(context_) {}
+
+    void enqueue(http_call call, handler done) {
+        waiting_.push_back({std::move(call), std::move(done)});
+        if (!active_) {
+            next();
+        }
+    }
+
+    void shut_down() {
+        ended_ = true;
+        timer_.cancel();
+        close();
+    }
+
+private:
+    struct item {
+        http_call call;
+        handler done;
+    };
+
+    void next() {
+        if (ended_ || waiting_.empty()) {
+            return;
+        }
+        active_.emplace(std::move(waiting_.front()));
+        waiting_.pop_front();
+        ++turn_;
+        timer_.expires_after(active_->call.timeout);
+        timer_.async_wait([self = shared_from_this(), turn = turn_](const error_code& error) {
+            if (!error && turn == self->turn_) {
+                self->fail("no answer in time");
+            }
+        });
+        if (socket_ && is_idle_connection_usable(*socket_)) {
+            write();
+        } else {
+            connect();
+        }
+    }
+
+    void connect() {
+        close();
+        socket_ = std::make_shared<tcp::socket>(context_);
+        socket_->async_connect(
+            to_endpoint(server_),
+            [self = shared_from_this(), turn = turn_](const error_code& error) {
+                if (turn != self->turn_) {
+                    return;
+                }
+                if (error) {
+                    self->fail("connect: " + error.message());
+                    return;
+                }
+                set_up_socket(*self->socket_);
+                self->write();
+            });
+    }
+
+    void write() {
+        request_ = {};
+        request_.version(http_1_1);
+        request_.method_string(active_->call.method);
+        request_.target(active_->call.target);
+        request_.set(http::field::host, server_.text());
+        if (!active_->call.body.empty()) {
+            request_.set(http::field::content_type, "application/json");
+            request_.body() = active_->call.body;
+        }
+        request_.prepare_payload();
+        http::async_write(*socket_, request_,
+                          [self = shared_from_this(), turn = turn_, kept = socket_](
+                              const error_code& error, std::size_t /*bytes*/) {
+                              if (turn != self->turn_) {
+                                  return;
+                              }
+                              if (error) {
+                                  self->fail("send: " + error.message());
+                                  return;
+                              }
+                              self->read();
+                          });
+    }
+
+    void read() {
+        buffer_.clear();
+        parser_.emplace();
+        parser_->body_limit(max_answer_bytes);
+        http::async_read(*socket_, buffer_, *parser_,
+                         [self = shared_from_this(), turn = turn_, kept = socket_](
+                             const error_code& error, std::size_t /*bytes*/) {
+                             if (turn != self->turn_) {
+                                 return;
+                             }
+                             if (error) {
+                                 self->fail("receive: " + error.message());
+                                 return;
+                             }
+                             self->succeed();
+                         });
+    }
+
+    void succeed() {
+        http_result result;
+        result.status = static_cast<int>(parser_->get().result_int());
+        result.body = std::move(parser_->get().body());
+        if (!parser_->get().keep_alive() || buffer_.size() > 0) {
+            close();
+        }
+        finish(result);
+    }
+
+    void fail(const std::string& reason) {
+        close();
+        http_result result;
+        result.failure = reason;
+        finish(result);
+    }
+
+    void finish(const http_result& result) {
+        ++turn_;
+        timer_.cancel();
+        const handler done = std::move(active_->done);
+        active_.reset();
+        done(result);
+        if (!active_) {
+            next();
+        }
+    }
+
+    void close() {
+        if (socket_) {
+            error_code ignored;
+            socket_->close(ignored);
+            socket_.reset();
+        }
+    }
+
+    asio::io_context& context_;
+    network_address server_;
+    asio::steady_timer timer_;
+    std::shared_ptr<tcp::socket> socket_;
+    std::deque<item> waiting_;
+    std::optional<item> active_;
+    /// Grows with each call and each end of one; handlers of earlier turns do nothing.
+    std::uint64_t turn_ = 0;
+    bool ended_ = false;
+    http::request<http::string_body> request_;
+    boost::beast::flat_buffer buffer_;
+    std::optional<http::response_parser<http::string_body>> parser_;
+};
+
+http_channel::http_channel(control_loop& loop, network_address server)
+    : connection_(std::make_shared<connection>(loop, std::move(server))) {}
+
+http_channel::~http_channel() {
+    connection_->shut_down();
+}
+
+void http_channel::send(http_call call, handler done) {
+    connection_->enqueue(std::move(call), std::move(done));
+}
+
+}  // namespace fuchsiaquay
--- /dev/null
+++ b/drivers/net/socket_setup.cpp
@@ -0,0 +1,68 @@
+#include "drivers/net/socket_setup.hpp"
+
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+
+#include <boost/asio/ip/address_v4.hpp>
+#include <cerrno>
+
+#include "core/error/step_error.hpp"
+
+namespace fuchsiaquay {
+
+namespace asio = boost::asio;
+using asio::ip::tcp;
+
+namespace {
+
+/// Bytes that stay unacknowledged this long end the connection. Milliseconds.
+constexpr int user_timeout_ms = 3'000;
+/// A silent connection is probed after this time and at this interval. Seconds.
+constexpr int keepalive_idle_s = 2;
+constexpr int keepalive_interval_s = 1;
+/// Unanswered probes that end a connection.
+constexpr int keepalive_probes = 2;
+constexpr int listen_backlog = 1'024;
+
+void set_tcp_option(tcp::socket& socket, int option, int value) {
+    // A socket whose peer has reset it refuses options; its next use reports that.
+    (void)setsockopt(socket.native_handle(), IPPROTO_TCP, option, &value, sizeof value);
+}
+
+}  // namespace
+
+void set_up_socket(tcp::socket& socket) {
+    boost::system::error_code ignored;
+    socket.set_option(tcp::no_delay(true), ignored);
+    socket.set_option(asio::socket_base::keep_alive(true), ignored);
+    set_tcp_option(socket, TCP_USER_TIMEOUT, user_timeout_ms);
+    set_tcp_option(socket, TCP_KEEPIDLE, keepalive_idle_s);
+    set_tcp_option(socket, TCP_KEEPINTVL, keepalive_interval_s);
+    set_tcp_option(socket, TCP_KEEPCNT, keepalive_probes);
+}
+
+tcp::endpoint to_endpoint(const network_address& address) {
+    return {asio::ip::make_address_v4(address.ip), address.port};
+}
+
+bool is_idle_connection_usable(tcp::socket& socket) {
+    char byte = 0;
+    const auto got = recv(socket.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+    return got < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
+}
+
+tcp::acceptor listen_at(asio::io_context& context, const network_address& address) {
+    try {
+        const tcp::endpoint endpoint = to_endpoint(address);
+        tcp::acceptor acceptor(context);
+        acceptor.open(endpoint.protocol());
+        acceptor.set_option(tcp::acceptor::reuse_address(true));
+        acceptor.bind(endpoint);
+        acceptor.listen(listen_backlog);
+        return acceptor;
+    } catch (const boost::system::system_error& error) {
+        throw step_error("listen", address.text(), error.what());
+    }
+}
+
+}  // namespace fuchsiaquay
--- a/drivers/store/etcd_json.cpp
+++ b/drivers/store/etcd_json.cpp
@@ -1,10 +1,9 @@
 #include "drivers/store/etcd_json.hpp"
 
-#include <cpprest/asyncrt_utils.h>
-
 #include <utility>
 
 #include "core/error/step_error.hpp"
+#include "drivers/crypto/base64.hpp"
 
 namespace fuchsiaquay {
 
@@ -12,26 +11,14 @@
 
 namespace {
 
-std::string encode(const std::string& bytes) {
-    return utility::conversions::to_base64(std::vector<unsigned char>(bytes.begin(), bytes.end()));
-}
-
-std::string decode(const std::string& text) {
-    if (text.empty()) {
-        return "";
-    }
-    const std::vector<unsigned char> bytes = utility::conversions::from_base64(text);
-    return std::string(bytes.begin(), bytes.end());
-}
-
 std::string text_field(const json::value& object, const std::string& name) {
     return object.has_string_field(name) ? object.at(name).as_string() : "";
 }
 
 stored_value parse_key_value(const json::value& kv) {
     stored_value value;
-    value.key = decode(text_field(kv, "key"));
-    value.value = decode(text_field(kv, "value"));
+    value.key = decode_base64(text_field(kv, "key"));
+    value.value = decode_base64(text_field(kv, "value"));
     value.revision = integer_field(kv, "mod_revision");
     return value;
 }
@@ -44,20 +31,20 @@
     json::value compare = json::value::object();
     compare["target"] = json::value::string("MOD");
     compare["result"] = json::value::string("EQUAL");
-    compare["key"] = json::value::string(encode(condition.key));
+    compare["key"] = json::value::string(encode_base64(condition.key));
     compare["mod_revision"] = json::value::string(std::to_string(condition.revision));
     return compare;
 }
 
 json::value write_json(const transaction::write& write) {
     json::value body = json::value::object();
-    body["key"] = json::value::string(encode(write.key));
+    body["key"] = json::value::string(encode_base64(write.key));
     json::value operation = json::value::object();
     if (write.erase) {
         operation["requestDeleteRange"] = body;
         return operation;
     }
-    body["value"] = json::value::string(encode(write.value));
+    body["value"] = json::value::string(encode_base64(write.value));
     if (write.lease != 0) {
         body["lease"] = json::value::string(std::to_string(write.lease));
     }
@@ -93,9 +80,9 @@
 
 json::value range_request(const std::string& key, const std::string& range_end) {
     json::value body = json::value::object();
-    body["key"] = json::value::string(encode(key));
+    body["key"] = json::value::string(encode_base64(key));
     if (!range_end.empty()) {
-        body["range_end"] = json::value::string(encode(range_end));
+        body["range_end"] = json::value::string(encode_base64(range_end));
     }
     return body;
 }
--- /dev/null
+++ b/drivers/traffic/beast_exchange.cpp
@@ -0,0 +1,234 @@
+#include "drivers/traffic/beast_exchange.hpp"
+
+#include <boost/asio/write.hpp>
+#include <charconv>
+#include <utility>
+
+#include "drivers/control/control_loop.hpp"
+#include "drivers/net/socket_setup.hpp"
+#include "servers/relay/exchange_listener.hpp"
+
+namespace fuchsiaquay {
+
+namespace asio = boost::asio;
+namespace http = boost::beast::http;
+using asio::ip::tcp;
+using boost::system::error_code;
+
+namespace {
+
+/// Longest wait for a new connection; a lost opening packet is sent again after one second.
+constexpr duration connect_timeout = std::chrono::milliseconds(600);
+/// How long an idle connection is kept where the upstream does not say.
+constexpr duration default_keep_time = std::chrono::seconds(4);
+/// An idle connection is given up this long before the upstream closes it.
+constexpr duration keep_margin = std::chrono::milliseconds(1'200);
+constexpr std::size_t read_size = 16'384;
+constexpr std::uint32_t max_answer_header_bytes = 65'536;
+constexpr int status_class_divisor = 100;
+
+}  // namespace
+
+beast_exchange::beast_exchange(control_loop& loop, std::shared_ptr<upstream_pool> pool,
+                               const upstream_entry& upstream, std::string head,
+                               std::shared_ptr<const std::string> body,
+                               exchange_listener& listener)
+    : loop_(loop),
+      pool_(std::move(pool)),
+      upstream_(upstream.id),
+      address_(upstream.address),
+      head_(std::move(head)),
+      body_(std::move(body)),
+      listener_(&listener) {}
+
+void beast_exchange::start(upstream_pool::socket_ptr kept) {
+    parser_.emplace();
+    parser_->eager(true);
+    parser_->header_limit(max_answer_header_bytes);
+    parser_->body_limit(boost::none);
+    if (kept) {
+        reused_ = true;
+        socket_ = std::move(kept);
+        write();
+        read();
+    } else {
+        connect(address_);
+    }
+}
+
+void beast_exchange::connect(const network_address& address) {
+    socket_ = std::make_shared<tcp::socket>(loop_.context());
+    connect_timer_.emplace(loop_.context(), connect_timeout);
+    connect_timer_->async_wait([self = shared_from_this()](const error_code& error) {
+        if (!error && !self->sent_) {
+            self->fail("connect: no answer in time");
+        }
+    });
+    socket_->async_connect(to_endpoint(address),
+                           [self = shared_from_this()](const error_code& error) {
+                               if (self->listener_ == nullptr) {
+                                   return;
+                               }
+                               self->connect_timer_.reset();
+                               if (error) {
+                                   self->fail("connect: " + error.message());
+                                   return;
+                               }
+                               set_up_socket(*self->socket_);
+                               self->write();
+                               self->read();
+                           });
+}
+
+void beast_exchange::write() {
+    sent_ = true;
+    std::array<asio::const_buffer, 2> parts{asio::buffer(head_), asio::const_buffer()};
+    if (body_) {
+        parts[1] = asio::buffer(*body_);
+    }
+    asio::async_write(*socket_, parts,
+                      [self = shared_from_this(), kept = socket_](const error_code& error,
+                                                                  std::size_t /*bytes*/) {
+                          // A write that fails shows in the read, with the answer if one came.
+                          self->written_ = !error;
+                      });
+}
+
+void beast_exchange::read() {
+    socket_->async_read_some(
+        buffer_.prepare(read_size),
+        [self = shared_from_this(), kept = socket_](const error_code& error, std::size_t bytes) {
+            if (self->listener_ == nullptr) {
+                return;
+            }
+            if (error) {
+                self->closed_by_upstream(error);
+                return;
+            }
+            self->received(bytes);
+        });
+}
+
+void beast_exchange::received(std::size_t bytes) {
+    buffer_.commit(bytes);
+    if (!parse() || !deliver()) {
+        return;
+    }
+    if (parser_->is_done()) {
+        complete();
+    } else {
+        read();
+    }
+}
+
+bool beast_exchange::parse() {
+    while (buffer_.size() > 0 && !parser_->is_done()) {
+        error_code error;
+        const std::size_t used = parser_->put(buffer_.data(), error);
+        buffer_.consume(used);
+        if (error == http::error::need_more) {
+            return true;
+        }
+        if (error) {
+            fail("answer: " + error.message());
+            return false;
+        }
+        const bool interim = parser_->is_done() &&
+                             parser_->get().result_int() / status_class_divisor == 1;
+        if (interim) {
+            parser_.emplace();
+            parser_->eager(true);
+            parser_->body_limit(boost::none);
+        }
+    }
+    return true;
+}
+
+bool beast_exchange::deliver() {
+    if (parser_->is_header_done() && !head_delivered_) {
+        head_delivered_ = true;
+        deliver_head();
+    }
+    if (listener_ != nullptr && head_delivered_ && !parser_->get().body().empty()) {
+        const std::string bytes = std::exchange(parser_->get().body(), {});
+        listener_->on_body(bytes);
+    }
+    return listener_ != nullptr;
+}
+
+void beast_exchange::deliver_head() {
+    response_head head;
+    const auto& message = parser_->get();
+    head.status = static_cast<int>(message.result_int());
+    head.reason = std::string(message.reason());
+    for (const auto& field : message) {
+        header_field copy{std::string(field.name_string()), std::string(field.value())};
+        if (!is_connection_header(copy.name)) {
+            head.headers.push_back(std::move(copy));
+        }
+    }
+    listener_->on_head(std::move(head));
+}
+
+void beast_exchange::closed_by_upstream(const error_code& error) {
+    const bool clean = error == asio::error::eof;
+    if (clean && parser_->is_header_done()) {
+        error_code incomplete;
+        parser_->put_eof(incomplete);
+        if (!incomplete && parser_->is_done()) {
+            complete();
+            return;
+        }
+    }
+    fail("answer: " + error.message());
+}
+
+void beast_exchange::complete() {
+    exchange_listener* listener = std::exchange(listener_, nullptr);
+    const bool reusable = written_ && parser_->keep_alive() && buffer_.size() == 0 &&
+                          socket_->is_open() && !parser_->need_eof();
+    if (reusable) {
+        pool_->put(upstream_, std::move(socket_), loop_.now(), keep_time());
+    }
+    close();
+    listener->on_end();
+}
+
+duration beast_exchange::keep_time() const {
+    const auto field = parser_->get().find(http::field::keep_alive);
+    if (field == parser_->get().end()) {
+        return default_keep_time;
+    }
+    const std::string value(field->value());
+    const auto at = value.find("timeout=");
+    int seconds = 0;
+    if (at != std::string::npos) {
+        const char* begin = value.data() + at + std::string("timeout=").size();
+        std::from_chars(begin, value.data() + value.size(), seconds);
+    }
+    return std::min<duration>(default_keep_time, std::chrono::seconds(seconds) - keep_margin);
+}
+
+void beast_exchange::fail(const std::string& reason) {
+    exchange_listener* listener = std::exchange(listener_, nullptr);
+    close();
+    if (listener != nullptr) {
+        listener->on_failure({sent_, reused_, reason});
+    }
+}
+
+void beast_exchange::cancel() {
+    listener_ = nullptr;
+    close();
+}
+
+void beast_exchange::close() {
+    connect_timer_.reset();
+    if (socket_) {
+        error_code ignored;
+        socket_->close(ignored);
+        socket_.reset();
+    }
+}
+
+}  // namespace fuchsiaquay
--- /dev/null
+++ b/drivers/traffic/beast_exchange.hpp
@@ -0,0 +1,68 @@
+#pragma once
+
+#include <array>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/http.hpp>
+#include <memory>
+#include <optional>
+#include <string>
+
+#include "core/fleet/upstream_entry.hpp"
+#include "drivers/traffic/upstream_pool.hpp"
+#include "servers/relay/exchange_failure.hpp"
+
+namespace fuchsiaquay {
+
+class control_loop;
+class exchange_listener;
+
+/// One request at an upstream. Reads while it writes, since an upstream may answer before it has
+/// read a long body; such a connection is not used again.
+class beast_exchange : public std::enable_shared_from_this<beast_exchange> {
+public:
+    beast_exchange(control_loop& loop, std::shared_ptr<upstream_pool> pool,
+                   const upstream_entry& upstream, std::string head,
+                   std::shared_ptr<const std::string> body, exchange_listener& listener);
+
+    /// Uses `kept` when it is given, otherwise opens a connection.
+    void start(upstream_pool::socket_ptr kept);
+    /// Closes the connection; the listener hears nothing more.
+    void cancel();
+
+private:
+    using parser_type = boost::beast::http::response_parser<boost::beast::http::string_body>;
+
+    void connect(const network_address& address);
+    void write();
+    void read();
+    void received(std::size_t bytes);
+    bool parse();
+    bool deliver();
+    void deliver_head();
+    void closed_by_upstream(const boost::system::error_code& error);
+    void complete();
+    void fail(const std::string& reason);
+    void close();
+    duration keep_time() const;
+
+    control_loop& loop_;
+    std::shared_ptr<upstream_pool> pool_;
+    std::string upstream_;
+    network_address address_;
+    std::string head_;
+    std::shared_ptr<const std::string> body_;
+    /// Null once the exchange has ended.
+    exchange_listener* listener_;
+    upstream_pool::socket_ptr socket_;
+    std::optional<boost::asio::steady_timer> connect_timer_;
+    boost::beast::flat_buffer buffer_;
+    std::optional<parser_type> parser_;
+    bool head_delivered_ = false;
+    bool sent_ = false;
+    bool written_ = false;
+    bool reused_ = false;
+};
+
+}  // namespace fuchsiaquay
--- /dev/null
+++ b/drivers/traffic/beast_upstream_connector.cpp
@@ -0,0 +1,48 @@
+#include "drivers/traffic/beast_upstream_connector.hpp"
+
+#include <utility>
+
+#include "drivers/control/control_loop.hpp"
+#include "drivers/traffic/beast_exchange.hpp"
+#include "servers/relay/upstream_exchange.hpp"
+
+namespace fuchsiaquay {
+
+namespace {
+
+constexpr duration sweep_period = std::chrono::seconds(1);
+
+class exchange_handle final : public upstream_exchange {
+public:
+    explicit exchange_handle(std::shared_ptr<beast_exchange> exchange)
+        : exchange_(std::move(exchange)) {}
+    exchange_handle(const exchange_handle&) = delete;
+    exchange_handle& operator=(const exchange_handle&) = delete;
+    ~exchange_handle() override { exchange_->cancel(); }
+
+private:
+    std::shared_ptr<beast_exchange> exchange_;
+};
+
+}  // namespace
+
+beast_upstream_connector::beast_upstream_connector(control_loop& loop)
+    : loop_(loop), pool_(std::make_shared<upstream_pool>()) {
+    loop_.every(sweep_period, [this, pool = pool_] { pool->sweep(loop_.now()); });
+}
+
+std::unique_ptr<upstream_exchange> beast_upstream_connector::open(
+    const upstream_entry& upstream, std::string head, std::shared_ptr<const std::string> body,
+    bool new_connection, exchange_listener& listener) {
+    upstream_pool::socket_ptr kept;
+    if (!new_connection) {
+        kept = pool_->take(upstream.id, loop_.now());
+    }
+    opened_ += kept ? 0 : 1;
+    auto exchange = std::make_shared<beast_exchange>(loop_, pool_, upstream, std::move(head),
+                                                     std::move(body), listener);
+    exchange->start(std::move(kept));
+    return std::make_unique<exchange_handle>(std::move(exchange));
+}
+
+}  // namespace fuchsiaquay
--- /dev/null
+++ b/drivers/traffic/beast_upstream_connector.hpp
@@ -0,0 +1,32 @@
+#pragma once
+
+#include <memory>
+
+#include "drivers/traffic/upstream_pool.hpp"
+#include "servers/relay/upstream_connector.hpp"
+
+namespace fuchsiaquay {
+
+class control_loop;
+
+/// Requests to upstreams on Boost.Beast, over kept connections.
+class beast_upstream_connector final : public upstream_connector {
+public:
+    /// @param loop  outlives the connector and its exchanges
+    explicit beast_upstream_connector(control_loop& loop);
+
+    std::unique_ptr<upstream_exchange> open(const upstream_entry& upstream, std::string head,
+                                            std::shared_ptr<const std::string> body,
+                                            bool new_connection,
+                                            exchange_listener& listener) override;
+
+    /// Connections opened so far.
+    std::uint64_t opened() const noexcept { return opened_; }
+
+private:
+    control_loop& loop_;
+    std::shared_ptr<upstream_pool> pool_;
+    std::uint64_t opened_ = 0;
+};
+
+}  // namespace fuchsiaquay
--- /dev/null
+++ b/drivers/traffic/caller_server.cpp
@@ -0,0 +1,123 @@
+#include "drivers/traffic/caller_server.hpp"
+
+#include <algorithm>
+#include <boost/asio/ip/tcp.hpp>
+#include <set>
+#include <utility>
+#include <vector>
+
+#include "drivers/control/control_loop.hpp"
+#include "drivers/net/socket_setup.hpp"
+#include "drivers/traffic/caller_session.hpp"
+
+namespace fuchsiaquay {
+
+using boost::system::error_code;
+using tcp = boost::asio::ip::tcp;
+
+namespace {
+
+constexpr duration accept_retry_delay = std::chrono::milliseconds(20);
+/// Period of looking for idle and slow connections.
+constexpr duration check_period = std::chrono::milliseconds(500);
+
+}  // namespace
+
+class caller_server::listener : public std::enable_shared_from_this<listener> {
+public:
+    listener(const caller_services& services, const network_address& address)
+        : services_(services), acceptor_(listen_at(services.loop.context(), address)) {}
+
+    void start() {
+        accept();
+        timer_ = services_.loop.every(check_period, [this] { check(); });
+    }
+
+    void stop() {
+        services_.loop.cancel(timer_);
+        error_code ignored;
+        acceptor_.close(ignored);
+        for (const auto& session : std::vector<session_ptr>(sessions_.begin(), sessions_.end())) {
+            session->close();
+        }
+    }
+
+    void close_idle() {
+        for (const auto& session : std::vector<session_ptr>(sessions_.begin(), sessions_.end())) {
+            session->close_if_idle();
+        }
+    }
+
+    std::size_t connections() const { return sessions_.size(); }
+
+    std::size_t active_requests() const {
+        return static_cast<std::size_t>(std::count_if(
+            sessions_.begin(), sessions_.end(),
+            [](const session_ptr& session) { return session->serving(); }));
+    }
+
+private:
+    using session_ptr = std::shared_ptr<caller_session>;
+
+    void accept() {
+        acceptor_.async_accept([self = shared_from_this()](const error_code& error,
+                                                           tcp::socket socket) {
+            if (!self->acceptor_.is_open()) {
+                return;
+            }
+            if (error) {
+                // Mostly a lack of descriptors, which passes.
+                self->services_.loop.after(accept_retry_delay, [self] { self->accept(); });
+                return;
+            }
+            self->accepted(std::move(socket));
+            self->accept();
+        });
+    }
+
+    void accepted(tcp::socket socket) {
+        auto session = std::make_shared<caller_session>(
+            services_, std::move(socket), [weak = weak_from_this()](const session_ptr& ended) {
+                if (const auto self = weak.lock()) {
+                    self->sessions_.erase(ended);
+                }
+            });
+        sessions_.insert(session);
+        session->start();
+    }
+
+    void check() {
+        const instant now = services_.loop.now();
+        for (const auto& session : std::vector<session_ptr>(sessions_.begin(), sessions_.end())) {
+            session->check_time(now);
+        }
+    }
+
+    caller_services services_;
+    tcp::acceptor acceptor_;
+    std::set<session_ptr> sessions_;
+    timer_service::subscription timer_ = 0;
+};
+
+caller_server::caller_server(const caller_services& services, const network_address& address)
+    : listener_(std::make_shared<listener>(services, address)) {
+    listener_->start();
+}
+
+caller_server::~caller_server() {
+    listener_->stop();
+}
+
+void caller_server::close_idle() {
+    listener_->close_idle();
+}
+
+std::size_t caller_server::connections() const {
+    return listener_->connections();
+}
+
+std::size_t caller_server::active_requests() const {
+    return listener_->active_requests();
+}
+
+}  // namespace fuchsiaquay
--- /dev/null
+++ b/drivers/traffic/caller_session.cpp
@@ -0,0 +1,311 @@
+#include "drivers/traffic/caller_session.hpp"
+
+#include <boost/asio/write.hpp>
+#include <cstdio>
+#include <utility>
+
+#include "drivers/control/control_loop.hpp"
+#include "drivers/net/socket_setup.hpp"
+#include "drivers/traffic/body_budget.hpp"
+#include "servers/relay/active_request.hpp"
+#include "servers/relay/request_format.hpp"
+#include "servers/relay/request_handler.hpp"
+
+namespace fuchsiaquay {
+
+namespace asio = boost::asio;
+namespace http = boost::beast::http;
+using boost::system::error_code;
+
+namespace {
+
+constexpr std::size_t read_size = 16'384;
+/// Bytes of following requests that are read while one is served.
+constexpr std::size_t max_early_bytes = 65'536;
+/// Bytes of an answer that may wait for a slow caller.
+constexpr std::size_t max_output_bytes = 4'194'304;
+/// Time for the other side to read an answer that ends the connection.
+constexpr duration close_delay = std::chrono::milliseconds(500);
+constexpr duration retry_after = std::chrono::seconds(1);
+
+constexpr int status_bad_request = 400;
+constexpr int status_too_large = 413;
+constexpr int status_header_too_large = 431;
+constexpr int status_unavailable = 503;
+
+}  // namespace
+
+caller_session::caller_session(const caller_services& services, asio::ip::tcp::socket socket,
+                               end_handler ended)
+    : services_(services), socket_(std::move(socket)), ended_(std::move(ended)) {}
+
+caller_session::~caller_session() {
+    give_back_body();
+}
+
+void caller_session::start() {
+    set_up_socket(socket_);
+    expect_request();
+    read();
+}
+
+void caller_session::expect_request() {
+    const caller_limits limits = services_.limits();
+    parser_.emplace();
+    parser_->eager(true);
+    parser_->header_limit(static_cast<std::uint32_t>(limits.header_bytes));
+    parser_->body_limit(limits.body_bytes);
+    head_accepted_ = false;
+    head_started_ = false;
+    answer_done_ = false;
+    idle_since_ = services_.loop.now();
+}
+
+void caller_session::read() {
+    if (reading_ || closed_ || input_.size() > max_early_bytes) {
+        return;
+    }
+    reading_ = true;
+    socket_.async_read_some(
+        input_.prepare(read_size),
+        [self = shared_from_this()](const error_code& error, std::size_t bytes) {
+            self->reading_ = false;
+            self->received(error, bytes);
+        });
+}
+
+void caller_session::received(const error_code& error, std::size_t bytes) {
+    if (closed_) {
+        return;
+    }
+    if (error) {
+        close();
+        return;
+    }
+    if (closing_) {
+        read();
+        return;
+    }
+    input_.commit(bytes);
+    if (request_ == nullptr && !answer_done_) {
+        parse();
+    }
+    read();
+}
+
+void caller_session::parse() {
+    if (!head_started_ && input_.size() > 0) {
+        head_started_ = true;
+        head_since_ = services_.loop.now();
+    }
+    while (input_.size() > 0 && !parser_->is_done()) {
+        error_code error;
+        const std::size_t used = parser_->put(input_.data(), error);
+        input_.consume(used);
+        if (parser_->is_header_done() && !head_accepted_ && !accept_head()) {
+            return;
+        }
+        if (error == http::error::need_more) {
+            break;
+        }
+        if (error && parse_failed(error)) {
+            return;
+        }
+    }
+    if (parser_->is_done() && !closing_) {
+        serve();
+    }
+}
+
+bool caller_session::accept_head() {
+    head_accepted_ = true;
+    const auto& message = parser_->get();
+    const auto length = parser_->content_length();
+    const std::size_t expected =
+        length ? static_cast<std::size_t>(*length)
+               : (parser_->chunked() ? services_.limits().body_bytes : 0);
+    if (!services_.bodies.take(expected)) {
+        reject(status_unavailable);
+        return false;
+    }
+    body_bytes_ = expected;
+    const auto expects = message.find(http::field::expect);
+    if (expects != message.end() && same_header_name(std::string_view(expects->value().data(),
+                                                                      expects->value().size()),
+                                                     "100-continue")) {
+        output_ += "HTTP/1.1 100 Continue\r\n\r\n";
+        flush();
+    }
+    return true;
+}
+
+bool caller_session::parse_failed(const error_code& error) {
+    if (error == http::error::header_limit) {
+        reject(status_header_too_large);
+    } else if (error == http::error::body_limit) {
+        reject(status_too_large);
+    } else {
+        reject(status_bad_request);
+    }
+    return true;
+}
+
+void caller_session::reject(int status) {
+    keep_ = false;
+    const response_head head = services_.format.own_answer(
+        status, status == status_unavailable ? retry_after : duration::zero(), "");
+    send(head, R"({"error":")" + head.reason + "\"}");
+}
+
+void caller_session::serve() {
+    auto& message = parser_->get();
+    header_list headers;
+    for (const auto& field : message) {
+        headers.push_back({std::string(field.name_string()), std::string(field.value())});
+    }
+    caller_request request = services_.format.read_request(
+        std::string(message.method_string()), std::string(message.target()), std::move(headers));
+    request.body = std::make_shared<const std::string>(std::move(message.body()));
+    request.received_at = services_.loop.now();
+    keep_ = message.keep_alive();
+    request_ = services_.handler.serve(std::move(request), *this);
+}
+
+void caller_session::append_head(const response_head& head, const char* framing,
+                                 std::size_t length) {
+    keep_ = keep_ && !services_.stopping();
+    output_ += "HTTP/1.1 " + std::to_string(head.status) + " " + head.reason + "\r\n";
+    for (const header_field& field : head.headers) {
+        output_.append(field.name).append(": ").append(field.value).append("\r\n");
+    }
+    if (!keep_) {
+        output_ += "Connection: close\r\n";
+    }
+    output_ += framing;
+    if (length != std::string::npos) {
+        output_ += std::to_string(length);
+    }
+    output_ += "\r\n\r\n";
+}
+
+void caller_session::send(const response_head& head, std::string body) {
+    append_head(head, "Content-Length: ", body.size());
+    output_ += body;
+    answered();
+}
+
+void caller_session::begin(const response_head& head, std::string_view first) {
+    append_head(head, "Transfer-Encoding: chunked", std::string::npos);
+    write(first);
+}
+
+void caller_session::write(std::string_view bytes) {
+    if (bytes.empty()) {
+        flush();
+        return;
+    }
+    char size[32];
+    (void)std::snprintf(size, sizeof size, "%zx\r\n", bytes.size());
+    output_.append(size).append(bytes).append("\r\n");
+    if (output_.size() > max_output_bytes) {
+        abort();
+        return;
+    }
+    flush();
+}
+
+void caller_session::finish() {
+    output_ += "0\r\n\r\n";
+    answered();
+}
+
+void caller_session::abort() {
+    // Reset, so that what was sent cannot pass for a whole answer.
+    error_code ignored;
+    socket_.set_option(asio::socket_base::linger(true, 0), ignored);
+    services_.loop.post([self = shared_from_this()] { self->close(); });
+}
+
+void caller_session::answered() {
+    answer_done_ = true;
+    flush();
+}
+
+void caller_session::flush() {
+    if (closed_ || !writing_.empty() || output_.empty()) {
+        return;
+    }
+    writing_.swap(output_);
+    asio::async_write(socket_, asio::buffer(writing_),
+                      [self = shared_from_this()](const error_code& error, std::size_t) {
+                          self->writing_.clear();
+                          if (error) {
+                              self->close();
+                              return;
+                          }
+                          self->flushed();
+                      });
+}
+
+void caller_session::flushed() {
+    if (!output_.empty()) {
+        flush();
+        return;
+    }
+    if (!answer_done_ || closed_) {
+        return;
+    }
+    request_.reset();
+    give_back_body();
+    if (!keep_) {
+        end_output();
+        return;
+    }
+    expect_request();
+    parse();
+    read();
+}
+
+void caller_session::end_output() {
+    closing_ = true;
+    input_.clear();
+    error_code ignored;
+    socket_.shutdown(asio::ip::tcp::socket::shutdown_send, ignored);
+    services_.loop.after(close_delay, [self = shared_from_this()] { self->close(); });
+    read();
+}
+
+void caller_session::check_time(instant now) {
+    if (closed_ || request_ != nullptr || answer_done_) {
+        return;
+    }
+    const caller_limits limits = services_.limits();
+    if (head_started_ && !head_accepted_ && now - head_since_ > limits.header_timeout) {
+        close();
+    } else if (!head_started_ && now - idle_since_ > limits.idle_timeout) {
+        close();
+    }
+}
+
+void caller_session::close_if_idle() {
+    if (request_ == nullptr && !head_started_ && !answer_done_) {
+        close();
+    }
+}
+
+void caller_session::close() {
+    if (std::exchange(closed_, true)) {
+        return;
+    }
+    request_.reset();
+    give_back_body();
+    error_code ignored;
+    socket_.close(ignored);
+    ended_(shared_from_this());
+}
+
+void caller_session::give_back_body() {
+    services_.bodies.give_back(std::exchange(body_bytes_, 0));
+}
+
+}  // namespace fuchsiaquay
--- /dev/null
+++ b/drivers/traffic/upstream_pool.cpp
@@ -0,0 +1,60 @@
+#include "drivers/traffic/upstream_pool.hpp"
+
+#include <algorithm>
+#include <utility>
+
+#include "drivers/net/socket_setup.hpp"
+
+namespace fuchsiaquay {
+
+namespace {
+
+/// Idle connections kept to one upstream; the upstream's own limit is shared by all hosts.
+constexpr std::size_t max_idle = 6;
+
+}  // namespace
+
+upstream_pool::socket_ptr upstream_pool::take(const std::string& upstream, instant now) {
+    const auto found = idle_.find(upstream);
+    if (found == idle_.end()) {
+        return nullptr;
+    }
+    while (!found->second.empty()) {
+        const idle_connection connection = std::move(found->second.back());
+        found->second.pop_back();
+        if (connection.usable_until > now && is_idle_connection_usable(*connection.socket)) {
+            return connection.socket;
+        }
+    }
+    return nullptr;
+}
+
+void upstream_pool::put(const std::string& upstream, socket_ptr socket, instant now,
+                        duration usable_for) {
+    std::vector<idle_connection>& connections = idle_[upstream];
+    if (connections.size() < max_idle && usable_for > duration::zero()) {
+        connections.push_back({std::move(socket), now + usable_for});
+    }
+}
+
+void upstream_pool::sweep(instant now) {
+    for (auto item = idle_.begin(); item != idle_.end();) {
+        std::vector<idle_connection>& connections = item->second;
+        connections.erase(std::remove_if(connections.begin(), connections.end(),
+                                         [now](const idle_connection& connection) {
+                                             return connection.usable_until <= now;
+                                         }),
+                          connections.end());
+        item = connections.empty() ? idle_.erase(item) : std::next(item);
+    }
+}
+
+std::size_t upstream_pool::size() const {
+    std::size_t total = 0;
+    for (const auto& [upstream, connections] : idle_) {
+        total += connections.size();
+    }
+    return total;
+}
+
+}  // namespace fuchsiaquay
--- /dev/null
+++ b/main/entry_node.cpp
@@ -0,0 +1,198 @@
+#include "main/entry_node.hpp"
+
+#include <utility>
+
+#include "core/fleet/fleet_configuration.hpp"
+#include "core/health/breaker_settings.hpp"
+#include "drivers/control/control_loop.hpp"
+#include "platform/directory_format.hpp"
+#include "platform/store_keys.hpp"
+#include "servers/decision_log.hpp"
+
+namespace fuchsiaquay {
+
+namespace {
+
+constexpr int status_ok = 200;
+constexpr int status_not_found = 404;
+constexpr int status_unavailable = 503;
+/// Longest wait for an answer of the store, which usually takes milliseconds.
+constexpr duration store_timeout = std::chrono::milliseconds(1'000);
+/// Part of the revocation bound that is kept for requests on their way and for clocks.
+constexpr duration revocation_margin = std::chrono::milliseconds(300);
+/// Status reports of upstreams arrive all the time: polls wait this long to share calls.
+constexpr duration catalogue_pause = std::chrono::milliseconds(500);
+/// Part of the memory that bodies of requests may take.
+constexpr std::size_t body_memory_divisor = 3;
+/// Directory answers may be kept three times as long as they say. Source: the platform's pages.
+constexpr int kept_answer_factor = 3;
+constexpr duration stop_check_period = std::chrono::milliseconds(100);
+/// Time kept of the grace for the last bytes to leave.
+constexpr duration stop_margin = std::chrono::milliseconds(600);
+
+prefix_mirror_settings configuration_mirror_settings(const entry_settings& settings) {
+    prefix_mirror_settings result;
+    result.trust_for = settings.revocation_bound - revocation_margin;
+    return result;
+}
+
+prefix_mirror_settings upstream_mirror_settings() {
+    prefix_mirror_settings result;
+    result.pause_after_changes = catalogue_pause;
+    return result;
+}
+
+host_record record_of(const entry_settings& settings) {
+    host_record record;
+    record.host = settings.host;
+    record.data_centre = settings.data_centre;
+    record.callers = settings.callers;
+    record.announcements = settings.announcements;
+    return record;
+}
+
+}  // namespace
+
+entry_node::entry_node(const entry_settings& settings, control_loop& loop, decision_log& log)
+    : settings_(settings),
+      loop_(loop),
+      log_(log),
+      started_at_(loop.now()),
+      configuration_store_(loop, settings.store, store_timeout),
+      catalogue_store_(loop, settings.store, store_timeout),
+      configuration_(configuration_codec_, log, configuration_key),
+      configuration_mirror_(configuration_store_, loop, log, configuration_, configuration_key,
+                            configuration_mirror_settings(settings)),
+      upstreams_(upstream_codec_, loop, log, upstream_prefix),
+      upstream_mirror_(catalogue_store_, loop, log, upstreams_, upstream_prefix,
+                       upstream_mirror_settings()),
+      board_(settings.host),
+      channel_(loop, log, settings.announcements),
+      hosts_(record_of(settings), configuration_store_, channel_, loop, log, board_, host_prefix,
+             [this] { return state(); }),
+      health_(breaker_settings()),
+      budget_(settings.retries),
+      connector_(loop),
+      relay_services_{loop,      log,     configuration_, configuration_mirror_,
+                      upstreams_, board_, health_,        budget_,
+                      placement_, connector_, format_,    metrics_},
+      relays_(relay_services_),
+      bodies_(settings.memory_bytes / body_memory_divisor),
+      callers_(services_for_callers(), settings.callers),
+      readiness_(loop, settings.readiness,
+                 [this](const std::string& /*target*/) { return answer_readiness(); }),
+      directory_(loop, settings.directory,
+                 [this](const std::string& target) { return answer_directory(target); }),
+      metrics_endpoint_(loop, settings.metrics,
+                        [this](const std::string& /*target*/) { return answer_metrics(); }) {
+    upstreams_.on_gone([this](const std::string& id) {
+        board_.remove_upstream(id);
+        health_.forget(upstream_id(id));
+    });
+    configuration_mirror_.start();
+    upstream_mirror_.start();
+    hosts_.start();
+    log_.write(decision_log::level::info, "started",
+               {{"callers", settings_.callers.text()},
+                {"directory", settings_.directory.text()},
+                {"store", settings_.store.text()},
+                {"data_centre", settings_.data_centre}});
+}
+
+caller_services entry_node::services_for_callers() {
+    return {loop_,
+            format_,
+            relays_,
+            bodies_,
+            [this] {
+                const auto& configuration = configuration_.current();
+                return configuration ? configuration->limits() : caller_limits();
+            },
+            [this] { return stopping_; }};
+}
+
+host_state entry_node::state() const {
+    if (stopping_) {
+        return host_state::leaving;
+    }
+    const bool ready = configuration_.current() != nullptr && configuration_mirror_.fresh() &&
+                       upstreams_.loaded();
+    return ready ? host_state::ready : host_state::unready;
+}
+
+http_endpoint::reply entry_node::answer_readiness() const {
+    http_endpoint::reply reply;
+    const bool ready = state() == host_state::ready;
+    reply.status = ready ? status_ok : status_unavailable;
+    reply.body = ready ? R"({"status":"ready"})" : R"({"status":"not ready"})";
+    return reply;
+}
+
+http_endpoint::reply entry_node::answer_directory(const std::string& target) const {
+    http_endpoint::reply reply;
+    if (target.substr(0, target.find('?')) != directory_path) {
+        reply.status = status_not_found;
+        reply.body = R"({"error":"unknown_path"})";
+        return reply;
+    }
+    std::vector<host_record> hosts = hosts_.ready_hosts();
+    if (hosts.empty()) {
+        // An answer without addresses would leave the caller without any host to try.
+        hosts.push_back(record_of(settings_));
+    }
+    reply.body = write_directory_answer(hosts, settings_.directory_lifetime);
+    return reply;
+}
+
+http_endpoint::reply entry_node::answer_metrics() const {
+    const histogram_metrics::figures figures = {
+        {"requests_active", static_cast<double>(relays_.active())},
+        {"requests_waiting", static_cast<double>(relays_.waiting())},
+        {"connections_callers", static_cast<double>(callers_.connections())},
+        {"upstream_connections_opened", static_cast<double>(connector_.opened())},
+        {"body_bytes", static_cast<double>(bodies_.used())},
+        {"hosts_live", static_cast<double>(hosts_.live_count())},
+        {"upstreams", static_cast<double>(upstreams_.size())},
+        {"configuration_version", configuration_.current()
+                                      ? static_cast<double>(configuration_.current()->version())
+                                      : 0.0},
+        {"configuration_age_seconds", to_seconds(configuration_mirror_.age())}};
+    http_endpoint::reply reply;
+    reply.content_type = "text/plain; version=0.0.4";
+    reply.body = metrics_.text(figures);
+    return reply;
+}
+
+void entry_node::drain(std::function<void()> done) {
+    if (stopping_) {
+        return;
+    }
+    stopping_ = true;
+    stopped_ = std::move(done);
+    stop_began_ = loop_.now();
+    hosts_.leave();
+    log_.write(decision_log::level::info, "drain_started",
+               {{"requests", std::to_string(relays_.active())},
+                {"connections", std::to_string(callers_.connections())}});
+    loop_.every(stop_check_period, [this] { finish_when_idle(); });
+}
+
+void entry_node::finish_when_idle() {
+    const duration since = loop_.now() - stop_began_;
+    if (!stopped_ || since < settings_.directory_lifetime) {
+        return;
+    }
+    callers_.close_idle();
+    const duration last = settings_.stop_grace - stop_margin;
+    const bool callers_know =
+        since >= std::min(settings_.directory_lifetime * kept_answer_factor, last);
+    if ((!callers_know || callers_.active_requests() > 0) && since < last) {
+        return;
+    }
+    log_.write(decision_log::level::info, "stopped",
+               {{"requests_cut", std::to_string(callers_.active_requests())},
+                {"after_ms", std::to_string(to_milliseconds(since))}});
+    std::exchange(stopped_, nullptr)();
+}
+
+}  // namespace fuchsiaquay
--- /dev/null
+++ b/main/entry_node.hpp
@@ -0,0 +1,91 @@
+#pragma once
+
+#include <functional>
+#include <memory>
+#include <string>
+
+#include "core/fleet/host_state.hpp"
+#include "core/health/upstream_health.hpp"
+#include "core/placement/undisturbed_placement.hpp"
+#include "core/retry/fleet_retry_budget.hpp"
+#include "drivers/announcements/udp_announcement_channel.hpp"
+#include "drivers/metrics/histogram_metrics.hpp"
+#include "drivers/net/http_endpoint.hpp"
+#include "drivers/traffic/beast_upstream_connector.hpp"
+#include "drivers/traffic/body_budget.hpp"
+#include "drivers/traffic/caller_server.hpp"
+#include "main/entry_settings.hpp"
+#include "platform/kv_store.hpp"
+#include "platform/platform_configuration_codec.hpp"
+#include "platform/platform_request_format.hpp"
+#include "platform/platform_upstream_codec.hpp"
+#include "servers/fleet/configuration_feed.hpp"
+#include "servers/fleet/engine_board.hpp"
+#include "servers/fleet/host_registry.hpp"
+#include "servers/fleet/upstream_registry.hpp"
+#include "servers/relay/relay_queue.hpp"
+#include "servers/relay/relay_services.hpp"
+#include "servers/store/prefix_mirror.hpp"
+
+namespace fuchsiaquay {
+
+class control_loop;
+class decision_log;
+
+/// The node on the users' platform: everything between its callers and its upstreams.
+class entry_node {
+public:
+    /// Listens at once.
+    /// @throws step_error  an address cannot be listened at
+    entry_node(const entry_settings& settings, control_loop& loop, decision_log& log);
+    entry_node(const entry_node&) = delete;
+    entry_node& operator=(const entry_node&) = delete;
+    ~entry_node() = default;
+
+    /// Graceful shutdown: takes no new callers, finishes what runs, calls `done` in time.
+    void drain(std::function<void()> done);
+
+private:
+    host_state state() const;
+    http_endpoint::reply answer_readiness() const;
+    http_endpoint::reply answer_directory(const std::string& target) const;
+    http_endpoint::reply answer_metrics() const;
+    caller_services services_for_callers();
+    void finish_when_idle();
+
+    entry_settings settings_;
+    control_loop& loop_;
+    decision_log& log_;
+    instant started_at_;
+    bool stopping_ = false;
+    instant stop_began_{};
+    std::function<void()> stopped_;
+
+    platform_configuration_codec configuration_codec_;
+    platform_upstream_codec upstream_codec_;
+    platform_request_format format_;
+    kv_store configuration_store_;
+    kv_store catalogue_store_;
+    configuration_feed configuration_;
+    prefix_mirror configuration_mirror_;
+    upstream_registry upstreams_;
+    prefix_mirror upstream_mirror_;
+    engine_board board_;
+    udp_announcement_channel channel_;
+    host_registry hosts_;
+
+    upstream_health health_;
+    fleet_retry_budget budget_;
+    undisturbed_placement placement_;
+    beast_upstream_connector connector_;
+    histogram_metrics metrics_;
+    relay_services relay_services_;
+    relay_queue relays_;
+    body_budget bodies_;
+    caller_server callers_;
+    http_endpoint readiness_;
+    http_endpoint directory_;
+    http_endpoint metrics_endpoint_;
+};
+
+}  // namespace fuchsiaquay
--- /dev/null
+++ b/main/entry_settings.cpp
@@ -0,0 +1,116 @@
+#include "main/entry_settings.hpp"
+
+#include <algorithm>
+
+#include "drivers/settings/define_setting.hpp"
+#include "drivers/settings/setting_definition.hpp"
+#include "drivers/settings/settings.hpp"
+#include "drivers/settings/settings_error.hpp"
+
+namespace fuchsiaquay {
+
+namespace {
+
+constexpr double percent = 100.0;
+constexpr std::size_t bytes_per_megabyte = 1'048'576;
+
+std::vector<setting_definition> make_definitions() {
+    return {
+        required_setting(
+            text_setting("node", "host", "", "name of this host, unique in the fleet")),
+        required_setting(text_setting("node", "data_centre", "", "data centre of this host")),
+        address_setting("node", "address", "IP number for metrics and announcements"),
+        integer_setting("node", "memory_mb", 256, 64, 1'048'576, "MB",
+                        "memory of the process; a third may hold bodies of requests"),
+        required_setting(text_setting("listen", "callers", "", "IP:PORT for requests")),
+        required_setting(text_setting("listen", "readiness", "", "IP:PORT for readiness checks")),
+        required_setting(
+            text_setting("listen", "directory", "", "IP:PORT for the question which hosts to use")),
+        port_setting("listen", "metrics_port", 9'100, "port of the metrics"),
+        port_setting("listen", "announcement_port", 9'101, "UDP port between hosts"),
+        required_setting(text_setting("store", "address", "", "IP:PORT of the platform's store")),
+        milliseconds_setting("configuration", "revocation_ms", 5'000,
+                             "longest time after which a revoked key may still be served"),
+        milliseconds_setting("directory", "lifetime_ms", 2'000,
+                             "how long callers may keep an answer"),
+        milliseconds_setting("shutdown", "grace_ms", 8'000,
+                             "time from the signal to stop until the process is ended"),
+        integer_setting("retries", "ratio_percent", 20, 0, 100, "%",
+                        "retries of the fleet for each 100 requests to a service"),
+        milliseconds_setting("retries", "window_ms", 10'000, "window of the fleet's bound"),
+        integer_setting("retries", "allowance", 100, 0, 1'000'000, "retries",
+                        "retries of the fleet in a window beyond the ratio"),
+        integer_setting("retries", "hosts", 16, 1, 10'000, "hosts",
+                        "most hosts that share the allowance"),
+        text_setting("log", "level", "info", "debug, info, warning or error"),
+    };
+}
+
+/// Collects the addresses that cannot be read.
+class address_reader {
+public:
+    explicit address_reader(const settings& values) : values_(values) {}
+
+    network_address read(const char* section, const char* key) {
+        const std::string& text = values_.text(section, key);
+        const network_address address = parse_network_address(text);
+        if (address.empty()) {
+            faults_.push_back(std::string(section) + "." + key + ": '" + text +
+                              "' is no address; allowed: IP:PORT");
+        }
+        return address;
+    }
+    const std::vector<std::string>& faults() const { return faults_; }
+
+private:
+    const settings& values_;
+    std::vector<std::string> faults_;
+};
+
+duration ms(const settings& values, const char* section, const char* key) {
+    return std::chrono::milliseconds(values.integer(section, key));
+}
+
+std::uint16_t port(const settings& values, const char* section, const char* key) {
+    return static_cast<std::uint16_t>(values.integer(section, key));
+}
+
+}  // namespace
+
+const std::vector<setting_definition>& entry_setting_definitions() {
+    static const std::vector<setting_definition> definitions = make_definitions();
+    return definitions;
+}
+
+entry_settings load_entry_settings(const std::string& file,
+                                   const std::vector<std::string>& overrides) {
+    const settings values = load_settings(file, entry_setting_definitions(), overrides);
+    entry_settings result;
+    address_reader addresses(values);
+    result.host = values.text("node", "host");
+    result.data_centre = values.text("node", "data_centre");
+    result.callers = addresses.read("listen", "callers");
+    result.readiness = addresses.read("listen", "readiness");
+    result.directory = addresses.read("listen", "directory");
+    result.store = addresses.read("store", "address");
+    const std::string& ip = values.text("node", "address");
+    result.metrics = {ip, port(values, "listen", "metrics_port")};
+    result.announcements = {ip, port(values, "listen", "announcement_port")};
+    result.revocation_bound = ms(values, "configuration", "revocation_ms");
+    result.directory_lifetime = ms(values, "directory", "lifetime_ms");
+    result.stop_grace = ms(values, "shutdown", "grace_ms");
+    result.memory_bytes =
+        static_cast<std::size_t>(values.integer("node", "memory_mb")) * bytes_per_megabyte;
+    result.retries.ratio =
+        static_cast<double>(values.integer("retries", "ratio_percent")) / percent;
+    result.retries.window = ms(values, "retries", "window_ms");
+    result.retries.allowance = static_cast<double>(values.integer("retries", "allowance"));
+    result.retries.hosts = static_cast<int>(values.integer("retries", "hosts"));
+    result.log_level = values.text("log", "level");
+    if (!addresses.faults().empty()) {
+        throw settings_error(file, addresses.faults());
+    }
+    return result;
+}
+
+}  // namespace fuchsiaquay
--- a/main/main.cpp
+++ b/main/main.cpp
@@ -15,6 +15,8 @@
 #include "drivers/log/log4cxx_decision_log.hpp"
 #include "drivers/settings/setting_definition.hpp"
 #include "drivers/settings/settings_error.hpp"
+#include "main/entry_node.hpp"
+#include "main/entry_settings.hpp"
 #include "main/node.hpp"
 #include "main/node_settings.hpp"
 
@@ -25,7 +27,8 @@
 constexpr int exit_bad_settings = 2;
 
 const char* const usage =
-    "fuchsiaquay --config FILE [options]\n"
+    "fuchsiaquay [entry] --config FILE [options]\n"
+    "  entry                    run on the users' platform, with its own set of settings\n"
     "  --config FILE            INI settings, see docs/CONFIGURATION.md\n"
     "  --check-config           check the settings and exit\n"
     "  --log-level LEVEL        debug, info, warning or error\n"
@@ -34,9 +37,11 @@
     "  --version                print the version\n"
     "  --help                   print this text\n"
     "Exit codes: 0 ended as asked, 1 failed, 2 bad command line or settings.\n"
-    "SIGTERM or SIGINT: graceful shutdown.\n";
+    "SIGTERM or SIGINT: graceful shutdown. SIGHUP: read the settings again (entry).\n";
 
 struct command_line {
+    /// True for `entry`.
+    bool entry = false;
     std::string config;
     std::vector<std::string> overrides;
     bool check_only = false;
@@ -45,8 +50,8 @@
     int exit_code = exit_ok;
 };
 
-void print_settings() {
-    for (const fuchsiaquay::setting_definition& item : fuchsiaquay::node_setting_definitions()) {
+void print_settings(const std::vector<fuchsiaquay::setting_definition>& definitions) {
+    for (const fuchsiaquay::setting_definition& item : definitions) {
         std::cout << "| `" << item.section << "` | `" << item.key << "` | ";
         if (item.required) {
             std::cout << "required";
@@ -76,6 +81,10 @@
                               {"help", no_argument, nullptr, 'h'},
                               {nullptr, 0, nullptr, 0}};
     command_line result;
+    result.entry = argc > 1 && std::string(argv[1]) == "entry";
+    if (result.entry) {
+        optind = 2;
+    }
     int code = 0;
     while ((code = getopt_long(argc, argv, "c:l:vh", options, nullptr)) != -1) {
         switch (code) {
@@ -92,7 +101,8 @@
                 result.check_only = true;
                 break;
             case option_print:
-                print_settings();
+                print_settings(result.entry ? fuchsiaquay::entry_setting_definitions()
+                                            : fuchsiaquay::node_setting_definitions());
                 result.finished = true;
                 return result;
             case 'v':
@@ -132,6 +142,45 @@
     loop.run();
 }
 
+/// Reads the settings again and takes over what can change while the node runs.
+void reload(const command_line& arguments, fuchsiaquay::log4cxx_decision_log& log) {
+    using level = fuchsiaquay::decision_log::level;
+    try {
+        const auto settings =
+            fuchsiaquay::load_entry_settings(arguments.config, arguments.overrides);
+        log.set_level(settings.log_level);
+        log.write(level::info, "settings_reloaded", {{"level", settings.log_level}});
+    } catch (const fuchsiaquay::step_error& error) {
+        log.write(level::error, "settings_refused", {{"reason", error.what()}});
+    }
+}
+
+void wait_for_reload(boost::asio::signal_set& signals, const command_line& arguments,
+                     fuchsiaquay::log4cxx_decision_log& log) {
+    signals.async_wait([&](const boost::system::error_code& error, int /*signal*/) {
+        if (!error) {
+            reload(arguments, log);
+            wait_for_reload(signals, arguments, log);
+        }
+    });
+}
+
+void run_entry(const command_line& arguments, const fuchsiaquay::entry_settings& settings) {
+    std::signal(SIGPIPE, SIG_IGN);
+    fuchsiaquay::control_loop loop;
+    fuchsiaquay::log4cxx_decision_log log(settings.host, settings.log_level);
+    boost::asio::signal_set stop_signals(loop.context(), SIGTERM, SIGINT);
+    boost::asio::signal_set reload_signals(loop.context(), SIGHUP);
+    fuchsiaquay::entry_node node(settings, loop, log);
+    stop_signals.async_wait([&](const boost::system::error_code& error, int /*signal*/) {
+        if (!error) {
+            node.drain([&loop] { loop.stop(); });
+        }
+    });
+    wait_for_reload(reload_signals, arguments, log);
+    loop.run();
+}
+
 }  // namespace
 
 int main(int argc, char** argv) {
@@ -140,13 +189,22 @@
         return arguments.exit_code;
     }
     try {
-        const auto settings =
-            fuchsiaquay::load_node_settings(arguments.config, arguments.overrides);
+        if (arguments.entry) {
+            const auto settings =
+                fuchsiaquay::load_entry_settings(arguments.config, arguments.overrides);
+            if (!arguments.check_only) {
+                run_entry(arguments, settings);
+            }
+        } else {
+            const auto settings =
+                fuchsiaquay::load_node_settings(arguments.config, arguments.overrides);
+            if (!arguments.check_only) {
+                run_node(settings);
+            }
+        }
         if (arguments.check_only) {
             std::cout << "settings are valid\n";
-            return exit_ok;
         }
-        run_node(settings);
         return exit_ok;
     } catch (const fuchsiaquay::settings_error& error) {
         for (const std::string& fault : error.faults()) {
--- a/main/node_settings.cpp
+++ b/main/node_settings.cpp
@@ -1,5 +1,6 @@
 #include "main/node_settings.hpp"
 
+#include "drivers/settings/define_setting.hpp"
 #include "drivers/settings/setting_definition.hpp"
 #include "drivers/settings/settings.hpp"
 
@@ -8,82 +9,53 @@
 namespace {
 
 constexpr std::int64_t max_port = 65'535;
-constexpr std::int64_t max_milliseconds = 3'600'000;
-
-setting_definition text(const char* section, const char* key, const char* value,
-                        const char* description) {
-    setting_definition definition;
-    definition.section = section;
-    definition.key = key;
-    definition.default_value = value;
-    definition.description = description;
-    return definition;
-}
-
-setting_definition required(setting_definition definition) {
-    definition.required = true;
-    return definition;
-}
-
-setting_definition address(const char* section, const char* key, const char* description) {
-    setting_definition definition = text(section, key, "127.0.0.1", description);
-    definition.type = setting_type::ip_address;
-    return definition;
-}
-
-setting_definition integer(const char* section, const char* key, std::int64_t value,
-                           std::int64_t minimum, std::int64_t maximum, const char* unit,
-                           const char* description) {
-    setting_definition definition = text(section, key, "", description);
-    definition.type = setting_type::integer;
-    definition.default_value = std::to_string(value);
-    definition.minimum = minimum;
-    definition.maximum = maximum;
-    definition.unit = unit;
-    return definition;
-}
-
-setting_definition milliseconds(const char* section, const char* key, std::int64_t value,
-                                const char* description) {
-    return integer(section, key, value, 1, max_milliseconds, "ms", description);
-}
 
 std::vector<setting_definition> make_definitions() {
     return {
-        required(text("node", "host", "", "name of this host, unique in the fleet")),
-        required(text("node", "data_centre", "", "data centre of this host")),
-        address("node", "address", "IP number to listen at, for callers and for peers"),
-        required(integer("node", "http_port", 0, 1, max_port, "", "port towards callers")),
-        required(integer("node", "peer_port", 0, 1, max_port, "", "port towards peers")),
-        integer("node", "peer_listen_port", 0, 0, max_port, "",
-                "port to listen at for peers where it differs from peer_port; 0: peer_port"),
-        integer("node", "seed", 1, 0, 1'000'000'000, "", "seed of random choices"),
-        required(text("cluster", "key", "", "secret shared by all hosts, authenticates frames")),
-        text("cluster", "other_key", "", "second secret accepted during a rotation"),
-        text("cluster", "seeds", "",
-             "first peers: host@address:peer_port@data_centre, comma-separated"),
-        address("platform", "address", "IP number of the platform's service"),
-        required(integer("platform", "port", 0, 1, max_port, "", "port of the platform")),
-        milliseconds("platform", "timeout_ms", 1'000, "longest wait for an answer of the store"),
-        milliseconds("platform", "host_list_period_ms", 500, "period of reading the host list"),
-        text("log", "level", "info", "debug, info, warning or error"),
-        text("admin", "bootstrap_operator_digest", "",
-             "SHA-256 of an operator token that may change everything"),
-        integer("http", "max_body_bytes", 16'777'216, 1'024, 268'435'456, "bytes",
-                "largest request body"),
-        integer("http", "traffic_threads", 4, 2, 64, "threads", "threads that carry traffic"),
-        milliseconds("http", "body_timeout_ms", 20'000, "longest time to send a body"),
-        milliseconds("engine", "stall_timeout_ms", 2'000,
-                     "silence after which a stream's connection is given up"),
-        integer("engine", "tokens_per_second", 14'800, 100, 10'000'000, "tokens/s",
-                "speed of one engine in full batches"),
-        milliseconds("directory", "keep_for_ms", 5'000, "how long callers may keep an answer"),
-        milliseconds("directory", "gossip_delay_ms", 10'000,
-                     "bound on the time until every host has heard that one leaves"),
-        milliseconds("directory", "drain_timeout_ms", 60'000,
-                     "longest time a stopping host waits for its requests"),
-        integer("journal", "writes_per_second", 40, 1, 400, "writes/s",
-                "this host's part of the fleet's write budget"),
+        required_setting(
+            text_setting("node", "host", "", "name of this host, unique in the fleet")),
+        required_setting(text_setting("node", "data_centre", "", "data centre of this host")),
+        address_setting("node", "address", "IP number to listen at, for callers and for peers"),
+        required_setting(
+            integer_setting("node", "http_port", 0, 1, max_port, "", "port towards callers")),
+        required_setting(
+            integer_setting("node", "peer_port", 0, 1, max_port, "", "port towards peers")),
+        integer_setting(
+            "node", "peer_listen_port", 0, 0, max_port, "",
+            "port to listen at for peers where it differs from peer_port; 0: peer_port"),
+        integer_setting("node", "seed", 1, 0, 1'000'000'000, "", "seed of random choices"),
+        required_setting(
+            text_setting("cluster", "key", "", "secret shared by all hosts, authenticates frames")),
+        text_setting("cluster", "other_key", "", "second secret accepted during a rotation"),
+        text_setting("cluster", "seeds", "",
+                     "first peers: host@address:peer_port@data_centre, comma-separated"),
+        address_setting("platform", "address", "IP number of the platform's service"),
+        required_setting(
+            integer_setting("platform", "port", 0, 1, max_port, "", "port of the platform")),
+        milliseconds_setting("platform", "timeout_ms", 1'000,
+                             "longest wait for an answer of the store"),
+        milliseconds_setting("platform", "host_list_period_ms", 500,
+                             "period of reading the host list"),
+        text_setting("log", "level", "info", "debug, info, warning or error"),
+        text_setting("admin", "bootstrap_operator_digest", "",
+                     "SHA-256 of an operator token that may change everything"),
+        integer_setting("http", "max_body_bytes", 16'777'216, 1'024, 268'435'456, "bytes",
+                        "largest request body"),
+        integer_setting("http", "traffic_threads", 4, 2, 64, "threads",
+                        "threads that carry traffic"),
+        milliseconds_setting("http", "body_timeout_ms", 20'000, "longest time to send a body"),
+        milliseconds_setting("engine", "stall_timeout_ms", 2'000,
+                             "silence after which a stream's connection is given up"),
+        integer_setting("engine", "tokens_per_second", 14'800, 100, 10'000'000, "tokens/s",
+                        "speed of one engine in full batches"),
+        milliseconds_setting("directory", "keep_for_ms", 5'000,
+                             "how long callers may keep an answer"),
+        milliseconds_setting("directory", "gossip_delay_ms", 10'000,
+                             "bound on the time until every host has heard that one leaves"),
+        milliseconds_setting("directory", "drain_timeout_ms", 60'000,
+                             "longest time a stopping host waits for its requests"),
+        integer_setting("journal", "writes_per_second", 40, 1, 400, "writes/s",
+                        "this host's part of the fleet's write budget"),
     };
 }
 
--- /dev/null
+++ b/servers/fleet/engine_board.cpp
@@ -0,0 +1,66 @@
+#include "servers/fleet/engine_board.hpp"
+
+namespace fuchsiaquay {
+
+void engine_board::apply_own(const engine_work& work) {
+    loads_[work.engine].apply(self_, work);
+    if (work.phase == work_phase::ended) {
+        own_.erase({work.key, work.engine});
+    } else {
+        own_[{work.key, work.engine}] = work;
+    }
+    if (own_changed_) {
+        own_changed_(work);
+    }
+    if (work.phase != work_phase::reading) {
+        made_room();
+    }
+}
+
+void engine_board::apply_remote(const std::string& host, const engine_work& work) {
+    loads_[work.engine].apply(host, work);
+    if (work.phase != work_phase::reading) {
+        made_room();
+    }
+}
+
+void engine_board::replace_remote(const std::string& host,
+                                  const std::vector<engine_work>& works) {
+    for (auto& [upstream, load] : loads_) {
+        load.remove_host(host);
+    }
+    for (const engine_work& work : works) {
+        loads_[work.engine].apply(host, work);
+    }
+    made_room();
+}
+
+void engine_board::remove_host(const std::string& host) {
+    replace_remote(host, {});
+}
+
+void engine_board::remove_upstream(const std::string& upstream) {
+    loads_.erase(upstream);
+}
+
+const engine_load& engine_board::load(const std::string& upstream) const {
+    static const engine_load none;
+    const auto found = loads_.find(upstream);
+    return found == loads_.end() ? none : found->second;
+}
+
+std::vector<engine_work> engine_board::own_works() const {
+    std::vector<engine_work> works;
+    for (const auto& [key, work] : own_) {
+        works.push_back(work);
+    }
+    return works;
+}
+
+void engine_board::made_room() const {
+    if (room_) {
+        room_();
+    }
+}
+
+}  // namespace fuchsiaquay
--- /dev/null
+++ b/servers/fleet/engine_board.hpp
@@ -0,0 +1,50 @@
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "core/placement/engine_load.hpp"
+#include "core/placement/engine_work.hpp"
+
+namespace fuchsiaquay {
+
+/// Work of all hosts at the upstreams: this host's own, and what the others have announced.
+class engine_board {
+public:
+    using change_handler = std::function<void(const engine_work&)>;
+    using room_handler = std::function<void()>;
+
+    explicit engine_board(std::string self) : self_(std::move(self)) {}
+
+    /// Takes a change of this host's work; it will be announced.
+    void apply_own(const engine_work& work);
+    /// Takes a change that another host announced.
+    void apply_remote(const std::string& host, const engine_work& work);
+    /// Replaces all that is known of a host's work.
+    void replace_remote(const std::string& host, const std::vector<engine_work>& works);
+    void remove_host(const std::string& host);
+    void remove_upstream(const std::string& upstream);
+
+    const engine_load& load(const std::string& upstream) const;
+    std::vector<engine_work> own_works() const;
+
+    void on_own_change(change_handler changed) { own_changed_ = std::move(changed); }
+    /// Called when something may fit that did not fit before.
+    void on_room(room_handler room) { room_ = std::move(room); }
+
+private:
+    void made_room() const;
+
+    std::string self_;
+    std::map<std::string, engine_load> loads_;
+    /// By key and upstream.
+    std::map<std::pair<std::uint64_t, std::string>, engine_work> own_;
+    change_handler own_changed_;
+    room_handler room_;
+};
+
+}  // namespace fuchsiaquay
--- /dev/null
+++ b/servers/fleet/host_registry.cpp
@@ -0,0 +1,254 @@
+#include "servers/fleet/host_registry.hpp"
+
+#include <algorithm>
+#include <utility>
+
+#include "core/error/step_error.hpp"
+#include "servers/decision_log.hpp"
+#include "servers/fleet/announcement_channel.hpp"
+#include "servers/fleet/engine_board.hpp"
+#include "servers/store/polled_store.hpp"
+#include "servers/timer_service.hpp"
+
+namespace fuchsiaquay {
+
+namespace {
+
+/// Lifetime of the entry in the store, and the period of its renewal.
+constexpr duration lease_time = std::chrono::seconds(10);
+constexpr duration renewal_period = std::chrono::seconds(3);
+constexpr duration registration_retry = std::chrono::milliseconds(500);
+/// Period of reading the other hosts' entries; announcements tell the rest.
+constexpr duration directory_period = std::chrono::seconds(10);
+/// Period of complete announcements, which make good for lost ones.
+constexpr duration announce_period = std::chrono::milliseconds(500);
+/// A host that was not heard for this long takes no callers; three announcements may be lost.
+constexpr duration silence_limit = std::chrono::milliseconds(1'800);
+/// Silence after which a host is forgotten.
+constexpr duration forget_after = std::chrono::seconds(30);
+/// Changes within this time share an announcement.
+constexpr duration dispatch_delay = std::chrono::milliseconds(2);
+constexpr duration progress_delay = std::chrono::milliseconds(40);
+
+const char* name_of(host_state state) {
+    switch (state) {
+        case host_state::unready:
+            return "unready";
+        case host_state::ready:
+            return "ready";
+        case host_state::leaving:
+            return "leaving";
+    }
+    return "unready";
+}
+
+}  // namespace
+
+host_registry::host_registry(host_record self, polled_store& store,
+                             announcement_channel& channel, timer_service& timers,
+                             decision_log& log, engine_board& board, std::string prefix,
+                             state_source state)
+    : self_(std::move(self)),
+      store_(store),
+      channel_(channel),
+      timers_(timers),
+      log_(log),
+      board_(board),
+      prefix_(std::move(prefix)),
+      state_(std::move(state)) {}
+
+void host_registry::start() {
+    channel_.on_receive([this](const announcement& message) { receive(message); });
+    board_.on_own_change([this](const engine_work& work) { note_work(work); });
+    register_self();
+    timers_.every(announce_period, [this] {
+        drop_silent();
+        announce(true, board_.own_works());
+    });
+    timers_.every(renewal_period, [this] { keep_entry(); });
+    timers_.every(directory_period, [this] { read_entries(); });
+}
+
+void host_registry::register_self() {
+    if (left_) {
+        return;
+    }
+    store_.grant_lease(lease_time, [this](std::int64_t lease) {
+        if (lease != 0) {
+            write_entry(lease);
+        } else {
+            timers_.after(registration_retry, [this] { register_self(); });
+        }
+    });
+}
+
+void host_registry::write_entry(std::int64_t lease) {
+    transaction change;
+    change.writes.push_back({prefix_ + self_.host, write_host_record(self_), false, lease});
+    store_.commit(change, [this, lease](const write_result& result) {
+        if (result.outcome != write_outcome::applied) {
+            timers_.after(registration_retry, [this] { register_self(); });
+            return;
+        }
+        lease_ = lease;
+        // The store's revision grows with every start, whatever the host's clocks do.
+        self_.incarnation = static_cast<std::uint64_t>(result.revision);
+        log_.write(decision_log::level::info, "host_registered",
+                   {{"revision", std::to_string(result.revision)}});
+        // Of two hosts that start together, at least the later writer sees the other's entry.
+        read_entries();
+    });
+}
+
+void host_registry::keep_entry() {
+    if (lease_ == 0 || left_) {
+        return;
+    }
+    store_.keep_alive(lease_, [this, lease = lease_](bool held) {
+        if (!held && lease == lease_) {
+            log_.write(decision_log::level::warning, "host_entry_lapsed",
+                       {{"lease", std::to_string(lease)}});
+            lease_ = 0;
+            register_self();
+        }
+    });
+}
+
+void host_registry::read_entries() {
+    store_.read_prefix(prefix_, [this](const read_result& result) {
+        for (const stored_value& value : result.values) {
+            try {
+                host_record record = read_host_record(value.value);
+                record.incarnation = static_cast<std::uint64_t>(value.revision);
+                peer& known = peers_[record.host];
+                if (record.host != self_.host &&
+                    known.record.incarnation < record.incarnation) {
+                    known = {};
+                    known.record = record;
+                    known.heard_at = timers_.now();
+                }
+            } catch (const step_error& error) {
+                log_.write(decision_log::level::warning, "host_entry_unreadable",
+                           {{"key", value.key}, {"reason", error.what()}});
+            }
+        }
+        peers_.erase(self_.host);
+        announce(true, board_.own_works());
+    });
+}
+
+void host_registry::leave() {
+    left_ = true;
+    announce(true, board_.own_works());
+    if (lease_ != 0) {
+        store_.revoke_lease(std::exchange(lease_, 0));
+    }
+}
+
+void host_registry::note_work(const engine_work& work) {
+    changes_.push_back(work);
+    if (std::exchange(flush_planned_, true)) {
+        return;
+    }
+    const bool dispatched = work.phase == work_phase::reading;
+    timers_.after(dispatched ? dispatch_delay : progress_delay, [this] { flush(); });
+}
+
+void host_registry::flush() {
+    flush_planned_ = false;
+    announce(false, std::exchange(changes_, {}));
+}
+
+void host_registry::announce(bool complete, std::vector<engine_work> works) {
+    if (self_.incarnation == 0) {
+        return;
+    }
+    announcement message;
+    message.sender = self_;
+    message.state = left_ ? host_state::leaving : state_();
+    message.sequence = ++sequence_;
+    message.complete = complete;
+    message.works = std::move(works);
+    std::vector<network_address> to;
+    for (const auto& [host, item] : peers_) {
+        to.push_back(item.record.announcements);
+    }
+    if (!to.empty()) {
+        channel_.send(to, message);
+    }
+}
+
+void host_registry::receive(const announcement& message) {
+    const std::string& host = message.sender.host;
+    if (host == self_.host) {
+        return;
+    }
+    peer& known = peers_[host];
+    const bool restarted = known.record.incarnation < message.sender.incarnation;
+    const bool outdated = known.record.incarnation > message.sender.incarnation ||
+                          (!restarted && message.sequence <= known.sequence);
+    if (outdated) {
+        return;
+    }
+    if (restarted || !known.heard || known.state != message.state) {
+        log_.write(decision_log::level::info, "host_heard",
+                   {{"peer", host},
+                    {"state", name_of(message.state)},
+                    {"incarnation", std::to_string(message.sender.incarnation)}});
+    }
+    known.record = message.sender;
+    known.state = message.state;
+    known.sequence = message.sequence;
+    known.heard_at = timers_.now();
+    known.heard = true;
+    if (message.complete) {
+        board_.replace_remote(host, message.works);
+        return;
+    }
+    for (const engine_work& work : message.works) {
+        board_.apply_remote(host, work);
+    }
+}
+
+void host_registry::drop_silent() {
+    const instant now = timers_.now();
+    for (auto item = peers_.begin(); item != peers_.end();) {
+        peer& known = item->second;
+        if (known.heard && !alive(known, now)) {
+            known.heard = false;
+            board_.remove_host(item->first);
+            log_.write(decision_log::level::warning, "host_silent",
+                       {{"peer", item->first},
+                        {"silent_ms", std::to_string(to_milliseconds(now - known.heard_at))}});
+        }
+        item = now - known.heard_at > forget_after ? peers_.erase(item) : std::next(item);
+    }
+}
+
+bool host_registry::alive(const peer& item, instant now) const {
+    return item.heard && now - item.heard_at < silence_limit;
+}
+
+std::vector<host_record> host_registry::ready_hosts() const {
+    const instant now = timers_.now();
+    std::vector<host_record> result;
+    if (!left_ && state_() == host_state::ready) {
+        result.push_back(self_);
+    }
+    for (const auto& [host, item] : peers_) {
+        if (item.state == host_state::ready && alive(item, now)) {
+            result.push_back(item.record);
+        }
+    }
+    return result;
+}
+
+std::size_t host_registry::live_count() const {
+    const instant now = timers_.now();
+    return 1 + static_cast<std::size_t>(
+                   std::count_if(peers_.begin(), peers_.end(), [this, now](const auto& item) {
+                       return alive(item.second, now);
+                   }));
+}
+
+}  // namespace fuchsiaquay
--- /dev/null
+++ b/servers/fleet/upstream_codec.hpp
@@ -0,0 +1,22 @@
+#pragma once
+
+#include <string>
+
+#include "core/fleet/upstream_entry.hpp"
+
+namespace fuchsiaquay {
+
+/// Reads catalogue entries from their stored form.
+class upstream_codec {
+public:
+    upstream_codec() = default;
+    upstream_codec(const upstream_codec&) = delete;
+    upstream_codec& operator=(const upstream_codec&) = delete;
+    virtual ~upstream_codec() = default;
+
+    /// @param id  name under which the entry is stored
+    /// @throws step_error  the text names no upstream that can be used
+    virtual upstream_entry decode(const std::string& id, const std::string& text) const = 0;
+};
+
+}  // namespace fuchsiaquay
--- /dev/null
+++ b/servers/fleet/upstream_registry.hpp
@@ -0,0 +1,61 @@
+#pragma once
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "core/fleet/upstream_entry.hpp"
+#include "core/time/clock.hpp"
+#include "servers/store/mirror_listener.hpp"
+
+namespace fuchsiaquay {
+
+class decision_log;
+class timer_service;
+class upstream_codec;
+
+/// Upstreams as the platform's catalogue lists them. An entry that vanished while the store was
+/// away is kept until its upstream has had time to register again.
+class upstream_registry final : public mirror_listener {
+public:
+    using gone_handler = std::function<void(const std::string& id)>;
+
+    /// @param prefix  part of the key before the upstream's id
+    upstream_registry(const upstream_codec& codec, timer_service& timers, decision_log& log,
+                      std::string prefix);
+
+    /// Upstreams of a service that take new requests.
+    const std::vector<upstream_entry>& ready(const std::string& service) const;
+    /// Null when the upstream is not listed.
+    const upstream_entry* find(const std::string& id) const;
+    /// True once the catalogue has been read.
+    bool loaded() const noexcept { return loaded_; }
+    std::size_t size() const noexcept { return entries_.size(); }
+    /// Called for each upstream that is no longer listed.
+    void on_gone(gone_handler gone) { gone_ = std::move(gone); }
+
+    void on_snapshot(const std::vector<stored_value>& values, bool after_outage) override;
+    void on_changes(const std::vector<watch_event>& events) override;
+
+private:
+    void store(const stored_value& value);
+    void remove(const std::string& id, const char* reason);
+    void remove_lapsed();
+    void index();
+
+    const upstream_codec& codec_;
+    timer_service& timers_;
+    decision_log& log_;
+    std::string prefix_;
+    bool loaded_ = false;
+    std::map<std::string, upstream_entry> entries_;
+    std::map<std::string, std::vector<upstream_entry>> ready_;
+    /// Entries that were missing after an outage, and since when.
+    std::map<std::string, instant> missing_;
+    gone_handler gone_;
+    std::shared_ptr<int> alive_ = std::make_shared<int>(0);
+};
+
+}  // namespace fuchsiaquay
--- /dev/null
+++ b/servers/relay/admission.cpp
@@ -0,0 +1,64 @@
+#include "servers/relay/admission.hpp"
+
+#include <utility>
+
+#include "core/relay/caller_request.hpp"
+
+namespace fuchsiaquay {
+
+namespace {
+
+constexpr int status_bad_request = 400;
+constexpr int status_unauthorized = 401;
+constexpr int status_not_found = 404;
+constexpr int status_unavailable = 503;
+/// A host usually learns the configuration within this time.
+constexpr duration configuration_wait = std::chrono::milliseconds(700);
+
+admission_result refuse(int status, const char* reason, duration retry_after = {}) {
+    admission_result result;
+    result.refused = rejection{status, reason, retry_after};
+    return result;
+}
+
+}  // namespace
+
+admission_result admit(const caller_request& request,
+                       std::shared_ptr<const fleet_configuration> configuration, bool fresh) {
+    if (!configuration) {
+        return refuse(status_unavailable, "no_configuration", configuration_wait);
+    }
+    admission_result result;
+    result.terms = configuration->find_route(request.host, request.path());
+    if (result.terms == nullptr && !fresh) {
+        return refuse(status_unavailable, "configuration_out_of_date", configuration_wait);
+    }
+    if (result.terms == nullptr) {
+        return refuse(status_not_found, "no_route");
+    }
+    result.rank = result.terms->rank;
+    if (configuration->keyed() && !result.terms->is_public) {
+        if (!fresh) {
+            return refuse(status_unavailable, "configuration_out_of_date", configuration_wait);
+        }
+        const customer_terms* holder = configuration->find_customer(request.key);
+        if (holder == nullptr) {
+            return refuse(status_unauthorized, "unknown_key");
+        }
+        result.customer = holder->customer;
+        result.rank = holder->rank.value_or(result.rank);
+    }
+    if (request.id.empty()) {
+        return refuse(status_bad_request, "no_request_id");
+    }
+    result.service_name = choose_service(*result.terms, request.id);
+    result.service = configuration->find_service(result.service_name);
+    const bool engine = result.service != nullptr && result.service->engine.has_value();
+    if (engine && !request.prompt_tokens) {
+        return refuse(status_bad_request, "no_token_counts");
+    }
+    result.configuration = std::move(configuration);
+    return result;
+}
+
+}  // namespace fuchsiaquay
--- /dev/null
+++ b/servers/relay/relay_queue.cpp
@@ -0,0 +1,82 @@
+#include "servers/relay/relay_queue.hpp"
+
+#include <algorithm>
+#include <tuple>
+#include <utility>
+#include <vector>
+
+#include "servers/fleet/engine_board.hpp"
+#include "servers/relay/request_relay.hpp"
+#include "servers/timer_service.hpp"
+
+namespace fuchsiaquay {
+
+namespace {
+
+/// Resolution of time-outs.
+constexpr duration check_period = std::chrono::milliseconds(50);
+/// Changes within this time lead to one try.
+constexpr duration retry_delay = std::chrono::milliseconds(2);
+
+}  // namespace
+
+relay_queue::relay_queue(const relay_services& services)
+    : services_(services), choice_(services) {
+    services_.timers.every(check_period, [this] { check_times(); });
+    services_.board.on_room([this] { retry_waiting(); });
+}
+
+std::unique_ptr<active_request> relay_queue::serve(caller_request request, response_sink& sink) {
+    auto relay =
+        std::make_unique<request_relay>(services_, choice_, *this, std::move(request), sink);
+    relay->start();
+    return relay;
+}
+
+std::size_t relay_queue::waiting() const {
+    return static_cast<std::size_t>(
+        std::count_if(relays_.begin(), relays_.end(),
+                      [](const request_relay* relay) { return relay->waiting(); }));
+}
+
+void relay_queue::retry_waiting() {
+    if (retry_planned_ || waiting() == 0) {
+        return;
+    }
+    retry_planned_ = true;
+    services_.timers.after(retry_delay, [this] {
+        retry_planned_ = false;
+        place_waiting();
+    });
+}
+
+void relay_queue::place_waiting() {
+    std::vector<request_relay*> waiting;
+    for (request_relay* relay : relays_) {
+        if (relay->waiting()) {
+            waiting.push_back(relay);
+        }
+    }
+    std::sort(waiting.begin(), waiting.end(), [](const request_relay* a, const request_relay* b) {
+        return std::make_tuple(a->rank(), a->received_at()) <
+               std::make_tuple(b->rank(), b->received_at());
+    });
+    for (request_relay* relay : waiting) {
+        // An earlier one may have ended it, as when its connection broke.
+        if (relays_.count(relay) > 0) {
+            relay->try_place();
+        }
+    }
+}
+
+void relay_queue::check_times() {
+    place_waiting();
+    const std::vector<request_relay*> all(relays_.begin(), relays_.end());
+    for (request_relay* relay : all) {
+        if (relays_.count(relay) > 0) {
+            relay->check_time();
+        }
+    }
+}
+
+}  // namespace fuchsiaquay
--- /dev/null
+++ b/servers/relay/relay_queue.hpp
@@ -0,0 +1,38 @@
+#pragma once
+
+#include <set>
+
+#include "servers/relay/relay_services.hpp"
+#include "servers/relay/request_handler.hpp"
+#include "servers/relay/upstream_choice.hpp"
+
+namespace fuchsiaquay {
+
+class request_relay;
+
+/// The requests of this host. Those that wait for an upstream are tried again, the most urgent and
+/// oldest first, whenever something ends.
+class relay_queue final : public request_handler {
+public:
+    explicit relay_queue(const relay_services& services);
+
+    std::unique_ptr<active_request> serve(caller_request request, response_sink& sink) override;
+
+    /// Plans another try for those that wait.
+    void retry_waiting();
+    void add(request_relay& relay) { relays_.insert(&relay); }
+    void remove(request_relay& relay) { relays_.erase(&relay); }
+    std::size_t active() const noexcept { return relays_.size(); }
+    std::size_t waiting() const;
+
+private:
+    void place_waiting();
+    void check_times();
+
+    const relay_services& services_;
+    upstream_choice choice_;
+    std::set<request_relay*> relays_;
+    bool retry_planned_ = false;
+};
+
+}  // namespace fuchsiaquay
--- /dev/null
+++ b/servers/relay/relay_services.hpp
@@ -0,0 +1,37 @@
+#pragma once
+
+#include <functional>
+
+namespace fuchsiaquay {
+
+class configuration_feed;
+class decision_log;
+class engine_board;
+class placement_policy;
+class prefix_mirror;
+class fleet_retry_budget;
+class request_format;
+class request_metrics;
+class timer_service;
+class upstream_connector;
+class upstream_health;
+class upstream_registry;
+
+/// What serving a request needs. All references outlive the requests.
+struct relay_services {
+    timer_service& timers;
+    decision_log& log;
+    const configuration_feed& configuration;
+    /// Copy of the configuration in the store, for its age.
+    const prefix_mirror& configuration_mirror;
+    const upstream_registry& upstreams;
+    engine_board& board;
+    upstream_health& health;
+    fleet_retry_budget& budget;
+    const placement_policy& placement;
+    upstream_connector& connector;
+    const request_format& format;
+    request_metrics& metrics;
+};
+
+}  // namespace fuchsiaquay
--- /dev/null
+++ b/servers/relay/request_handler.hpp
@@ -0,0 +1,26 @@
+#pragma once
+
+#include <memory>
+
+#include "core/relay/caller_request.hpp"
+
+namespace fuchsiaquay {
+
+class active_request;
+class response_sink;
+
+/// Serves requests of callers.
+class request_handler {
+public:
+    request_handler() = default;
+    request_handler(const request_handler&) = delete;
+    request_handler& operator=(const request_handler&) = delete;
+    virtual ~request_handler() = default;
+
+    /// Begins to serve `request`. The answer comes through `sink`, later and exactly once.
+    /// @param sink  outlives the returned request
+    virtual std::unique_ptr<active_request> serve(caller_request request,
+                                                  response_sink& sink) = 0;
+};
+
+}  // namespace fuchsiaquay
--- /dev/null
+++ b/servers/relay/request_relay.cpp
@@ -0,0 +1,483 @@
+#include "servers/relay/request_relay.hpp"
+
+#include <algorithm>
+#include <utility>
+
+#include "core/fleet/upstream_entry.hpp"
+#include "core/hashing/hash.hpp"
+#include "core/health/attempt_evidence.hpp"
+#include "core/health/upstream_health.hpp"
+#include "core/identity/names.hpp"
+#include "core/placement/pass_timing.hpp"
+#include "core/placement/placement_decision.hpp"
+#include "core/retry/fleet_retry_budget.hpp"
+#include "servers/decision_log.hpp"
+#include "servers/fleet/configuration_feed.hpp"
+#include "servers/fleet/engine_board.hpp"
+#include "servers/fleet/upstream_registry.hpp"
+#include "servers/relay/admission.hpp"
+#include "servers/relay/relay_queue.hpp"
+#include "servers/relay/request_format.hpp"
+#include "servers/relay/response_sink.hpp"
+#include "servers/relay/upstream_choice.hpp"
+#include "servers/relay/upstream_connector.hpp"
+#include "servers/relay/upstream_terms.hpp"
+#include "servers/request_metrics.hpp"
+#include "servers/store/prefix_mirror.hpp"
+#include "servers/timer_service.hpp"
+
+namespace fuchsiaquay {
+
+namespace {
+
+constexpr int status_success_first = 200;
+constexpr int status_success_last = 299;
+constexpr int status_server_error = 500;
+constexpr int status_bad_gateway = 502;
+constexpr int status_unavailable = 503;
+constexpr int status_timeout = 504;
+/// Attempts beyond those that a route allows, for upstreams that declined without running.
+constexpr int max_declined_attempts = 2;
+/// Time that a further attempt needs at least.
+constexpr duration min_attempt_time = std::chrono::milliseconds(30);
+/// Silence before the first event, or between events, after which an upstream is given up.
+constexpr duration min_stall_time = std::chrono::milliseconds(1'000);
+constexpr int stall_gaps = 5;
+constexpr int stall_first_estimates = 3;
+/// Longest wait for another upstream after an attempt has failed.
+constexpr duration retry_wait = std::chrono::milliseconds(1'000);
+/// Time after which a caller that found no room comes back.
+constexpr duration no_room_delay = std::chrono::milliseconds(600);
+/// Urgencies of the upstreams' interface that one rank spans.
+constexpr int urgencies_per_rank = 3;
+constexpr int max_urgency = 9;
+
+bool is_success(int status) {
+    return status >= status_success_first && status <= status_success_last;
+}
+
+std::string ms_text(duration value) {
+    return std::to_string(to_milliseconds(value));
+}
+
+}  // namespace
+
+request_relay::request_relay(const relay_services& services, const upstream_choice& choice,
+                             relay_queue& queue, caller_request request, response_sink& sink)
+    : services_(services),
+      choice_(choice),
+      queue_(queue),
+      request_(std::move(request)),
+      sink_(sink) {
+    queue_.add(*this);
+}
+
+request_relay::~request_relay() {
+    queue_.remove(*this);
+    if (!done_) {
+        log_end("caller_left", 0, begun_ ? "during the answer" : "before the answer");
+    }
+    exchange_.reset();
+    advance_work(work_phase::ended);
+}
+
+bool request_relay::repeatable() const {
+    return admitted_.terms->repeatable();
+}
+
+void request_relay::start() {
+    admitted_ = admit(request_, services_.configuration.current(),
+                      services_.configuration_mirror.fresh());
+    if (admitted_.refused) {
+        refuse(*admitted_.refused);
+        return;
+    }
+    const duration limit =
+        std::min(admitted_.terms->timeout, request_.time_limit.value_or(admitted_.terms->timeout));
+    deadline_ = request_.received_at + limit;
+    if (!request_.last_event_id.empty()) {
+        events_ = event_splitter(std::strtoll(request_.last_event_id.c_str(), nullptr, 10));
+    }
+    wait_until_ = request_.received_at + admitted_.terms->target;
+    services_.budget.on_request(admitted_.service_name, request_.received_at);
+    place();
+}
+
+void request_relay::try_place() {
+    if (waiting_ && !done_) {
+        place();
+    }
+}
+
+void request_relay::place() {
+    const instant now = services_.timers.now();
+    work_key_ = stable_hash(request_.id, static_cast<std::uint64_t>(attempts_));
+    const placement_decision decision =
+        choice_.choose(request_, admitted_, work_key_, excluded_, deadline_);
+    switch (decision.outcome) {
+        case placement_decision::verdict::place:
+            waiting_ = false;
+            dispatch(decision);
+            return;
+        case placement_decision::verdict::refuse:
+            conclude(begun_ ? next_step::abort
+                            : (may_have_run_ ? next_step::report_failure : next_step::refuse),
+                     decision.reason);
+            return;
+        case placement_decision::verdict::wait:
+            break;
+    }
+    if (now >= wait_until_) {
+        conclude(begun_ ? next_step::abort
+                        : (may_have_run_ ? next_step::report_failure : next_step::refuse),
+                 decision.reason);
+        return;
+    }
+    waiting_ = true;
+}
+
+void request_relay::dispatch(const placement_decision& decision) {
+    const upstream_entry* entry = services_.upstreams.find(decision.engine);
+    const instant now = services_.timers.now();
+    ++attempts_;
+    upstream_ = decision.engine;
+    sent_at_ = now;
+    progress_at_ = now;
+    expected_first_ = decision.first_event;
+    streaming_ = false;
+    answer_ = {};
+    body_.clear();
+    upstream_terms terms;
+    terms.upstream = entry->id;
+    terms.customer = admitted_.customer;
+    terms.time_left = deadline_ - now;
+    terms.urgency = std::min(max_urgency, admitted_.rank * urgencies_per_rank);
+    terms.last_event_id =
+        begun_ ? std::to_string(events_.last_id()) : request_.last_event_id;
+    for (const std::string& helper : decision.helpers) {
+        terms.helpers.push_back({services_.upstreams.find(helper)->address, ""});
+    }
+    record_work(decision);
+    services_.health.on_sent(upstream_id(entry->id), now);
+    services_.log.write(decision_log::level::info, "request_dispatched",
+                        {{"request", request_.id},
+                         {"customer", admitted_.customer},
+                         {"route", admitted_.terms->name},
+                         {"upstream", entry->id},
+                         {"attempt", std::to_string(attempts_)},
+                         {"reason", decision.reason},
+                         {"tokens", std::to_string(request_.prompt_tokens.value_or(0))},
+                         {"helpers", std::to_string(decision.helpers.size())},
+                         {"waited_ms", ms_text(now - request_.received_at)},
+                         {"first_ms", ms_text(decision.first_event)},
+                         {"configuration", std::to_string(admitted_.configuration->version())},
+                         {"age_ms", ms_text(services_.configuration_mirror.age())}});
+    const bool new_connection = !repeatable();
+    exchange_ = services_.connector.open(*entry, services_.format.write_request(request_, terms),
+                                         request_.body, new_connection, *this);
+}
+
+void request_relay::record_work(const placement_decision& decision) {
+    engine_work work;
+    work.key = work_key_;
+    work.engine = decision.engine;
+    work.dispatched_at = sent_at_;
+    work.target_gap = admitted_.terms->target_gap;
+    if (admitted_.service != nullptr && admitted_.service->engine) {
+        const auto parts = static_cast<std::int64_t>(decision.helpers.size()) + 1;
+        const std::int64_t tokens = request_.prompt_tokens.value_or(0);
+        work.read_tokens = tokens / parts;
+        work.read_time = read_time(*admitted_.service->engine, tokens) / parts;
+        work.memory_tokens = tokens + request_.max_answer_tokens;
+    }
+    works_.push_back(work);
+    work.memory_tokens = 0;
+    work.target_gap = {};
+    for (const std::string& helper : decision.helpers) {
+        work.engine = helper;
+        works_.push_back(work);
+    }
+    for (const engine_work& item : works_) {
+        services_.board.apply_own(item);
+    }
+}
+
+void request_relay::advance_work(work_phase phase) {
+    for (engine_work& work : works_) {
+        // A part that only reads is over with the first event.
+        work.phase = phase == work_phase::writing && !work.writes() ? work_phase::ended : phase;
+        services_.board.apply_own(work);
+    }
+    works_.erase(std::remove_if(works_.begin(), works_.end(),
+                                [](const engine_work& work) {
+                                    return work.phase == work_phase::ended;
+                                }),
+                 works_.end());
+}
+
+void request_relay::on_head(response_head head) {
+    answer_ = services_.format.read_answer(std::move(head));
+    progress_at_ = services_.timers.now();
+    if (!answer_.request.empty() && answer_.request != request_.id) {
+        attempt_failed(attempt_outcome::unknown, "answer of another request");
+        return;
+    }
+    if (answer_.misdirected || answer_.not_executed) {
+        attempt_failed(begun_ ? attempt_outcome::broken_stream : attempt_outcome::declined,
+                       "declined with " + std::to_string(answer_.head.status));
+        return;
+    }
+    const int status = answer_.head.status;
+    if (is_success(status) && !answer_.sealed) {
+        attempt_failed(begun_ ? attempt_outcome::broken_stream : attempt_outcome::unknown,
+                       "success without proof");
+        return;
+    }
+    if (begun_ && !is_success(status)) {
+        attempt_failed(attempt_outcome::broken_stream, "status " + std::to_string(status));
+        return;
+    }
+    streaming_ = admitted_.terms->streams() && is_success(status);
+    if (status >= status_server_error && repeatable()) {
+        attempt_failed(attempt_outcome::failed, "status " + std::to_string(status));
+    }
+}
+
+void request_relay::on_body(std::string_view bytes) {
+    progress_at_ = services_.timers.now();
+    if (streaming_) {
+        pass_events(bytes);
+    } else {
+        body_.append(bytes);
+    }
+}
+
+void request_relay::pass_events(std::string_view bytes) {
+    const std::string events = events_.take(bytes);
+    if (events_.out_of_order()) {
+        attempt_failed(begun_ ? attempt_outcome::broken_stream : attempt_outcome::unknown,
+                       "events out of order");
+        return;
+    }
+    if (events.empty()) {
+        return;
+    }
+    if (!begun_) {
+        begun_ = true;
+        services_.metrics.first_token(admitted_.rank, request_.prompt_tokens.value_or(0),
+                                      progress_at_ - request_.received_at);
+        sink_.begin(answer_.head, events);
+    } else {
+        sink_.write(events);
+    }
+    const bool was_reading = !works_.empty() && works_.front().phase == work_phase::reading;
+    if (was_reading) {
+        services_.log.write(decision_log::level::info, "first_event",
+                            {{"request", request_.id},
+                             {"upstream", upstream_},
+                             {"took_ms", ms_text(progress_at_ - sent_at_)},
+                             {"expected_ms", ms_text(expected_first_)}});
+        advance_work(work_phase::writing);
+    }
+}
+
+void request_relay::on_end() {
+    services_.health.on_result(upstream_id(upstream_), attempt_evidence::answered,
+                               services_.timers.now());
+    exchange_.reset();
+    if (streaming_) {
+        finish_stream();
+    } else {
+        finish_answer();
+    }
+}
+
+void request_relay::finish_stream() {
+    if (events_.has_partial()) {
+        attempt_failed(begun_ ? attempt_outcome::broken_stream : attempt_outcome::unknown,
+                       "stream ended inside an event");
+        return;
+    }
+    advance_work(work_phase::ended);
+    if (!begun_) {
+        sink_.begin(answer_.head, "");
+    }
+    services_.metrics.answered();
+    log_end("answered", answer_.head.status, "");
+    sink_.finish();
+}
+
+void request_relay::finish_answer() {
+    advance_work(work_phase::ended);
+    services_.metrics.answered();
+    log_end("answered", answer_.head.status, "");
+    sink_.send(answer_.head, std::move(body_));
+}
+
+void request_relay::on_failure(const exchange_failure& failure) {
+    const attempt_evidence evidence = failure.reused_connection
+                                          ? attempt_evidence::stalled_reused_connection
+                                          : attempt_evidence::failed;
+    services_.health.on_result(upstream_id(upstream_), evidence, services_.timers.now());
+    attempt_outcome outcome = attempt_outcome::unknown;
+    if (begun_) {
+        outcome = attempt_outcome::broken_stream;
+    } else if (!failure.sent) {
+        outcome = attempt_outcome::not_sent;
+    }
+    attempt_failed(outcome, failure.reason);
+}
+
+next_step request_relay::step_after(attempt_outcome outcome) {
+    const instant now = services_.timers.now();
+    const bool ran_nothing =
+        outcome == attempt_outcome::not_sent || outcome == attempt_outcome::declined;
+    const int counted = counted_attempts_ + (ran_nothing ? 0 : 1);
+    retry_facts facts;
+    facts.outcome = outcome;
+    facts.repeatable = repeatable();
+    facts.may_have_run = may_have_run_;
+    facts.attempts_left = counted < admitted_.terms->max_attempts &&
+                          attempts_ < admitted_.terms->max_attempts + max_declined_attempts;
+    facts.time_left = deadline_ - now > min_attempt_time;
+    facts.budget_left = true;
+    const next_step step = decide_next_step(facts);
+    if (step != next_step::retry || outcome == attempt_outcome::not_sent) {
+        return step;
+    }
+    facts.budget_left = services_.budget.try_take(admitted_.service_name, now);
+    return decide_next_step(facts);
+}
+
+void request_relay::attempt_failed(attempt_outcome outcome, const std::string& reason) {
+    end_attempt(outcome, step_after(outcome), reason);
+}
+
+void request_relay::end_attempt(attempt_outcome outcome, next_step step,
+                                const std::string& reason) {
+    services_.log.write(decision_log::level::info, "attempt_failed",
+                        {{"request", request_.id},
+                         {"upstream", upstream_},
+                         {"attempt", std::to_string(attempts_)},
+                         {"reason", reason},
+                         {"took_ms", ms_text(services_.timers.now() - sent_at_)},
+                         {"again", step == next_step::retry ? "yes" : "no"}});
+    if (step == next_step::forward) {
+        return;
+    }
+    exchange_.reset();
+    advance_work(work_phase::ended);
+    const bool ran_nothing =
+        outcome == attempt_outcome::not_sent || outcome == attempt_outcome::declined;
+    if (!ran_nothing) {
+        ++counted_attempts_;
+        may_have_run_ = true;
+    }
+    conclude(step, reason);
+}
+
+void request_relay::conclude(next_step step, const std::string& reason) {
+    switch (step) {
+        case next_step::retry:
+            services_.metrics.retried(reason);
+            events_.drop_partial();
+            excluded_ = upstream_;
+            wait_until_ = std::max(wait_until_, services_.timers.now() + retry_wait);
+            place();
+            return;
+        case next_step::refuse:
+            refuse({status_unavailable, "no_room", no_room_delay});
+            return;
+        case next_step::report_failure:
+            answer_failure(status_bad_gateway, "upstream_failed");
+            return;
+        case next_step::abort:
+            log_end("stream_broken", 0, reason);
+            sink_.abort();
+            return;
+        case next_step::forward:
+            return;
+    }
+}
+
+void request_relay::check_time() {
+    if (done_ || admitted_.terms == nullptr) {
+        return;
+    }
+    const instant now = services_.timers.now();
+    if (now >= deadline_) {
+        time_out();
+    } else if (exchange_ && repeatable()) {
+        check_progress(now);
+    }
+}
+
+void request_relay::time_out() {
+    const bool sent = exchange_ != nullptr;
+    exchange_.reset();
+    advance_work(work_phase::ended);
+    waiting_ = false;
+    if (begun_) {
+        conclude(next_step::abort, "deadline passed");
+    } else if (sent || may_have_run_) {
+        answer_failure(status_timeout, "deadline_passed");
+    } else {
+        refuse({status_unavailable, "deadline_passed", {}});
+    }
+}
+
+void request_relay::check_progress(instant now) {
+    duration patience = std::max(min_stall_time, admitted_.terms->target_gap * stall_gaps);
+    const bool reading = !works_.empty() && works_.front().phase == work_phase::reading;
+    if (reading) {
+        patience = std::max(min_stall_time, expected_first_ * stall_first_estimates);
+    }
+    if (!admitted_.terms->streams()) {
+        patience = std::max(admitted_.terms->target, admitted_.terms->timeout / 3);
+    }
+    if (now - progress_at_ < patience) {
+        return;
+    }
+    const attempt_outcome outcome =
+        begun_ ? attempt_outcome::broken_stream : attempt_outcome::unknown;
+    progress_at_ = now;
+    services_.health.on_result(upstream_id(upstream_), attempt_evidence::failed, now);
+    // A silent upstream may still answer: it is left only for another one.
+    const next_step step = step_after(outcome);
+    if (step == next_step::retry) {
+        end_attempt(outcome, step, "upstream silent");
+    }
+}
+
+void request_relay::refuse(const rejection& cause) {
+    services_.metrics.refused(cause.reason);
+    log_end("refused", cause.status, cause.reason);
+    const response_head head =
+        services_.format.own_answer(cause.status, cause.retry_after, request_.id);
+    sink_.send(head, std::string(R"({"error":")") + cause.reason + "\"}");
+}
+
+void request_relay::answer_failure(int status, const char* reason) {
+    services_.metrics.refused(reason);
+    log_end("failed", status, reason);
+    const response_head head = services_.format.own_answer(status, {}, request_.id);
+    sink_.send(head, std::string(R"({"error":")") + reason + "\"}");
+}
+
+void request_relay::log_end(const char* outcome, int status, const std::string& reason) {
+    done_ = true;
+    waiting_ = false;
+    services_.log.write(decision_log::level::info, "request_ended",
+                        {{"request", request_.id},
+                         {"route", admitted_.terms == nullptr ? "" : admitted_.terms->name},
+                         {"outcome", outcome},
+                         {"status", std::to_string(status)},
+                         {"reason", reason},
+                         {"upstream", upstream_},
+                         {"attempts", std::to_string(attempts_)},
+                         {"may_have_run", may_have_run_ ? "yes" : "no"},
+                         {"events", std::to_string(events_.count())},
+                         {"took_ms", ms_text(services_.timers.now() - request_.received_at)}});
+}
+
+}  // namespace fuchsiaquay
--- /dev/null
+++ b/servers/relay/request_relay.hpp
@@ -0,0 +1,101 @@
+#pragma once
+
+#include <cstdint>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "core/placement/engine_work.hpp"
+#include "core/relay/attempt_outcome.hpp"
+#include "core/relay/caller_request.hpp"
+#include "core/relay/event_splitter.hpp"
+#include "core/relay/next_step.hpp"
+#include "servers/relay/active_request.hpp"
+#include "servers/relay/admission_result.hpp"
+#include "servers/relay/exchange_listener.hpp"
+#include "servers/relay/relay_services.hpp"
+#include "servers/relay/upstream_answer.hpp"
+#include "servers/relay/upstream_exchange.hpp"
+
+namespace fuchsiaquay {
+
+class relay_queue;
+class response_sink;
+class upstream_choice;
+struct placement_decision;
+
+/// One request on its way: admission, placement, attempts at upstreams, and the one final answer.
+class request_relay final : public active_request, private exchange_listener {
+public:
+    request_relay(const relay_services& services, const upstream_choice& choice,
+                  relay_queue& queue, caller_request request, response_sink& sink);
+    ~request_relay() override;
+
+    void start();
+    /// Tries to place a request that waits.
+    void try_place();
+    /// Ends what has taken too long.
+    void check_time();
+
+    bool waiting() const noexcept { return waiting_; }
+    int rank() const noexcept { return admitted_.rank; }
+    instant received_at() const noexcept { return request_.received_at; }
+
+private:
+    void on_head(response_head head) override;
+    void on_body(std::string_view bytes) override;
+    void on_end() override;
+    void on_failure(const exchange_failure& failure) override;
+
+    void place();
+    void dispatch(const placement_decision& decision);
+    void record_work(const placement_decision& decision);
+    void advance_work(work_phase phase);
+    void pass_events(std::string_view bytes);
+    void finish_stream();
+    void finish_answer();
+    void attempt_failed(attempt_outcome outcome, const std::string& reason);
+    void end_attempt(attempt_outcome outcome, next_step step, const std::string& reason);
+    next_step step_after(attempt_outcome outcome);
+    void conclude(next_step step, const std::string& reason);
+    void time_out();
+    void check_progress(instant now);
+    void refuse(const rejection& cause);
+    void answer_failure(int status, const char* reason);
+    void log_end(const char* outcome, int status, const std::string& reason);
+    bool repeatable() const;
+
+    const relay_services& services_;
+    const upstream_choice& choice_;
+    relay_queue& queue_;
+    caller_request request_;
+    response_sink& sink_;
+    admission_result admitted_;
+    instant deadline_{};
+    /// When a request without an upstream stops waiting for one.
+    instant wait_until_{};
+    bool waiting_ = false;
+    bool done_ = false;
+
+    /// Attempts that an upstream may have run, and all attempts.
+    int counted_attempts_ = 0;
+    int attempts_ = 0;
+    bool may_have_run_ = false;
+    std::string excluded_;
+    std::unique_ptr<upstream_exchange> exchange_;
+    std::vector<engine_work> works_;
+    std::string upstream_;
+    instant sent_at_{};
+    instant progress_at_{};
+    duration expected_first_{};
+    upstream_answer answer_;
+    std::string body_;
+    event_splitter events_;
+    /// The answer has begun on its way to the caller.
+    bool begun_ = false;
+    bool streaming_ = false;
+    /// Grows with each dispatch, so that works of two attempts have different keys.
+    std::uint64_t work_key_ = 0;
+};
+
+}  // namespace fuchsiaquay
--- /dev/null
+++ b/servers/relay/upstream_choice.cpp
@@ -0,0 +1,106 @@
+#include "servers/relay/upstream_choice.hpp"
+
+#include <algorithm>
+#include <vector>
+
+#include "core/fleet/upstream_entry.hpp"
+#include "core/hashing/hash.hpp"
+#include "core/health/upstream_health.hpp"
+#include "core/identity/names.hpp"
+#include "core/placement/engine_load.hpp"
+#include "core/placement/placement_policy.hpp"
+#include "core/placement/placement_request.hpp"
+#include "core/relay/caller_request.hpp"
+#include "servers/fleet/engine_board.hpp"
+#include "servers/fleet/upstream_registry.hpp"
+#include "servers/relay/admission_result.hpp"
+#include "servers/relay/relay_services.hpp"
+#include "servers/timer_service.hpp"
+
+namespace fuchsiaquay {
+
+namespace {
+
+/// Requests that may wait at a plain upstream for each one that it processes.
+constexpr int plain_queue_factor = 3;
+
+placement_decision refused(const char* reason) {
+    placement_decision result;
+    result.outcome = placement_decision::verdict::refuse;
+    result.reason = reason;
+    return result;
+}
+
+}  // namespace
+
+placement_decision upstream_choice::choose(const caller_request& request,
+                                           const admission_result& admitted, std::uint64_t key,
+                                           const std::string& excluded, instant deadline) const {
+    if (services_.upstreams.ready(admitted.service_name).empty()) {
+        return refused("no_upstream");
+    }
+    if (admitted.service != nullptr && admitted.service->engine) {
+        return choose_engine(request, admitted, key, excluded, deadline);
+    }
+    return choose_plain(admitted, key, excluded);
+}
+
+placement_decision upstream_choice::choose_engine(const caller_request& request,
+                                                  const admission_result& admitted,
+                                                  std::uint64_t key, const std::string& excluded,
+                                                  instant deadline) const {
+    const instant now = services_.timers.now();
+    const engine_profile& profile = *admitted.service->engine;
+    std::vector<engine_view> engines;
+    for (const upstream_entry& entry : services_.upstreams.ready(admitted.service_name)) {
+        if (services_.health.allows(upstream_id(entry.id), now)) {
+            engines.push_back({entry.id, &profile, &services_.board.load(entry.id)});
+        }
+    }
+    placement_request prompt;
+    prompt.key = key;
+    prompt.prompt_tokens = request.prompt_tokens.value_or(0);
+    prompt.answer_tokens =
+        request.max_answer_tokens > 0 ? request.max_answer_tokens : profile.usual_answer_tokens;
+    prompt.target_left = request.received_at + admitted.terms->target - now;
+    prompt.time_left = deadline - now;
+    prompt.target_gap = admitted.terms->target_gap;
+    prompt.rank = admitted.rank;
+    prompt.excluded = excluded;
+    return services_.placement.choose(prompt, engines, now);
+}
+
+placement_decision upstream_choice::choose_plain(const admission_result& admitted,
+                                                 std::uint64_t key,
+                                                 const std::string& excluded) const {
+    const instant now = services_.timers.now();
+    const upstream_entry* best = nullptr;
+    int best_load = 0;
+    std::uint64_t best_order = 0;
+    for (const upstream_entry& entry : services_.upstreams.ready(admitted.service_name)) {
+        if (entry.id == excluded || !services_.health.allows(upstream_id(entry.id), now)) {
+            continue;
+        }
+        const int load = services_.board.load(entry.id).requests();
+        const std::uint64_t order = stable_hash(entry.id, key);
+        if (load >= entry.slots * plain_queue_factor) {
+            continue;
+        }
+        if (best == nullptr || load < best_load || (load == best_load && order < best_order)) {
+            best = &entry;
+            best_load = load;
+            best_order = order;
+        }
+    }
+    placement_decision result;
+    result.reason = "least_loaded";
+    if (best == nullptr) {
+        result.reason = "no_room";
+        return result;
+    }
+    result.outcome = placement_decision::verdict::place;
+    result.engine = best->id;
+    return result;
+}
+
+}  // namespace fuchsiaquay
--- /dev/null
+++ b/servers/relay/upstream_exchange.hpp
@@ -0,0 +1,14 @@
+#pragma once
+
+namespace fuchsiaquay {
+
+/// A request under way at an upstream. Destroying it closes its connection.
+class upstream_exchange {
+public:
+    upstream_exchange() = default;
+    upstream_exchange(const upstream_exchange&) = delete;
+    upstream_exchange& operator=(const upstream_exchange&) = delete;
+    virtual ~upstream_exchange() = default;
+};
+
+}  // namespace fuchsiaquay
--- /dev/null
+++ b/servers/store/mirror_listener.hpp
@@ -0,0 +1,26 @@
+#pragma once
+
+#include <string>
+#include <vector>
+
+#include "servers/store/stored_value.hpp"
+#include "servers/store/watch_event.hpp"
+
+namespace fuchsiaquay {
+
+/// Receives what a mirror of a prefix learns.
+class mirror_listener {
+public:
+    mirror_listener() = default;
+    mirror_listener(const mirror_listener&) = delete;
+    mirror_listener& operator=(const mirror_listener&) = delete;
+    virtual ~mirror_listener() = default;
+
+    /// The whole content; keys that are missing do not exist.
+    /// @param after_outage  true when calls had failed, or history was lost, before this read
+    virtual void on_snapshot(const std::vector<stored_value>& values, bool after_outage) = 0;
+    /// Changes in revision order.
+    virtual void on_changes(const std::vector<watch_event>& events) = 0;
+};
+
+}  // namespace fuchsiaquay
--- /dev/null
+++ b/servers/store/prefix_mirror.cpp
@@ -0,0 +1,121 @@
+#include "servers/store/prefix_mirror.hpp"
+
+#include <algorithm>
+#include <utility>
+
+#include "servers/decision_log.hpp"
+#include "servers/store/mirror_listener.hpp"
+#include "servers/store/polled_store.hpp"
+#include "servers/timer_service.hpp"
+
+namespace fuchsiaquay {
+
+prefix_mirror::prefix_mirror(polled_store& store, timer_service& timers, decision_log& log,
+                             mirror_listener& listener, std::string prefix,
+                             prefix_mirror_settings settings)
+    : store_(store),
+      timers_(timers),
+      log_(log),
+      listener_(listener),
+      prefix_(std::move(prefix)),
+      settings_(settings),
+      freshness_(settings.trust_for) {}
+
+void prefix_mirror::start() {
+    read_all();
+}
+
+bool prefix_mirror::fresh() const {
+    return freshness_.holds(timers_.now());
+}
+
+duration prefix_mirror::age() const {
+    return freshness_.age(timers_.now());
+}
+
+void prefix_mirror::later(duration delay, void (prefix_mirror::*step)()) {
+    timers_.after(delay, [this, step, alive = std::weak_ptr<int>(alive_)] {
+        if (!alive.expired()) {
+            (this->*step)();
+        }
+    });
+}
+
+void prefix_mirror::read_all() {
+    const instant sent_at = timers_.now();
+    store_.read_prefix(prefix_, [this, sent_at, alive = std::weak_ptr<int>(alive_)](
+                                    const read_result& result) {
+        if (!alive.expired()) {
+            take_snapshot(result, sent_at);
+        }
+    });
+}
+
+void prefix_mirror::take_snapshot(const read_result& result, instant sent_at) {
+    if (!result.ok()) {
+        failed(result.failure);
+        later(settings_.retry_delay, &prefix_mirror::read_all);
+        return;
+    }
+    if (std::exchange(outage_, false)) {
+        log_.write(decision_log::level::info, "store_regained",
+                   {{"prefix", prefix_}, {"revision", std::to_string(result.store_revision)}});
+    }
+    revision_ = result.store_revision;
+    freshness_.confirm(sent_at);
+    listener_.on_snapshot(result.values, std::exchange(interrupted_, false));
+    poll();
+}
+
+void prefix_mirror::poll() {
+    const instant sent_at = timers_.now();
+    store_.poll(prefix_, revision_, settings_.poll_wait,
+                [this, sent_at, alive = std::weak_ptr<int>(alive_)](const change_batch& batch) {
+                    if (!alive.expired()) {
+                        take_changes(batch, sent_at);
+                    }
+                });
+}
+
+void prefix_mirror::take_changes(const change_batch& batch, instant sent_at) {
+    if (batch.compacted) {
+        log_.write(decision_log::level::info, "store_history_lost",
+                   {{"prefix", prefix_}, {"revision", std::to_string(revision_)}});
+        interrupted_ = true;
+        read_all();
+        return;
+    }
+    if (!batch.ok()) {
+        failed(batch.failure);
+        // Entries may lapse while the store is away: only a full read tells which are left.
+        later(settings_.retry_delay, &prefix_mirror::read_all);
+        return;
+    }
+    revision_ = std::max(revision_, batch.store_revision);
+    const duration waited = timers_.now() - sent_at;
+    const bool waited_in_vain = batch.events.empty() && waited >= settings_.poll_wait;
+    const instant seen = waited_in_vain ? sent_at + settings_.poll_wait : sent_at;
+    freshness_.confirm(seen - settings_.watch_lag);
+    if (batch.events.empty()) {
+        poll();
+        return;
+    }
+    listener_.on_changes(batch.events);
+    if (settings_.pause_after_changes > duration::zero()) {
+        later(settings_.pause_after_changes, &prefix_mirror::poll);
+    } else {
+        poll();
+    }
+}
+
+void prefix_mirror::failed(const std::string& reason) {
+    interrupted_ = true;
+    if (!std::exchange(outage_, true)) {
+        log_.write(decision_log::level::warning, "store_lost",
+                   {{"prefix", prefix_},
+                    {"reason", reason},
+                    {"age_ms", std::to_string(to_milliseconds(age()))}});
+    }
+}
+
+}  // namespace fuchsiaquay
--- /dev/null
+++ b/servers/store/prefix_mirror.hpp
@@ -0,0 +1,56 @@
+#pragma once
+
+#include <cstdint>
+#include <memory>
+#include <string>
+
+#include "core/freshness/freshness.hpp"
+#include "servers/store/prefix_mirror_settings.hpp"
+
+namespace fuchsiaquay {
+
+class decision_log;
+class mirror_listener;
+class polled_store;
+class timer_service;
+struct change_batch;
+struct read_result;
+
+/// Keeps a copy of the keys under a prefix current: reads all once, then polls for changes, and
+/// reads all again when the history is gone. Knows how old the copy may be.
+class prefix_mirror {
+public:
+    /// References outlive the mirror.
+    prefix_mirror(polled_store& store, timer_service& timers, decision_log& log,
+                  mirror_listener& listener, std::string prefix, prefix_mirror_settings settings);
+
+    void start();
+    /// True while the copy is known to be current within the trusted time.
+    bool fresh() const;
+    /// Upper bound on the age of the copy.
+    duration age() const;
+    /// Revision of the store that the copy reflects; 0 before the first read.
+    std::int64_t revision() const noexcept { return revision_; }
+
+private:
+    void read_all();
+    void poll();
+    void take_snapshot(const read_result& result, instant sent_at);
+    void take_changes(const change_batch& batch, instant sent_at);
+    void failed(const std::string& reason);
+    void later(duration delay, void (prefix_mirror::*step)());
+
+    polled_store& store_;
+    timer_service& timers_;
+    decision_log& log_;
+    mirror_listener& listener_;
+    std::string prefix_;
+    prefix_mirror_settings settings_;
+    freshness freshness_;
+    std::int64_t revision_ = 0;
+    bool interrupted_ = false;
+    bool outage_ = false;
+    std::shared_ptr<int> alive_ = std::make_shared<int>(0);
+};
+
+}  // namespace fuchsiaquay
