Placement: short prompts share a pool of engines in an order common to all hosts

Cause: filling the fullest engine sent every short prompt of the moment to the one engine with a free slot; first events at p90 took 257 ms against 127 estimated. Ruled out: wrong timing of passes (medians within 20 ms of the estimate).

--- a/core/placement/undisturbed_placement.cpp
+++ b/core/placement/undisturbed_placement.cpp
@@ -52,8 +52,11 @@
         item.can_answer =
             item.requests < engine.profile->slots &&
             load.memory_tokens() + request.prompt_tokens + request.answer_tokens <= room;
+        item.order = stable_hash(engine.id);
         result.push_back(item);
     }
+    std::sort(result.begin(), result.end(),
+              [](const candidate& a, const candidate& b) { return a.order < b.order; });
     return result;
 }
 
@@ -65,47 +68,78 @@
            request.target_gap > duration::zero();
 }
 
-bool undisturbed_placement::prefer(const candidate& a, const candidate& b,
-                                   const placement_request& request, duration reading) const {
-    const bool is_short = reading <= settings_.short_read;
-    if (is_short && a.requests != b.requests) {
-        return a.requests > b.requests;
-    }
-    if (!is_short && a.pending != b.pending) {
-        return a.pending < b.pending;
-    }
-    if (a.requests != b.requests) {
-        return a.requests < b.requests;
+std::size_t undisturbed_placement::engines_for_short(const placement_request& request,
+                                                     const std::vector<candidate>& choice) const {
+    double needed = 0.0;
+    for (const candidate& item : choice) {
+        if (item.smallest_gap <= request.target_gap) {
+            needed += item.requests / (settings_.slot_fill * item.engine->profile->slots);
+        }
     }
-    return order_of(request, a.engine->id) < order_of(request, b.engine->id);
+    return static_cast<std::size_t>(needed) + 1;
 }
 
-std::optional<placement_decision> undisturbed_placement::place_whole(
+bool undisturbed_placement::acceptable(const candidate& at,
+                                       const placement_request& request) const {
+    const duration reading = read_time(*at.engine->profile, request.prompt_tokens);
+    const duration first = first_event_after(at.pass, at.pending, reading);
+    return at.can_answer && first <= scaled(request.target_left, settings_.target_fill) &&
+           !disturbs(at, request, reading);
+}
+
+const undisturbed_placement::candidate* undisturbed_placement::best_for_short(
     const placement_request& request, const std::vector<candidate>& choice) const {
+    const std::size_t shared = engines_for_short(request, choice);
     const candidate* best = nullptr;
-    duration best_first{};
-    const duration target = scaled(request.target_left, settings_.target_fill);
+    std::size_t position = 0;
     for (const candidate& item : choice) {
-        if (!item.can_answer) {
+        ++position;
+        if (!acceptable(item, request)) {
             continue;
         }
-        const duration reading = read_time(*item.engine->profile, request.prompt_tokens);
-        const duration first = first_event_after(item.pass, item.pending, reading);
-        if (first > target || disturbs(item, request, reading)) {
-            continue;
-        }
-        if (best == nullptr || prefer(item, *best, request, reading)) {
+        if (best == nullptr || item.requests < best->requests ||
+            (item.requests == best->requests &&
+             order_of(request, item.engine->id) < order_of(request, best->engine->id))) {
             best = &item;
-            best_first = first;
+        }
+        if (position >= shared && best != nullptr) {
+            break;
         }
     }
+    return best;
+}
+
+const undisturbed_placement::candidate* undisturbed_placement::best_for_long(
+    const placement_request& request, const std::vector<candidate>& choice) const {
+    const candidate* best = nullptr;
+    for (auto item = choice.rbegin(); item != choice.rend(); ++item) {
+        if (!acceptable(*item, request)) {
+            continue;
+        }
+        const bool better =
+            best == nullptr || item->pending < best->pending ||
+            (item->pending == best->pending && item->requests < best->requests);
+        best = better ? &*item : best;
+    }
+    return best;
+}
+
+std::optional<placement_decision> undisturbed_placement::place_whole(
+    const placement_request& request, const std::vector<candidate>& choice) const {
+    if (choice.empty()) {
+        return std::nullopt;
+    }
+    const engine_profile& profile = *choice.front().engine->profile;
+    const duration reading = read_time(profile, request.prompt_tokens);
+    const candidate* best = reading <= settings_.short_read ? best_for_short(request, choice)
+                                                            : best_for_long(request, choice);
     if (best == nullptr) {
         return std::nullopt;
     }
     placement_decision result;
     result.outcome = placement_decision::verdict::place;
     result.engine = best->engine->id;
-    result.first_event = best_first;
+    result.first_event = first_event_after(best->pass, best->pending, reading);
     result.reason = "whole";
     return result;
 }
--- a/core/placement/undisturbed_placement.hpp
+++ b/core/placement/undisturbed_placement.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <cstdint>
 #include <optional>
 
 #include "core/placement/placement_policy.hpp"
@@ -8,9 +9,10 @@
 namespace fuchsiaquay {
 
 /// Answers the pattern "long prompts among short ones": a prompt goes where its reading lengthens
-/// no pass beyond the pause that the streams there are allowed. Short prompts fill engines that
-/// already stream, so that whole engines stay free for long ones; a long prompt is split over as
-/// many engines as its target or the streams beside it need.
+/// no pass beyond the pause that the streams there are allowed. All hosts order the engines alike;
+/// short prompts share as many engines from the front of that order as their number needs, so that
+/// the engines behind stay free for long ones. A long prompt is split over as many engines as its
+/// target or the streams beside it need.
 class undisturbed_placement final : public placement_policy {
 public:
     explicit undisturbed_placement(undisturbed_settings settings = {});
@@ -27,6 +29,8 @@
         duration pending{};
         duration smallest_gap{};
         bool can_answer = false;
+        /// Position in the order that all hosts share.
+        std::uint64_t order = 0;
     };
 
     std::vector<candidate> candidates(const placement_request& request,
@@ -38,8 +42,13 @@
     placement_decision place_late(const placement_request& request,
                                   const std::vector<candidate>& choice) const;
     bool disturbs(const candidate& at, const placement_request& request, duration reading) const;
-    bool prefer(const candidate& a, const candidate& b, const placement_request& request,
-                duration reading) const;
+    std::size_t engines_for_short(const placement_request& request,
+                                  const std::vector<candidate>& choice) const;
+    bool acceptable(const candidate& at, const placement_request& request) const;
+    const candidate* best_for_short(const placement_request& request,
+                                    const std::vector<candidate>& choice) const;
+    const candidate* best_for_long(const placement_request& request,
+                                   const std::vector<candidate>& choice) const;
 
     undisturbed_settings settings_;
 };
--- a/core/placement/undisturbed_settings.hpp
+++ b/core/placement/undisturbed_settings.hpp
@@ -16,7 +16,9 @@
     /// Engines that may read parts of one prompt besides the one that answers. Source: the
     /// engines' interface.
     int max_helpers = 16;
-    /// Reading time below which a prompt counts as short and fills engines that already stream.
+    /// Part of an engine's slots that short prompts are spread to before they take another engine.
+    double slot_fill = 0.75;
+    /// Reading time below which a prompt counts as short.
     duration short_read = std::chrono::milliseconds(130);
 };
 
--- a/main/entry_node.cpp
+++ b/main/entry_node.cpp
@@ -75,7 +75,8 @@
       connector_(loop),
       relay_services_{loop,      log,     configuration_, configuration_mirror_,
                       upstreams_, board_, health_,        budget_,
-                      placement_, connector_, format_,    metrics_},
+                      placement_, connector_, format_,    metrics_,
+                      [this] { return serving_time_left(); }},
       relays_(relay_services_),
       bodies_(settings.memory_bytes / body_memory_divisor),
       callers_(services_for_callers(), settings.callers),
@@ -177,6 +178,13 @@
     loop_.every(stop_check_period, [this] { finish_when_idle(); });
 }
 
+duration entry_node::serving_time_left() const {
+    if (!stopping_) {
+        return duration::max();
+    }
+    return settings_.stop_grace - stop_margin - (loop_.now() - stop_began_);
+}
+
 void entry_node::finish_when_idle() {
     const duration since = loop_.now() - stop_began_;
     if (!stopped_ || since < settings_.directory_lifetime) {
--- a/main/entry_node.hpp
+++ b/main/entry_node.hpp
@@ -51,6 +51,7 @@
     http_endpoint::reply answer_directory(const std::string& target) const;
     http_endpoint::reply answer_metrics() const;
     caller_services services_for_callers();
+    duration serving_time_left() const;
     void finish_when_idle();
 
     entry_settings settings_;
--- a/servers/fleet/host_registry.cpp
+++ b/servers/fleet/host_registry.cpp
@@ -27,7 +27,6 @@
 /// Silence after which a host is forgotten.
 constexpr duration forget_after = std::chrono::seconds(30);
 /// Changes within this time share an announcement.
-constexpr duration dispatch_delay = std::chrono::milliseconds(2);
 constexpr duration progress_delay = std::chrono::milliseconds(40);
 
 const char* name_of(host_state state) {
@@ -147,16 +146,23 @@
 
 void host_registry::note_work(const engine_work& work) {
     changes_.push_back(work);
-    if (std::exchange(flush_planned_, true)) {
-        return;
+    if (work.phase == work_phase::reading) {
+        // Others decide by this at once; what ends or goes on can wait a little.
+        flush();
+    } else if (!std::exchange(flush_planned_, true)) {
+        timers_.after(progress_delay, [this] { flush_planned(); });
     }
-    const bool dispatched = work.phase == work_phase::reading;
-    timers_.after(dispatched ? dispatch_delay : progress_delay, [this] { flush(); });
 }
 
-void host_registry::flush() {
+void host_registry::flush_planned() {
     flush_planned_ = false;
-    announce(false, std::exchange(changes_, {}));
+    flush();
+}
+
+void host_registry::flush() {
+    if (!changes_.empty()) {
+        announce(false, std::exchange(changes_, {}));
+    }
 }
 
 void host_registry::announce(bool complete, std::vector<engine_work> works) {
--- a/servers/fleet/host_registry.hpp
+++ b/servers/fleet/host_registry.hpp
@@ -54,6 +54,7 @@
     void keep_entry();
     void read_entries();
     void note_work(const engine_work& work);
+    void flush_planned();
     void flush();
     void announce(bool complete, std::vector<engine_work> works);
     void receive(const announcement& message);
--- a/servers/relay/relay_services.hpp
+++ b/servers/relay/relay_services.hpp
@@ -2,6 +2,8 @@
 
 #include <functional>
 
+#include "core/time/clock.hpp"
+
 namespace fuchsiaquay {
 
 class configuration_feed;
@@ -32,6 +34,8 @@
     upstream_connector& connector;
     const request_format& format;
     request_metrics& metrics;
+    /// Time until this host stops serving; `duration::max()` while it is not stopping.
+    std::function<duration()> serving_time_left;
 };
 
 }  // namespace fuchsiaquay
--- a/servers/relay/request_relay.cpp
+++ b/servers/relay/request_relay.cpp
@@ -46,6 +46,10 @@
 constexpr int stall_first_estimates = 3;
 /// Longest wait for another upstream after an attempt has failed.
 constexpr duration retry_wait = std::chrono::milliseconds(1'000);
+/// Time in which most requests are served; a host that stops sooner does not begin one.
+constexpr duration usual_service_time = std::chrono::milliseconds(4'500);
+/// Time after which a caller of a stopping host comes back, to another one.
+constexpr duration elsewhere_delay = std::chrono::milliseconds(10);
 /// Time after which a caller that found no room comes back.
 constexpr duration no_room_delay = std::chrono::milliseconds(600);
 /// Urgencies of the upstreams' interface that one rank spans.
@@ -95,6 +99,10 @@
     const duration limit =
         std::min(admitted_.terms->timeout, request_.time_limit.value_or(admitted_.terms->timeout));
     deadline_ = request_.received_at + limit;
+    if (services_.serving_time_left() < std::min(limit, usual_service_time)) {
+        refuse({status_unavailable, "host_stopping", elsewhere_delay});
+        return;
+    }
     if (!request_.last_event_id.empty()) {
         events_ = event_splitter(std::strtoll(request_.last_event_id.c_str(), nullptr, 10));
     }
