One host of each data centre watches the store; the others ask it

Ruled out: pushing ages to the others: an answer read after a freeze would look current; an age counts from the question instead.

--- a/core/fleet/announcement.hpp
+++ b/core/fleet/announcement.hpp
@@ -16,6 +16,8 @@
     host_state state = host_state::unready;
     /// Grows with each announcement of one incarnation.
     std::uint64_t sequence = 0;
+    /// Store revision of the sender's configuration; 0 when it has none.
+    std::int64_t configuration_revision = 0;
     /// True: `works` is all the work of the sender; false: only what changed.
     bool complete = false;
     /// `dispatched_at` is on the clock of whoever holds the announcement.
--- a/core/fleet/host_record.cpp
+++ b/core/fleet/host_record.cpp
@@ -8,20 +8,23 @@
 
 std::string write_host_record(const host_record& record) {
     return record.host + " " + record.data_centre + " " + record.callers.text() + " " +
-           record.announcements.text();
+           record.datagrams.text() + " " + record.queries.text();
 }
 
 host_record read_host_record(const std::string& text) {
     std::istringstream stream(text);
     host_record record;
     std::string callers;
-    std::string announcements;
-    if (!(stream >> record.host >> record.data_centre >> callers >> announcements)) {
-        throw step_error("read host record", "store", "expected four words");
+    std::string datagrams;
+    std::string queries;
+    if (!(stream >> record.host >> record.data_centre >> callers >> datagrams >>
+          queries)) {
+        throw step_error("read host record", "store", "expected five words");
     }
     record.callers = parse_network_address(callers);
-    record.announcements = parse_network_address(announcements);
-    if (record.callers.empty() || record.announcements.empty()) {
+    record.datagrams = parse_network_address(datagrams);
+    record.queries = parse_network_address(queries);
+    if (record.callers.empty() || record.datagrams.empty()) {
         throw step_error("read host record", record.host, "an address is not IP:PORT");
     }
     return record;
--- a/core/fleet/host_record.hpp
+++ b/core/fleet/host_record.hpp
@@ -14,19 +14,23 @@
     std::string data_centre;
     /// Where callers connect.
     network_address callers;
-    /// Where announcements of other hosts are received.
-    network_address announcements;
+    /// Where datagrams of other hosts are received.
+    network_address datagrams;
+    /// Where other hosts ask, by HTTP, for what does not fit into a datagram.
+    network_address queries;
     /// Revision at which the process registered in the store; a later start has a larger one.
     std::uint64_t incarnation = 0;
 
     friend bool operator==(const host_record& a, const host_record& b) {
-        return std::tie(a.host, a.data_centre, a.callers, a.announcements, a.incarnation) ==
-               std::tie(b.host, b.data_centre, b.callers, b.announcements, b.incarnation);
+        return std::tie(a.host, a.data_centre, a.callers, a.datagrams, a.queries,
+                        a.incarnation) ==
+               std::tie(b.host, b.data_centre, b.callers, b.datagrams, b.queries,
+                        b.incarnation);
     }
     friend bool operator!=(const host_record& a, const host_record& b) { return !(a == b); }
 };
 
-/// One line of text: `host data_centre callers announcements`; the incarnation is not part of it.
+/// One line of text: `host data_centre callers datagrams queries`; the incarnation is not part of it.
 std::string write_host_record(const host_record& record);
 /// @throws step_error  the text is no record
 host_record read_host_record(const std::string& text);
--- /dev/null
+++ b/core/fleet/view_reply.hpp
@@ -0,0 +1,23 @@
+#pragma once
+
+#include <cstdint>
+#include <string>
+
+#include "core/fleet/catalogue_view.hpp"
+#include "core/time/clock.hpp"
+
+namespace fuchsiaquay {
+
+/// What a host knows of the store. An age is an upper bound on the time since the copy was current,
+/// at the moment of the answer.
+struct view_reply {
+    std::string sender;
+    std::uint64_t nonce = 0;
+    /// Store revision of the sender's configuration; 0 when it has none.
+    std::int64_t configuration_revision = 0;
+    duration configuration_age{};
+    duration catalogue_age{};
+    catalogue_view catalogue;
+};
+
+}  // namespace fuchsiaquay
--- /dev/null
+++ b/drivers/datagrams/datagram_codec.cpp
@@ -0,0 +1,192 @@
+#include "drivers/datagrams/datagram_codec.hpp"
+
+#include <algorithm>
+#include <vector>
+
+#include "core/error/step_error.hpp"
+#include "drivers/datagrams/datagram_generated.h"
+
+namespace fuchsiaquay {
+
+namespace {
+
+using builder_type = flatbuffers::FlatBufferBuilder;
+
+std::string text_of(const flatbuffers::String* text) {
+    return text == nullptr ? "" : text->str();
+}
+
+/// Values beyond the last one come from a newer version and count as the last.
+template <typename enumeration>
+enumeration enumeration_of(std::uint8_t value, enumeration last) {
+    return static_cast<enumeration>(std::min(value, static_cast<std::uint8_t>(last)));
+}
+
+engine_work read_work(const wire::work& item, instant now) {
+    engine_work result;
+    result.key = item.key();
+    result.engine = text_of(item.engine());
+    result.phase = enumeration_of(item.phase(), work_phase::ended);
+    result.read_tokens = item.read_tokens();
+    result.read_time = duration(item.read_us());
+    result.memory_tokens = item.memory_tokens();
+    result.target_gap = duration(item.gap_us());
+    result.dispatched_at = now - duration(item.age_us());
+    return result;
+}
+
+announcement read_announcement(const wire::announcement& root, instant now) {
+    announcement result;
+    result.sender.host = text_of(root.host());
+    result.sender.data_centre = text_of(root.data_centre());
+    result.sender.callers = parse_network_address(text_of(root.callers()));
+    result.sender.datagrams = parse_network_address(text_of(root.datagrams()));
+    result.sender.queries = parse_network_address(text_of(root.queries()));
+    result.sender.incarnation = root.incarnation();
+    if (result.sender.host.empty() || result.sender.callers.empty() ||
+        result.sender.datagrams.empty()) {
+        throw step_error("decode datagram", result.sender.host, "no host or no address");
+    }
+    result.state = enumeration_of(root.state(), host_state::leaving);
+    result.sequence = root.sequence();
+    result.configuration_revision = root.configuration_revision();
+    result.complete = root.complete();
+    if (root.works() != nullptr) {
+        for (const wire::work* item : *root.works()) {
+            result.works.push_back(read_work(*item, now));
+        }
+    }
+    return result;
+}
+
+upstream_change read_change(const wire::upstream_change& item) {
+    upstream_change result;
+    result.entry.id = text_of(item.id());
+    result.entry.service = text_of(item.service());
+    result.entry.address = parse_network_address(text_of(item.address()));
+    result.entry.data_centre = text_of(item.data_centre());
+    result.entry.slots = item.slots();
+    result.entry.state = enumeration_of(item.state(), upstream_state::draining);
+    result.removed = item.removed();
+    result.revision = item.revision();
+    return result;
+}
+
+view_reply read_reply(const wire::view_reply& root) {
+    view_reply result;
+    result.sender = text_of(root.sender());
+    result.nonce = root.nonce();
+    result.configuration_revision = root.configuration_revision();
+    result.configuration_age = duration(root.configuration_age_us());
+    result.catalogue_age = duration(root.catalogue_age_us());
+    result.catalogue.complete = root.complete();
+    result.catalogue.revision = root.catalogue_revision();
+    if (root.changes() != nullptr) {
+        for (const wire::upstream_change* item : *root.changes()) {
+            result.catalogue.changes.push_back(read_change(*item));
+        }
+    }
+    return result;
+}
+
+view_request read_request(const wire::view_request& root) {
+    view_request result;
+    result.sender = text_of(root.sender());
+    result.nonce = root.nonce();
+    result.catalogue_revision = root.catalogue_revision();
+    return result;
+}
+
+/// Writes each kind of message into a buffer.
+struct message_writer {
+    builder_type& builder;
+    instant now;
+
+    void operator()(const announcement& message) const {
+        std::vector<flatbuffers::Offset<wire::work>> works;
+        works.reserve(message.works.size());
+        for (const engine_work& item : message.works) {
+            const auto engine = builder.CreateString(item.engine);
+            works.push_back(wire::Creatework(
+                builder, item.key, engine, static_cast<std::uint8_t>(item.phase),
+                item.read_tokens, item.read_time.count(), item.memory_tokens,
+                item.target_gap.count(), (now - item.dispatched_at).count()));
+        }
+        const auto host = builder.CreateString(message.sender.host);
+        const auto data_centre = builder.CreateString(message.sender.data_centre);
+        const auto callers = builder.CreateString(message.sender.callers.text());
+        const auto datagrams = builder.CreateString(message.sender.datagrams.text());
+        const auto queries = builder.CreateString(message.sender.queries.text());
+        const auto list = builder.CreateVector(works);
+        finish(wire::message_announcement,
+               wire::Createannouncement(
+                   builder, host, data_centre, callers, datagrams, queries,
+                   message.sender.incarnation, static_cast<std::uint8_t>(message.state),
+                   message.sequence, message.configuration_revision, message.complete, list)
+                   .Union());
+    }
+
+    void operator()(const view_request& message) const {
+        const auto sender = builder.CreateString(message.sender);
+        finish(wire::message_view_request,
+               wire::Createview_request(builder, sender, message.nonce,
+                                        message.catalogue_revision)
+                   .Union());
+    }
+
+    void operator()(const view_reply& message) const {
+        std::vector<flatbuffers::Offset<wire::upstream_change>> changes;
+        for (const upstream_change& item : message.catalogue.changes) {
+            const auto id = builder.CreateString(item.entry.id);
+            const auto service = builder.CreateString(item.entry.service);
+            const auto address = builder.CreateString(item.entry.address.text());
+            const auto data_centre = builder.CreateString(item.entry.data_centre);
+            changes.push_back(wire::Createupstream_change(
+                builder, id, service, address, data_centre, item.entry.slots,
+                static_cast<std::uint8_t>(item.entry.state), item.removed, item.revision));
+        }
+        const auto sender = builder.CreateString(message.sender);
+        const auto list = builder.CreateVector(changes);
+        finish(wire::message_view_reply,
+               wire::Createview_reply(builder, sender, message.nonce,
+                                      message.configuration_revision,
+                                      message.configuration_age.count(),
+                                      message.catalogue_age.count(), message.catalogue.complete,
+                                      message.catalogue.revision, list)
+                   .Union());
+    }
+
+private:
+    void finish(wire::message kind, flatbuffers::Offset<void> body) const {
+        builder.Finish(wire::Createdatagram(builder, kind, body));
+    }
+};
+
+}  // namespace
+
+std::string encode_datagram(const peer_datagram& message, instant now) {
+    builder_type builder;
+    std::visit(message_writer{builder, now}, message);
+    return {reinterpret_cast<const char*>(builder.GetBufferPointer()), builder.GetSize()};
+}
+
+peer_datagram decode_datagram(std::string_view bytes, instant now) {
+    flatbuffers::Verifier verifier(reinterpret_cast<const std::uint8_t*>(bytes.data()),
+                                   bytes.size());
+    if (!verifier.VerifyBuffer<wire::datagram>(nullptr)) {
+        throw step_error("decode datagram", "peer", "the bytes are no datagram");
+    }
+    const auto* root = flatbuffers::GetRoot<wire::datagram>(bytes.data());
+    if (const auto* body = root->message_as_announcement()) {
+        return read_announcement(*body, now);
+    }
+    if (const auto* body = root->message_as_view_request()) {
+        return read_request(*body);
+    }
+    if (const auto* body = root->message_as_view_reply()) {
+        return read_reply(*body);
+    }
+    throw step_error("decode datagram", "peer", "unknown kind of message");
+}
+
+}  // namespace fuchsiaquay
--- /dev/null
+++ b/drivers/datagrams/datagram_codec.hpp
@@ -0,0 +1,17 @@
+#pragma once
+
+#include <string>
+#include <string_view>
+
+#include "core/fleet/peer_datagram.hpp"
+
+namespace fuchsiaquay {
+
+/// @param now  time of sending; ages of works count from it
+std::string encode_datagram(const peer_datagram& message, instant now);
+
+/// @param now  time of arrival
+/// @throws step_error  the bytes are no datagram of this program
+peer_datagram decode_datagram(std::string_view bytes, instant now);
+
+}  // namespace fuchsiaquay
--- a/drivers/announcements/udp_announcement_channel.cpp
+++ b/drivers/datagrams/udp_datagram_channel.cpp
@@ -1,4 +1,4 @@
-#include "drivers/announcements/udp_announcement_channel.hpp"
+#include "drivers/datagrams/udp_datagram_channel.hpp"
 
 #include <array>
 #include <boost/asio/ip/udp.hpp>
@@ -6,8 +6,7 @@
 #include <utility>
 
 #include "core/error/step_error.hpp"
-#include "core/fleet/announcement.hpp"
-#include "drivers/announcements/announcement_codec.hpp"
+#include "drivers/datagrams/datagram_codec.hpp"
 #include "drivers/control/control_loop.hpp"
 #include "servers/decision_log.hpp"
 
@@ -19,8 +18,6 @@
 
 namespace {
 
-/// Works in one datagram; about 100 bytes each, well below the largest datagram of 65,507 bytes.
-constexpr std::size_t max_works = 400;
 constexpr std::size_t max_datagram_bytes = 65'536;
 
 udp::endpoint to_udp(const network_address& address) {
@@ -29,7 +26,7 @@
 
 }  // namespace
 
-class udp_announcement_channel::binding : public std::enable_shared_from_this<binding> {
+class udp_datagram_channel::binding : public std::enable_shared_from_this<binding> {
 public:
     binding(control_loop& loop, decision_log& log, const network_address& address)
         : loop_(loop), log_(log), socket_(loop.context()) {
@@ -38,7 +35,7 @@
             socket_.non_blocking(true);
             socket_.bind(to_udp(address));
         } catch (const boost::system::system_error& error) {
-            throw step_error("listen for announcements", address.text(), error.what());
+            throw step_error("listen for datagrams", address.text(), error.what());
         }
     }
 
@@ -56,7 +53,7 @@
     void send(const std::vector<network_address>& to, const std::string& bytes) {
         for (const network_address& address : to) {
             error_code lost;
-            // A datagram that cannot be sent now is a lost one: complete announcements follow.
+            // A datagram that cannot be sent now is a lost one: every message is repeated.
             socket_.send_to(asio::buffer(bytes), to_udp(address), 0, lost);
         }
     }
@@ -86,12 +83,12 @@
 
     void deliver(std::string_view bytes, const udp::endpoint& sender) {
         try {
-            const announcement message = decode_announcement(bytes, loop_.now());
+            const peer_datagram message = decode_datagram(bytes, loop_.now());
             if (receive_) {
                 receive_(message);
             }
         } catch (const step_error& error) {
-            log_.write(decision_log::level::warning, "announcement_unreadable",
+            log_.write(decision_log::level::warning, "datagram_unreadable",
                        {{"peer", sender.address().to_string()}, {"reason", error.what()}});
         }
     }
@@ -100,30 +97,22 @@
     std::array<char, max_datagram_bytes> buffer_{};
 };
 
-udp_announcement_channel::udp_announcement_channel(control_loop& loop, decision_log& log,
+udp_datagram_channel::udp_datagram_channel(control_loop& loop, decision_log& log,
                                                    const network_address& address)
     : binding_(std::make_shared<binding>(loop, log, address)) {
     binding_->receive_next();
 }
 
-udp_announcement_channel::~udp_announcement_channel() {
+udp_datagram_channel::~udp_datagram_channel() {
     binding_->close();
 }
 
-void udp_announcement_channel::send(const std::vector<network_address>& to,
-                                    const announcement& message) {
-    const instant now = binding_->loop_.now();
-    if (message.works.size() <= max_works) {
-        binding_->send(to, encode_announcement(message, now));
-        return;
-    }
-    // A host rarely has this much under way; what is left out follows with its next change.
-    announcement part = message;
-    part.works.resize(max_works);
-    binding_->send(to, encode_announcement(part, now));
+void udp_datagram_channel::send(const std::vector<network_address>& to,
+                                    const peer_datagram& message) {
+    binding_->send(to, encode_datagram(message, binding_->loop_.now()));
 }
 
-void udp_announcement_channel::on_receive(handler receive) {
+void udp_datagram_channel::on_receive(handler receive) {
     binding_->receive_ = std::move(receive);
 }
 
--- a/drivers/announcements/udp_announcement_channel.hpp
+++ b/drivers/datagrams/udp_datagram_channel.hpp
@@ -3,22 +3,22 @@
 #include <memory>
 
 #include "core/fleet/network_address.hpp"
-#include "servers/fleet/announcement_channel.hpp"
+#include "servers/fleet/datagram_channel.hpp"
 
 namespace fuchsiaquay {
 
 class control_loop;
 class decision_log;
 
-/// Announcements as UDP datagrams, each of at most 400 works.
-class udp_announcement_channel final : public announcement_channel {
+/// UDP. A message that does not fit into a datagram is not sent.
+class udp_datagram_channel final : public datagram_channel {
 public:
     /// @throws step_error  the address cannot be listened at
-    udp_announcement_channel(control_loop& loop, decision_log& log,
+    udp_datagram_channel(control_loop& loop, decision_log& log,
                              const network_address& address);
-    ~udp_announcement_channel() override;
+    ~udp_datagram_channel() override;
 
-    void send(const std::vector<network_address>& to, const announcement& message) override;
+    void send(const std::vector<network_address>& to, const peer_datagram& message) override;
     void on_receive(handler receive) override;
 
 private:
--- a/main/entry_node.cpp
+++ b/main/entry_node.cpp
@@ -1,6 +1,7 @@
 #include "main/entry_node.hpp"
 
 #include <utility>
+#include <variant>
 
 #include "core/fleet/fleet_configuration.hpp"
 #include "core/health/breaker_settings.hpp"
@@ -47,7 +48,8 @@
     record.host = settings.host;
     record.data_centre = settings.data_centre;
     record.callers = settings.callers;
-    record.announcements = settings.announcements;
+    record.datagrams = settings.announcements;
+    record.queries = settings.metrics;
     return record;
 }
 
@@ -57,7 +59,6 @@
     : settings_(settings),
       loop_(loop),
       log_(log),
-      started_at_(loop.now()),
       configuration_store_(loop, settings.store, store_timeout),
       catalogue_store_(loop, settings.store, store_timeout),
       configuration_(configuration_codec_, log, configuration_key),
@@ -69,7 +70,11 @@
       board_(settings.host),
       channel_(loop, log, settings.announcements),
       hosts_(record_of(settings), configuration_store_, channel_, loop, log, board_, host_prefix,
-             [this] { return state(); }),
+             [this] { return state(); }, [this] { return configuration_.revision(); }),
+      queries_(loop),
+      views_(record_of(settings),
+             {loop, log, hosts_, channel_, queries_, configuration_store_, configuration_,
+              configuration_mirror_, upstreams_, upstream_mirror_}),
       health_(breaker_settings()),
       budget_(settings.retries),
       connector_(loop),
@@ -85,14 +90,19 @@
       directory_(loop, settings.directory,
                  [this](const std::string& target) { return answer_directory(target); }),
       metrics_endpoint_(loop, settings.metrics,
-                        [this](const std::string& /*target*/) { return answer_metrics(); }) {
+                        [this](const std::string& target) { return answer_query(target); }) {
     upstreams_.on_gone([this](const std::string& id) {
         board_.remove_upstream(id);
         health_.forget(upstream_id(id));
     });
-    configuration_mirror_.start();
-    upstream_mirror_.start();
+    configuration_.on_change([this](const fleet_configuration& /*next*/) {
+        if (views_.watching()) {
+            hosts_.announce_now();
+        }
+    });
+    channel_.on_receive([this](const peer_datagram& message) { receive(message); });
     hosts_.start();
+    views_.start();
     log_.write(decision_log::level::info, "started",
                {{"callers", settings_.callers.text()},
                 {"directory", settings_.directory.text()},
@@ -145,6 +155,24 @@
     return reply;
 }
 
+void entry_node::receive(const peer_datagram& message) {
+    if (const auto* heard = std::get_if<announcement>(&message)) {
+        hosts_.receive(*heard);
+    } else if (const auto* request = std::get_if<view_request>(&message)) {
+        views_.answer(*request);
+    } else if (const auto* reply = std::get_if<view_reply>(&message)) {
+        views_.take(*reply);
+    }
+}
+
+http_endpoint::reply entry_node::answer_query(const std::string& target) const {
+    if (target == configuration_query_path) {
+        return answer_configuration_query(
+            {configuration_.key(), configuration_.text(), configuration_.revision()});
+    }
+    return answer_metrics();
+}
+
 http_endpoint::reply entry_node::answer_metrics() const {
     const histogram_metrics::figures figures = {
         {"requests_active", static_cast<double>(relays_.active())},
@@ -152,7 +180,7 @@
         {"connections_callers", static_cast<double>(callers_.connections())},
         {"upstream_connections_opened", static_cast<double>(connector_.opened())},
         {"body_bytes", static_cast<double>(bodies_.used())},
-        {"hosts_live", static_cast<double>(hosts_.live_count())},
+        {"hosts_live", static_cast<double>(hosts_.live_peers().size() + 1)},
         {"upstreams", static_cast<double>(upstreams_.size())},
         {"configuration_version", configuration_.current()
                                       ? static_cast<double>(configuration_.current()->version())
--- a/main/entry_node.hpp
+++ b/main/entry_node.hpp
@@ -8,9 +8,10 @@
 #include "core/health/upstream_health.hpp"
 #include "core/placement/undisturbed_placement.hpp"
 #include "core/retry/fleet_retry_budget.hpp"
-#include "drivers/announcements/udp_announcement_channel.hpp"
+#include "drivers/datagrams/udp_datagram_channel.hpp"
 #include "drivers/metrics/histogram_metrics.hpp"
 #include "drivers/net/http_endpoint.hpp"
+#include "drivers/queries/http_host_queries.hpp"
 #include "drivers/traffic/beast_upstream_connector.hpp"
 #include "drivers/traffic/body_budget.hpp"
 #include "drivers/traffic/caller_server.hpp"
@@ -23,6 +24,7 @@
 #include "servers/fleet/engine_board.hpp"
 #include "servers/fleet/host_registry.hpp"
 #include "servers/fleet/upstream_registry.hpp"
+#include "servers/fleet/view_exchange.hpp"
 #include "servers/relay/relay_queue.hpp"
 #include "servers/relay/relay_services.hpp"
 #include "servers/store/prefix_mirror.hpp"
@@ -49,7 +51,9 @@
     host_state state() const;
     http_endpoint::reply answer_readiness() const;
     http_endpoint::reply answer_directory(const std::string& target) const;
+    http_endpoint::reply answer_query(const std::string& target) const;
     http_endpoint::reply answer_metrics() const;
+    void receive(const peer_datagram& message);
     caller_services services_for_callers();
     duration serving_time_left() const;
     void finish_when_idle();
@@ -57,7 +61,6 @@
     entry_settings settings_;
     control_loop& loop_;
     decision_log& log_;
-    instant started_at_;
     bool stopping_ = false;
     instant stop_began_{};
     std::function<void()> stopped_;
@@ -72,8 +75,10 @@
     upstream_registry upstreams_;
     prefix_mirror upstream_mirror_;
     engine_board board_;
-    udp_announcement_channel channel_;
+    udp_datagram_channel channel_;
     host_registry hosts_;
+    http_host_queries queries_;
+    view_exchange views_;
 
     upstream_health health_;
     fleet_retry_budget budget_;
--- a/servers/fleet/configuration_feed.cpp
+++ b/servers/fleet/configuration_feed.cpp
@@ -14,7 +14,7 @@
     : codec_(codec), log_(log), key_(std::move(key)) {}
 
 void configuration_feed::on_snapshot(const std::vector<stored_value>& values,
-                                     bool /*after_outage*/) {
+                                     std::int64_t /*revision*/, bool /*after_outage*/) {
     for (const stored_value& value : values) {
         if (value.key == key_) {
             take(value);
@@ -22,7 +22,8 @@
     }
 }
 
-void configuration_feed::on_changes(const std::vector<watch_event>& events) {
+void configuration_feed::on_changes(const std::vector<watch_event>& events,
+                                    std::int64_t /*revision*/) {
     // Each value is a whole configuration: only the newest counts.
     for (auto event = events.rbegin(); event != events.rend(); ++event) {
         if (event->value.key == key_ && !event->erased) {
@@ -33,6 +34,9 @@
 }
 
 void configuration_feed::take(const stored_value& value) {
+    if (value.revision <= revision_) {
+        return;
+    }
     std::shared_ptr<const fleet_configuration> next;
     try {
         next = codec_.decode(value.value);
@@ -41,6 +45,8 @@
                    {{"revision", std::to_string(value.revision)}, {"reason", error.what()}});
         return;
     }
+    revision_ = value.revision;
+    text_ = value.value;
     if (current_ && next->version() <= current_->version()) {
         return;
     }
--- a/servers/fleet/configuration_feed.hpp
+++ b/servers/fleet/configuration_feed.hpp
@@ -25,16 +25,25 @@
     const std::shared_ptr<const fleet_configuration>& current() const noexcept { return current_; }
     void on_change(change_handler changed) { changed_ = std::move(changed); }
 
-    void on_snapshot(const std::vector<stored_value>& values, bool after_outage) override;
-    void on_changes(const std::vector<watch_event>& events) override;
-
-private:
+    const std::string& key() const noexcept { return key_; }
+    /// Store revision of the current configuration; 0 before the first one.
+    std::int64_t revision() const noexcept { return revision_; }
+    /// The current configuration as it is stored.
+    const std::string& text() const noexcept { return text_; }
+    /// Takes a configuration, from the store or from another host, if it is newer.
     void take(const stored_value& value);
 
+    void on_snapshot(const std::vector<stored_value>& values, std::int64_t revision,
+                     bool after_outage) override;
+    void on_changes(const std::vector<watch_event>& events, std::int64_t revision) override;
+
+private:
     const configuration_codec& codec_;
     decision_log& log_;
     std::string key_;
     std::shared_ptr<const fleet_configuration> current_;
+    std::int64_t revision_ = 0;
+    std::string text_;
     change_handler changed_;
 };
 
--- a/servers/fleet/host_registry.cpp
+++ b/servers/fleet/host_registry.cpp
@@ -5,7 +5,7 @@
 
 #include "core/error/step_error.hpp"
 #include "servers/decision_log.hpp"
-#include "servers/fleet/announcement_channel.hpp"
+#include "servers/fleet/datagram_channel.hpp"
 #include "servers/fleet/engine_board.hpp"
 #include "servers/store/polled_store.hpp"
 #include "servers/timer_service.hpp"
@@ -15,17 +15,17 @@
 namespace {
 
 /// Lifetime of the entry in the store, and the period of its renewal.
-constexpr duration lease_time = std::chrono::seconds(10);
-constexpr duration renewal_period = std::chrono::seconds(3);
+constexpr duration lease_time = std::chrono::seconds(30);
+constexpr duration renewal_period = std::chrono::seconds(9);
 constexpr duration registration_retry = std::chrono::milliseconds(500);
 /// Period of reading the other hosts' entries; announcements tell the rest.
-constexpr duration directory_period = std::chrono::seconds(10);
+constexpr duration directory_period = std::chrono::seconds(60);
 /// Period of complete announcements, which make good for lost ones.
 constexpr duration announce_period = std::chrono::milliseconds(500);
 /// A host that was not heard for this long takes no callers; three announcements may be lost.
 constexpr duration silence_limit = std::chrono::milliseconds(1'800);
 /// Silence after which a host is forgotten.
-constexpr duration forget_after = std::chrono::seconds(30);
+constexpr duration forget_after = std::chrono::seconds(120);
 /// Changes within this time share an announcement.
 constexpr duration progress_delay = std::chrono::milliseconds(40);
 
@@ -44,9 +44,9 @@
 }  // namespace
 
 host_registry::host_registry(host_record self, polled_store& store,
-                             announcement_channel& channel, timer_service& timers,
+                             datagram_channel& channel, timer_service& timers,
                              decision_log& log, engine_board& board, std::string prefix,
-                             state_source state)
+                             state_source state, revision_source configuration)
     : self_(std::move(self)),
       store_(store),
       channel_(channel),
@@ -54,10 +54,10 @@
       log_(log),
       board_(board),
       prefix_(std::move(prefix)),
-      state_(std::move(state)) {}
+      state_(std::move(state)),
+      configuration_(std::move(configuration)) {}
 
 void host_registry::start() {
-    channel_.on_receive([this](const announcement& message) { receive(message); });
     board_.on_own_change([this](const engine_work& work) { note_work(work); });
     register_self();
     timers_.every(announce_period, [this] {
@@ -132,6 +132,7 @@
             }
         }
         peers_.erase(self_.host);
+        registered_ = registered_ || result.ok();
         announce(true, board_.own_works());
     });
 }
@@ -173,11 +174,12 @@
     message.sender = self_;
     message.state = left_ ? host_state::leaving : state_();
     message.sequence = ++sequence_;
+    message.configuration_revision = configuration_();
     message.complete = complete;
     message.works = std::move(works);
     std::vector<network_address> to;
     for (const auto& [host, item] : peers_) {
-        to.push_back(item.record.announcements);
+        to.push_back(item.record.datagrams);
     }
     if (!to.empty()) {
         channel_.send(to, message);
@@ -207,6 +209,9 @@
     known.sequence = message.sequence;
     known.heard_at = timers_.now();
     known.heard = true;
+    if (newer_ && message.configuration_revision > configuration_()) {
+        newer_(known.record);
+    }
     if (message.complete) {
         board_.replace_remote(host, message.works);
         return;
@@ -249,12 +254,24 @@
     return result;
 }
 
-std::size_t host_registry::live_count() const {
+std::vector<host_record> host_registry::live_peers() const {
     const instant now = timers_.now();
-    return 1 + static_cast<std::size_t>(
-                   std::count_if(peers_.begin(), peers_.end(), [this, now](const auto& item) {
-                       return alive(item.second, now);
-                   }));
+    std::vector<host_record> result;
+    for (const auto& [host, item] : peers_) {
+        if (item.state != host_state::leaving && alive(item, now)) {
+            result.push_back(item.record);
+        }
+    }
+    return result;
+}
+
+const host_record* host_registry::find(const std::string& host) const {
+    const auto found = peers_.find(host);
+    return found == peers_.end() ? nullptr : &found->second.record;
+}
+
+void host_registry::announce_now() {
+    announce(true, board_.own_works());
 }
 
 }  // namespace fuchsiaquay
--- a/servers/fleet/host_registry.hpp
+++ b/servers/fleet/host_registry.hpp
@@ -14,7 +14,7 @@
 
 namespace fuchsiaquay {
 
-class announcement_channel;
+class datagram_channel;
 class decision_log;
 class engine_board;
 class polled_store;
@@ -25,11 +25,14 @@
 class host_registry {
 public:
     using state_source = std::function<host_state()>;
+    using revision_source = std::function<std::int64_t()>;
+    /// Receives a host whose configuration has another revision than this host's.
+    using newer_handler = std::function<void(const host_record& host)>;
 
     /// @param prefix  part of the store's keys before the host's name
-    host_registry(host_record self, polled_store& store, announcement_channel& channel,
+    host_registry(host_record self, polled_store& store, datagram_channel& channel,
                   timer_service& timers, decision_log& log, engine_board& board,
-                  std::string prefix, state_source state);
+                  std::string prefix, state_source state, revision_source configuration);
 
     void start();
     /// Tells the others at once, and gives up the entry in the store.
@@ -37,8 +40,16 @@
 
     /// Hosts that callers may use now, this one included when it is ready.
     std::vector<host_record> ready_hosts() const;
-    /// Hosts heard of lately, this one included.
-    std::size_t live_count() const;
+    /// Other hosts heard of lately that are not leaving.
+    std::vector<host_record> live_peers() const;
+    /// Null when the host is not known.
+    const host_record* find(const std::string& host) const;
+    /// True once this host's entry is in the store and the others' have been read.
+    bool registered() const noexcept { return registered_; }
+    void receive(const announcement& message);
+    void on_newer_configuration(newer_handler newer) { newer_ = std::move(newer); }
+    /// Tells the others of a new configuration.
+    void announce_now();
 
 private:
     struct peer {
@@ -57,18 +68,20 @@
     void flush_planned();
     void flush();
     void announce(bool complete, std::vector<engine_work> works);
-    void receive(const announcement& message);
     void drop_silent();
     bool alive(const peer& item, instant now) const;
 
     host_record self_;
     polled_store& store_;
-    announcement_channel& channel_;
+    datagram_channel& channel_;
     timer_service& timers_;
     decision_log& log_;
     engine_board& board_;
     std::string prefix_;
     state_source state_;
+    revision_source configuration_;
+    newer_handler newer_;
+    bool registered_ = false;
     std::map<std::string, peer> peers_;
     std::int64_t lease_ = 0;
     bool left_ = false;
--- a/servers/fleet/upstream_registry.hpp
+++ b/servers/fleet/upstream_registry.hpp
@@ -1,11 +1,15 @@
 #pragma once
 
+#include <cstdint>
+#include <deque>
 #include <functional>
 #include <map>
 #include <memory>
+#include <set>
 #include <string>
 #include <vector>
 
+#include "core/fleet/catalogue_view.hpp"
 #include "core/fleet/upstream_entry.hpp"
 #include "core/time/clock.hpp"
 #include "servers/store/mirror_listener.hpp"
@@ -36,12 +40,32 @@
     /// Called for each upstream that is no longer listed.
     void on_gone(gone_handler gone) { gone_ = std::move(gone); }
 
-    void on_snapshot(const std::vector<stored_value>& values, bool after_outage) override;
-    void on_changes(const std::vector<watch_event>& events) override;
+    /// Changes that a copy at `revision` lacks.
+    catalogue_view changes_after(std::int64_t revision) const;
+    /// Takes changes that another host has seen.
+    void apply(const catalogue_view& view);
+    /// Revision of the store that the catalogue reflects; 0 before the first read.
+    std::int64_t revision() const noexcept { return revision_; }
+
+    void on_snapshot(const std::vector<stored_value>& values, std::int64_t revision,
+                     bool after_outage) override;
+    void on_changes(const std::vector<watch_event>& events, std::int64_t revision) override;
 
 private:
+    /// An entry and the revision at which its content last changed.
+    struct listed {
+        upstream_entry entry;
+        std::int64_t revision = 0;
+    };
+    struct removal {
+        std::string id;
+        std::int64_t revision = 0;
+    };
+
     void store(const stored_value& value);
-    void remove(const std::string& id, const char* reason);
+    void list(const upstream_entry& entry, std::int64_t revision);
+    void remove(const std::string& id, std::int64_t revision, const char* reason);
+    void remove_all_but(const std::set<std::string>& kept, bool after_outage);
     void remove_lapsed();
     void index();
 
@@ -50,7 +74,12 @@
     decision_log& log_;
     std::string prefix_;
     bool loaded_ = false;
-    std::map<std::string, upstream_entry> entries_;
+    std::int64_t revision_ = 0;
+    std::map<std::string, listed> entries_;
+    /// The latest removals, oldest first.
+    std::deque<removal> removals_;
+    /// Revision of the last removal that is no longer held.
+    std::int64_t removals_dropped_ = 0;
     std::map<std::string, std::vector<upstream_entry>> ready_;
     /// Entries that were missing after an outage, and since when.
     std::map<std::string, instant> missing_;
--- /dev/null
+++ b/servers/fleet/view_exchange.cpp
@@ -0,0 +1,227 @@
+#include "servers/fleet/view_exchange.hpp"
+
+#include <algorithm>
+#include <utility>
+
+#include "core/hashing/rendezvous.hpp"
+#include "core/identity/names.hpp"
+#include "servers/decision_log.hpp"
+#include "servers/fleet/configuration_feed.hpp"
+#include "servers/fleet/datagram_channel.hpp"
+#include "servers/fleet/host_queries.hpp"
+#include "servers/fleet/host_registry.hpp"
+#include "servers/fleet/upstream_registry.hpp"
+#include "servers/store/polled_store.hpp"
+#include "servers/store/prefix_mirror.hpp"
+#include "servers/timer_service.hpp"
+
+namespace fuchsiaquay {
+
+namespace {
+
+/// Period of questions to the watching host.
+constexpr duration pull_period = std::chrono::milliseconds(250);
+/// A source that does not answer within this time is not asked again at once.
+constexpr duration answer_limit = std::chrono::milliseconds(450);
+/// Several hosts may tell of the same new configuration within this time.
+constexpr duration repeat_limit = std::chrono::milliseconds(60);
+/// Age of a copy from which a host looks for a better source, and watches the store itself. A
+/// source's age is at most that of its own watch: one poll and the lag of the store's watches.
+constexpr duration old_copy = std::chrono::milliseconds(2'600);
+/// Time after the start for the hosts to hear of each other before they choose who watches.
+constexpr duration settle_time = std::chrono::milliseconds(150);
+constexpr duration settle_limit = std::chrono::milliseconds(1'200);
+/// Time after that for the first answers of the watching hosts.
+constexpr duration first_answers = std::chrono::milliseconds(700);
+/// Pauses after a failed call to the store: of a watching host, and of one that stands in.
+constexpr duration watcher_retry = std::chrono::milliseconds(200);
+constexpr duration stand_in_retry = std::chrono::milliseconds(1'000);
+/// Each so many questions ask for the whole catalogue, which heals what several sources told
+/// differently.
+constexpr std::uint64_t whole_catalogue_period = 8;
+/// Hosts of the same data centre that are asked.
+constexpr std::size_t near_sources = 2;
+constexpr const char* watch_key = "watch";
+
+std::vector<host_id> ids_of(const std::vector<host_record>& hosts,
+                            const std::string& data_centre) {
+    std::vector<host_id> ids;
+    for (const host_record& host : hosts) {
+        if (host.data_centre == data_centre) {
+            ids.emplace_back(host.host);
+        }
+    }
+    return ids;
+}
+
+}  // namespace
+
+view_exchange::view_exchange(host_record self, const view_exchange_services& services)
+    : self_(std::move(self)), services_(services), started_at_(services.timers.now()) {}
+
+void view_exchange::start() {
+    services_.timers.every(pull_period, [this] { tick(); });
+    services_.hosts.on_newer_configuration([this](const host_record& host) {
+        ask_for_newer(host);
+    });
+}
+
+void view_exchange::tick() {
+    const instant now = services_.timers.now();
+    if (!settled_at_) {
+        const bool known = services_.hosts.registered() && now - started_at_ >= settle_time;
+        if (!known && now - started_at_ < settle_limit) {
+            return;
+        }
+        settled_at_ = now;
+    }
+    decide_duty(now);
+    const bool old = services_.configuration_mirror.age() > old_copy ||
+                     services_.upstream_mirror.age() > old_copy;
+    if (!watcher_ || old) {
+        pull(now);
+    }
+}
+
+void view_exchange::decide_duty(instant now) {
+    const bool watches = is_watcher();
+    if (watches != watcher_) {
+        services_.log.write(decision_log::level::info, "store_watch",
+                            {{"watching", watches ? "yes" : "no"},
+                             {"hosts", std::to_string(services_.hosts.live_peers().size() + 1)}});
+    }
+    watcher_ = watches;
+    const bool patient = now - *settled_at_ < first_answers;
+    const duration retry = watcher_ ? watcher_retry : stand_in_retry;
+    for (prefix_mirror* mirror : {&services_.configuration_mirror, &services_.upstream_mirror}) {
+        const bool stands_in = !patient && mirror->age() > old_copy;
+        mirror->follow(watcher_ || stands_in, retry);
+    }
+}
+
+bool view_exchange::is_watcher() const {
+    std::vector<host_id> near = ids_of(services_.hosts.live_peers(), self_.data_centre);
+    near.emplace_back(self_.host);
+    return rendezvous_owner(watch_key, near) == host_id(self_.host);
+}
+
+std::vector<host_record> view_exchange::sources() const {
+    const std::vector<host_record> live = services_.hosts.live_peers();
+    std::vector<host_id> chosen =
+        rendezvous_order(watch_key, ids_of(live, self_.data_centre), near_sources);
+    for (const host_record& host : live) {
+        if (host.data_centre == self_.data_centre) {
+            continue;
+        }
+        const host_id owner = rendezvous_owner(watch_key, ids_of(live, host.data_centre));
+        if (std::find(chosen.begin(), chosen.end(), owner) == chosen.end()) {
+            chosen.push_back(owner);
+        }
+    }
+    std::vector<host_record> result;
+    for (const host_id& id : chosen) {
+        if (const host_record* host = services_.hosts.find(id.value())) {
+            result.push_back(*host);
+        }
+    }
+    return result;
+}
+
+void view_exchange::pull(instant now) {
+    if (open_ && now - open_->sent_at < answer_limit) {
+        return;
+    }
+    if (open_) {
+        ++source_;
+    }
+    const std::vector<host_record> candidates = sources();
+    if (!candidates.empty()) {
+        ask(candidates[source_ % candidates.size()]);
+    }
+}
+
+void view_exchange::ask_for_newer(const host_record& host) {
+    const bool asked = open_ && services_.timers.now() - open_->sent_at < repeat_limit;
+    if (!asked && !fetching_ && !watcher_ && settled_at_) {
+        ask(host);
+    }
+}
+
+void view_exchange::ask(const host_record& host) {
+    view_request request;
+    request.sender = self_.host;
+    request.nonce = ++nonce_;
+    const bool whole = ++pulls_ % whole_catalogue_period == 0;
+    request.catalogue_revision = whole ? 0 : services_.upstreams.revision();
+    open_ = question{host.host, services_.timers.now()};
+    services_.channel.send({host.datagrams}, request);
+}
+
+void view_exchange::answer(const view_request& request) {
+    const host_record* sender = services_.hosts.find(request.sender);
+    if (sender == nullptr) {
+        return;
+    }
+    view_reply reply;
+    reply.sender = self_.host;
+    reply.nonce = request.nonce;
+    reply.configuration_revision = services_.configuration.revision();
+    reply.configuration_age = services_.configuration_mirror.age();
+    reply.catalogue_age = services_.upstream_mirror.age();
+    reply.catalogue = services_.upstreams.changes_after(request.catalogue_revision);
+    services_.channel.send({sender->datagrams}, reply);
+}
+
+void view_exchange::take(const view_reply& reply) {
+    if (!open_ || reply.nonce != nonce_ || reply.sender != open_->host) {
+        return;
+    }
+    const instant asked_at = open_->sent_at;
+    open_.reset();
+    services_.upstreams.apply(reply.catalogue);
+    if (services_.upstreams.loaded() &&
+        services_.upstreams.revision() >= reply.catalogue.revision) {
+        services_.upstream_mirror.advance(services_.upstreams.revision());
+        services_.upstream_mirror.confirm(asked_at - reply.catalogue_age);
+    }
+    const std::int64_t known = services_.configuration.revision();
+    if (reply.configuration_revision > known) {
+        if (const host_record* host = services_.hosts.find(reply.sender)) {
+            fetch_configuration(*host, reply.configuration_revision);
+        }
+    } else if (known > 0) {
+        services_.configuration_mirror.confirm(asked_at - reply.configuration_age);
+    }
+    if (std::max(reply.configuration_age, reply.catalogue_age) > old_copy) {
+        ++source_;
+    }
+}
+
+void view_exchange::fetch_configuration(const host_record& host, std::int64_t revision) {
+    if (std::exchange(fetching_, true)) {
+        return;
+    }
+    services_.queries.fetch_configuration(
+        host.queries, [this, revision](const stored_value& configuration) {
+            fetching_ = false;
+            if (configuration.revision >= revision) {
+                services_.configuration.take(configuration);
+                services_.configuration_mirror.advance(configuration.revision);
+            } else {
+                read_configuration();
+            }
+        });
+}
+
+void view_exchange::read_configuration() {
+    fetching_ = true;
+    services_.store.read(services_.configuration.key(), [this](const read_result& result) {
+        fetching_ = false;
+        for (const stored_value& value : result.values) {
+            services_.configuration.take(value);
+            services_.configuration_mirror.advance(value.revision);
+        }
+    });
+}
+
+}  // namespace fuchsiaquay
--- /dev/null
+++ b/servers/fleet/view_exchange.hpp
@@ -0,0 +1,61 @@
+#pragma once
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "core/fleet/host_record.hpp"
+#include "core/fleet/view_reply.hpp"
+#include "core/fleet/view_request.hpp"
+#include "core/time/clock.hpp"
+#include "servers/fleet/view_exchange_services.hpp"
+
+namespace fuchsiaquay {
+
+/// Keeps configuration and catalogue current with few calls to the store. One host of each data
+/// centre watches the store; the others ask it every moment how current its copies are and what has
+/// changed. A host that nobody can tell enough watches the store itself.
+///
+/// An age counts from the question, not from the answer, so that an answer that was delayed, or lay
+/// unread while this host was suspended, never makes a copy look newer than it is.
+class view_exchange {
+public:
+    view_exchange(host_record self, const view_exchange_services& services);
+
+    void start();
+    void answer(const view_request& request);
+    void take(const view_reply& reply);
+    /// Whether this host watches the store for its data centre.
+    bool watching() const noexcept { return watcher_; }
+
+private:
+    struct question {
+        std::string host;
+        instant sent_at{};
+    };
+
+    void tick();
+    void decide_duty(instant now);
+    bool is_watcher() const;
+    void pull(instant now);
+    void ask(const host_record& host);
+    void ask_for_newer(const host_record& host);
+    std::vector<host_record> sources() const;
+    void fetch_configuration(const host_record& host, std::int64_t revision);
+    void read_configuration();
+
+    host_record self_;
+    view_exchange_services services_;
+    instant started_at_{};
+    std::optional<instant> settled_at_;
+    bool watcher_ = false;
+    std::uint64_t nonce_ = 0;
+    std::optional<question> open_;
+    /// Grows with each source that could not help.
+    std::size_t source_ = 0;
+    std::uint64_t pulls_ = 0;
+    bool fetching_ = false;
+};
+
+}  // namespace fuchsiaquay
--- /dev/null
+++ b/servers/fleet/view_exchange_services.hpp
@@ -0,0 +1,29 @@
+#pragma once
+
+namespace fuchsiaquay {
+
+class configuration_feed;
+class datagram_channel;
+class decision_log;
+class host_queries;
+class host_registry;
+class polled_store;
+class prefix_mirror;
+class timer_service;
+class upstream_registry;
+
+/// What the exchange of views needs. All references outlive it.
+struct view_exchange_services {
+    timer_service& timers;
+    decision_log& log;
+    host_registry& hosts;
+    datagram_channel& channel;
+    host_queries& queries;
+    polled_store& store;
+    configuration_feed& configuration;
+    prefix_mirror& configuration_mirror;
+    upstream_registry& upstreams;
+    prefix_mirror& upstream_mirror;
+};
+
+}  // namespace fuchsiaquay
--- a/servers/store/mirror_listener.hpp
+++ b/servers/store/mirror_listener.hpp
@@ -1,6 +1,6 @@
 #pragma once
 
-#include <string>
+#include <cstdint>
 #include <vector>
 
 #include "servers/store/stored_value.hpp"
@@ -17,10 +17,13 @@
     virtual ~mirror_listener() = default;
 
     /// The whole content; keys that are missing do not exist.
+    /// @param revision  revision of the store at which the content was read
     /// @param after_outage  true when calls had failed, or history was lost, before this read
-    virtual void on_snapshot(const std::vector<stored_value>& values, bool after_outage) = 0;
+    virtual void on_snapshot(const std::vector<stored_value>& values, std::int64_t revision,
+                             bool after_outage) = 0;
     /// Changes in revision order.
-    virtual void on_changes(const std::vector<watch_event>& events) = 0;
+    /// @param revision  revision of the store up to which all changes are known
+    virtual void on_changes(const std::vector<watch_event>& events, std::int64_t revision) = 0;
 };
 
 }  // namespace fuchsiaquay
--- a/servers/store/prefix_mirror.cpp
+++ b/servers/store/prefix_mirror.cpp
@@ -21,8 +21,27 @@
       settings_(settings),
       freshness_(settings.trust_for) {}
 
-void prefix_mirror::start() {
-    read_all();
+void prefix_mirror::follow(bool active, duration retry_delay) {
+    active_ = active;
+    retry_delay_ = retry_delay;
+    next();
+}
+
+void prefix_mirror::advance(std::int64_t revision) {
+    revision_ = std::max(revision_, revision);
+    read_needed_ = false;
+}
+
+void prefix_mirror::next() {
+    if (!active_ || calling_) {
+        return;
+    }
+    calling_ = true;
+    if (read_needed_) {
+        read_all();
+    } else {
+        poll();
+    }
 }
 
 bool prefix_mirror::fresh() const {
@@ -33,10 +52,11 @@
     return freshness_.age(timers_.now());
 }
 
-void prefix_mirror::later(duration delay, void (prefix_mirror::*step)()) {
-    timers_.after(delay, [this, step, alive = std::weak_ptr<int>(alive_)] {
+void prefix_mirror::later(duration delay) {
+    timers_.after(delay, [this, alive = std::weak_ptr<int>(alive_)] {
         if (!alive.expired()) {
-            (this->*step)();
+            calling_ = false;
+            next();
         }
     });
 }
@@ -54,7 +74,7 @@
 void prefix_mirror::take_snapshot(const read_result& result, instant sent_at) {
     if (!result.ok()) {
         failed(result.failure);
-        later(settings_.retry_delay, &prefix_mirror::read_all);
+        later(retry_delay_);
         return;
     }
     if (std::exchange(outage_, false)) {
@@ -63,8 +83,10 @@
     }
     revision_ = result.store_revision;
     freshness_.confirm(sent_at);
-    listener_.on_snapshot(result.values, std::exchange(interrupted_, false));
-    poll();
+    read_needed_ = false;
+    listener_.on_snapshot(result.values, revision_, std::exchange(interrupted_, false));
+    calling_ = false;
+    next();
 }
 
 void prefix_mirror::poll() {
@@ -82,13 +104,16 @@
         log_.write(decision_log::level::info, "store_history_lost",
                    {{"prefix", prefix_}, {"revision", std::to_string(revision_)}});
         interrupted_ = true;
-        read_all();
+        read_needed_ = true;
+        calling_ = false;
+        next();
         return;
     }
     if (!batch.ok()) {
         failed(batch.failure);
         // Entries may lapse while the store is away: only a full read tells which are left.
-        later(settings_.retry_delay, &prefix_mirror::read_all);
+        read_needed_ = true;
+        later(retry_delay_);
         return;
     }
     revision_ = std::max(revision_, batch.store_revision);
@@ -96,16 +121,15 @@
     const bool waited_in_vain = batch.events.empty() && waited >= settings_.poll_wait;
     const instant seen = waited_in_vain ? sent_at + settings_.poll_wait : sent_at;
     freshness_.confirm(seen - settings_.watch_lag);
-    if (batch.events.empty()) {
-        poll();
-        return;
+    if (!batch.events.empty()) {
+        listener_.on_changes(batch.events, revision_);
     }
-    listener_.on_changes(batch.events);
-    if (settings_.pause_after_changes > duration::zero()) {
-        later(settings_.pause_after_changes, &prefix_mirror::poll);
-    } else {
-        poll();
+    if (!batch.events.empty() && settings_.pause_after_changes > duration::zero()) {
+        later(settings_.pause_after_changes);
+        return;
     }
+    calling_ = false;
+    next();
 }
 
 void prefix_mirror::failed(const std::string& reason) {
--- a/servers/store/prefix_mirror_settings.hpp
+++ b/servers/store/prefix_mirror_settings.hpp
@@ -7,11 +7,9 @@
 /// How a copy of the keys under a prefix is kept current.
 struct prefix_mirror_settings {
     /// Longest wait of one poll. Each finished poll confirms the copy.
-    duration poll_wait = std::chrono::milliseconds(1000);
+    duration poll_wait = std::chrono::milliseconds(500);
     /// Pause after a poll that brought changes, so that frequent changes share calls.
     duration pause_after_changes{};
-    /// Pause after a failed call.
-    duration retry_delay = std::chrono::milliseconds(150);
     /// The store may leave its watchers without changes for this long before it says so. Source:
     /// the platform's note on dropped history (one second), and one late answer.
     duration watch_lag = std::chrono::milliseconds(1200);
