--- a/core/placement/engine_load.cpp
+++ b/core/placement/engine_load.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <limits>
+#include <tuple>
 #include <vector>
 
 namespace fuchsiaquay {
@@ -89,4 +90,14 @@
         }));
 }
 
+int engine_load::waiting_before(instant target, std::uint64_t key, instant now) const {
+    const auto place = std::make_tuple(target < now, target, key);
+    return static_cast<int>(
+        std::count_if(works_.begin(), works_.end(), [&place, now](const auto& item) {
+            const engine_work& work = item.second;
+            return work.phase == work_phase::waiting &&
+                   std::make_tuple(work.dispatched_at < now, work.dispatched_at, work.key) < place;
+        }));
+}
+
 }  // namespace fuchsiaquay
--- a/core/placement/engine_work.hpp
+++ b/core/placement/engine_work.hpp
@@ -12,7 +12,7 @@
 struct engine_work {
     /// Identifies the request among those of its host.
     std::uint64_t key = 0;
-    /// Upstream id of the engine.
+    /// Upstream id of the engine; empty while the request waits for one.
     std::string engine;
     work_phase phase = work_phase::reading;
     /// Prompt tokens that this engine reads.
@@ -23,6 +23,7 @@
     std::int64_t memory_tokens = 0;
     /// Longest pause between events that is on time; zero for a part that writes nothing.
     duration target_gap{};
+    /// When it was sent; while it waits, when its first event becomes late.
     instant dispatched_at{};
 
     /// False for a part that an engine reads for a request that is answered by another one.
--- a/core/placement/placement_decision.hpp
+++ b/core/placement/placement_decision.hpp
@@ -1,8 +1,10 @@
 #pragma once
 
+#include <cstdint>
 #include <string>
 #include <vector>
 
+#include "core/placement/placement_part.hpp"
 #include "core/time/clock.hpp"
 
 namespace fuchsiaquay {
@@ -21,8 +23,10 @@
     verdict outcome = verdict::wait;
     /// Upstream id of the engine that answers.
     std::string engine;
-    /// Upstream ids of the engines that read parts of the prompt.
-    std::vector<std::string> helpers;
+    /// Tokens of the prompt that are reserved at `engine`; 0 when it admits the prompt as usual.
+    std::int64_t reserved_tokens = 0;
+    /// Further engines that read parts of the prompt.
+    std::vector<placement_part> helpers;
     /// Estimated time until the first event.
     duration first_event{};
     /// What decided it, for the log.
--- a/core/placement/undisturbed_placement.cpp
+++ b/core/placement/undisturbed_placement.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cstdint>
+#include <tuple>
 
 #include "core/fleet/engine_profile.hpp"
 #include "core/hashing/hash.hpp"
@@ -49,9 +50,10 @@
         item.smallest_gap = load.smallest_gap();
         const auto room = static_cast<std::int64_t>(
             settings_.memory_fill * static_cast<double>(engine.profile->memory_tokens));
-        item.can_answer =
-            item.requests < engine.profile->slots &&
-            load.memory_tokens() + request.prompt_tokens + request.answer_tokens <= room;
+        item.free_tokens = room - load.memory_tokens();
+        item.has_slot = item.requests < engine.profile->slots;
+        item.can_answer = item.has_slot && request.prompt_tokens + request.answer_tokens <=
+                                               item.free_tokens;
         item.order = stable_hash(engine.id);
         result.push_back(item);
     }
@@ -111,17 +113,21 @@
 
 const undisturbed_placement::candidate* undisturbed_placement::best_for_long(
     const placement_request& request, const std::vector<candidate>& choice) const {
-    const candidate* best = nullptr;
-    for (auto item = choice.rbegin(); item != choice.rend(); ++item) {
-        if (!acceptable(*item, request)) {
-            continue;
+    std::vector<const candidate*> fitting;
+    for (const candidate& item : choice) {
+        if (acceptable(item, request)) {
+            fitting.push_back(&item);
         }
-        const bool better =
-            best == nullptr || item->pending < best->pending ||
-            (item->pending == best->pending && item->requests < best->requests);
-        best = better ? &*item : best;
     }
-    return best;
+    if (fitting.size() <= static_cast<std::size_t>(request.ahead)) {
+        return nullptr;
+    }
+    std::sort(fitting.begin(), fitting.end(),
+              [&request](const candidate* a, const candidate* b) {
+                  return std::make_tuple(a->pending, a->requests, order_of(request, a->engine->id)) <
+                         std::make_tuple(b->pending, b->requests, order_of(request, b->engine->id));
+              });
+    return fitting[static_cast<std::size_t>(request.ahead)];
 }
 
 std::optional<placement_decision> undisturbed_placement::place_whole(
@@ -188,7 +194,7 @@
         result.outcome = placement_decision::verdict::place;
         result.engine = first->engine->id;
         for (const candidate* helper : chosen) {
-            result.helpers.push_back(helper->engine->id);
+            result.helpers.push_back({helper->engine->id, 0});
         }
         result.first_event = slowest;
         result.reason = "split";
@@ -197,13 +203,134 @@
     return std::nullopt;
 }
 
+bool undisturbed_placement::exceeds_one_engine(const placement_request& request,
+                                               const std::vector<candidate>& choice) const {
+    return !choice.empty() &&
+           static_cast<double>(request.prompt_tokens + request.answer_tokens) >
+               settings_.memory_fill *
+                   static_cast<double>(choice.front().engine->profile->memory_tokens);
+}
+
+placement_decision undisturbed_placement::place_group(const placement_request& request,
+                                                      std::vector<candidate> choice) const {
+    placement_decision result;
+    result.reason = "no memory for a group";
+    const auto needed = request.prompt_tokens + request.answer_tokens;
+    std::int64_t all_memory = 0;
+    for (const candidate& item : choice) {
+        all_memory += item.engine->profile->memory_tokens;
+    }
+    if (needed > all_memory) {
+        result.outcome = placement_decision::verdict::refuse;
+        result.reason = "larger than the memory of all engines";
+        return result;
+    }
+    choice.erase(std::remove_if(choice.begin(), choice.end(),
+                                [&](const candidate& item) {
+                                    return item.free_tokens < settings_.min_group_share ||
+                                           item.smallest_gap < request.target_gap;
+                                }),
+                 choice.end());
+    std::sort(choice.begin(), choice.end(), [](const candidate& a, const candidate& b) {
+        return a.pending != b.pending ? a.pending < b.pending : a.free_tokens > b.free_tokens;
+    });
+    const auto first =
+        std::find_if(choice.begin(), choice.end(), [&](const candidate& item) {
+            return item.has_slot && item.free_tokens > request.answer_tokens;
+        });
+    if (first == choice.end()) {
+        return result;
+    }
+    std::rotate(choice.begin(), first, first + 1);
+    return smallest_group(request, choice);
+}
+
+placement_decision undisturbed_placement::smallest_group(
+    const placement_request& request, const std::vector<candidate>& choice) const {
+    placement_decision result;
+    result.reason = "no memory for a group";
+    const duration whole = read_time(*choice.front().engine->profile, request.prompt_tokens);
+    const duration target = scaled(request.target_left, settings_.target_fill);
+    const auto most = std::min(choice.size(), static_cast<std::size_t>(settings_.max_helpers) + 1);
+    std::size_t best = 0;
+    duration best_first = request.time_left;
+    std::int64_t memory = 0;
+    duration pending{};
+    for (std::size_t parts = 1; parts <= most; ++parts) {
+        const candidate& added = choice[parts - 1];
+        memory += added.free_tokens;
+        pending = std::max(pending, added.pending);
+        const duration first = first_event_after(
+            added.pass, pending, whole / static_cast<std::int64_t>(parts));
+        if (memory < request.prompt_tokens + request.answer_tokens || first >= best_first) {
+            continue;
+        }
+        best = parts;
+        best_first = first;
+        if (first <= target) {
+            break;
+        }
+    }
+    if (best == 0) {
+        return result;
+    }
+    return make_group(request, {choice.begin(), choice.begin() + static_cast<long>(best)},
+                      best_first);
+}
+
+placement_decision undisturbed_placement::make_group(const placement_request& request,
+                                                     const std::vector<candidate>& members,
+                                                     duration first_event) const {
+    std::int64_t memory = 0;
+    for (const candidate& item : members) {
+        memory += item.free_tokens;
+    }
+    placement_decision result;
+    result.outcome = placement_decision::verdict::place;
+    result.reason = "group";
+    result.engine = members.front().engine->id;
+    result.first_event = first_event;
+    std::int64_t left = request.prompt_tokens;
+    for (const candidate& item : members) {
+        // Each member holds its share by what it has free, the last one what is left over.
+        const double share =
+            static_cast<double>(item.free_tokens) / static_cast<double>(memory);
+        const auto wanted =
+            static_cast<std::int64_t>(share * static_cast<double>(request.prompt_tokens)) + 1;
+        const std::int64_t tokens =
+            &item == &members.back() ? left : std::min(wanted, left);
+        left -= tokens;
+        if (&item == &members.front()) {
+            result.reserved_tokens = tokens;
+        } else {
+            result.helpers.push_back({item.engine->id, tokens});
+        }
+    }
+    return result;
+}
+
+bool undisturbed_placement::may_be_on_time(const placement_request& request,
+                                           duration reading) const {
+    return reading / (settings_.max_helpers + 1) <
+           scaled(request.target_left, settings_.target_fill);
+}
+
 placement_decision undisturbed_placement::place_late(const placement_request& request,
                                                      const std::vector<candidate>& choice) const {
     placement_decision result;
+    result.reason = "no engine without harm";
+    if (request.ahead > 0) {
+        result.reason = "others wait longer";
+        return result;
+    }
     const candidate* best = nullptr;
     duration best_first = duration::max();
     for (const candidate& item : choice) {
         const duration reading = read_time(*item.engine->profile, request.prompt_tokens);
+        const bool is_long = reading > settings_.short_read;
+        if (is_long && (item.pending > settings_.idle_pending || may_be_on_time(request, reading))) {
+            continue;
+        }
         const duration first = first_event_after(item.pass, item.pending, reading);
         if (!item.can_answer || first >= best_first || disturbs(item, request, reading)) {
             continue;
@@ -212,7 +339,7 @@
         best_first = first;
     }
     if (best == nullptr || best_first > request.time_left) {
-        result.reason = best == nullptr ? "no engine without harm" : "time too short";
+        result.reason = best == nullptr ? result.reason : "time too short";
         return result;
     }
     result.outcome = placement_decision::verdict::place;
@@ -226,11 +353,16 @@
                                                  const std::vector<engine_view>& engines,
                                                  instant now) const {
     const std::vector<candidate> choice = candidates(request, engines, now);
+    if (exceeds_one_engine(request, choice)) {
+        return place_group(request, choice);
+    }
     if (const auto whole = place_whole(request, choice)) {
         return *whole;
     }
-    if (const auto split = place_split(request, choice)) {
-        return *split;
+    if (request.ahead == 0) {
+        if (const auto split = place_split(request, choice)) {
+            return *split;
+        }
     }
     return place_late(request, choice);
 }
--- a/core/placement/undisturbed_placement.hpp
+++ b/core/placement/undisturbed_placement.hpp
@@ -12,7 +12,8 @@
 /// no pass beyond the pause that the streams there are allowed. All hosts order the engines alike;
 /// short prompts share as many engines from the front of that order as their number needs, so that
 /// the engines behind stay free for long ones. A long prompt is split over as many engines as its
-/// target or the streams beside it need.
+/// target or the streams beside it need, and one that no engine can hold is kept in the reserved
+/// memory of several.
 class undisturbed_placement final : public placement_policy {
 public:
     explicit undisturbed_placement(undisturbed_settings settings = {});
@@ -28,6 +29,8 @@
         duration pass{};
         duration pending{};
         duration smallest_gap{};
+        std::int64_t free_tokens = 0;
+        bool has_slot = false;
         bool can_answer = false;
         /// Position in the order that all hosts share.
         std::uint64_t order = 0;
@@ -39,6 +42,16 @@
                                                   const std::vector<candidate>& choice) const;
     std::optional<placement_decision> place_split(const placement_request& request,
                                                   std::vector<candidate> choice) const;
+    bool may_be_on_time(const placement_request& request, duration reading) const;
+    bool exceeds_one_engine(const placement_request& request,
+                            const std::vector<candidate>& choice) const;
+    placement_decision place_group(const placement_request& request,
+                                   std::vector<candidate> choice) const;
+    placement_decision smallest_group(const placement_request& request,
+                                      const std::vector<candidate>& choice) const;
+    placement_decision make_group(const placement_request& request,
+                                  const std::vector<candidate>& members,
+                                  duration first_event) const;
     placement_decision place_late(const placement_request& request,
                                   const std::vector<candidate>& choice) const;
     bool disturbs(const candidate& at, const placement_request& request, duration reading) const;
--- a/core/placement/undisturbed_settings.hpp
+++ b/core/placement/undisturbed_settings.hpp
@@ -1,5 +1,7 @@
 #pragma once
 
+#include <cstdint>
+
 #include "core/time/clock.hpp"
 
 namespace fuchsiaquay {
@@ -13,6 +15,10 @@
     double target_fill = 0.85;
     /// Part of an engine's memory that is given out; answers may grow beyond their estimate.
     double memory_fill = 0.97;
+    /// Reading that may wait at an engine that takes a prompt which is late already.
+    duration idle_pending = std::chrono::milliseconds(150);
+    /// Free tokens from which an engine joins in holding a prompt.
+    std::int64_t min_group_share = 20'000;
     /// Engines that may read parts of one prompt besides the one that answers. Source: the
     /// engines' interface.
     int max_helpers = 16;
--- a/core/placement/work_phase.hpp
+++ b/core/placement/work_phase.hpp
@@ -4,6 +4,8 @@
 
 /// How far an engine is with a request.
 enum class work_phase {
+    /// Waits at its host for an engine.
+    waiting,
     /// Its prompt is read or waits to be read.
     reading,
     /// Events have come.
--- a/main/entry_node.cpp
+++ b/main/entry_node.cpp
@@ -19,6 +19,8 @@
 constexpr int status_unavailable = 503;
 /// Longest wait for an answer of the store, which usually takes milliseconds.
 constexpr duration store_timeout = std::chrono::milliseconds(1'000);
+/// Longest wait for an engine to answer an order.
+constexpr duration order_timeout = std::chrono::milliseconds(400);
 /// Part of the revocation bound that is kept for requests on their way and for clocks.
 constexpr duration revocation_margin = std::chrono::milliseconds(300);
 /// Status reports of upstreams arrive all the time: polls wait this long to share calls.
@@ -78,9 +80,10 @@
       health_(breaker_settings()),
       budget_(settings.retries),
       connector_(loop),
-      relay_services_{loop,      log,     configuration_, configuration_mirror_,
-                      upstreams_, board_, health_,        budget_,
-                      placement_, connector_, format_,    metrics_,
+      orders_(loop, order_timeout),
+      relay_services_{settings.host, loop,    log,     configuration_, configuration_mirror_,
+                      upstreams_,    board_,  health_, budget_,        placement_,
+                      connector_,    format_, metrics_, orders_,
                       [this] { return serving_time_left(); }},
       relays_(relay_services_),
       bodies_(settings.memory_bytes / body_memory_divisor),
--- a/main/entry_node.hpp
+++ b/main/entry_node.hpp
@@ -18,6 +18,7 @@
 #include "main/entry_settings.hpp"
 #include "platform/kv_store.hpp"
 #include "platform/platform_configuration_codec.hpp"
+#include "platform/platform_engine_orders.hpp"
 #include "platform/platform_request_format.hpp"
 #include "platform/platform_upstream_codec.hpp"
 #include "servers/fleet/configuration_feed.hpp"
@@ -84,6 +85,7 @@
     fleet_retry_budget budget_;
     undisturbed_placement placement_;
     beast_upstream_connector connector_;
+    platform_engine_orders orders_;
     histogram_metrics metrics_;
     relay_services relay_services_;
     relay_queue relays_;
--- /dev/null
+++ b/servers/relay/memory_claim.hpp
@@ -0,0 +1,18 @@
+#pragma once
+
+#include <cstdint>
+#include <string>
+
+#include "core/fleet/network_address.hpp"
+
+namespace fuchsiaquay {
+
+/// Memory of one engine that a request needs.
+struct memory_claim {
+    network_address engine;
+    std::int64_t tokens = 0;
+    /// Name of the reservation, unique in the fleet.
+    std::string id;
+};
+
+}  // namespace fuchsiaquay
--- /dev/null
+++ b/servers/relay/memory_reservation.cpp
@@ -0,0 +1,92 @@
+#include "servers/relay/memory_reservation.hpp"
+
+#include <algorithm>
+#include <utility>
+
+#include "servers/relay/engine_orders.hpp"
+
+namespace fuchsiaquay {
+
+namespace {
+
+/// Lifetime of a reservation that is not renewed. Source: memory of a host that ended has to be
+/// free again within four seconds.
+constexpr duration hold_time = std::chrono::milliseconds(3'500);
+/// Age from which a reservation is renewed, and the period of looking for such.
+constexpr duration renewal_age = std::chrono::milliseconds(1'200);
+constexpr duration renewal_period = std::chrono::milliseconds(300);
+/// Longest wait for all engines to agree.
+constexpr duration agreement_limit = std::chrono::milliseconds(500);
+
+}  // namespace
+
+memory_reservation::memory_reservation(engine_orders& orders, timer_service& timers,
+                                       std::vector<memory_claim> claims, ready_handler ready)
+    : orders_(orders),
+      timers_(timers),
+      claims_(std::move(claims)),
+      held_at_(claims_.size(), instant{}),
+      ready_(std::move(ready)),
+      started_at_(timers.now()) {
+    for (std::size_t i = 0; i < claims_.size(); ++i) {
+        reserve(i);
+    }
+    renewal_ = timers_.every(renewal_period, [this] { renew(); });
+}
+
+memory_reservation::~memory_reservation() {
+    timers_.cancel(renewal_);
+    for (const memory_claim& claim : claims_) {
+        orders_.release(claim.engine, claim.id);
+    }
+}
+
+void memory_reservation::reserve(std::size_t index) {
+    const memory_claim& claim = claims_[index];
+    orders_.reserve(claim.engine, claim.id, claim.tokens, hold_time,
+                    [this, index, alive = std::weak_ptr<int>(alive_)](bool held) {
+                        if (!alive.expired()) {
+                            answered(index, held);
+                        }
+                    });
+}
+
+void memory_reservation::answered(std::size_t index, bool held) {
+    if (!held) {
+        // Before the request is sent this means no memory; later, that a renewal went astray,
+        // which the next one makes good.
+        report(false);
+        return;
+    }
+    held_at_[index] = timers_.now();
+    const bool all = std::all_of(held_at_.begin(), held_at_.end(),
+                                 [](instant at) { return at > instant{}; });
+    if (all) {
+        report(true);
+    }
+}
+
+void memory_reservation::renew() {
+    const instant now = timers_.now();
+    if (ready_) {
+        if (now - started_at_ > agreement_limit) {
+            report(false);
+        }
+        return;
+    }
+    for (std::size_t i = 0; i < claims_.size(); ++i) {
+        if (now - held_at_[i] > renewal_age) {
+            reserve(i);
+        }
+    }
+}
+
+void memory_reservation::report(bool held) {
+    if (ready_) {
+        // The handler may end this object.
+        const ready_handler ready = std::exchange(ready_, nullptr);
+        ready(held);
+    }
+}
+
+}  // namespace fuchsiaquay
--- /dev/null
+++ b/servers/relay/memory_reservation.hpp
@@ -0,0 +1,49 @@
+#pragma once
+
+#include <cstddef>
+#include <functional>
+#include <memory>
+#include <vector>
+
+#include "core/time/clock.hpp"
+#include "servers/relay/memory_claim.hpp"
+#include "servers/timer_service.hpp"
+
+namespace fuchsiaquay {
+
+class engine_orders;
+
+/// Memory of several engines for one request: all of it or none. Nothing waits for memory, so that
+/// two requests cannot wait for each other. Reservations are short and renewed while this object
+/// lives; its end releases them, and the end of the whole process leaves them to their lifetime.
+class memory_reservation {
+public:
+    /// Receives whether all memory is held. Called once.
+    using ready_handler = std::function<void(bool held)>;
+
+    memory_reservation(engine_orders& orders, timer_service& timers,
+                       std::vector<memory_claim> claims, ready_handler ready);
+    memory_reservation(const memory_reservation&) = delete;
+    memory_reservation& operator=(const memory_reservation&) = delete;
+    ~memory_reservation();
+
+    const std::vector<memory_claim>& claims() const noexcept { return claims_; }
+
+private:
+    void reserve(std::size_t index);
+    void answered(std::size_t index, bool held);
+    void renew();
+    void report(bool held);
+
+    engine_orders& orders_;
+    timer_service& timers_;
+    std::vector<memory_claim> claims_;
+    /// When each claim was last known to be held; the earliest instant when it was not.
+    std::vector<instant> held_at_;
+    ready_handler ready_;
+    instant started_at_;
+    timer_service::subscription renewal_ = 0;
+    std::shared_ptr<int> alive_ = std::make_shared<int>(0);
+};
+
+}  // namespace fuchsiaquay
--- a/servers/relay/relay_services.hpp
+++ b/servers/relay/relay_services.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <functional>
+#include <string>
 
 #include "core/time/clock.hpp"
 
@@ -9,6 +10,7 @@
 class configuration_feed;
 class decision_log;
 class engine_board;
+class engine_orders;
 class placement_policy;
 class prefix_mirror;
 class fleet_retry_budget;
@@ -21,6 +23,8 @@
 
 /// What serving a request needs. All references outlive the requests.
 struct relay_services {
+    /// Name of this host, unique in the fleet.
+    std::string host;
     timer_service& timers;
     decision_log& log;
     const configuration_feed& configuration;
@@ -34,6 +38,7 @@
     upstream_connector& connector;
     const request_format& format;
     request_metrics& metrics;
+    engine_orders& orders;
     /// Time until this host stops serving; `duration::max()` while it is not stopping.
     std::function<duration()> serving_time_left;
 };
--- a/servers/relay/request_relay.cpp
+++ b/servers/relay/request_relay.cpp
@@ -44,6 +44,10 @@
 constexpr duration min_stall_time = std::chrono::milliseconds(1'000);
 constexpr int stall_gaps = 5;
 constexpr int stall_first_estimates = 3;
+/// Prompts that take longer to read wait in an order that all hosts share.
+constexpr duration long_read = std::chrono::milliseconds(130);
+/// Time that an answer takes after its prompt has been read.
+constexpr duration answer_time = std::chrono::milliseconds(1'000);
 /// Longest wait for another upstream after an attempt has failed.
 constexpr duration retry_wait = std::chrono::milliseconds(1'000);
 /// Time in which most requests are served; a host that stops sooner does not begin one.
@@ -107,6 +111,13 @@
         events_ = event_splitter(std::strtoll(request_.last_event_id.c_str(), nullptr, 10));
     }
     wait_until_ = request_.received_at + admitted_.terms->target;
+    if (const engine_profile* profile = engine()) {
+        const duration reading = read_time(*profile, request_.prompt_tokens.value_or(0));
+        if (reading > long_read) {
+            // A late answer is worth something, as long as there is time to read the prompt.
+            wait_until_ = std::max(wait_until_, deadline_ - reading - answer_time);
+        }
+    }
     services_.budget.on_request(admitted_.service_name, request_.received_at);
     place();
 }
@@ -124,7 +135,7 @@
         choice_.choose(request_, admitted_, work_key_, excluded_, deadline_);
     switch (decision.outcome) {
         case placement_decision::verdict::place:
-            waiting_ = false;
+            end_waiting();
             dispatch(decision);
             return;
         case placement_decision::verdict::refuse:
@@ -141,31 +152,105 @@
                  decision.reason);
         return;
     }
+    begin_waiting();
+}
+
+void request_relay::begin_waiting() {
+    const bool announced = !works_.empty();
     waiting_ = true;
+    const engine_profile* profile = engine();
+    if (announced || profile == nullptr) {
+        return;
+    }
+    engine_work work;
+    work.key = work_key_;
+    work.phase = work_phase::waiting;
+    work.read_tokens = request_.prompt_tokens.value_or(0);
+    work.read_time = read_time(*profile, work.read_tokens);
+    work.dispatched_at = request_.received_at + admitted_.terms->target;
+    work.target_gap = admitted_.terms->target_gap;
+    if (work.read_time > long_read) {
+        works_.push_back(work);
+        services_.board.apply_own(work);
+    }
+}
+
+void request_relay::end_waiting() {
+    if (std::exchange(waiting_, false)) {
+        advance_work(work_phase::ended);
+    }
+}
+
+const engine_profile* request_relay::engine() const {
+    const bool known = admitted_.service != nullptr && admitted_.service->engine;
+    return known ? &*admitted_.service->engine : nullptr;
 }
 
 void request_relay::dispatch(const placement_decision& decision) {
-    const upstream_entry* entry = services_.upstreams.find(decision.engine);
-    const instant now = services_.timers.now();
     ++attempts_;
+    decision_ = decision;
     upstream_ = decision.engine;
-    sent_at_ = now;
-    progress_at_ = now;
+    sent_at_ = services_.timers.now();
+    progress_at_ = sent_at_;
     expected_first_ = decision.first_event;
     streaming_ = false;
     answer_ = {};
     body_.clear();
+    record_work(decision);
+    if (decision.reserved_tokens > 0) {
+        reserve(decision);
+    } else {
+        send();
+    }
+}
+
+void request_relay::reserve(const placement_decision& decision) {
+    std::vector<memory_claim> claims;
+    const std::string id = services_.host + "-" + std::to_string(work_key_);
+    claims.push_back({services_.upstreams.find(decision.engine)->address,
+                      decision.reserved_tokens, id + "-0"});
+    for (const placement_part& part : decision.helpers) {
+        claims.push_back({services_.upstreams.find(part.engine)->address, part.reserved_tokens,
+                          id + "-" + std::to_string(claims.size())});
+    }
+    memory_ = std::make_unique<memory_reservation>(services_.orders, services_.timers,
+                                                   std::move(claims),
+                                                   [this](bool held) { reserved(held); });
+}
+
+void request_relay::reserved(bool held) {
+    const bool listed = services_.upstreams.find(upstream_) != nullptr;
+    if (held && listed) {
+        send();
+        return;
+    }
+    // Ending the reservation from within its own call has to wait until that has returned.
+    services_.timers.after(duration::zero(), [this, alive = std::weak_ptr<int>(alive_)] {
+        if (!alive.expired()) {
+            attempt_failed(begun_ ? attempt_outcome::broken_stream : attempt_outcome::not_sent,
+                           "memory not reserved");
+        }
+    });
+}
+
+void request_relay::send() {
+    const upstream_entry* entry = services_.upstreams.find(upstream_);
+    const instant now = services_.timers.now();
     upstream_terms terms;
     terms.upstream = entry->id;
     terms.customer = admitted_.customer;
     terms.time_left = deadline_ - now;
     terms.urgency = std::min(max_urgency, admitted_.rank * urgencies_per_rank);
-    terms.last_event_id =
-        begun_ ? std::to_string(events_.last_id()) : request_.last_event_id;
-    for (const std::string& helper : decision.helpers) {
-        terms.helpers.push_back({services_.upstreams.find(helper)->address, ""});
+    terms.last_event_id = begun_ ? std::to_string(events_.last_id()) : request_.last_event_id;
+    if (memory_) {
+        for (const memory_claim& claim : memory_->claims()) {
+            terms.helpers.push_back({claim.engine, claim.id});
+        }
+    } else {
+        for (const placement_part& part : decision_.helpers) {
+            terms.helpers.push_back({services_.upstreams.find(part.engine)->address, ""});
+        }
     }
-    record_work(decision);
     services_.health.on_sent(upstream_id(entry->id), now);
     services_.log.write(decision_log::level::info, "request_dispatched",
                         {{"request", request_.id},
@@ -173,11 +258,11 @@
                          {"route", admitted_.terms->name},
                          {"upstream", entry->id},
                          {"attempt", std::to_string(attempts_)},
-                         {"reason", decision.reason},
+                         {"reason", decision_.reason},
                          {"tokens", std::to_string(request_.prompt_tokens.value_or(0))},
-                         {"helpers", std::to_string(decision.helpers.size())},
+                         {"helpers", std::to_string(decision_.helpers.size())},
                          {"waited_ms", ms_text(now - request_.received_at)},
-                         {"first_ms", ms_text(decision.first_event)},
+                         {"first_ms", ms_text(decision_.first_event)},
                          {"configuration", std::to_string(admitted_.configuration->version())},
                          {"age_ms", ms_text(services_.configuration_mirror.age())}});
     const bool new_connection = !repeatable();
@@ -191,18 +276,20 @@
     work.engine = decision.engine;
     work.dispatched_at = sent_at_;
     work.target_gap = admitted_.terms->target_gap;
-    if (admitted_.service != nullptr && admitted_.service->engine) {
+    if (const engine_profile* profile = engine()) {
         const auto parts = static_cast<std::int64_t>(decision.helpers.size()) + 1;
         const std::int64_t tokens = request_.prompt_tokens.value_or(0);
         work.read_tokens = tokens / parts;
-        work.read_time = read_time(*admitted_.service->engine, tokens) / parts;
-        work.memory_tokens = tokens + request_.max_answer_tokens;
+        work.read_time = read_time(*profile, tokens) / parts;
+        work.memory_tokens =
+            (decision.reserved_tokens > 0 ? decision.reserved_tokens : tokens) +
+            request_.max_answer_tokens;
     }
     works_.push_back(work);
-    work.memory_tokens = 0;
     work.target_gap = {};
-    for (const std::string& helper : decision.helpers) {
-        work.engine = helper;
+    for (const placement_part& part : decision.helpers) {
+        work.engine = part.engine;
+        work.memory_tokens = part.reserved_tokens;
         works_.push_back(work);
     }
     for (const engine_work& item : works_) {
@@ -212,8 +299,9 @@
 
 void request_relay::advance_work(work_phase phase) {
     for (engine_work& work : works_) {
-        // A part that only reads is over with the first event.
-        work.phase = phase == work_phase::writing && !work.writes() ? work_phase::ended : phase;
+        // A part that is read and not kept is over with the first event.
+        const bool over = !work.writes() && work.memory_tokens == 0;
+        work.phase = phase == work_phase::writing && over ? work_phase::ended : phase;
         services_.board.apply_own(work);
     }
     works_.erase(std::remove_if(works_.begin(), works_.end(),
@@ -293,6 +381,7 @@
     services_.health.on_result(upstream_id(upstream_), attempt_evidence::answered,
                                services_.timers.now());
     exchange_.reset();
+    memory_.reset();
     if (streaming_) {
         finish_stream();
     } else {
@@ -374,6 +463,7 @@
         return;
     }
     exchange_.reset();
+    memory_.reset();
     advance_work(work_phase::ended);
     const bool ran_nothing =
         outcome == attempt_outcome::not_sent || outcome == attempt_outcome::declined;
@@ -423,8 +513,9 @@
 void request_relay::time_out() {
     const bool sent = exchange_ != nullptr;
     exchange_.reset();
+    memory_.reset();
     advance_work(work_phase::ended);
-    waiting_ = false;
+    end_waiting();
     if (begun_) {
         conclude(next_step::abort, "deadline passed");
     } else if (sent || may_have_run_) {
@@ -474,7 +565,7 @@
 
 void request_relay::log_end(const char* outcome, int status, const std::string& reason) {
     done_ = true;
-    waiting_ = false;
+    end_waiting();
     services_.log.write(decision_log::level::info, "request_ended",
                         {{"request", request_.id},
                          {"route", admitted_.terms == nullptr ? "" : admitted_.terms->name},
--- a/servers/relay/request_relay.hpp
+++ b/servers/relay/request_relay.hpp
@@ -6,6 +6,7 @@
 #include <vector>
 
 #include "core/placement/engine_work.hpp"
+#include "core/placement/placement_decision.hpp"
 #include "core/relay/attempt_outcome.hpp"
 #include "core/relay/caller_request.hpp"
 #include "core/relay/event_splitter.hpp"
@@ -13,6 +14,7 @@
 #include "servers/relay/active_request.hpp"
 #include "servers/relay/admission_result.hpp"
 #include "servers/relay/exchange_listener.hpp"
+#include "servers/relay/memory_reservation.hpp"
 #include "servers/relay/relay_services.hpp"
 #include "servers/relay/upstream_answer.hpp"
 #include "servers/relay/upstream_exchange.hpp"
@@ -22,7 +24,6 @@
 class relay_queue;
 class response_sink;
 class upstream_choice;
-struct placement_decision;
 
 /// One request on its way: admission, placement, attempts at upstreams, and the one final answer.
 class request_relay final : public active_request, private exchange_listener {
@@ -49,6 +50,11 @@
 
     void place();
     void dispatch(const placement_decision& decision);
+    void reserve(const placement_decision& decision);
+    void reserved(bool held);
+    void send();
+    void begin_waiting();
+    void end_waiting();
     void record_work(const placement_decision& decision);
     void advance_work(work_phase phase);
     void pass_events(std::string_view bytes);
@@ -64,6 +70,8 @@
     void answer_failure(int status, const char* reason);
     void log_end(const char* outcome, int status, const std::string& reason);
     bool repeatable() const;
+    /// Timing of the service's model engines; null for plain services.
+    const engine_profile* engine() const;
 
     const relay_services& services_;
     const upstream_choice& choice_;
@@ -83,6 +91,9 @@
     bool may_have_run_ = false;
     std::string excluded_;
     std::unique_ptr<upstream_exchange> exchange_;
+    placement_decision decision_;
+    /// Memory of several engines, from before the request is sent until its end.
+    std::unique_ptr<memory_reservation> memory_;
     std::vector<engine_work> works_;
     std::string upstream_;
     instant sent_at_{};
@@ -96,6 +107,7 @@
     bool streaming_ = false;
     /// Grows with each dispatch, so that works of two attempts have different keys.
     std::uint64_t work_key_ = 0;
+    std::shared_ptr<int> alive_ = std::make_shared<int>(0);
 };
 
 }  // namespace fuchsiaquay
--- a/servers/relay/upstream_choice.cpp
+++ b/servers/relay/upstream_choice.cpp
@@ -67,6 +67,8 @@
     prompt.target_gap = admitted.terms->target_gap;
     prompt.rank = admitted.rank;
     prompt.excluded = excluded;
+    prompt.ahead = services_.board.load("").waiting_before(
+        request.received_at + admitted.terms->target, key, now);
     return services_.placement.choose(prompt, engines, now);
 }
 
