Placement: long prompts leave engines to those ahead of them; reviews share engines

A host that had just started refused callers for the 280 ms until it knew its configuration. Ruled out: too few engines (late ones were placed at once when their target had passed).

--- a/core/placement/engine_load.cpp
+++ b/core/placement/engine_load.cpp
@@ -7,6 +7,18 @@
 
 namespace fuchsiaquay {
 
+namespace {
+
+/// Prompts that take longer to read earn less for the time of an engine than all others.
+constexpr duration heavy_read = std::chrono::seconds(10);
+
+auto waiting_place(const engine_work& work, instant now) {
+    const bool last = work.dispatched_at < now || work.read_time > heavy_read;
+    return std::make_tuple(last, work.dispatched_at, work.key);
+}
+
+}  // namespace
+
 void engine_load::apply(const std::string& host, const engine_work& work) {
     if (work.phase == work_phase::ended) {
         remove(host, work.key);
@@ -90,13 +102,12 @@
         }));
 }
 
-int engine_load::waiting_before(instant target, std::uint64_t key, instant now) const {
-    const auto place = std::make_tuple(target < now, target, key);
+int engine_load::waiting_before(const engine_work& own, instant now) const {
+    const auto place = waiting_place(own, now);
     return static_cast<int>(
         std::count_if(works_.begin(), works_.end(), [&place, now](const auto& item) {
             const engine_work& work = item.second;
-            return work.phase == work_phase::waiting &&
-                   std::make_tuple(work.dispatched_at < now, work.dispatched_at, work.key) < place;
+            return work.phase == work_phase::waiting && waiting_place(work, now) < place;
         }));
 }
 
--- a/core/placement/engine_load.hpp
+++ b/core/placement/engine_load.hpp
@@ -28,9 +28,9 @@
     duration smallest_gap() const;
     /// Requests that write or will write whose allowed pause is below `pass`.
     int disturbed_by(duration pass) const;
-    /// Requests that wait and go before one whose first event becomes late at `target`: those that
-    /// can still be on time first, and of these the one that becomes late first.
-    int waiting_before(instant target, std::uint64_t key, instant now) const;
+    /// Requests that wait and go before `own`: first those that can still be on time, except the
+    /// heaviest, and of these the one that becomes late first.
+    int waiting_before(const engine_work& own, instant now) const;
     bool empty() const { return works_.empty(); }
 
 private:
--- a/core/placement/pass_timing.hpp
+++ b/core/placement/pass_timing.hpp
@@ -11,6 +11,9 @@
 
 struct engine_profile;
 
+/// Prompts that take longer to read are long: they wait in an order that all hosts share.
+constexpr duration long_read = std::chrono::milliseconds(130);
+
 /// Time to read a prompt of `tokens`, with nothing else in the way.
 duration read_time(const engine_profile& profile, std::int64_t tokens);
 
--- a/core/placement/undisturbed_placement.cpp
+++ b/core/placement/undisturbed_placement.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <cstdint>
 #include <tuple>
+#include <utility>
 
 #include "core/fleet/engine_profile.hpp"
 #include "core/hashing/hash.hpp"
@@ -113,21 +114,31 @@
 
 const undisturbed_placement::candidate* undisturbed_placement::best_for_long(
     const placement_request& request, const std::vector<candidate>& choice) const {
-    std::vector<const candidate*> fitting;
+    // An engine that streams already is preferred where that disturbs nobody: idle ones are for
+    // prompts that disturb everybody.
+    const auto place = [&request](const candidate& item) {
+        return std::make_tuple(item.requests == 0, item.pending, item.requests,
+                               order_of(request, item.engine->id));
+    };
+    const candidate* best = nullptr;
     for (const candidate& item : choice) {
-        if (acceptable(item, request)) {
-            fitting.push_back(&item);
+        if (acceptable(item, request) && (best == nullptr || place(item) < place(*best))) {
+            best = &item;
         }
     }
-    if (fitting.size() <= static_cast<std::size_t>(request.ahead)) {
-        return nullptr;
+    return best;
+}
+
+void undisturbed_placement::leave_to_others(const placement_request& request,
+                                            std::vector<candidate>& choice) const {
+    for (int left = request.ahead; left > 0 && !choice.empty(); --left) {
+        const auto first = std::min_element(
+            choice.begin(), choice.end(), [](const candidate& a, const candidate& b) {
+                return std::make_tuple(a.requests, a.pending, a.order) <
+                       std::make_tuple(b.requests, b.pending, b.order);
+            });
+        choice.erase(first);
     }
-    std::sort(fitting.begin(), fitting.end(),
-              [&request](const candidate* a, const candidate* b) {
-                  return std::make_tuple(a->pending, a->requests, order_of(request, a->engine->id)) <
-                         std::make_tuple(b->pending, b->requests, order_of(request, b->engine->id));
-              });
-    return fitting[static_cast<std::size_t>(request.ahead)];
 }
 
 std::optional<placement_decision> undisturbed_placement::place_whole(
@@ -137,7 +148,7 @@
     }
     const engine_profile& profile = *choice.front().engine->profile;
     const duration reading = read_time(profile, request.prompt_tokens);
-    const candidate* best = reading <= settings_.short_read ? best_for_short(request, choice)
+    const candidate* best = reading <= long_read ? best_for_short(request, choice)
                                                             : best_for_long(request, choice);
     if (best == nullptr) {
         return std::nullopt;
@@ -309,26 +320,16 @@
     return result;
 }
 
-bool undisturbed_placement::may_be_on_time(const placement_request& request,
-                                           duration reading) const {
-    return reading / (settings_.max_helpers + 1) <
-           scaled(request.target_left, settings_.target_fill);
-}
-
 placement_decision undisturbed_placement::place_late(const placement_request& request,
                                                      const std::vector<candidate>& choice) const {
     placement_decision result;
     result.reason = "no engine without harm";
-    if (request.ahead > 0) {
-        result.reason = "others wait longer";
-        return result;
-    }
     const candidate* best = nullptr;
     duration best_first = duration::max();
     for (const candidate& item : choice) {
         const duration reading = read_time(*item.engine->profile, request.prompt_tokens);
-        const bool is_long = reading > settings_.short_read;
-        if (is_long && (item.pending > settings_.idle_pending || may_be_on_time(request, reading))) {
+        const bool is_long = reading > long_read;
+        if (is_long && item.pending > settings_.idle_pending) {
             continue;
         }
         const duration first = first_event_after(item.pass, item.pending, reading);
@@ -352,17 +353,17 @@
 placement_decision undisturbed_placement::choose(const placement_request& request,
                                                  const std::vector<engine_view>& engines,
                                                  instant now) const {
-    const std::vector<candidate> choice = candidates(request, engines, now);
-    if (exceeds_one_engine(request, choice)) {
-        return place_group(request, choice);
+    std::vector<candidate> choice = candidates(request, engines, now);
+    const bool group = exceeds_one_engine(request, choice);
+    leave_to_others(request, choice);
+    if (group) {
+        return place_group(request, std::move(choice));
     }
     if (const auto whole = place_whole(request, choice)) {
         return *whole;
     }
-    if (request.ahead == 0) {
-        if (const auto split = place_split(request, choice)) {
-            return *split;
-        }
+    if (const auto split = place_split(request, choice)) {
+        return *split;
     }
     return place_late(request, choice);
 }
--- a/core/placement/undisturbed_placement.hpp
+++ b/core/placement/undisturbed_placement.hpp
@@ -42,7 +42,7 @@
                                                   const std::vector<candidate>& choice) const;
     std::optional<placement_decision> place_split(const placement_request& request,
                                                   std::vector<candidate> choice) const;
-    bool may_be_on_time(const placement_request& request, duration reading) const;
+    void leave_to_others(const placement_request& request, std::vector<candidate>& choice) const;
     bool exceeds_one_engine(const placement_request& request,
                             const std::vector<candidate>& choice) const;
     placement_decision place_group(const placement_request& request,
--- a/core/placement/undisturbed_settings.hpp
+++ b/core/placement/undisturbed_settings.hpp
@@ -24,8 +24,6 @@
     int max_helpers = 16;
     /// Part of an engine's slots that short prompts are spread to before they take another engine.
     double slot_fill = 0.75;
-    /// Reading time below which a prompt counts as short.
-    duration short_read = std::chrono::milliseconds(130);
 };
 
 }  // namespace fuchsiaquay
--- a/servers/fleet/view_exchange.cpp
+++ b/servers/fleet/view_exchange.cpp
@@ -19,6 +19,7 @@
 
 namespace {
 
+constexpr duration tick_period = std::chrono::milliseconds(50);
 /// Period of questions to the watching host.
 constexpr duration pull_period = std::chrono::milliseconds(250);
 /// A source that does not answer within this time is not asked again at once.
@@ -29,7 +30,7 @@
 /// source's age is at most that of its own watch: one poll and the lag of the store's watches.
 constexpr duration old_copy = std::chrono::milliseconds(2'600);
 /// Time after the start for the hosts to hear of each other before they choose who watches.
-constexpr duration settle_time = std::chrono::milliseconds(150);
+constexpr duration settle_time = std::chrono::milliseconds(100);
 constexpr duration settle_limit = std::chrono::milliseconds(1'200);
 /// Time after that for the first answers of the watching hosts.
 constexpr duration first_answers = std::chrono::milliseconds(700);
@@ -60,7 +61,7 @@
     : self_(std::move(self)), services_(services), started_at_(services.timers.now()) {}
 
 void view_exchange::start() {
-    services_.timers.every(pull_period, [this] { tick(); });
+    services_.timers.every(tick_period, [this] { tick(); });
     services_.hosts.on_newer_configuration([this](const host_record& host) {
         ask_for_newer(host);
     });
@@ -75,10 +76,16 @@
         }
         settled_at_ = now;
     }
-    decide_duty(now);
+    if (now - decided_at_ >= pull_period) {
+        decided_at_ = now;
+        decide_duty(now);
+    }
     const bool old = services_.configuration_mirror.age() > old_copy ||
                      services_.upstream_mirror.age() > old_copy;
-    if (!watcher_ || old) {
+    const bool started = services_.configuration.revision() > 0 && services_.upstreams.loaded();
+    const bool due = now - pulled_at_ >= pull_period || !started;
+    if (due && (!watcher_ || old)) {
+        pulled_at_ = now;
         pull(now);
     }
 }
--- a/servers/fleet/view_exchange.hpp
+++ b/servers/fleet/view_exchange.hpp
@@ -50,6 +50,8 @@
     instant started_at_{};
     std::optional<instant> settled_at_;
     bool watcher_ = false;
+    instant decided_at_{};
+    instant pulled_at_{};
     std::uint64_t nonce_ = 0;
     std::optional<question> open_;
     /// Grows with each source that could not help.
--- a/servers/relay/request_relay.cpp
+++ b/servers/relay/request_relay.cpp
@@ -44,10 +44,10 @@
 constexpr duration min_stall_time = std::chrono::milliseconds(1'000);
 constexpr int stall_gaps = 5;
 constexpr int stall_first_estimates = 3;
-/// Prompts that take longer to read wait in an order that all hosts share.
-constexpr duration long_read = std::chrono::milliseconds(130);
 /// Time that an answer takes after its prompt has been read.
 constexpr duration answer_time = std::chrono::milliseconds(1'000);
+/// A host that has just started learns the configuration within this time.
+constexpr duration configuration_wait = std::chrono::milliseconds(800);
 /// Longest wait for another upstream after an attempt has failed.
 constexpr duration retry_wait = std::chrono::milliseconds(1'000);
 /// Time in which most requests are served; a host that stops sooner does not begin one.
@@ -94,6 +94,12 @@
 }
 
 void request_relay::start() {
+    const bool unconfigured = services_.configuration.current() == nullptr;
+    if (unconfigured && services_.timers.now() - request_.received_at < configuration_wait) {
+        waiting_ = true;
+        return;
+    }
+    waiting_ = false;
     admitted_ = admit(request_, services_.configuration.current(),
                       services_.configuration_mirror.fresh());
     if (admitted_.refused) {
@@ -123,7 +129,12 @@
 }
 
 void request_relay::try_place() {
-    if (waiting_ && !done_) {
+    if (!waiting_ || done_) {
+        return;
+    }
+    if (admitted_.terms == nullptr) {
+        start();
+    } else {
         place();
     }
 }
--- a/servers/relay/upstream_choice.cpp
+++ b/servers/relay/upstream_choice.cpp
@@ -8,6 +8,7 @@
 #include "core/health/upstream_health.hpp"
 #include "core/identity/names.hpp"
 #include "core/placement/engine_load.hpp"
+#include "core/placement/pass_timing.hpp"
 #include "core/placement/placement_policy.hpp"
 #include "core/placement/placement_request.hpp"
 #include "core/relay/caller_request.hpp"
@@ -67,8 +68,13 @@
     prompt.target_gap = admitted.terms->target_gap;
     prompt.rank = admitted.rank;
     prompt.excluded = excluded;
-    prompt.ahead = services_.board.load("").waiting_before(
-        request.received_at + admitted.terms->target, key, now);
+    engine_work place;
+    place.key = key;
+    place.read_time = read_time(profile, prompt.prompt_tokens);
+    place.dispatched_at = request.received_at + admitted.terms->target;
+    prompt.ahead = place.read_time > long_read
+                       ? services_.board.load("").waiting_before(place, now)
+                       : 0;
     return services_.placement.choose(prompt, engines, now);
 }
 
