--- a/core/placement/undisturbed_placement.cpp
+++ b/core/placement/undisturbed_placement.cpp
@@ -1,6 +1,7 @@
 #include "core/placement/undisturbed_placement.hpp"
 
 #include <algorithm>
+#include <cmath>
 #include <cstdint>
 #include <tuple>
 #include <utility>
@@ -15,6 +16,9 @@
 
 namespace {
 
+/// Steps of a hash that is taken as a number between 0 and 1.
+constexpr std::uint64_t resolution = 1'000'000;
+
 duration scaled(duration value, double factor) {
     return from_seconds(to_seconds(value) * factor);
 }
@@ -93,6 +97,13 @@
 const undisturbed_placement::candidate* undisturbed_placement::best_for_short(
     const placement_request& request, const std::vector<candidate>& choice) const {
     const std::size_t shared = engines_for_short(request, choice);
+    // Hosts that decide at the same moment see the same loads: weighted rendezvous hashing keeps
+    // them from taking the same engine.
+    const auto place = [this, &request](const candidate& item) {
+        const double room = settings_.slot_fill * item.engine->profile->slots - item.requests;
+        const auto point = static_cast<double>(order_of(request, item.engine->id) % resolution + 1);
+        return -std::log(point / static_cast<double>(resolution + 1)) / std::max(room, 1.0);
+    };
     const candidate* best = nullptr;
     std::size_t position = 0;
     for (const candidate& item : choice) {
@@ -100,9 +111,7 @@
         if (!acceptable(item, request)) {
             continue;
         }
-        if (best == nullptr || item.requests < best->requests ||
-            (item.requests == best->requests &&
-             order_of(request, item.engine->id) < order_of(request, best->engine->id))) {
+        if (best == nullptr || place(item) < place(*best)) {
             best = &item;
         }
         if (position >= shared && best != nullptr) {
--- a/drivers/control/control_loop.cpp
+++ b/drivers/control/control_loop.cpp
@@ -49,8 +49,11 @@
 }
 
 void control_loop::arm(const std::shared_ptr<state>& owner, const std::shared_ptr<timer>& entry) {
-    entry->clock.async_wait([owner, entry](const boost::system::error_code& error) {
-        if (error || entry->cancelled) {
+    // The handler is owned by the loop's context, so it must not own the loop's state.
+    entry->clock.async_wait([weak = std::weak_ptr<state>(owner),
+                             entry](const boost::system::error_code& error) {
+        const std::shared_ptr<state> owner = weak.lock();
+        if (error || entry->cancelled || !owner) {
             return;
         }
         const bool repeats = entry->period > duration::zero();
--- a/servers/relay/memory_reservation.cpp
+++ b/servers/relay/memory_reservation.cpp
@@ -25,13 +25,15 @@
     : orders_(orders),
       timers_(timers),
       claims_(std::move(claims)),
-      held_at_(claims_.size(), instant{}),
-      ready_(std::move(ready)),
-      started_at_(timers.now()) {
+      held_at_(claims_.size()),
+      ready_(std::move(ready)) {}
+
+void memory_reservation::start() {
+    started_at_ = timers_.now();
+    renewal_ = timers_.every(renewal_period, [this] { renew(); });
     for (std::size_t i = 0; i < claims_.size(); ++i) {
         reserve(i);
     }
-    renewal_ = timers_.every(renewal_period, [this] { renew(); });
 }
 
 memory_reservation::~memory_reservation() {
@@ -60,7 +62,7 @@
     }
     held_at_[index] = timers_.now();
     const bool all = std::all_of(held_at_.begin(), held_at_.end(),
-                                 [](instant at) { return at > instant{}; });
+                                 [](const auto& at) { return at.has_value(); });
     if (all) {
         report(true);
     }
@@ -75,7 +77,7 @@
         return;
     }
     for (std::size_t i = 0; i < claims_.size(); ++i) {
-        if (now - held_at_[i] > renewal_age) {
+        if (now - *held_at_[i] > renewal_age) {
             reserve(i);
         }
     }
--- a/servers/relay/memory_reservation.hpp
+++ b/servers/relay/memory_reservation.hpp
@@ -3,6 +3,7 @@
 #include <cstddef>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <vector>
 
 #include "core/time/clock.hpp"
@@ -27,6 +28,8 @@
     memory_reservation& operator=(const memory_reservation&) = delete;
     ~memory_reservation();
 
+    /// Sends the first orders.
+    void start();
     const std::vector<memory_claim>& claims() const noexcept { return claims_; }
 
 private:
@@ -38,10 +41,10 @@
     engine_orders& orders_;
     timer_service& timers_;
     std::vector<memory_claim> claims_;
-    /// When each claim was last known to be held; the earliest instant when it was not.
-    std::vector<instant> held_at_;
+    /// When each claim was last known to be held.
+    std::vector<std::optional<instant>> held_at_;
     ready_handler ready_;
-    instant started_at_;
+    instant started_at_{};
     timer_service::subscription renewal_ = 0;
     std::shared_ptr<int> alive_ = std::make_shared<int>(0);
 };
--- a/servers/relay/request_relay.cpp
+++ b/servers/relay/request_relay.cpp
@@ -227,6 +227,7 @@
     memory_ = std::make_unique<memory_reservation>(services_.orders, services_.timers,
                                                    std::move(claims),
                                                    [this](bool held) { reserved(held); });
+    memory_->start();
 }
 
 void request_relay::reserved(bool held) {
--- /dev/null
+++ b/tests/core/fleet/fleet_configuration_test.cpp
@@ -0,0 +1,65 @@
+#include "core/fleet/fleet_configuration.hpp"
+
+#include <map>
+#include <string>
+
+#include <CppUTest/TestHarness.h>
+
+using namespace fuchsiaquay;
+
+namespace {
+
+route make_route(const std::string& prefix, const std::string& service) {
+    route result;
+    result.name = prefix;
+    result.host = "Shop.example";
+    result.prefix = prefix;
+    result.services = {{service, 1.0}};
+    return result;
+}
+
+}  // namespace
+
+TEST_GROUP(fleet_configuration) {
+    fleet_configuration configuration_{7, caller_limits(), true};
+
+    void setup() override {
+        configuration_.add_route(make_route("/a/", "one"));
+        configuration_.add_route(make_route("/a/b/", "two"));
+        configuration_.add_key("k1", {"kim", 2});
+    }
+};
+
+TEST(fleet_configuration, longest_prefix_wins_whatever_the_order) {
+    STRCMP_EQUAL("/a/b/", configuration_.find_route("shop.example", "/a/b/c")->prefix.c_str());
+    STRCMP_EQUAL("/a/", configuration_.find_route("shop.example", "/a/bc")->prefix.c_str());
+}
+
+TEST(fleet_configuration, host_compares_without_case_and_port) {
+    CHECK_TRUE(configuration_.find_route("SHOP.example:8080", "/a/x") != nullptr);
+    CHECK_TRUE(configuration_.find_route("other.example", "/a/x") == nullptr);
+}
+
+TEST(fleet_configuration, path_without_the_closing_slash_of_a_prefix_matches_nothing) {
+    CHECK_TRUE(configuration_.find_route("shop.example", "/a") == nullptr);
+}
+
+TEST(fleet_configuration, key_leads_to_its_holder_and_other_keys_to_nobody) {
+    STRCMP_EQUAL("kim", configuration_.find_customer("k1")->customer.c_str());
+    LONGS_EQUAL(2, *configuration_.find_customer("k1")->rank);
+    CHECK_TRUE(configuration_.find_customer("k2") == nullptr);
+}
+
+TEST(fleet_configuration, split_follows_weights_and_is_the_same_everywhere) {
+    route split = make_route("/s/", "nine");
+    split.services = {{"nine", 90}, {"one", 10}};
+    std::map<std::string, int> counts;
+    constexpr int requests = 10'000;
+    for (int i = 0; i < requests; ++i) {
+        const std::string id = "request-" + std::to_string(i);
+        const std::string& service = choose_service(split, id);
+        CHECK_TRUE(service == choose_service(split, id));
+        ++counts[service];
+    }
+    CHECK_TRUE(counts["one"] > 850 && counts["one"] < 1'150);
+}
--- /dev/null
+++ b/tests/core/placement/engine_load_test.cpp
@@ -0,0 +1,61 @@
+#include "core/placement/engine_load.hpp"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace fuchsiaquay;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+TEST_GROUP(engine_load) {
+    engine_load load_;
+    instant now_ = instant(seconds(50));
+
+    engine_work work(std::uint64_t key, work_phase phase) const {
+        engine_work result;
+        result.key = key;
+        result.phase = phase;
+        result.read_time = milliseconds(300);
+        result.memory_tokens = 1'000;
+        result.target_gap = milliseconds(200);
+        result.dispatched_at = now_;
+        return result;
+    }
+};
+
+TEST(engine_load, reading_adds_up_and_passes_with_time) {
+    load_.apply("a", work(1, work_phase::reading));
+    load_.apply("b", work(1, work_phase::reading));
+    CHECK_TRUE(load_.pending_read(now_) == milliseconds(600));
+    CHECK_TRUE(load_.pending_read(now_ + milliseconds(400)) == milliseconds(200));
+    CHECK_TRUE(load_.pending_read(now_ + seconds(2)) == duration::zero());
+}
+
+TEST(engine_load, work_of_a_host_that_fell_silent_is_forgotten) {
+    load_.apply("a", work(1, work_phase::writing));
+    load_.apply("b", work(1, work_phase::writing));
+    load_.remove_host("a");
+    LONGS_EQUAL(1, load_.requests());
+    LONGS_EQUAL(1'000, load_.memory_tokens());
+}
+
+TEST(engine_load, ended_work_frees_its_place) {
+    load_.apply("a", work(1, work_phase::writing));
+    load_.apply("a", work(1, work_phase::ended));
+    CHECK_TRUE(load_.empty());
+}
+
+TEST(engine_load, waiting_order_puts_late_and_heavy_prompts_behind_those_on_time) {
+    engine_work on_time = work(1, work_phase::waiting);
+    on_time.dispatched_at = now_ + seconds(2);
+    engine_work late = work(2, work_phase::waiting);
+    late.dispatched_at = now_ - seconds(1);
+    engine_work heavy = work(3, work_phase::waiting);
+    heavy.dispatched_at = now_ + seconds(1);
+    heavy.read_time = seconds(47);
+    load_.apply("a", on_time);
+    load_.apply("b", late);
+    load_.apply("c", heavy);
+    LONGS_EQUAL(0, load_.waiting_before(on_time, now_));
+    LONGS_EQUAL(1, load_.waiting_before(late, now_));
+    LONGS_EQUAL(2, load_.waiting_before(heavy, now_));
+}
--- /dev/null
+++ b/tests/core/placement/undisturbed_placement_test.cpp
@@ -0,0 +1,233 @@
+#include "core/placement/undisturbed_placement.hpp"
+
+#include <algorithm>
+#include <map>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "core/fleet/engine_profile.hpp"
+#include "core/placement/engine_load.hpp"
+#include "core/placement/engine_work.hpp"
+#include "core/placement/pass_timing.hpp"
+#include "core/placement/placement_request.hpp"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace fuchsiaquay;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+namespace {
+
+constexpr duration short_gap = milliseconds(200);
+constexpr duration long_gap = milliseconds(800);
+constexpr std::int64_t short_prompt = 5'000;
+constexpr std::int64_t review_prompt = 45'000;
+constexpr std::int64_t season_prompt = 210'000;
+
+/// Figures of the users' model engines.
+engine_profile users_engine() {
+    engine_profile profile;
+    profile.slots = 16;
+    profile.memory_tokens = 450'000;
+    profile.steps_per_pass = 46;
+    profile.step_ms = 0.925;
+    profile.step_ms_per_writer = 0.00483;
+    profile.step_ms_per_context_k = 0.00254;
+    profile.read_tokens_per_second = 256'000;
+    profile.read_ms_per_million_pairs = 0.0917;
+    profile.read_tokens_per_step = 2'048;
+    return profile;
+}
+
+placement_request prompt(std::uint64_t key, std::int64_t tokens, duration target, duration gap) {
+    placement_request request;
+    request.key = key;
+    request.prompt_tokens = tokens;
+    request.answer_tokens = 1'500;
+    request.target_left = target;
+    request.time_left = seconds(10);
+    request.target_gap = gap;
+    return request;
+}
+
+placement_request short_request(std::uint64_t key) {
+    return prompt(key, short_prompt, milliseconds(250), short_gap);
+}
+
+placement_request season_request(std::uint64_t key, std::int64_t tokens = season_prompt) {
+    return prompt(key, tokens, seconds(6), long_gap);
+}
+
+}  // namespace
+
+TEST_GROUP(undisturbed_placement) {
+    static constexpr int engines = 14;
+    engine_profile profile_ = users_engine();
+    std::map<std::string, engine_load> loads_;
+    undisturbed_placement policy_;
+    instant now_ = instant(seconds(100));
+
+    void setup() override {
+        for (int i = 0; i < engines; ++i) {
+            loads_["engine-" + std::to_string(i)];
+        }
+    }
+
+    std::vector<engine_view> views() const {
+        std::vector<engine_view> result;
+        for (const auto& [id, load] : loads_) {
+            result.push_back({id, &profile_, &load});
+        }
+        return result;
+    }
+
+    placement_decision choose(const placement_request& request) const {
+        return policy_.choose(request, views(), now_);
+    }
+
+    void add(const std::string& engine, const placement_request& request, work_phase phase) {
+        engine_work work;
+        work.key = request.key;
+        work.engine = engine;
+        work.phase = phase;
+        work.read_tokens = request.prompt_tokens;
+        work.read_time = read_time(profile_, request.prompt_tokens);
+        work.memory_tokens = request.prompt_tokens + request.answer_tokens;
+        work.target_gap = request.target_gap;
+        work.dispatched_at = now_;
+        loads_[engine].apply("host", work);
+    }
+
+    /// Places `count` short prompts that all write from then on.
+    void fill_with_short(int count) {
+        for (int i = 0; i < count; ++i) {
+            const placement_request request = short_request(static_cast<std::uint64_t>(i) + 1);
+            const placement_decision decision = choose(request);
+            CHECK_TRUE(decision.outcome == placement_decision::verdict::place);
+            add(decision.engine, request, work_phase::writing);
+        }
+    }
+
+    int engines_with_requests() const {
+        return static_cast<int>(std::count_if(loads_.begin(), loads_.end(), [](const auto& item) {
+            return item.second.requests() > 0;
+        }));
+    }
+};
+
+TEST(undisturbed_placement, usual_short_load_leaves_half_of_the_engines_to_long_prompts) {
+    // 30.7 prompts a second that write for two seconds.
+    fill_with_short(60);
+    CHECK_TRUE(engines_with_requests() <= engines / 2);
+}
+
+TEST(undisturbed_placement, short_prompts_of_one_moment_spread_over_their_engines) {
+    fill_with_short(60);
+    std::set<std::string> chosen;
+    for (std::uint64_t key = 1'000; key < 1'040; ++key) {
+        chosen.insert(choose(short_request(key)).engine);
+    }
+    CHECK_TRUE(chosen.size() >= 2);
+}
+
+TEST(undisturbed_placement, season_prompt_never_lengthens_the_pass_of_short_streams) {
+    fill_with_short(60);
+    for (std::uint64_t key = 100; key < 106; ++key) {
+        const placement_request request = season_request(key);
+        const placement_decision decision = choose(request);
+        CHECK_TRUE(decision.outcome == placement_decision::verdict::place);
+        CHECK_TRUE(loads_[decision.engine].smallest_gap() > short_gap);
+        add(decision.engine, request, work_phase::reading);
+    }
+}
+
+TEST(undisturbed_placement, short_prompt_avoids_engines_that_read_a_season) {
+    std::set<std::string> reading;
+    for (std::uint64_t key = 100; key < 108; ++key) {
+        const placement_request request = season_request(key);
+        const placement_decision decision = choose(request);
+        reading.insert(decision.engine);
+        add(decision.engine, request, work_phase::reading);
+    }
+    for (std::uint64_t key = 1; key < 40; ++key) {
+        const placement_request request = short_request(key);
+        const placement_decision decision = choose(request);
+        CHECK_TRUE(decision.outcome == placement_decision::verdict::place);
+        LONGS_EQUAL(0, reading.count(decision.engine));
+        add(decision.engine, request, work_phase::writing);
+    }
+}
+
+TEST(undisturbed_placement, reviews_share_an_engine_where_they_disturb_nobody) {
+    const placement_request first = prompt(1, review_prompt, milliseconds(1'500), milliseconds(500));
+    const placement_decision decision = choose(first);
+    add(decision.engine, first, work_phase::writing);
+    const placement_request second = prompt(2, review_prompt, milliseconds(1'500), milliseconds(500));
+    CHECK_EQUAL(decision.engine, choose(second).engine);
+}
+
+TEST(undisturbed_placement, large_prompt_that_would_be_late_on_one_engine_is_split) {
+    const placement_decision decision = choose(season_request(1, 420'000));
+    CHECK_TRUE(decision.outcome == placement_decision::verdict::place);
+    CHECK_TRUE(!decision.helpers.empty());
+    CHECK_TRUE(decision.first_event < seconds(6));
+    std::set<std::string> members = {decision.engine};
+    for (const placement_part& part : decision.helpers) {
+        CHECK_TRUE(members.insert(part.engine).second);
+        LONGS_EQUAL(0, part.reserved_tokens);
+    }
+}
+
+TEST(undisturbed_placement, prompt_beyond_one_engine_is_reserved_to_the_last_token) {
+    const std::int64_t tokens = 970'265;
+    const placement_decision decision = choose(season_request(1, tokens));
+    CHECK_TRUE(decision.outcome == placement_decision::verdict::place);
+    std::int64_t reserved = decision.reserved_tokens;
+    for (const placement_part& part : decision.helpers) {
+        CHECK_TRUE(part.reserved_tokens > 0 && part.reserved_tokens < profile_.memory_tokens);
+        reserved += part.reserved_tokens;
+    }
+    LONGS_EQUAL(tokens, reserved);
+}
+
+TEST(undisturbed_placement, prompt_beyond_all_memory_is_refused_at_once) {
+    const placement_decision decision = choose(season_request(1, 14 * 450'000));
+    CHECK_TRUE(decision.outcome == placement_decision::verdict::refuse);
+}
+
+TEST(undisturbed_placement, waiting_prompt_leaves_engines_to_those_ahead) {
+    // Two engines are idle; all others read seasons.
+    auto engine = loads_.begin();
+    for (int i = 0; i < engines - 2; ++i, ++engine) {
+        add(engine->first, season_request(static_cast<std::uint64_t>(i) + 10), work_phase::reading);
+    }
+    placement_request third = season_request(1);
+    third.ahead = 2;
+    CHECK_TRUE(choose(third).outcome == placement_decision::verdict::wait);
+    placement_request second = season_request(1);
+    second.ahead = 1;
+    placement_request first = season_request(1);
+    const placement_decision first_choice = choose(first);
+    const placement_decision second_choice = choose(second);
+    CHECK_TRUE(first_choice.outcome == placement_decision::verdict::place);
+    CHECK_TRUE(second_choice.outcome == placement_decision::verdict::place);
+}
+
+TEST(undisturbed_placement, late_prompt_takes_an_idle_engine_at_once_but_no_queue) {
+    placement_request late = season_request(1);
+    late.target_left = milliseconds(-500);
+    CHECK_TRUE(choose(late).outcome == placement_decision::verdict::place);
+    for (auto& [id, load] : loads_) {
+        add(id, season_request(50), work_phase::reading);
+    }
+    CHECK_TRUE(choose(late).outcome == placement_decision::verdict::wait);
+}
+
+TEST(undisturbed_placement, excluded_engine_is_not_chosen_again) {
+    placement_request request = short_request(1);
+    const std::string first = choose(request).engine;
+    request.excluded = first;
+    CHECK_TRUE(choose(request).engine != first);
+}
--- /dev/null
+++ b/tests/core/retry/fleet_retry_budget_test.cpp
@@ -0,0 +1,53 @@
+#include "core/retry/fleet_retry_budget.hpp"
+
+#include <vector>
+
+#include <CppUTest/TestHarness.h>
+
+using namespace fuchsiaquay;
+using std::chrono::milliseconds;
+
+TEST_GROUP(fleet_retry_budget) {
+    fleet_retry_settings settings_;
+    instant now_{};
+
+    /// Retries that hosts take in one window when every request fails.
+    int taken_in_window(int hosts, int requests_each) {
+        int taken = 0;
+        for (int host = 0; host < hosts; ++host) {
+            fleet_retry_budget budget(settings_);
+            for (int i = 0; i < requests_each; ++i) {
+                budget.on_request("s", now_);
+                taken += budget.try_take("s", now_) ? 1 : 0;
+            }
+        }
+        return taken;
+    }
+};
+
+TEST(fleet_retry_budget, sum_over_hosts_keeps_the_bound_of_the_fleet_while_hosts_join) {
+    for (const int hosts : {1, 9, 12, 16}) {
+        for (const int requests : {0, 3, 50, 400}) {
+            const double bound =
+                settings_.ratio * hosts * requests + settings_.allowance;
+            CHECK_TRUE(taken_in_window(hosts, requests) <= bound);
+        }
+    }
+}
+
+TEST(fleet_retry_budget, spent_part_grows_again_with_the_window) {
+    fleet_retry_budget budget(settings_);
+    while (budget.try_take("s", now_)) {
+    }
+    now_ += settings_.window - milliseconds(1);
+    CHECK_FALSE(budget.try_take("s", now_));
+    now_ += milliseconds(2);
+    CHECK_TRUE(budget.try_take("s", now_));
+}
+
+TEST(fleet_retry_budget, services_do_not_share_a_part) {
+    fleet_retry_budget budget(settings_);
+    while (budget.try_take("s", now_)) {
+    }
+    CHECK_TRUE(budget.try_take("other", now_));
+}
--- /dev/null
+++ b/tests/drivers/datagrams/datagram_codec_test.cpp
@@ -0,0 +1,87 @@
+#include "drivers/datagrams/datagram_codec.hpp"
+
+#include <random>
+#include <string>
+#include <variant>
+
+#include "core/error/step_error.hpp"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace fuchsiaquay;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+TEST_GROUP(datagram_codec) {
+    instant now_ = instant(seconds(100));
+
+    announcement sample() const {
+        announcement message;
+        message.sender.host = "h1";
+        message.sender.data_centre = "dc";
+        message.sender.callers = {"10.0.0.1", 80};
+        message.sender.datagrams = {"10.0.0.1", 81};
+        message.sender.queries = {"10.0.0.1", 82};
+        message.sender.incarnation = 7;
+        message.state = host_state::ready;
+        message.sequence = 3;
+        message.configuration_revision = 12;
+        engine_work work;
+        work.key = 9;
+        work.engine = "e1";
+        work.phase = work_phase::writing;
+        work.memory_tokens = 5'000;
+        work.target_gap = milliseconds(200);
+        work.dispatched_at = now_ - milliseconds(300);
+        message.works.push_back(work);
+        return message;
+    }
+};
+
+TEST(datagram_codec, announcement_arrives_with_ages_on_the_receivers_clock) {
+    const instant there = instant(seconds(5));
+    const auto message =
+        std::get<announcement>(decode_datagram(encode_datagram(sample(), now_), there));
+    CHECK_TRUE(message.sender == sample().sender);
+    CHECK_TRUE(message.state == host_state::ready);
+    LONGS_EQUAL(12, message.configuration_revision);
+    CHECK_TRUE(message.works.front().dispatched_at == there - milliseconds(300));
+    CHECK_TRUE(message.works.front().target_gap == milliseconds(200));
+}
+
+TEST(datagram_codec, view_reply_keeps_changes_and_ages) {
+    view_reply reply;
+    reply.sender = "h2";
+    reply.nonce = 5;
+    reply.configuration_age = milliseconds(1'300);
+    reply.catalogue.revision = 40;
+    upstream_change change;
+    change.entry.id = "i-1";
+    change.entry.service = "s";
+    change.entry.address = {"10.1.0.1", 8080};
+    change.entry.state = upstream_state::draining;
+    change.revision = 39;
+    reply.catalogue.changes.push_back(change);
+    const auto copy = std::get<view_reply>(decode_datagram(encode_datagram(reply, now_), now_));
+    CHECK_TRUE(copy.configuration_age == milliseconds(1'300));
+    CHECK_TRUE(copy.catalogue.changes.front() == change);
+}
+
+TEST(datagram_codec, bytes_of_any_kind_are_refused_or_read_and_never_crash) {
+    std::mt19937 random(20261204);
+    const std::string good = encode_datagram(sample(), now_);
+    int refused = 0;
+    constexpr int tries = 20'000;
+    for (int i = 0; i < tries; ++i) {
+        std::string bytes = good.substr(0, random() % (good.size() + 1));
+        for (int flips = 0; flips < 4 && !bytes.empty(); ++flips) {
+            bytes[random() % bytes.size()] = static_cast<char>(random());
+        }
+        try {
+            decode_datagram(bytes, now_);
+        } catch (const step_error&) {
+            ++refused;
+        }
+    }
+    CHECK_TRUE(refused > tries / 2);
+}
--- /dev/null
+++ b/tests/platform/platform_codecs_test.cpp
@@ -0,0 +1,87 @@
+#include <string>
+
+#include "core/error/step_error.hpp"
+#include "core/fleet/fleet_configuration.hpp"
+#include "platform/directory_format.hpp"
+#include "platform/platform_configuration_codec.hpp"
+#include "platform/platform_upstream_codec.hpp"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace fuchsiaquay;
+
+namespace {
+
+const char* const configuration_text = R"({
+ "version": 7,
+ "routes": [
+  {"name":"r1","host":"f.example","prefix":"/lo/","kind":"stream","timeout_ms":10000,
+   "target_latency_ms":250,"priority":1,"split":[{"service":"a","weight":90},
+   {"service":"b","weight":10}],"max_attempts":2,"resume_streams":true,"target_gap_ms":200,
+   "new_field":{"x":1}},
+  {"name":"r2","host":"f.example","prefix":"/pu/","kind":"something_new","service":"b"}],
+ "services": [{"name":"a","max_conns":434,"engine":{"slots":16,"kv_capacity_tokens":450000,
+   "stride":46,"step_ms":0.925,"read_per_s":256000.0,"pairs_per_m":0.0917,"chunk":2048}},
+   {"name":"b","max_conns":110}],
+ "limits": {"header_bytes":16384,"max_body_bytes":4194304,"idle_timeout_ms":15000},
+ "tenants": [{"name":"kim","api_keys":["k1","k2"],"priority":1}]})";
+
+}  // namespace
+
+TEST_GROUP(platform_codecs) {
+    platform_configuration_codec configurations_;
+    platform_upstream_codec upstreams_;
+
+    bool readable(const std::string& text) const {
+        try {
+            upstreams_.decode("i-1", text);
+            return true;
+        } catch (const step_error&) {
+            return false;
+        }
+    }
+};
+
+TEST(platform_codecs, configuration_is_read_with_fields_that_are_not_known) {
+    const auto configuration = configurations_.decode(configuration_text);
+    LONGS_EQUAL(7, configuration->version());
+    const route* stream = configuration->find_route("f.example", "/lo/x");
+    CHECK_TRUE(stream->streams() && stream->repeatable());
+    LONGS_EQUAL(2, stream->services.size());
+    CHECK_TRUE(configuration->find_service("a")->engine.has_value());
+    CHECK_FALSE(configuration->find_service("b")->engine.has_value());
+    CHECK_EQUAL(std::string("kim"), configuration->find_customer("k2")->customer);
+}
+
+TEST(platform_codecs, unknown_kind_of_route_is_never_repeated) {
+    const auto configuration = configurations_.decode(configuration_text);
+    CHECK_FALSE(configuration->find_route("f.example", "/pu/")->repeatable());
+}
+
+TEST(platform_codecs, broken_configuration_is_refused_whole) {
+    for (const char* text : {"", "[]", "{", "{\"routes\":[]}", "{\"version\":\"7\"}",
+                             R"({"version":1,"routes":[{"host":"h"}]})",
+                             R"({"version":1,"routes":7})"}) {
+        CHECK_THROWS(step_error, configurations_.decode(text));
+    }
+}
+
+TEST(platform_codecs, upstream_entry_is_read_or_names_no_upstream) {
+    CHECK_TRUE(readable(R"({"service":"s","address":"10.0.0.1:80","state":"ready","slots":4})"));
+    for (const char* text :
+         {"", "\xff\xfe", R"({"service":"s","address":"10.0.0.1:80","state":"asleep"})",
+          R"({"service":7,"address":"10.0.0.1:80","state":"ready"})",
+          R"({"service":"s","address":"10.0.0.1","state":"ready"})",
+          R"({"service":"s","address":"host:80","state":"ready"})",
+          R"({"address":"10.0.0.1:80","state":"ready"})",
+          R"({"service":"s","address":"10.0.0.1:80","state":"ready","slots":0})"}) {
+        CHECK_FALSE(readable(text));
+    }
+}
+
+TEST(platform_codecs, directory_answer_lists_addresses_and_lifetime) {
+    host_record host;
+    host.callers = {"10.1.0.40", 8227};
+    CHECK_EQUAL(std::string(R"({"addrs":["10.1.0.40:8227","10.1.0.40:8227"],"ttl_s":2})"),
+                write_directory_answer({host, host}, std::chrono::seconds(2)));
+}
--- /dev/null
+++ b/tests/platform/platform_request_format_test.cpp
@@ -0,0 +1,104 @@
+#include "platform/platform_request_format.hpp"
+
+#include <string>
+
+#include "servers/relay/upstream_terms.hpp"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace fuchsiaquay;
+using std::chrono::milliseconds;
+
+TEST_GROUP(platform_request_format) {
+    platform_request_format format_;
+
+    caller_request read(header_list headers) const {
+        headers.push_back({"Host", "h.example"});
+        return format_.read_request("POST", "/a/b?c=d", std::move(headers));
+    }
+    std::string write(const caller_request& request) const {
+        upstream_terms terms;
+        terms.upstream = "i-1";
+        terms.customer = "kim";
+        terms.time_left = milliseconds(1'234);
+        return format_.write_request(request, terms);
+    }
+    static bool has(const std::string& text, const std::string& line) {
+        return text.find("\r\n" + line + "\r\n") != std::string::npos;
+    }
+};
+
+TEST(platform_request_format, request_keeps_method_path_and_end_to_end_headers) {
+    const std::string text = write(read({{"X-Attempt-Id", "42"},
+                                         {"X-Custom", "kept  as is"},
+                                         {"X-Model", "m"},
+                                         {"X-Token-Counts", "100,20"},
+                                         {"Connection", "keep-alive"}}));
+    CHECK_TRUE(text.compare(0, 21, "POST /a/b?c=d HTTP/1.") == 0);
+    CHECK_TRUE(has(text, "X-Attempt-Id: 42"));
+    CHECK_TRUE(has(text, "X-Custom: kept  as is"));
+    CHECK_TRUE(has(text, "X-Token-Counts: 100,20"));
+    CHECK_TRUE(has(text, "X-Deadline-Ms: 1234"));
+    CHECK_TRUE(has(text, "X-Expect-Instance: i-1"));
+    CHECK_TRUE(text.find("Connection") == std::string::npos);
+}
+
+TEST(platform_request_format, key_is_never_passed_on_and_customer_cannot_be_claimed) {
+    const caller_request request = read({{"Authorization", "Token secret"},
+                                         {"x-tenant", "somebody"},
+                                         {"X-Helpers", "10.0.0.1:80"},
+                                         {"X-Expect-Instance", "i-9"},
+                                         {"X-Request-Urgency", "0"}});
+    CHECK_EQUAL(std::string("secret"), request.key);
+    const std::string text = write(request);
+    CHECK_TRUE(text.find("secret") == std::string::npos);
+    CHECK_TRUE(text.find("somebody") == std::string::npos);
+    CHECK_TRUE(text.find("10.0.0.1") == std::string::npos);
+    CHECK_TRUE(text.find("i-9") == std::string::npos);
+    CHECK_TRUE(has(text, "X-Tenant: kim"));
+}
+
+TEST(platform_request_format, headers_that_the_connection_header_names_are_not_forwarded) {
+    const std::string text =
+        write(read({{"Connection", "close, X-Hop"}, {"X-Hop", "1"}, {"X-End", "2"}}));
+    CHECK_TRUE(text.find("X-Hop") == std::string::npos);
+    CHECK_TRUE(has(text, "X-End: 2"));
+}
+
+TEST(platform_request_format, malformed_sizes_and_limits_count_as_absent) {
+    for (const char* counts : {"", "12", "a,b", "12,", "-1,5", "99999999999999999999,1"}) {
+        CHECK_FALSE(read({{"X-Token-Counts", counts}}).prompt_tokens.has_value());
+    }
+    CHECK_FALSE(read({{"X-Deadline-Ms", "soon"}}).time_limit.has_value());
+    const caller_request good = read({{"X-Token-Counts", "1460,80"}, {"X-Deadline-Ms", "900"}});
+    LONGS_EQUAL(1'460, *good.prompt_tokens);
+    LONGS_EQUAL(80, good.max_answer_tokens);
+    CHECK_TRUE(*good.time_limit == milliseconds(900));
+}
+
+TEST(platform_request_format, statement_of_not_run_counts_only_with_its_header_or_421) {
+    response_head busy;
+    busy.status = 503;
+    CHECK_FALSE(format_.read_answer(busy).not_executed);
+    busy.headers.push_back({"x-not-executed", "1"});
+    CHECK_TRUE(format_.read_answer(busy).not_executed);
+    response_head failed = busy;
+    failed.status = 500;
+    CHECK_FALSE(format_.read_answer(failed).not_executed);
+    response_head misdirected;
+    misdirected.status = 421;
+    CHECK_TRUE(format_.read_answer(misdirected).misdirected);
+}
+
+TEST(platform_request_format, refusal_says_when_to_come_back_in_seconds) {
+    const response_head head = format_.own_answer(503, milliseconds(600), "42");
+    CHECK_EQUAL(std::string("0.60"), *find_header(head.headers, "Retry-After"));
+    CHECK_TRUE(find_header(format_.own_answer(404, {}, "").headers, "Retry-After") == nullptr);
+}
+
+TEST(platform_request_format, helpers_are_listed_with_their_reservations) {
+    upstream_terms terms;
+    terms.helpers = {{{"10.0.0.1", 80}, "t1"}, {{"10.0.0.2", 81}, ""}};
+    const std::string text = format_.write_request(read({}), terms);
+    CHECK_TRUE(has(text, "X-Helpers: 10.0.0.1:80/t1,10.0.0.2:81"));
+}
--- /dev/null
+++ b/tests/servers/fleet/virtual_hosts.hpp
@@ -0,0 +1,188 @@
+#pragma once
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "core/error/step_error.hpp"
+#include "core/fleet/fleet_configuration.hpp"
+#include "servers/fleet/configuration_codec.hpp"
+#include "servers/fleet/configuration_feed.hpp"
+#include "servers/fleet/datagram_channel.hpp"
+#include "servers/fleet/engine_board.hpp"
+#include "servers/fleet/host_queries.hpp"
+#include "servers/fleet/host_registry.hpp"
+#include "servers/fleet/upstream_codec.hpp"
+#include "servers/fleet/upstream_registry.hpp"
+#include "servers/fleet/view_exchange.hpp"
+#include "servers/store/prefix_mirror.hpp"
+#include "tests/servers/quiet_log.hpp"
+#include "tests/servers/store/scripted_store.hpp"
+#include "tests/servers/virtual_timer_service.hpp"
+
+namespace fuchsiaquay::testing {
+
+/// Datagrams between virtual hosts, by address, with links that a test cuts.
+class virtual_network {
+public:
+    explicit virtual_network(timer_service& timers) : timers_(timers) {}
+
+    void send(const std::string& from, const network_address& to, const peer_datagram& message) {
+        ++datagrams;
+        timers_.after(delay, [this, from, to, message] {
+            const auto found = receivers.find(to.ip);
+            if (found != receivers.end() && cut.count(from) == 0 && cut.count(to.ip) == 0) {
+                found->second(message);
+            }
+        });
+    }
+
+    std::map<std::string, datagram_channel::handler> receivers;
+    /// Addresses that neither send nor receive.
+    std::set<std::string> cut;
+    duration delay = std::chrono::milliseconds(2);
+    int datagrams = 0;
+
+private:
+    timer_service& timers_;
+};
+
+class virtual_channel final : public datagram_channel {
+public:
+    virtual_channel(virtual_network& network, std::string ip)
+        : network_(network), ip_(std::move(ip)) {}
+    void send(const std::vector<network_address>& to, const peer_datagram& message) override {
+        for (const network_address& address : to) {
+            network_.send(ip_, address, message);
+        }
+    }
+    void on_receive(handler receive) override { network_.receivers[ip_] = std::move(receive); }
+
+private:
+    virtual_network& network_;
+    std::string ip_;
+};
+
+/// Configurations whose text is their version.
+class version_codec final : public configuration_codec {
+public:
+    std::shared_ptr<const fleet_configuration> decode(const std::string& text) const override {
+        return std::make_shared<fleet_configuration>(std::stoll(text), caller_limits(), true);
+    }
+};
+
+class ready_codec final : public upstream_codec {
+public:
+    upstream_entry decode(const std::string& id, const std::string& text) const override {
+        if (text != "ready" && text != "draining") {
+            throw step_error("decode", id, "unreadable");
+        }
+        upstream_entry entry;
+        entry.id = id;
+        entry.service = "s";
+        entry.address = {"10.9.0.1", 80};
+        entry.state = text == "ready" ? upstream_state::ready : upstream_state::draining;
+        return entry;
+    }
+};
+
+struct virtual_host;
+
+/// Hosts in virtual time before one store.
+struct virtual_hosts {
+    virtual_timer_service timers;
+    quiet_log log;
+    scripted_store store{timers};
+    virtual_network network{timers};
+    version_codec configurations;
+    ready_codec upstreams;
+    std::map<std::string, std::unique_ptr<virtual_host>> hosts;
+
+    inline virtual_host& add(const std::string& name, const std::string& data_centre);
+    inline int watchers() const;
+};
+
+/// The parts of a host that keep its view of the store.
+struct virtual_host final : public host_queries {
+    virtual_host(virtual_hosts& fleet, host_record record)
+        : fleet_(fleet),
+          channel(fleet.network, record.datagrams.ip),
+          configuration(fleet.configurations, fleet.log, "config"),
+          configuration_mirror(fleet.store, fleet.timers, fleet.log, configuration, "config", {}),
+          upstreams(fleet.upstreams, fleet.timers, fleet.log, "servers/"),
+          upstream_mirror(fleet.store, fleet.timers, fleet.log, upstreams, "servers/", {}),
+          board(record.host),
+          registry(record, fleet.store, channel, fleet.timers, fleet.log, board, "hosts/",
+                   [this] {
+                       return configuration_mirror.fresh() ? host_state::ready
+                                                           : host_state::unready;
+                   },
+                   [this] { return configuration.revision(); }),
+          views(record, {fleet.timers, fleet.log, registry, channel, *this, fleet.store,
+                         configuration, configuration_mirror, upstreams, upstream_mirror}) {
+        channel.on_receive([this](const peer_datagram& message) {
+            if (const auto* heard = std::get_if<announcement>(&message)) {
+                registry.receive(*heard);
+            } else if (const auto* request = std::get_if<view_request>(&message)) {
+                views.answer(*request);
+            } else if (const auto* reply = std::get_if<view_reply>(&message)) {
+                views.take(*reply);
+            }
+        });
+        registry.start();
+        views.start();
+    }
+
+    void fetch_configuration(const network_address& host, configuration_handler done) override {
+        stored_value value;
+        for (const auto& [name, other] : fleet_.hosts) {
+            if (other->registry_address == host.ip && fleet_.network.cut.count(host.ip) == 0) {
+                value = {"config", other->configuration.text(), other->configuration.revision()};
+            }
+        }
+        fleet_.timers.after(std::chrono::milliseconds(5),
+                            [done = std::move(done), value] { done(value); });
+    }
+
+    std::int64_t version() const {
+        return configuration.current() ? configuration.current()->version() : 0;
+    }
+
+    virtual_hosts& fleet_;
+    std::string registry_address;
+    virtual_channel channel;
+    configuration_feed configuration;
+    prefix_mirror configuration_mirror;
+    upstream_registry upstreams;
+    prefix_mirror upstream_mirror;
+    engine_board board;
+    host_registry registry;
+    view_exchange views;
+};
+
+virtual_host& virtual_hosts::add(const std::string& name, const std::string& data_centre) {
+    host_record record;
+    record.host = name;
+    record.data_centre = data_centre;
+    const std::string ip = "10.0.0." + std::to_string(hosts.size() + 1);
+    record.callers = {ip, 80};
+    record.datagrams = {ip, 81};
+    record.queries = {ip, 82};
+    auto host = std::make_unique<virtual_host>(*this, record);
+    host->registry_address = ip;
+    return *(hosts[name] = std::move(host));
+}
+
+int virtual_hosts::watchers() const {
+    int count = 0;
+    for (const auto& [name, host] : hosts) {
+        count += host->views.watching() ? 1 : 0;
+    }
+    return count;
+}
+
+}  // namespace fuchsiaquay::testing
--- /dev/null
+++ b/tests/servers/relay/relay_fixture.hpp
@@ -0,0 +1,280 @@
+#pragma once
+
+#include <memory>
+#include <set>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "core/fleet/fleet_configuration.hpp"
+#include "core/health/breaker_settings.hpp"
+#include "core/health/upstream_health.hpp"
+#include "core/placement/undisturbed_placement.hpp"
+#include "core/retry/fleet_retry_budget.hpp"
+#include "servers/fleet/configuration_codec.hpp"
+#include "servers/fleet/configuration_feed.hpp"
+#include "servers/fleet/engine_board.hpp"
+#include "servers/fleet/upstream_codec.hpp"
+#include "servers/fleet/upstream_registry.hpp"
+#include "servers/relay/active_request.hpp"
+#include "servers/relay/engine_orders.hpp"
+#include "servers/relay/exchange_listener.hpp"
+#include "servers/relay/relay_queue.hpp"
+#include "servers/relay/request_format.hpp"
+#include "servers/relay/response_sink.hpp"
+#include "servers/relay/upstream_connector.hpp"
+#include "servers/relay/upstream_exchange.hpp"
+#include "servers/relay/upstream_terms.hpp"
+#include "servers/request_metrics.hpp"
+#include "servers/store/prefix_mirror.hpp"
+#include "tests/servers/quiet_log.hpp"
+#include "tests/servers/store/scripted_store.hpp"
+#include "tests/servers/virtual_timer_service.hpp"
+
+namespace fuchsiaquay::testing {
+
+/// One configuration with a plain service and a service of model engines.
+class fixed_configuration final : public configuration_codec {
+public:
+    std::shared_ptr<const fleet_configuration> decode(const std::string& text) const override {
+        auto result =
+            std::make_shared<fleet_configuration>(std::stoll(text), caller_limits(), true);
+        add(*result, "/order/", request_semantics::non_idempotent, 1, "shop");
+        add(*result, "/lookup/", request_semantics::idempotent, 2, "shop");
+        add(*result, "/chat/", request_semantics::stream, 2, "llm");
+        result->add_service({"shop", 10, std::nullopt});
+        engine_profile engine;
+        engine.slots = 16;
+        engine.memory_tokens = 450'000;
+        engine.steps_per_pass = 46;
+        engine.read_tokens_per_second = 256'000;
+        engine.read_ms_per_million_pairs = 0.0917;
+        engine.read_tokens_per_step = 2'048;
+        result->add_service({"llm", 10, engine});
+        result->add_key("key", {"kim", std::nullopt});
+        return result;
+    }
+
+private:
+    static void add(fleet_configuration& to, const std::string& prefix,
+                    request_semantics semantics, int attempts, const std::string& service) {
+        route item;
+        item.name = prefix;
+        item.host = "h";
+        item.prefix = prefix;
+        item.semantics = semantics;
+        item.timeout = std::chrono::seconds(semantics == request_semantics::stream ? 10 : 2);
+        item.target = std::chrono::milliseconds(250);
+        item.target_gap = std::chrono::milliseconds(200);
+        item.max_attempts = attempts;
+        item.resumable = true;
+        item.services = {{service, 1.0}};
+        to.add_route(item);
+    }
+};
+
+/// Entries whose text is their service.
+class service_codec final : public upstream_codec {
+public:
+    upstream_entry decode(const std::string& id, const std::string& text) const override {
+        upstream_entry entry;
+        entry.id = id;
+        entry.service = text;
+        entry.address = {"10.0.0.9", 80};
+        entry.slots = 6;
+        return entry;
+    }
+};
+
+/// Heads are the status and words that say what they mean.
+class word_format final : public request_format {
+public:
+    caller_request read_request(std::string, std::string, header_list) const override {
+        return {};
+    }
+    std::string write_request(const caller_request& request,
+                              const upstream_terms& terms) const override {
+        return request.id + " to=" + terms.upstream + " after=" + terms.last_event_id +
+               " ms=" + std::to_string(to_milliseconds(terms.time_left)) +
+               " parts=" + std::to_string(terms.helpers.size());
+    }
+    upstream_answer read_answer(response_head head) const override {
+        upstream_answer answer;
+        answer.not_executed = find_header(head.headers, "not-executed") != nullptr;
+        answer.misdirected = head.status == 421;
+        answer.sealed = find_header(head.headers, "unsealed") == nullptr;
+        if (const std::string* id = find_header(head.headers, "id")) {
+            answer.request = *id;
+        }
+        answer.head = std::move(head);
+        return answer;
+    }
+    response_head own_answer(int status, duration retry_after, const std::string&) const override {
+        response_head head;
+        head.status = status;
+        head.headers.push_back({"own", std::to_string(to_milliseconds(retry_after))});
+        return head;
+    }
+};
+
+class recording_sink final : public response_sink {
+public:
+    void send(const response_head& head, std::string body) override {
+        ++answers;
+        status = head.status;
+        own = find_header(head.headers, "own") != nullptr;
+        text = std::move(body);
+    }
+    void begin(const response_head& head, std::string_view first) override {
+        ++begun;
+        status = head.status;
+        text.append(first);
+    }
+    void write(std::string_view bytes) override { text.append(bytes); }
+    void finish() override { ++answers; }
+    void abort() override { ++aborted; }
+
+    int answers = 0;
+    int begun = 0;
+    int aborted = 0;
+    int status = 0;
+    bool own = false;
+    std::string text;
+};
+
+/// Exchanges that a test answers by hand.
+class manual_connector final : public upstream_connector {
+public:
+    struct attempt {
+        upstream_entry upstream;
+        std::string head;
+        bool new_connection = false;
+        exchange_listener* listener = nullptr;
+        bool open = true;
+    };
+
+    std::unique_ptr<upstream_exchange> open(const upstream_entry& upstream, std::string head,
+                                            std::shared_ptr<const std::string>,
+                                            bool new_connection,
+                                            exchange_listener& listener) override {
+        attempts.push_back(std::make_shared<attempt>(
+            attempt{upstream, std::move(head), new_connection, &listener, true}));
+        return std::make_unique<handle>(attempts.back());
+    }
+
+    attempt& last() { return *attempts.back(); }
+    void answer(int status, const header_list& headers = {}) {
+        response_head head;
+        head.status = status;
+        head.headers = headers;
+        last().listener->on_head(head);
+    }
+    void body(const std::string& bytes) { last().listener->on_body(bytes); }
+    void end() { last().listener->on_end(); }
+    void fail(bool sent, const char* reason = "reset") {
+        last().listener->on_failure({sent, false, reason});
+    }
+
+    std::vector<std::shared_ptr<attempt>> attempts;
+
+private:
+    class handle final : public upstream_exchange {
+    public:
+        explicit handle(std::shared_ptr<attempt> item) : item_(std::move(item)) {}
+        handle(const handle&) = delete;
+        handle& operator=(const handle&) = delete;
+        ~handle() override { item_->open = false; }
+
+    private:
+        std::shared_ptr<attempt> item_;
+    };
+};
+
+/// Orders that engines carry out at once, or not at all.
+class manual_orders final : public engine_orders {
+public:
+    void reserve(const network_address&, const std::string& id, std::int64_t, duration,
+                 held_handler done) override {
+        ++reserves;
+        if (silent) {
+            return;
+        }
+        if (refuse_after >= 0 && reserves > refuse_after) {
+            done(false);
+            return;
+        }
+        held.insert(id);
+        done(true);
+    }
+    void release(const network_address&, const std::string& id) override { held.erase(id); }
+
+    std::set<std::string> held;
+    int reserves = 0;
+    int refuse_after = -1;
+    bool silent = false;
+};
+
+class no_metrics final : public request_metrics {
+public:
+    void first_token(int, std::int64_t, duration) override {}
+    void token_gap(duration, std::int64_t) override {}
+    void refused(const std::string&) override {}
+    void retried(const std::string&) override {}
+    void answered() override {}
+};
+
+/// A host's way of requests, between a sink and exchanges that a test drives.
+struct relay_fixture {
+    relay_fixture() {
+        store.put("config", "1");
+        mirror.follow(true, std::chrono::seconds(1));
+        upstreams.on_snapshot({{"u/shop-1", "shop", 1},
+                               {"u/shop-2", "shop", 1},
+                               {"u/llm-1", "llm", 1},
+                               {"u/llm-2", "llm", 1},
+                               {"u/llm-3", "llm", 1}},
+                              1, false);
+        timers.advance(std::chrono::seconds(3));
+    }
+
+    caller_request request(const std::string& target, std::int64_t prompt = 1'000) const {
+        caller_request result;
+        result.id = "r1";
+        result.method = "POST";
+        result.target = target;
+        result.host = "h";
+        result.key = "key";
+        result.prompt_tokens = prompt;
+        result.max_answer_tokens = 100;
+        result.received_at = timers.now();
+        return result;
+    }
+    void serve(const caller_request& wanted) { active = queue.serve(wanted, sink); }
+    std::size_t attempts() const { return connector.attempts.size(); }
+
+    virtual_timer_service timers;
+    quiet_log log;
+    scripted_store store{timers};
+    fixed_configuration configuration_codec;
+    service_codec upstream_codec;
+    word_format format;
+    configuration_feed feed{configuration_codec, log, "config"};
+    prefix_mirror mirror{store, timers, log, feed, "config", {}};
+    upstream_registry upstreams{upstream_codec, timers, log, "u/"};
+    engine_board board{"me"};
+    upstream_health health{breaker_settings()};
+    fleet_retry_budget budget{fleet_retry_settings()};
+    undisturbed_placement placement;
+    manual_connector connector;
+    manual_orders orders;
+    no_metrics metrics;
+    duration serving_time = duration::max();
+    relay_services services{"me",     timers, log,       feed,      mirror, upstreams,
+                            board,    health, budget,    placement, connector, format,
+                            metrics,  orders, [this] { return serving_time; }};
+    relay_queue queue{services};
+    recording_sink sink;
+    std::unique_ptr<active_request> active;
+};
+
+}  // namespace fuchsiaquay::testing
--- /dev/null
+++ b/tests/servers/relay/request_relay_test.cpp
@@ -0,0 +1,248 @@
+#include "tests/servers/relay/relay_fixture.hpp"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace fuchsiaquay;
+using namespace fuchsiaquay::testing;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+TEST_GROUP(request_relay) {
+    relay_fixture host_;
+    manual_connector& upstream_ = host_.connector;
+    recording_sink& caller_ = host_.sink;
+};
+
+TEST(request_relay, answer_of_the_upstream_reaches_the_caller_unchanged) {
+    host_.serve(host_.request("/order/1"));
+    upstream_.answer(200);
+    upstream_.body("do");
+    upstream_.body("ne");
+    upstream_.end();
+    LONGS_EQUAL(200, caller_.status);
+    CHECK_EQUAL(std::string("done"), caller_.text);
+    LONGS_EQUAL(1, caller_.answers);
+}
+
+TEST(request_relay, order_with_a_lost_answer_is_neither_repeated_nor_called_not_run) {
+    host_.serve(host_.request("/order/1"));
+    upstream_.fail(true);
+    LONGS_EQUAL(1, host_.attempts());
+    LONGS_EQUAL(502, caller_.status);
+}
+
+TEST(request_relay, order_that_never_left_this_host_goes_to_another_upstream) {
+    host_.serve(host_.request("/order/1"));
+    const std::string first = upstream_.last().upstream.id;
+    upstream_.fail(false, "connection refused");
+    LONGS_EQUAL(2, host_.attempts());
+    CHECK_TRUE(upstream_.last().upstream.id != first);
+}
+
+TEST(request_relay, order_declined_by_every_upstream_is_refused_as_not_run) {
+    host_.serve(host_.request("/order/1"));
+    while (caller_.answers == 0) {
+        upstream_.answer(503, {{"not-executed", "1"}});
+        host_.timers.advance(milliseconds(60));
+    }
+    LONGS_EQUAL(503, caller_.status);
+    CHECK_TRUE(caller_.own);
+    CHECK_TRUE(host_.attempts() <= 3);
+}
+
+TEST(request_relay, order_uses_a_connection_of_its_own) {
+    host_.serve(host_.request("/order/1"));
+    CHECK_TRUE(upstream_.last().new_connection);
+    host_.active.reset();
+    host_.serve(host_.request("/lookup/1"));
+    CHECK_FALSE(upstream_.last().new_connection);
+}
+
+TEST(request_relay, answer_that_belongs_to_another_request_is_not_passed_on) {
+    host_.serve(host_.request("/order/1"));
+    upstream_.answer(200, {{"id", "somebody-else"}});
+    LONGS_EQUAL(502, caller_.status);
+    host_.active.reset();
+    host_.serve(host_.request("/lookup/1"));
+    upstream_.answer(200, {{"id", "somebody-else"}});
+    LONGS_EQUAL(3, host_.attempts());
+}
+
+TEST(request_relay, success_without_proof_of_execution_is_not_passed_on) {
+    host_.serve(host_.request("/order/1"));
+    upstream_.answer(200, {{"unsealed", "1"}});
+    LONGS_EQUAL(502, caller_.status);
+}
+
+TEST(request_relay, lookup_that_failed_runs_again_and_its_last_failure_is_forwarded) {
+    host_.serve(host_.request("/lookup/1"));
+    upstream_.answer(500);
+    LONGS_EQUAL(2, host_.attempts());
+    upstream_.answer(500);
+    upstream_.body("broken");
+    upstream_.end();
+    LONGS_EQUAL(2, host_.attempts());
+    LONGS_EQUAL(500, caller_.status);
+    CHECK_FALSE(caller_.own);
+}
+
+TEST(request_relay, lookup_at_a_silent_upstream_moves_on_in_time) {
+    host_.serve(host_.request("/lookup/1"));
+    host_.timers.advance(milliseconds(1'000));
+    LONGS_EQUAL(2, host_.attempts());
+    CHECK_FALSE(upstream_.attempts.front()->open);
+}
+
+TEST(request_relay, broken_stream_resumes_after_the_last_whole_event) {
+    host_.serve(host_.request("/chat/1"));
+    upstream_.answer(200);
+    upstream_.body("id: 1\ndata: a\n\nid: 2\nda");
+    upstream_.fail(true);
+    LONGS_EQUAL(2, host_.attempts());
+    CHECK_TRUE(upstream_.last().head.find("after=1 ") != std::string::npos);
+    upstream_.answer(200);
+    upstream_.body("id: 2\ndata: b\n\n");
+    upstream_.end();
+    CHECK_EQUAL(std::string("id: 1\ndata: a\n\nid: 2\ndata: b\n\n"), caller_.text);
+    LONGS_EQUAL(1, caller_.begun);
+    LONGS_EQUAL(1, caller_.answers);
+}
+
+TEST(request_relay, stream_that_broke_for_good_does_not_look_complete) {
+    host_.serve(host_.request("/chat/1"));
+    for (int attempt = 0; attempt < 2; ++attempt) {
+        upstream_.answer(200);
+        upstream_.body("id: " + std::to_string(attempt + 1) + "\ndata: a\n\n");
+        upstream_.fail(true);
+    }
+    LONGS_EQUAL(1, caller_.aborted);
+    LONGS_EQUAL(0, caller_.answers);
+}
+
+TEST(request_relay, stream_that_ends_inside_an_event_is_not_complete) {
+    host_.serve(host_.request("/chat/1"));
+    upstream_.answer(200);
+    upstream_.body("id: 1\ndata: a\n\nid: 2\nda");
+    upstream_.end();
+    LONGS_EQUAL(2, host_.attempts());
+    LONGS_EQUAL(0, caller_.answers);
+}
+
+TEST(request_relay, events_that_skip_one_are_not_passed_on) {
+    host_.serve(host_.request("/chat/1"));
+    upstream_.answer(200);
+    upstream_.body("id: 1\ndata: a\n\n");
+    upstream_.body("id: 3\ndata: c\n\n");
+    CHECK_EQUAL(std::string("id: 1\ndata: a\n\n"), caller_.text);
+    LONGS_EQUAL(2, host_.attempts());
+}
+
+TEST(request_relay, caller_that_leaves_ends_the_work_at_the_upstream) {
+    host_.serve(host_.request("/chat/1"));
+    CHECK_TRUE(upstream_.last().open);
+    host_.active.reset();
+    CHECK_FALSE(upstream_.last().open);
+    CHECK_TRUE(host_.board.own_works().empty());
+    LONGS_EQUAL(1, host_.log.count("request_ended request=r1 route=/chat/ outcome=caller_left"));
+}
+
+TEST(request_relay, upstream_gets_what_is_left_of_the_callers_time) {
+    caller_request request = host_.request("/chat/1");
+    request.time_limit = milliseconds(3'000);
+    host_.serve(request);
+    CHECK_TRUE(upstream_.last().head.find("ms=3000") != std::string::npos);
+    request.time_limit = seconds(60);
+    host_.serve(request);
+    CHECK_TRUE(upstream_.last().head.find("ms=10000") != std::string::npos);
+}
+
+TEST(request_relay, order_past_its_time_ends_as_one_that_may_have_run) {
+    host_.serve(host_.request("/order/1"));
+    host_.timers.advance(milliseconds(2'100));
+    LONGS_EQUAL(504, caller_.status);
+    CHECK_FALSE(upstream_.last().open);
+}
+
+TEST(request_relay, unknown_key_and_unknown_route_are_not_sent) {
+    caller_request request = host_.request("/order/1");
+    request.key = "stolen";
+    host_.serve(request);
+    LONGS_EQUAL(401, caller_.status);
+    host_.serve(host_.request("/nowhere/1"));
+    LONGS_EQUAL(404, caller_.status);
+    LONGS_EQUAL(0, host_.attempts());
+}
+
+TEST(request_relay, key_is_refused_as_not_run_once_it_may_have_been_revoked) {
+    host_.store.down = true;
+    host_.timers.advance(seconds(6));
+    host_.serve(host_.request("/order/1"));
+    LONGS_EQUAL(503, caller_.status);
+    LONGS_EQUAL(0, host_.attempts());
+}
+
+TEST(request_relay, stopping_host_begins_nothing_that_it_cannot_finish) {
+    host_.serving_time = milliseconds(1'500);
+    host_.serve(host_.request("/chat/1"));
+    LONGS_EQUAL(503, caller_.status);
+    LONGS_EQUAL(0, host_.attempts());
+    host_.serving_time = milliseconds(4'000);
+    host_.serve(host_.request("/order/1"));
+    LONGS_EQUAL(1, host_.attempts());
+}
+
+TEST(request_relay, retries_stay_within_the_hosts_part_of_the_fleets_budget) {
+    const int requests = 60;
+    for (int i = 0; i < requests; ++i) {
+        host_.serve(host_.request("/lookup/1"));
+        upstream_.answer(500);
+        host_.active.reset();
+    }
+    const fleet_retry_settings settings;
+    const double bound = requests * settings.ratio + settings.allowance / settings.hosts;
+    CHECK_TRUE(static_cast<double>(host_.attempts()) - requests <= bound);
+    CHECK_TRUE(static_cast<double>(host_.attempts()) > requests);
+}
+
+TEST(request_relay, prompt_beyond_one_engine_is_sent_once_all_memory_is_held) {
+    host_.serve(host_.request("/chat/1", 600'000));
+    LONGS_EQUAL(1, host_.attempts());
+    LONGS_EQUAL(3, host_.orders.held.size());
+    CHECK_TRUE(upstream_.last().head.find("parts=3") != std::string::npos);
+    host_.timers.advance(milliseconds(1'000));
+    upstream_.answer(200);
+    upstream_.body("id: 1\ndata: a\n\n");
+    upstream_.end();
+    LONGS_EQUAL(0, host_.orders.held.size());
+}
+
+TEST(request_relay, memory_is_given_back_when_the_caller_leaves) {
+    host_.serve(host_.request("/chat/1", 600'000));
+    CHECK_FALSE(host_.orders.held.empty());
+    host_.active.reset();
+    CHECK_TRUE(host_.orders.held.empty());
+}
+
+TEST(request_relay, memory_that_only_some_engines_hold_is_given_back) {
+    host_.orders.refuse_after = 2;
+    host_.serve(host_.request("/chat/1", 600'000));
+    host_.timers.advance(milliseconds(1));
+    LONGS_EQUAL(0, host_.attempts());
+    host_.active.reset();
+    CHECK_TRUE(host_.orders.held.empty());
+}
+
+TEST(request_relay, request_at_a_host_without_configuration_waits_for_it_briefly) {
+    configuration_feed empty(host_.configuration_codec, host_.log, "config");
+    relay_services services{"me",          host_.timers,    host_.log,       empty,
+                            host_.mirror,  host_.upstreams, host_.board,     host_.health,
+                            host_.budget,  host_.placement, host_.connector, host_.format,
+                            host_.metrics, host_.orders,    [] { return duration::max(); }};
+    relay_queue queue(services);
+    const auto first = queue.serve(host_.request("/order/1"), caller_);
+    host_.timers.advance(milliseconds(200));
+    LONGS_EQUAL(0, host_.attempts());
+    empty.take({"config", "1", 1});
+    host_.timers.advance(milliseconds(60));
+    LONGS_EQUAL(1, host_.attempts());
+}
--- /dev/null
+++ b/tests/servers/store/prefix_mirror_test.cpp
@@ -0,0 +1,121 @@
+#include "servers/store/prefix_mirror.hpp"
+
+#include <map>
+#include <string>
+
+#include "servers/store/mirror_listener.hpp"
+#include "tests/servers/quiet_log.hpp"
+#include "tests/servers/store/scripted_store.hpp"
+#include "tests/servers/virtual_timer_service.hpp"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace fuchsiaquay;
+using namespace fuchsiaquay::testing;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+namespace {
+
+constexpr duration retry = milliseconds(200);
+
+class kept_copy final : public mirror_listener {
+public:
+    void on_snapshot(const std::vector<stored_value>& values, std::int64_t /*revision*/,
+                     bool after_outage) override {
+        content.clear();
+        ++snapshots;
+        outages += after_outage ? 1 : 0;
+        for (const stored_value& value : values) {
+            content[value.key] = value.value;
+        }
+    }
+    void on_changes(const std::vector<watch_event>& events, std::int64_t /*revision*/) override {
+        for (const watch_event& event : events) {
+            if (event.erased) {
+                content.erase(event.value.key);
+            } else {
+                content[event.value.key] = event.value.value;
+            }
+        }
+    }
+    std::map<std::string, std::string> content;
+    int snapshots = 0;
+    int outages = 0;
+};
+
+}  // namespace
+
+TEST_GROUP(prefix_mirror) {
+    virtual_timer_service timers_;
+    scripted_store store_{timers_};
+    quiet_log log_;
+    kept_copy copy_;
+    prefix_mirror_settings settings_;
+    prefix_mirror mirror_{store_, timers_, log_, copy_, "k/", settings_};
+
+    void setup() override {
+        store_.put("k/a", "1");
+        mirror_.follow(true, retry);
+        timers_.advance(milliseconds(50));
+    }
+};
+
+TEST(prefix_mirror, change_arrives_by_the_next_poll) {
+    CHECK_EQUAL(std::string("1"), copy_.content["k/a"]);
+    store_.put("k/a", "2");
+    store_.put("other", "x");
+    timers_.advance(settings_.poll_wait + milliseconds(10));
+    CHECK_EQUAL(std::string("2"), copy_.content["k/a"]);
+    LONGS_EQUAL(1, copy_.content.size());
+}
+
+TEST(prefix_mirror, dropped_history_is_made_good_by_reading_all) {
+    store_.erase("k/a");
+    store_.put("k/b", "3");
+    store_.compact();
+    timers_.advance(seconds(1));
+    LONGS_EQUAL(0, copy_.content.count("k/a"));
+    CHECK_EQUAL(std::string("3"), copy_.content["k/b"]);
+}
+
+TEST(prefix_mirror, copy_is_not_fresh_once_the_store_has_been_away_for_the_trusted_time) {
+    timers_.advance(seconds(3));
+    CHECK_TRUE(mirror_.fresh());
+    store_.down = true;
+    timers_.advance(settings_.trust_for);
+    CHECK_FALSE(mirror_.fresh());
+    store_.down = false;
+    timers_.advance(seconds(1));
+    CHECK_TRUE(mirror_.fresh());
+    LONGS_EQUAL(1, copy_.outages);
+}
+
+TEST(prefix_mirror, silent_watch_of_a_store_that_drops_history_does_not_prove_currency) {
+    timers_.advance(seconds(3));
+    // For a second the store keeps changes from its watchers.
+    store_.mute = true;
+    timers_.advance(seconds(1));
+    CHECK_TRUE(mirror_.age() >= settings_.watch_lag);
+}
+
+TEST(prefix_mirror, time_that_the_host_was_suspended_counts) {
+    timers_.advance(seconds(3));
+    CHECK_TRUE(mirror_.fresh());
+    // No poll can answer while the host stands still: the store is made silent instead.
+    store_.down = true;
+    timers_.advance(seconds(6));
+    CHECK_FALSE(mirror_.fresh());
+}
+
+TEST(prefix_mirror, confirmation_by_another_host_keeps_an_idle_copy_fresh) {
+    mirror_.follow(false, retry);
+    timers_.advance(seconds(20));
+    CHECK_FALSE(mirror_.fresh());
+    mirror_.confirm(timers_.now() - seconds(1));
+    CHECK_TRUE(mirror_.fresh());
+    CHECK_TRUE(mirror_.age() == seconds(1));
+    const int calls = store_.calls;
+    timers_.advance(seconds(5));
+    LONGS_EQUAL(calls, store_.calls);
+}
--- /dev/null
+++ b/tests/servers/store/scripted_store.hpp
@@ -0,0 +1,147 @@
+#pragma once
+
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "servers/store/polled_store.hpp"
+#include "servers/timer_service.hpp"
+
+namespace fuchsiaquay::testing {
+
+/// Polled store in virtual time whose faults a test sets.
+class scripted_store final : public polled_store {
+public:
+    explicit scripted_store(timer_service& timers) : timers_(timers) {}
+
+    void put(const std::string& key, const std::string& value) {
+        change(key, value, false);
+    }
+    void erase(const std::string& key) { change(key, "", true); }
+    /// Drops the history, so that older polls have to read all again.
+    void compact() { compacted_ = revision_; }
+
+    void read(const std::string& key, read_handler done) override {
+        ++calls;
+        reply([this, key, done = std::move(done)] {
+            read_result result = base();
+            const auto found = values_.find(key);
+            if (result.ok() && found != values_.end()) {
+                result.values.push_back(found->second);
+            }
+            done(result);
+        });
+    }
+
+    void read_prefix(const std::string& prefix, read_handler done) override {
+        ++calls;
+        reply([this, prefix, done = std::move(done)] {
+            read_result result = base();
+            for (const auto& [key, value] : values_) {
+                if (result.ok() && key.compare(0, prefix.size(), prefix) == 0) {
+                    result.values.push_back(value);
+                }
+            }
+            done(result);
+        });
+    }
+
+    void poll(const std::string& prefix, std::int64_t after, duration wait,
+              poll_handler done) override {
+        ++calls;
+        const bool nothing_new = !down && after >= compacted_ && changes(prefix, after).empty();
+        timers_.after(nothing_new ? wait : answer_time,
+                      [this, prefix, after, done = std::move(done)] {
+                          change_batch batch;
+                          batch.store_revision = revision_;
+                          batch.failure = down ? "down" : "";
+                          batch.compacted = !down && after < compacted_;
+                          if (batch.ok() && !mute) {
+                              batch.events = changes(prefix, after);
+                          }
+                          done(batch);
+                      });
+    }
+
+    void commit(const transaction& wanted, write_handler done) override {
+        ++calls;
+        reply([this, wanted, done = std::move(done)] {
+            write_result result;
+            if (down) {
+                result.failure = "down";
+            } else {
+                for (const transaction::write& entry : wanted.writes) {
+                    change(entry.key, entry.value, entry.erase);
+                }
+                result.outcome = write_outcome::applied;
+                result.revision = revision_;
+            }
+            done(result);
+        });
+    }
+
+    void grant_lease(duration /*lifetime*/, lease_handler done) override {
+        ++calls;
+        reply([this, done = std::move(done)] { done(down ? 0 : 1); });
+    }
+
+    void keep_alive(std::int64_t /*lease*/, keep_alive_handler done) override {
+        ++calls;
+        reply([done = std::move(done)] { done(true); });
+    }
+
+    void revoke_lease(std::int64_t /*lease*/) override { ++calls; }
+
+    /// Fails every call.
+    bool down = false;
+    /// Answers polls without the changes, as when watches hear nothing.
+    bool mute = false;
+    int calls = 0;
+
+private:
+    static constexpr duration answer_time = std::chrono::milliseconds(4);
+
+    void reply(std::function<void()> answer) { timers_.after(answer_time, std::move(answer)); }
+
+    read_result base() const {
+        read_result result;
+        result.failure = down ? "down" : "";
+        result.store_revision = revision_;
+        return result;
+    }
+
+    void change(const std::string& key, const std::string& value, bool erased) {
+        ++revision_;
+        watch_event event;
+        event.value = {key, value, revision_};
+        event.erased = erased;
+        history_.push_back(event);
+        if (erased) {
+            values_.erase(key);
+        } else {
+            values_[key] = event.value;
+        }
+    }
+
+    std::vector<watch_event> changes(const std::string& prefix, std::int64_t after) const {
+        std::vector<watch_event> result;
+        for (const watch_event& event : history_) {
+            if (event.value.revision > after &&
+                event.value.key.compare(0, prefix.size(), prefix) == 0) {
+                result.push_back(event);
+            }
+        }
+        return result;
+    }
+
+    timer_service& timers_;
+    std::int64_t revision_ = 1;
+    std::int64_t compacted_ = 0;
+    std::map<std::string, stored_value> values_;
+    std::deque<watch_event> history_;
+};
+
+}  // namespace fuchsiaquay::testing
