--- a/core/fleet/fleet_configuration.cpp
+++ b/core/fleet/fleet_configuration.cpp
@@ -29,11 +29,9 @@
 
 void fleet_configuration::add_route(route item) {
     std::vector<route>& same_host = routes_[normal_host(item.host)];
-    const auto place =
-        std::upper_bound(same_host.begin(), same_host.end(), item,
-                         [](const route& a, const route& b) {
-                             return a.prefix.size() > b.prefix.size();
-                         });
+    const auto place = std::upper_bound(
+        same_host.begin(), same_host.end(), item,
+        [](const route& a, const route& b) { return a.prefix.size() > b.prefix.size(); });
     same_host.insert(place, std::move(item));
     ++route_count_;
 }
@@ -74,8 +72,8 @@
         total += part.weight;
     }
     constexpr std::uint64_t resolution = 1'000'000;
-    double point = total * static_cast<double>(stable_hash(id) % resolution) /
-                   static_cast<double>(resolution);
+    double point =
+        total * static_cast<double>(stable_hash(id) % resolution) / static_cast<double>(resolution);
     for (const weighted_service& part : terms.services) {
         if (point < part.weight) {
             return part.service;
--- a/core/fleet/host_record.cpp
+++ b/core/fleet/host_record.cpp
@@ -17,8 +17,7 @@
     std::string callers;
     std::string datagrams;
     std::string queries;
-    if (!(stream >> record.host >> record.data_centre >> callers >> datagrams >>
-          queries)) {
+    if (!(stream >> record.host >> record.data_centre >> callers >> datagrams >> queries)) {
         throw step_error("read host record", "store", "expected five words");
     }
     record.callers = parse_network_address(callers);
--- a/core/fleet/host_record.hpp
+++ b/core/fleet/host_record.hpp
@@ -22,15 +22,14 @@
     std::uint64_t incarnation = 0;
 
     friend bool operator==(const host_record& a, const host_record& b) {
-        return std::tie(a.host, a.data_centre, a.callers, a.datagrams, a.queries,
-                        a.incarnation) ==
-               std::tie(b.host, b.data_centre, b.callers, b.datagrams, b.queries,
-                        b.incarnation);
+        return std::tie(a.host, a.data_centre, a.callers, a.datagrams, a.queries, a.incarnation) ==
+               std::tie(b.host, b.data_centre, b.callers, b.datagrams, b.queries, b.incarnation);
     }
     friend bool operator!=(const host_record& a, const host_record& b) { return !(a == b); }
 };
 
-/// One line of text: `host data_centre callers datagrams queries`; the incarnation is not part of it.
+/// One line of text: `host data_centre callers datagrams queries`; the incarnation is not part of
+/// it.
 std::string write_host_record(const host_record& record);
 /// @throws step_error  the text is no record
 host_record read_host_record(const std::string& text);
--- a/core/fleet/network_address.hpp
+++ b/core/fleet/network_address.hpp
@@ -17,9 +17,7 @@
     friend bool operator==(const network_address& a, const network_address& b) {
         return std::tie(a.ip, a.port) == std::tie(b.ip, b.port);
     }
-    friend bool operator!=(const network_address& a, const network_address& b) {
-        return !(a == b);
-    }
+    friend bool operator!=(const network_address& a, const network_address& b) { return !(a == b); }
     friend bool operator<(const network_address& a, const network_address& b) {
         return std::tie(a.ip, a.port) < std::tie(b.ip, b.port);
     }
--- a/core/fleet/upstream_change.hpp
+++ b/core/fleet/upstream_change.hpp
@@ -18,9 +18,7 @@
     friend bool operator==(const upstream_change& a, const upstream_change& b) {
         return std::tie(a.entry, a.removed, a.revision) == std::tie(b.entry, b.removed, b.revision);
     }
-    friend bool operator!=(const upstream_change& a, const upstream_change& b) {
-        return !(a == b);
-    }
+    friend bool operator!=(const upstream_change& a, const upstream_change& b) { return !(a == b); }
 };
 
 }  // namespace fuchsiaquay
--- a/core/placement/engine_load.cpp
+++ b/core/placement/engine_load.cpp
@@ -33,15 +33,13 @@
 
 void engine_load::remove_host(const std::string& host) {
     const auto first = works_.lower_bound({host, 0});
-    const auto last =
-        works_.upper_bound({host, std::numeric_limits<std::uint64_t>::max()});
+    const auto last = works_.upper_bound({host, std::numeric_limits<std::uint64_t>::max()});
     works_.erase(first, last);
 }
 
 int engine_load::requests() const {
-    return static_cast<int>(std::count_if(works_.begin(), works_.end(), [](const auto& item) {
-        return item.second.writes();
-    }));
+    return static_cast<int>(std::count_if(works_.begin(), works_.end(),
+                                          [](const auto& item) { return item.second.writes(); }));
 }
 
 int engine_load::writers() const {
@@ -96,10 +94,9 @@
 }
 
 int engine_load::disturbed_by(duration pass) const {
-    return static_cast<int>(
-        std::count_if(works_.begin(), works_.end(), [pass](const auto& item) {
-            return item.second.writes() && item.second.target_gap < pass;
-        }));
+    return static_cast<int>(std::count_if(works_.begin(), works_.end(), [pass](const auto& item) {
+        return item.second.writes() && item.second.target_gap < pass;
+    }));
 }
 
 int engine_load::waiting_before(const engine_work& own, instant now) const {
--- a/core/placement/undisturbed_placement.cpp
+++ b/core/placement/undisturbed_placement.cpp
@@ -35,12 +35,10 @@
 
 }  // namespace
 
-undisturbed_placement::undisturbed_placement(undisturbed_settings settings)
-    : settings_(settings) {}
+undisturbed_placement::undisturbed_placement(undisturbed_settings settings) : settings_(settings) {}
 
 std::vector<undisturbed_placement::candidate> undisturbed_placement::candidates(
-    const placement_request& request, const std::vector<engine_view>& engines,
-    instant now) const {
+    const placement_request& request, const std::vector<engine_view>& engines, instant now) const {
     std::vector<candidate> result;
     for (const engine_view& engine : engines) {
         if (engine.id == request.excluded) {
@@ -57,8 +55,8 @@
             settings_.memory_fill * static_cast<double>(engine.profile->memory_tokens));
         item.free_tokens = room - load.memory_tokens();
         item.has_slot = item.requests < engine.profile->slots;
-        item.can_answer = item.has_slot && request.prompt_tokens + request.answer_tokens <=
-                                               item.free_tokens;
+        item.can_answer =
+            item.has_slot && request.prompt_tokens + request.answer_tokens <= item.free_tokens;
         item.order = stable_hash(engine.id);
         result.push_back(item);
     }
@@ -157,8 +155,8 @@
     }
     const engine_profile& profile = *choice.front().engine->profile;
     const duration reading = read_time(profile, request.prompt_tokens);
-    const candidate* best = reading <= long_read ? best_for_short(request, choice)
-                                                            : best_for_long(request, choice);
+    const candidate* best =
+        reading <= long_read ? best_for_short(request, choice) : best_for_long(request, choice);
     if (best == nullptr) {
         return std::nullopt;
     }
@@ -254,10 +252,9 @@
     std::sort(choice.begin(), choice.end(), [](const candidate& a, const candidate& b) {
         return a.pending != b.pending ? a.pending < b.pending : a.free_tokens > b.free_tokens;
     });
-    const auto first =
-        std::find_if(choice.begin(), choice.end(), [&](const candidate& item) {
-            return item.has_slot && item.free_tokens > request.answer_tokens;
-        });
+    const auto first = std::find_if(choice.begin(), choice.end(), [&](const candidate& item) {
+        return item.has_slot && item.free_tokens > request.answer_tokens;
+    });
     if (first == choice.end()) {
         return result;
     }
@@ -280,8 +277,8 @@
         const candidate& added = choice[parts - 1];
         memory += added.free_tokens;
         pending = std::max(pending, added.pending);
-        const duration first = first_event_after(
-            added.pass, pending, whole / static_cast<std::int64_t>(parts));
+        const duration first =
+            first_event_after(added.pass, pending, whole / static_cast<std::int64_t>(parts));
         if (memory < request.prompt_tokens + request.answer_tokens || first >= best_first) {
             continue;
         }
@@ -313,12 +310,10 @@
     std::int64_t left = request.prompt_tokens;
     for (const candidate& item : members) {
         // Each member holds its share by what it has free, the last one what is left over.
-        const double share =
-            static_cast<double>(item.free_tokens) / static_cast<double>(memory);
+        const double share = static_cast<double>(item.free_tokens) / static_cast<double>(memory);
         const auto wanted =
             static_cast<std::int64_t>(share * static_cast<double>(request.prompt_tokens)) + 1;
-        const std::int64_t tokens =
-            &item == &members.back() ? left : std::min(wanted, left);
+        const std::int64_t tokens = &item == &members.back() ? left : std::min(wanted, left);
         left -= tokens;
         if (&item == &members.front()) {
             result.reserved_tokens = tokens;
--- a/drivers/control/control_loop.cpp
+++ b/drivers/control/control_loop.cpp
@@ -50,22 +50,22 @@
 
 void control_loop::arm(const std::shared_ptr<state>& owner, const std::shared_ptr<timer>& entry) {
     // The handler is owned by the loop's context, so it must not own the loop's state.
-    entry->clock.async_wait([weak = std::weak_ptr<state>(owner),
-                             entry](const boost::system::error_code& error) {
-        const std::shared_ptr<state> owner = weak.lock();
-        if (error || entry->cancelled || !owner) {
-            return;
-        }
-        const bool repeats = entry->period > duration::zero();
-        if (repeats) {
-            // A late wake-up must not lead to a burst: the next period counts from now.
-            entry->clock.expires_after(entry->period);
-            arm(owner, entry);
-        } else {
-            owner->timers_.erase(entry->id);
-        }
-        entry->action();
-    });
+    entry->clock.async_wait(
+        [weak = std::weak_ptr<state>(owner), entry](const boost::system::error_code& error) {
+            const std::shared_ptr<state> owner = weak.lock();
+            if (error || entry->cancelled || !owner) {
+                return;
+            }
+            const bool repeats = entry->period > duration::zero();
+            if (repeats) {
+                // A late wake-up must not lead to a burst: the next period counts from now.
+                entry->clock.expires_after(entry->period);
+                arm(owner, entry);
+            } else {
+                owner->timers_.erase(entry->id);
+            }
+            entry->action();
+        });
 }
 
 timer_service::subscription control_loop::every(duration period, callback action) {
--- a/drivers/datagrams/datagram_codec.cpp
+++ b/drivers/datagrams/datagram_codec.cpp
@@ -107,10 +107,10 @@
         works.reserve(message.works.size());
         for (const engine_work& item : message.works) {
             const auto engine = builder.CreateString(item.engine);
-            works.push_back(wire::Creatework(
-                builder, item.key, engine, static_cast<std::uint8_t>(item.phase),
-                item.read_tokens, item.read_time.count(), item.memory_tokens,
-                item.target_gap.count(), (now - item.dispatched_at).count()));
+            works.push_back(
+                wire::Creatework(builder, item.key, engine, static_cast<std::uint8_t>(item.phase),
+                                 item.read_tokens, item.read_time.count(), item.memory_tokens,
+                                 item.target_gap.count(), (now - item.dispatched_at).count()));
         }
         const auto host = builder.CreateString(message.sender.host);
         const auto data_centre = builder.CreateString(message.sender.data_centre);
@@ -119,18 +119,17 @@
         const auto queries = builder.CreateString(message.sender.queries.text());
         const auto list = builder.CreateVector(works);
         finish(wire::message_announcement,
-               wire::Createannouncement(
-                   builder, host, data_centre, callers, datagrams, queries,
-                   message.sender.incarnation, static_cast<std::uint8_t>(message.state),
-                   message.sequence, message.configuration_revision, message.complete, list)
+               wire::Createannouncement(builder, host, data_centre, callers, datagrams, queries,
+                                        message.sender.incarnation,
+                                        static_cast<std::uint8_t>(message.state), message.sequence,
+                                        message.configuration_revision, message.complete, list)
                    .Union());
     }
 
     void operator()(const view_request& message) const {
         const auto sender = builder.CreateString(message.sender);
         finish(wire::message_view_request,
-               wire::Createview_request(builder, sender, message.nonce,
-                                        message.catalogue_revision)
+               wire::Createview_request(builder, sender, message.nonce, message.catalogue_revision)
                    .Union());
     }
 
@@ -147,13 +146,12 @@
         }
         const auto sender = builder.CreateString(message.sender);
         const auto list = builder.CreateVector(changes);
-        finish(wire::message_view_reply,
-               wire::Createview_reply(builder, sender, message.nonce,
-                                      message.configuration_revision,
-                                      message.configuration_age.count(),
-                                      message.catalogue_age.count(), message.catalogue.complete,
-                                      message.catalogue.revision, list)
-                   .Union());
+        finish(
+            wire::message_view_reply,
+            wire::Createview_reply(builder, sender, message.nonce, message.configuration_revision,
+                                   message.configuration_age.count(), message.catalogue_age.count(),
+                                   message.catalogue.complete, message.catalogue.revision, list)
+                .Union());
     }
 
 private:
--- a/drivers/datagrams/udp_datagram_channel.cpp
+++ b/drivers/datagrams/udp_datagram_channel.cpp
@@ -6,8 +6,8 @@
 #include <utility>
 
 #include "core/error/step_error.hpp"
-#include "drivers/datagrams/datagram_codec.hpp"
 #include "drivers/control/control_loop.hpp"
+#include "drivers/datagrams/datagram_codec.hpp"
 #include "servers/decision_log.hpp"
 
 namespace fuchsiaquay {
@@ -72,8 +72,7 @@
         while (true) {
             udp::endpoint sender;
             error_code error;
-            const std::size_t bytes =
-                socket_.receive_from(asio::buffer(buffer_), sender, 0, error);
+            const std::size_t bytes = socket_.receive_from(asio::buffer(buffer_), sender, 0, error);
             if (error) {
                 return;
             }
@@ -98,7 +97,7 @@
 };
 
 udp_datagram_channel::udp_datagram_channel(control_loop& loop, decision_log& log,
-                                                   const network_address& address)
+                                           const network_address& address)
     : binding_(std::make_shared<binding>(loop, log, address)) {
     binding_->receive_next();
 }
@@ -108,7 +107,7 @@
 }
 
 void udp_datagram_channel::send(const std::vector<network_address>& to,
-                                    const peer_datagram& message) {
+                                const peer_datagram& message) {
     binding_->send(to, encode_datagram(message, binding_->loop_.now()));
 }
 
--- a/drivers/datagrams/udp_datagram_channel.hpp
+++ b/drivers/datagrams/udp_datagram_channel.hpp
@@ -14,8 +14,9 @@
 class udp_datagram_channel final : public datagram_channel {
 public:
     /// @throws step_error  the address cannot be listened at
-    udp_datagram_channel(control_loop& loop, decision_log& log,
-                             const network_address& address);
+    udp_datagram_channel(control_loop& loop, decision_log& log, const network_address& address);
+    udp_datagram_channel(const udp_datagram_channel&) = delete;
+    udp_datagram_channel& operator=(const udp_datagram_channel&) = delete;
     ~udp_datagram_channel() override;
 
     void send(const std::vector<network_address>& to, const peer_datagram& message) override;
--- a/drivers/log/log4cxx_decision_log.cpp
+++ b/drivers/log/log4cxx_decision_log.cpp
@@ -1,5 +1,6 @@
 #include "drivers/log/log4cxx_decision_log.hpp"
 
+#include <log4cxx/asyncappender.h>
 #include <log4cxx/consoleappender.h>
 #include <log4cxx/level.h>
 #include <log4cxx/logger.h>
@@ -11,6 +12,9 @@
 
 namespace {
 
+/// Lines that may wait for the reader of the log.
+constexpr int max_waiting_lines = 4'096;
+
 log4cxx::LevelPtr native_level(decision_log::level severity) {
     switch (severity) {
         case decision_log::level::debug:
@@ -55,7 +59,14 @@
     : host_(std::move(host)), binding_(std::make_unique<binding>()) {
     const log4cxx::LayoutPtr layout(
         new log4cxx::PatternLayout("%d{yyyy-MM-dd'T'HH:mm:ss.SSS} %p %m%n"));
-    const log4cxx::AppenderPtr appender(new log4cxx::ConsoleAppender(layout));
+    const log4cxx::AppenderPtr console(new log4cxx::ConsoleAppender(layout));
+    // The caller of `write` never waits for the reader of the log: what does not fit into the
+    // buffer is left out, and a line says how much that was.
+    auto* buffer = new log4cxx::AsyncAppender();
+    const log4cxx::AppenderPtr appender(buffer);
+    buffer->setBufferSize(max_waiting_lines);
+    buffer->setBlocking(false);
+    buffer->addAppender(console);
     binding_->logger_->removeAllAppenders();
     binding_->logger_->addAppender(appender);
     binding_->logger_->setAdditivity(false);
@@ -64,7 +75,10 @@
     }
 }
 
-log4cxx_decision_log::~log4cxx_decision_log() = default;
+log4cxx_decision_log::~log4cxx_decision_log() {
+    // Writes what still waits.
+    binding_->logger_->removeAllAppenders();
+}
 
 void log4cxx_decision_log::write(level severity, std::string_view event,
                                  std::initializer_list<field> fields) {
--- a/drivers/net/http_channel.cpp
+++ b/drivers/net/http_channel.cpp
@@ -72,19 +72,18 @@
     void connect() {
         close();
         socket_ = std::make_shared<tcp::socket>(context_);
-        socket_->async_connect(
-            to_endpoint(server_),
-            [self = shared_from_this(), turn = turn_](const error_code& error) {
-                if (turn != self->turn_) {
-                    return;
-                }
-                if (error) {
-                    self->fail("connect: " + error.message());
-                    return;
-                }
-                set_up_socket(*self->socket_);
-                self->write();
-            });
+        socket_->async_connect(to_endpoint(server_),
+                               [self = shared_from_this(), turn = turn_](const error_code& error) {
+                                   if (turn != self->turn_) {
+                                       return;
+                                   }
+                                   if (error) {
+                                       self->fail("connect: " + error.message());
+                                       return;
+                                   }
+                                   set_up_socket(*self->socket_);
+                                   self->write();
+                               });
     }
 
     void write() {
--- a/drivers/net/http_endpoint.cpp
+++ b/drivers/net/http_endpoint.cpp
@@ -80,19 +80,19 @@
           answer_(std::make_shared<const handler>(std::move(answer))) {}
 
     void accept() {
-        acceptor_.async_accept([self = shared_from_this()](const error_code& error,
-                                                           tcp::socket socket) {
-            if (!self->acceptor_.is_open()) {
-                return;
-            }
-            if (error) {
-                self->loop_.after(accept_retry_delay, [self] { self->accept(); });
-                return;
-            }
-            set_up_socket(socket);
-            std::make_shared<session>(std::move(socket), self->answer_)->read();
-            self->accept();
-        });
+        acceptor_.async_accept(
+            [self = shared_from_this()](const error_code& error, tcp::socket socket) {
+                if (!self->acceptor_.is_open()) {
+                    return;
+                }
+                if (error) {
+                    self->loop_.after(accept_retry_delay, [self] { self->accept(); });
+                    return;
+                }
+                set_up_socket(socket);
+                std::make_shared<session>(std::move(socket), self->answer_)->read();
+                self->accept();
+            });
     }
 
     void close() {
--- a/drivers/queries/http_host_queries.hpp
+++ b/drivers/queries/http_host_queries.hpp
@@ -19,6 +19,8 @@
 class http_host_queries final : public host_queries {
 public:
     explicit http_host_queries(control_loop& loop);
+    http_host_queries(const http_host_queries&) = delete;
+    http_host_queries& operator=(const http_host_queries&) = delete;
     ~http_host_queries() override;
 
     void fetch_configuration(const network_address& host, configuration_handler done) override;
--- a/drivers/settings/define_setting.cpp
+++ b/drivers/settings/define_setting.cpp
@@ -26,8 +26,7 @@
     return definition;
 }
 
-setting_definition address_setting(const char* section, const char* key,
-                                   const char* description) {
+setting_definition address_setting(const char* section, const char* key, const char* description) {
     setting_definition definition = text_setting(section, key, "127.0.0.1", description);
     definition.type = setting_type::ip_address;
     return definition;
--- a/drivers/traffic/beast_exchange.cpp
+++ b/drivers/traffic/beast_exchange.cpp
@@ -31,8 +31,7 @@
 
 beast_exchange::beast_exchange(control_loop& loop, std::shared_ptr<upstream_pool> pool,
                                const upstream_entry& upstream, std::string head,
-                               std::shared_ptr<const std::string> body,
-                               exchange_listener& listener)
+                               std::shared_ptr<const std::string> body, exchange_listener& listener)
     : loop_(loop),
       pool_(std::move(pool)),
       upstream_(upstream.id),
@@ -133,8 +132,8 @@
             fail("answer: " + error.message());
             return false;
         }
-        const bool interim = parser_->is_done() &&
-                             parser_->get().result_int() / status_class_divisor == 1;
+        const bool interim =
+            parser_->is_done() && parser_->get().result_int() / status_class_divisor == 1;
         if (interim) {
             parser_.emplace();
             parser_->eager(true);
--- a/drivers/traffic/caller_server.cpp
+++ b/drivers/traffic/caller_server.cpp
@@ -51,28 +51,28 @@
     std::size_t connections() const { return sessions_.size(); }
 
     std::size_t active_requests() const {
-        return static_cast<std::size_t>(std::count_if(
-            sessions_.begin(), sessions_.end(),
-            [](const session_ptr& session) { return session->serving(); }));
+        return static_cast<std::size_t>(
+            std::count_if(sessions_.begin(), sessions_.end(),
+                          [](const session_ptr& session) { return session->serving(); }));
     }
 
 private:
     using session_ptr = std::shared_ptr<caller_session>;
 
     void accept() {
-        acceptor_.async_accept([self = shared_from_this()](const error_code& error,
-                                                           tcp::socket socket) {
-            if (!self->acceptor_.is_open()) {
-                return;
-            }
-            if (error) {
-                // Mostly a lack of descriptors, which passes.
-                self->services_.loop.after(accept_retry_delay, [self] { self->accept(); });
-                return;
-            }
-            self->accepted(std::move(socket));
-            self->accept();
-        });
+        acceptor_.async_accept(
+            [self = shared_from_this()](const error_code& error, tcp::socket socket) {
+                if (!self->acceptor_.is_open()) {
+                    return;
+                }
+                if (error) {
+                    // Mostly a lack of descriptors, which passes.
+                    self->services_.loop.after(accept_retry_delay, [self] { self->accept(); });
+                    return;
+                }
+                self->accepted(std::move(socket));
+                self->accept();
+            });
     }
 
     void accepted(tcp::socket socket) {
--- a/drivers/traffic/caller_session.cpp
+++ b/drivers/traffic/caller_session.cpp
@@ -121,18 +121,17 @@
     head_accepted_ = true;
     const auto& message = parser_->get();
     const auto length = parser_->content_length();
-    const std::size_t expected =
-        length ? static_cast<std::size_t>(*length)
-               : (parser_->chunked() ? services_.limits().body_bytes : 0);
+    const std::size_t expected = length ? static_cast<std::size_t>(*length)
+                                        : (parser_->chunked() ? services_.limits().body_bytes : 0);
     if (!services_.bodies.take(expected)) {
         reject(status_unavailable);
         return false;
     }
     body_bytes_ = expected;
     const auto expects = message.find(http::field::expect);
-    if (expects != message.end() && same_header_name(std::string_view(expects->value().data(),
-                                                                      expects->value().size()),
-                                                     "100-continue")) {
+    if (expects != message.end() &&
+        same_header_name(std::string_view(expects->value().data(), expects->value().size()),
+                         "100-continue")) {
         output_ += "HTTP/1.1 100 Continue\r\n\r\n";
         flush();
     }
@@ -280,9 +279,10 @@
         return;
     }
     const caller_limits limits = services_.limits();
-    if (head_started_ && !head_accepted_ && now - head_since_ > limits.header_timeout) {
-        close();
-    } else if (!head_started_ && now - idle_since_ > limits.idle_timeout) {
+    const bool slow_head =
+        head_started_ && !head_accepted_ && now - head_since_ > limits.header_timeout;
+    const bool idle = !head_started_ && now - idle_since_ > limits.idle_timeout;
+    if (slow_head || idle) {
         close();
     }
 }
--- a/drivers/traffic/caller_session.hpp
+++ b/drivers/traffic/caller_session.hpp
@@ -26,6 +26,8 @@
 
     caller_session(const caller_services& services, boost::asio::ip::tcp::socket socket,
                    end_handler ended);
+    caller_session(const caller_session&) = delete;
+    caller_session& operator=(const caller_session&) = delete;
     ~caller_session() override;
 
     void start();
--- a/main/entry_node.cpp
+++ b/main/entry_node.cpp
@@ -71,8 +71,9 @@
                        upstream_mirror_settings()),
       board_(settings.host),
       channel_(loop, log, settings.announcements),
-      hosts_(record_of(settings), configuration_store_, channel_, loop, log, board_, host_prefix,
-             [this] { return state(); }, [this] { return configuration_.revision(); }),
+      hosts_(
+          record_of(settings), configuration_store_, channel_, loop, log, board_, host_prefix,
+          [this] { return state(); }, [this] { return configuration_.revision(); }),
       queries_(loop),
       views_(record_of(settings),
              {loop, log, hosts_, channel_, queries_, configuration_store_, configuration_,
@@ -81,10 +82,10 @@
       budget_(settings.retries),
       connector_(loop),
       orders_(loop, order_timeout),
-      relay_services_{settings.host, loop,    log,     configuration_, configuration_mirror_,
-                      upstreams_,    board_,  health_, budget_,        placement_,
-                      connector_,    format_, metrics_, orders_,
-                      [this] { return serving_time_left(); }},
+      relay_services_{
+          settings.host, loop,    log,      configuration_, configuration_mirror_,
+          upstreams_,    board_,  health_,  budget_,        placement_,
+          connector_,    format_, metrics_, orders_,        [this] { return serving_time_left(); }},
       relays_(relay_services_),
       bodies_(settings.memory_bytes / body_memory_divisor),
       callers_(services_for_callers(), settings.callers),
@@ -129,8 +130,8 @@
     if (stopping_) {
         return host_state::leaving;
     }
-    const bool ready = configuration_.current() != nullptr && configuration_mirror_.fresh() &&
-                       upstreams_.loaded();
+    const bool ready =
+        configuration_.current() != nullptr && configuration_mirror_.fresh() && upstreams_.loaded();
     return ready ? host_state::ready : host_state::unready;
 }
 
@@ -185,9 +186,8 @@
         {"body_bytes", static_cast<double>(bodies_.used())},
         {"hosts_live", static_cast<double>(hosts_.live_peers().size() + 1)},
         {"upstreams", static_cast<double>(upstreams_.size())},
-        {"configuration_version", configuration_.current()
-                                      ? static_cast<double>(configuration_.current()->version())
-                                      : 0.0},
+        {"configuration_version",
+         configuration_.current() ? static_cast<double>(configuration_.current()->version()) : 0.0},
         {"configuration_age_seconds", to_seconds(configuration_mirror_.age())}};
     http_endpoint::reply reply;
     reply.content_type = "text/plain; version=0.0.4";
--- a/main/entry_settings.cpp
+++ b/main/entry_settings.cpp
@@ -53,7 +53,7 @@
 
     network_address read(const char* section, const char* key) {
         const std::string& text = values_.text(section, key);
-        const network_address address = parse_network_address(text);
+        network_address address = parse_network_address(text);
         if (address.empty()) {
             faults_.push_back(std::string(section) + "." + key + ": '" + text +
                               "' is no address; allowed: IP:PORT");
--- a/servers/fleet/engine_board.cpp
+++ b/servers/fleet/engine_board.cpp
@@ -24,8 +24,7 @@
     }
 }
 
-void engine_board::replace_remote(const std::string& host,
-                                  const std::vector<engine_work>& works) {
+void engine_board::replace_remote(const std::string& host, const std::vector<engine_work>& works) {
     for (auto& [upstream, load] : loads_) {
         load.remove_host(host);
     }
--- a/servers/fleet/host_registry.cpp
+++ b/servers/fleet/host_registry.cpp
@@ -22,6 +22,8 @@
 constexpr duration directory_period = std::chrono::seconds(60);
 /// Period of complete announcements, which make good for lost ones.
 constexpr duration announce_period = std::chrono::milliseconds(500);
+/// Period of looking whether this host's own state has changed.
+constexpr duration state_period = std::chrono::milliseconds(50);
 /// A host that was not heard for this long takes no callers; three announcements may be lost.
 constexpr duration silence_limit = std::chrono::milliseconds(1'800);
 /// Silence after which a host is forgotten.
@@ -43,10 +45,9 @@
 
 }  // namespace
 
-host_registry::host_registry(host_record self, polled_store& store,
-                             datagram_channel& channel, timer_service& timers,
-                             decision_log& log, engine_board& board, std::string prefix,
-                             state_source state, revision_source configuration)
+host_registry::host_registry(host_record self, polled_store& store, datagram_channel& channel,
+                             timer_service& timers, decision_log& log, engine_board& board,
+                             std::string prefix, state_source state, revision_source configuration)
     : self_(std::move(self)),
       store_(store),
       channel_(channel),
@@ -64,6 +65,11 @@
         drop_silent();
         announce(true, board_.own_works());
     });
+    timers_.every(state_period, [this] {
+        if (announced_ != state_()) {
+            announce_now();
+        }
+    });
     timers_.every(renewal_period, [this] { keep_entry(); });
     timers_.every(directory_period, [this] { read_entries(); });
 }
@@ -120,8 +126,7 @@
                 host_record record = read_host_record(value.value);
                 record.incarnation = static_cast<std::uint64_t>(value.revision);
                 peer& known = peers_[record.host];
-                if (record.host != self_.host &&
-                    known.record.incarnation < record.incarnation) {
+                if (record.host != self_.host && known.record.incarnation < record.incarnation) {
                     known = {};
                     known.record = record;
                     known.heard_at = timers_.now();
@@ -172,7 +177,8 @@
     }
     announcement message;
     message.sender = self_;
-    message.state = left_ ? host_state::leaving : state_();
+    announced_ = state_();
+    message.state = left_ ? host_state::leaving : announced_;
     message.sequence = ++sequence_;
     message.configuration_revision = configuration_();
     message.complete = complete;
--- a/servers/fleet/host_registry.hpp
+++ b/servers/fleet/host_registry.hpp
@@ -31,8 +31,8 @@
 
     /// @param prefix  part of the store's keys before the host's name
     host_registry(host_record self, polled_store& store, datagram_channel& channel,
-                  timer_service& timers, decision_log& log, engine_board& board,
-                  std::string prefix, state_source state, revision_source configuration);
+                  timer_service& timers, decision_log& log, engine_board& board, std::string prefix,
+                  state_source state, revision_source configuration);
 
     void start();
     /// Tells the others at once, and gives up the entry in the store.
@@ -82,6 +82,7 @@
     revision_source configuration_;
     newer_handler newer_;
     bool registered_ = false;
+    host_state announced_ = host_state::unready;
     std::map<std::string, peer> peers_;
     std::int64_t lease_ = 0;
     bool left_ = false;
--- a/servers/fleet/upstream_registry.cpp
+++ b/servers/fleet/upstream_registry.cpp
@@ -88,8 +88,8 @@
     index();
 }
 
-void upstream_registry::on_snapshot(const std::vector<stored_value>& values,
-                                    std::int64_t revision, bool after_outage) {
+void upstream_registry::on_snapshot(const std::vector<stored_value>& values, std::int64_t revision,
+                                    bool after_outage) {
     revision_ = std::max(revision_, revision);
     std::set<std::string> kept;
     for (const stored_value& value : values) {
@@ -124,8 +124,7 @@
     }
 }
 
-void upstream_registry::on_changes(const std::vector<watch_event>& events,
-                                   std::int64_t revision) {
+void upstream_registry::on_changes(const std::vector<watch_event>& events, std::int64_t revision) {
     for (const watch_event& event : events) {
         if (event.erased) {
             remove(event.value.key.substr(prefix_.size()), event.value.revision, "removed");
@@ -165,8 +164,7 @@
     entries_[entry.id] = {entry, revision};
 }
 
-void upstream_registry::remove(const std::string& id, std::int64_t revision,
-                               const char* reason) {
+void upstream_registry::remove(const std::string& id, std::int64_t revision, const char* reason) {
     missing_.erase(id);
     if (entries_.erase(id) == 0) {
         return;
--- a/servers/fleet/view_exchange.cpp
+++ b/servers/fleet/view_exchange.cpp
@@ -44,8 +44,7 @@
 constexpr std::size_t near_sources = 2;
 constexpr const char* watch_key = "watch";
 
-std::vector<host_id> ids_of(const std::vector<host_record>& hosts,
-                            const std::string& data_centre) {
+std::vector<host_id> ids_of(const std::vector<host_record>& hosts, const std::string& data_centre) {
     std::vector<host_id> ids;
     for (const host_record& host : hosts) {
         if (host.data_centre == data_centre) {
@@ -62,9 +61,8 @@
 
 void view_exchange::start() {
     services_.timers.every(tick_period, [this] { tick(); });
-    services_.hosts.on_newer_configuration([this](const host_record& host) {
-        ask_for_newer(host);
-    });
+    services_.hosts.on_newer_configuration(
+        [this](const host_record& host) { ask_for_newer(host); });
 }
 
 void view_exchange::tick() {
--- a/servers/relay/engine_orders.hpp
+++ b/servers/relay/engine_orders.hpp
@@ -23,8 +23,8 @@
 
     /// Reserves memory, or renews the reservation of the same id.
     /// @param hold  lifetime of the reservation from its arrival, also while it is used
-    virtual void reserve(const network_address& engine, const std::string& id,
-                         std::int64_t tokens, duration hold, held_handler done) = 0;
+    virtual void reserve(const network_address& engine, const std::string& id, std::int64_t tokens,
+                         duration hold, held_handler done) = 0;
     /// Ends a reservation. Lost orders are made good by its lifetime.
     virtual void release(const network_address& engine, const std::string& id) = 0;
 };
--- a/servers/relay/relay_queue.cpp
+++ b/servers/relay/relay_queue.cpp
@@ -20,8 +20,7 @@
 
 }  // namespace
 
-relay_queue::relay_queue(const relay_services& services)
-    : services_(services), choice_(services) {
+relay_queue::relay_queue(const relay_services& services) : services_(services), choice_(services) {
     services_.timers.every(check_period, [this] { check_times(); });
     services_.board.on_room([this] { retry_waiting(); });
 }
--- a/servers/relay/request_handler.hpp
+++ b/servers/relay/request_handler.hpp
@@ -19,8 +19,7 @@
 
     /// Begins to serve `request`. The answer comes through `sink`, later and exactly once.
     /// @param sink  outlives the returned request
-    virtual std::unique_ptr<active_request> serve(caller_request request,
-                                                  response_sink& sink) = 0;
+    virtual std::unique_ptr<active_request> serve(caller_request request, response_sink& sink) = 0;
 };
 
 }  // namespace fuchsiaquay
--- a/servers/relay/request_relay.cpp
+++ b/servers/relay/request_relay.cpp
@@ -100,8 +100,8 @@
         return;
     }
     waiting_ = false;
-    admitted_ = admit(request_, services_.configuration.current(),
-                      services_.configuration_mirror.fresh());
+    admitted_ =
+        admit(request_, services_.configuration.current(), services_.configuration_mirror.fresh());
     if (admitted_.refused) {
         refuse(*admitted_.refused);
         return;
@@ -218,15 +218,15 @@
 void request_relay::reserve(const placement_decision& decision) {
     std::vector<memory_claim> claims;
     const std::string id = services_.host + "-" + std::to_string(work_key_);
-    claims.push_back({services_.upstreams.find(decision.engine)->address,
-                      decision.reserved_tokens, id + "-0"});
+    claims.push_back(
+        {services_.upstreams.find(decision.engine)->address, decision.reserved_tokens, id + "-0"});
     for (const placement_part& part : decision.helpers) {
         claims.push_back({services_.upstreams.find(part.engine)->address, part.reserved_tokens,
                           id + "-" + std::to_string(claims.size())});
     }
-    memory_ = std::make_unique<memory_reservation>(services_.orders, services_.timers,
-                                                   std::move(claims),
-                                                   [this](bool held) { reserved(held); });
+    memory_ =
+        std::make_unique<memory_reservation>(services_.orders, services_.timers, std::move(claims),
+                                             [this](bool held) { reserved(held); });
     memory_->start();
 }
 
@@ -293,9 +293,8 @@
         const std::int64_t tokens = request_.prompt_tokens.value_or(0);
         work.read_tokens = tokens / parts;
         work.read_time = read_time(*profile, tokens) / parts;
-        work.memory_tokens =
-            (decision.reserved_tokens > 0 ? decision.reserved_tokens : tokens) +
-            request_.max_answer_tokens;
+        work.memory_tokens = (decision.reserved_tokens > 0 ? decision.reserved_tokens : tokens) +
+                             request_.max_answer_tokens;
     }
     works_.push_back(work);
     work.target_gap = {};
@@ -316,11 +315,10 @@
         work.phase = phase == work_phase::writing && over ? work_phase::ended : phase;
         services_.board.apply_own(work);
     }
-    works_.erase(std::remove_if(works_.begin(), works_.end(),
-                                [](const engine_work& work) {
-                                    return work.phase == work_phase::ended;
-                                }),
-                 works_.end());
+    works_.erase(
+        std::remove_if(works_.begin(), works_.end(),
+                       [](const engine_work& work) { return work.phase == work_phase::ended; }),
+        works_.end());
 }
 
 void request_relay::on_head(response_head head) {
--- a/servers/relay/request_relay.hpp
+++ b/servers/relay/request_relay.hpp
@@ -28,8 +28,10 @@
 /// One request on its way: admission, placement, attempts at upstreams, and the one final answer.
 class request_relay final : public active_request, private exchange_listener {
 public:
-    request_relay(const relay_services& services, const upstream_choice& choice,
-                  relay_queue& queue, caller_request request, response_sink& sink);
+    request_relay(const relay_services& services, const upstream_choice& choice, relay_queue& queue,
+                  caller_request request, response_sink& sink);
+    request_relay(const request_relay&) = delete;
+    request_relay& operator=(const request_relay&) = delete;
     ~request_relay() override;
 
     void start();
--- a/servers/relay/upstream_choice.cpp
+++ b/servers/relay/upstream_choice.cpp
@@ -72,9 +72,8 @@
     place.key = key;
     place.read_time = read_time(profile, prompt.prompt_tokens);
     place.dispatched_at = request.received_at + admitted.terms->target;
-    prompt.ahead = place.read_time > long_read
-                       ? services_.board.load("").waiting_before(place, now)
-                       : 0;
+    prompt.ahead =
+        place.read_time > long_read ? services_.board.load("").waiting_before(place, now) : 0;
     return services_.placement.choose(prompt, engines, now);
 }
 
--- a/servers/store/prefix_mirror.cpp
+++ b/servers/store/prefix_mirror.cpp
@@ -63,12 +63,12 @@
 
 void prefix_mirror::read_all() {
     const instant sent_at = timers_.now();
-    store_.read_prefix(prefix_, [this, sent_at, alive = std::weak_ptr<int>(alive_)](
-                                    const read_result& result) {
-        if (!alive.expired()) {
-            take_snapshot(result, sent_at);
-        }
-    });
+    store_.read_prefix(
+        prefix_, [this, sent_at, alive = std::weak_ptr<int>(alive_)](const read_result& result) {
+            if (!alive.expired()) {
+                take_snapshot(result, sent_at);
+            }
+        });
 }
 
 void prefix_mirror::take_snapshot(const read_result& result, instant sent_at) {
--- a/tests/core/fleet/fleet_configuration_test.cpp
+++ b/tests/core/fleet/fleet_configuration_test.cpp
@@ -1,10 +1,10 @@
 #include "core/fleet/fleet_configuration.hpp"
 
+#include <CppUTest/TestHarness.h>
+
 #include <map>
 #include <string>
 
-#include <CppUTest/TestHarness.h>
-
 using namespace fuchsiaquay;
 
 namespace {
--- a/tests/core/placement/undisturbed_placement_test.cpp
+++ b/tests/core/placement/undisturbed_placement_test.cpp
@@ -1,5 +1,7 @@
 #include "core/placement/undisturbed_placement.hpp"
 
+#include <CppUTest/TestHarness.h>
+
 #include <algorithm>
 #include <map>
 #include <set>
@@ -12,8 +14,6 @@
 #include "core/placement/pass_timing.hpp"
 #include "core/placement/placement_request.hpp"
 
-#include <CppUTest/TestHarness.h>
-
 using namespace fuchsiaquay;
 using std::chrono::milliseconds;
 using std::chrono::seconds;
@@ -161,10 +161,12 @@
 }
 
 TEST(undisturbed_placement, reviews_share_an_engine_where_they_disturb_nobody) {
-    const placement_request first = prompt(1, review_prompt, milliseconds(1'500), milliseconds(500));
+    const placement_request first =
+        prompt(1, review_prompt, milliseconds(1'500), milliseconds(500));
     const placement_decision decision = choose(first);
     add(decision.engine, first, work_phase::writing);
-    const placement_request second = prompt(2, review_prompt, milliseconds(1'500), milliseconds(500));
+    const placement_request second =
+        prompt(2, review_prompt, milliseconds(1'500), milliseconds(500));
     CHECK_EQUAL(decision.engine, choose(second).engine);
 }
 
--- a/tests/core/relay/event_splitter_test.cpp
+++ b/tests/core/relay/event_splitter_test.cpp
@@ -1,9 +1,9 @@
 #include "core/relay/event_splitter.hpp"
 
-#include <string>
-
 #include <CppUTest/TestHarness.h>
 
+#include <string>
+
 using fuchsiaquay::event_splitter;
 
 TEST_GROUP(event_splitter) {
--- a/tests/core/relay/next_step_test.cpp
+++ b/tests/core/relay/next_step_test.cpp
@@ -7,17 +7,17 @@
 using fuchsiaquay::next_step;
 using fuchsiaquay::retry_facts;
 
-TEST_GROUP(next_step) {
-    static retry_facts facts(attempt_outcome outcome, bool repeatable) {
-        retry_facts result;
-        result.outcome = outcome;
-        result.repeatable = repeatable;
-        result.attempts_left = true;
-        result.budget_left = true;
-        result.time_left = true;
-        return result;
-    }
-};
+TEST_GROUP(next_step){
+    static retry_facts facts(attempt_outcome outcome, bool repeatable){retry_facts result;
+result.outcome = outcome;
+result.repeatable = repeatable;
+result.attempts_left = true;
+result.budget_left = true;
+result.time_left = true;
+return result;
+}
+}
+;
 
 TEST(next_step, unrepeatable_request_that_may_have_run_is_never_sent_again_nor_refused) {
     for (const auto outcome : {attempt_outcome::unknown, attempt_outcome::failed}) {
@@ -52,6 +52,5 @@
     CHECK_TRUE(decide_next_step(broken) == next_step::retry);
     broken.time_left = false;
     CHECK_TRUE(decide_next_step(broken) == next_step::abort);
-    CHECK_TRUE(decide_next_step(facts(attempt_outcome::broken_stream, false)) ==
-               next_step::abort);
+    CHECK_TRUE(decide_next_step(facts(attempt_outcome::broken_stream, false)) == next_step::abort);
 }
--- a/tests/core/retry/fleet_retry_budget_test.cpp
+++ b/tests/core/retry/fleet_retry_budget_test.cpp
@@ -1,9 +1,9 @@
 #include "core/retry/fleet_retry_budget.hpp"
 
-#include <vector>
-
 #include <CppUTest/TestHarness.h>
 
+#include <vector>
+
 using namespace fuchsiaquay;
 using std::chrono::milliseconds;
 
@@ -28,8 +28,7 @@
 TEST(fleet_retry_budget, sum_over_hosts_keeps_the_bound_of_the_fleet_while_hosts_join) {
     for (const int hosts : {1, 9, 12, 16}) {
         for (const int requests : {0, 3, 50, 400}) {
-            const double bound =
-                settings_.ratio * hosts * requests + settings_.allowance;
+            const double bound = settings_.ratio * hosts * requests + settings_.allowance;
             CHECK_TRUE(taken_in_window(hosts, requests) <= bound);
         }
     }
--- a/tests/drivers/datagrams/datagram_codec_test.cpp
+++ b/tests/drivers/datagrams/datagram_codec_test.cpp
@@ -1,13 +1,13 @@
 #include "drivers/datagrams/datagram_codec.hpp"
 
+#include <CppUTest/TestHarness.h>
+
 #include <random>
 #include <string>
 #include <variant>
 
 #include "core/error/step_error.hpp"
 
-#include <CppUTest/TestHarness.h>
-
 using namespace fuchsiaquay;
 using std::chrono::milliseconds;
 using std::chrono::seconds;
--- a/tests/drivers/traffic/beast_upstream_connector_test.cpp
+++ b/tests/drivers/traffic/beast_upstream_connector_test.cpp
@@ -1,5 +1,7 @@
 #include "drivers/traffic/beast_upstream_connector.hpp"
 
+#include <CppUTest/TestHarness.h>
+
 #include <memory>
 #include <optional>
 #include <string>
@@ -8,8 +10,6 @@
 #include "servers/relay/upstream_exchange.hpp"
 #include "tests/drivers/traffic/loopback.hpp"
 
-#include <CppUTest/TestHarness.h>
-
 using namespace fuchsiaquay;
 using namespace fuchsiaquay::testing;
 
@@ -49,8 +49,9 @@
         upstream.address = server_.address();
         auto body = std::make_shared<const std::string>(body_bytes, 'b');
         exchange_ = connector_.open(
-            upstream, "POST / HTTP/1.1\r\nContent-Length: " + std::to_string(body_bytes) + "\r\n\r\n",
-            body, new_connection, answer_);
+            upstream,
+            "POST / HTTP/1.1\r\nContent-Length: " + std::to_string(body_bytes) + "\r\n\r\n", body,
+            new_connection, answer_);
     }
     bool ended() {
         return run_until(loop_, [&] { return answer_.ended || answer_.failure.has_value(); });
@@ -76,8 +77,9 @@
 }
 
 TEST(beast_upstream_connector, second_answer_on_a_connection_ends_its_use) {
-    answered("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
-             "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nextra");
+    answered(
+        "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
+        "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nextra");
     CHECK_TRUE(ended());
     CHECK_EQUAL(std::string("ok"), answer_.body);
     answer_.clear();
--- a/tests/drivers/traffic/caller_server_test.cpp
+++ b/tests/drivers/traffic/caller_server_test.cpp
@@ -1,5 +1,7 @@
 #include "drivers/traffic/caller_server.hpp"
 
+#include <CppUTest/TestHarness.h>
+
 #include <memory>
 #include <string>
 #include <vector>
@@ -11,8 +13,6 @@
 #include "servers/relay/response_sink.hpp"
 #include "tests/drivers/traffic/loopback.hpp"
 
-#include <CppUTest/TestHarness.h>
-
 using namespace fuchsiaquay;
 using namespace fuchsiaquay::testing;
 
@@ -95,8 +95,9 @@
 }
 
 TEST(caller_server, chunked_body_arrives_without_its_framing) {
-    client_->send("POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n"
-                  "5\r\nhello\r\n6\r\n world\r\n0\r\n\r\n");
+    client_->send(
+        "POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n"
+        "5\r\nhello\r\n6\r\n world\r\n0\r\n\r\n");
     CHECK_TRUE(arrived(1));
     CHECK_EQUAL(std::string("hello world"), *handler_.requests[0].body);
 }
@@ -115,11 +116,12 @@
 TEST(caller_server, ambiguous_or_broken_framing_is_refused_and_passed_on_never) {
     const std::string head = "POST / HTTP/1.1\r\nHost: h\r\n";
     CHECK_TRUE(rejected(head + "Content-Length: 5\r\nContent-Length: 6\r\n\r\nhello", "400"));
-    CHECK_TRUE(rejected(head + "Content-Length: 5\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
-                        "400"));
-    CHECK_TRUE(rejected(head + "Transfer-Encoding: chunked\r\nContent-Length: 5\r\n\r\n0\r\n\r\n",
-                        "400"));
-    CHECK_TRUE(rejected(head + "Transfer-Encoding: chunked\r\n\r\nzz\r\nhello\r\n0\r\n\r\n", "400"));
+    CHECK_TRUE(
+        rejected(head + "Content-Length: 5\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n", "400"));
+    CHECK_TRUE(
+        rejected(head + "Transfer-Encoding: chunked\r\nContent-Length: 5\r\n\r\n0\r\n\r\n", "400"));
+    CHECK_TRUE(
+        rejected(head + "Transfer-Encoding: chunked\r\n\r\nzz\r\nhello\r\n0\r\n\r\n", "400"));
     CHECK_TRUE(rejected(head + "Content-Length: -1\r\n\r\n", "400"));
     CHECK_TRUE(rejected("GET / HTTP/1.1\nHost: h\n\n", "400"));
     CHECK_TRUE(rejected("GET / HTTP/1.1\r\nHost: h\r\nBad Header: x\r\n\r\n", "400"));
--- a/tests/drivers/traffic/loopback.hpp
+++ b/tests/drivers/traffic/loopback.hpp
@@ -80,7 +80,7 @@
 
     control_loop& loop_;
     tcp::socket socket_;
-    char buffer_[4096];
+    char buffer_[4096] = {};
     /// Ends with the client, which a handler may outlive.
     std::shared_ptr<int> alive_ = std::make_shared<int>(0);
 };
@@ -90,8 +90,7 @@
 public:
     explicit raw_server(control_loop& loop)
         : loop_(loop),
-          acceptor_(loop.context(),
-                    tcp::endpoint(boost::asio::ip::address_v4::loopback(), 0)) {
+          acceptor_(loop.context(), tcp::endpoint(boost::asio::ip::address_v4::loopback(), 0)) {
         accept();
     }
 
@@ -115,16 +114,15 @@
 
 private:
     void accept() {
-        acceptor_.async_accept(
-            [this](const boost::system::error_code& error, tcp::socket socket) {
-                if (error) {
-                    return;
-                }
-                ++connections;
-                connection_ = std::make_shared<tcp::socket>(std::move(socket));
-                read(connection_);
-                accept();
-            });
+        acceptor_.async_accept([this](const boost::system::error_code& error, tcp::socket socket) {
+            if (error) {
+                return;
+            }
+            ++connections;
+            connection_ = std::make_shared<tcp::socket>(std::move(socket));
+            read(connection_);
+            accept();
+        });
     }
     void read(const std::shared_ptr<tcp::socket>& socket) {
         socket->async_read_some(
@@ -142,7 +140,7 @@
     control_loop& loop_;
     tcp::acceptor acceptor_;
     std::shared_ptr<tcp::socket> connection_;
-    char buffer_[65536];
+    char buffer_[65536] = {};
 };
 
 }  // namespace fuchsiaquay::testing
--- a/tests/platform/platform_codecs_test.cpp
+++ b/tests/platform/platform_codecs_test.cpp
@@ -1,3 +1,5 @@
+#include <CppUTest/TestHarness.h>
+
 #include <string>
 
 #include "core/error/step_error.hpp"
@@ -6,8 +8,6 @@
 #include "platform/platform_configuration_codec.hpp"
 #include "platform/platform_upstream_codec.hpp"
 
-#include <CppUTest/TestHarness.h>
-
 using namespace fuchsiaquay;
 
 namespace {
@@ -59,9 +59,9 @@
 }
 
 TEST(platform_codecs, broken_configuration_is_refused_whole) {
-    for (const char* text : {"", "[]", "{", "{\"routes\":[]}", "{\"version\":\"7\"}",
-                             R"({"version":1,"routes":[{"host":"h"}]})",
-                             R"({"version":1,"routes":7})"}) {
+    for (const char* text :
+         {"", "[]", "{", "{\"routes\":[]}", "{\"version\":\"7\"}",
+          R"({"version":1,"routes":[{"host":"h"}]})", R"({"version":1,"routes":7})"}) {
         CHECK_THROWS(step_error, configurations_.decode(text));
     }
 }
--- a/tests/platform/platform_request_format_test.cpp
+++ b/tests/platform/platform_request_format_test.cpp
@@ -1,11 +1,11 @@
 #include "platform/platform_request_format.hpp"
 
+#include <CppUTest/TestHarness.h>
+
 #include <string>
 
 #include "servers/relay/upstream_terms.hpp"
 
-#include <CppUTest/TestHarness.h>
-
 using namespace fuchsiaquay;
 using std::chrono::milliseconds;
 
--- a/tests/servers/fleet/upstream_registry_test.cpp
+++ b/tests/servers/fleet/upstream_registry_test.cpp
@@ -1,5 +1,7 @@
 #include "servers/fleet/upstream_registry.hpp"
 
+#include <CppUTest/TestHarness.h>
+
 #include <string>
 
 #include "core/error/step_error.hpp"
@@ -7,8 +9,6 @@
 #include "tests/servers/quiet_log.hpp"
 #include "tests/servers/virtual_timer_service.hpp"
 
-#include <CppUTest/TestHarness.h>
-
 using namespace fuchsiaquay;
 using namespace fuchsiaquay::testing;
 using std::chrono::milliseconds;
@@ -51,7 +51,9 @@
     void setup() override {
         registry_.on_snapshot({{"u/a", "ready", 2}, {"u/b", "ready", 3}}, 5, false);
     }
-    std::size_t ready() const { return registry_.ready("s").size(); }
+    std::size_t ready() const {
+        return registry_.ready("s").size();
+    }
 };
 
 TEST(upstream_registry, draining_upstream_takes_nothing_new_but_is_known) {
--- a/tests/servers/fleet/view_exchange_test.cpp
+++ b/tests/servers/fleet/view_exchange_test.cpp
@@ -1,7 +1,7 @@
-#include "tests/servers/fleet/virtual_hosts.hpp"
-
 #include <CppUTest/TestHarness.h>
 
+#include "tests/servers/fleet/virtual_hosts.hpp"
+
 using namespace fuchsiaquay;
 using namespace fuchsiaquay::testing;
 using std::chrono::milliseconds;
--- a/tests/servers/fleet/virtual_hosts.hpp
+++ b/tests/servers/fleet/virtual_hosts.hpp
@@ -108,7 +108,7 @@
 
 /// The parts of a host that keep its view of the store.
 struct virtual_host final : public host_queries {
-    virtual_host(virtual_hosts& fleet, host_record record)
+    virtual_host(virtual_hosts& fleet, const host_record& record)
         : fleet_(fleet),
           channel(fleet.network, record.datagrams.ip),
           configuration(fleet.configurations, fleet.log, "config"),
@@ -116,12 +116,12 @@
           upstreams(fleet.upstreams, fleet.timers, fleet.log, "servers/"),
           upstream_mirror(fleet.store, fleet.timers, fleet.log, upstreams, "servers/", {}),
           board(record.host),
-          registry(record, fleet.store, channel, fleet.timers, fleet.log, board, "hosts/",
-                   [this] {
-                       return configuration_mirror.fresh() ? host_state::ready
-                                                           : host_state::unready;
-                   },
-                   [this] { return configuration.revision(); }),
+          registry(
+              record, fleet.store, channel, fleet.timers, fleet.log, board, "hosts/",
+              [this] {
+                  return configuration_mirror.fresh() ? host_state::ready : host_state::unready;
+              },
+              [this] { return configuration.revision(); }),
           views(record, {fleet.timers, fleet.log, registry, channel, *this, fleet.store,
                          configuration, configuration_mirror, upstreams, upstream_mirror}) {
         channel.on_receive([this](const peer_datagram& message) {
--- a/tests/servers/relay/memory_reservation_test.cpp
+++ b/tests/servers/relay/memory_reservation_test.cpp
@@ -1,5 +1,7 @@
 #include "servers/relay/memory_reservation.hpp"
 
+#include <CppUTest/TestHarness.h>
+
 #include <optional>
 #include <set>
 #include <string>
@@ -7,8 +9,6 @@
 #include "servers/relay/engine_orders.hpp"
 #include "tests/servers/relay/relay_fixture.hpp"
 
-#include <CppUTest/TestHarness.h>
-
 using namespace fuchsiaquay;
 using namespace fuchsiaquay::testing;
 using std::chrono::milliseconds;
@@ -21,6 +21,7 @@
 
     std::unique_ptr<memory_reservation> reserve() {
         std::vector<memory_claim> claims;
+        claims.reserve(3);
         for (int i = 0; i < 3; ++i) {
             claims.push_back({{"10.0.0.1", 80}, 1'000, "c" + std::to_string(i)});
         }
--- a/tests/servers/relay/relay_fixture.hpp
+++ b/tests/servers/relay/relay_fixture.hpp
@@ -56,8 +56,8 @@
     }
 
 private:
-    static void add(fleet_configuration& to, const std::string& prefix,
-                    request_semantics semantics, int attempts, const std::string& service) {
+    static void add(fleet_configuration& to, const std::string& prefix, request_semantics semantics,
+                    int attempts, const std::string& service) {
         route item;
         item.name = prefix;
         item.host = "h";
@@ -89,9 +89,7 @@
 /// Heads are the status and words that say what they mean.
 class word_format final : public request_format {
 public:
-    caller_request read_request(std::string, std::string, header_list) const override {
-        return {};
-    }
+    caller_request read_request(std::string, std::string, header_list) const override { return {}; }
     std::string write_request(const caller_request& request,
                               const upstream_terms& terms) const override {
         return request.id + " to=" + terms.upstream + " after=" + terms.last_event_id +
@@ -154,8 +152,7 @@
     };
 
     std::unique_ptr<upstream_exchange> open(const upstream_entry& upstream, std::string head,
-                                            std::shared_ptr<const std::string>,
-                                            bool new_connection,
+                                            std::shared_ptr<const std::string>, bool new_connection,
                                             exchange_listener& listener) override {
         attempts.push_back(std::make_shared<attempt>(
             attempt{upstream, std::move(head), new_connection, &listener, true}));
@@ -269,9 +266,9 @@
     manual_orders orders;
     no_metrics metrics;
     duration serving_time = duration::max();
-    relay_services services{"me",     timers, log,       feed,      mirror, upstreams,
-                            board,    health, budget,    placement, connector, format,
-                            metrics,  orders, [this] { return serving_time; }};
+    relay_services services{"me",      timers, log,     feed,   mirror,
+                            upstreams, board,  health,  budget, placement,
+                            connector, format, metrics, orders, [this] { return serving_time; }};
     relay_queue queue{services};
     recording_sink sink;
     std::unique_ptr<active_request> active;
--- a/tests/servers/relay/request_relay_test.cpp
+++ b/tests/servers/relay/request_relay_test.cpp
@@ -1,7 +1,7 @@
-#include "tests/servers/relay/relay_fixture.hpp"
-
 #include <CppUTest/TestHarness.h>
 
+#include "tests/servers/relay/relay_fixture.hpp"
+
 using namespace fuchsiaquay;
 using namespace fuchsiaquay::testing;
 using std::chrono::milliseconds;
@@ -234,10 +234,21 @@
 
 TEST(request_relay, request_at_a_host_without_configuration_waits_for_it_briefly) {
     configuration_feed empty(host_.configuration_codec, host_.log, "config");
-    relay_services services{"me",          host_.timers,    host_.log,       empty,
-                            host_.mirror,  host_.upstreams, host_.board,     host_.health,
-                            host_.budget,  host_.placement, host_.connector, host_.format,
-                            host_.metrics, host_.orders,    [] { return duration::max(); }};
+    relay_services services{"me",
+                            host_.timers,
+                            host_.log,
+                            empty,
+                            host_.mirror,
+                            host_.upstreams,
+                            host_.board,
+                            host_.health,
+                            host_.budget,
+                            host_.placement,
+                            host_.connector,
+                            host_.format,
+                            host_.metrics,
+                            host_.orders,
+                            [] { return duration::max(); }};
     relay_queue queue(services);
     const auto first = queue.serve(host_.request("/order/1"), caller_);
     host_.timers.advance(milliseconds(200));
--- a/tests/servers/store/prefix_mirror_test.cpp
+++ b/tests/servers/store/prefix_mirror_test.cpp
@@ -1,5 +1,7 @@
 #include "servers/store/prefix_mirror.hpp"
 
+#include <CppUTest/TestHarness.h>
+
 #include <map>
 #include <string>
 
@@ -8,8 +10,6 @@
 #include "tests/servers/store/scripted_store.hpp"
 #include "tests/servers/virtual_timer_service.hpp"
 
-#include <CppUTest/TestHarness.h>
-
 using namespace fuchsiaquay;
 using namespace fuchsiaquay::testing;
 using std::chrono::milliseconds;
--- a/tests/servers/store/scripted_store.hpp
+++ b/tests/servers/store/scripted_store.hpp
@@ -17,9 +17,7 @@
 public:
     explicit scripted_store(timer_service& timers) : timers_(timers) {}
 
-    void put(const std::string& key, const std::string& value) {
-        change(key, value, false);
-    }
+    void put(const std::string& key, const std::string& value) { change(key, value, false); }
     void erase(const std::string& key) { change(key, "", true); }
     /// Drops the history, so that older polls have to read all again.
     void compact() { compacted_ = revision_; }
