Groups: parts only where they disturb nobody; more patience with long prompts

Cause: on the grown Fes site streams of seasons took up to 7.5 s to write 17 events: engines read parts of other prompts ahead of everything, up to 5 s in one group of two; splits were given up after one second and read again elsewhere. Ruled out: wrong estimates of whole reads (5.9 s expected, 6.0 taken where nothing interfered).

--- a/core/fleet/announcement.hpp
+++ b/core/fleet/announcement.hpp
@@ -12,6 +12,7 @@
 
 /// What a host tells the others: that it lives, its state, and its work at the upstreams.
 struct announcement {
+    /// Without its addresses unless the announcement is complete.
     host_record sender;
     host_state state = host_state::unready;
     /// Grows with each announcement of one incarnation.
--- a/core/placement/undisturbed_placement.cpp
+++ b/core/placement/undisturbed_placement.cpp
@@ -180,6 +180,12 @@
         return order_of(request, a.engine->id) < order_of(request, b.engine->id);
     });
     const duration target = scaled(request.target_left, settings_.target_fill);
+    // Engines read parts ahead of everything else: one that reads already would make that late.
+    choice.erase(std::remove_if(choice.begin(), choice.end(),
+                                [this](const candidate& item) {
+                                    return item.pending > settings_.idle_pending;
+                                }),
+                 choice.end());
     const auto most = std::min(choice.size(), static_cast<std::size_t>(settings_.max_helpers) + 1);
     for (std::size_t parts = 2; parts <= most; ++parts) {
         std::vector<const candidate*> chosen;
@@ -246,53 +252,75 @@
     choice.erase(std::remove_if(choice.begin(), choice.end(),
                                 [&](const candidate& item) {
                                     return item.free_tokens < settings_.min_group_share ||
-                                           item.smallest_gap < request.target_gap;
+                                           item.smallest_gap < request.target_gap ||
+                                           item.pending > settings_.idle_pending;
                                 }),
                  choice.end());
     std::sort(choice.begin(), choice.end(), [](const candidate& a, const candidate& b) {
         return a.pending != b.pending ? a.pending < b.pending : a.free_tokens > b.free_tokens;
     });
-    const auto first = std::find_if(choice.begin(), choice.end(), [&](const candidate& item) {
-        return item.has_slot && item.free_tokens > request.answer_tokens;
-    });
-    if (first == choice.end()) {
-        return result;
-    }
-    std::rotate(choice.begin(), first, first + 1);
     return smallest_group(request, choice);
 }
 
+std::vector<undisturbed_placement::candidate> undisturbed_placement::group_members(
+    const placement_request& request, const std::vector<candidate>& choice, std::size_t parts,
+    duration part) const {
+    std::vector<candidate> members;
+    bool answered = false;
+    for (const candidate& item : choice) {
+        const bool idle = item.requests == 0;
+        if (!idle && disturbs(item, request, part)) {
+            continue;
+        }
+        const bool answers = item.has_slot && item.free_tokens > request.answer_tokens;
+        // The last place is kept for an engine that can answer.
+        if (!answered && !answers && members.size() + 1 == parts) {
+            continue;
+        }
+        if (answers && !answered) {
+            members.insert(members.begin(), item);
+            answered = true;
+        } else {
+            members.push_back(item);
+        }
+        if (members.size() == parts) {
+            break;
+        }
+    }
+    return members.size() == parts && answered ? members : std::vector<candidate>();
+}
+
 placement_decision undisturbed_placement::smallest_group(
     const placement_request& request, const std::vector<candidate>& choice) const {
     placement_decision result;
     result.reason = "no memory for a group";
+    if (choice.empty()) {
+        return result;
+    }
     const duration whole = read_time(*choice.front().engine->profile, request.prompt_tokens);
     const duration target = scaled(request.target_left, settings_.target_fill);
     const auto most = std::min(choice.size(), static_cast<std::size_t>(settings_.max_helpers) + 1);
-    std::size_t best = 0;
+    std::vector<candidate> best;
     duration best_first = request.time_left;
-    std::int64_t memory = 0;
-    duration pending{};
     for (std::size_t parts = 1; parts <= most; ++parts) {
-        const candidate& added = choice[parts - 1];
-        memory += added.free_tokens;
-        pending = std::max(pending, added.pending);
-        const duration first =
-            first_event_after(added.pass, pending, whole / static_cast<std::int64_t>(parts));
+        const duration part = whole / static_cast<std::int64_t>(parts);
+        std::vector<candidate> members = group_members(request, choice, parts, part);
+        std::int64_t memory = 0;
+        duration first{};
+        for (const candidate& item : members) {
+            memory += item.free_tokens;
+            first = std::max(first, first_event_after(item.pass, item.pending, part));
+        }
         if (memory < request.prompt_tokens + request.answer_tokens || first >= best_first) {
             continue;
         }
-        best = parts;
+        best = std::move(members);
         best_first = first;
         if (first <= target) {
             break;
         }
     }
-    if (best == 0) {
-        return result;
-    }
-    return make_group(request, {choice.begin(), choice.begin() + static_cast<long>(best)},
-                      best_first);
+    return best.empty() ? result : make_group(request, best, best_first);
 }
 
 placement_decision undisturbed_placement::make_group(const placement_request& request,
--- a/core/placement/undisturbed_placement.hpp
+++ b/core/placement/undisturbed_placement.hpp
@@ -47,6 +47,11 @@
                             const std::vector<candidate>& choice) const;
     placement_decision place_group(const placement_request& request,
                                    std::vector<candidate> choice) const;
+    /// Engines that can read `part` each without disturbing anybody, the one that answers first;
+    /// none when there are fewer than `parts`.
+    std::vector<candidate> group_members(const placement_request& request,
+                                         const std::vector<candidate>& choice, std::size_t parts,
+                                         duration part) const;
     placement_decision smallest_group(const placement_request& request,
                                       const std::vector<candidate>& choice) const;
     placement_decision make_group(const placement_request& request,
--- a/core/placement/undisturbed_settings.hpp
+++ b/core/placement/undisturbed_settings.hpp
@@ -15,7 +15,8 @@
     double target_fill = 0.85;
     /// Part of an engine's memory that is given out; answers may grow beyond their estimate.
     double memory_fill = 0.97;
-    /// Reading that may wait at an engine that takes a prompt which is late already.
+    /// Reading that may wait at an engine that takes a part of a prompt, or a prompt that is late
+    /// already.
     duration idle_pending = std::chrono::milliseconds(150);
     /// Free tokens from which an engine joins in holding a prompt.
     std::int64_t min_group_share = 20'000;
--- a/drivers/datagrams/datagram_codec.cpp
+++ b/drivers/datagrams/datagram_codec.cpp
@@ -43,8 +43,8 @@
     result.sender.datagrams = parse_network_address(text_of(root.datagrams()));
     result.sender.queries = parse_network_address(text_of(root.queries()));
     result.sender.incarnation = root.incarnation();
-    if (result.sender.host.empty() || result.sender.callers.empty() ||
-        result.sender.datagrams.empty()) {
+    const bool no_address = result.sender.callers.empty() || result.sender.datagrams.empty();
+    if (result.sender.host.empty() || (root.complete() && no_address)) {
         throw step_error("decode datagram", result.sender.host, "no host or no address");
     }
     result.state = enumeration_of(root.state(), host_state::leaving);
@@ -113,10 +113,14 @@
                                  item.target_gap.count(), (now - item.dispatched_at).count()));
         }
         const auto host = builder.CreateString(message.sender.host);
-        const auto data_centre = builder.CreateString(message.sender.data_centre);
-        const auto callers = builder.CreateString(message.sender.callers.text());
-        const auto datagrams = builder.CreateString(message.sender.datagrams.text());
-        const auto queries = builder.CreateString(message.sender.queries.text());
+        // Where the sender can be reached is known from its complete announcements.
+        const auto place = [this, &message](const std::string& text) {
+            return message.complete ? builder.CreateString(text) : 0;
+        };
+        const auto data_centre = place(message.sender.data_centre);
+        const auto callers = place(message.sender.callers.text());
+        const auto datagrams = place(message.sender.datagrams.text());
+        const auto queries = place(message.sender.queries.text());
         const auto list = builder.CreateVector(works);
         finish(wire::message_announcement,
                wire::Createannouncement(builder, host, data_centre, callers, datagrams, queries,
--- a/servers/fleet/host_registry.cpp
+++ b/servers/fleet/host_registry.cpp
@@ -20,8 +20,9 @@
 constexpr duration registration_retry = std::chrono::milliseconds(500);
 /// Period of reading the other hosts' entries; announcements tell the rest.
 constexpr duration directory_period = std::chrono::seconds(60);
-/// Period of complete announcements, which make good for lost ones.
+/// Period of heartbeats. Each so many are complete announcements, which make good for lost ones.
 constexpr duration announce_period = std::chrono::milliseconds(500);
+constexpr std::uint64_t complete_period = 2;
 /// Period of looking whether this host's own state has changed.
 constexpr duration state_period = std::chrono::milliseconds(50);
 /// A host that was not heard for this long takes no callers; three announcements may be lost.
@@ -29,7 +30,7 @@
 /// Silence after which a host is forgotten.
 constexpr duration forget_after = std::chrono::seconds(120);
 /// Changes within this time share an announcement.
-constexpr duration progress_delay = std::chrono::milliseconds(40);
+constexpr duration progress_delay = std::chrono::milliseconds(80);
 
 const char* name_of(host_state state) {
     switch (state) {
@@ -63,7 +64,8 @@
     register_self();
     timers_.every(announce_period, [this] {
         drop_silent();
-        announce(true, board_.own_works());
+        const bool complete = ++heartbeats_ % complete_period == 0;
+        announce(complete, complete ? board_.own_works() : std::vector<engine_work>());
     });
     timers_.every(state_period, [this] {
         if (announced_ != state_()) {
@@ -197,11 +199,16 @@
     if (host == self_.host) {
         return;
     }
+    const auto found = peers_.find(host);
+    if (found == peers_.end() && !message.complete) {
+        return;
+    }
     peer& known = peers_[host];
     const bool restarted = known.record.incarnation < message.sender.incarnation;
     const bool outdated = known.record.incarnation > message.sender.incarnation ||
                           (!restarted && message.sequence <= known.sequence);
-    if (outdated) {
+    const bool addresses_unknown = restarted && !message.complete;
+    if (outdated || addresses_unknown) {
         return;
     }
     if (restarted || !known.heard || known.state != message.state) {
@@ -210,7 +217,9 @@
                     {"state", name_of(message.state)},
                     {"incarnation", std::to_string(message.sender.incarnation)}});
     }
-    known.record = message.sender;
+    if (message.complete) {
+        known.record = message.sender;
+    }
     known.state = message.state;
     known.sequence = message.sequence;
     known.heard_at = timers_.now();
--- a/servers/fleet/host_registry.hpp
+++ b/servers/fleet/host_registry.hpp
@@ -87,6 +87,7 @@
     std::int64_t lease_ = 0;
     bool left_ = false;
     std::uint64_t sequence_ = 0;
+    std::uint64_t heartbeats_ = 0;
     std::vector<engine_work> changes_;
     bool flush_planned_ = false;
 };
--- a/servers/relay/request_relay.cpp
+++ b/servers/relay/request_relay.cpp
@@ -540,6 +540,11 @@
     const bool reading = !works_.empty() && works_.front().phase == work_phase::reading;
     if (reading) {
         patience = std::max(min_stall_time, expected_first_ * stall_first_estimates);
+        if (const engine_profile* profile = engine()) {
+            // Parts of other prompts may be read first.
+            const duration whole = read_time(*profile, request_.prompt_tokens.value_or(0));
+            patience += whole > long_read ? whole : duration::zero();
+        }
     }
     if (!admitted_.terms->streams()) {
         patience = std::max(admitted_.terms->target, admitted_.terms->timeout / 3);
--- a/tests/drivers/datagrams/datagram_codec_test.cpp
+++ b/tests/drivers/datagrams/datagram_codec_test.cpp
@@ -24,6 +24,7 @@
         message.sender.queries = {"10.0.0.1", 82};
         message.sender.incarnation = 7;
         message.state = host_state::ready;
+        message.complete = true;
         message.sequence = 3;
         message.configuration_revision = 12;
         engine_work work;
@@ -49,6 +50,18 @@
     CHECK_TRUE(message.works.front().target_gap == milliseconds(200));
 }
 
+TEST(datagram_codec, announcement_of_changes_carries_no_addresses) {
+    announcement changes = sample();
+    const std::size_t complete = encode_datagram(changes, now_).size();
+    changes.complete = false;
+    const std::string bytes = encode_datagram(changes, now_);
+    CHECK_TRUE(bytes.size() < complete);
+    const auto message = std::get<announcement>(decode_datagram(bytes, now_));
+    CHECK_EQUAL(std::string("h1"), message.sender.host);
+    CHECK_TRUE(message.sender.callers.empty());
+    LONGS_EQUAL(1, message.works.size());
+}
+
 TEST(datagram_codec, view_reply_keeps_changes_and_ages) {
     view_reply reply;
     reply.sender = "h2";
