Relay and placement in smaller modules

Splitting and groups are prompt_splitting, an engine as placement sees it is placement_candidate; the load of a request is request_work, its log lines request_log, the patience with a silent upstream stall_patience (with a test).

--- /dev/null
+++ b/core/placement/placement_candidate.cpp
@@ -0,0 +1,31 @@
+#include "core/placement/placement_candidate.hpp"
+
+#include "core/fleet/engine_profile.hpp"
+#include "core/hashing/hash.hpp"
+#include "core/placement/engine_view.hpp"
+#include "core/placement/pass_timing.hpp"
+#include "core/placement/placement_request.hpp"
+#include "core/placement/undisturbed_settings.hpp"
+
+namespace fuchsiaquay {
+
+duration placement_candidate::first_event(duration reading) const {
+    // What is added takes part from the pass after the current one on.
+    return pass / 2 + pending + reading + pass;
+}
+
+bool placement_candidate::disturbed_by(duration reading,
+                                       const undisturbed_settings& settings) const {
+    const duration longer = pass + read_share_of_pass(*engine->profile, pending + reading);
+    return requests > 0 && longer > scaled(smallest_gap, settings.pause_fill);
+}
+
+duration scaled(duration value, double factor) {
+    return from_seconds(to_seconds(value) * factor);
+}
+
+std::uint64_t spread_order(const placement_request& request, const engine_view& engine) {
+    return stable_hash(engine.id, request.key);
+}
+
+}  // namespace fuchsiaquay
--- /dev/null
+++ b/core/placement/placement_candidate.hpp
@@ -0,0 +1,40 @@
+#pragma once
+
+#include <cstdint>
+
+#include "core/time/clock.hpp"
+
+namespace fuchsiaquay {
+
+struct engine_view;
+struct placement_request;
+struct undisturbed_settings;
+
+/// An engine as a placement sees it.
+struct placement_candidate {
+    const engine_view* engine = nullptr;
+    int requests = 0;
+    /// Pass and reading that wait there before the prompt is added.
+    duration pass{};
+    duration pending{};
+    duration smallest_gap{};
+    std::int64_t free_tokens = 0;
+    bool has_slot = false;
+    /// It can hold and answer the whole prompt.
+    bool can_answer = false;
+    /// Position in the order that all hosts share.
+    std::uint64_t order = 0;
+
+    /// Estimated time until the first event when `reading` is added.
+    duration first_event(duration reading) const;
+    /// Whether `reading` would lengthen a pass beyond what the streams there are allowed.
+    bool disturbed_by(duration reading, const undisturbed_settings& settings) const;
+};
+
+/// `value` times `factor`.
+duration scaled(duration value, double factor);
+
+/// Spreads hosts that decide at the same moment over engines that look alike.
+std::uint64_t spread_order(const placement_request& request, const engine_view& engine);
+
+}  // namespace fuchsiaquay
--- /dev/null
+++ b/core/placement/prompt_splitting.cpp
@@ -0,0 +1,193 @@
+#include "core/placement/prompt_splitting.hpp"
+
+#include <algorithm>
+#include <utility>
+
+#include "core/fleet/engine_profile.hpp"
+#include "core/placement/engine_view.hpp"
+#include "core/placement/pass_timing.hpp"
+#include "core/placement/placement_request.hpp"
+#include "core/placement/undisturbed_settings.hpp"
+
+namespace fuchsiaquay {
+
+std::optional<placement_decision> prompt_splitting::split(
+    const placement_request& request, std::vector<placement_candidate> choice) const {
+    std::sort(choice.begin(), choice.end(),
+              [&request](const placement_candidate& a, const placement_candidate& b) {
+                  if (a.pending != b.pending) {
+                      return a.pending < b.pending;
+                  }
+                  if (a.smallest_gap != b.smallest_gap) {
+                      return a.smallest_gap > b.smallest_gap;
+                  }
+                  return spread_order(request, *a.engine) < spread_order(request, *b.engine);
+              });
+    const duration target = scaled(request.target_left, settings_.target_fill);
+    // Engines read parts ahead of everything else: one that reads already would make that late.
+    choice.erase(std::remove_if(choice.begin(), choice.end(),
+                                [this](const placement_candidate& item) {
+                                    return item.pending > settings_.idle_pending;
+                                }),
+                 choice.end());
+    const auto most = std::min(choice.size(), static_cast<std::size_t>(settings_.max_helpers) + 1);
+    for (std::size_t parts = 2; parts <= most; ++parts) {
+        std::vector<const placement_candidate*> chosen;
+        const placement_candidate* first = nullptr;
+        duration slowest{};
+        for (const placement_candidate& item : choice) {
+            const duration whole = read_time(*item.engine->profile, request.prompt_tokens);
+            const duration part = whole / static_cast<std::int64_t>(parts);
+            if (item.disturbed_by(part, settings_)) {
+                continue;
+            }
+            if (first == nullptr && item.can_answer) {
+                first = &item;
+            } else if (chosen.size() + 1 < parts) {
+                chosen.push_back(&item);
+            } else if (first != nullptr) {
+                break;
+            } else {
+                continue;
+            }
+            slowest = std::max(slowest, item.first_event(part));
+            if (first != nullptr && chosen.size() + 1 == parts) {
+                break;
+            }
+        }
+        if (first == nullptr || chosen.size() + 1 < parts || slowest > target) {
+            continue;
+        }
+        placement_decision result;
+        result.outcome = placement_decision::verdict::place;
+        result.engine = first->engine->id;
+        for (const placement_candidate* helper : chosen) {
+            result.helpers.push_back({helper->engine->id, 0});
+        }
+        result.first_event = slowest;
+        result.reason = "split";
+        return result;
+    }
+    return std::nullopt;
+}
+
+placement_decision prompt_splitting::group(const placement_request& request,
+                                           std::vector<placement_candidate> choice) const {
+    placement_decision result;
+    result.reason = "no memory for a group";
+    const auto needed = request.prompt_tokens + request.answer_tokens;
+    std::int64_t all_memory = 0;
+    for (const placement_candidate& item : choice) {
+        all_memory += item.engine->profile->memory_tokens;
+    }
+    if (needed > all_memory) {
+        result.outcome = placement_decision::verdict::refuse;
+        result.reason = "larger than the memory of all engines";
+        return result;
+    }
+    choice.erase(std::remove_if(choice.begin(), choice.end(),
+                                [&](const placement_candidate& item) {
+                                    return item.free_tokens < settings_.min_group_share ||
+                                           item.smallest_gap < request.target_gap ||
+                                           item.pending > settings_.idle_pending;
+                                }),
+                 choice.end());
+    std::sort(choice.begin(), choice.end(),
+              [](const placement_candidate& a, const placement_candidate& b) {
+                  return a.pending != b.pending ? a.pending < b.pending
+                                                : a.free_tokens > b.free_tokens;
+              });
+    return smallest_group(request, choice);
+}
+
+std::vector<placement_candidate> prompt_splitting::group_members(
+    const placement_request& request, const std::vector<placement_candidate>& choice,
+    std::size_t parts, duration part) const {
+    std::vector<placement_candidate> members;
+    bool answered = false;
+    for (const placement_candidate& item : choice) {
+        const bool idle = item.requests == 0;
+        if (!idle && item.disturbed_by(part, settings_)) {
+            continue;
+        }
+        const bool answers = item.has_slot && item.free_tokens > request.answer_tokens;
+        // The last place is kept for an engine that can answer.
+        if (!answered && !answers && members.size() + 1 == parts) {
+            continue;
+        }
+        if (answers && !answered) {
+            members.insert(members.begin(), item);
+            answered = true;
+        } else {
+            members.push_back(item);
+        }
+        if (members.size() == parts) {
+            break;
+        }
+    }
+    return members.size() == parts && answered ? members : std::vector<placement_candidate>();
+}
+
+placement_decision prompt_splitting::smallest_group(
+    const placement_request& request, const std::vector<placement_candidate>& choice) const {
+    placement_decision result;
+    result.reason = "no memory for a group";
+    if (choice.empty()) {
+        return result;
+    }
+    const duration whole = read_time(*choice.front().engine->profile, request.prompt_tokens);
+    const duration target = scaled(request.target_left, settings_.target_fill);
+    const auto most = std::min(choice.size(), static_cast<std::size_t>(settings_.max_helpers) + 1);
+    std::vector<placement_candidate> best;
+    duration best_first = request.time_left;
+    for (std::size_t parts = 1; parts <= most; ++parts) {
+        const duration part = whole / static_cast<std::int64_t>(parts);
+        std::vector<placement_candidate> members = group_members(request, choice, parts, part);
+        std::int64_t memory = 0;
+        duration first{};
+        for (const placement_candidate& item : members) {
+            memory += item.free_tokens;
+            first = std::max(first, item.first_event(part));
+        }
+        if (memory < request.prompt_tokens + request.answer_tokens || first >= best_first) {
+            continue;
+        }
+        best = std::move(members);
+        best_first = first;
+        if (first <= target) {
+            break;
+        }
+    }
+    return best.empty() ? result : make_group(request, best, best_first);
+}
+
+placement_decision prompt_splitting::make_group(const placement_request& request,
+                                                const std::vector<placement_candidate>& members,
+                                                duration first_event) const {
+    std::int64_t memory = 0;
+    for (const placement_candidate& item : members) {
+        memory += item.free_tokens;
+    }
+    placement_decision result;
+    result.outcome = placement_decision::verdict::place;
+    result.reason = "group";
+    result.engine = members.front().engine->id;
+    result.first_event = first_event;
+    std::int64_t left = request.prompt_tokens;
+    for (const placement_candidate& item : members) {
+        // Each member holds its share by what it has free, the last one what is left over.
+        const double share = static_cast<double>(item.free_tokens) / static_cast<double>(memory);
+        const auto wanted =
+            static_cast<std::int64_t>(share * static_cast<double>(request.prompt_tokens)) + 1;
+        const std::int64_t tokens = &item == &members.back() ? left : std::min(wanted, left);
+        left -= tokens;
+        if (&item == &members.front()) {
+            result.reserved_tokens = tokens;
+        } else {
+            result.helpers.push_back({item.engine->id, tokens});
+        }
+    }
+    return result;
+}
+
+}  // namespace fuchsiaquay
--- /dev/null
+++ b/servers/relay/memory_claims.hpp
@@ -0,0 +1,18 @@
+#pragma once
+
+#include <string>
+#include <vector>
+
+#include "servers/relay/memory_claim.hpp"
+
+namespace fuchsiaquay {
+
+class upstream_registry;
+struct placement_decision;
+
+/// Memory that the engines of `decision` have to hold, the one that answers first.
+/// @param id  beginning of the reservations' names, unique in the fleet
+std::vector<memory_claim> memory_claims(const placement_decision& decision,
+                                        const upstream_registry& upstreams, const std::string& id);
+
+}  // namespace fuchsiaquay
--- /dev/null
+++ b/servers/relay/request_log.cpp
@@ -0,0 +1,73 @@
+#include "servers/relay/request_log.hpp"
+
+#include "core/placement/placement_decision.hpp"
+#include "core/relay/caller_request.hpp"
+#include "servers/decision_log.hpp"
+#include "servers/relay/admission_result.hpp"
+#include "servers/relay/relay_services.hpp"
+#include "servers/relay/request_ending.hpp"
+#include "servers/store/prefix_mirror.hpp"
+#include "servers/timer_service.hpp"
+
+namespace fuchsiaquay {
+
+namespace {
+
+std::string ms_text(duration value) {
+    return std::to_string(to_milliseconds(value));
+}
+
+}  // namespace
+
+void request_log::dispatched(const admission_result& admitted, const placement_decision& decision,
+                             int attempt) const {
+    services_.log.write(decision_log::level::info, "request_dispatched",
+                        {{"request", request_.id},
+                         {"customer", admitted.customer},
+                         {"route", admitted.terms->name},
+                         {"upstream", decision.engine},
+                         {"attempt", std::to_string(attempt)},
+                         {"reason", decision.reason},
+                         {"tokens", std::to_string(request_.prompt_tokens.value_or(0))},
+                         {"helpers", std::to_string(decision.helpers.size())},
+                         {"waited_ms", ms_text(services_.timers.now() - request_.received_at)},
+                         {"first_ms", ms_text(decision.first_event)},
+                         {"configuration", std::to_string(admitted.configuration->version())},
+                         {"age_ms", ms_text(services_.configuration_mirror.age())}});
+}
+
+void request_log::first_event(const std::string& upstream, duration took, duration expected) const {
+    services_.log.write(decision_log::level::info, "first_event",
+                        {{"request", request_.id},
+                         {"upstream", upstream},
+                         {"took_ms", ms_text(took)},
+                         {"expected_ms", ms_text(expected)}});
+}
+
+void request_log::attempt_failed(const std::string& upstream, int attempt,
+                                 const std::string& reason, duration took, bool again) const {
+    services_.log.write(decision_log::level::info, "attempt_failed",
+                        {{"request", request_.id},
+                         {"upstream", upstream},
+                         {"attempt", std::to_string(attempt)},
+                         {"reason", reason},
+                         {"took_ms", ms_text(took)},
+                         {"again", again ? "yes" : "no"}});
+}
+
+void request_log::ended(const admission_result& admitted, const request_ending& ending) const {
+    services_.log.write(decision_log::level::info, "request_ended",
+                        {{"request", request_.id},
+                         {"route", admitted.terms == nullptr ? "" : admitted.terms->name},
+                         {"outcome", ending.outcome},
+                         {"status", std::to_string(ending.status)},
+                         {"reason", ending.reason},
+                         {"upstream", ending.upstream},
+                         {"attempts", std::to_string(ending.attempts)},
+                         {"may_have_run", ending.may_have_run ? "yes" : "no"},
+                         {"events", std::to_string(ending.events)},
+                         {"configuration_age_ms", ms_text(services_.configuration_mirror.age())},
+                         {"took_ms", ms_text(services_.timers.now() - request_.received_at)}});
+}
+
+}  // namespace fuchsiaquay
--- /dev/null
+++ b/servers/relay/request_log.hpp
@@ -0,0 +1,34 @@
+#pragma once
+
+#include <string>
+
+#include "core/time/clock.hpp"
+
+namespace fuchsiaquay {
+
+struct admission_result;
+struct caller_request;
+struct placement_decision;
+struct relay_services;
+struct request_ending;
+
+/// The log lines of one request: each decision with what decided it and how old that was.
+class request_log {
+public:
+    /// Both outlive the log.
+    request_log(const relay_services& services, const caller_request& request)
+        : services_(services), request_(request) {}
+
+    void dispatched(const admission_result& admitted, const placement_decision& decision,
+                    int attempt) const;
+    void first_event(const std::string& upstream, duration took, duration expected) const;
+    void attempt_failed(const std::string& upstream, int attempt, const std::string& reason,
+                        duration took, bool again) const;
+    void ended(const admission_result& admitted, const request_ending& ending) const;
+
+private:
+    const relay_services& services_;
+    const caller_request& request_;
+};
+
+}  // namespace fuchsiaquay
--- a/servers/relay/request_relay.cpp
+++ b/servers/relay/request_relay.cpp
@@ -10,13 +10,15 @@
 #include "core/identity/names.hpp"
 #include "core/placement/pass_timing.hpp"
 #include "core/placement/placement_decision.hpp"
+#include "core/relay/stall_patience.hpp"
 #include "core/retry/fleet_retry_budget.hpp"
-#include "servers/decision_log.hpp"
 #include "servers/fleet/configuration_feed.hpp"
 #include "servers/fleet/engine_board.hpp"
 #include "servers/fleet/upstream_registry.hpp"
 #include "servers/relay/admission.hpp"
+#include "servers/relay/memory_claims.hpp"
 #include "servers/relay/relay_queue.hpp"
+#include "servers/relay/request_ending.hpp"
 #include "servers/relay/request_format.hpp"
 #include "servers/relay/response_sink.hpp"
 #include "servers/relay/upstream_choice.hpp"
@@ -40,10 +42,6 @@
 constexpr int max_declined_attempts = 2;
 /// Time that a further attempt needs at least.
 constexpr duration min_attempt_time = std::chrono::milliseconds(30);
-/// Silence before the first event, or between events, after which an upstream is given up.
-constexpr duration min_stall_time = std::chrono::milliseconds(1'000);
-constexpr int stall_gaps = 5;
-constexpr int stall_first_estimates = 3;
 /// Time that an answer takes after its prompt has been read.
 constexpr duration answer_time = std::chrono::milliseconds(1'000);
 /// A host that has just started learns the configuration within this time.
@@ -64,10 +62,6 @@
     return status >= status_success_first && status <= status_success_last;
 }
 
-std::string ms_text(duration value) {
-    return std::to_string(to_milliseconds(value));
-}
-
 }  // namespace
 
 request_relay::request_relay(const relay_services& services, const upstream_choice& choice,
@@ -76,7 +70,9 @@
       choice_(choice),
       queue_(queue),
       request_(std::move(request)),
-      sink_(sink) {
+      sink_(sink),
+      log_(services, request_),
+      work_(services.board) {
     queue_.add(*this);
 }
 
@@ -86,7 +82,7 @@
         log_end("caller_left", 0, begun_ ? "during the answer" : "before the answer");
     }
     exchange_.reset();
-    advance_work(work_phase::ended);
+    work_.advance(work_phase::ended);
 }
 
 bool request_relay::repeatable() const {
@@ -167,28 +163,16 @@
 }
 
 void request_relay::begin_waiting() {
-    const bool announced = !works_.empty();
     waiting_ = true;
-    const engine_profile* profile = engine();
-    if (announced || profile == nullptr) {
-        return;
-    }
-    engine_work work;
-    work.key = work_key_;
-    work.phase = work_phase::waiting;
-    work.read_tokens = request_.prompt_tokens.value_or(0);
-    work.read_time = read_time(*profile, work.read_tokens);
-    work.dispatched_at = request_.received_at + admitted_.terms->target;
-    work.target_gap = admitted_.terms->target_gap;
-    if (work.read_time > long_read) {
-        works_.push_back(work);
-        services_.board.apply_own(work);
+    if (const engine_profile* profile = engine()) {
+        work_.wait(work_key_, *profile, request_.prompt_tokens.value_or(0),
+                   request_.received_at + admitted_.terms->target);
     }
 }
 
 void request_relay::end_waiting() {
     if (std::exchange(waiting_, false)) {
-        advance_work(work_phase::ended);
+        work_.advance(work_phase::ended);
     }
 }
 
@@ -207,7 +191,7 @@
     streaming_ = false;
     answer_ = {};
     body_.clear();
-    record_work(decision);
+    work_.dispatch(work_key_, decision, request_, engine(), *admitted_.terms, sent_at_);
     if (decision.reserved_tokens > 0) {
         reserve(decision);
     } else {
@@ -216,14 +200,8 @@
 }
 
 void request_relay::reserve(const placement_decision& decision) {
-    std::vector<memory_claim> claims;
     const std::string id = services_.host + "-" + std::to_string(work_key_);
-    claims.push_back(
-        {services_.upstreams.find(decision.engine)->address, decision.reserved_tokens, id + "-0"});
-    for (const placement_part& part : decision.helpers) {
-        claims.push_back({services_.upstreams.find(part.engine)->address, part.reserved_tokens,
-                          id + "-" + std::to_string(claims.size())});
-    }
+    std::vector<memory_claim> claims = memory_claims(decision, services_.upstreams, id);
     memory_ =
         std::make_unique<memory_reservation>(services_.orders, services_.timers, std::move(claims),
                                              [this](bool held) { reserved(held); });
@@ -264,63 +242,12 @@
         }
     }
     services_.health.on_sent(upstream_id(entry->id), now);
-    services_.log.write(decision_log::level::info, "request_dispatched",
-                        {{"request", request_.id},
-                         {"customer", admitted_.customer},
-                         {"route", admitted_.terms->name},
-                         {"upstream", entry->id},
-                         {"attempt", std::to_string(attempts_)},
-                         {"reason", decision_.reason},
-                         {"tokens", std::to_string(request_.prompt_tokens.value_or(0))},
-                         {"helpers", std::to_string(decision_.helpers.size())},
-                         {"waited_ms", ms_text(now - request_.received_at)},
-                         {"first_ms", ms_text(decision_.first_event)},
-                         {"configuration", std::to_string(admitted_.configuration->version())},
-                         {"age_ms", ms_text(services_.configuration_mirror.age())}});
+    log_.dispatched(admitted_, decision_, attempts_);
     const bool new_connection = !repeatable();
     exchange_ = services_.connector.open(*entry, services_.format.write_request(request_, terms),
                                          request_.body, new_connection, *this);
 }
 
-void request_relay::record_work(const placement_decision& decision) {
-    engine_work work;
-    work.key = work_key_;
-    work.engine = decision.engine;
-    work.dispatched_at = sent_at_;
-    work.target_gap = admitted_.terms->target_gap;
-    if (const engine_profile* profile = engine()) {
-        const auto parts = static_cast<std::int64_t>(decision.helpers.size()) + 1;
-        const std::int64_t tokens = request_.prompt_tokens.value_or(0);
-        work.read_tokens = tokens / parts;
-        work.read_time = read_time(*profile, tokens) / parts;
-        work.memory_tokens = (decision.reserved_tokens > 0 ? decision.reserved_tokens : tokens) +
-                             request_.max_answer_tokens;
-    }
-    works_.push_back(work);
-    work.target_gap = {};
-    for (const placement_part& part : decision.helpers) {
-        work.engine = part.engine;
-        work.memory_tokens = part.reserved_tokens;
-        works_.push_back(work);
-    }
-    for (const engine_work& item : works_) {
-        services_.board.apply_own(item);
-    }
-}
-
-void request_relay::advance_work(work_phase phase) {
-    for (engine_work& work : works_) {
-        // A part that is read and not kept is over with the first event.
-        const bool over = !work.writes() && work.memory_tokens == 0;
-        work.phase = phase == work_phase::writing && over ? work_phase::ended : phase;
-        services_.board.apply_own(work);
-    }
-    works_.erase(
-        std::remove_if(works_.begin(), works_.end(),
-                       [](const engine_work& work) { return work.phase == work_phase::ended; }),
-        works_.end());
-}
-
 void request_relay::on_head(response_head head) {
     answer_ = services_.format.read_answer(std::move(head));
     progress_at_ = services_.timers.now();
@@ -376,14 +303,9 @@
     } else {
         sink_.write(events);
     }
-    const bool was_reading = !works_.empty() && works_.front().phase == work_phase::reading;
-    if (was_reading) {
-        services_.log.write(decision_log::level::info, "first_event",
-                            {{"request", request_.id},
-                             {"upstream", upstream_},
-                             {"took_ms", ms_text(progress_at_ - sent_at_)},
-                             {"expected_ms", ms_text(expected_first_)}});
-        advance_work(work_phase::writing);
+    if (work_.reading()) {
+        log_.first_event(upstream_, progress_at_ - sent_at_, expected_first_);
+        work_.advance(work_phase::writing);
     }
 }
 
@@ -405,7 +327,7 @@
                        "stream ended inside an event");
         return;
     }
-    advance_work(work_phase::ended);
+    work_.advance(work_phase::ended);
     if (!begun_) {
         sink_.begin(answer_.head, "");
     }
@@ -415,7 +337,7 @@
 }
 
 void request_relay::finish_answer() {
-    advance_work(work_phase::ended);
+    work_.advance(work_phase::ended);
     services_.metrics.answered();
     log_end("answered", answer_.head.status, "");
     sink_.send(answer_.head, std::move(body_));
@@ -462,19 +384,14 @@
 
 void request_relay::end_attempt(attempt_outcome outcome, next_step step,
                                 const std::string& reason) {
-    services_.log.write(decision_log::level::info, "attempt_failed",
-                        {{"request", request_.id},
-                         {"upstream", upstream_},
-                         {"attempt", std::to_string(attempts_)},
-                         {"reason", reason},
-                         {"took_ms", ms_text(services_.timers.now() - sent_at_)},
-                         {"again", step == next_step::retry ? "yes" : "no"}});
+    log_.attempt_failed(upstream_, attempts_, reason, services_.timers.now() - sent_at_,
+                        step == next_step::retry);
     if (step == next_step::forward) {
         return;
     }
     exchange_.reset();
     memory_.reset();
-    advance_work(work_phase::ended);
+    work_.advance(work_phase::ended);
     const bool ran_nothing =
         outcome == attempt_outcome::not_sent || outcome == attempt_outcome::declined;
     if (!ran_nothing) {
@@ -524,7 +441,7 @@
     const bool sent = exchange_ != nullptr;
     exchange_.reset();
     memory_.reset();
-    advance_work(work_phase::ended);
+    work_.advance(work_phase::ended);
     end_waiting();
     if (begun_) {
         conclude(next_step::abort, "deadline passed");
@@ -536,20 +453,17 @@
 }
 
 void request_relay::check_progress(instant now) {
-    duration patience = std::max(min_stall_time, admitted_.terms->target_gap * stall_gaps);
-    const bool reading = !works_.empty() && works_.front().phase == work_phase::reading;
-    if (reading) {
-        patience = std::max(min_stall_time, expected_first_ * stall_first_estimates);
-        if (const engine_profile* profile = engine()) {
-            // Parts of other prompts may be read first.
-            const duration whole = read_time(*profile, request_.prompt_tokens.value_or(0));
-            patience += whole > long_read ? whole : duration::zero();
-        }
-    }
-    if (!admitted_.terms->streams()) {
-        patience = std::max(admitted_.terms->target, admitted_.terms->timeout / 3);
+    stall_facts facts;
+    facts.streams = admitted_.terms->streams();
+    facts.reading = work_.reading();
+    facts.target = admitted_.terms->target;
+    facts.timeout = admitted_.terms->timeout;
+    facts.target_gap = admitted_.terms->target_gap;
+    facts.expected_first = expected_first_;
+    if (const engine_profile* profile = engine()) {
+        facts.whole_read = read_time(*profile, request_.prompt_tokens.value_or(0));
     }
-    if (now - progress_at_ < patience) {
+    if (now - progress_at_ < stall_patience(facts)) {
         return;
     }
     const attempt_outcome outcome =
@@ -581,18 +495,8 @@
 void request_relay::log_end(const char* outcome, int status, const std::string& reason) {
     done_ = true;
     end_waiting();
-    services_.log.write(decision_log::level::info, "request_ended",
-                        {{"request", request_.id},
-                         {"route", admitted_.terms == nullptr ? "" : admitted_.terms->name},
-                         {"outcome", outcome},
-                         {"status", std::to_string(status)},
-                         {"reason", reason},
-                         {"upstream", upstream_},
-                         {"attempts", std::to_string(attempts_)},
-                         {"may_have_run", may_have_run_ ? "yes" : "no"},
-                         {"events", std::to_string(events_.count())},
-                         {"configuration_age_ms", ms_text(services_.configuration_mirror.age())},
-                         {"took_ms", ms_text(services_.timers.now() - request_.received_at)}});
+    log_.ended(admitted_,
+               {outcome, status, reason, upstream_, attempts_, may_have_run_, events_.count()});
 }
 
 }  // namespace fuchsiaquay
--- a/servers/relay/request_relay.hpp
+++ b/servers/relay/request_relay.hpp
@@ -5,7 +5,6 @@
 #include <string>
 #include <vector>
 
-#include "core/placement/engine_work.hpp"
 #include "core/placement/placement_decision.hpp"
 #include "core/relay/attempt_outcome.hpp"
 #include "core/relay/caller_request.hpp"
@@ -16,6 +15,8 @@
 #include "servers/relay/exchange_listener.hpp"
 #include "servers/relay/memory_reservation.hpp"
 #include "servers/relay/relay_services.hpp"
+#include "servers/relay/request_log.hpp"
+#include "servers/relay/request_work.hpp"
 #include "servers/relay/upstream_answer.hpp"
 #include "servers/relay/upstream_exchange.hpp"
 
@@ -57,8 +58,6 @@
     void send();
     void begin_waiting();
     void end_waiting();
-    void record_work(const placement_decision& decision);
-    void advance_work(work_phase phase);
     void pass_events(std::string_view bytes);
     void finish_stream();
     void finish_answer();
@@ -80,7 +79,9 @@
     relay_queue& queue_;
     caller_request request_;
     response_sink& sink_;
+    request_log log_;
     admission_result admitted_;
+    request_work work_;
     instant deadline_{};
     /// When a request without an upstream stops waiting for one.
     instant wait_until_{};
@@ -96,7 +97,6 @@
     placement_decision decision_;
     /// Memory of several engines, from before the request is sent until its end.
     std::unique_ptr<memory_reservation> memory_;
-    std::vector<engine_work> works_;
     std::string upstream_;
     instant sent_at_{};
     instant progress_at_{};
--- /dev/null
+++ b/servers/relay/request_work.cpp
@@ -0,0 +1,72 @@
+#include "servers/relay/request_work.hpp"
+
+#include <algorithm>
+
+#include "core/fleet/route.hpp"
+#include "core/placement/pass_timing.hpp"
+#include "core/placement/placement_decision.hpp"
+#include "core/relay/caller_request.hpp"
+#include "servers/fleet/engine_board.hpp"
+
+namespace fuchsiaquay {
+
+void request_work::wait(std::uint64_t key, const engine_profile& profile,
+                        std::int64_t prompt_tokens, instant late_at) {
+    engine_work work;
+    work.key = key;
+    work.phase = work_phase::waiting;
+    work.read_tokens = prompt_tokens;
+    work.read_time = read_time(profile, prompt_tokens);
+    work.dispatched_at = late_at;
+    if (works_.empty() && work.read_time > long_read) {
+        works_.push_back(work);
+        board_.apply_own(work);
+    }
+}
+
+void request_work::dispatch(std::uint64_t key, const placement_decision& decision,
+                            const caller_request& request, const engine_profile* profile,
+                            const route& terms, instant now) {
+    engine_work work;
+    work.key = key;
+    work.engine = decision.engine;
+    work.dispatched_at = now;
+    work.target_gap = terms.target_gap;
+    if (profile != nullptr) {
+        const auto parts = static_cast<std::int64_t>(decision.helpers.size()) + 1;
+        const std::int64_t tokens = request.prompt_tokens.value_or(0);
+        work.read_tokens = tokens / parts;
+        work.read_time = read_time(*profile, tokens) / parts;
+        work.memory_tokens = (decision.reserved_tokens > 0 ? decision.reserved_tokens : tokens) +
+                             request.max_answer_tokens;
+    }
+    works_.push_back(work);
+    work.target_gap = {};
+    for (const placement_part& part : decision.helpers) {
+        work.engine = part.engine;
+        work.memory_tokens = part.reserved_tokens;
+        works_.push_back(work);
+    }
+    for (const engine_work& item : works_) {
+        board_.apply_own(item);
+    }
+}
+
+void request_work::advance(work_phase phase) {
+    for (engine_work& work : works_) {
+        // A part that is read and not kept is over with the first event.
+        const bool over = !work.writes() && work.memory_tokens == 0;
+        work.phase = phase == work_phase::writing && over ? work_phase::ended : phase;
+        board_.apply_own(work);
+    }
+    works_.erase(
+        std::remove_if(works_.begin(), works_.end(),
+                       [](const engine_work& work) { return work.phase == work_phase::ended; }),
+        works_.end());
+}
+
+bool request_work::reading() const {
+    return !works_.empty() && works_.front().phase == work_phase::reading;
+}
+
+}  // namespace fuchsiaquay
