--- a/drivers/traffic/caller_session.cpp
+++ b/drivers/traffic/caller_session.cpp
@@ -105,6 +105,10 @@
         if (parser_->is_header_done() && !head_accepted_ && !accept_head()) {
             return;
         }
+        // A body in chunks takes its memory as it grows.
+        if (head_accepted_ && !take_memory(parser_->get().body().size())) {
+            return;
+        }
         if (error == http::error::need_more) {
             break;
         }
@@ -121,13 +125,9 @@
     head_accepted_ = true;
     const auto& message = parser_->get();
     const auto length = parser_->content_length();
-    const std::size_t expected = length ? static_cast<std::size_t>(*length)
-                                        : (parser_->chunked() ? services_.limits().body_bytes : 0);
-    if (!services_.bodies.take(expected)) {
-        reject(status_unavailable);
+    if (!take_memory(length ? static_cast<std::size_t>(*length) : 0)) {
         return false;
     }
-    body_bytes_ = expected;
     const auto expects = message.find(http::field::expect);
     if (expects != message.end() &&
         same_header_name(std::string_view(expects->value().data(), expects->value().size()),
@@ -138,6 +138,18 @@
     return true;
 }
 
+bool caller_session::take_memory(std::size_t body_bytes) {
+    if (body_bytes <= body_bytes_) {
+        return true;
+    }
+    if (!services_.bodies.take(body_bytes - body_bytes_)) {
+        reject(status_unavailable);
+        return false;
+    }
+    body_bytes_ = body_bytes;
+    return true;
+}
+
 bool caller_session::parse_failed(const error_code& error) {
     if (error == http::error::header_limit) {
         reject(status_header_too_large);
--- a/drivers/traffic/caller_session.hpp
+++ b/drivers/traffic/caller_session.hpp
@@ -52,6 +52,8 @@
     void received(const boost::system::error_code& error, std::size_t bytes);
     void parse();
     bool accept_head();
+    /// Counts memory for a body of this size; refuses the request when there is none.
+    bool take_memory(std::size_t body_bytes);
     bool parse_failed(const boost::system::error_code& error);
     void serve();
     void reject(int status);
--- a/tests/drivers/traffic/caller_server_test.cpp
+++ b/tests/drivers/traffic/caller_server_test.cpp
@@ -139,6 +139,34 @@
     LONGS_EQUAL(0, bodies_.used());
 }
 
+TEST(caller_server, bodies_in_chunks_take_the_memory_that_they_use_and_give_it_back) {
+    const std::string head = "POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n";
+    std::vector<std::unique_ptr<raw_client>> clients;
+    constexpr std::size_t callers = 40;
+    for (std::size_t i = 0; i < callers; ++i) {
+        clients.push_back(std::make_unique<raw_client>(loop_, address_));
+        clients.back()->send(head + "5\r\nhello\r\n0\r\n\r\n");
+    }
+    CHECK_TRUE(arrived(callers));
+    LONGS_EQUAL(5 * callers, bodies_.used());
+    limits_.body_bytes = 10'000'000;
+    const std::string large(6'000'000, 'x');
+    raw_client greedy(loop_, address_);
+    greedy.send(head + "5b8d80\r\n");
+    for (std::size_t at = 0; at < large.size() && !greedy.closed; at += 100'000) {
+        greedy.send(large.substr(at, 100'000));
+        loop_.context().run_for(std::chrono::milliseconds(1));
+        if (greedy.received.find("503") != std::string::npos) {
+            break;
+        }
+    }
+    CHECK_TRUE(greedy.expect("503"));
+    for (const auto& client : clients) {
+        client->close();
+    }
+    CHECK_TRUE(run_until(loop_, [&] { return bodies_.used() == 0; }));
+}
+
 TEST(caller_server, caller_that_leaves_is_noticed_at_once) {
     client_->send("GET / HTTP/1.1\r\nHost: h\r\n\r\n");
     CHECK_TRUE(arrived(1));
