--- a/specs/run.sh
+++ b/specs/run.sh
@@ -47,5 +47,13 @@
 for mutation in NO_EXPIRY NO_ORPHAN_CANCEL NO_GRACE OWN_ORPHANS_ONLY; do
   check fails grants "$mutation"
 done
+check holds freshness
+for mutation in AGE_FROM_ANSWER CLOCK_STOPS SOURCE_IS_FRESH NO_LAG NO_BOUND; do
+  check fails freshness "$mutation"
+done
+check holds reservation
+for mutation in NO_LIFETIME KEEP_ONE SEND_EARLY NO_RELEASE; do
+  check fails reservation "$mutation"
+done
 echo "model checking: $unexpected unexpected"
 [ "$unexpected" -eq 0 ]
