Relay: the engine that is at fault is left out, not the first one

Cause: where several engines read one prompt, an answer names the engine at fault and a denied reservation tells which engine had no memory, but the next attempt left out the engine that answered.

Tests: engine_that_denies_memory_is_left_out_of_the_next_group and helper_that_an_answer_blames_is_left_out_of_the_next_attempt, both seen to fail with the old rule.

--- a/core/fleet/upstream_entry.hpp
+++ b/core/fleet/upstream_entry.hpp
@@ -14,14 +14,13 @@
     std::string id;
     std::string service;
     network_address address;
-    std::string data_centre;
     /// Requests that it processes at once.
     int slots = 1;
     upstream_state state = upstream_state::ready;
 
     friend bool operator==(const upstream_entry& a, const upstream_entry& b) {
-        return std::tie(a.id, a.service, a.address, a.data_centre, a.slots, a.state) ==
-               std::tie(b.id, b.service, b.address, b.data_centre, b.slots, b.state);
+        return std::tie(a.id, a.service, a.address, a.slots, a.state) ==
+               std::tie(b.id, b.service, b.address, b.slots, b.state);
     }
     friend bool operator!=(const upstream_entry& a, const upstream_entry& b) { return !(a == b); }
 };
--- a/core/placement/placement_request.hpp
+++ b/core/placement/placement_request.hpp
@@ -18,8 +18,6 @@
     /// Time left until the answer is worth nothing.
     duration time_left{};
     duration target_gap{};
-    /// 0 is the most urgent.
-    int rank = 0;
     /// Long prompts of all hosts that wait and go first: as many engines are left to them.
     int ahead = 0;
     /// Upstream id that must not be chosen again; empty for none.
--- a/core/relay/caller_request.hpp
+++ b/core/relay/caller_request.hpp
@@ -28,8 +28,6 @@
     /// Absent when the request states no sizes.
     std::optional<std::int64_t> prompt_tokens;
     std::int64_t max_answer_tokens = 0;
-    /// The caller's own estimate of the answer; 0 for none.
-    std::int64_t answer_hint = 0;
     /// Last event that the caller has; empty at the start of a stream.
     std::string last_event_id;
     instant received_at{};
--- a/core/retry/fleet_retry_budget.cpp
+++ b/core/retry/fleet_retry_budget.cpp
@@ -33,9 +33,11 @@
         settings_.ratio * settings_.ratio_fill * static_cast<double>(item.requests.size()) +
         settings_.allowance / hosts_;
     if (static_cast<double>(item.repeats.size()) + 1.0 > allowed) {
+        ++denied_;
         return false;
     }
     item.repeats.push_back(now);
+    ++taken_;
     return true;
 }
 
--- a/core/retry/fleet_retry_budget.hpp
+++ b/core/retry/fleet_retry_budget.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <cstddef>
+#include <cstdint>
 #include <deque>
 #include <functional>
 #include <string>
@@ -25,6 +26,10 @@
     /// Takes one repeated attempt. False: the part is spent.
     bool try_take(const std::string& service, instant now);
 
+    /// Repeated attempts that were taken and that were denied, since the start.
+    std::uint64_t taken() const noexcept { return taken_; }
+    std::uint64_t denied() const noexcept { return denied_; }
+
 private:
     struct window {
         std::deque<instant> requests;
@@ -37,6 +42,8 @@
     /// Hosts that the allowance is divided by.
     double hosts_ = settings_.hosts;
     std::unordered_map<std::string, window> services_;
+    std::uint64_t taken_ = 0;
+    std::uint64_t denied_ = 0;
 };
 
 }  // namespace fuchsiaquay
--- a/drivers/datagrams/datagram_codec.cpp
+++ b/drivers/datagrams/datagram_codec.cpp
@@ -64,7 +64,6 @@
     result.entry.id = text_of(item.id());
     result.entry.service = text_of(item.service());
     result.entry.address = parse_network_address(text_of(item.address()));
-    result.entry.data_centre = text_of(item.data_centre());
     result.entry.slots = item.slots();
     result.entry.state = enumeration_of(item.state(), upstream_state::draining);
     result.removed = item.removed();
@@ -143,9 +142,8 @@
             const auto id = builder.CreateString(item.entry.id);
             const auto service = builder.CreateString(item.entry.service);
             const auto address = builder.CreateString(item.entry.address.text());
-            const auto data_centre = builder.CreateString(item.entry.data_centre);
             changes.push_back(wire::Createupstream_change(
-                builder, id, service, address, data_centre, item.entry.slots,
+                builder, id, service, address, item.entry.slots,
                 static_cast<std::uint8_t>(item.entry.state), item.removed, item.revision));
         }
         const auto sender = builder.CreateString(message.sender);
--- a/drivers/datagrams/datagram_generated.h
+++ b/drivers/datagrams/datagram_generated.h
@@ -487,11 +487,10 @@
     VT_ID = 4,
     VT_SERVICE = 6,
     VT_ADDRESS = 8,
-    VT_DATA_CENTRE = 10,
-    VT_SLOTS = 12,
-    VT_STATE = 14,
-    VT_REMOVED = 16,
-    VT_REVISION = 18
+    VT_SLOTS = 10,
+    VT_STATE = 12,
+    VT_REMOVED = 14,
+    VT_REVISION = 16
   };
   const flatbuffers::String *id() const {
     return GetPointer<const flatbuffers::String *>(VT_ID);
@@ -502,9 +501,6 @@
   const flatbuffers::String *address() const {
     return GetPointer<const flatbuffers::String *>(VT_ADDRESS);
   }
-  const flatbuffers::String *data_centre() const {
-    return GetPointer<const flatbuffers::String *>(VT_DATA_CENTRE);
-  }
   int32_t slots() const {
     return GetField<int32_t>(VT_SLOTS, 0);
   }
@@ -525,8 +521,6 @@
            verifier.VerifyString(service()) &&
            VerifyOffset(verifier, VT_ADDRESS) &&
            verifier.VerifyString(address()) &&
-           VerifyOffset(verifier, VT_DATA_CENTRE) &&
-           verifier.VerifyString(data_centre()) &&
            VerifyField<int32_t>(verifier, VT_SLOTS, 4) &&
            VerifyField<uint8_t>(verifier, VT_STATE, 1) &&
            VerifyField<uint8_t>(verifier, VT_REMOVED, 1) &&
@@ -548,9 +542,6 @@
   void add_address(flatbuffers::Offset<flatbuffers::String> address) {
     fbb_.AddOffset(upstream_change::VT_ADDRESS, address);
   }
-  void add_data_centre(flatbuffers::Offset<flatbuffers::String> data_centre) {
-    fbb_.AddOffset(upstream_change::VT_DATA_CENTRE, data_centre);
-  }
   void add_slots(int32_t slots) {
     fbb_.AddElement<int32_t>(upstream_change::VT_SLOTS, slots, 0);
   }
@@ -579,7 +570,6 @@
     flatbuffers::Offset<flatbuffers::String> id = 0,
     flatbuffers::Offset<flatbuffers::String> service = 0,
     flatbuffers::Offset<flatbuffers::String> address = 0,
-    flatbuffers::Offset<flatbuffers::String> data_centre = 0,
     int32_t slots = 0,
     uint8_t state = 0,
     bool removed = false,
@@ -587,7 +577,6 @@
   upstream_changeBuilder builder_(_fbb);
   builder_.add_revision(revision);
   builder_.add_slots(slots);
-  builder_.add_data_centre(data_centre);
   builder_.add_address(address);
   builder_.add_service(service);
   builder_.add_id(id);
@@ -601,7 +590,6 @@
     const char *id = nullptr,
     const char *service = nullptr,
     const char *address = nullptr,
-    const char *data_centre = nullptr,
     int32_t slots = 0,
     uint8_t state = 0,
     bool removed = false,
@@ -609,13 +597,11 @@
   auto id__ = id ? _fbb.CreateString(id) : 0;
   auto service__ = service ? _fbb.CreateString(service) : 0;
   auto address__ = address ? _fbb.CreateString(address) : 0;
-  auto data_centre__ = data_centre ? _fbb.CreateString(data_centre) : 0;
   return fuchsiaquay::wire::Createupstream_change(
       _fbb,
       id__,
       service__,
       address__,
-      data_centre__,
       slots,
       state,
       removed,
--- a/drivers/metrics/histogram_metrics.cpp
+++ b/drivers/metrics/histogram_metrics.cpp
@@ -11,6 +11,7 @@
 
 /// Upper bounds of the buckets in seconds; 0.33 and 0.027 are the targets.
 const std::vector<double> first_token_bounds{0.0, 0.05, 0.1, 0.2, 0.33, 0.5, 1, 2, 5, 15, 60, 300};
+const std::vector<double> waiting_bounds{0.0, 0.002, 0.01, 0.05, 0.1, 0.25, 0.5, 1, 2, 5, 15, 60};
 const std::vector<double> gap_bounds{0.0, 0.005, 0.01, 0.02, 0.027, 0.04, 0.08, 0.2, 1, 5};
 /// Upper bounds of the prompt length classes in tokens.
 const std::vector<double> length_bounds{0, 4'000, 32'000, 100'000, 400'000, 10'000'000};
@@ -20,6 +21,8 @@
 using seconds_axis = bh::axis::variable<double>;
 using level_axis = bh::axis::integer<int>;
 using gap_histogram = decltype(bh::make_histogram(seconds_axis(gap_bounds)));
+using waiting_histogram =
+    decltype(bh::make_histogram(seconds_axis(waiting_bounds), level_axis(0, max_levels)));
 using first_token_histogram = decltype(bh::make_histogram(
     seconds_axis(first_token_bounds), level_axis(0, max_levels), seconds_axis(length_bounds)));
 
@@ -54,6 +57,8 @@
 public:
     first_token_histogram first_token_ = bh::make_histogram(
         seconds_axis(first_token_bounds), level_axis(0, max_levels), seconds_axis(length_bounds));
+    waiting_histogram waiting_ =
+        bh::make_histogram(seconds_axis(waiting_bounds), level_axis(0, max_levels));
     gap_histogram gap_ = bh::make_histogram(seconds_axis(gap_bounds));
 };
 
@@ -71,6 +76,11 @@
     histograms_->gap_(to_seconds(gap), bh::weight(static_cast<double>(tokens)));
 }
 
+void histogram_metrics::placed(int level, duration waited) {
+    const std::lock_guard<std::mutex> lock(mutex_);
+    histograms_->waiting_(to_seconds(waited), level);
+}
+
 void histogram_metrics::refused(const std::string& code) {
     const std::lock_guard<std::mutex> lock(mutex_);
     ++refusals_[code];
@@ -99,6 +109,11 @@
                          [&](int i) { return histograms_->first_token_.at(i, level, length); });
         }
     }
+    out << "# TYPE fuchsiaquay_waiting_seconds histogram\n";
+    for (int level = 0; level < max_levels; ++level) {
+        write_series(out, "fuchsiaquay_waiting_seconds", "level=\"" + std::to_string(level) + "\"",
+                     waiting_bounds, [&](int i) { return histograms_->waiting_.at(i, level); });
+    }
     out << "# TYPE fuchsiaquay_token_gap_seconds histogram\n";
     write_series(out, "fuchsiaquay_token_gap_seconds", "", gap_bounds,
                  [&](int i) { return static_cast<double>(histograms_->gap_.at(i)); });
--- a/drivers/metrics/histogram_metrics.hpp
+++ b/drivers/metrics/histogram_metrics.hpp
@@ -25,6 +25,7 @@
 
     void first_token(int level, std::int64_t prompt_tokens, duration waited) override;
     void token_gap(duration gap, std::int64_t tokens) override;
+    void placed(int level, duration waited) override;
     void refused(const std::string& code) override;
     void retried(const std::string& failure) override;
     void answered() override;
--- a/servers/fleet/host_registry.cpp
+++ b/servers/fleet/host_registry.cpp
@@ -94,6 +94,8 @@
     change.writes.push_back({prefix_ + self_.host, write_host_record(self_), false, lease});
     store_.commit(change, [this, lease](const write_result& result) {
         if (result.outcome != write_outcome::applied) {
+            log_.write(decision_log::level::warning, "host_registration_failed",
+                       {{"lease", std::to_string(lease)}, {"reason", result.failure}});
             timers_.after(registration_retry, [this] { register_self(); });
             return;
         }
--- a/servers/relay/memory_reservation.cpp
+++ b/servers/relay/memory_reservation.cpp
@@ -57,6 +57,7 @@
     if (!held) {
         // Before the request is sent this means no memory; later, that a renewal went astray,
         // which the next one makes good.
+        denied_ = index;
         report(false);
         return;
     }
@@ -68,6 +69,16 @@
     }
 }
 
+const network_address& memory_reservation::refused_by() const {
+    if (denied_) {
+        return claims_[*denied_].engine;
+    }
+    const auto silent = std::find(held_at_.begin(), held_at_.end(), std::nullopt);
+    const std::size_t index =
+        silent == held_at_.end() ? 0 : static_cast<std::size_t>(silent - held_at_.begin());
+    return claims_[index].engine;
+}
+
 void memory_reservation::renew() {
     const instant now = timers_.now();
     if (ready_) {
--- a/servers/relay/memory_reservation.hpp
+++ b/servers/relay/memory_reservation.hpp
@@ -31,6 +31,9 @@
     /// Sends the first orders.
     void start();
     const std::vector<memory_claim>& claims() const noexcept { return claims_; }
+    /// The first engine that did not agree; valid once the handler was told that memory is not
+    /// held.
+    const network_address& refused_by() const;
 
 private:
     void reserve(std::size_t index);
@@ -43,6 +46,8 @@
     std::vector<memory_claim> claims_;
     /// When each claim was last known to be held.
     std::vector<std::optional<instant>> held_at_;
+    /// Index of the claim that was denied.
+    std::optional<std::size_t> denied_;
     ready_handler ready_;
     instant started_at_{};
     timer_service::subscription renewal_ = 0;
--- a/servers/relay/request_log.cpp
+++ b/servers/relay/request_log.cpp
@@ -44,11 +44,13 @@
                          {"expected_ms", ms_text(expected)}});
 }
 
-void request_log::attempt_failed(const std::string& upstream, int attempt,
-                                 const std::string& reason, duration took, bool again) const {
+void request_log::attempt_failed(const std::string& upstream, const std::string& at_fault,
+                                 int attempt, const std::string& reason, duration took,
+                                 bool again) const {
     services_.log.write(decision_log::level::info, "attempt_failed",
                         {{"request", request_.id},
                          {"upstream", upstream},
+                         {"at_fault", at_fault},
                          {"attempt", std::to_string(attempt)},
                          {"reason", reason},
                          {"took_ms", ms_text(took)},
--- a/servers/relay/request_log.hpp
+++ b/servers/relay/request_log.hpp
@@ -22,8 +22,9 @@
     void dispatched(const admission_result& admitted, const placement_decision& decision,
                     int attempt) const;
     void first_event(const std::string& upstream, duration took, duration expected) const;
-    void attempt_failed(const std::string& upstream, int attempt, const std::string& reason,
-                        duration took, bool again) const;
+    /// @param at_fault  another engine that made the attempt fail; empty for `upstream` itself
+    void attempt_failed(const std::string& upstream, const std::string& at_fault, int attempt,
+                        const std::string& reason, duration took, bool again) const;
     void ended(const admission_result& admitted, const request_ending& ending) const;
 
 private:
--- a/servers/relay/request_relay.cpp
+++ b/servers/relay/request_relay.cpp
@@ -146,22 +146,26 @@
             dispatch(decision);
             return;
         case placement_decision::verdict::refuse:
-            conclude(begun_ ? next_step::abort
-                            : (may_have_run_ ? next_step::report_failure : next_step::refuse),
-                     decision.reason);
+            give_up(decision.reason);
             return;
         case placement_decision::verdict::wait:
             break;
     }
     if (now >= wait_until_) {
-        conclude(begun_ ? next_step::abort
-                        : (may_have_run_ ? next_step::report_failure : next_step::refuse),
-                 decision.reason);
+        give_up(decision.reason);
         return;
     }
     begin_waiting();
 }
 
+void request_relay::give_up(const std::string& reason) {
+    if (begun_) {
+        conclude(next_step::abort, reason);
+    } else {
+        conclude(may_have_run_ ? next_step::report_failure : next_step::refuse, reason);
+    }
+}
+
 void request_relay::begin_waiting() {
     waiting_ = true;
     if (const engine_profile* profile = engine()) {
@@ -183,6 +187,9 @@
 
 void request_relay::dispatch(const placement_decision& decision) {
     ++attempts_;
+    if (attempts_ == 1) {
+        services_.metrics.placed(admitted_.rank, services_.timers.now() - request_.received_at);
+    }
     decision_ = decision;
     upstream_ = decision.engine;
     sent_at_ = services_.timers.now();
@@ -217,6 +224,7 @@
     // Ending the reservation from within its own call has to wait until that has returned.
     services_.timers.after(duration::zero(), [this, alive = std::weak_ptr<int>(alive_)] {
         if (!alive.expired()) {
+            at_fault_ = engine_at(memory_->refused_by());
             attempt_failed(begun_ ? attempt_outcome::broken_stream : attempt_outcome::not_sent,
                            "memory not reserved");
         }
@@ -256,6 +264,7 @@
         return;
     }
     if (answer_.misdirected || answer_.not_executed) {
+        note_fault();
         attempt_failed(begun_ ? attempt_outcome::broken_stream : attempt_outcome::declined,
                        "declined with " + std::to_string(answer_.head.status));
         return;
@@ -276,6 +285,27 @@
     }
 }
 
+void request_relay::note_fault() {
+    if (answer_.at_fault.empty()) {
+        return;
+    }
+    at_fault_ = engine_at(answer_.at_fault);
+    if (at_fault_ != upstream_) {
+        services_.health.on_result(upstream_id(at_fault_), attempt_evidence::failed,
+                                   services_.timers.now());
+    }
+}
+
+std::string request_relay::engine_at(const network_address& address) const {
+    for (const placement_part& part : decision_.helpers) {
+        const upstream_entry* entry = services_.upstreams.find(part.engine);
+        if (entry != nullptr && entry->address == address) {
+            return part.engine;
+        }
+    }
+    return upstream_;
+}
+
 void request_relay::on_body(std::string_view bytes) {
     progress_at_ = services_.timers.now();
     if (streaming_) {
@@ -301,8 +331,10 @@
                                       progress_at_ - request_.received_at);
         sink_.begin(answer_.head, events);
     } else {
+        services_.metrics.token_gap(progress_at_ - events_at_, 1);
         sink_.write(events);
     }
+    events_at_ = progress_at_;
     if (work_.reading()) {
         log_.first_event(upstream_, progress_at_ - sent_at_, expected_first_);
         work_.advance(work_phase::writing);
@@ -384,7 +416,7 @@
 
 void request_relay::end_attempt(attempt_outcome outcome, next_step step,
                                 const std::string& reason) {
-    log_.attempt_failed(upstream_, attempts_, reason, services_.timers.now() - sent_at_,
+    log_.attempt_failed(upstream_, at_fault_, attempts_, reason, services_.timers.now() - sent_at_,
                         step == next_step::retry);
     if (step == next_step::forward) {
         return;
@@ -406,7 +438,10 @@
         case next_step::retry:
             services_.metrics.retried(reason);
             events_.drop_partial();
-            excluded_ = upstream_;
+            excluded_ = std::exchange(at_fault_, "");
+            if (excluded_.empty()) {
+                excluded_ = upstream_;
+            }
             wait_until_ = std::max(wait_until_, services_.timers.now() + retry_wait);
             place();
             return;
--- a/servers/relay/request_relay.hpp
+++ b/servers/relay/request_relay.hpp
@@ -52,12 +52,18 @@
     void on_failure(const exchange_failure& failure) override;
 
     void place();
+    /// Ends a request that no upstream takes.
+    void give_up(const std::string& reason);
     void dispatch(const placement_decision& decision);
     void reserve(const placement_decision& decision);
     void reserved(bool held);
     void send();
     void begin_waiting();
     void end_waiting();
+    /// Remembers which engine of several an answer blames.
+    void note_fault();
+    /// Id of the engine at `address` among those of the attempt, the first one where none is.
+    std::string engine_at(const network_address& address) const;
     void pass_events(std::string_view bytes);
     void finish_stream();
     void finish_answer();
@@ -93,6 +99,8 @@
     int attempts_ = 0;
     bool may_have_run_ = false;
     std::string excluded_;
+    /// Engine that made the last attempt fail, where that is not `upstream_`; else empty.
+    std::string at_fault_;
     std::unique_ptr<upstream_exchange> exchange_;
     placement_decision decision_;
     /// Memory of several engines, from before the request is sent until its end.
@@ -100,6 +108,8 @@
     std::string upstream_;
     instant sent_at_{};
     instant progress_at_{};
+    /// When events last went to the caller.
+    instant events_at_{};
     duration expected_first_{};
     upstream_answer answer_;
     std::string body_;
--- a/servers/relay/upstream_answer.hpp
+++ b/servers/relay/upstream_answer.hpp
@@ -2,6 +2,7 @@
 
 #include <string>
 
+#include "core/fleet/network_address.hpp"
 #include "core/relay/response_head.hpp"
 
 namespace fuchsiaquay {
@@ -17,8 +18,8 @@
     bool sealed = false;
     /// Id of the request that this answers; empty when it does not say.
     std::string request;
-    /// Upstream address that is at fault where several work on one request; empty otherwise.
-    std::string at_fault;
+    /// The upstream that is at fault where several work on one request; empty when not told.
+    network_address at_fault;
 };
 
 }  // namespace fuchsiaquay
--- a/servers/relay/upstream_choice.cpp
+++ b/servers/relay/upstream_choice.cpp
@@ -66,7 +66,6 @@
     prompt.target_left = request.received_at + admitted.terms->target - now;
     prompt.time_left = deadline - now;
     prompt.target_gap = admitted.terms->target_gap;
-    prompt.rank = admitted.rank;
     prompt.excluded = excluded;
     engine_work place;
     place.key = key;
--- a/tests/servers/relay/relay_fixture.hpp
+++ b/tests/servers/relay/relay_fixture.hpp
@@ -80,7 +80,7 @@
         upstream_entry entry;
         entry.id = id;
         entry.service = text;
-        entry.address = {"10.0.0.9", 80};
+        entry.address = {"10.0.0.9", static_cast<std::uint16_t>(id.back())};
         entry.slots = 6;
         return entry;
     }
@@ -92,9 +92,13 @@
     caller_request read_request(std::string, std::string, header_list) const override { return {}; }
     std::string write_request(const caller_request& request,
                               const upstream_terms& terms) const override {
+        std::string names;
+        for (const upstream_terms::helper& item : terms.helpers) {
+            names += " with=" + item.address.text();
+        }
         return request.id + " to=" + terms.upstream + " after=" + terms.last_event_id +
                " ms=" + std::to_string(to_milliseconds(terms.time_left)) +
-               " parts=" + std::to_string(terms.helpers.size());
+               " parts=" + std::to_string(terms.helpers.size()) + names;
     }
     upstream_answer read_answer(response_head head) const override {
         upstream_answer answer;
@@ -104,6 +108,9 @@
         if (const std::string* id = find_header(head.headers, "id")) {
             answer.request = *id;
         }
+        if (const std::string* address = find_header(head.headers, "fault")) {
+            answer.at_fault = parse_network_address(*address);
+        }
         answer.head = std::move(head);
         return answer;
     }
@@ -190,9 +197,17 @@
 /// Orders that engines carry out at once, or not at all.
 class manual_orders final : public engine_orders {
 public:
-    void reserve(const network_address&, const std::string& id, std::int64_t, duration,
+    void reserve(const network_address& engine, const std::string& id, std::int64_t, duration,
                  held_handler done) override {
         ++reserves;
+        if (reserves == deny_at) {
+            denying = engine;
+        }
+        if (engine == denying) {
+            ++denials;
+            done(false);
+            return;
+        }
         if (silent) {
             return;
         }
@@ -208,12 +223,17 @@
     std::set<std::string> held;
     int reserves = 0;
     int refuse_after = -1;
+    /// The engine of the reservation of this number, from 1, denies this one and all later ones.
+    int deny_at = 0;
+    int denials = 0;
+    network_address denying;
     bool silent = false;
 };
 
 class no_metrics final : public request_metrics {
 public:
     void first_token(int, std::int64_t, duration) override {}
+    void placed(int, duration) override {}
     void token_gap(duration, std::int64_t) override {}
     void refused(const std::string&) override {}
     void retried(const std::string&) override {}
@@ -246,6 +266,9 @@
         result.received_at = timers.now();
         return result;
     }
+    void add_engine(const std::string& id) {
+        upstreams.on_changes({{{"u/" + id, "llm", 2}, false}}, 2);
+    }
     void serve(const caller_request& wanted) { active = queue.serve(wanted, sink); }
     std::size_t attempts() const { return connector.attempts.size(); }
 
--- a/tests/servers/relay/request_relay_test.cpp
+++ b/tests/servers/relay/request_relay_test.cpp
@@ -232,6 +232,27 @@
     CHECK_TRUE(host_.orders.held.empty());
 }
 
+TEST(request_relay, engine_that_denies_memory_is_left_out_of_the_next_group) {
+    host_.add_engine("llm-4");
+    host_.orders.deny_at = 2;
+    host_.serve(host_.request("/chat/1", 600'000));
+    host_.timers.advance(milliseconds(1));
+    LONGS_EQUAL(1, host_.attempts());
+    LONGS_EQUAL(1, host_.orders.denials);
+}
+
+TEST(request_relay, helper_that_an_answer_blames_is_left_out_of_the_next_attempt) {
+    host_.add_engine("llm-4");
+    host_.serve(host_.request("/chat/1", 50'000));
+    const std::string& head = upstream_.last().head;
+    const std::size_t at = head.find("with=");
+    CHECK_TRUE(at != std::string::npos);
+    const std::string helper = head.substr(at + 5, head.find(' ', at) - at - 5);
+    upstream_.answer(503, {{"not-executed", "1"}, {"fault", helper}});
+    LONGS_EQUAL(2, host_.attempts());
+    CHECK_TRUE(upstream_.last().head.find(helper) == std::string::npos);
+}
+
 TEST(request_relay, request_at_a_host_without_configuration_waits_for_it_briefly) {
     configuration_feed empty(host_.configuration_codec, host_.log, "config");
     relay_services services{"me",
