Catalogue: an entry is kept through an outage only if the store was away

Cause: one host lost the store for 7 s while the others kept it. Its first full read lacked an engine that had just left; it took that for a lapsed lease, kept the engine for 2.2 s, and told a neighbour of the same revision without the removal, which then kept it for 3.6 s.

The mirror now tells an outage of the store from one of this host: a confirmation by another host from after the loss, or a loss of less than a second, lets no lease run out; dropped history alone is no outage. Entries that are newer than a full read are kept.

Ruled out: a late watch (the neighbours had the removal 5 ms after the acknowledgement); lost datagrams. Tests, all seen to fail with the earlier code: outage_that_another_host_did_not_see_lets_no_entry_lapse, history_dropped_in_calm_is_no_outage, one_failed_call_is_no_outage, entry_newer_than_what_was_read_is_kept.

--- a/servers/fleet/upstream_registry.cpp
+++ b/servers/fleet/upstream_registry.cpp
@@ -82,7 +82,7 @@
     }
     revision_ = view.revision;
     if (view.complete) {
-        remove_all_but(kept, false);
+        remove_all_but(kept, view.revision, false);
     }
     loaded_ = true;
     index();
@@ -96,15 +96,17 @@
         kept.insert(value.key.substr(prefix_.size()));
         store(value);
     }
-    remove_all_but(kept, after_outage && loaded_);
+    remove_all_but(kept, revision, after_outage && loaded_);
     loaded_ = true;
     index();
 }
 
-void upstream_registry::remove_all_but(const std::set<std::string>& kept, bool after_outage) {
+void upstream_registry::remove_all_but(const std::set<std::string>& kept, std::int64_t as_of,
+                                       bool after_outage) {
     std::vector<std::string> absent;
     for (const auto& [id, item] : entries_) {
-        if (kept.count(id) == 0) {
+        // Another host may have told of an entry that is newer than what was read.
+        if (kept.count(id) == 0 && item.revision <= as_of) {
             absent.push_back(id);
         }
     }
--- a/servers/fleet/upstream_registry.hpp
+++ b/servers/fleet/upstream_registry.hpp
@@ -65,7 +65,7 @@
     void store(const stored_value& value);
     void list(const upstream_entry& entry, std::int64_t revision);
     void remove(const std::string& id, std::int64_t revision, const char* reason);
-    void remove_all_but(const std::set<std::string>& kept, bool after_outage);
+    void remove_all_but(const std::set<std::string>& kept, std::int64_t as_of, bool after_outage);
     void remove_lapsed();
     void index();
 
--- a/servers/store/mirror_listener.hpp
+++ b/servers/store/mirror_listener.hpp
@@ -18,7 +18,7 @@
 
     /// The whole content; keys that are missing do not exist.
     /// @param revision  revision of the store at which the content was read
-    /// @param after_outage  true when calls had failed, or history was lost, before this read
+    /// @param after_outage  the store may have been away before this read, so that leases ran out
     virtual void on_snapshot(const std::vector<stored_value>& values, std::int64_t revision,
                              bool after_outage) = 0;
     /// Changes in revision order.
--- a/servers/store/prefix_mirror.cpp
+++ b/servers/store/prefix_mirror.cpp
@@ -10,6 +10,16 @@
 
 namespace fuchsiaquay {
 
+namespace {
+
+/// An outage of less than this lets no lease run out. Source: upstreams renew theirs each 1.2 s.
+constexpr duration shortest_lapse = std::chrono::milliseconds(1'000);
+/// Age up to which a copy tells that the store was there. Source: a host looks for a better copy
+/// from 2.6 s on, and has its answer 0.5 s later.
+constexpr duration known_lately = std::chrono::milliseconds(3'100);
+
+}  // namespace
+
 prefix_mirror::prefix_mirror(polled_store& store, timer_service& timers, decision_log& log,
                              mirror_listener& listener, std::string prefix,
                              prefix_mirror_settings settings)
@@ -81,14 +91,29 @@
         log_.write(decision_log::level::info, "store_regained",
                    {{"prefix", prefix_}, {"revision", std::to_string(result.store_revision)}});
     }
+    const bool lapsed = leases_may_have_lapsed();
+    interrupted_ = false;
     revision_ = result.store_revision;
     freshness_.confirm(sent_at);
     read_needed_ = false;
-    listener_.on_snapshot(result.values, revision_, std::exchange(interrupted_, false));
+    listener_.on_snapshot(result.values, revision_, lapsed);
     calling_ = false;
     next();
 }
 
+bool prefix_mirror::leases_may_have_lapsed() const {
+    if (revision_ == 0) {
+        return false;
+    }
+    if (age() > known_lately) {
+        return true;
+    }
+    // A confirmation from after the loss came from a host that the store still answered.
+    const instant now = timers_.now();
+    const bool seen_since = now - age() > lost_at_;
+    return interrupted_ && !seen_since && now - lost_at_ > shortest_lapse;
+}
+
 void prefix_mirror::poll() {
     const instant sent_at = timers_.now();
     store_.poll(prefix_, revision_, settings_.poll_wait,
@@ -103,7 +128,6 @@
     if (batch.compacted) {
         log_.write(decision_log::level::info, "store_history_lost",
                    {{"prefix", prefix_}, {"revision", std::to_string(revision_)}});
-        interrupted_ = true;
         read_needed_ = true;
         calling_ = false;
         next();
@@ -133,7 +157,9 @@
 }
 
 void prefix_mirror::failed(const std::string& reason) {
-    interrupted_ = true;
+    if (!std::exchange(interrupted_, true)) {
+        lost_at_ = timers_.now();
+    }
     if (!std::exchange(outage_, true)) {
         log_.write(decision_log::level::warning, "store_lost",
                    {{"prefix", prefix_},
--- a/servers/store/prefix_mirror.hpp
+++ b/servers/store/prefix_mirror.hpp
@@ -46,6 +46,8 @@
     void poll();
     void take_snapshot(const read_result& result, instant sent_at);
     void take_changes(const change_batch& batch, instant sent_at);
+    /// True unless the store is known to have been there since the last full read.
+    bool leases_may_have_lapsed() const;
     void failed(const std::string& reason);
     void later(duration delay);
 
@@ -62,7 +64,9 @@
     /// The next call reads everything.
     bool read_needed_ = true;
     duration retry_delay_{};
+    /// Calls have failed since the last full read, the first one at `lost_at_`.
     bool interrupted_ = false;
+    instant lost_at_{};
     bool outage_ = false;
     std::shared_ptr<int> alive_ = std::make_shared<int>(0);
 };
--- a/tests/servers/fleet/upstream_registry_test.cpp
+++ b/tests/servers/fleet/upstream_registry_test.cpp
@@ -84,6 +84,12 @@
     LONGS_EQUAL(1, ready());
 }
 
+TEST(upstream_registry, entry_newer_than_what_was_read_is_kept) {
+    registry_.on_changes({change("c", "ready", 12)}, 12);
+    registry_.on_snapshot({{"u/a", "ready", 2}, {"u/b", "ready", 2}}, 11, false);
+    LONGS_EQUAL(3, ready());
+}
+
 TEST(upstream_registry, entry_removed_in_calm_is_gone_at_once) {
     registry_.on_changes({change("b", "", 6)}, 6);
     LONGS_EQUAL(1, ready());
--- a/tests/servers/store/prefix_mirror_test.cpp
+++ b/tests/servers/store/prefix_mirror_test.cpp
@@ -91,6 +91,47 @@
     LONGS_EQUAL(1, copy_.outages);
 }
 
+TEST(prefix_mirror, outage_that_another_host_did_not_see_lets_no_entry_lapse) {
+    timers_.advance(seconds(3));
+    store_.down = true;
+    timers_.advance(seconds(3));
+    mirror_.confirm(timers_.now() - seconds(1));
+    store_.down = false;
+    timers_.advance(seconds(1));
+    LONGS_EQUAL(2, copy_.snapshots);
+    LONGS_EQUAL(0, copy_.outages);
+}
+
+TEST(prefix_mirror, outage_after_the_last_news_of_another_host_may_let_entries_lapse) {
+    timers_.advance(seconds(3));
+    store_.down = true;
+    timers_.advance(seconds(2));
+    mirror_.confirm(timers_.now() - seconds(1));
+    timers_.advance(seconds(4));
+    store_.down = false;
+    timers_.advance(seconds(1));
+    LONGS_EQUAL(1, copy_.outages);
+}
+
+TEST(prefix_mirror, history_dropped_in_calm_is_no_outage) {
+    timers_.advance(seconds(3));
+    store_.put("k/b", "3");
+    store_.compact();
+    timers_.advance(seconds(1));
+    LONGS_EQUAL(2, copy_.snapshots);
+    LONGS_EQUAL(0, copy_.outages);
+}
+
+TEST(prefix_mirror, one_failed_call_is_no_outage) {
+    timers_.advance(seconds(3));
+    store_.down = true;
+    timers_.advance(settings_.poll_wait);
+    store_.down = false;
+    timers_.advance(seconds(1));
+    LONGS_EQUAL(2, copy_.snapshots);
+    LONGS_EQUAL(0, copy_.outages);
+}
+
 TEST(prefix_mirror, silent_watch_of_a_store_that_drops_history_does_not_prove_currency) {
     timers_.advance(seconds(3));
     // For a second the store keeps changes from its watchers.
