fuchsiaquayctl: request explain tells the story of one request from the logs

Reads the logs of all nodes (files or standard input): the steps of the request in order with the time since the first, what its nodes learned in the ten seconds before its end, outcome, cause and where to look.

The time in log lines carried quotation marks around its T: gone.

--- a/ctl/completion.bash
+++ b/ctl/completion.bash
@@ -8,6 +8,7 @@
     contract) COMPREPLY=($(compgen -W "list get apply diff delete history" -- "$word")); return ;;
     key) COMPREPLY=($(compgen -W "issue rotate revoke" -- "$word")); return ;;
     upstream) COMPREPLY=($(compgen -W "list add drain remove" -- "$word")); return ;;
+    request) COMPREPLY=($(compgen -W "explain" -- "$word")); return ;;
     node) COMPREPLY=($(compgen -W "list drain" -- "$word")); return ;;
     --output) COMPREPLY=($(compgen -W "table json" -- "$word")); return ;;
     --token-file|--csv|--svg|apply|diff|add) COMPREPLY=($(compgen -f -- "$word")); return ;;
@@ -15,7 +16,7 @@
   if [[ $word == -* ]]; then
     COMPREPLY=($(compgen -W "$options" -- "$word"))
   else
-    COMPREPLY=($(compgen -W "contract key upstream node status watch explain bench" -- "$word"))
+    COMPREPLY=($(compgen -W "contract key upstream node request status watch explain bench" -- "$word"))
   fi
 }
 complete -F _fuchsiaquayctl fuchsiaquayctl
--- a/ctl/console/command_registry.hpp
+++ b/ctl/console/command_registry.hpp
@@ -39,5 +39,7 @@
 /// Every command that calls the administration API.
 void add_contract_commands(command_registry& registry);
 void add_fleet_commands(command_registry& registry);
+/// Commands that read logs.
+void add_request_commands(command_registry& registry);
 
 }  // namespace fuchsiaquay
--- a/ctl/console/ctl_main.cpp
+++ b/ctl/console/ctl_main.cpp
@@ -68,6 +68,7 @@
     command_registry registry;
     add_contract_commands(registry);
     add_fleet_commands(registry);
+    add_request_commands(registry);
     registry.add(
         {"bench", "", "measure the policies (--seeds --profiles --variants ...)", 0, bench});
     registry.add(
--- /dev/null
+++ b/ctl/console/request_story.cpp
@@ -0,0 +1,148 @@
+#include "ctl/console/request_story.hpp"
+
+#include <algorithm>
+#include <iomanip>
+#include <iterator>
+#include <ostream>
+
+namespace fuchsiaquay {
+
+namespace {
+
+/// Changes of a node's beliefs up to this long before the end of a request are shown.
+constexpr long long surroundings_ms = 10'000;
+constexpr int time_width = 9;
+
+/// How an ended request is explained.
+struct explanation {
+    const char* reason;
+    const char* cause;
+    const char* look_at;
+};
+
+constexpr explanation explanations[] = {
+    {"configuration_out_of_date",
+     "The node could not show that its configuration is current, so keys may have been revoked.",
+     "store_lost at this node, and whether other nodes lost the store at the same time"},
+    {"no_room", "No engine took the prompt in the time that it could wait.",
+     "request_dispatched of that time: which engines were taken, and by what"},
+    {"no_upstream", "The catalogue listed no ready upstream of the service.",
+     "upstream_gone and upstream_listed before it"},
+    {"host_stopping", "The node was stopping and could not have finished the request.",
+     "drain_started at this node"},
+    {"unknown_key", "The configuration that was in force does not hold the key.",
+     "configuration_applied: the version, and whether the key was revoked"},
+    {"no_route", "No route of the configuration matches host and path.",
+     "configuration_applied: the version, and whether the route was removed"},
+    {"deadline_passed", "The time of the request was over before an answer was complete.",
+     "first_ms of the dispatch beside what it took, and waited_ms"},
+    {"upstream_failed", "Every attempt that the route allows failed at an upstream.",
+     "attempt_failed of the same upstreams from other nodes"},
+};
+
+/// Events that change what a node believes.
+constexpr const char* belief_events[] = {"store_lost",
+                                         "store_regained",
+                                         "store_history_lost",
+                                         "store_watch",
+                                         "configuration_applied",
+                                         "drain_started",
+                                         "started",
+                                         "stopped",
+                                         "host_silent",
+                                         "host_entry_lapsed",
+                                         "upstream_gone"};
+
+bool is_belief(const log_record& record) {
+    return std::find(std::begin(belief_events), std::end(belief_events), record.event) !=
+           std::end(belief_events);
+}
+
+/// The fields but those that every line of the story shares.
+std::string details(const log_record& record) {
+    std::string text;
+    for (const auto& [name, value] : record.fields) {
+        if (name != "request" && name != "host" && !value.empty()) {
+            text += " " + name + "=" + value;
+        }
+    }
+    return text;
+}
+
+}  // namespace
+
+void request_story::add(const log_record& record) {
+    if (record.field("request") == id_) {
+        steps_.push_back(record);
+    } else if (is_belief(record)) {
+        beliefs_.push_back(record);
+    }
+}
+
+void request_story::print(std::ostream& out) {
+    const auto earlier = [](const log_record& a, const log_record& b) { return a.time < b.time; };
+    std::stable_sort(steps_.begin(), steps_.end(), earlier);
+    std::stable_sort(beliefs_.begin(), beliefs_.end(), earlier);
+    out << "request " << id_ << ", from " << steps_.front().time << "\n";
+    for (const log_record& step : steps_) {
+        print_step(out, step);
+    }
+    print_surroundings(out);
+    print_cause(out);
+}
+
+void request_story::print_step(std::ostream& out, const log_record& step) const {
+    const long long after = milliseconds_between(steps_.front().time, step.time);
+    out << std::setw(time_width) << (after < 0 ? "" : "+") + std::to_string(after) + " ms  "
+        << step.field("host") << "  " << step.event << details(step) << "\n";
+}
+
+bool request_story::surrounds(const log_record& record) const {
+    const long long before = milliseconds_between(record.time, steps_.back().time);
+    if (before < 0 || before > surroundings_ms) {
+        return false;
+    }
+    return std::any_of(steps_.begin(), steps_.end(), [&record](const log_record& step) {
+        const bool same_host = step.field("host") == record.field("host");
+        const bool upstream = record.event == "upstream_gone";
+        return same_host && (!upstream || step.field("upstream") == record.field("upstream"));
+    });
+}
+
+void request_story::print_surroundings(std::ostream& out) const {
+    bool first = true;
+    for (const log_record& record : beliefs_) {
+        if (!surrounds(record)) {
+            continue;
+        }
+        if (first) {
+            out << "what its nodes learned in the 10 s before its end:\n";
+            first = false;
+        }
+        print_step(out, record);
+    }
+}
+
+void request_story::print_cause(std::ostream& out) const {
+    const log_record& last = steps_.back();
+    if (last.event != "request_ended") {
+        out << "no end: the node stopped or was lost first, its log is missing, or lines were left "
+               "out\n";
+        return;
+    }
+    out << "outcome: " << last.field("outcome") << ", status " << last.field("status")
+        << (last.field("may_have_run") == "yes" ? ", may have run" : ", did not run at an upstream")
+        << "\n";
+    if (last.field("outcome") == "answered") {
+        return;
+    }
+    for (const explanation& each : explanations) {
+        if (last.field("reason") == each.reason) {
+            out << "cause: " << each.cause << "\nlook at: " << each.look_at << "\n";
+            return;
+        }
+    }
+    out << "cause: " << last.field("reason") << "\n";
+}
+
+}  // namespace fuchsiaquay
--- a/drivers/log/log4cxx_decision_log.cpp
+++ b/drivers/log/log4cxx_decision_log.cpp
@@ -58,7 +58,7 @@
 log4cxx_decision_log::log4cxx_decision_log(std::string host, const std::string& level)
     : host_(std::move(host)), binding_(std::make_unique<binding>()) {
     const log4cxx::LayoutPtr layout(
-        new log4cxx::PatternLayout("%d{yyyy-MM-dd'T'HH:mm:ss.SSS} %p %m%n"));
+        new log4cxx::PatternLayout("%d{yyyy-MM-ddTHH:mm:ss.SSS} %p %m%n"));
     const log4cxx::AppenderPtr console(new log4cxx::ConsoleAppender(layout));
     // The caller of `write` never waits for the reader of the log: what does not fit into the
     // buffer is left out, and a line says how much that was.
--- /dev/null
+++ b/tests/ctl/console/request_story_test.cpp
@@ -0,0 +1,82 @@
+#include "ctl/console/request_story.hpp"
+
+#include <CppUTest/TestHarness.h>
+
+#include <sstream>
+
+#include "ctl/console/log_record.hpp"
+
+using namespace fuchsiaquay;
+
+TEST_GROUP(request_story) {
+    request_story story_{"r1"};
+
+    void log(const std::string& line) {
+        const auto record = parse_log_record(line);
+        CHECK_TRUE(record.has_value());
+        story_.add(*record);
+    }
+    std::string text() {
+        std::ostringstream out;
+        story_.print(out);
+        return out.str();
+    }
+    void check_says(const std::string& story, const char* words) {
+        if (story.find(words) == std::string::npos) {
+            FAIL((std::string(words) + " is missing in:\n" + story).c_str());
+        }
+    }
+};
+
+TEST(request_story, line_with_quotes_and_a_prefix_is_read) {
+    const auto record = parse_log_record(
+        R"(  16.5 front-1 2026-07-22T15:44:45.501 WARN event=store_lost host=front-1 )"
+        R"(reason="receive: \"reset\" by=peer" age_ms=1320)");
+    CHECK_TRUE(record.has_value());
+    CHECK_EQUAL(std::string("2026-07-22T15:44:45.501"), record->time);
+    CHECK_EQUAL(std::string("store_lost"), record->event);
+    CHECK_EQUAL(std::string("receive: \"reset\" by=peer"), record->field("reason"));
+    CHECK_EQUAL(std::string("1320"), record->field("age_ms"));
+}
+
+TEST(request_story, line_of_another_program_is_skipped) {
+    CHECK_FALSE(parse_log_record("").has_value());
+    CHECK_FALSE(parse_log_record(" event=x").has_value());
+    CHECK_FALSE(parse_log_record("INFO event=x host=a").has_value());
+    CHECK_FALSE(parse_log_record("no time at all, but quite long INFO event=x").has_value());
+}
+
+TEST(request_story, attempts_on_two_nodes_are_told_in_order) {
+    log("2026-07-22T15:44:46.020 INFO event=request_dispatched host=b request=r1 upstream=i-2");
+    log("2026-07-22T15:44:46.000 INFO event=request_dispatched host=a request=r1 upstream=i-1");
+    log("2026-07-22T15:44:46.005 INFO event=attempt_failed host=a request=r1 upstream=i-1");
+    log("2026-07-22T15:44:46.030 INFO event=request_ended host=b request=r1 outcome=failed "
+        "status=502 reason=upstream_failed may_have_run=yes");
+    log("2026-07-22T15:44:46.001 INFO event=request_ended host=a request=r2 outcome=answered");
+    const std::string story = text();
+    CHECK_TRUE(story.find("upstream=i-1") < story.find("attempt_failed"));
+    CHECK_TRUE(story.find("attempt_failed") < story.find("upstream=i-2"));
+    check_says(story, "+30 ms  b  request_ended");
+    check_says(story, "status 502, may have run");
+    check_says(story, "cause: Every attempt");
+    CHECK_TRUE(story.find("r2") == std::string::npos);
+}
+
+TEST(request_story, refusal_shows_what_its_node_knew) {
+    log("2026-07-22T15:44:42.000 WARN event=store_lost host=a prefix=op/config age_ms=1300");
+    log("2026-07-22T15:44:42.000 WARN event=store_lost host=other prefix=op/config age_ms=700");
+    log("2026-07-22T15:44:20.000 INFO event=store_watch host=a watching=no");
+    log("2026-07-22T15:44:46.000 INFO event=request_ended host=a request=r1 outcome=refused "
+        "status=503 reason=configuration_out_of_date may_have_run=no");
+    const std::string story = text();
+    check_says(story, "-4000 ms  a  store_lost");
+    check_says(story, "did not run");
+    check_says(story, "look at: store_lost");
+    CHECK_TRUE(story.find("age_ms=700") == std::string::npos);
+    CHECK_TRUE(story.find("store_watch") == std::string::npos);
+}
+
+TEST(request_story, request_without_an_end_says_so) {
+    log("2026-07-22T15:44:46.000 INFO event=request_dispatched host=a request=r1 upstream=i-1");
+    check_says(text(), "no end: the node stopped or was lost first");
+}
