Relay: a host that has just started waits until it may serve; log lines name the real cause

Such a request now waits, 0.8 s at most, until the host knows the configuration, knows it to be current, and knows the catalogue. A host that has served already still refuses at once.

Log: no_room and upstream_failed carry what led to them (detail); a request that timed out at an upstream is logged as one that may have run (it was answered 504 before, but logged as not run).

Tests, two seen to fail with the earlier rule: request_waits_for_news_that_the_configuration_is_current, request_waits_for_the_catalogue.

--- a/servers/relay/request_ending.hpp
+++ b/servers/relay/request_ending.hpp
@@ -11,6 +11,8 @@
     /// Status that the caller got; 0 when it got none.
     int status = 0;
     std::string reason;
+    /// What led to it; empty where the reason says all.
+    std::string detail;
     /// Upstream of the last attempt.
     std::string upstream;
     int attempts = 0;
--- a/servers/relay/request_log.cpp
+++ b/servers/relay/request_log.cpp
@@ -64,6 +64,7 @@
                          {"outcome", ending.outcome},
                          {"status", std::to_string(ending.status)},
                          {"reason", ending.reason},
+                         {"detail", ending.detail},
                          {"upstream", ending.upstream},
                          {"attempts", std::to_string(ending.attempts)},
                          {"may_have_run", ending.may_have_run ? "yes" : "no"},
--- a/servers/relay/request_relay.cpp
+++ b/servers/relay/request_relay.cpp
@@ -44,8 +44,8 @@
 constexpr duration min_attempt_time = std::chrono::milliseconds(30);
 /// Time that an answer takes after its prompt has been read.
 constexpr duration answer_time = std::chrono::milliseconds(1'000);
-/// A host that has just started learns the configuration within this time.
-constexpr duration configuration_wait = std::chrono::milliseconds(800);
+/// A host that has just started learns what it needs to serve within this time.
+constexpr duration preparation_wait = std::chrono::milliseconds(800);
 /// Longest wait for another upstream after an attempt has failed.
 constexpr duration retry_wait = std::chrono::milliseconds(1'000);
 /// Time in which most requests are served; a host that stops sooner does not begin one.
@@ -90,8 +90,7 @@
 }
 
 void request_relay::start() {
-    const bool unconfigured = services_.configuration.current() == nullptr;
-    if (unconfigured && services_.timers.now() - request_.received_at < configuration_wait) {
+    if (!host_prepared() && services_.timers.now() - request_.received_at < preparation_wait) {
         waiting_ = true;
         return;
     }
@@ -124,6 +123,11 @@
     place();
 }
 
+bool request_relay::host_prepared() const {
+    return services_.configuration.current() != nullptr &&
+           services_.configuration_mirror.was_fresh() && services_.upstreams.loaded();
+}
+
 void request_relay::try_place() {
     if (!waiting_ || done_) {
         return;
@@ -446,10 +450,10 @@
             place();
             return;
         case next_step::refuse:
-            refuse({status_unavailable, "no_room", no_room_delay});
+            refuse({status_unavailable, "no_room", no_room_delay}, reason);
             return;
         case next_step::report_failure:
-            answer_failure(status_bad_gateway, "upstream_failed");
+            answer_failure(status_bad_gateway, "upstream_failed", reason);
             return;
         case next_step::abort:
             log_end("stream_broken", 0, reason);
@@ -473,14 +477,14 @@
 }
 
 void request_relay::time_out() {
-    const bool sent = exchange_ != nullptr;
+    may_have_run_ = may_have_run_ || exchange_ != nullptr;
     exchange_.reset();
     memory_.reset();
     work_.advance(work_phase::ended);
     end_waiting();
     if (begun_) {
         conclude(next_step::abort, "deadline passed");
-    } else if (sent || may_have_run_) {
+    } else if (may_have_run_) {
         answer_failure(status_timeout, "deadline_passed");
     } else {
         refuse({status_unavailable, "deadline_passed", {}});
@@ -512,26 +516,27 @@
     }
 }
 
-void request_relay::refuse(const rejection& cause) {
+void request_relay::refuse(const rejection& cause, const std::string& detail) {
     services_.metrics.refused(cause.reason);
-    log_end("refused", cause.status, cause.reason);
+    log_end("refused", cause.status, cause.reason, detail);
     const response_head head =
         services_.format.own_answer(cause.status, cause.retry_after, request_.id);
     sink_.send(head, std::string(R"({"error":")") + cause.reason + "\"}");
 }
 
-void request_relay::answer_failure(int status, const char* reason) {
+void request_relay::answer_failure(int status, const char* reason, const std::string& detail) {
     services_.metrics.refused(reason);
-    log_end("failed", status, reason);
+    log_end("failed", status, reason, detail);
     const response_head head = services_.format.own_answer(status, {}, request_.id);
     sink_.send(head, std::string(R"({"error":")") + reason + "\"}");
 }
 
-void request_relay::log_end(const char* outcome, int status, const std::string& reason) {
+void request_relay::log_end(const char* outcome, int status, const std::string& reason,
+                            const std::string& detail) {
     done_ = true;
     end_waiting();
-    log_.ended(admitted_,
-               {outcome, status, reason, upstream_, attempts_, may_have_run_, events_.count()});
+    log_.ended(admitted_, {outcome, status, reason, detail, upstream_, attempts_, may_have_run_,
+                           events_.count()});
 }
 
 }  // namespace fuchsiaquay
--- a/servers/relay/request_relay.hpp
+++ b/servers/relay/request_relay.hpp
@@ -51,6 +51,8 @@
     void on_end() override;
     void on_failure(const exchange_failure& failure) override;
 
+    /// The host knows the configuration, has known it to be current, and knows the catalogue.
+    bool host_prepared() const;
     void place();
     /// Ends a request that no upstream takes.
     void give_up(const std::string& reason);
@@ -73,9 +75,11 @@
     void conclude(next_step step, const std::string& reason);
     void time_out();
     void check_progress(instant now);
-    void refuse(const rejection& cause);
-    void answer_failure(int status, const char* reason);
-    void log_end(const char* outcome, int status, const std::string& reason);
+    /// @param detail  what led to it, for the log
+    void refuse(const rejection& cause, const std::string& detail = "");
+    void answer_failure(int status, const char* reason, const std::string& detail = "");
+    void log_end(const char* outcome, int status, const std::string& reason,
+                 const std::string& detail = "");
     bool repeatable() const;
     /// Timing of the service's model engines; null for plain services.
     const engine_profile* engine() const;
--- a/servers/store/prefix_mirror.cpp
+++ b/servers/store/prefix_mirror.cpp
@@ -37,6 +37,11 @@
     next();
 }
 
+void prefix_mirror::confirm(instant as_of) {
+    freshness_.confirm(as_of);
+    was_fresh_ = was_fresh_ || fresh();
+}
+
 void prefix_mirror::advance(std::int64_t revision) {
     revision_ = std::max(revision_, revision);
     read_needed_ = false;
@@ -94,7 +99,7 @@
     const bool lapsed = leases_may_have_lapsed();
     interrupted_ = false;
     revision_ = result.store_revision;
-    freshness_.confirm(sent_at);
+    confirm(sent_at);
     read_needed_ = false;
     listener_.on_snapshot(result.values, revision_, lapsed);
     calling_ = false;
@@ -144,7 +149,7 @@
     const duration waited = timers_.now() - sent_at;
     const bool waited_in_vain = batch.events.empty() && waited >= settings_.poll_wait;
     const instant seen = waited_in_vain ? sent_at + settings_.poll_wait : sent_at;
-    freshness_.confirm(seen - settings_.watch_lag);
+    confirm(seen - settings_.watch_lag);
     if (!batch.events.empty()) {
         listener_.on_changes(batch.events, revision_);
     }
--- a/servers/store/prefix_mirror.hpp
+++ b/servers/store/prefix_mirror.hpp
@@ -30,11 +30,13 @@
     void follow(bool active, duration retry_delay);
     bool following() const noexcept { return active_; }
     /// Another host vouches that the copy was current at `as_of`.
-    void confirm(instant as_of) { freshness_.confirm(as_of); }
+    void confirm(instant as_of);
     /// Another host has brought the copy to `revision`.
     void advance(std::int64_t revision);
     /// True while the copy is known to be current within the trusted time.
     bool fresh() const;
+    /// True once the copy has been fresh: the host is past its start.
+    bool was_fresh() const noexcept { return was_fresh_; }
     /// Upper bound on the age of the copy.
     duration age() const;
     /// Revision of the store that the copy reflects; 0 before the first read.
@@ -58,6 +60,7 @@
     std::string prefix_;
     prefix_mirror_settings settings_;
     freshness freshness_;
+    bool was_fresh_ = false;
     std::int64_t revision_ = 0;
     bool active_ = false;
     bool calling_ = false;
--- a/tests/servers/relay/request_relay_test.cpp
+++ b/tests/servers/relay/request_relay_test.cpp
@@ -253,28 +253,78 @@
     CHECK_TRUE(upstream_.last().head.find(helper) == std::string::npos);
 }
 
-TEST(request_relay, request_at_a_host_without_configuration_waits_for_it_briefly) {
-    configuration_feed empty(host_.configuration_codec, host_.log, "config");
-    relay_services services{"me",
-                            host_.timers,
-                            host_.log,
-                            empty,
-                            host_.mirror,
-                            host_.upstreams,
-                            host_.board,
-                            host_.health,
-                            host_.budget,
-                            host_.placement,
-                            host_.connector,
-                            host_.format,
-                            host_.metrics,
-                            host_.orders,
-                            [] { return duration::max(); }};
-    relay_queue queue(services);
-    const auto first = queue.serve(host_.request("/order/1"), caller_);
-    host_.timers.advance(milliseconds(200));
-    LONGS_EQUAL(0, host_.attempts());
-    empty.take({"config", "1", 1});
-    host_.timers.advance(milliseconds(60));
-    LONGS_EQUAL(1, host_.attempts());
+TEST_GROUP(request_relay_of_a_new_host) {
+    relay_fixture host_;
+    configuration_feed feed_{host_.configuration_codec, host_.log, "config"};
+    prefix_mirror mirror_{host_.store, host_.timers, host_.log, feed_, "config", {}};
+    upstream_registry upstreams_{host_.upstream_codec, host_.timers, host_.log, "u/"};
+    relay_services services_{"me",
+                             host_.timers,
+                             host_.log,
+                             feed_,
+                             mirror_,
+                             upstreams_,
+                             host_.board,
+                             host_.health,
+                             host_.budget,
+                             host_.placement,
+                             host_.connector,
+                             host_.format,
+                             host_.metrics,
+                             host_.orders,
+                             [] { return duration::max(); }};
+    relay_queue queue_{services_};
+    std::unique_ptr<active_request> active_;
+
+    void setup() override {
+        active_ = queue_.serve(host_.request("/order/1"), host_.sink);
+    }
+    void learn_configuration() {
+        feed_.take({"config", "1", 1});
+    }
+    void learn_that_it_is_current() {
+        mirror_.confirm(host_.timers.now());
+    }
+    void learn_catalogue() {
+        upstreams_.on_snapshot({{"u/shop-1", "shop", 1}}, 1, false);
+    }
+    void check_waits() {
+        host_.timers.advance(milliseconds(200));
+        LONGS_EQUAL(0, host_.attempts());
+        LONGS_EQUAL(0, host_.sink.answers);
+    }
+    void check_served() {
+        host_.timers.advance(milliseconds(60));
+        LONGS_EQUAL(1, host_.attempts());
+    }
+};
+
+TEST(request_relay_of_a_new_host, request_waits_for_the_configuration) {
+    learn_catalogue();
+    check_waits();
+    learn_configuration();
+    learn_that_it_is_current();
+    check_served();
+}
+
+TEST(request_relay_of_a_new_host, request_waits_for_news_that_the_configuration_is_current) {
+    learn_catalogue();
+    learn_configuration();
+    check_waits();
+    learn_that_it_is_current();
+    check_served();
+}
+
+TEST(request_relay_of_a_new_host, request_waits_for_the_catalogue) {
+    learn_configuration();
+    learn_that_it_is_current();
+    check_waits();
+    learn_catalogue();
+    check_served();
+}
+
+TEST(request_relay_of_a_new_host, request_is_refused_where_that_takes_too_long) {
+    host_.timers.advance(seconds(1));
+    LONGS_EQUAL(1, host_.sink.answers);
+    LONGS_EQUAL(503, host_.sink.status);
 }
