Placement: short prompts that miss their engines stay together

What the shared engines do not take now joins engines that have short streams anyway; a late short prompt goes to the shared engines first.

Tests, both seen to fail with the earlier rule: late_short_prompts_take_no_engine_from_long_ones, short_prompts_beside_reading_engines_share_one_further_engine.

--- a/core/placement/undisturbed_placement.cpp
+++ b/core/placement/undisturbed_placement.cpp
@@ -65,6 +65,17 @@
     return static_cast<std::size_t>(needed) + 1;
 }
 
+void undisturbed_placement::keep_together(const placement_request& request,
+                                          std::vector<placement_candidate>& choice) const {
+    const std::size_t shared = std::min(engines_for_short(request, choice), choice.size());
+    // One short stream on an engine keeps long prompts off it: what the shared engines do not take
+    // joins other short streams before it takes an engine of its own.
+    std::stable_partition(choice.begin() + static_cast<std::ptrdiff_t>(shared), choice.end(),
+                          [&request](const placement_candidate& item) {
+                              return item.requests > 0 && item.smallest_gap <= request.target_gap;
+                          });
+}
+
 bool undisturbed_placement::acceptable(const placement_candidate& at,
                                        const placement_request& request) const {
     const duration reading = read_time(*at.engine->profile, request.prompt_tokens);
@@ -165,12 +176,19 @@
     result.reason = "no engine without harm";
     const placement_candidate* best = nullptr;
     duration best_first = duration::max();
+    const std::size_t shared = engines_for_short(request, choice);
+    std::size_t position = 0;
     for (const placement_candidate& item : choice) {
         const duration reading = read_time(*item.engine->profile, request.prompt_tokens);
         const bool is_long = reading > long_read;
         if (is_long && item.pending > settings_.idle_pending) {
             continue;
         }
+        // A short prompt that is late already gains nothing from an engine of its own.
+        if (!is_long && best != nullptr && position >= shared) {
+            break;
+        }
+        ++position;
         const duration first = item.first_event(reading);
         if (!item.can_answer || first >= best_first || item.disturbed_by(reading, settings_)) {
             continue;
@@ -195,6 +213,10 @@
     std::vector<placement_candidate> choice = candidates(request, engines, now);
     const bool group = exceeds_one_engine(request, choice);
     leave_to_others(request, choice);
+    if (!choice.empty() &&
+        read_time(*choice.front().engine->profile, request.prompt_tokens) <= long_read) {
+        keep_together(request, choice);
+    }
     if (group) {
         return splitting_.group(request, std::move(choice));
     }
--- a/core/placement/undisturbed_placement.hpp
+++ b/core/placement/undisturbed_placement.hpp
@@ -37,6 +37,9 @@
                                   const std::vector<placement_candidate>& choice) const;
     std::size_t engines_for_short(const placement_request& request,
                                   const std::vector<placement_candidate>& choice) const;
+    /// Orders the engines for a short prompt: the shared ones, then those with short streams.
+    void keep_together(const placement_request& request,
+                       std::vector<placement_candidate>& choice) const;
     bool acceptable(const placement_candidate& at, const placement_request& request) const;
     const placement_candidate* best_for_short(const placement_request& request,
                                               const std::vector<placement_candidate>& choice) const;
--- a/tests/core/placement/undisturbed_placement_test.cpp
+++ b/tests/core/placement/undisturbed_placement_test.cpp
@@ -9,6 +9,7 @@
 #include <vector>
 
 #include "core/fleet/engine_profile.hpp"
+#include "core/hashing/hash.hpp"
 #include "core/placement/engine_load.hpp"
 #include "core/placement/engine_work.hpp"
 #include "core/placement/pass_timing.hpp"
@@ -132,6 +133,39 @@
     CHECK_TRUE(chosen.size() >= 2);
 }
 
+TEST(undisturbed_placement, late_short_prompts_take_no_engine_from_long_ones) {
+    fill_with_short(60);
+    for (std::uint64_t key = 1'000; key < 1'020; ++key) {
+        placement_request late = short_request(key);
+        late.target_left = milliseconds(-1'000);
+        const placement_decision decision = choose(late);
+        CHECK_TRUE(decision.outcome == placement_decision::verdict::place);
+        add(decision.engine, late, work_phase::reading);
+    }
+    CHECK_TRUE(engines_with_requests() <= engines / 2);
+}
+
+TEST(undisturbed_placement, short_prompts_beside_reading_engines_share_one_further_engine) {
+    std::vector<std::string> order;
+    for (const auto& [id, load] : loads_) {
+        order.push_back(id);
+    }
+    std::sort(order.begin(), order.end(), [](const std::string& a, const std::string& b) {
+        return stable_hash(a) < stable_hash(b);
+    });
+    // A short prompt at one of the first five would be late; the last one has a short stream.
+    for (std::size_t i = 0; i < 5; ++i) {
+        add(order[i], prompt(900, 40'000, milliseconds(250), short_gap), work_phase::reading);
+    }
+    add(order.back(), short_request(901), work_phase::writing);
+    for (std::uint64_t key = 1'000; key < 1'004; ++key) {
+        const placement_request request = short_request(key);
+        const placement_decision decision = choose(request);
+        CHECK_EQUAL(order.back(), decision.engine);
+        add(decision.engine, request, work_phase::writing);
+    }
+}
+
 TEST(undisturbed_placement, season_prompt_never_lengthens_the_pass_of_short_streams) {
     fill_with_short(60);
     for (std::uint64_t key = 100; key < 106; ++key) {
