Configuration: hosts hand on changes, not the whole text

A host now asks with the revision that it has and gets what changed since, as parts of its own text; size and hash are checked, and whatever does not fit is read from the store as before.

Ruled out: whole texts between hosts (22 hosts x 200 KB over 20 Mbit/s take longer than a version may).

--- /dev/null
+++ b/core/fleet/text_delta.cpp
@@ -0,0 +1,134 @@
+#include "core/fleet/text_delta.hpp"
+
+#include <sstream>
+#include <string_view>
+#include <unordered_map>
+
+#include "core/hashing/hash.hpp"
+
+namespace fuchsiaquay {
+
+namespace {
+
+/// Ends of the pieces that are compared: the items of a list of JSON objects.
+constexpr char piece_end = '}';
+
+std::string_view piece_at(std::string_view text, std::size_t at) {
+    const std::size_t end = text.find(piece_end, at);
+    return text.substr(at, end == std::string_view::npos ? end : end + 1 - at);
+}
+
+/// Writes a delta and joins what follows on from the part before.
+class delta_writer {
+public:
+    explicit delta_writer(std::ostream& out) : out_(out) {}
+
+    void copy(std::size_t offset, std::size_t length) {
+        add_pending();
+        if (offset != copy_end_ || copy_length_ == 0) {
+            copy_pending();
+            copy_offset_ = offset;
+        }
+        copy_length_ += length;
+        copy_end_ = offset + length;
+    }
+    void add(std::string_view text) {
+        copy_pending();
+        added_ += text;
+    }
+    void finish() {
+        copy_pending();
+        add_pending();
+    }
+
+private:
+    void copy_pending() {
+        if (copy_length_ > 0) {
+            out_ << "copy " << copy_offset_ << ' ' << copy_length_ << '\n';
+        }
+        copy_length_ = 0;
+    }
+    void add_pending() {
+        if (!added_.empty()) {
+            out_ << "add " << added_.size() << '\n' << added_;
+        }
+        added_.clear();
+    }
+
+    std::ostream& out_;
+    std::size_t copy_offset_ = 0;
+    std::size_t copy_length_ = 0;
+    std::size_t copy_end_ = 0;
+    std::string added_;
+};
+
+}  // namespace
+
+std::string make_text_delta(const std::string& base, const std::string& target) {
+    std::unordered_map<std::string_view, std::size_t> pieces;
+    for (std::size_t at = 0; at < base.size();) {
+        const std::string_view piece = piece_at(base, at);
+        pieces.emplace(piece, at);
+        at += piece.size();
+    }
+    std::ostringstream out;
+    out << target.size() << ' ' << stable_hash(target) << '\n';
+    delta_writer writer(out);
+    std::size_t follows = 0;
+    for (std::size_t at = 0; at < target.size();) {
+        const std::string_view piece = piece_at(target, at);
+        at += piece.size();
+        if (base.compare(follows, piece.size(), piece) == 0) {
+            writer.copy(follows, piece.size());
+            follows += piece.size();
+            continue;
+        }
+        const auto known = pieces.find(piece);
+        if (known == pieces.end()) {
+            writer.add(piece);
+            continue;
+        }
+        writer.copy(known->second, piece.size());
+        follows = known->second + piece.size();
+    }
+    writer.finish();
+    return out.str();
+}
+
+std::optional<std::string> apply_text_delta(const std::string& base, const std::string& delta) {
+    std::istringstream in(delta);
+    std::size_t size = 0;
+    std::uint64_t hash = 0;
+    if (!(in >> size >> hash)) {
+        return std::nullopt;
+    }
+    std::string result;
+    for (std::string operation; in >> operation;) {
+        std::size_t offset = 0;
+        std::size_t length = 0;
+        const bool copies = operation == "copy";
+        const bool read = copies ? static_cast<bool>(in >> offset >> length)
+                                 : operation == "add" && static_cast<bool>(in >> length);
+        if (!read || length > size - result.size() || in.get() != '\n') {
+            return std::nullopt;
+        }
+        if (copies) {
+            if (offset > base.size() || length > base.size() - offset) {
+                return std::nullopt;
+            }
+            result.append(base, offset, length);
+            continue;
+        }
+        std::string added(length, '\0');
+        if (!in.read(added.data(), static_cast<std::streamsize>(length))) {
+            return std::nullopt;
+        }
+        result += added;
+    }
+    if (result.size() != size || stable_hash(result) != hash) {
+        return std::nullopt;
+    }
+    return result;
+}
+
+}  // namespace fuchsiaquay
--- a/drivers/queries/http_host_queries.cpp
+++ b/drivers/queries/http_host_queries.cpp
@@ -1,6 +1,6 @@
 #include "drivers/queries/http_host_queries.hpp"
 
-#include <charconv>
+#include <sstream>
 #include <utility>
 
 #include "drivers/control/control_loop.hpp"
@@ -13,24 +13,23 @@
 constexpr int status_ok = 200;
 constexpr int status_too_large = 413;
 constexpr duration query_timeout = std::chrono::milliseconds(600);
-/// Largest configuration that a host hands on.
+/// Longest answer that a host gives: a configuration or a delta to one.
 constexpr std::size_t max_configuration_bytes = 98'304;
 /// Hosts to which a connection is kept.
 constexpr std::size_t max_channels = 8;
 
-stored_value parse_configuration(const http_result& result) {
-    stored_value value;
+configuration_answer parse_configuration(const http_result& result) {
+    configuration_answer answer;
     const auto line = result.body.find('\n');
     if (!result.failure.empty() || result.status != status_ok || line == std::string::npos) {
-        return value;
+        return answer;
     }
-    const char* begin = result.body.data();
-    if (std::from_chars(begin, begin + line, value.revision).ec != std::errc()) {
-        value.revision = 0;
-        return value;
+    std::istringstream head(result.body.substr(0, line));
+    if (!(head >> answer.revision >> answer.base)) {
+        return {};
     }
-    value.value = result.body.substr(line + 1);
-    return value;
+    answer.body = result.body.substr(line + 1);
+    return answer;
 }
 
 }  // namespace
@@ -39,7 +38,7 @@
 
 http_host_queries::~http_host_queries() = default;
 
-void http_host_queries::fetch_configuration(const network_address& host,
+void http_host_queries::fetch_configuration(const network_address& host, std::int64_t known,
                                             configuration_handler done) {
     auto& channel = channels_[host];
     if (!channel) {
@@ -47,7 +46,7 @@
     }
     http_call call;
     call.method = "GET";
-    call.target = configuration_query_path;
+    call.target = std::string(configuration_query_path) + "?known=" + std::to_string(known);
     call.timeout = query_timeout;
     channel->send(std::move(call), [this, host, done = std::move(done)](const http_result& result) {
         if (channels_.size() > max_channels) {
@@ -57,13 +56,20 @@
     });
 }
 
-http_endpoint::reply answer_configuration_query(const stored_value& configuration) {
+std::int64_t known_configuration(const std::string& target) {
+    std::istringstream text(query_value(target, "known"));
+    std::int64_t revision = 0;
+    return text >> revision ? revision : 0;
+}
+
+http_endpoint::reply answer_configuration_query(const configuration_answer& configuration) {
     http_endpoint::reply reply;
-    if (configuration.value.size() > max_configuration_bytes) {
+    if (configuration.body.size() > max_configuration_bytes) {
         reply.status = status_too_large;
         return reply;
     }
-    reply.body = std::to_string(configuration.revision) + "\n" + configuration.value;
+    reply.body = std::to_string(configuration.revision) + " " + std::to_string(configuration.base) +
+                 "\n" + configuration.body;
     return reply;
 }
 
--- a/main/entry_node.cpp
+++ b/main/entry_node.cpp
@@ -173,9 +173,8 @@
 }
 
 http_endpoint::reply entry_node::answer_query(const std::string& target) const {
-    if (target == configuration_query_path) {
-        return answer_configuration_query(
-            {configuration_.key(), configuration_.text(), configuration_.revision()});
+    if (target.substr(0, target.find('?')) == configuration_query_path) {
+        return answer_configuration_query(configuration_.answer_for(known_configuration(target)));
     }
     return answer_metrics();
 }
--- a/servers/fleet/configuration_feed.cpp
+++ b/servers/fleet/configuration_feed.cpp
@@ -1,14 +1,24 @@
 #include "servers/fleet/configuration_feed.hpp"
 
+#include <algorithm>
+#include <optional>
 #include <utility>
 
 #include "core/error/step_error.hpp"
 #include "core/fleet/fleet_configuration.hpp"
+#include "core/fleet/text_delta.hpp"
 #include "servers/decision_log.hpp"
 #include "servers/fleet/configuration_codec.hpp"
 
 namespace fuchsiaquay {
 
+namespace {
+
+/// Texts that are kept to answer hosts that are some versions behind.
+constexpr std::size_t kept_texts = 6;
+
+}  // namespace
+
 configuration_feed::configuration_feed(const configuration_codec& codec, decision_log& log,
                                        std::string key)
     : codec_(codec), log_(log), key_(std::move(key)) {}
@@ -46,7 +56,10 @@
         return;
     }
     revision_ = value.revision;
-    text_ = value.value;
+    texts_.push_back({value.revision, value.value});
+    if (texts_.size() > kept_texts) {
+        texts_.pop_front();
+    }
     if (current_ && next->version() <= current_->version()) {
         return;
     }
@@ -60,4 +73,44 @@
     }
 }
 
+const configuration_feed::version_text* configuration_feed::find_text(std::int64_t revision) const {
+    const auto found =
+        std::find_if(texts_.begin(), texts_.end(),
+                     [revision](const version_text& item) { return item.revision == revision; });
+    return found == texts_.end() ? nullptr : &*found;
+}
+
+configuration_answer configuration_feed::answer_for(std::int64_t known) const {
+    if (texts_.empty()) {
+        return {};
+    }
+    const version_text& current = texts_.back();
+    const version_text* base = find_text(known);
+    if (base == nullptr || known == current.revision) {
+        return {current.revision, 0, current.text};
+    }
+    if (last_answer_.revision != current.revision || last_answer_.base != known) {
+        last_answer_ = {current.revision, known, make_text_delta(base->text, current.text)};
+    }
+    return last_answer_;
+}
+
+bool configuration_feed::take_answer(const configuration_answer& answer) {
+    if (answer.base == 0) {
+        take({key_, answer.body, answer.revision});
+        return true;
+    }
+    const version_text* base = find_text(answer.base);
+    const std::optional<std::string> text =
+        base == nullptr ? std::nullopt : apply_text_delta(base->text, answer.body);
+    if (!text) {
+        log_.write(
+            decision_log::level::info, "configuration_delta_unusable",
+            {{"base", std::to_string(answer.base)}, {"revision", std::to_string(answer.revision)}});
+        return false;
+    }
+    take({key_, *text, answer.revision});
+    return true;
+}
+
 }  // namespace fuchsiaquay
--- a/servers/fleet/configuration_feed.hpp
+++ b/servers/fleet/configuration_feed.hpp
@@ -1,9 +1,12 @@
 #pragma once
 
+#include <cstdint>
+#include <deque>
 #include <functional>
 #include <memory>
 #include <string>
 
+#include "core/fleet/configuration_answer.hpp"
 #include "core/time/clock.hpp"
 #include "servers/store/mirror_listener.hpp"
 
@@ -28,8 +31,10 @@
     const std::string& key() const noexcept { return key_; }
     /// Store revision of the current configuration; 0 before the first one.
     std::int64_t revision() const noexcept { return revision_; }
-    /// The current configuration as it is stored.
-    const std::string& text() const noexcept { return text_; }
+    /// What another host needs that knows the configuration of revision `known`.
+    configuration_answer answer_for(std::int64_t known) const;
+    /// Takes what another host gave. False when that does not fit what this host knows.
+    bool take_answer(const configuration_answer& answer);
     /// Takes a configuration, from the store or from another host, if it is newer.
     void take(const stored_value& value);
 
@@ -38,12 +43,23 @@
     void on_changes(const std::vector<watch_event>& events, std::int64_t revision) override;
 
 private:
+    /// A configuration as it is stored.
+    struct version_text {
+        std::int64_t revision = 0;
+        std::string text;
+    };
+
+    const version_text* find_text(std::int64_t revision) const;
+
     const configuration_codec& codec_;
     decision_log& log_;
     std::string key_;
     std::shared_ptr<const fleet_configuration> current_;
     std::int64_t revision_ = 0;
-    std::string text_;
+    /// The latest texts, the current one last.
+    std::deque<version_text> texts_;
+    /// The last delta that was asked for: hosts mostly know the same configuration.
+    mutable configuration_answer last_answer_;
     change_handler changed_;
 };
 
--- a/servers/fleet/view_exchange.cpp
+++ b/servers/fleet/view_exchange.cpp
@@ -207,11 +207,11 @@
         return;
     }
     services_.queries.fetch_configuration(
-        host.queries, [this, revision](const stored_value& configuration) {
+        host.queries, services_.configuration.revision(),
+        [this, revision](const configuration_answer& answer) {
             fetching_ = false;
-            if (configuration.revision >= revision) {
-                services_.configuration.take(configuration);
-                services_.configuration_mirror.advance(configuration.revision);
+            if (answer.revision >= revision && services_.configuration.take_answer(answer)) {
+                services_.configuration_mirror.advance(answer.revision);
             } else {
                 read_configuration();
             }
--- a/tests/servers/fleet/virtual_hosts.hpp
+++ b/tests/servers/fleet/virtual_hosts.hpp
@@ -137,11 +137,12 @@
         views.start();
     }
 
-    void fetch_configuration(const network_address& host, configuration_handler done) override {
-        stored_value value;
+    void fetch_configuration(const network_address& host, std::int64_t known,
+                             configuration_handler done) override {
+        configuration_answer value;
         for (const auto& [name, other] : fleet_.hosts) {
             if (other->registry_address == host.ip && fleet_.network.cut.count(host.ip) == 0) {
-                value = {"config", other->configuration.text(), other->configuration.revision()};
+                value = other->configuration.answer_for(known);
             }
         }
         fleet_.timers.after(std::chrono::milliseconds(5),
