Placement: engines that work slowly are found by their streams and left

core/placement/engine_pace takes the pauses of streams as multiples of the pass that profile and load give; three slow passes in a row make an engine slow for 2 s, longer each time it proves true again, three usual ones end it. Hosts tell each other what they observed with their announcements. Placement scales pass, reading and waiting work of a slow engine.

Announcements of work that ended carry only what names it; what that saves is not measured by itself.

Tests: engine_pace, three placement tests, datagrams.

--- a/core/fleet/announcement.hpp
+++ b/core/fleet/announcement.hpp
@@ -7,6 +7,7 @@
 #include "core/fleet/host_record.hpp"
 #include "core/fleet/host_state.hpp"
 #include "core/placement/engine_work.hpp"
+#include "core/placement/slow_engine.hpp"
 
 namespace fuchsiaquay {
 
@@ -23,6 +24,8 @@
     bool complete = false;
     /// `dispatched_at` is on the clock of whoever holds the announcement.
     std::vector<engine_work> works;
+    /// Engines that the sender's streams show to be slow.
+    std::vector<slow_engine> slow;
 };
 
 }  // namespace fuchsiaquay
--- a/core/placement/engine_view.hpp
+++ b/core/placement/engine_view.hpp
@@ -12,6 +12,8 @@
     std::string id;
     const engine_profile* profile = nullptr;
     const engine_load* load = nullptr;
+    /// How many times slower than its profile the engine works.
+    double pace = 1.0;
 };
 
 }  // namespace fuchsiaquay
--- a/core/placement/placement_candidate.cpp
+++ b/core/placement/placement_candidate.cpp
@@ -9,6 +9,10 @@
 
 namespace fuchsiaquay {
 
+duration placement_candidate::read(std::int64_t tokens) const {
+    return scaled(read_time(*engine->profile, tokens), engine->pace);
+}
+
 duration placement_candidate::first_event(duration reading) const {
     // What is added takes part from the pass after the current one on.
     return pass / 2 + pending + reading + pass;
@@ -16,7 +20,9 @@
 
 bool placement_candidate::disturbed_by(duration reading,
                                        const undisturbed_settings& settings) const {
-    const duration longer = pass + read_share_of_pass(*engine->profile, pending + reading);
+    const duration usual = scaled(pending + reading, 1.0 / engine->pace);
+    const duration longer =
+        pass + scaled(read_share_of_pass(*engine->profile, usual), engine->pace);
     return requests > 0 && longer > scaled(smallest_gap, settings.pause_fill);
 }
 
--- a/core/placement/placement_candidate.hpp
+++ b/core/placement/placement_candidate.hpp
@@ -25,6 +25,8 @@
     /// Position in the order that all hosts share.
     std::uint64_t order = 0;
 
+    /// Time that the engine takes to read a prompt of `tokens`.
+    duration read(std::int64_t tokens) const;
     /// Estimated time until the first event when `reading` is added.
     duration first_event(duration reading) const;
     /// Whether `reading` would lengthen a pass beyond what the streams there are allowed.
--- a/core/placement/prompt_splitting.cpp
+++ b/core/placement/prompt_splitting.cpp
@@ -36,8 +36,8 @@
         const placement_candidate* first = nullptr;
         duration slowest{};
         for (const placement_candidate& item : choice) {
-            const duration whole = read_time(*item.engine->profile, request.prompt_tokens);
-            const duration part = whole / static_cast<std::int64_t>(parts);
+            const duration part =
+                item.read(request.prompt_tokens) / static_cast<std::int64_t>(parts);
             if (item.disturbed_by(part, settings_)) {
                 continue;
             }
@@ -147,7 +147,7 @@
         duration first{};
         for (const placement_candidate& item : members) {
             memory += item.free_tokens;
-            first = std::max(first, item.first_event(part));
+            first = std::max(first, item.first_event(scaled(part, item.engine->pace)));
         }
         if (memory < request.prompt_tokens + request.answer_tokens || first >= best_first) {
             continue;
--- a/core/placement/undisturbed_placement.cpp
+++ b/core/placement/undisturbed_placement.cpp
@@ -35,8 +35,9 @@
         placement_candidate item;
         item.engine = &engine;
         item.requests = load.requests();
-        item.pass = write_pass_time(*engine.profile, load.writers(), load.writer_context());
-        item.pending = load.pending_read(now);
+        item.pass = scaled(write_pass_time(*engine.profile, load.writers(), load.writer_context()),
+                           engine.pace);
+        item.pending = scaled(load.pending_read(now), engine.pace);
         item.smallest_gap = load.smallest_gap();
         const auto room = static_cast<std::int64_t>(
             settings_.memory_fill * static_cast<double>(engine.profile->memory_tokens));
@@ -78,7 +79,7 @@
 
 bool undisturbed_placement::acceptable(const placement_candidate& at,
                                        const placement_request& request) const {
-    const duration reading = read_time(*at.engine->profile, request.prompt_tokens);
+    const duration reading = at.read(request.prompt_tokens);
     const duration first = at.first_event(reading);
     return at.can_answer && first <= scaled(request.target_left, settings_.target_fill) &&
            !at.disturbed_by(reading, settings_);
@@ -157,7 +158,7 @@
     placement_decision result;
     result.outcome = placement_decision::verdict::place;
     result.engine = best->engine->id;
-    result.first_event = best->first_event(reading);
+    result.first_event = best->first_event(best->read(request.prompt_tokens));
     result.reason = "whole";
     return result;
 }
@@ -179,8 +180,8 @@
     const std::size_t shared = engines_for_short(request, choice);
     std::size_t position = 0;
     for (const placement_candidate& item : choice) {
-        const duration reading = read_time(*item.engine->profile, request.prompt_tokens);
-        const bool is_long = reading > long_read;
+        const duration reading = item.read(request.prompt_tokens);
+        const bool is_long = read_time(*item.engine->profile, request.prompt_tokens) > long_read;
         if (is_long && item.pending > settings_.idle_pending) {
             continue;
         }
--- a/drivers/datagrams/datagram_codec.cpp
+++ b/drivers/datagrams/datagram_codec.cpp
@@ -56,6 +56,11 @@
             result.works.push_back(read_work(*item, now));
         }
     }
+    if (root.slow() != nullptr) {
+        for (const wire::slow_engine* item : *root.slow()) {
+            result.slow.push_back({text_of(item->id()), item->pace()});
+        }
+    }
     return result;
 }
 
@@ -105,11 +110,7 @@
         std::vector<flatbuffers::Offset<wire::work>> works;
         works.reserve(message.works.size());
         for (const engine_work& item : message.works) {
-            const auto engine = builder.CreateString(item.engine);
-            works.push_back(
-                wire::Creatework(builder, item.key, engine, static_cast<std::uint8_t>(item.phase),
-                                 item.read_tokens, item.read_time.count(), item.memory_tokens,
-                                 item.target_gap.count(), (now - item.dispatched_at).count()));
+            works.push_back(write_work(item));
         }
         const auto host = builder.CreateString(message.sender.host);
         // Where the sender can be reached is known from its complete announcements.
@@ -121,14 +122,33 @@
         const auto datagrams = place(message.sender.datagrams.text());
         const auto queries = place(message.sender.queries.text());
         const auto list = builder.CreateVector(works);
+        std::vector<flatbuffers::Offset<wire::slow_engine>> slow;
+        for (const slow_engine& item : message.slow) {
+            const auto id = builder.CreateString(item.id);
+            slow.push_back(wire::Createslow_engine(builder, id, static_cast<float>(item.pace)));
+        }
+        const auto slow_list = slow.empty() ? 0 : builder.CreateVector(slow);
         finish(wire::message_announcement,
                wire::Createannouncement(builder, host, data_centre, callers, datagrams, queries,
                                         message.sender.incarnation,
                                         static_cast<std::uint8_t>(message.state), message.sequence,
-                                        message.configuration_revision, message.complete, list)
+                                        message.configuration_revision, message.complete, list,
+                                        slow_list)
                    .Union());
     }
 
+    flatbuffers::Offset<wire::work> write_work(const engine_work& item) const {
+        const auto engine = builder.CreateString(item.engine);
+        const auto phase = static_cast<std::uint8_t>(item.phase);
+        if (item.phase == work_phase::ended) {
+            // Fields that are left out take no space.
+            return wire::Creatework(builder, item.key, engine, phase);
+        }
+        return wire::Creatework(builder, item.key, engine, phase, item.read_tokens,
+                                item.read_time.count(), item.memory_tokens, item.target_gap.count(),
+                                (now - item.dispatched_at).count());
+    }
+
     void operator()(const view_request& message) const {
         const auto sender = builder.CreateString(message.sender);
         finish(wire::message_view_request,
--- a/drivers/datagrams/datagram_generated.h
+++ b/drivers/datagrams/datagram_generated.h
@@ -19,6 +19,9 @@
 struct work;
 struct workBuilder;
 
+struct slow_engine;
+struct slow_engineBuilder;
+
 struct announcement;
 struct announcementBuilder;
 
@@ -224,6 +227,69 @@
       age_us);
 }
 
+struct slow_engine FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef slow_engineBuilder Builder;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_ID = 4,
+    VT_PACE = 6
+  };
+  const flatbuffers::String *id() const {
+    return GetPointer<const flatbuffers::String *>(VT_ID);
+  }
+  float pace() const {
+    return GetField<float>(VT_PACE, 0.0f);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyOffset(verifier, VT_ID) &&
+           verifier.VerifyString(id()) &&
+           VerifyField<float>(verifier, VT_PACE, 4) &&
+           verifier.EndTable();
+  }
+};
+
+struct slow_engineBuilder {
+  typedef slow_engine Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_id(flatbuffers::Offset<flatbuffers::String> id) {
+    fbb_.AddOffset(slow_engine::VT_ID, id);
+  }
+  void add_pace(float pace) {
+    fbb_.AddElement<float>(slow_engine::VT_PACE, pace, 0.0f);
+  }
+  explicit slow_engineBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<slow_engine> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<slow_engine>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<slow_engine> Createslow_engine(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    flatbuffers::Offset<flatbuffers::String> id = 0,
+    float pace = 0.0f) {
+  slow_engineBuilder builder_(_fbb);
+  builder_.add_pace(pace);
+  builder_.add_id(id);
+  return builder_.Finish();
+}
+
+inline flatbuffers::Offset<slow_engine> Createslow_engineDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    const char *id = nullptr,
+    float pace = 0.0f) {
+  auto id__ = id ? _fbb.CreateString(id) : 0;
+  return fuchsiaquay::wire::Createslow_engine(
+      _fbb,
+      id__,
+      pace);
+}
+
 struct announcement FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
   typedef announcementBuilder Builder;
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
@@ -237,7 +303,8 @@
     VT_SEQUENCE = 18,
     VT_CONFIGURATION_REVISION = 20,
     VT_COMPLETE = 22,
-    VT_WORKS = 24
+    VT_WORKS = 24,
+    VT_SLOW = 26
   };
   const flatbuffers::String *host() const {
     return GetPointer<const flatbuffers::String *>(VT_HOST);
@@ -272,6 +339,9 @@
   const flatbuffers::Vector<flatbuffers::Offset<fuchsiaquay::wire::work>> *works() const {
     return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<fuchsiaquay::wire::work>> *>(VT_WORKS);
   }
+  const flatbuffers::Vector<flatbuffers::Offset<fuchsiaquay::wire::slow_engine>> *slow() const {
+    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<fuchsiaquay::wire::slow_engine>> *>(VT_SLOW);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffset(verifier, VT_HOST) &&
@@ -292,6 +362,9 @@
            VerifyOffset(verifier, VT_WORKS) &&
            verifier.VerifyVector(works()) &&
            verifier.VerifyVectorOfTables(works()) &&
+           VerifyOffset(verifier, VT_SLOW) &&
+           verifier.VerifyVector(slow()) &&
+           verifier.VerifyVectorOfTables(slow()) &&
            verifier.EndTable();
   }
 };
@@ -333,6 +406,9 @@
   void add_works(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<fuchsiaquay::wire::work>>> works) {
     fbb_.AddOffset(announcement::VT_WORKS, works);
   }
+  void add_slow(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<fuchsiaquay::wire::slow_engine>>> slow) {
+    fbb_.AddOffset(announcement::VT_SLOW, slow);
+  }
   explicit announcementBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -356,11 +432,13 @@
     uint64_t sequence = 0,
     int64_t configuration_revision = 0,
     bool complete = false,
-    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<fuchsiaquay::wire::work>>> works = 0) {
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<fuchsiaquay::wire::work>>> works = 0,
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<fuchsiaquay::wire::slow_engine>>> slow = 0) {
   announcementBuilder builder_(_fbb);
   builder_.add_configuration_revision(configuration_revision);
   builder_.add_sequence(sequence);
   builder_.add_incarnation(incarnation);
+  builder_.add_slow(slow);
   builder_.add_works(works);
   builder_.add_queries(queries);
   builder_.add_datagrams(datagrams);
@@ -384,13 +462,15 @@
     uint64_t sequence = 0,
     int64_t configuration_revision = 0,
     bool complete = false,
-    const std::vector<flatbuffers::Offset<fuchsiaquay::wire::work>> *works = nullptr) {
+    const std::vector<flatbuffers::Offset<fuchsiaquay::wire::work>> *works = nullptr,
+    const std::vector<flatbuffers::Offset<fuchsiaquay::wire::slow_engine>> *slow = nullptr) {
   auto host__ = host ? _fbb.CreateString(host) : 0;
   auto data_centre__ = data_centre ? _fbb.CreateString(data_centre) : 0;
   auto callers__ = callers ? _fbb.CreateString(callers) : 0;
   auto datagrams__ = datagrams ? _fbb.CreateString(datagrams) : 0;
   auto queries__ = queries ? _fbb.CreateString(queries) : 0;
   auto works__ = works ? _fbb.CreateVector<flatbuffers::Offset<fuchsiaquay::wire::work>>(*works) : 0;
+  auto slow__ = slow ? _fbb.CreateVector<flatbuffers::Offset<fuchsiaquay::wire::slow_engine>>(*slow) : 0;
   return fuchsiaquay::wire::Createannouncement(
       _fbb,
       host__,
@@ -403,7 +483,8 @@
       sequence,
       configuration_revision,
       complete,
-      works__);
+      works__,
+      slow__);
 }
 
 struct view_request FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
--- a/servers/fleet/engine_board.cpp
+++ b/servers/fleet/engine_board.cpp
@@ -40,6 +40,7 @@
 
 void engine_board::remove_upstream(const std::string& upstream) {
     loads_.erase(upstream);
+    pace_.forget(upstream);
 }
 
 const engine_load& engine_board::load(const std::string& upstream) const {
--- a/servers/fleet/host_registry.cpp
+++ b/servers/fleet/host_registry.cpp
@@ -187,6 +187,7 @@
     message.configuration_revision = configuration_();
     message.complete = complete;
     message.works = std::move(works);
+    message.slow = board_.pace().observed(timers_.now());
     std::vector<network_address> to;
     for (const auto& [host, item] : peers_) {
         to.push_back(item.record.datagrams);
@@ -229,6 +230,9 @@
     if (newer_ && message.configuration_revision > configuration_()) {
         newer_(known.record);
     }
+    for (const slow_engine& engine : message.slow) {
+        board_.pace().learn(engine, known.heard_at);
+    }
     if (message.complete) {
         board_.replace_remote(host, message.works);
         return;
--- a/servers/relay/request_log.cpp
+++ b/servers/relay/request_log.cpp
@@ -57,6 +57,12 @@
                          {"again", again ? "yes" : "no"}});
 }
 
+void request_log::pace_changed(const std::string& upstream, double pace) const {
+    services_.log.write(
+        decision_log::level::info, "engine_pace",
+        {{"request", request_.id}, {"upstream", upstream}, {"times_slower", std::to_string(pace)}});
+}
+
 void request_log::ended(const admission_result& admitted, const request_ending& ending) const {
     services_.log.write(decision_log::level::info, "request_ended",
                         {{"request", request_.id},
--- a/servers/relay/request_log.hpp
+++ b/servers/relay/request_log.hpp
@@ -25,6 +25,8 @@
     /// @param at_fault  another engine that made the attempt fail; empty for `upstream` itself
     void attempt_failed(const std::string& upstream, const std::string& at_fault, int attempt,
                         const std::string& reason, duration took, bool again) const;
+    /// This request's stream showed that an engine is slow, or no longer is.
+    void pace_changed(const std::string& upstream, double pace) const;
     void ended(const admission_result& admitted, const request_ending& ending) const;
 
 private:
--- a/servers/relay/request_relay.cpp
+++ b/servers/relay/request_relay.cpp
@@ -320,6 +320,7 @@
 }
 
 void request_relay::pass_events(std::string_view bytes) {
+    const std::int64_t passed_before = events_.count();
     const std::string events = events_.take(bytes);
     if (events_.out_of_order()) {
         attempt_failed(begun_ ? attempt_outcome::broken_stream : attempt_outcome::unknown,
@@ -336,6 +337,7 @@
         sink_.begin(answer_.head, events);
     } else {
         services_.metrics.token_gap(progress_at_ - events_at_, 1);
+        observe_pace(events_.count() - passed_before);
         sink_.write(events);
     }
     events_at_ = progress_at_;
@@ -345,6 +347,22 @@
     }
 }
 
+void request_relay::observe_pace(std::int64_t events) {
+    const engine_profile* profile = engine();
+    const engine_load& load = services_.board.load(upstream_);
+    // Reading makes passes longer, and so do engines that hold parts of the prompt.
+    const bool only_writes = load.pending_read(progress_at_) == duration::zero();
+    if (profile == nullptr || events <= 0 || !only_writes || !decision_.helpers.empty()) {
+        return;
+    }
+    const duration pass = write_pass_time(*profile, load.writers(), load.writer_context());
+    const double ratio =
+        to_seconds(progress_at_ - events_at_) / static_cast<double>(events) / to_seconds(pass);
+    if (services_.board.pace().observe(upstream_, ratio, progress_at_)) {
+        log_.pace_changed(upstream_, services_.board.pace().of(upstream_, progress_at_));
+    }
+}
+
 void request_relay::on_end() {
     services_.health.on_result(upstream_id(upstream_), attempt_evidence::answered,
                                services_.timers.now());
--- a/servers/relay/request_relay.hpp
+++ b/servers/relay/request_relay.hpp
@@ -67,6 +67,8 @@
     /// Id of the engine at `address` among those of the attempt, the first one where none is.
     std::string engine_at(const network_address& address) const;
     void pass_events(std::string_view bytes);
+    /// Compares the pause before `events` that came together with the engine's usual pass.
+    void observe_pace(std::int64_t events);
     void finish_stream();
     void finish_answer();
     void attempt_failed(attempt_outcome outcome, const std::string& reason);
--- a/servers/relay/upstream_choice.cpp
+++ b/servers/relay/upstream_choice.cpp
@@ -55,7 +55,8 @@
     std::vector<engine_view> engines;
     for (const upstream_entry& entry : services_.upstreams.ready(admitted.service_name)) {
         if (services_.health.allows(upstream_id(entry.id), now)) {
-            engines.push_back({entry.id, &profile, &services_.board.load(entry.id)});
+            engines.push_back({entry.id, &profile, &services_.board.load(entry.id),
+                               services_.board.pace().of(entry.id, now)});
         }
     }
     placement_request prompt;
--- a/tests/core/placement/undisturbed_placement_test.cpp
+++ b/tests/core/placement/undisturbed_placement_test.cpp
@@ -67,6 +67,7 @@
     static constexpr int engines = 14;
     engine_profile profile_ = users_engine();
     std::map<std::string, engine_load> loads_;
+    std::map<std::string, double> paces_;
     undisturbed_placement policy_;
     instant now_ = instant(seconds(100));
 
@@ -79,7 +80,8 @@
     std::vector<engine_view> views() const {
         std::vector<engine_view> result;
         for (const auto& [id, load] : loads_) {
-            result.push_back({id, &profile_, &load});
+            const auto pace = paces_.find(id);
+            result.push_back({id, &profile_, &load, pace == paces_.end() ? 1.0 : pace->second});
         }
         return result;
     }
@@ -261,6 +263,32 @@
     CHECK_TRUE(choose(late).outcome == placement_decision::verdict::wait);
 }
 
+TEST(undisturbed_placement, short_prompts_leave_an_engine_that_turned_slow) {
+    fill_with_short(60);
+    const std::string slow = choose(short_request(500)).engine;
+    paces_[slow] = 4.0;
+    for (std::uint64_t key = 1'000; key < 1'020; ++key) {
+        const placement_decision decision = choose(short_request(key));
+        CHECK_TRUE(decision.outcome == placement_decision::verdict::place);
+        CHECK_TRUE(decision.engine != slow);
+    }
+}
+
+TEST(undisturbed_placement, slow_engine_is_better_than_none) {
+    for (const auto& [id, load] : loads_) {
+        paces_[id] = 4.0;
+    }
+    CHECK_TRUE(choose(short_request(1)).outcome == placement_decision::verdict::place);
+}
+
+TEST(undisturbed_placement, season_prompt_takes_no_slow_engine_beside_usual_ones) {
+    auto engine = loads_.begin();
+    for (int i = 0; i < engines - 1; ++i, ++engine) {
+        paces_[engine->first] = 4.0;
+    }
+    CHECK_EQUAL(engine->first, choose(season_request(1)).engine);
+}
+
 TEST(undisturbed_placement, excluded_engine_is_not_chosen_again) {
     placement_request request = short_request(1);
     const std::string first = choose(request).engine;
--- a/tests/drivers/datagrams/datagram_codec_test.cpp
+++ b/tests/drivers/datagrams/datagram_codec_test.cpp
@@ -50,6 +50,28 @@
     CHECK_TRUE(message.works.front().target_gap == milliseconds(200));
 }
 
+TEST(datagram_codec, slow_engines_arrive_with_their_pace) {
+    announcement message = sample();
+    message.slow.push_back({"e7", 4.5});
+    const auto arrived =
+        std::get<announcement>(decode_datagram(encode_datagram(message, now_), now_));
+    LONGS_EQUAL(1, arrived.slow.size());
+    CHECK_EQUAL(std::string("e7"), arrived.slow.front().id);
+    DOUBLES_EQUAL(4.5, arrived.slow.front().pace, 0.001);
+}
+
+TEST(datagram_codec, work_that_ended_takes_less_space) {
+    announcement message = sample();
+    const std::size_t writing = encode_datagram(message, now_).size();
+    message.works.front().phase = work_phase::ended;
+    const std::string bytes = encode_datagram(message, now_);
+    CHECK_TRUE(bytes.size() + 20 < writing);
+    const auto arrived = std::get<announcement>(decode_datagram(bytes, now_));
+    CHECK_TRUE(arrived.works.front().phase == work_phase::ended);
+    LONGS_EQUAL(9, arrived.works.front().key);
+    CHECK_EQUAL(std::string("e1"), arrived.works.front().engine);
+}
+
 TEST(datagram_codec, announcement_of_changes_carries_no_addresses) {
     announcement changes = sample();
     const std::size_t complete = encode_datagram(changes, now_).size();
