Store: in an outage only a few hosts of each data centre try

The first three hosts of a data centre, in the order that also names the watcher, stand in as before; the others wait until their copies are 3.4 s old and try each 4 s. A host that hears nobody is the first of its data centre, so it stands in at once.

Test, seen to fail without it: outage_of_the_store_brings_few_calls_from_a_large_fleet. Ruled out: renewals (one each 10 s a host).

--- a/servers/fleet/view_exchange.cpp
+++ b/servers/fleet/view_exchange.cpp
@@ -37,6 +37,11 @@
 /// Pauses after a failed call to the store: of a watching host, and of one that stands in.
 constexpr duration watcher_retry = std::chrono::milliseconds(200);
 constexpr duration stand_in_retry = std::chrono::milliseconds(1'000);
+/// Hosts of a data centre that stand in first. The others wait longer, so that an outage of the
+/// store does not bring calls from every host of a large fleet.
+constexpr std::size_t first_stand_ins = 3;
+constexpr duration further_old_copy = std::chrono::milliseconds(3'400);
+constexpr duration further_retry = std::chrono::milliseconds(4'000);
 /// Each so many questions ask for the whole catalogue, which heals what several sources told
 /// differently.
 constexpr std::uint64_t whole_catalogue_period = 8;
@@ -97,17 +102,28 @@
     }
     watcher_ = watches;
     const bool patient = now - *settled_at_ < first_answers;
-    const duration retry = watcher_ ? watcher_retry : stand_in_retry;
+    const bool first = stands_in_first();
+    const duration limit = first ? old_copy : further_old_copy;
+    const duration retry = watcher_ ? watcher_retry : (first ? stand_in_retry : further_retry);
     for (prefix_mirror* mirror : {&services_.configuration_mirror, &services_.upstream_mirror}) {
-        const bool stands_in = !patient && mirror->age() > old_copy;
+        const bool stands_in = !patient && mirror->age() > limit;
         mirror->follow(watcher_ || stands_in, retry);
     }
 }
 
-bool view_exchange::is_watcher() const {
+std::vector<host_id> view_exchange::near_hosts() const {
     std::vector<host_id> near = ids_of(services_.hosts.live_peers(), self_.data_centre);
     near.emplace_back(self_.host);
-    return rendezvous_owner(watch_key, near) == host_id(self_.host);
+    return near;
+}
+
+bool view_exchange::is_watcher() const {
+    return rendezvous_owner(watch_key, near_hosts()) == host_id(self_.host);
+}
+
+bool view_exchange::stands_in_first() const {
+    const std::vector<host_id> first = rendezvous_order(watch_key, near_hosts(), first_stand_ins);
+    return std::find(first.begin(), first.end(), host_id(self_.host)) != first.end();
 }
 
 std::vector<host_record> view_exchange::sources() const {
--- a/servers/fleet/view_exchange.hpp
+++ b/servers/fleet/view_exchange.hpp
@@ -8,6 +8,7 @@
 #include "core/fleet/host_record.hpp"
 #include "core/fleet/view_reply.hpp"
 #include "core/fleet/view_request.hpp"
+#include "core/identity/names.hpp"
 #include "core/time/clock.hpp"
 #include "servers/fleet/view_exchange_services.hpp"
 
@@ -37,7 +38,10 @@
 
     void tick();
     void decide_duty(instant now);
+    /// The live hosts of this data centre, this one included.
+    std::vector<host_id> near_hosts() const;
     bool is_watcher() const;
+    bool stands_in_first() const;
     void pull(instant now);
     void ask(const host_record& host);
     void ask_for_newer(const host_record& host);
--- a/tests/servers/fleet/view_exchange_test.cpp
+++ b/tests/servers/fleet/view_exchange_test.cpp
@@ -92,6 +92,27 @@
     CHECK_TRUE(large.store.calls - start_calls <= nine + 84 * 3);
 }
 
+TEST(view_exchange, outage_of_the_store_brings_few_calls_from_a_large_fleet) {
+    constexpr int hosts = 84;
+    constexpr int data_centres = 3;
+    start(hosts, data_centres);
+    const int before = fleet_.store.calls;
+    fleet_.store.down = true;
+    fleet_.timers.advance(seconds(8));
+    // Watchers try five times a second, two more hosts of a data centre once, all others twice in
+    // the outage; each has two prefixes. Renewals and the list of hosts come on top, as ever.
+    const int watchers = data_centres * 2 * 40;
+    const int first = data_centres * 2 * 2 * 8;
+    const int further = hosts * 2 * 2;
+    const int renewals = hosts * 3;
+    CHECK_TRUE(fleet_.store.calls - before <= watchers + first + further + renewals);
+    fleet_.store.down = false;
+    fleet_.timers.advance(seconds(2));
+    for (const auto& [name, host] : fleet_.hosts) {
+        CHECK_TRUE(host->configuration_mirror.fresh());
+    }
+}
+
 TEST(view_exchange, host_cut_from_the_others_watches_the_store_itself) {
     start(9, 3);
     virtual_host* alone = a_follower();
