--- a/ctl/console/request_story.cpp
+++ b/ctl/console/request_story.cpp
@@ -63,7 +63,7 @@
     std::string text;
     for (const auto& [name, value] : record.fields) {
         if (name != "request" && name != "host" && !value.empty()) {
-            text += " " + name + "=" + value;
+            text.append(" ").append(name).append("=").append(value);
         }
     }
     return text;
--- a/tests/drivers/traffic/beast_upstream_connector_test.cpp
+++ b/tests/drivers/traffic/beast_upstream_connector_test.cpp
@@ -8,7 +8,7 @@
 
 #include "servers/relay/exchange_listener.hpp"
 #include "servers/relay/upstream_exchange.hpp"
-#include "tests/drivers/traffic/loopback.hpp"
+#include "tests/drivers/traffic/raw_server.hpp"
 
 using namespace fuchsiaquay;
 using namespace fuchsiaquay::testing;
--- a/tests/drivers/traffic/caller_server_test.cpp
+++ b/tests/drivers/traffic/caller_server_test.cpp
@@ -11,7 +11,7 @@
 #include "servers/relay/active_request.hpp"
 #include "servers/relay/request_handler.hpp"
 #include "servers/relay/response_sink.hpp"
-#include "tests/drivers/traffic/loopback.hpp"
+#include "tests/drivers/traffic/raw_client.hpp"
 
 using namespace fuchsiaquay;
 using namespace fuchsiaquay::testing;
--- /dev/null
+++ b/tests/drivers/traffic/raw_server.hpp
@@ -0,0 +1,70 @@
+#pragma once
+
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/write.hpp>
+#include <memory>
+#include <string>
+
+#include "tests/drivers/traffic/loopback.hpp"
+
+namespace fuchsiaquay::testing {
+
+/// A server whose connections a test drives byte by byte.
+class raw_server {
+public:
+    explicit raw_server(control_loop& loop)
+        : loop_(loop),
+          acceptor_(loop.context(), tcp::endpoint(boost::asio::ip::address_v4::loopback(), 0)) {
+        accept();
+    }
+
+    network_address address() const { return {"127.0.0.1", acceptor_.local_endpoint().port()}; }
+    bool expect(const std::string& text) {
+        return run_until(loop_, [&] { return received.find(text) != std::string::npos; });
+    }
+    void send(const std::string& bytes) {
+        boost::asio::write(*connection_, boost::asio::buffer(bytes));
+    }
+    /// Ends the connection with a reset, or in the usual way.
+    void close(bool reset) {
+        boost::system::error_code ignored;
+        connection_->set_option(boost::asio::socket_base::linger(reset, 0), ignored);
+        connection_->close(ignored);
+    }
+
+    std::string received;
+    int connections = 0;
+    bool closed = false;
+
+private:
+    void accept() {
+        acceptor_.async_accept([this](const boost::system::error_code& error, tcp::socket socket) {
+            if (error) {
+                return;
+            }
+            ++connections;
+            connection_ = std::make_shared<tcp::socket>(std::move(socket));
+            read(connection_);
+            accept();
+        });
+    }
+    void read(const std::shared_ptr<tcp::socket>& socket) {
+        socket->async_read_some(
+            boost::asio::buffer(buffer_),
+            [this, socket](const boost::system::error_code& error, std::size_t bytes) {
+                received.append(buffer_, bytes);
+                if (error) {
+                    closed = true;
+                } else {
+                    read(socket);
+                }
+            });
+    }
+
+    control_loop& loop_;
+    tcp::acceptor acceptor_;
+    std::shared_ptr<tcp::socket> connection_;
+    char buffer_[65536] = {};
+};
+
+}  // namespace fuchsiaquay::testing
