Relay: only a host that is starting lets requests wait for news

The wait now ends two seconds after the start.

Test, seen to fail with a longer start: request_is_not_held_at_a_host_that_started_during_an_outage.

--- a/servers/relay/relay_queue.cpp
+++ b/servers/relay/relay_queue.cpp
@@ -17,10 +17,13 @@
 constexpr duration check_period = std::chrono::milliseconds(50);
 /// Changes within this time lead to one try.
 constexpr duration retry_delay = std::chrono::milliseconds(2);
+/// A host learns within this time of its start whether it can serve.
+constexpr duration start_time = std::chrono::milliseconds(2'000);
 
 }  // namespace
 
-relay_queue::relay_queue(const relay_services& services) : services_(services), choice_(services) {
+relay_queue::relay_queue(const relay_services& services)
+    : services_(services), choice_(services), started_at_(services.timers.now()) {
     services_.timers.every(check_period, [this] { check_times(); });
     services_.board.on_room([this] { retry_waiting(); });
 }
@@ -38,6 +41,10 @@
                       [](const request_relay* relay) { return relay->waiting(); }));
 }
 
+bool relay_queue::starting() const {
+    return services_.timers.now() - started_at_ < start_time;
+}
+
 void relay_queue::retry_waiting() {
     if (retry_planned_ || waiting() == 0) {
         return;
--- a/servers/relay/relay_queue.hpp
+++ b/servers/relay/relay_queue.hpp
@@ -24,6 +24,8 @@
     void remove(request_relay& relay) { relays_.erase(&relay); }
     std::size_t active() const noexcept { return relays_.size(); }
     std::size_t waiting() const;
+    /// True for a moment after the start of the host.
+    bool starting() const;
 
 private:
     void place_waiting();
@@ -32,6 +34,7 @@
     const relay_services& services_;
     upstream_choice choice_;
     std::set<request_relay*> relays_;
+    instant started_at_{};
     bool retry_planned_ = false;
 };
 
--- a/servers/relay/request_relay.cpp
+++ b/servers/relay/request_relay.cpp
@@ -124,8 +124,12 @@
 }
 
 bool request_relay::host_prepared() const {
-    return services_.configuration.current() != nullptr &&
-           services_.configuration_mirror.was_fresh() && services_.upstreams.loaded();
+    if (services_.configuration.current() == nullptr) {
+        return false;
+    }
+    const bool current = services_.configuration_mirror.was_fresh() && services_.upstreams.loaded();
+    // Past its start a host knows what it lacks, and that waiting does not help.
+    return current || !queue_.starting();
 }
 
 void request_relay::try_place() {
--- a/servers/relay/request_relay.hpp
+++ b/servers/relay/request_relay.hpp
@@ -51,7 +51,7 @@
     void on_end() override;
     void on_failure(const exchange_failure& failure) override;
 
-    /// The host knows the configuration, has known it to be current, and knows the catalogue.
+    /// The host knows the configuration, and unless it is just starting, what it can serve.
     bool host_prepared() const;
     void place();
     /// Ends a request that no upstream takes.
--- a/tests/servers/fleet/configuration_feed_test.cpp
+++ b/tests/servers/fleet/configuration_feed_test.cpp
@@ -30,7 +30,9 @@
     static std::string text(int version) {
         return std::to_string(version) + " {} {" + std::string(200'000, 'x') + "}";
     }
-    void give(int version) { giver_.take({"config", text(version), version * 10}); }
+    void give(int version) {
+        giver_.take({"config", text(version), version * 10});
+    }
 };
 
 TEST(configuration_feed, host_that_knows_an_earlier_version_gets_a_small_answer) {
--- a/tests/servers/relay/request_relay_test.cpp
+++ b/tests/servers/relay/request_relay_test.cpp
@@ -323,6 +323,17 @@
     check_served();
 }
 
+TEST(request_relay_of_a_new_host, request_is_not_held_at_a_host_that_started_during_an_outage) {
+    learn_catalogue();
+    learn_configuration();
+    host_.timers.advance(seconds(5));
+    LONGS_EQUAL(1, host_.sink.answers);
+    active_ = queue_.serve(host_.request("/order/2"), host_.sink);
+    LONGS_EQUAL(2, host_.sink.answers);
+    LONGS_EQUAL(503, host_.sink.status);
+    LONGS_EQUAL(0, host_.attempts());
+}
+
 TEST(request_relay_of_a_new_host, request_is_refused_where_that_takes_too_long) {
     host_.timers.advance(seconds(1));
     LONGS_EQUAL(1, host_.sink.answers);
