Tests: at most once and not run, where the mechanisms could be taken out unseen

The only unrepeatable route in the tests allowed one attempt, and no test gave up after a sent attempt. Two tests added; each fails with its mechanism taken out. No change of the product.

--- a/tests/servers/relay/relay_fixture.hpp
+++ b/tests/servers/relay/relay_fixture.hpp
@@ -40,6 +40,7 @@
         auto result =
             std::make_shared<fleet_configuration>(std::stoll(text), caller_limits(), true);
         add(*result, "/order/", request_semantics::non_idempotent, 1, "shop");
+        add(*result, "/pay/", request_semantics::non_idempotent, 3, "shop");
         add(*result, "/lookup/", request_semantics::idempotent, 2, "shop");
         add(*result, "/chat/", request_semantics::stream, 2, "llm");
         result->add_service({"shop", 10, std::nullopt});
--- a/tests/servers/relay/request_relay_test.cpp
+++ b/tests/servers/relay/request_relay_test.cpp
@@ -31,6 +31,22 @@
     LONGS_EQUAL(502, caller_.status);
 }
 
+TEST(request_relay, order_on_a_route_with_further_attempts_is_not_repeated_once_it_may_have_run) {
+    host_.serve(host_.request("/pay/1"));
+    upstream_.fail(true);
+    LONGS_EQUAL(1, host_.attempts());
+    LONGS_EQUAL(502, caller_.status);
+}
+
+TEST(request_relay, request_that_may_have_run_is_not_called_not_run_for_want_of_an_upstream) {
+    host_.serve(host_.request("/lookup/1"));
+    host_.upstreams.on_changes({{{"u/shop-1", "", 3}, true}, {{"u/shop-2", "", 3}, true}}, 3);
+    upstream_.fail(true);
+    host_.timers.advance(seconds(3));
+    LONGS_EQUAL(1, caller_.answers);
+    LONGS_EQUAL(502, caller_.status);
+}
+
 TEST(request_relay, order_that_never_left_this_host_goes_to_another_upstream) {
     host_.serve(host_.request("/order/1"));
     const std::string first = upstream_.last().upstream.id;
