Scenarios: ports are claimed below those that the system gives out

Ruled out: a port given out twice by free_port (it kept a set), a node left over from another scenario (node-3 of the same run stands in the log with that port).

Now a runner claims ports below the system's own range and keeps a socket on 127.0.0.2 bound to each, which other runners and the soak respect. The soak drew its ports from the pid, 800 soaks apart, which two runs on one machine could share; it takes claims too.

--- a/tests/scenarios/runner/lua_bindings.cpp
+++ b/tests/scenarios/runner/lua_bindings.cpp
@@ -68,8 +68,8 @@
     return 1;
 }
 
-int find_free_port(lua_State* state, scenario&) {
-    lua_pushinteger(state, free_port());
+int find_free_port(lua_State* state, scenario& target) {
+    lua_pushinteger(state, target.free_port());
     return 1;
 }
 
--- a/tests/scenarios/runner/scenario.cpp
+++ b/tests/scenarios/runner/scenario.cpp
@@ -1,10 +1,7 @@
 #include "tests/scenarios/runner/scenario.hpp"
 
 #include <algorithm>
-#include <boost/asio/io_context.hpp>
-#include <boost/asio/ip/tcp.hpp>
 #include <fstream>
-#include <set>
 
 #include "core/error/step_error.hpp"
 
@@ -15,20 +12,6 @@
 constexpr std::int64_t call_ids_per_load = 1000000;
 }  // namespace
 
-std::uint16_t free_port() {
-    static std::set<std::uint16_t> given_out;
-    namespace asio = boost::asio;
-    for (;;) {
-        asio::io_context context;
-        const asio::ip::tcp::acceptor probe(
-            context, asio::ip::tcp::endpoint(asio::ip::address_v4::loopback(), 0));
-        const std::uint16_t port = probe.local_endpoint().port();
-        if (given_out.insert(port).second) {
-            return port;
-        }
-    }
-}
-
 scenario::scenario(std::string build_folder, std::string run_folder, std::uint64_t seed)
     : build_folder_(std::move(build_folder)), run_folder_(std::move(run_folder)), seed_(seed) {}
 
--- a/tests/scenarios/runner/scenario.hpp
+++ b/tests/scenarios/runner/scenario.hpp
@@ -10,6 +10,7 @@
 #include "tests/scenarios/runner/child_process.hpp"
 #include "tests/scenarios/runner/entrypoint.hpp"
 #include "tests/scenarios/runner/load.hpp"
+#include "tests/scenarios/runner/port_claims.hpp"
 #include "tests/scenarios/runner/timeline.hpp"
 #include "tests/stand_ins/cut_proxy/cut_proxy.hpp"
 
@@ -31,6 +32,9 @@
     stand_ins::cut_proxy& add_link(const std::string& name, std::uint16_t target_port);
     stand_ins::cut_proxy& link(const std::string& name);
 
+    /// A port on 127.0.0.1 for one process of this run.
+    std::uint16_t free_port() { return ports_.take(); }
+
     /// Writes a file into the run folder and returns its path.
     std::string write_file(const std::string& name, const std::string& text) const;
 
@@ -55,6 +59,7 @@
     const std::string build_folder_;
     const std::string run_folder_;
     const std::uint64_t seed_;
+    port_claims ports_;
     timeline events_;
     history facts_;
     std::vector<entrypoint> nodes_;
@@ -63,7 +68,4 @@
     std::vector<std::unique_ptr<load>> loads_;
 };
 
-/// A port on 127.0.0.1 that no process listened on a moment ago and that was not given out before.
-std::uint16_t free_port();
-
 }  // namespace fuchsiaquay::scenarios
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -12,7 +12,9 @@
 import asyncio
 import json
 import os
+import random
 import signal
+import socket
 import sys
 import tempfile
 import time
@@ -26,19 +28,31 @@
 SETTLE_S = 8.0            # from the last fault to usual service
 CALM_S = 4.0              # time of usual service that is looked at
 FROZEN_S = 3.0
-FIRST_PORT, SOAKS, PORTS_EACH, PORTS_A_NODE = 10000, 800, 25, 5
+FIRST_PORT, PORT_COUNT = 10000, 12000     # below those that the system gives out
 
 
-def node_ports(number):
-    """Ports below those that the system gives out, apart for each soak that runs at once."""
-    first = FIRST_PORT + (os.getpid() % SOAKS) * PORTS_EACH + number * PORTS_A_NODE
-    return range(first, first + PORTS_A_NODE)
+def claim_ports(count):
+    """Free ports and the sockets that claim them; see tests/scenarios/runner/port_claims.hpp."""
+    claims, start = {}, random.randrange(PORT_COUNT)
+    for step in range(PORT_COUNT):
+        port, claim = FIRST_PORT + (start + step) % PORT_COUNT, socket.socket()
+        try:
+            claim.bind(("127.0.0.2", port))
+            with socket.socket() as probe:
+                probe.bind(("127.0.0.1", port))
+            claims[port] = claim
+        except OSError:
+            claim.close()
+        if len(claims) == count:
+            return claims
+    raise RuntimeError(f"{count} ports wanted, {len(claims)} free")
 
 
 class Node:
     def __init__(self, binary, folder, number):
         self.binary, self.name, self.folder = binary, f"n{number}", folder
-        (self.callers, self.ready, self.directory, self.metrics, self.peers) = node_ports(number)
+        self.claims = claim_ports(5)
+        (self.callers, self.ready, self.directory, self.metrics, self.peers) = self.claims
         self.process = None
 
     async def prepare(self, store):
