Placement: a long prompt that no engine answers in its time is refused at once

A caller that came back with 4.3 s left was kept until its arrival plus the target of 8 s, past its own deadline; and a prompt that needs several engines counted as one in the order that all hosts share, so those behind it took each engine that came free. Ruled out: lost announcements (the hosts agree on the number ahead), a caller's early leaving (all left at their X-Deadline).

Change: core/placement/waiting_forecast plays the engines' reading and the prompts ahead through and tells when an engine comes free; a prompt whose answer would be complete after its deadline is refused with the time at which engines are expected. Prompts ahead count the engines that they need. "Larger than the memory of all engines" counts all engines, not those left over by the prompts ahead. New log line request_not_placed with tokens, prompts ahead, forecast, waiting time. Tests first: season_prompt_that_no_engine_answers_in_time_is_refused_at_once and waiting_prompt_leaves_as_many_engines_as_one_ahead_needs fail on the old policy.

--- a/core/placement/engine_load.cpp
+++ b/core/placement/engine_load.cpp
@@ -99,13 +99,22 @@
     }));
 }
 
-int engine_load::waiting_before(const engine_work& own, instant now) const {
+std::vector<std::int64_t> engine_load::waiting_before(const engine_work& own, instant now) const {
     const auto place = waiting_place(own, now);
-    return static_cast<int>(
-        std::count_if(works_.begin(), works_.end(), [&place, now](const auto& item) {
-            const engine_work& work = item.second;
-            return work.phase == work_phase::waiting && waiting_place(work, now) < place;
-        }));
+    std::vector<const engine_work*> ahead;
+    for (const auto& [key, work] : works_) {
+        if (work.phase == work_phase::waiting && waiting_place(work, now) < place) {
+            ahead.push_back(&work);
+        }
+    }
+    std::sort(ahead.begin(), ahead.end(), [now](const engine_work* a, const engine_work* b) {
+        return waiting_place(*a, now) < waiting_place(*b, now);
+    });
+    std::vector<std::int64_t> tokens;
+    for (const engine_work* work : ahead) {
+        tokens.push_back(work->read_tokens);
+    }
+    return tokens;
 }
 
 }  // namespace fuchsiaquay
--- a/core/placement/engine_load.hpp
+++ b/core/placement/engine_load.hpp
@@ -4,6 +4,7 @@
 #include <map>
 #include <string>
 #include <utility>
+#include <vector>
 
 #include "core/placement/engine_work.hpp"
 
@@ -28,9 +29,9 @@
     duration smallest_gap() const;
     /// Requests that write or will write whose allowed pause is below `pass`.
     int disturbed_by(duration pass) const;
-    /// Requests that wait and go before `own`: first those that can still be on time, except the
-    /// heaviest, and of these the one that becomes late first.
-    int waiting_before(const engine_work& own, instant now) const;
+    /// Prompt tokens of the requests that wait and go before `own`, in their order: first those
+    /// that can still be on time, except the heaviest, and of these the one that becomes late first.
+    std::vector<std::int64_t> waiting_before(const engine_work& own, instant now) const;
     bool empty() const { return works_.empty(); }
 
 private:
--- a/core/placement/placement_candidate.cpp
+++ b/core/placement/placement_candidate.cpp
@@ -1,5 +1,8 @@
 #include "core/placement/placement_candidate.hpp"
 
+#include <algorithm>
+#include <cmath>
+
 #include "core/fleet/engine_profile.hpp"
 #include "core/hashing/hash.hpp"
 #include "core/placement/engine_view.hpp"
@@ -26,6 +29,13 @@
     return requests > 0 && longer > scaled(smallest_gap, settings.pause_fill);
 }
 
+std::size_t engines_needed(const engine_profile& profile, std::int64_t tokens,
+                           const undisturbed_settings& settings) {
+    const double room = settings.memory_fill * static_cast<double>(profile.memory_tokens);
+    return std::max<std::size_t>(
+        1, static_cast<std::size_t>(std::ceil(static_cast<double>(tokens) / room)));
+}
+
 duration scaled(duration value, double factor) {
     return from_seconds(to_seconds(value) * factor);
 }
--- a/core/placement/placement_candidate.hpp
+++ b/core/placement/placement_candidate.hpp
@@ -1,11 +1,13 @@
 #pragma once
 
+#include <cstddef>
 #include <cstdint>
 
 #include "core/time/clock.hpp"
 
 namespace fuchsiaquay {
 
+struct engine_profile;
 struct engine_view;
 struct placement_request;
 struct undisturbed_settings;
@@ -33,6 +35,10 @@
     bool disturbed_by(duration reading, const undisturbed_settings& settings) const;
 };
 
+/// Fewest engines whose memory holds a prompt of `tokens`.
+std::size_t engines_needed(const engine_profile& profile, std::int64_t tokens,
+                           const undisturbed_settings& settings);
+
 /// `value` times `factor`.
 duration scaled(duration value, double factor);
 
--- a/core/placement/placement_decision.hpp
+++ b/core/placement/placement_decision.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <cstddef>
 #include <cstdint>
 #include <string>
 #include <vector>
@@ -27,8 +28,14 @@
     std::int64_t reserved_tokens = 0;
     /// Further engines that read parts of the prompt.
     std::vector<placement_part> helpers;
-    /// Estimated time until the first event.
+    /// Estimated time until the first event; 0 where nothing is known.
     duration first_event{};
+    /// For a prompt that waits: engines are expected to answer it in its time.
+    bool answer_expected = false;
+    /// Long prompts of all hosts that go first.
+    std::size_t ahead = 0;
+    /// For a prompt that is refused: time after which engines are expected to come free.
+    duration retry_after{};
     /// What decided it, for the log.
     const char* reason = "";
 };
--- a/core/placement/placement_request.hpp
+++ b/core/placement/placement_request.hpp
@@ -2,6 +2,7 @@
 
 #include <cstdint>
 #include <string>
+#include <vector>
 
 #include "core/time/clock.hpp"
 
@@ -18,8 +19,9 @@
     /// Time left until the answer is worth nothing.
     duration time_left{};
     duration target_gap{};
-    /// Long prompts of all hosts that wait and go first: as many engines are left to them.
-    int ahead = 0;
+    /// Tokens of the long prompts of all hosts that wait and go first: the engines that they need
+    /// are left to them.
+    std::vector<std::int64_t> ahead;
     /// Upstream id that must not be chosen again; empty for none.
     std::string excluded;
 };
--- a/core/placement/prompt_splitting.cpp
+++ b/core/placement/prompt_splitting.cpp
@@ -73,18 +73,6 @@
 
 placement_decision prompt_splitting::group(const placement_request& request,
                                            std::vector<placement_candidate> choice) const {
-    placement_decision result;
-    result.reason = "no memory for a group";
-    const auto needed = request.prompt_tokens + request.answer_tokens;
-    std::int64_t all_memory = 0;
-    for (const placement_candidate& item : choice) {
-        all_memory += item.engine->profile->memory_tokens;
-    }
-    if (needed > all_memory) {
-        result.outcome = placement_decision::verdict::refuse;
-        result.reason = "larger than the memory of all engines";
-        return result;
-    }
     choice.erase(std::remove_if(choice.begin(), choice.end(),
                                 [&](const placement_candidate& item) {
                                     return item.free_tokens < settings_.min_group_share ||
--- a/core/placement/undisturbed_placement.cpp
+++ b/core/placement/undisturbed_placement.cpp
@@ -19,10 +19,30 @@
 /// Steps of a hash that is taken as a number between 0 and 1.
 constexpr std::uint64_t resolution = 1'000'000;
 
+/// Orders the engines after the `shared` ones for a short prompt. One short stream on an engine
+/// keeps long prompts off it: what the shared engines do not take joins other short streams before
+/// it takes an engine of its own.
+void keep_together(const placement_request& request, std::vector<placement_candidate>& choice,
+                   std::size_t shared) {
+    std::stable_partition(choice.begin() + static_cast<std::ptrdiff_t>(shared), choice.end(),
+                          [&request](const placement_candidate& item) {
+                              return item.requests > 0 && item.smallest_gap <= request.target_gap;
+                          });
+}
+
+placement_decision place_whole(const placement_request& request, const placement_candidate& at) {
+    placement_decision result;
+    result.outcome = placement_decision::verdict::place;
+    result.engine = at.engine->id;
+    result.first_event = at.first_event(at.read(request.prompt_tokens));
+    result.reason = "whole";
+    return result;
+}
+
 }  // namespace
 
 undisturbed_placement::undisturbed_placement(undisturbed_settings settings)
-    : settings_(settings), splitting_(settings) {}
+    : settings_(settings), splitting_(settings), forecast_(settings) {}
 
 std::vector<placement_candidate> undisturbed_placement::candidates(
     const placement_request& request, const std::vector<engine_view>& engines, instant now) const {
@@ -63,18 +83,7 @@
             needed += item.requests / (settings_.slot_fill * item.engine->profile->slots);
         }
     }
-    return static_cast<std::size_t>(needed) + 1;
-}
-
-void undisturbed_placement::keep_together(const placement_request& request,
-                                          std::vector<placement_candidate>& choice) const {
-    const std::size_t shared = std::min(engines_for_short(request, choice), choice.size());
-    // One short stream on an engine keeps long prompts off it: what the shared engines do not take
-    // joins other short streams before it takes an engine of its own.
-    std::stable_partition(choice.begin() + static_cast<std::ptrdiff_t>(shared), choice.end(),
-                          [&request](const placement_candidate& item) {
-                              return item.requests > 0 && item.smallest_gap <= request.target_gap;
-                          });
+    return std::min(static_cast<std::size_t>(needed) + 1, choice.size());
 }
 
 bool undisturbed_placement::acceptable(const placement_candidate& at,
@@ -86,8 +95,8 @@
 }
 
 const placement_candidate* undisturbed_placement::best_for_short(
-    const placement_request& request, const std::vector<placement_candidate>& choice) const {
-    const std::size_t shared = engines_for_short(request, choice);
+    const placement_request& request, const std::vector<placement_candidate>& choice,
+    std::size_t shared) const {
     // Hosts that decide at the same moment see the same loads: weighted rendezvous hashing keeps
     // them from taking the same engine.
     const auto place = [this, &request](const placement_candidate& item) {
@@ -132,7 +141,11 @@
 
 void undisturbed_placement::leave_to_others(const placement_request& request,
                                             std::vector<placement_candidate>& choice) const {
-    for (int left = request.ahead; left > 0 && !choice.empty(); --left) {
+    std::size_t left = 0;
+    for (const std::int64_t tokens : request.ahead) {
+        left += engines_needed(*choice.front().engine->profile, tokens, settings_);
+    }
+    for (; left > 0 && !choice.empty(); --left) {
         const auto first =
             std::min_element(choice.begin(), choice.end(),
                              [](const placement_candidate& a, const placement_candidate& b) {
@@ -143,53 +156,39 @@
     }
 }
 
-std::optional<placement_decision> undisturbed_placement::place_whole(
-    const placement_request& request, const std::vector<placement_candidate>& choice) const {
-    if (choice.empty()) {
-        return std::nullopt;
-    }
-    const engine_profile& profile = *choice.front().engine->profile;
-    const duration reading = read_time(profile, request.prompt_tokens);
-    const placement_candidate* best =
-        reading <= long_read ? best_for_short(request, choice) : best_for_long(request, choice);
-    if (best == nullptr) {
-        return std::nullopt;
-    }
-    placement_decision result;
-    result.outcome = placement_decision::verdict::place;
-    result.engine = best->engine->id;
-    result.first_event = best->first_event(best->read(request.prompt_tokens));
-    result.reason = "whole";
-    return result;
+bool undisturbed_placement::exceeds_one_engine(const placement_request& request,
+                                               const engine_profile& profile) const {
+    return static_cast<double>(request.prompt_tokens + request.answer_tokens) >
+           settings_.memory_fill * static_cast<double>(profile.memory_tokens);
 }
 
-bool undisturbed_placement::exceeds_one_engine(
-    const placement_request& request, const std::vector<placement_candidate>& choice) const {
-    return !choice.empty() &&
-           static_cast<double>(request.prompt_tokens + request.answer_tokens) >
-               settings_.memory_fill *
-                   static_cast<double>(choice.front().engine->profile->memory_tokens);
+bool undisturbed_placement::exceeds_all_memory(
+    const placement_request& request, const std::vector<placement_candidate>& engines) const {
+    std::int64_t all = 0;
+    for (const placement_candidate& item : engines) {
+        all += item.engine->profile->memory_tokens;
+    }
+    return request.prompt_tokens + request.answer_tokens > all;
 }
 
-placement_decision undisturbed_placement::place_late(
-    const placement_request& request, const std::vector<placement_candidate>& choice) const {
+placement_decision undisturbed_placement::place_late(const placement_request& request,
+                                                     const std::vector<placement_candidate>& choice,
+                                                     duration most_pending,
+                                                     std::size_t shared) const {
     placement_decision result;
     result.reason = "no engine without harm";
     const placement_candidate* best = nullptr;
     duration best_first = duration::max();
-    const std::size_t shared = engines_for_short(request, choice);
     std::size_t position = 0;
     for (const placement_candidate& item : choice) {
-        const duration reading = item.read(request.prompt_tokens);
-        const bool is_long = read_time(*item.engine->profile, request.prompt_tokens) > long_read;
-        if (is_long && item.pending > settings_.idle_pending) {
+        if (item.pending > most_pending) {
             continue;
         }
-        // A short prompt that is late already gains nothing from an engine of its own.
-        if (!is_long && best != nullptr && position >= shared) {
+        if (best != nullptr && position >= shared) {
             break;
         }
         ++position;
+        const duration reading = item.read(request.prompt_tokens);
         const duration first = item.first_event(reading);
         if (!item.can_answer || first >= best_first || item.disturbed_by(reading, settings_)) {
             continue;
@@ -201,33 +200,81 @@
         result.reason = best == nullptr ? result.reason : "time too short";
         return result;
     }
-    result.outcome = placement_decision::verdict::place;
-    result.engine = best->engine->id;
-    result.first_event = best_first;
+    result = place_whole(request, *best);
     result.reason = "late";
     return result;
 }
 
-placement_decision undisturbed_placement::choose(const placement_request& request,
-                                                 const std::vector<engine_view>& engines,
-                                                 instant now) const {
-    std::vector<placement_candidate> choice = candidates(request, engines, now);
-    const bool group = exceeds_one_engine(request, choice);
-    leave_to_others(request, choice);
-    if (!choice.empty() &&
-        read_time(*choice.front().engine->profile, request.prompt_tokens) <= long_read) {
-        keep_together(request, choice);
+placement_decision undisturbed_placement::place_short(
+    const placement_request& request, std::vector<placement_candidate> choice) const {
+    const std::size_t shared = engines_for_short(request, choice);
+    keep_together(request, choice, shared);
+    if (const placement_candidate* best = best_for_short(request, choice, shared)) {
+        return place_whole(request, *best);
     }
+    if (const auto split = splitting_.split(request, choice)) {
+        return *split;
+    }
+    // A short prompt that is late already gains nothing from an engine of its own.
+    return place_late(request, choice, duration::max(), shared);
+}
+
+placement_decision undisturbed_placement::place_long(
+    const placement_request& request, std::vector<placement_candidate> choice) const {
+    const bool group = exceeds_one_engine(request, *choice.front().engine->profile);
+    leave_to_others(request, choice);
     if (group) {
         return splitting_.group(request, std::move(choice));
     }
-    if (const auto whole = place_whole(request, choice)) {
-        return *whole;
+    if (const placement_candidate* best = best_for_long(request, choice)) {
+        return place_whole(request, *best);
     }
     if (const auto split = splitting_.split(request, choice)) {
         return *split;
     }
-    return place_late(request, choice);
+    return place_late(request, choice, settings_.idle_pending, choice.size());
+}
+
+placement_decision undisturbed_placement::wait_or_refuse(
+    const placement_request& request, const std::vector<placement_candidate>& engines,
+    placement_decision found) const {
+    if (exceeds_all_memory(request, engines)) {
+        found.outcome = placement_decision::verdict::refuse;
+        found.reason = "larger than the memory of all engines";
+        return found;
+    }
+    const auto outlook = forecast_.of(request, engines);
+    if (!outlook) {
+        return found;
+    }
+    found.first_event = outlook->first_event;
+    found.answer_expected = outlook->complete <= request.time_left;
+    if (!found.answer_expected) {
+        found.outcome = placement_decision::verdict::refuse;
+        found.reason = "no engine in its time";
+        found.retry_after = outlook->start;
+    }
+    return found;
+}
+
+placement_decision undisturbed_placement::choose(const placement_request& request,
+                                                 const std::vector<engine_view>& engines,
+                                                 instant now) const {
+    const std::vector<placement_candidate> all = candidates(request, engines, now);
+    if (all.empty()) {
+        placement_decision none;
+        none.reason = "no engine accepts work";
+        return none;
+    }
+    const duration reading = read_time(*all.front().engine->profile, request.prompt_tokens);
+    if (reading <= long_read) {
+        return place_short(request, all);
+    }
+    placement_decision found = place_long(request, all);
+    found.ahead = request.ahead.size();
+    return found.outcome == placement_decision::verdict::wait
+               ? wait_or_refuse(request, all, std::move(found))
+               : found;
 }
 
 }  // namespace fuchsiaquay
--- a/core/placement/undisturbed_placement.hpp
+++ b/core/placement/undisturbed_placement.hpp
@@ -1,12 +1,12 @@
 #pragma once
 
-#include <cstdint>
-#include <optional>
+#include <cstddef>
 
 #include "core/placement/placement_candidate.hpp"
 #include "core/placement/placement_policy.hpp"
 #include "core/placement/prompt_splitting.hpp"
 #include "core/placement/undisturbed_settings.hpp"
+#include "core/placement/waiting_forecast.hpp"
 
 namespace fuchsiaquay {
 
@@ -15,7 +15,7 @@
 /// short prompts share as many engines from the front of that order as their number needs, so that
 /// the engines behind stay free for long ones. A long prompt is split over as many engines as its
 /// target or the streams beside it need, and one that no engine can hold is kept in the reserved
-/// memory of several.
+/// memory of several. What cannot be answered in its time is refused as soon as that is foreseen.
 class undisturbed_placement final : public placement_policy {
 public:
     explicit undisturbed_placement(undisturbed_settings settings = {});
@@ -27,27 +27,39 @@
     std::vector<placement_candidate> candidates(const placement_request& request,
                                                 const std::vector<engine_view>& engines,
                                                 instant now) const;
-    std::optional<placement_decision> place_whole(
-        const placement_request& request, const std::vector<placement_candidate>& choice) const;
+    placement_decision place_short(const placement_request& request,
+                                   std::vector<placement_candidate> choice) const;
+    placement_decision place_long(const placement_request& request,
+                                  std::vector<placement_candidate> choice) const;
+    /// A long prompt that finds no engine waits for one, or is refused if that will be too late.
+    placement_decision wait_or_refuse(const placement_request& request,
+                                      const std::vector<placement_candidate>& engines,
+                                      placement_decision found) const;
+    /// Takes as many engines out of `choice` as the prompts ahead need.
     void leave_to_others(const placement_request& request,
                          std::vector<placement_candidate>& choice) const;
     bool exceeds_one_engine(const placement_request& request,
-                            const std::vector<placement_candidate>& choice) const;
+                            const engine_profile& profile) const;
+    bool exceeds_all_memory(const placement_request& request,
+                            const std::vector<placement_candidate>& engines) const;
+    /// @param most_pending  reading that may wait at the engine
+    /// @param shared  an engine after the first `shared` ones is taken only if none of these fits
     placement_decision place_late(const placement_request& request,
-                                  const std::vector<placement_candidate>& choice) const;
+                                  const std::vector<placement_candidate>& choice,
+                                  duration most_pending, std::size_t shared) const;
+    /// Engines at the front of `choice` that short prompts share.
     std::size_t engines_for_short(const placement_request& request,
                                   const std::vector<placement_candidate>& choice) const;
-    /// Orders the engines for a short prompt: the shared ones, then those with short streams.
-    void keep_together(const placement_request& request,
-                       std::vector<placement_candidate>& choice) const;
     bool acceptable(const placement_candidate& at, const placement_request& request) const;
     const placement_candidate* best_for_short(const placement_request& request,
-                                              const std::vector<placement_candidate>& choice) const;
+                                              const std::vector<placement_candidate>& choice,
+                                              std::size_t shared) const;
     const placement_candidate* best_for_long(const placement_request& request,
                                              const std::vector<placement_candidate>& choice) const;
 
     undisturbed_settings settings_;
     prompt_splitting splitting_;
+    waiting_forecast forecast_;
 };
 
 }  // namespace fuchsiaquay
--- a/servers/relay/request_log.cpp
+++ b/servers/relay/request_log.cpp
@@ -36,6 +36,20 @@
                          {"age_ms", ms_text(services_.configuration_mirror.age())}});
 }
 
+void request_log::not_placed(const admission_result& admitted, const placement_decision& decision,
+                             int attempts, bool waits) const {
+    services_.log.write(decision_log::level::info, "request_not_placed",
+                        {{"request", request_.id},
+                         {"route", admitted.terms->name},
+                         {"attempts", std::to_string(attempts)},
+                         {"reason", decision.reason},
+                         {"waits", waits ? "yes" : "no"},
+                         {"tokens", std::to_string(request_.prompt_tokens.value_or(0))},
+                         {"ahead", std::to_string(decision.ahead)},
+                         {"first_ms", ms_text(decision.first_event)},
+                         {"waited_ms", ms_text(services_.timers.now() - request_.received_at)}});
+}
+
 void request_log::first_event(const std::string& upstream, duration took, duration expected) const {
     services_.log.write(decision_log::level::info, "first_event",
                         {{"request", request_.id},
--- a/servers/relay/request_relay.cpp
+++ b/servers/relay/request_relay.cpp
@@ -42,8 +42,6 @@
 constexpr int max_declined_attempts = 2;
 /// Time that a further attempt needs at least.
 constexpr duration min_attempt_time = std::chrono::milliseconds(30);
-/// Time that an answer takes after its prompt has been read.
-constexpr duration answer_time = std::chrono::milliseconds(1'000);
 /// A host that has just started learns what it needs to serve within this time.
 constexpr duration preparation_wait = std::chrono::milliseconds(800);
 /// Longest wait for another upstream after an attempt has failed.
@@ -52,7 +50,7 @@
 constexpr duration usual_service_time = std::chrono::milliseconds(4'500);
 /// Time after which a caller of a stopping host comes back, to another one.
 constexpr duration elsewhere_delay = std::chrono::milliseconds(10);
-/// Time after which a caller that found no room comes back.
+/// Shortest time after which a caller that found no room comes back.
 constexpr duration no_room_delay = std::chrono::milliseconds(600);
 /// Urgencies of the upstreams' interface that one rank spans.
 constexpr int urgencies_per_rank = 3;
@@ -111,14 +109,8 @@
     if (!request_.last_event_id.empty()) {
         events_ = event_splitter(std::strtoll(request_.last_event_id.c_str(), nullptr, 10));
     }
-    wait_until_ = request_.received_at + admitted_.terms->target;
-    if (const engine_profile* profile = engine()) {
-        const duration reading = read_time(*profile, request_.prompt_tokens.value_or(0));
-        if (reading > long_read) {
-            // A late answer is worth something, as long as there is time to read the prompt.
-            wait_until_ = std::max(wait_until_, deadline_ - reading - answer_time);
-        }
-    }
+    wait_until_ = std::min(request_.received_at + admitted_.terms->target,
+                           deadline_ - min_attempt_time);
     services_.budget.on_request(admitted_.service_name, request_.received_at);
     place();
 }
@@ -154,27 +146,32 @@
             dispatch(decision);
             return;
         case placement_decision::verdict::refuse:
-            give_up(decision.reason);
+            give_up(decision);
             return;
         case placement_decision::verdict::wait:
             break;
     }
-    if (now >= wait_until_) {
-        give_up(decision.reason);
+    if (!decision.answer_expected && now >= wait_until_) {
+        give_up(decision);
         return;
     }
-    begin_waiting();
+    begin_waiting(decision);
 }
 
-void request_relay::give_up(const std::string& reason) {
+void request_relay::give_up(const placement_decision& decision) {
+    log_.not_placed(admitted_, decision, attempts_, false);
+    retry_after_ = std::max(decision.retry_after, no_room_delay);
     if (begun_) {
-        conclude(next_step::abort, reason);
+        conclude(next_step::abort, decision.reason);
     } else {
-        conclude(may_have_run_ ? next_step::report_failure : next_step::refuse, reason);
+        conclude(may_have_run_ ? next_step::report_failure : next_step::refuse, decision.reason);
     }
 }
 
-void request_relay::begin_waiting() {
+void request_relay::begin_waiting(const placement_decision& decision) {
+    if (!waiting_) {
+        log_.not_placed(admitted_, decision, attempts_, true);
+    }
     waiting_ = true;
     if (const engine_profile* profile = engine()) {
         work_.wait(work_key_, *profile, request_.prompt_tokens.value_or(0),
@@ -468,11 +465,12 @@
             if (excluded_.empty()) {
                 excluded_ = upstream_;
             }
-            wait_until_ = std::max(wait_until_, services_.timers.now() + retry_wait);
+            wait_until_ = std::min(std::max(wait_until_, services_.timers.now() + retry_wait),
+                                   deadline_ - min_attempt_time);
             place();
             return;
         case next_step::refuse:
-            refuse({status_unavailable, "no_room", no_room_delay}, reason);
+            refuse({status_unavailable, "no_room", retry_after_}, reason);
             return;
         case next_step::report_failure:
             answer_failure(status_bad_gateway, "upstream_failed", reason);
--- a/servers/relay/request_relay.hpp
+++ b/servers/relay/request_relay.hpp
@@ -55,12 +55,12 @@
     bool host_prepared() const;
     void place();
     /// Ends a request that no upstream takes.
-    void give_up(const std::string& reason);
+    void give_up(const placement_decision& decision);
     void dispatch(const placement_decision& decision);
     void reserve(const placement_decision& decision);
     void reserved(bool held);
     void send();
-    void begin_waiting();
+    void begin_waiting(const placement_decision& decision);
     void end_waiting();
     /// Remembers which engine of several an answer blames.
     void note_fault();
@@ -95,8 +95,10 @@
     admission_result admitted_;
     request_work work_;
     instant deadline_{};
-    /// When a request without an upstream stops waiting for one.
+    /// When a request without an upstream stops waiting for one, unless one is expected in time.
     instant wait_until_{};
+    /// Time after which the caller of a request that found no room comes back.
+    duration retry_after_{};
     bool waiting_ = false;
     bool done_ = false;
 
--- a/servers/relay/upstream_choice.cpp
+++ b/servers/relay/upstream_choice.cpp
@@ -72,8 +72,9 @@
     place.key = key;
     place.read_time = read_time(profile, prompt.prompt_tokens);
     place.dispatched_at = request.received_at + admitted.terms->target;
-    prompt.ahead =
-        place.read_time > long_read ? services_.board.load("").waiting_before(place, now) : 0;
+    if (place.read_time > long_read) {
+        prompt.ahead = services_.board.load("").waiting_before(place, now);
+    }
     return services_.placement.choose(prompt, engines, now);
 }
 
--- a/tests/core/placement/engine_load_test.cpp
+++ b/tests/core/placement/engine_load_test.cpp
@@ -55,7 +55,7 @@
     load_.apply("a", on_time);
     load_.apply("b", late);
     load_.apply("c", heavy);
-    LONGS_EQUAL(0, load_.waiting_before(on_time, now_));
-    LONGS_EQUAL(1, load_.waiting_before(late, now_));
-    LONGS_EQUAL(2, load_.waiting_before(heavy, now_));
+    LONGS_EQUAL(0, load_.waiting_before(on_time, now_).size());
+    LONGS_EQUAL(1, load_.waiting_before(late, now_).size());
+    LONGS_EQUAL(2, load_.waiting_before(heavy, now_).size());
 }
--- a/tests/core/placement/undisturbed_placement_test.cpp
+++ b/tests/core/placement/undisturbed_placement_test.cpp
@@ -242,10 +242,10 @@
         add(engine->first, season_request(static_cast<std::uint64_t>(i) + 10), work_phase::reading);
     }
     placement_request third = season_request(1);
-    third.ahead = 2;
+    third.ahead = {season_prompt, season_prompt};
     CHECK_TRUE(choose(third).outcome == placement_decision::verdict::wait);
     placement_request second = season_request(1);
-    second.ahead = 1;
+    second.ahead = {season_prompt};
     placement_request first = season_request(1);
     const placement_decision first_choice = choose(first);
     const placement_decision second_choice = choose(second);
@@ -253,6 +253,42 @@
     CHECK_TRUE(second_choice.outcome == placement_decision::verdict::place);
 }
 
+TEST(undisturbed_placement, waiting_prompt_leaves_as_many_engines_as_one_ahead_needs) {
+    // Two engines are idle, and the prompt that goes first needs both.
+    auto engine = loads_.begin();
+    for (int i = 0; i < engines - 2; ++i, ++engine) {
+        add(engine->first, season_request(static_cast<std::uint64_t>(i) + 10), work_phase::reading);
+    }
+    placement_request behind = season_request(1);
+    behind.ahead = {500'000};
+    CHECK_TRUE(choose(behind).outcome == placement_decision::verdict::wait);
+    CHECK_TRUE(choose(season_request(2, 500'000)).outcome == placement_decision::verdict::place);
+}
+
+TEST(undisturbed_placement, season_prompt_that_no_engine_answers_in_time_is_refused_at_once) {
+    for (const auto& [id, load] : loads_) {
+        add(id, season_request(50, 420'000), work_phase::reading);
+    }
+    placement_request request = season_request(1);
+    request.time_left = seconds(4);
+    const placement_decision hopeless = choose(request);
+    CHECK_TRUE(hopeless.outcome == placement_decision::verdict::refuse);
+    CHECK_TRUE(hopeless.retry_after > seconds(1));
+    request.time_left = seconds(15);
+    const placement_decision later = choose(request);
+    CHECK_TRUE(later.outcome == placement_decision::verdict::wait);
+    CHECK_TRUE(later.answer_expected);
+}
+
+TEST(undisturbed_placement, season_prompt_behind_a_long_queue_is_refused_at_once) {
+    for (const auto& [id, load] : loads_) {
+        add(id, season_request(50), work_phase::reading);
+    }
+    placement_request request = season_request(1);
+    request.ahead = std::vector<std::int64_t>(60, season_prompt);
+    CHECK_TRUE(choose(request).outcome == placement_decision::verdict::refuse);
+}
+
 TEST(undisturbed_placement, late_prompt_takes_an_idle_engine_at_once_but_no_queue) {
     placement_request late = season_request(1);
     late.target_left = milliseconds(-500);
