Placement: the largest short prompts are split over two shared engines

A prompt of over about 20,000 tokens lengthens the pass of a shared engine beyond the pause that its streams are allowed, so each of these (3 in 100) took an idle engine for its two seconds and kept a long prompt off it. Ruled out: pending reads (a shared engine is free of them most of the time), the weighted spread (it chooses only among shared engines).

Change: where no shared engine takes a short prompt whole, two of them read it; only then an engine beyond them is taken. Test first: largest_short_prompts_take_no_engine_from_long_ones fails on the old policy.

--- a/core/placement/undisturbed_placement.cpp
+++ b/core/placement/undisturbed_placement.cpp
@@ -94,9 +94,8 @@
            !at.disturbed_by(reading, settings_);
 }
 
-const placement_candidate* undisturbed_placement::best_for_short(
-    const placement_request& request, const std::vector<placement_candidate>& choice,
-    std::size_t shared) const {
+const placement_candidate* undisturbed_placement::best_shared(
+    const placement_request& request, const std::vector<placement_candidate>& shared) const {
     // Hosts that decide at the same moment see the same loads: weighted rendezvous hashing keeps
     // them from taking the same engine.
     const auto place = [this, &request](const placement_candidate& item) {
@@ -106,22 +105,23 @@
         return -std::log(point / static_cast<double>(resolution + 1)) / std::max(room, 1.0);
     };
     const placement_candidate* best = nullptr;
-    std::size_t position = 0;
-    for (const placement_candidate& item : choice) {
-        ++position;
-        if (!acceptable(item, request)) {
-            continue;
-        }
-        if (best == nullptr || place(item) < place(*best)) {
+    for (const placement_candidate& item : shared) {
+        if (acceptable(item, request) && (best == nullptr || place(item) < place(*best))) {
             best = &item;
         }
-        if (position >= shared && best != nullptr) {
-            break;
-        }
     }
     return best;
 }
 
+const placement_candidate* undisturbed_placement::first_for_short(
+    const placement_request& request, const std::vector<placement_candidate>& choice) const {
+    const auto found =
+        std::find_if(choice.begin(), choice.end(), [&](const placement_candidate& item) {
+            return acceptable(item, request);
+        });
+    return found == choice.end() ? nullptr : &*found;
+}
+
 const placement_candidate* undisturbed_placement::best_for_long(
     const placement_request& request, const std::vector<placement_candidate>& choice) const {
     // An engine that streams already is preferred where that disturbs nobody: idle ones are for
@@ -209,9 +209,18 @@
     const placement_request& request, std::vector<placement_candidate> choice) const {
     const std::size_t shared = engines_for_short(request, choice);
     keep_together(request, choice, shared);
-    if (const placement_candidate* best = best_for_short(request, choice, shared)) {
+    const std::vector<placement_candidate> pool(
+        choice.begin(), choice.begin() + static_cast<std::ptrdiff_t>(shared));
+    if (const placement_candidate* best = best_shared(request, pool)) {
         return place_whole(request, *best);
     }
+    // The largest short prompts lengthen every pass of a shared engine too much, but not of two.
+    if (const auto split = splitting_.split(request, pool)) {
+        return *split;
+    }
+    if (const placement_candidate* first = first_for_short(request, choice)) {
+        return place_whole(request, *first);
+    }
     if (const auto split = splitting_.split(request, choice)) {
         return *split;
     }
--- a/core/placement/undisturbed_placement.hpp
+++ b/core/placement/undisturbed_placement.hpp
@@ -12,8 +12,8 @@
 
 /// Answers the pattern "long prompts among short ones": a prompt goes where its reading lengthens
 /// no pass beyond the pause that the streams there are allowed. All hosts order the engines alike;
-/// short prompts share as many engines from the front of that order as their number needs, so that
-/// the engines behind stay free for long ones. A long prompt is split over as many engines as its
+/// short prompts share as many engines from the front of that order as their number needs, the
+/// largest of them split over two, so that the engines behind stay free for long ones. A long prompt is split over as many engines as its
 /// target or the streams beside it need, and one that no engine can hold is kept in the reserved
 /// memory of several. What cannot be answered in its time is refused as soon as that is foreseen.
 class undisturbed_placement final : public placement_policy {
@@ -51,9 +51,12 @@
     std::size_t engines_for_short(const placement_request& request,
                                   const std::vector<placement_candidate>& choice) const;
     bool acceptable(const placement_candidate& at, const placement_request& request) const;
-    const placement_candidate* best_for_short(const placement_request& request,
-                                              const std::vector<placement_candidate>& choice,
-                                              std::size_t shared) const;
+    /// Of the engines that short prompts share; null for none.
+    const placement_candidate* best_shared(const placement_request& request,
+                                           const std::vector<placement_candidate>& shared) const;
+    /// First acceptable engine; null for none.
+    const placement_candidate* first_for_short(
+        const placement_request& request, const std::vector<placement_candidate>& choice) const;
     const placement_candidate* best_for_long(const placement_request& request,
                                              const std::vector<placement_candidate>& choice) const;
 
--- a/tests/core/placement/undisturbed_placement_test.cpp
+++ b/tests/core/placement/undisturbed_placement_test.cpp
@@ -135,6 +135,18 @@
     CHECK_TRUE(chosen.size() >= 2);
 }
 
+TEST(undisturbed_placement, largest_short_prompts_take_no_engine_from_long_ones) {
+    fill_with_short(60);
+    const int busy = engines_with_requests();
+    for (std::uint64_t key = 1'000; key < 1'010; ++key) {
+        const placement_request large = prompt(key, 22'000, milliseconds(250), short_gap);
+        const placement_decision decision = choose(large);
+        CHECK_TRUE(decision.outcome == placement_decision::verdict::place);
+        add(decision.engine, large, work_phase::writing);
+    }
+    CHECK_TRUE(engines_with_requests() <= busy + 1);
+}
+
 TEST(undisturbed_placement, late_short_prompts_take_no_engine_from_long_ones) {
     fill_with_short(60);
     for (std::uint64_t key = 1'000; key < 1'020; ++key) {
