Announcements: work crosses to each other data centre once and is forwarded there

Change: core/fleet/announcement_routes: hosts of the own data centre hear it directly, of each other one a host heard in the last 1.1 s, drawn by rendezvous hashing of the sender, passes it on. Complete announcements each second still go straight to every host, so that a dead forwarder delays news by a second and no more, and nobody falls out of the directory for it. Ruled out: two forwarders a data centre (not needed: the test with a dead one passes), relaying complete announcements too (liveness would hang on third hosts).

--- a/core/fleet/announcement.hpp
+++ b/core/fleet/announcement.hpp
@@ -22,6 +22,8 @@
     std::int64_t configuration_revision = 0;
     /// True: `works` is all the work of the sender; false: only what changed.
     bool complete = false;
+    /// The receiver passes it on to the other hosts of its data centre.
+    bool forward = false;
     /// `dispatched_at` is on the clock of whoever holds the announcement.
     std::vector<engine_work> works;
     /// Engines that the sender's streams show to be slow.
--- a/drivers/datagrams/datagram_codec.cpp
+++ b/drivers/datagrams/datagram_codec.cpp
@@ -51,6 +51,7 @@
     result.sequence = root.sequence();
     result.configuration_revision = root.configuration_revision();
     result.complete = root.complete();
+    result.forward = root.forward();
     if (root.works() != nullptr) {
         for (const wire::work* item : *root.works()) {
             result.works.push_back(read_work(*item, now));
@@ -133,7 +134,7 @@
                                         message.sender.incarnation,
                                         static_cast<std::uint8_t>(message.state), message.sequence,
                                         message.configuration_revision, message.complete, list,
-                                        slow_list)
+                                        slow_list, message.forward)
                    .Union());
     }
 
--- a/drivers/datagrams/datagram_generated.h
+++ b/drivers/datagrams/datagram_generated.h
@@ -304,7 +304,8 @@
     VT_CONFIGURATION_REVISION = 20,
     VT_COMPLETE = 22,
     VT_WORKS = 24,
-    VT_SLOW = 26
+    VT_SLOW = 26,
+    VT_FORWARD = 28
   };
   const flatbuffers::String *host() const {
     return GetPointer<const flatbuffers::String *>(VT_HOST);
@@ -342,6 +343,9 @@
   const flatbuffers::Vector<flatbuffers::Offset<fuchsiaquay::wire::slow_engine>> *slow() const {
     return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<fuchsiaquay::wire::slow_engine>> *>(VT_SLOW);
   }
+  bool forward() const {
+    return GetField<uint8_t>(VT_FORWARD, 0) != 0;
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffset(verifier, VT_HOST) &&
@@ -365,6 +369,7 @@
            VerifyOffset(verifier, VT_SLOW) &&
            verifier.VerifyVector(slow()) &&
            verifier.VerifyVectorOfTables(slow()) &&
+           VerifyField<uint8_t>(verifier, VT_FORWARD, 1) &&
            verifier.EndTable();
   }
 };
@@ -409,6 +414,9 @@
   void add_slow(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<fuchsiaquay::wire::slow_engine>>> slow) {
     fbb_.AddOffset(announcement::VT_SLOW, slow);
   }
+  void add_forward(bool forward) {
+    fbb_.AddElement<uint8_t>(announcement::VT_FORWARD, static_cast<uint8_t>(forward), 0);
+  }
   explicit announcementBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -433,7 +441,8 @@
     int64_t configuration_revision = 0,
     bool complete = false,
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<fuchsiaquay::wire::work>>> works = 0,
-    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<fuchsiaquay::wire::slow_engine>>> slow = 0) {
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<fuchsiaquay::wire::slow_engine>>> slow = 0,
+    bool forward = false) {
   announcementBuilder builder_(_fbb);
   builder_.add_configuration_revision(configuration_revision);
   builder_.add_sequence(sequence);
@@ -445,6 +454,7 @@
   builder_.add_callers(callers);
   builder_.add_data_centre(data_centre);
   builder_.add_host(host);
+  builder_.add_forward(forward);
   builder_.add_complete(complete);
   builder_.add_state(state);
   return builder_.Finish();
@@ -463,7 +473,8 @@
     int64_t configuration_revision = 0,
     bool complete = false,
     const std::vector<flatbuffers::Offset<fuchsiaquay::wire::work>> *works = nullptr,
-    const std::vector<flatbuffers::Offset<fuchsiaquay::wire::slow_engine>> *slow = nullptr) {
+    const std::vector<flatbuffers::Offset<fuchsiaquay::wire::slow_engine>> *slow = nullptr,
+    bool forward = false) {
   auto host__ = host ? _fbb.CreateString(host) : 0;
   auto data_centre__ = data_centre ? _fbb.CreateString(data_centre) : 0;
   auto callers__ = callers ? _fbb.CreateString(callers) : 0;
@@ -484,7 +495,8 @@
       configuration_revision,
       complete,
       works__,
-      slow__);
+      slow__,
+      forward);
 }
 
 struct view_request FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
--- a/servers/fleet/host_registry.cpp
+++ b/servers/fleet/host_registry.cpp
@@ -4,6 +4,7 @@
 #include <utility>
 
 #include "core/error/step_error.hpp"
+#include "core/fleet/announcement_routes.hpp"
 #include "servers/decision_log.hpp"
 #include "servers/fleet/datagram_channel.hpp"
 #include "servers/fleet/engine_board.hpp"
@@ -25,6 +26,8 @@
 constexpr std::uint64_t complete_period = 2;
 /// Period of looking whether this host's own state has changed.
 constexpr duration state_period = std::chrono::milliseconds(50);
+/// A host that was not heard for this long passes no announcements on; one may be lost.
+constexpr duration forwarder_silence_limit = std::chrono::milliseconds(1'100);
 /// A host that was not heard for this long takes no callers; three announcements may be lost.
 constexpr duration silence_limit = std::chrono::milliseconds(1'800);
 /// Silence after which a host is forgotten.
@@ -188,13 +191,41 @@
     message.complete = complete;
     message.works = std::move(works);
     message.slow = board_.pace().observed(timers_.now());
-    std::vector<network_address> to;
+    if (complete) {
+        // These come straight from their host, so that a lost forwarder delays news and no more.
+        std::vector<network_address> all;
+        for (const auto& [host, item] : peers_) {
+            all.push_back(item.record.datagrams);
+        }
+        channel_.send(all, message);
+        return;
+    }
+    const announcement_routes routes = routes_of(self_, announcement_peers());
+    channel_.send(routes.direct, message);
+    message.forward = true;
+    channel_.send(routes.forwarders, message);
+}
+
+std::vector<announcement_peer> host_registry::announcement_peers() const {
+    const instant now = timers_.now();
+    std::vector<announcement_peer> result;
     for (const auto& [host, item] : peers_) {
-        to.push_back(item.record.datagrams);
+        const bool lately = item.heard && item.state != host_state::leaving &&
+                            now - item.heard_at < forwarder_silence_limit;
+        result.push_back({item.record, lately});
     }
-    if (!to.empty()) {
-        channel_.send(to, message);
+    return result;
+}
+
+void host_registry::pass_on(announcement message) {
+    message.forward = false;
+    std::vector<network_address> to;
+    for (const auto& [host, item] : peers_) {
+        if (item.record.data_centre == self_.data_centre) {
+            to.push_back(item.record.datagrams);
+        }
     }
+    channel_.send(to, message);
 }
 
 void host_registry::receive(const announcement& message) {
@@ -214,6 +245,9 @@
     if (outdated || addresses_unknown) {
         return;
     }
+    if (message.forward) {
+        pass_on(message);
+    }
     if (restarted || !known.heard || known.state != message.state) {
         log_.write(decision_log::level::info, "host_heard",
                    {{"peer", host},
--- a/servers/fleet/host_registry.hpp
+++ b/servers/fleet/host_registry.hpp
@@ -8,6 +8,7 @@
 #include <vector>
 
 #include "core/fleet/announcement.hpp"
+#include "core/fleet/announcement_peer.hpp"
 #include "core/fleet/host_record.hpp"
 #include "core/fleet/host_state.hpp"
 #include "core/time/clock.hpp"
@@ -68,6 +69,9 @@
     void flush_planned();
     void flush();
     void announce(bool complete, std::vector<engine_work> works);
+    /// Sends on what a host of another data centre announced.
+    void pass_on(announcement message);
+    std::vector<announcement_peer> announcement_peers() const;
     void drop_silent();
     bool alive(const peer& item, instant now) const;
 
--- a/tests/drivers/datagrams/datagram_codec_test.cpp
+++ b/tests/drivers/datagrams/datagram_codec_test.cpp
@@ -25,6 +25,7 @@
         message.sender.incarnation = 7;
         message.state = host_state::ready;
         message.complete = true;
+        message.forward = true;
         message.sequence = 3;
         message.configuration_revision = 12;
         engine_work work;
--- a/tests/servers/fleet/virtual_hosts.hpp
+++ b/tests/servers/fleet/virtual_hosts.hpp
@@ -32,7 +32,7 @@
     explicit virtual_network(timer_service& timers) : timers_(timers) {}
 
     void send(const std::string& from, const network_address& to, const peer_datagram& message) {
-        ++datagrams;
+        ++sent[{from, to.ip}];
         timers_.after(delay, [this, from, to, message] {
             const auto found = receivers.find(to.ip);
             if (found != receivers.end() && cut.count(from) == 0 && cut.count(to.ip) == 0) {
@@ -45,7 +45,8 @@
     /// Addresses that neither send nor receive.
     std::set<std::string> cut;
     duration delay = std::chrono::milliseconds(2);
-    int datagrams = 0;
+    /// Datagrams by sender and receiver.
+    std::map<std::pair<std::string, std::string>, int> sent;
 
 private:
     timer_service& timers_;
