--- a/servers/relay/request_log.cpp
+++ b/servers/relay/request_log.cpp
@@ -1,5 +1,7 @@
 #include "servers/relay/request_log.hpp"
 
+#include <vector>
+
 #include "core/placement/placement_decision.hpp"
 #include "core/relay/caller_request.hpp"
 #include "servers/decision_log.hpp"
@@ -17,6 +19,15 @@
     return std::to_string(to_milliseconds(value));
 }
 
+/// Upstream ids, separated by commas.
+std::string names_of(const std::vector<placement_part>& parts) {
+    std::string names;
+    for (const placement_part& part : parts) {
+        names += (names.empty() ? "" : ",") + part.engine;
+    }
+    return names;
+}
+
 }  // namespace
 
 void request_log::dispatched(const admission_result& admitted, const placement_decision& decision,
@@ -29,7 +40,7 @@
                          {"attempt", std::to_string(attempt)},
                          {"reason", decision.reason},
                          {"tokens", std::to_string(request_.prompt_tokens.value_or(0))},
-                         {"helpers", std::to_string(decision.helpers.size())},
+                         {"helpers", names_of(decision.helpers)},
                          {"waited_ms", ms_text(services_.timers.now() - request_.received_at)},
                          {"first_ms", ms_text(decision.first_event)},
                          {"configuration", std::to_string(admitted.configuration->version())},
--- a/tests/servers/fleet/host_registry_test.cpp
+++ b/tests/servers/fleet/host_registry_test.cpp
@@ -91,6 +91,23 @@
     LONGS_EQUAL(data_centres - 1, crossed);
 }
 
+TEST(host_registry, long_prompt_that_waits_is_known_everywhere_at_once) {
+    // Hosts that do not know of each other's waiting prompts take the same engine when one is free.
+    engine_work waiting;
+    waiting.key = 900;
+    waiting.phase = work_phase::waiting;
+    waiting.read_tokens = 300'000;
+    waiting.dispatched_at = fleet_.timers.now() + seconds(6);
+    host("h0").board.apply_own(waiting);
+    fleet_.timers.advance(at_once);
+    for (const auto& [name, item] : fleet_.hosts) {
+        engine_work later = waiting;
+        later.key = 901;
+        later.dispatched_at += seconds(1);
+        LONGS_EQUAL(1, item->board.load("").waiting_before(later, fleet_.timers.now()).size());
+    }
+}
+
 TEST(host_registry, senders_spread_over_the_hosts_of_another_data_centre) {
     std::set<std::string> forwarders;
     for (const auto& [name, item] : fleet_.hosts) {
