Relay: a long prompt is sent once hosts that chose at the same moment have heard of each other

Cause: news of a dispatch takes 3 to 7 ms to reach every host. Change: a long prompt claims its engines (the announcement of its work), waits 20 ms, and goes on unless another one that goes first, by the key that all hosts see, has claimed one of them since; then it chooses again. Ruled out: short prompts as winners of a race (parts of split prompts look like them; both sides withdrew). Tests first: long_prompt_leaves_an_engine_that_another_host_took_at_the_same_moment and long_prompt_leaves_an_engine_that_went_before_it_was_sent fail on the old code. Tests of long prompts let the claim settle before they look.

--- a/core/placement/engine_load.cpp
+++ b/core/placement/engine_load.cpp
@@ -99,6 +99,15 @@
     }));
 }
 
+bool engine_load::contested(const engine_work& own) const {
+    return std::any_of(works_.begin(), works_.end(), [&own](const auto& item) {
+        const engine_work& work = item.second;
+        // All hosts let the same one of two go first.
+        return work.phase == work_phase::reading && work.dispatched_at >= own.dispatched_at &&
+               work.key < own.key;
+    });
+}
+
 std::vector<std::int64_t> engine_load::waiting_before(const engine_work& own, instant now) const {
     const auto place = waiting_place(own, now);
     std::vector<const engine_work*> ahead;
--- a/core/placement/engine_load.hpp
+++ b/core/placement/engine_load.hpp
@@ -32,6 +32,9 @@
     /// Prompt tokens of the requests that wait and go before `own`, in their order: first those
     /// that can still be on time, except the heaviest, and of these the one that becomes late first.
     std::vector<std::int64_t> waiting_before(const engine_work& own, instant now) const;
+    /// Whether another request that goes first took the engine at the same moment: one that this
+    /// host did not know of when it chose the engine for `own`.
+    bool contested(const engine_work& own) const;
     bool empty() const { return works_.empty(); }
 
 private:
--- a/servers/relay/request_log.cpp
+++ b/servers/relay/request_log.cpp
@@ -61,6 +61,13 @@
                          {"waited_ms", ms_text(services_.timers.now() - request_.received_at)}});
 }
 
+void request_log::claim_lost(const placement_decision& decision) const {
+    services_.log.write(decision_log::level::info, "claim_lost",
+                        {{"request", request_.id},
+                         {"upstream", decision.engine},
+                         {"helpers", names_of(decision.helpers)}});
+}
+
 void request_log::first_event(const std::string& upstream, duration took, duration expected) const {
     services_.log.write(decision_log::level::info, "first_event",
                         {{"request", request_.id},
--- a/servers/relay/request_log.hpp
+++ b/servers/relay/request_log.hpp
@@ -24,6 +24,8 @@
     /// No upstream takes the request now: it waits, or is given up.
     void not_placed(const admission_result& admitted, const placement_decision& decision,
                     int attempts, bool waits) const;
+    /// Another request took an engine of `decision` at the same moment: this one chooses again.
+    void claim_lost(const placement_decision& decision) const;
     void first_event(const std::string& upstream, duration took, duration expected) const;
     /// @param at_fault  another engine that made the attempt fail; empty for `upstream` itself
     void attempt_failed(const std::string& upstream, const std::string& at_fault, int attempt,
--- a/servers/relay/request_relay.cpp
+++ b/servers/relay/request_relay.cpp
@@ -54,6 +54,8 @@
 constexpr duration no_room_delay = std::chrono::milliseconds(600);
 /// Urgencies of the upstreams' interface that one rank spans.
 constexpr int urgencies_per_rank = 3;
+/// A host hears of another one's choice within this time.
+constexpr duration claim_time = std::chrono::milliseconds(20);
 constexpr int max_urgency = 9;
 
 bool is_success(int status) {
@@ -191,21 +193,55 @@
 }
 
 void request_relay::dispatch(const placement_decision& decision) {
+    decision_ = decision;
+    work_.dispatch(work_key_, decision, request_, engine(), *admitted_.terms,
+                   services_.timers.now());
+    const engine_profile* profile = engine();
+    if (profile == nullptr || read_time(*profile, request_.prompt_tokens.value_or(0)) <= long_read) {
+        begin_attempt();
+        return;
+    }
+    services_.timers.after(claim_time, [this, alive = std::weak_ptr<int>(alive_)] {
+        if (!alive.expired() && !done_) {
+            claimed();
+        }
+    });
+}
+
+void request_relay::claimed() {
+    if (engines_listed() && !work_.contested()) {
+        begin_attempt();
+        return;
+    }
+    log_.claim_lost(decision_);
+    work_.advance(work_phase::ended);
+    place();
+}
+
+bool request_relay::engines_listed() const {
+    const auto listed = [this](const std::string& id) {
+        const upstream_entry* entry = services_.upstreams.find(id);
+        return entry != nullptr && entry->state == upstream_state::ready;
+    };
+    return listed(decision_.engine) &&
+           std::all_of(decision_.helpers.begin(), decision_.helpers.end(),
+                       [&listed](const placement_part& part) { return listed(part.engine); });
+}
+
+void request_relay::begin_attempt() {
     ++attempts_;
     if (attempts_ == 1) {
         services_.metrics.placed(admitted_.rank, services_.timers.now() - request_.received_at);
     }
-    decision_ = decision;
-    upstream_ = decision.engine;
+    upstream_ = decision_.engine;
     sent_at_ = services_.timers.now();
     progress_at_ = sent_at_;
-    expected_first_ = decision.first_event;
+    expected_first_ = decision_.first_event;
     streaming_ = false;
     answer_ = {};
     body_.clear();
-    work_.dispatch(work_key_, decision, request_, engine(), *admitted_.terms, sent_at_);
-    if (decision.reserved_tokens > 0) {
-        reserve(decision);
+    if (decision_.reserved_tokens > 0) {
+        reserve(decision_);
     } else {
         send();
     }
--- a/servers/relay/request_relay.hpp
+++ b/servers/relay/request_relay.hpp
@@ -57,6 +57,11 @@
     /// Ends a request that no upstream takes.
     void give_up(const placement_decision& decision);
     void dispatch(const placement_decision& decision);
+    /// After the time in which hosts that chose at the same moment hear of each other.
+    void claimed();
+    /// Whether the engines that were chosen are still listed and accept work.
+    bool engines_listed() const;
+    void begin_attempt();
     void reserve(const placement_decision& decision);
     void reserved(bool held);
     void send();
--- a/servers/relay/request_work.cpp
+++ b/servers/relay/request_work.cpp
@@ -52,6 +52,12 @@
     }
 }
 
+bool request_work::contested() const {
+    return std::any_of(works_.begin(), works_.end(), [this](const engine_work& work) {
+        return board_.load(work.engine).contested(work);
+    });
+}
+
 void request_work::advance(work_phase phase) {
     for (engine_work& work : works_) {
         // A part that is read and not kept is over with the first event.
--- a/servers/relay/request_work.hpp
+++ b/servers/relay/request_work.hpp
@@ -27,6 +27,8 @@
     void dispatch(std::uint64_t key, const placement_decision& decision,
                   const caller_request& request, const engine_profile* profile, const route& terms,
                   instant now);
+    /// Whether another request took one of the engines at the same moment and goes first.
+    bool contested() const;
     void advance(work_phase phase);
     /// True from the dispatch until the first event.
     bool reading() const;
--- a/tests/core/placement/engine_load_test.cpp
+++ b/tests/core/placement/engine_load_test.cpp
@@ -59,3 +59,23 @@
     LONGS_EQUAL(1, load_.waiting_before(late, now_).size());
     LONGS_EQUAL(2, load_.waiting_before(heavy, now_).size());
 }
+
+TEST(engine_load, of_two_prompts_that_take_an_engine_at_once_one_goes_first) {
+    const engine_work first = work(1, work_phase::reading);
+    engine_work second = work(2, work_phase::reading);
+    second.dispatched_at = first.dispatched_at + milliseconds(3);
+    load_.apply("a", first);
+    load_.apply("b", second);
+    engine_work heard_later = first;
+    heard_later.dispatched_at = second.dispatched_at + milliseconds(2);
+    CHECK_FALSE(load_.contested(first));
+    load_.apply("a", heard_later);
+    CHECK_TRUE(load_.contested(second));
+}
+
+TEST(engine_load, prompt_that_was_there_before_contests_nothing) {
+    engine_work before = work(1, work_phase::reading);
+    before.dispatched_at = now_ - seconds(1);
+    load_.apply("a", before);
+    CHECK_FALSE(load_.contested(work(2, work_phase::reading)));
+}
--- a/tests/servers/relay/relay_fixture.hpp
+++ b/tests/servers/relay/relay_fixture.hpp
@@ -241,6 +241,9 @@
     void answered() override {}
 };
 
+/// A long prompt is sent when other hosts had this time to tell of their choices.
+constexpr duration claim_settles = std::chrono::milliseconds(25);
+
 /// A host's way of requests, between a sink and exchanges that a test drives.
 struct relay_fixture {
     relay_fixture() {
@@ -271,6 +274,11 @@
         upstreams.on_changes({{{"u/" + id, "llm", 2}, false}}, 2);
     }
     void serve(const caller_request& wanted) { active = queue.serve(wanted, sink); }
+    /// Serves a prompt that other hosts may want the same engine for.
+    void serve_long(const caller_request& wanted) {
+        serve(wanted);
+        timers.advance(claim_settles);
+    }
     std::size_t attempts() const { return connector.attempts.size(); }
 
     virtual_timer_service timers;
--- a/tests/servers/relay/request_relay_test.cpp
+++ b/tests/servers/relay/request_relay_test.cpp
@@ -221,7 +221,7 @@
 }
 
 TEST(request_relay, prompt_beyond_one_engine_is_sent_once_all_memory_is_held) {
-    host_.serve(host_.request("/chat/1", 600'000));
+    host_.serve_long(host_.request("/chat/1", 600'000));
     LONGS_EQUAL(1, host_.attempts());
     LONGS_EQUAL(3, host_.orders.held.size());
     CHECK_TRUE(upstream_.last().head.find("parts=3") != std::string::npos);
@@ -233,7 +233,7 @@
 }
 
 TEST(request_relay, memory_is_given_back_when_the_caller_leaves) {
-    host_.serve(host_.request("/chat/1", 600'000));
+    host_.serve_long(host_.request("/chat/1", 600'000));
     CHECK_FALSE(host_.orders.held.empty());
     host_.active.reset();
     CHECK_TRUE(host_.orders.held.empty());
@@ -241,8 +241,7 @@
 
 TEST(request_relay, memory_that_only_some_engines_hold_is_given_back) {
     host_.orders.refuse_after = 2;
-    host_.serve(host_.request("/chat/1", 600'000));
-    host_.timers.advance(milliseconds(1));
+    host_.serve_long(host_.request("/chat/1", 600'000));
     LONGS_EQUAL(0, host_.attempts());
     host_.active.reset();
     CHECK_TRUE(host_.orders.held.empty());
@@ -251,24 +250,60 @@
 TEST(request_relay, engine_that_denies_memory_is_left_out_of_the_next_group) {
     host_.add_engine("llm-4");
     host_.orders.deny_at = 2;
-    host_.serve(host_.request("/chat/1", 600'000));
-    host_.timers.advance(milliseconds(1));
+    host_.serve_long(host_.request("/chat/1", 600'000));
+    host_.timers.advance(claim_settles);
     LONGS_EQUAL(1, host_.attempts());
     LONGS_EQUAL(1, host_.orders.denials);
 }
 
 TEST(request_relay, helper_that_an_answer_blames_is_left_out_of_the_next_attempt) {
     host_.add_engine("llm-4");
-    host_.serve(host_.request("/chat/1", 50'000));
+    host_.serve_long(host_.request("/chat/1", 50'000));
     const std::string& head = upstream_.last().head;
     const std::size_t at = head.find("with=");
     CHECK_TRUE(at != std::string::npos);
     const std::string helper = head.substr(at + 5, head.find(' ', at) - at - 5);
     upstream_.answer(503, {{"not-executed", "1"}, {"fault", helper}});
+    host_.timers.advance(claim_settles);
     LONGS_EQUAL(2, host_.attempts());
     CHECK_TRUE(upstream_.last().head.find(helper) == std::string::npos);
 }
 
+TEST(request_relay, long_prompt_leaves_an_engine_that_another_host_took_at_the_same_moment) {
+    host_.serve(host_.request("/chat/1", 40'000));
+    const std::vector<engine_work> claims = host_.board.own_works();
+    LONGS_EQUAL(0, host_.attempts());
+    engine_work other = claims.front();
+    other.key = claims.front().key - 1;
+    host_.timers.advance(milliseconds(3));
+    other.dispatched_at = host_.timers.now();
+    host_.board.apply_remote("other", other);
+    host_.timers.advance(2 * claim_settles);
+    LONGS_EQUAL(1, host_.attempts());
+    CHECK_TRUE(upstream_.last().upstream.id != other.engine);
+}
+
+TEST(request_relay, long_prompt_that_goes_first_keeps_its_engine) {
+    host_.serve(host_.request("/chat/1", 40'000));
+    engine_work other = host_.board.own_works().front();
+    other.key += 1;
+    host_.timers.advance(milliseconds(3));
+    other.dispatched_at = host_.timers.now();
+    host_.board.apply_remote("other", other);
+    host_.timers.advance(claim_settles);
+    LONGS_EQUAL(1, host_.attempts());
+    CHECK_EQUAL(other.engine, upstream_.last().upstream.id);
+}
+
+TEST(request_relay, long_prompt_leaves_an_engine_that_went_before_it_was_sent) {
+    host_.serve(host_.request("/chat/1", 40'000));
+    const std::string gone = host_.board.own_works().front().engine;
+    host_.upstreams.on_changes({{{"u/" + gone, "", 3}, true}}, 3);
+    host_.timers.advance(2 * claim_settles);
+    LONGS_EQUAL(1, host_.attempts());
+    CHECK_TRUE(upstream_.last().upstream.id != gone);
+}
+
 TEST_GROUP(request_relay_of_a_new_host) {
     relay_fixture host_;
     configuration_feed feed_{host_.configuration_codec, host_.log, "config"};
