Placement: the heaviest prompts wait no longer than the forecast that they began with

They go last, so each later one takes the engine that comes free, and the forecast, which knows nobody who comes later, promised engines in 3 s again and again. Change: a prompt whose reading takes over 10 s stops waiting at the forecast that it began with and 0.5 s, and is told when to come back. Ruled out: letting them go first after a while (their 15 to 20 engine seconds are three to four other prompts'). Tests: heaviest_prompt_is_refused_once_its_forecast_has_proved_wrong fails with unlimited patience; heaviest_prompt_waits_no_longer_than_its_forecast.

--- a/core/placement/engine_load.cpp
+++ b/core/placement/engine_load.cpp
@@ -5,13 +5,12 @@
 #include <tuple>
 #include <vector>
 
+#include "core/placement/pass_timing.hpp"
+
 namespace fuchsiaquay {
 
 namespace {
 
-/// Prompts that take longer to read earn less for the time of an engine than all others.
-constexpr duration heavy_read = std::chrono::seconds(10);
-
 auto waiting_place(const engine_work& work, instant now) {
     const bool last = work.dispatched_at < now || work.read_time > heavy_read;
     return std::make_tuple(last, work.dispatched_at, work.key);
--- a/core/placement/pass_timing.hpp
+++ b/core/placement/pass_timing.hpp
@@ -14,6 +14,10 @@
 /// Prompts that take longer to read are long: they wait in an order that all hosts share.
 constexpr duration long_read = std::chrono::milliseconds(130);
 
+/// Prompts that take longer to read earn less for the time of an engine than all others: they go
+/// last among those that wait.
+constexpr duration heavy_read = std::chrono::seconds(10);
+
 /// Time to read a prompt of `tokens`, with nothing else in the way.
 duration read_time(const engine_profile& profile, std::int64_t tokens);
 
--- a/core/placement/placement_decision.hpp
+++ b/core/placement/placement_decision.hpp
@@ -34,7 +34,9 @@
     bool answer_expected = false;
     /// Long prompts of all hosts that go first.
     std::size_t ahead = 0;
-    /// For a prompt that is refused: time after which engines are expected to come free.
+    /// For a prompt that waits: longest time from now on, where others may always go before it.
+    duration patience = duration::max();
+    /// For a prompt that waits or is refused: time after which engines are expected to come free.
     duration retry_after{};
     /// What decided it, for the log.
     const char* reason = "";
--- a/core/placement/undisturbed_placement.cpp
+++ b/core/placement/undisturbed_placement.cpp
@@ -257,11 +257,15 @@
         return found;
     }
     found.first_event = outlook->first_event;
+    found.retry_after = outlook->start;
+    if (read_time(*engines.front().engine->profile, request.prompt_tokens) > heavy_read) {
+        // The forecast does not know of those that come later and go first.
+        found.patience = outlook->start + settings_.forecast_slack;
+    }
     found.answer_expected = outlook->complete <= request.time_left;
     if (!found.answer_expected) {
         found.outcome = placement_decision::verdict::refuse;
         found.reason = "no engine in its time";
-        found.retry_after = outlook->start;
     }
     return found;
 }
--- a/core/placement/undisturbed_settings.hpp
+++ b/core/placement/undisturbed_settings.hpp
@@ -23,6 +23,8 @@
     /// Engines that may read parts of one prompt besides the one that answers. Source: the
     /// engines' interface.
     int max_helpers = 16;
+    /// Time that a forecast may be wrong by before a prompt that goes last stops waiting.
+    duration forecast_slack = std::chrono::milliseconds(500);
     /// Part of an engine's slots that short prompts are spread to before they take another engine.
     double slot_fill = 0.75;
 };
--- a/servers/relay/request_relay.cpp
+++ b/servers/relay/request_relay.cpp
@@ -153,7 +153,7 @@
         case placement_decision::verdict::wait:
             break;
     }
-    if (!decision.answer_expected && now >= wait_until_) {
+    if (now >= patient_until_ || (!decision.answer_expected && now >= wait_until_)) {
         give_up(decision);
         return;
     }
@@ -173,6 +173,9 @@
 void request_relay::begin_waiting(const placement_decision& decision) {
     if (!waiting_) {
         log_.not_placed(admitted_, decision, attempts_, true);
+        if (decision.patience != duration::max()) {
+            patient_until_ = services_.timers.now() + decision.patience;
+        }
     }
     waiting_ = true;
     if (const engine_profile* profile = engine()) {
@@ -182,6 +185,7 @@
 }
 
 void request_relay::end_waiting() {
+    patient_until_ = instant::max();
     if (std::exchange(waiting_, false)) {
         work_.advance(work_phase::ended);
     }
--- a/servers/relay/request_relay.hpp
+++ b/servers/relay/request_relay.hpp
@@ -102,6 +102,8 @@
     instant deadline_{};
     /// When a request without an upstream stops waiting for one, unless one is expected in time.
     instant wait_until_{};
+    /// When it stops waiting although one is expected: the forecast was wrong.
+    instant patient_until_ = instant::max();
     /// Time after which the caller of a request that found no room comes back.
     duration retry_after_{};
     bool waiting_ = false;
--- a/tests/core/placement/undisturbed_placement_test.cpp
+++ b/tests/core/placement/undisturbed_placement_test.cpp
@@ -292,6 +292,20 @@
     CHECK_TRUE(later.answer_expected);
 }
 
+TEST(undisturbed_placement, heaviest_prompt_waits_no_longer_than_its_forecast) {
+    for (const auto& [id, load] : loads_) {
+        add(id, season_request(50), work_phase::reading);
+    }
+    placement_request heavy = season_request(1, 600'000);
+    heavy.time_left = seconds(15);
+    const placement_decision decision = choose(heavy);
+    CHECK_TRUE(decision.outcome == placement_decision::verdict::wait);
+    CHECK_TRUE(decision.patience >= seconds(2) && decision.patience < seconds(5));
+    placement_request usual = season_request(2);
+    usual.time_left = seconds(15);
+    CHECK_TRUE(choose(usual).patience == duration::max());
+}
+
 TEST(undisturbed_placement, season_prompt_behind_a_long_queue_is_refused_at_once) {
     for (const auto& [id, load] : loads_) {
         add(id, season_request(50), work_phase::reading);
--- a/tests/servers/relay/request_relay_test.cpp
+++ b/tests/servers/relay/request_relay_test.cpp
@@ -283,6 +283,30 @@
     CHECK_TRUE(upstream_.last().upstream.id != other.engine);
 }
 
+TEST(request_relay, heaviest_prompt_is_refused_once_its_forecast_has_proved_wrong) {
+    // Each engine begins to read another prompt whenever it has read one.
+    const auto keep_busy = [this](std::uint64_t turn) {
+        for (const char* engine : {"llm-1", "llm-2", "llm-3"}) {
+            engine_work other;
+            other.key = turn;
+            other.engine = engine;
+            other.read_time = seconds(1);
+            other.target_gap = milliseconds(200);
+            other.dispatched_at = host_.timers.now();
+            host_.board.replace_remote(engine, {other});
+        }
+    };
+    keep_busy(1);
+    host_.serve(host_.request("/chat/1", 600'000));
+    LONGS_EQUAL(0, caller_.answers);
+    for (std::uint64_t turn = 2; turn < 30 && caller_.answers == 0; ++turn) {
+        host_.timers.advance(milliseconds(100));
+        keep_busy(turn);
+    }
+    LONGS_EQUAL(503, caller_.status);
+    LONGS_EQUAL(0, host_.attempts());
+}
+
 TEST(request_relay, long_prompt_that_goes_first_keeps_its_engine) {
     host_.serve(host_.request("/chat/1", 40'000));
     engine_work other = host_.board.own_works().front();
