Relay: an attempt at an upstream is a class of its own

Change: servers/relay/upstream_attempt reserves, sends and reads; it reports to attempt_listener, and its end closes the exchange and gives the memory back. The relay keeps admission, waiting, retries, time-outs and the caller's side; a stream that has begun counts as broken whatever ended the attempt, in one place instead of six. No behaviour is meant to change but one: an answer that belongs to another request, in a stream that goes on elsewhere, counts as a broken stream like every other failure there, where it was answered with a status in the middle of the stream.

--- a/servers/relay/request_relay.cpp
+++ b/servers/relay/request_relay.cpp
@@ -16,14 +16,12 @@
 #include "servers/fleet/engine_board.hpp"
 #include "servers/fleet/upstream_registry.hpp"
 #include "servers/relay/admission.hpp"
-#include "servers/relay/memory_claims.hpp"
 #include "servers/relay/relay_queue.hpp"
 #include "servers/relay/request_ending.hpp"
 #include "servers/relay/request_format.hpp"
 #include "servers/relay/response_sink.hpp"
+#include "servers/relay/upstream_attempt.hpp"
 #include "servers/relay/upstream_choice.hpp"
-#include "servers/relay/upstream_connector.hpp"
-#include "servers/relay/upstream_terms.hpp"
 #include "servers/request_metrics.hpp"
 #include "servers/store/prefix_mirror.hpp"
 #include "servers/timer_service.hpp"
@@ -32,9 +30,6 @@
 
 namespace {
 
-constexpr int status_success_first = 200;
-constexpr int status_success_last = 299;
-constexpr int status_server_error = 500;
 constexpr int status_bad_gateway = 502;
 constexpr int status_unavailable = 503;
 constexpr int status_timeout = 504;
@@ -52,15 +47,8 @@
 constexpr duration elsewhere_delay = std::chrono::milliseconds(10);
 /// Shortest time after which a caller that found no room comes back.
 constexpr duration no_room_delay = std::chrono::milliseconds(600);
-/// Urgencies of the upstreams' interface that one rank spans.
-constexpr int urgencies_per_rank = 3;
 /// A host hears of another one's choice within this time.
 constexpr duration claim_time = std::chrono::milliseconds(20);
-constexpr int max_urgency = 9;
-
-bool is_success(int status) {
-    return status >= status_success_first && status <= status_success_last;
-}
 
 }  // namespace
 
@@ -81,7 +69,7 @@
     if (!done_) {
         log_end("caller_left", 0, begun_ ? "during the answer" : "before the answer");
     }
-    exchange_.reset();
+    attempt_.reset();
     work_.advance(work_phase::ended);
 }
 
@@ -111,8 +99,8 @@
     if (!request_.last_event_id.empty()) {
         events_ = event_splitter(std::strtoll(request_.last_event_id.c_str(), nullptr, 10));
     }
-    wait_until_ = std::min(request_.received_at + admitted_.terms->target,
-                           deadline_ - min_attempt_time);
+    wait_until_ =
+        std::min(request_.received_at + admitted_.terms->target, deadline_ - min_attempt_time);
     services_.budget.on_request(admitted_.service_name, request_.received_at);
     place();
 }
@@ -201,7 +189,8 @@
     work_.dispatch(work_key_, decision, request_, engine(), *admitted_.terms,
                    services_.timers.now());
     const engine_profile* profile = engine();
-    if (profile == nullptr || read_time(*profile, request_.prompt_tokens.value_or(0)) <= long_read) {
+    if (profile == nullptr ||
+        read_time(*profile, request_.prompt_tokens.value_or(0)) <= long_read) {
         begin_attempt();
         return;
     }
@@ -238,178 +227,65 @@
         services_.metrics.placed(admitted_.rank, services_.timers.now() - request_.received_at);
     }
     upstream_ = decision_.engine;
-    sent_at_ = services_.timers.now();
-    progress_at_ = sent_at_;
-    expected_first_ = decision_.first_event;
-    streaming_ = false;
-    answer_ = {};
-    body_.clear();
-    if (decision_.reserved_tokens > 0) {
-        reserve(decision_);
-    } else {
-        send();
-    }
-}
-
-void request_relay::reserve(const placement_decision& decision) {
-    const std::string id = services_.host + "-" + std::to_string(work_key_);
-    std::vector<memory_claim> claims = memory_claims(decision, services_.upstreams, id);
-    memory_ =
-        std::make_unique<memory_reservation>(services_.orders, services_.timers, std::move(claims),
-                                             [this](bool held) { reserved(held); });
-    memory_->start();
-}
-
-void request_relay::reserved(bool held) {
-    const bool listed = services_.upstreams.find(upstream_) != nullptr;
-    if (held && listed) {
-        send();
-        return;
-    }
-    // Ending the reservation from within its own call has to wait until that has returned.
-    services_.timers.after(duration::zero(), [this, alive = std::weak_ptr<int>(alive_)] {
-        if (!alive.expired()) {
-            at_fault_ = engine_at(memory_->refused_by());
-            attempt_failed(begun_ ? attempt_outcome::broken_stream : attempt_outcome::not_sent,
-                           "memory not reserved");
-        }
-    });
-}
-
-void request_relay::send() {
-    const upstream_entry* entry = services_.upstreams.find(upstream_);
-    const instant now = services_.timers.now();
-    upstream_terms terms;
-    terms.upstream = entry->id;
-    terms.customer = admitted_.customer;
-    terms.time_left = deadline_ - now;
-    terms.urgency = std::min(max_urgency, admitted_.rank * urgencies_per_rank);
+    attempt_terms terms;
+    terms.decision = decision_;
+    terms.work_key = work_key_;
+    terms.deadline = deadline_;
+    terms.number = attempts_;
     terms.last_event_id = begun_ ? std::to_string(events_.last_id()) : request_.last_event_id;
-    if (memory_) {
-        for (const memory_claim& claim : memory_->claims()) {
-            terms.helpers.push_back({claim.engine, claim.id});
-        }
-    } else {
-        for (const placement_part& part : decision_.helpers) {
-            terms.helpers.push_back({services_.upstreams.find(part.engine)->address, ""});
-        }
-    }
-    services_.health.on_sent(upstream_id(entry->id), now);
-    log_.dispatched(admitted_, decision_, attempts_);
-    const bool new_connection = !repeatable();
-    exchange_ = services_.connector.open(*entry, services_.format.write_request(request_, terms),
-                                         request_.body, new_connection, *this);
-}
-
-void request_relay::on_head(response_head head) {
-    answer_ = services_.format.read_answer(std::move(head));
-    progress_at_ = services_.timers.now();
-    if (!answer_.request.empty() && answer_.request != request_.id) {
-        attempt_failed(attempt_outcome::unknown, "answer of another request");
-        return;
-    }
-    if (answer_.misdirected || answer_.not_executed) {
-        note_fault();
-        attempt_failed(begun_ ? attempt_outcome::broken_stream : attempt_outcome::declined,
-                       "declined with " + std::to_string(answer_.head.status));
-        return;
-    }
-    const int status = answer_.head.status;
-    if (is_success(status) && !answer_.sealed) {
-        attempt_failed(begun_ ? attempt_outcome::broken_stream : attempt_outcome::unknown,
-                       "success without proof");
-        return;
-    }
-    if (begun_ && !is_success(status)) {
-        attempt_failed(attempt_outcome::broken_stream, "status " + std::to_string(status));
-        return;
-    }
-    streaming_ = admitted_.terms->streams() && is_success(status);
-    if (status >= status_server_error && repeatable()) {
-        attempt_failed(attempt_outcome::failed, "status " + std::to_string(status));
-    }
-}
-
-void request_relay::note_fault() {
-    if (answer_.at_fault.empty()) {
-        return;
-    }
-    at_fault_ = engine_at(answer_.at_fault);
-    if (at_fault_ != upstream_) {
-        services_.health.on_result(upstream_id(at_fault_), attempt_evidence::failed,
-                                   services_.timers.now());
-    }
-}
-
-std::string request_relay::engine_at(const network_address& address) const {
-    for (const placement_part& part : decision_.helpers) {
-        const upstream_entry* entry = services_.upstreams.find(part.engine);
-        if (entry != nullptr && entry->address == address) {
-            return part.engine;
-        }
-    }
-    return upstream_;
-}
-
-void request_relay::on_body(std::string_view bytes) {
-    progress_at_ = services_.timers.now();
-    if (streaming_) {
-        pass_events(bytes);
-    } else {
-        body_.append(bytes);
-    }
+    terms.resumes = begun_;
+    attempt_listener& self = *this;
+    attempt_ = std::make_unique<upstream_attempt>(services_, request_, admitted_, log_,
+                                                  std::move(terms), self);
+    attempt_->start();
 }
 
-void request_relay::pass_events(std::string_view bytes) {
+void request_relay::on_stream_bytes(std::string_view bytes) {
     const std::int64_t passed_before = events_.count();
     const std::string events = events_.take(bytes);
     if (events_.out_of_order()) {
-        attempt_failed(begun_ ? attempt_outcome::broken_stream : attempt_outcome::unknown,
-                       "events out of order");
+        on_attempt_failed(attempt_outcome::unknown, "events out of order");
         return;
     }
     if (events.empty()) {
         return;
     }
+    const instant now = services_.timers.now();
     if (!begun_) {
         begun_ = true;
         services_.metrics.first_token(admitted_.rank, request_.prompt_tokens.value_or(0),
-                                      progress_at_ - request_.received_at);
-        sink_.begin(answer_.head, events);
+                                      now - request_.received_at);
+        sink_.begin(attempt_->head(), events);
     } else {
-        services_.metrics.token_gap(progress_at_ - events_at_, 1);
-        observe_pace(events_.count() - passed_before);
+        services_.metrics.token_gap(now - events_at_, 1);
+        observe_pace(events_.count() - passed_before, now);
         sink_.write(events);
     }
-    events_at_ = progress_at_;
+    events_at_ = now;
     if (work_.reading()) {
-        log_.first_event(upstream_, progress_at_ - sent_at_, expected_first_);
+        log_.first_event(upstream_, now - attempt_->sent_at(), decision_.first_event);
         work_.advance(work_phase::writing);
     }
 }
 
-void request_relay::observe_pace(std::int64_t events) {
+void request_relay::observe_pace(std::int64_t events, instant now) {
     const engine_profile* profile = engine();
     const engine_load& load = services_.board.load(upstream_);
     // Reading makes passes longer, and so do engines that hold parts of the prompt.
-    const bool only_writes = load.pending_read(progress_at_) == duration::zero();
+    const bool only_writes = load.pending_read(now) == duration::zero();
     if (profile == nullptr || events <= 0 || !only_writes || !decision_.helpers.empty()) {
         return;
     }
     const duration pass = write_pass_time(*profile, load.writers(), load.writer_context());
     const double ratio =
-        to_seconds(progress_at_ - events_at_) / static_cast<double>(events) / to_seconds(pass);
-    if (services_.board.pace().observe(upstream_, ratio, progress_at_)) {
-        log_.pace_changed(upstream_, services_.board.pace().of(upstream_, progress_at_));
+        to_seconds(now - events_at_) / static_cast<double>(events) / to_seconds(pass);
+    if (services_.board.pace().observe(upstream_, ratio, now)) {
+        log_.pace_changed(upstream_, services_.board.pace().of(upstream_, now));
     }
 }
 
-void request_relay::on_end() {
-    services_.health.on_result(upstream_id(upstream_), attempt_evidence::answered,
-                               services_.timers.now());
-    exchange_.reset();
-    memory_.reset();
-    if (streaming_) {
+void request_relay::on_answered() {
+    if (attempt_->streaming()) {
         finish_stream();
     } else {
         finish_answer();
@@ -418,38 +294,23 @@
 
 void request_relay::finish_stream() {
     if (events_.has_partial()) {
-        attempt_failed(begun_ ? attempt_outcome::broken_stream : attempt_outcome::unknown,
-                       "stream ended inside an event");
+        on_attempt_failed(attempt_outcome::unknown, "stream ended inside an event");
         return;
     }
     work_.advance(work_phase::ended);
     if (!begun_) {
-        sink_.begin(answer_.head, "");
+        sink_.begin(attempt_->head(), "");
     }
     services_.metrics.answered();
-    log_end("answered", answer_.head.status, "");
+    log_end("answered", attempt_->head().status, "");
     sink_.finish();
 }
 
 void request_relay::finish_answer() {
     work_.advance(work_phase::ended);
     services_.metrics.answered();
-    log_end("answered", answer_.head.status, "");
-    sink_.send(answer_.head, std::move(body_));
-}
-
-void request_relay::on_failure(const exchange_failure& failure) {
-    const attempt_evidence evidence = failure.reused_connection
-                                          ? attempt_evidence::stalled_reused_connection
-                                          : attempt_evidence::failed;
-    services_.health.on_result(upstream_id(upstream_), evidence, services_.timers.now());
-    attempt_outcome outcome = attempt_outcome::unknown;
-    if (begun_) {
-        outcome = attempt_outcome::broken_stream;
-    } else if (!failure.sent) {
-        outcome = attempt_outcome::not_sent;
-    }
-    attempt_failed(outcome, failure.reason);
+    log_end("answered", attempt_->head().status, "");
+    sink_.send(attempt_->head(), attempt_->take_body());
 }
 
 next_step request_relay::step_after(attempt_outcome outcome) {
@@ -473,19 +334,20 @@
     return decide_next_step(facts);
 }
 
-void request_relay::attempt_failed(attempt_outcome outcome, const std::string& reason) {
-    end_attempt(outcome, step_after(outcome), reason);
+void request_relay::on_attempt_failed(attempt_outcome outcome, const std::string& reason) {
+    const attempt_outcome seen = begun_ ? attempt_outcome::broken_stream : outcome;
+    end_attempt(seen, step_after(seen), reason);
 }
 
 void request_relay::end_attempt(attempt_outcome outcome, next_step step,
                                 const std::string& reason) {
-    log_.attempt_failed(upstream_, at_fault_, attempts_, reason, services_.timers.now() - sent_at_,
-                        step == next_step::retry);
+    at_fault_ = attempt_->at_fault();
+    log_.attempt_failed(upstream_, at_fault_, attempts_, reason,
+                        services_.timers.now() - attempt_->sent_at(), step == next_step::retry);
     if (step == next_step::forward) {
         return;
     }
-    exchange_.reset();
-    memory_.reset();
+    attempt_.reset();
     work_.advance(work_phase::ended);
     const bool ran_nothing =
         outcome == attempt_outcome::not_sent || outcome == attempt_outcome::declined;
@@ -531,15 +393,14 @@
     const instant now = services_.timers.now();
     if (now >= deadline_) {
         time_out();
-    } else if (exchange_ && repeatable()) {
+    } else if (attempt_ && attempt_->sent() && repeatable()) {
         check_progress(now);
     }
 }
 
 void request_relay::time_out() {
-    may_have_run_ = may_have_run_ || exchange_ != nullptr;
-    exchange_.reset();
-    memory_.reset();
+    may_have_run_ = may_have_run_ || (attempt_ && attempt_->sent());
+    attempt_.reset();
     work_.advance(work_phase::ended);
     end_waiting();
     if (begun_) {
@@ -558,16 +419,16 @@
     facts.target = admitted_.terms->target;
     facts.timeout = admitted_.terms->timeout;
     facts.target_gap = admitted_.terms->target_gap;
-    facts.expected_first = expected_first_;
+    facts.expected_first = decision_.first_event;
     if (const engine_profile* profile = engine()) {
         facts.whole_read = read_time(*profile, request_.prompt_tokens.value_or(0));
     }
-    if (now - progress_at_ < stall_patience(facts)) {
+    if (now - std::max(attempt_->progress_at(), stalled_at_) < stall_patience(facts)) {
         return;
     }
     const attempt_outcome outcome =
         begun_ ? attempt_outcome::broken_stream : attempt_outcome::unknown;
-    progress_at_ = now;
+    stalled_at_ = now;
     services_.health.on_result(upstream_id(upstream_), attempt_evidence::failed, now);
     // A silent upstream may still answer: it is left only for another one.
     const next_step step = step_after(outcome);
--- a/servers/relay/request_relay.hpp
+++ b/servers/relay/request_relay.hpp
@@ -3,7 +3,6 @@
 #include <cstdint>
 #include <memory>
 #include <string>
-#include <vector>
 
 #include "core/placement/placement_decision.hpp"
 #include "core/relay/attempt_outcome.hpp"
@@ -12,22 +11,20 @@
 #include "core/relay/next_step.hpp"
 #include "servers/relay/active_request.hpp"
 #include "servers/relay/admission_result.hpp"
-#include "servers/relay/exchange_listener.hpp"
-#include "servers/relay/memory_reservation.hpp"
+#include "servers/relay/attempt_listener.hpp"
 #include "servers/relay/relay_services.hpp"
 #include "servers/relay/request_log.hpp"
 #include "servers/relay/request_work.hpp"
-#include "servers/relay/upstream_answer.hpp"
-#include "servers/relay/upstream_exchange.hpp"
 
 namespace fuchsiaquay {
 
 class relay_queue;
 class response_sink;
+class upstream_attempt;
 class upstream_choice;
 
 /// One request on its way: admission, placement, attempts at upstreams, and the one final answer.
-class request_relay final : public active_request, private exchange_listener {
+class request_relay final : public active_request, private attempt_listener {
 public:
     request_relay(const relay_services& services, const upstream_choice& choice, relay_queue& queue,
                   caller_request request, response_sink& sink);
@@ -46,10 +43,9 @@
     instant received_at() const noexcept { return request_.received_at; }
 
 private:
-    void on_head(response_head head) override;
-    void on_body(std::string_view bytes) override;
-    void on_end() override;
-    void on_failure(const exchange_failure& failure) override;
+    void on_stream_bytes(std::string_view bytes) override;
+    void on_answered() override;
+    void on_attempt_failed(attempt_outcome outcome, const std::string& reason) override;
 
     /// The host knows the configuration, and unless it is just starting, what it can serve.
     bool host_prepared() const;
@@ -62,21 +58,12 @@
     /// Whether the engines that were chosen are still listed and accept work.
     bool engines_listed() const;
     void begin_attempt();
-    void reserve(const placement_decision& decision);
-    void reserved(bool held);
-    void send();
     void begin_waiting(const placement_decision& decision);
     void end_waiting();
-    /// Remembers which engine of several an answer blames.
-    void note_fault();
-    /// Id of the engine at `address` among those of the attempt, the first one where none is.
-    std::string engine_at(const network_address& address) const;
-    void pass_events(std::string_view bytes);
     /// Compares the pause before `events` that came together with the engine's usual pass.
-    void observe_pace(std::int64_t events);
+    void observe_pace(std::int64_t events, instant now);
     void finish_stream();
     void finish_answer();
-    void attempt_failed(attempt_outcome outcome, const std::string& reason);
     void end_attempt(attempt_outcome outcome, next_step step, const std::string& reason);
     next_step step_after(attempt_outcome outcome);
     void conclude(next_step step, const std::string& reason);
@@ -116,22 +103,17 @@
     std::string excluded_;
     /// Engine that made the last attempt fail, where that is not `upstream_`; else empty.
     std::string at_fault_;
-    std::unique_ptr<upstream_exchange> exchange_;
+    std::unique_ptr<upstream_attempt> attempt_;
     placement_decision decision_;
-    /// Memory of several engines, from before the request is sent until its end.
-    std::unique_ptr<memory_reservation> memory_;
+    /// Upstream of the last attempt.
     std::string upstream_;
-    instant sent_at_{};
-    instant progress_at_{};
+    /// When the upstream was last found silent.
+    instant stalled_at_{};
     /// When events last went to the caller.
     instant events_at_{};
-    duration expected_first_{};
-    upstream_answer answer_;
-    std::string body_;
     event_splitter events_;
     /// The answer has begun on its way to the caller.
     bool begun_ = false;
-    bool streaming_ = false;
     /// Grows with each dispatch, so that works of two attempts have different keys.
     std::uint64_t work_key_ = 0;
     std::shared_ptr<int> alive_ = std::make_shared<int>(0);
--- /dev/null
+++ b/servers/relay/upstream_attempt.cpp
@@ -0,0 +1,184 @@
+#include "servers/relay/upstream_attempt.hpp"
+
+#include <algorithm>
+#include <utility>
+#include <vector>
+
+#include "core/fleet/upstream_entry.hpp"
+#include "core/health/attempt_evidence.hpp"
+#include "core/health/upstream_health.hpp"
+#include "core/identity/names.hpp"
+#include "core/relay/caller_request.hpp"
+#include "servers/fleet/upstream_registry.hpp"
+#include "servers/relay/admission_result.hpp"
+#include "servers/relay/attempt_listener.hpp"
+#include "servers/relay/exchange_failure.hpp"
+#include "servers/relay/memory_claims.hpp"
+#include "servers/relay/relay_services.hpp"
+#include "servers/relay/request_format.hpp"
+#include "servers/relay/request_log.hpp"
+#include "servers/relay/upstream_connector.hpp"
+#include "servers/relay/upstream_terms.hpp"
+#include "servers/timer_service.hpp"
+
+namespace fuchsiaquay {
+
+namespace {
+
+constexpr int status_success_first = 200;
+constexpr int status_success_last = 299;
+constexpr int status_server_error = 500;
+/// Urgencies of the upstreams' interface that one rank spans.
+constexpr int urgencies_per_rank = 3;
+constexpr int max_urgency = 9;
+
+bool is_success(int status) {
+    return status >= status_success_first && status <= status_success_last;
+}
+
+}  // namespace
+
+upstream_attempt::upstream_attempt(const relay_services& services, const caller_request& request,
+                                   const admission_result& admitted, const request_log& log,
+                                   attempt_terms terms, attempt_listener& listener)
+    : services_(services),
+      request_(request),
+      admitted_(admitted),
+      log_(log),
+      terms_(std::move(terms)),
+      listener_(listener),
+      sent_at_(services.timers.now()),
+      progress_at_(sent_at_) {}
+
+upstream_attempt::~upstream_attempt() = default;
+
+void upstream_attempt::start() {
+    if (terms_.decision.reserved_tokens > 0) {
+        reserve();
+    } else {
+        send();
+    }
+}
+
+void upstream_attempt::reserve() {
+    const std::string id = services_.host + "-" + std::to_string(terms_.work_key);
+    std::vector<memory_claim> claims = memory_claims(terms_.decision, services_.upstreams, id);
+    memory_ =
+        std::make_unique<memory_reservation>(services_.orders, services_.timers, std::move(claims),
+                                             [this](bool held) { reserved(held); });
+    memory_->start();
+}
+
+void upstream_attempt::reserved(bool held) {
+    const bool listed = services_.upstreams.find(upstream()) != nullptr;
+    if (held && listed) {
+        send();
+        return;
+    }
+    // Ending the reservation from within its own call has to wait until that has returned.
+    services_.timers.after(duration::zero(), [this, alive = std::weak_ptr<int>(alive_)] {
+        if (!alive.expired()) {
+            at_fault_ = engine_at(memory_->refused_by());
+            listener_.on_attempt_failed(attempt_outcome::not_sent, "memory not reserved");
+        }
+    });
+}
+
+void upstream_attempt::send() {
+    const upstream_entry* entry = services_.upstreams.find(upstream());
+    const instant now = services_.timers.now();
+    upstream_terms terms;
+    terms.upstream = entry->id;
+    terms.customer = admitted_.customer;
+    terms.time_left = terms_.deadline - now;
+    terms.urgency = std::min(max_urgency, admitted_.rank * urgencies_per_rank);
+    terms.last_event_id = terms_.last_event_id;
+    if (memory_) {
+        for (const memory_claim& claim : memory_->claims()) {
+            terms.helpers.push_back({claim.engine, claim.id});
+        }
+    } else {
+        for (const placement_part& part : terms_.decision.helpers) {
+            terms.helpers.push_back({services_.upstreams.find(part.engine)->address, ""});
+        }
+    }
+    services_.health.on_sent(upstream_id(entry->id), now);
+    log_.dispatched(admitted_, terms_.decision, terms_.number);
+    const bool new_connection = !admitted_.terms->repeatable();
+    exchange_ = services_.connector.open(*entry, services_.format.write_request(request_, terms),
+                                         request_.body, new_connection, *this);
+}
+
+void upstream_attempt::on_head(response_head head) {
+    answer_ = services_.format.read_answer(std::move(head));
+    progress_at_ = services_.timers.now();
+    if (!answer_.request.empty() && answer_.request != request_.id) {
+        listener_.on_attempt_failed(attempt_outcome::unknown, "answer of another request");
+        return;
+    }
+    const int status = answer_.head.status;
+    if (answer_.misdirected || answer_.not_executed) {
+        note_fault();
+        listener_.on_attempt_failed(attempt_outcome::declined,
+                                    "declined with " + std::to_string(status));
+        return;
+    }
+    if (is_success(status) && !answer_.sealed) {
+        listener_.on_attempt_failed(attempt_outcome::unknown, "success without proof");
+        return;
+    }
+    streaming_ = admitted_.terms->streams() && is_success(status);
+    const bool failed = status >= status_server_error && admitted_.terms->repeatable();
+    if (failed || (terms_.resumes && !is_success(status))) {
+        listener_.on_attempt_failed(attempt_outcome::failed, "status " + std::to_string(status));
+    }
+}
+
+void upstream_attempt::note_fault() {
+    if (answer_.at_fault.empty()) {
+        return;
+    }
+    at_fault_ = engine_at(answer_.at_fault);
+    if (at_fault_ != upstream()) {
+        services_.health.on_result(upstream_id(at_fault_), attempt_evidence::failed,
+                                   services_.timers.now());
+    }
+}
+
+std::string upstream_attempt::engine_at(const network_address& address) const {
+    for (const placement_part& part : terms_.decision.helpers) {
+        const upstream_entry* entry = services_.upstreams.find(part.engine);
+        if (entry != nullptr && entry->address == address) {
+            return part.engine;
+        }
+    }
+    return upstream();
+}
+
+void upstream_attempt::on_body(std::string_view bytes) {
+    progress_at_ = services_.timers.now();
+    if (streaming_) {
+        listener_.on_stream_bytes(bytes);
+    } else {
+        body_.append(bytes);
+    }
+}
+
+void upstream_attempt::on_end() {
+    services_.health.on_result(upstream_id(upstream()), attempt_evidence::answered,
+                               services_.timers.now());
+    exchange_.reset();
+    memory_.reset();
+    listener_.on_answered();
+}
+
+void upstream_attempt::on_failure(const exchange_failure& failure) {
+    const attempt_evidence evidence = failure.reused_connection
+                                          ? attempt_evidence::stalled_reused_connection
+                                          : attempt_evidence::failed;
+    services_.health.on_result(upstream_id(upstream()), evidence, services_.timers.now());
+    listener_.on_attempt_failed(failure.sent ? attempt_outcome::unknown : attempt_outcome::not_sent,
+                                failure.reason);
+}
+
+}  // namespace fuchsiaquay
