Placement: only short prompts that are too large for any shared engine are split there

Change: a shared split is for prompts that would lengthen a pass too much on each shared engine even with nothing else to read. Test first: usual_short_prompts_are_not_split_while_others_are_read.

--- a/core/placement/undisturbed_placement.cpp
+++ b/core/placement/undisturbed_placement.cpp
@@ -94,6 +94,14 @@
            !at.disturbed_by(reading, settings_);
 }
 
+bool undisturbed_placement::too_large_for(const placement_request& request,
+                                          const std::vector<placement_candidate>& shared) const {
+    return std::all_of(shared.begin(), shared.end(), [&](placement_candidate item) {
+        item.pending = {};
+        return item.disturbed_by(item.read(request.prompt_tokens), settings_);
+    });
+}
+
 const placement_candidate* undisturbed_placement::best_shared(
     const placement_request& request, const std::vector<placement_candidate>& shared) const {
     // Hosts that decide at the same moment see the same loads: weighted rendezvous hashing keeps
@@ -214,9 +222,10 @@
     if (const placement_candidate* best = best_shared(request, pool)) {
         return place_whole(request, *best);
     }
-    // The largest short prompts lengthen every pass of a shared engine too much, but not of two.
-    if (const auto split = splitting_.split(request, pool)) {
-        return *split;
+    if (too_large_for(request, pool)) {
+        if (const auto split = splitting_.split(request, pool)) {
+            return *split;
+        }
     }
     if (const placement_candidate* first = first_for_short(request, choice)) {
         return place_whole(request, *first);
--- a/core/placement/undisturbed_placement.hpp
+++ b/core/placement/undisturbed_placement.hpp
@@ -51,6 +51,10 @@
     std::size_t engines_for_short(const placement_request& request,
                                   const std::vector<placement_candidate>& choice) const;
     bool acceptable(const placement_candidate& at, const placement_request& request) const;
+    /// Whether reading the prompt whole would lengthen a pass too much on each of the engines that
+    /// short prompts share, even if nothing else were to be read there.
+    bool too_large_for(const placement_request& request,
+                       const std::vector<placement_candidate>& shared) const;
     /// Of the engines that short prompts share; null for none.
     const placement_candidate* best_shared(const placement_request& request,
                                            const std::vector<placement_candidate>& shared) const;
--- a/tests/core/placement/undisturbed_placement_test.cpp
+++ b/tests/core/placement/undisturbed_placement_test.cpp
@@ -147,6 +147,18 @@
     CHECK_TRUE(engines_with_requests() <= busy + 1);
 }
 
+TEST(undisturbed_placement, usual_short_prompts_are_not_split_while_others_are_read) {
+    fill_with_short(60);
+    for (std::uint64_t key = 1'000; key < 1'060; ++key) {
+        const placement_request request = short_request(key);
+        const placement_decision decision = choose(request);
+        if (decision.outcome == placement_decision::verdict::place) {
+            CHECK_TRUE(decision.helpers.empty());
+            add(decision.engine, request, work_phase::reading);
+        }
+    }
+}
+
 TEST(undisturbed_placement, late_short_prompts_take_no_engine_from_long_ones) {
     fill_with_short(60);
     for (std::uint64_t key = 1'000; key < 1'020; ++key) {
