--- a/core/placement/engine_load.cpp
+++ b/core/placement/engine_load.cpp
@@ -119,6 +119,7 @@
         return waiting_place(*a, now) < waiting_place(*b, now);
     });
     std::vector<std::int64_t> tokens;
+    tokens.reserve(ahead.size());
     for (const engine_work* work : ahead) {
         tokens.push_back(work->read_tokens);
     }
--- a/core/placement/engine_load.hpp
+++ b/core/placement/engine_load.hpp
@@ -30,7 +30,8 @@
     /// Requests that write or will write whose allowed pause is below `pass`.
     int disturbed_by(duration pass) const;
     /// Prompt tokens of the requests that wait and go before `own`, in their order: first those
-    /// that can still be on time, except the heaviest, and of these the one that becomes late first.
+    /// that can still be on time, except the heaviest, and of these the one that becomes late
+    /// first.
     std::vector<std::int64_t> waiting_before(const engine_work& own, instant now) const;
     /// Whether another request that goes first took the engine at the same moment: one that this
     /// host did not know of when it chose the engine for `own`.
--- a/core/placement/undisturbed_placement.cpp
+++ b/core/placement/undisturbed_placement.cpp
@@ -124,9 +124,8 @@
 const placement_candidate* undisturbed_placement::first_for_short(
     const placement_request& request, const std::vector<placement_candidate>& choice) const {
     const auto found =
-        std::find_if(choice.begin(), choice.end(), [&](const placement_candidate& item) {
-            return acceptable(item, request);
-        });
+        std::find_if(choice.begin(), choice.end(),
+                     [&](const placement_candidate& item) { return acceptable(item, request); });
     return found == choice.end() ? nullptr : &*found;
 }
 
--- a/core/placement/undisturbed_placement.hpp
+++ b/core/placement/undisturbed_placement.hpp
@@ -13,9 +13,10 @@
 /// Answers the pattern "long prompts among short ones": a prompt goes where its reading lengthens
 /// no pass beyond the pause that the streams there are allowed. All hosts order the engines alike;
 /// short prompts share as many engines from the front of that order as their number needs, the
-/// largest of them split over two, so that the engines behind stay free for long ones. A long prompt is split over as many engines as its
-/// target or the streams beside it need, and one that no engine can hold is kept in the reserved
-/// memory of several. What cannot be answered in its time is refused as soon as that is foreseen.
+/// largest of them split over two, so that the engines behind stay free for long ones. A long
+/// prompt is split over as many engines as its target or the streams beside it need, and one that
+/// no engine can hold is kept in the reserved memory of several. What cannot be answered in its
+/// time is refused as soon as that is foreseen.
 class undisturbed_placement final : public placement_policy {
 public:
     explicit undisturbed_placement(undisturbed_settings settings = {});
@@ -38,8 +39,7 @@
     /// Takes as many engines out of `choice` as the prompts ahead need.
     void leave_to_others(const placement_request& request,
                          std::vector<placement_candidate>& choice) const;
-    bool exceeds_one_engine(const placement_request& request,
-                            const engine_profile& profile) const;
+    bool exceeds_one_engine(const placement_request& request, const engine_profile& profile) const;
     bool exceeds_all_memory(const placement_request& request,
                             const std::vector<placement_candidate>& engines) const;
     /// @param most_pending  reading that may wait at the engine
--- a/core/placement/waiting_forecast.cpp
+++ b/core/placement/waiting_forecast.cpp
@@ -29,9 +29,9 @@
 
 }  // namespace
 
-std::vector<duration> waiting_forecast::free_times(
-    const placement_request& request, const std::vector<placement_candidate>& engines,
-    std::size_t fewest) const {
+std::vector<duration> waiting_forecast::free_times(const placement_request& request,
+                                                   const std::vector<placement_candidate>& engines,
+                                                   std::size_t fewest) const {
     std::vector<duration> free;
     std::vector<const placement_candidate*> shared;
     double needed = 0.0;
--- a/tests/core/placement/waiting_forecast_test.cpp
+++ b/tests/core/placement/waiting_forecast_test.cpp
@@ -49,7 +49,9 @@
         return item;
     }
 
-    duration reading(std::int64_t tokens) const { return read_time(profile_, tokens); }
+    duration reading(std::int64_t tokens) const {
+        return read_time(profile_, tokens);
+    }
 
     waiting_forecast::outlook outlook(const std::vector<placement_candidate>& engines) const {
         const auto result = forecast_.of(request_, engines);
@@ -87,21 +89,20 @@
 
 TEST(waiting_forecast, prompt_beyond_one_memory_waits_for_several_engines) {
     request_.prompt_tokens = 800'000;
-    const auto found =
-        outlook({engine(0, duration::max(), {}), engine(1, season_gap, seconds(4))});
+    const auto found = outlook({engine(0, duration::max(), {}), engine(1, season_gap, seconds(4))});
     CHECK_TRUE(found.start >= seconds(4));
     CHECK_TRUE(found.first_event >= found.start + reading(800'000) / 2);
 }
 
 TEST(waiting_forecast, engines_full_of_short_streams_are_not_counted_on) {
-    const auto found = outlook({engine(12, short_gap, {}), engine(12, short_gap, {}),
-                                engine(1, season_gap, seconds(6))});
+    const auto found = outlook(
+        {engine(12, short_gap, {}), engine(12, short_gap, {}), engine(1, season_gap, seconds(6))});
     CHECK_TRUE(found.start >= seconds(6));
 }
 
 TEST(waiting_forecast, short_streams_that_fit_fewer_engines_free_the_others) {
-    const auto found = outlook({engine(3, short_gap, {}), engine(3, short_gap, {}),
-                                engine(1, season_gap, seconds(6))});
+    const auto found = outlook(
+        {engine(3, short_gap, {}), engine(3, short_gap, {}), engine(1, season_gap, seconds(6))});
     CHECK_TRUE(found.start < seconds(3));
 }
 
