Relay: an upstream's own failure is dropped only if another upstream takes the request

The ready answer had been dropped. Change: before an answered failure counts as one to repeat, the choice is asked whether another upstream takes the request now; else the answer goes to the caller. Test first: failure_of_the_upstream_is_forwarded_when_no_other_upstream_takes_the_lookup fails without the check.

--- a/servers/relay/request_relay.cpp
+++ b/servers/relay/request_relay.cpp
@@ -324,6 +324,10 @@
     facts.may_have_run = may_have_run_;
     facts.attempts_left = counted < admitted_.terms->max_attempts &&
                           attempts_ < admitted_.terms->max_attempts + max_declined_attempts;
+    if (outcome == attempt_outcome::failed && !another_takes_it()) {
+        // The upstream's own answer is ready: it is worth more than waiting for another one.
+        facts.attempts_left = false;
+    }
     facts.time_left = deadline_ - now > min_attempt_time;
     facts.budget_left = true;
     const next_step step = decide_next_step(facts);
@@ -334,6 +338,11 @@
     return decide_next_step(facts);
 }
 
+bool request_relay::another_takes_it() const {
+    return choice_.choose(request_, admitted_, work_key_, upstream_, deadline_).outcome ==
+           placement_decision::verdict::place;
+}
+
 void request_relay::on_attempt_failed(attempt_outcome outcome, const std::string& reason) {
     const attempt_outcome seen = begun_ ? attempt_outcome::broken_stream : outcome;
     end_attempt(seen, step_after(seen), reason);
--- a/servers/relay/request_relay.hpp
+++ b/servers/relay/request_relay.hpp
@@ -66,6 +66,8 @@
     void finish_answer();
     void end_attempt(attempt_outcome outcome, next_step step, const std::string& reason);
     next_step step_after(attempt_outcome outcome);
+    /// Whether another upstream takes the request now.
+    bool another_takes_it() const;
     void conclude(next_step step, const std::string& reason);
     void time_out();
     void check_progress(instant now);
--- a/tests/servers/relay/request_relay_test.cpp
+++ b/tests/servers/relay/request_relay_test.cpp
@@ -90,6 +90,19 @@
     LONGS_EQUAL(502, caller_.status);
 }
 
+TEST(request_relay, failure_of_the_upstream_is_forwarded_when_no_other_upstream_takes_the_lookup) {
+    host_.upstreams.on_changes({{{"u/shop-2", "", 3}, true}}, 3);
+    host_.serve(host_.request("/lookup/1"));
+    upstream_.answer(500);
+    CHECK_TRUE(upstream_.last().open);
+    upstream_.body("broken");
+    upstream_.end();
+    LONGS_EQUAL(1, host_.attempts());
+    LONGS_EQUAL(500, caller_.status);
+    CHECK_EQUAL(std::string("broken"), caller_.text);
+    CHECK_FALSE(caller_.own);
+}
+
 TEST(request_relay, lookup_that_failed_runs_again_and_its_last_failure_is_forwarded) {
     host_.serve(host_.request("/lookup/1"));
     upstream_.answer(500);
