Reservations: an engine that does not renew its part ends the group

The first engine of a group had gone dark for good at 19.4 s. A dark engine sends no reset, and a long read may be silent for over ten seconds, so the relay went on waiting and kept renewing the memory at the other engines; the renewals at the dark one failed and were taken for astray. Ruled out: a lost release (its lifetime of 3.5 s would have ended it), probes of the connection (the attempt was still open at 26.5 s), the catalogue (the entry goes after three heartbeats, 3.6 s, too late). Change: a part that has not been renewed for 2.8 s counts as lapsed; the attempt fails, the engine is left out of the next one, and the memory of the others is released within the bound of four seconds. Tests first: engine_that_stops_renewing_is_told_before_the_others_count_as_leaked and memory_of_a_group_is_given_back_when_one_of_its_engines_falls_silent fail without the limit; renewal_that_fails_now_and_then_changes_nothing.

--- a/servers/relay/memory_reservation.cpp
+++ b/servers/relay/memory_reservation.cpp
@@ -15,18 +15,23 @@
 /// Age from which a reservation is renewed, and the period of looking for such.
 constexpr duration renewal_age = std::chrono::milliseconds(1'200);
 constexpr duration renewal_period = std::chrono::milliseconds(300);
+/// Time without a renewal after which an engine is taken for dead. Below `hold_time`, so that the
+/// memory of the others is free within four seconds of its death.
+constexpr duration lapse_limit = std::chrono::milliseconds(2'800);
 /// Longest wait for all engines to agree.
 constexpr duration agreement_limit = std::chrono::milliseconds(500);
 
 }  // namespace
 
 memory_reservation::memory_reservation(engine_orders& orders, timer_service& timers,
-                                       std::vector<memory_claim> claims, ready_handler ready)
+                                       std::vector<memory_claim> claims, ready_handler ready,
+                                       lapsed_handler lapsed)
     : orders_(orders),
       timers_(timers),
       claims_(std::move(claims)),
       held_at_(claims_.size()),
-      ready_(std::move(ready)) {}
+      ready_(std::move(ready)),
+      lapsed_(std::move(lapsed)) {}
 
 void memory_reservation::start() {
     started_at_ = timers_.now();
@@ -88,12 +93,25 @@
         return;
     }
     for (std::size_t i = 0; i < claims_.size(); ++i) {
+        if (now - *held_at_[i] > lapse_limit) {
+            report_lapsed(i);
+            return;
+        }
         if (now - *held_at_[i] > renewal_age) {
             reserve(i);
         }
     }
 }
 
+void memory_reservation::report_lapsed(std::size_t index) {
+    if (lapsed_) {
+        denied_ = index;
+        // The handler may end this object.
+        const lapsed_handler lapsed = std::exchange(lapsed_, nullptr);
+        lapsed();
+    }
+}
+
 void memory_reservation::report(bool held) {
     if (ready_) {
         // The handler may end this object.
--- a/servers/relay/memory_reservation.hpp
+++ b/servers/relay/memory_reservation.hpp
@@ -21,9 +21,13 @@
 public:
     /// Receives whether all memory is held. Called once.
     using ready_handler = std::function<void(bool held)>;
+    /// Told that an engine has not renewed its part for so long that it must be taken for dead:
+    /// the request there is over, and the other engines' memory is held in vain. Called once.
+    using lapsed_handler = std::function<void()>;
 
     memory_reservation(engine_orders& orders, timer_service& timers,
-                       std::vector<memory_claim> claims, ready_handler ready);
+                       std::vector<memory_claim> claims, ready_handler ready,
+                       lapsed_handler lapsed);
     memory_reservation(const memory_reservation&) = delete;
     memory_reservation& operator=(const memory_reservation&) = delete;
     ~memory_reservation();
@@ -31,8 +35,7 @@
     /// Sends the first orders.
     void start();
     const std::vector<memory_claim>& claims() const noexcept { return claims_; }
-    /// The first engine that did not agree; valid once the handler was told that memory is not
-    /// held.
+    /// The engine that did not agree or did not renew; valid once a handler was told so.
     const network_address& refused_by() const;
 
 private:
@@ -40,6 +43,7 @@
     void answered(std::size_t index, bool held);
     void renew();
     void report(bool held);
+    void report_lapsed(std::size_t index);
 
     engine_orders& orders_;
     timer_service& timers_;
@@ -49,6 +53,7 @@
     /// Index of the claim that was denied.
     std::optional<std::size_t> denied_;
     ready_handler ready_;
+    lapsed_handler lapsed_;
     instant started_at_{};
     timer_service::subscription renewal_ = 0;
     std::shared_ptr<int> alive_ = std::make_shared<int>(0);
--- a/servers/relay/upstream_attempt.cpp
+++ b/servers/relay/upstream_attempt.cpp
@@ -63,9 +63,10 @@
 void upstream_attempt::reserve() {
     const std::string id = services_.host + "-" + std::to_string(terms_.work_key);
     std::vector<memory_claim> claims = memory_claims(terms_.decision, services_.upstreams, id);
-    memory_ =
-        std::make_unique<memory_reservation>(services_.orders, services_.timers, std::move(claims),
-                                             [this](bool held) { reserved(held); });
+    memory_ = std::make_unique<memory_reservation>(
+        services_.orders, services_.timers, std::move(claims),
+        [this](bool held) { reserved(held); },
+        [this] { reservation_failed(attempt_outcome::unknown, "memory not renewed"); });
     memory_->start();
 }
 
@@ -75,13 +76,18 @@
         send();
         return;
     }
+    reservation_failed(attempt_outcome::not_sent, "memory not reserved");
+}
+
+void upstream_attempt::reservation_failed(attempt_outcome outcome, const char* reason) {
     // Ending the reservation from within its own call has to wait until that has returned.
-    services_.timers.after(duration::zero(), [this, alive = std::weak_ptr<int>(alive_)] {
-        if (!alive.expired()) {
-            at_fault_ = engine_at(memory_->refused_by());
-            listener_.on_attempt_failed(attempt_outcome::not_sent, "memory not reserved");
-        }
-    });
+    services_.timers.after(duration::zero(),
+                           [this, outcome, reason, alive = std::weak_ptr<int>(alive_)] {
+                               if (!alive.expired() && memory_) {
+                                   at_fault_ = engine_at(memory_->refused_by());
+                                   listener_.on_attempt_failed(outcome, reason);
+                               }
+                           });
 }
 
 void upstream_attempt::send() {
--- a/servers/relay/upstream_attempt.hpp
+++ b/servers/relay/upstream_attempt.hpp
@@ -4,6 +4,7 @@
 #include <string>
 #include <string_view>
 
+#include "core/relay/attempt_outcome.hpp"
 #include "servers/relay/attempt_terms.hpp"
 #include "servers/relay/exchange_listener.hpp"
 #include "servers/relay/memory_reservation.hpp"
@@ -54,6 +55,8 @@
 
     void reserve();
     void reserved(bool held);
+    /// The attempt fails because of the engine that denied memory or let it lapse.
+    void reservation_failed(attempt_outcome outcome, const char* reason);
     void send();
     /// Remembers which engine of several an answer blames.
     void note_fault();
--- a/tests/servers/relay/memory_reservation_test.cpp
+++ b/tests/servers/relay/memory_reservation_test.cpp
@@ -18,6 +18,7 @@
     virtual_timer_service timers_;
     manual_orders orders_;
     std::optional<bool> result_;
+    bool lapsed_ = false;
 
     std::unique_ptr<memory_reservation> reserve() {
         std::vector<memory_claim> claims;
@@ -26,7 +27,8 @@
             claims.push_back({{"10.0.0.1", 80}, 1'000, "c" + std::to_string(i)});
         }
         auto reservation = std::make_unique<memory_reservation>(
-            orders_, timers_, std::move(claims), [this](bool held) { result_ = held; });
+            orders_, timers_, std::move(claims), [this](bool held) { result_ = held; },
+            [this] { lapsed_ = true; });
         reservation->start();
         return reservation;
     }
@@ -45,6 +47,27 @@
     LONGS_EQUAL(last, orders_.reserves);
 }
 
+TEST(memory_reservation, engine_that_stops_renewing_is_told_before_the_others_count_as_leaked) {
+    const auto reservation = reserve();
+    timers_.advance(seconds(2));
+    CHECK_FALSE(lapsed_);
+    orders_.silent = true;
+    // The users' bound: memory is free four seconds after its last request has ended.
+    timers_.advance(milliseconds(3'900));
+    CHECK_TRUE(lapsed_);
+}
+
+TEST(memory_reservation, renewal_that_fails_now_and_then_changes_nothing) {
+    const auto reservation = reserve();
+    for (int i = 0; i < 5; ++i) {
+        orders_.silent = true;
+        timers_.advance(milliseconds(1'000));
+        orders_.silent = false;
+        timers_.advance(milliseconds(1'000));
+    }
+    CHECK_FALSE(lapsed_);
+}
+
 TEST(memory_reservation, engine_that_does_not_answer_fails_the_whole_in_time) {
     orders_.silent = true;
     auto reservation = reserve();
--- a/tests/servers/relay/request_relay_test.cpp
+++ b/tests/servers/relay/request_relay_test.cpp
@@ -252,6 +252,18 @@
     CHECK_TRUE(host_.orders.held.empty());
 }
 
+TEST(request_relay, memory_of_a_group_is_given_back_when_one_of_its_engines_falls_silent) {
+    host_.serve_long(host_.request("/chat/1", 600'000));
+    host_.timers.advance(seconds(1));
+    const std::set<std::string> held = host_.orders.held;
+    LONGS_EQUAL(3, held.size());
+    host_.orders.silent = true;
+    host_.timers.advance(milliseconds(3'900));
+    for (const std::string& id : held) {
+        LONGS_EQUAL(0, host_.orders.held.count(id));
+    }
+}
+
 TEST(request_relay, memory_that_only_some_engines_hold_is_given_back) {
     host_.orders.refuse_after = 2;
     host_.serve_long(host_.request("/chat/1", 600'000));
