Placement: no late start beyond the caller's patience; small data centres hear news directly

Late starts are now bounded by the callers' patience (two seconds, four targets or eight pauses, whichever is longest). - A long prompt's reading was counted from its claim, 20 ms before it is sent, so the engine looked free too early. - Forwarding makes news later by one hop. With two or three hosts in a data centre it saves little and costs collisions in bursts: up to three hosts are reached directly again. Tests first: short_prompt_waits_for_no_engine_that_its_caller_would_not_wait_for fails without the bound. Two tests of claims let the other host's claim count from its sending, as hosts now do.

--- a/core/fleet/announcement_routes.cpp
+++ b/core/fleet/announcement_routes.cpp
@@ -1,5 +1,6 @@
 #include "core/fleet/announcement_routes.hpp"
 
+#include <cstddef>
 #include <cstdint>
 #include <map>
 #include <string>
@@ -11,6 +12,10 @@
 
 namespace {
 
+/// Hosts of a data centre that are still reached directly: forwarding makes news later and pays
+/// only where it saves many messages.
+constexpr std::size_t most_direct_hosts = 3;
+
 /// The host of one data centre that passes `sender`'s announcements on; null for none.
 const host_record* forwarder(const std::string& sender,
                              const std::vector<const announcement_peer*>& hosts) {
@@ -40,7 +45,8 @@
         }
     }
     for (const auto& [data_centre, hosts] : elsewhere) {
-        const host_record* first = hosts.size() > 1 ? forwarder(self.host, hosts) : nullptr;
+        const host_record* first =
+            hosts.size() > most_direct_hosts ? forwarder(self.host, hosts) : nullptr;
         if (first != nullptr) {
             result.forwarders.push_back(first->datagrams);
             continue;
--- a/core/fleet/announcement_routes.hpp
+++ b/core/fleet/announcement_routes.hpp
@@ -16,9 +16,9 @@
     std::vector<network_address> forwarders;
 };
 
-/// Routes on which an announcement crosses to each other data centre once: the hosts of the own one
-/// and of those without a host that was heard lately are reached directly. Senders spread over the
-/// hosts of a data centre by rendezvous hashing.
+/// Routes on which an announcement crosses to each other data centre once: the hosts of the own
+/// one, of small ones and of those without a host that was heard lately are reached directly.
+/// Senders spread over the hosts of a data centre by rendezvous hashing.
 announcement_routes routes_of(const host_record& self, const std::vector<announcement_peer>& peers);
 
 }  // namespace fuchsiaquay
--- a/core/placement/placement_request.hpp
+++ b/core/placement/placement_request.hpp
@@ -18,6 +18,8 @@
     duration target_left{};
     /// Time left until the answer is worth nothing.
     duration time_left{};
+    /// Time left until the caller abandons a stream that has not begun.
+    duration patience_left = duration::max();
     duration target_gap{};
     /// Tokens of the long prompts of all hosts that wait and go first: the engines that they need
     /// are left to them.
--- a/core/placement/undisturbed_placement.cpp
+++ b/core/placement/undisturbed_placement.cpp
@@ -203,7 +203,7 @@
         best = &item;
         best_first = first;
     }
-    if (best == nullptr || best_first > request.time_left) {
+    if (best == nullptr || best_first > std::min(request.time_left, request.patience_left)) {
         result.reason = best == nullptr ? result.reason : "time too short";
         return result;
     }
--- a/servers/relay/request_relay.cpp
+++ b/servers/relay/request_relay.cpp
@@ -186,11 +186,13 @@
 
 void request_relay::dispatch(const placement_decision& decision) {
     decision_ = decision;
-    work_.dispatch(work_key_, decision, request_, engine(), *admitted_.terms,
-                   services_.timers.now());
     const engine_profile* profile = engine();
-    if (profile == nullptr ||
-        read_time(*profile, request_.prompt_tokens.value_or(0)) <= long_read) {
+    const bool claims =
+        profile != nullptr && read_time(*profile, request_.prompt_tokens.value_or(0)) > long_read;
+    // An engine begins to read when the request is sent, not when it is claimed.
+    const instant sent_at = services_.timers.now() + (claims ? claim_time : duration::zero());
+    work_.dispatch(work_key_, decision, request_, profile, *admitted_.terms, sent_at);
+    if (!claims) {
         begin_attempt();
         return;
     }
--- a/servers/relay/upstream_choice.cpp
+++ b/servers/relay/upstream_choice.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <vector>
 
+#include "core/fleet/route.hpp"
 #include "core/fleet/upstream_entry.hpp"
 #include "core/hashing/hash.hpp"
 #include "core/health/upstream_health.hpp"
@@ -25,6 +26,17 @@
 /// Requests that may wait at a plain upstream for each one that it processes.
 constexpr int plain_queue_factor = 3;
 
+/// Longest silence, before and within a stream, that every caller bears, and what it is in targets
+/// and allowed pauses; the longest of the three counts. Source: the users' platform, requests.
+constexpr duration min_patience = std::chrono::seconds(2);
+constexpr int patience_targets = 4;
+constexpr int patience_gaps = 8;
+
+duration caller_patience(const route& terms) {
+    return std::max(
+        {min_patience, terms.target * patience_targets, terms.target_gap * patience_gaps});
+}
+
 placement_decision refused(const char* reason) {
     placement_decision result;
     result.outcome = placement_decision::verdict::refuse;
@@ -67,6 +79,7 @@
     prompt.target_left = request.received_at + admitted.terms->target - now;
     prompt.time_left = deadline - now;
     prompt.target_gap = admitted.terms->target_gap;
+    prompt.patience_left = request.received_at + caller_patience(*admitted.terms) - now;
     prompt.excluded = excluded;
     engine_work place;
     place.key = key;
--- a/tests/core/placement/undisturbed_placement_test.cpp
+++ b/tests/core/placement/undisturbed_placement_test.cpp
@@ -192,6 +192,20 @@
     }
 }
 
+TEST(undisturbed_placement, short_prompt_waits_for_no_engine_that_its_caller_would_not_wait_for) {
+    // Every engine reads a part of a prompt that is answered elsewhere, and streams nothing itself.
+    for (const auto& [id, load] : loads_) {
+        placement_request part = season_request(50);
+        part.target_gap = {};
+        add(id, part, work_phase::reading);
+    }
+    placement_request request = short_request(1);
+    request.patience_left = seconds(2);
+    CHECK_TRUE(choose(request).outcome == placement_decision::verdict::wait);
+    request.patience_left = seconds(4);
+    CHECK_TRUE(choose(request).outcome == placement_decision::verdict::place);
+}
+
 TEST(undisturbed_placement, season_prompt_never_lengthens_the_pass_of_short_streams) {
     fill_with_short(60);
     for (std::uint64_t key = 100; key < 106; ++key) {
--- a/tests/servers/relay/request_relay_test.cpp
+++ b/tests/servers/relay/request_relay_test.cpp
@@ -301,7 +301,7 @@
     engine_work other = claims.front();
     other.key = claims.front().key - 1;
     host_.timers.advance(milliseconds(3));
-    other.dispatched_at = host_.timers.now();
+    other.dispatched_at += milliseconds(3);
     host_.board.apply_remote("other", other);
     host_.timers.advance(2 * claim_settles);
     LONGS_EQUAL(1, host_.attempts());
@@ -337,7 +337,7 @@
     engine_work other = host_.board.own_works().front();
     other.key += 1;
     host_.timers.advance(milliseconds(3));
-    other.dispatched_at = host_.timers.now();
+    other.dispatched_at += milliseconds(3);
     host_.board.apply_remote("other", other);
     host_.timers.advance(claim_settles);
     LONGS_EQUAL(1, host_.attempts());
