--- a/core/fleet/announcement.hpp
+++ b/core/fleet/announcement.hpp
@@ -20,6 +20,8 @@
     std::uint64_t sequence = 0;
     /// Store revision of the sender's configuration; 0 when it has none.
     std::int64_t configuration_revision = 0;
+    /// Requests that the sender takes a second; only in complete announcements.
+    double requests_per_s = 0.0;
     /// True: `works` is all the work of the sender; false: only what changed.
     bool complete = false;
     /// The receiver passes it on to the other hosts of its data centre.
--- a/core/fleet/host_record.cpp
+++ b/core/fleet/host_record.cpp
@@ -7,8 +7,11 @@
 namespace fuchsiaquay {
 
 std::string write_host_record(const host_record& record) {
-    return record.host + " " + record.data_centre + " " + record.callers.text() + " " +
-           record.datagrams.text() + " " + record.queries.text();
+    std::ostringstream text;
+    text << record.host << ' ' << record.data_centre << ' ' << record.callers.text() << ' '
+         << record.datagrams.text() << ' ' << record.queries.text() << ' '
+         << record.processor_share;
+    return text.str();
 }
 
 host_record read_host_record(const std::string& text) {
@@ -18,7 +21,11 @@
     std::string datagrams;
     std::string queries;
     if (!(stream >> record.host >> record.data_centre >> callers >> datagrams >> queries)) {
-        throw step_error("read host record", "store", "expected five words");
+        throw step_error("read host record", "store", "expected five words and a share");
+    }
+    if (!(stream >> record.processor_share)) {
+        // Entries of earlier versions have no share.
+        record.processor_share = 0.0;
     }
     record.callers = parse_network_address(callers);
     record.datagrams = parse_network_address(datagrams);
--- a/core/fleet/host_record.hpp
+++ b/core/fleet/host_record.hpp
@@ -18,18 +18,21 @@
     network_address datagrams;
     /// Where other hosts ask, by HTTP, for what does not fit into a datagram.
     network_address queries;
+    /// Part of a processor core that the host may use; hosts with more serve callers first.
+    double processor_share = 0.0;
     /// Revision at which the process registered in the store; a later start has a larger one.
     std::uint64_t incarnation = 0;
 
     friend bool operator==(const host_record& a, const host_record& b) {
-        return std::tie(a.host, a.data_centre, a.callers, a.datagrams, a.queries, a.incarnation) ==
-               std::tie(b.host, b.data_centre, b.callers, b.datagrams, b.queries, b.incarnation);
+        return std::tie(a.host, a.data_centre, a.callers, a.datagrams, a.queries, a.processor_share,
+                        a.incarnation) == std::tie(b.host, b.data_centre, b.callers, b.datagrams,
+                                                   b.queries, b.processor_share, b.incarnation);
     }
     friend bool operator!=(const host_record& a, const host_record& b) { return !(a == b); }
 };
 
-/// One line of text: `host data_centre callers datagrams queries`; the incarnation is not part of
-/// it.
+/// One line of text: `host data_centre callers datagrams queries processor_share`; the incarnation
+/// is not part of it.
 std::string write_host_record(const host_record& record);
 /// @throws step_error  the text is no record
 host_record read_host_record(const std::string& text);
--- a/core/fleet/host_state.hpp
+++ b/core/fleet/host_state.hpp
@@ -9,6 +9,8 @@
     ready,
     /// Finishes what it has and then stops.
     leaving,
+    /// Able to serve, but callers are sent to other hosts.
+    standby,
 };
 
 }  // namespace fuchsiaquay
--- a/core/fleet/view_reply.hpp
+++ b/core/fleet/view_reply.hpp
@@ -2,8 +2,10 @@
 
 #include <cstdint>
 #include <string>
+#include <vector>
 
 #include "core/fleet/catalogue_view.hpp"
+#include "core/fleet/heard_host.hpp"
 #include "core/time/clock.hpp"
 
 namespace fuchsiaquay {
@@ -18,6 +20,10 @@
     duration configuration_age{};
     duration catalogue_age{};
     catalogue_view catalogue;
+    /// For a host that stands by: the hosts that serve, the sender included.
+    std::vector<heard_host> serving;
+    /// The host that asked shall serve as well.
+    bool invitation = false;
 };
 
 }  // namespace fuchsiaquay
--- a/core/placement/placement_request.hpp
+++ b/core/placement/placement_request.hpp
@@ -24,6 +24,8 @@
     /// Tokens of the long prompts of all hosts that wait and go first: the engines that they need
     /// are left to them.
     std::vector<std::int64_t> ahead;
+    /// False on a host that does not hear of the work of others.
+    bool loads_known = true;
     /// Upstream id that must not be chosen again; empty for none.
     std::string excluded;
 };
--- a/core/placement/undisturbed_placement.cpp
+++ b/core/placement/undisturbed_placement.cpp
@@ -77,6 +77,9 @@
 
 std::size_t undisturbed_placement::engines_for_short(
     const placement_request& request, const std::vector<placement_candidate>& choice) const {
+    if (!request.loads_known) {
+        return choice.size();
+    }
     double needed = 0.0;
     for (const placement_candidate& item : choice) {
         if (item.smallest_gap <= request.target_gap) {
--- a/drivers/datagrams/datagram_codec.cpp
+++ b/drivers/datagrams/datagram_codec.cpp
@@ -47,7 +47,9 @@
     if (result.sender.host.empty() || (root.complete() && no_address)) {
         throw step_error("decode datagram", result.sender.host, "no host or no address");
     }
-    result.state = enumeration_of(root.state(), host_state::leaving);
+    result.state = enumeration_of(root.state(), host_state::standby);
+    result.sender.processor_share = root.processor_share();
+    result.requests_per_s = root.requests_per_s();
     result.sequence = root.sequence();
     result.configuration_revision = root.configuration_revision();
     result.complete = root.complete();
@@ -77,6 +79,23 @@
     return result;
 }
 
+heard_host read_host(const wire::host& item) {
+    heard_host result;
+    result.record.host = text_of(item.name());
+    result.record.data_centre = text_of(item.data_centre());
+    result.record.callers = parse_network_address(text_of(item.callers()));
+    result.record.datagrams = parse_network_address(text_of(item.datagrams()));
+    result.record.queries = parse_network_address(text_of(item.queries()));
+    result.record.processor_share = item.processor_share();
+    result.record.incarnation = item.incarnation();
+    result.state = enumeration_of(item.state(), host_state::standby);
+    result.age = duration(std::max<std::int64_t>(0, item.age_us()));
+    if (result.record.callers.empty() || result.record.datagrams.empty()) {
+        throw step_error("decode datagram", result.record.host, "a serving host has no address");
+    }
+    return result;
+}
+
 view_reply read_reply(const wire::view_reply& root) {
     view_reply result;
     result.sender = text_of(root.sender());
@@ -91,14 +110,27 @@
             result.catalogue.changes.push_back(read_change(*item));
         }
     }
+    if (root.serving() != nullptr) {
+        for (const wire::host* item : *root.serving()) {
+            result.serving.push_back(read_host(*item));
+        }
+    }
+    result.invitation = root.invitation();
     return result;
 }
 
 view_request read_request(const wire::view_request& root) {
     view_request result;
-    result.sender = text_of(root.sender());
+    result.sender.host = text_of(root.sender());
+    result.sender.data_centre = text_of(root.data_centre());
+    result.sender.datagrams = parse_network_address(text_of(root.datagrams()));
+    result.sender.processor_share = root.processor_share();
+    result.standby = root.standby();
     result.nonce = root.nonce();
     result.catalogue_revision = root.catalogue_revision();
+    if (result.sender.host.empty() || result.sender.datagrams.empty()) {
+        throw step_error("decode datagram", result.sender.host, "no host or no address");
+    }
     return result;
 }
 
@@ -134,7 +166,8 @@
                                         message.sender.incarnation,
                                         static_cast<std::uint8_t>(message.state), message.sequence,
                                         message.configuration_revision, message.complete, list,
-                                        slow_list, message.forward)
+                                        slow_list, message.forward, message.sender.processor_share,
+                                        message.requests_per_s)
                    .Union());
     }
 
@@ -151,13 +184,33 @@
     }
 
     void operator()(const view_request& message) const {
-        const auto sender = builder.CreateString(message.sender);
+        const auto sender = builder.CreateString(message.sender.host);
+        const auto data_centre = builder.CreateString(message.sender.data_centre);
+        const auto datagrams = builder.CreateString(message.sender.datagrams.text());
         finish(wire::message_view_request,
-               wire::Createview_request(builder, sender, message.nonce, message.catalogue_revision)
+               wire::Createview_request(builder, sender, message.nonce, message.catalogue_revision,
+                                        data_centre, datagrams, message.sender.processor_share,
+                                        message.standby)
                    .Union());
     }
 
+    flatbuffers::Offset<wire::host> write_host(const heard_host& item) const {
+        const host_record& record = item.record;
+        const auto name = builder.CreateString(record.host);
+        const auto data_centre = builder.CreateString(record.data_centre);
+        const auto callers = builder.CreateString(record.callers.text());
+        const auto datagrams = builder.CreateString(record.datagrams.text());
+        const auto queries = builder.CreateString(record.queries.text());
+        return wire::Createhost(builder, name, data_centre, callers, datagrams, queries,
+                                record.processor_share, record.incarnation,
+                                static_cast<std::uint8_t>(item.state), item.age.count());
+    }
+
     void operator()(const view_reply& message) const {
+        std::vector<flatbuffers::Offset<wire::host>> hosts;
+        for (const heard_host& item : message.serving) {
+            hosts.push_back(write_host(item));
+        }
         std::vector<flatbuffers::Offset<wire::upstream_change>> changes;
         for (const upstream_change& item : message.catalogue.changes) {
             const auto id = builder.CreateString(item.entry.id);
@@ -169,11 +222,13 @@
         }
         const auto sender = builder.CreateString(message.sender);
         const auto list = builder.CreateVector(changes);
+        const auto serving = hosts.empty() ? 0 : builder.CreateVector(hosts);
         finish(
             wire::message_view_reply,
             wire::Createview_reply(builder, sender, message.nonce, message.configuration_revision,
                                    message.configuration_age.count(), message.catalogue_age.count(),
-                                   message.catalogue.complete, message.catalogue.revision, list)
+                                   message.catalogue.complete, message.catalogue.revision, list,
+                                   serving, message.invitation)
                 .Union());
     }
 
--- a/drivers/datagrams/datagram_generated.h
+++ b/drivers/datagrams/datagram_generated.h
@@ -25,6 +25,9 @@
 struct announcement;
 struct announcementBuilder;
 
+struct host;
+struct hostBuilder;
+
 struct view_request;
 struct view_requestBuilder;
 
@@ -305,7 +308,9 @@
     VT_COMPLETE = 22,
     VT_WORKS = 24,
     VT_SLOW = 26,
-    VT_FORWARD = 28
+    VT_FORWARD = 28,
+    VT_PROCESSOR_SHARE = 30,
+    VT_REQUESTS_PER_S = 32
   };
   const flatbuffers::String *host() const {
     return GetPointer<const flatbuffers::String *>(VT_HOST);
@@ -346,6 +351,12 @@
   bool forward() const {
     return GetField<uint8_t>(VT_FORWARD, 0) != 0;
   }
+  double processor_share() const {
+    return GetField<double>(VT_PROCESSOR_SHARE, 0.0);
+  }
+  double requests_per_s() const {
+    return GetField<double>(VT_REQUESTS_PER_S, 0.0);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffset(verifier, VT_HOST) &&
@@ -370,6 +381,8 @@
            verifier.VerifyVector(slow()) &&
            verifier.VerifyVectorOfTables(slow()) &&
            VerifyField<uint8_t>(verifier, VT_FORWARD, 1) &&
+           VerifyField<double>(verifier, VT_PROCESSOR_SHARE, 8) &&
+           VerifyField<double>(verifier, VT_REQUESTS_PER_S, 8) &&
            verifier.EndTable();
   }
 };
@@ -417,6 +430,12 @@
   void add_forward(bool forward) {
     fbb_.AddElement<uint8_t>(announcement::VT_FORWARD, static_cast<uint8_t>(forward), 0);
   }
+  void add_processor_share(double processor_share) {
+    fbb_.AddElement<double>(announcement::VT_PROCESSOR_SHARE, processor_share, 0.0);
+  }
+  void add_requests_per_s(double requests_per_s) {
+    fbb_.AddElement<double>(announcement::VT_REQUESTS_PER_S, requests_per_s, 0.0);
+  }
   explicit announcementBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -442,8 +461,12 @@
     bool complete = false,
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<fuchsiaquay::wire::work>>> works = 0,
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<fuchsiaquay::wire::slow_engine>>> slow = 0,
-    bool forward = false) {
+    bool forward = false,
+    double processor_share = 0.0,
+    double requests_per_s = 0.0) {
   announcementBuilder builder_(_fbb);
+  builder_.add_requests_per_s(requests_per_s);
+  builder_.add_processor_share(processor_share);
   builder_.add_configuration_revision(configuration_revision);
   builder_.add_sequence(sequence);
   builder_.add_incarnation(incarnation);
@@ -474,7 +497,9 @@
     bool complete = false,
     const std::vector<flatbuffers::Offset<fuchsiaquay::wire::work>> *works = nullptr,
     const std::vector<flatbuffers::Offset<fuchsiaquay::wire::slow_engine>> *slow = nullptr,
-    bool forward = false) {
+    bool forward = false,
+    double processor_share = 0.0,
+    double requests_per_s = 0.0) {
   auto host__ = host ? _fbb.CreateString(host) : 0;
   auto data_centre__ = data_centre ? _fbb.CreateString(data_centre) : 0;
   auto callers__ = callers ? _fbb.CreateString(callers) : 0;
@@ -496,7 +521,164 @@
       complete,
       works__,
       slow__,
-      forward);
+      forward,
+      processor_share,
+      requests_per_s);
+}
+
+struct host FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef hostBuilder Builder;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_NAME = 4,
+    VT_DATA_CENTRE = 6,
+    VT_CALLERS = 8,
+    VT_DATAGRAMS = 10,
+    VT_QUERIES = 12,
+    VT_PROCESSOR_SHARE = 14,
+    VT_INCARNATION = 16,
+    VT_STATE = 18,
+    VT_AGE_US = 20
+  };
+  const flatbuffers::String *name() const {
+    return GetPointer<const flatbuffers::String *>(VT_NAME);
+  }
+  const flatbuffers::String *data_centre() const {
+    return GetPointer<const flatbuffers::String *>(VT_DATA_CENTRE);
+  }
+  const flatbuffers::String *callers() const {
+    return GetPointer<const flatbuffers::String *>(VT_CALLERS);
+  }
+  const flatbuffers::String *datagrams() const {
+    return GetPointer<const flatbuffers::String *>(VT_DATAGRAMS);
+  }
+  const flatbuffers::String *queries() const {
+    return GetPointer<const flatbuffers::String *>(VT_QUERIES);
+  }
+  double processor_share() const {
+    return GetField<double>(VT_PROCESSOR_SHARE, 0.0);
+  }
+  uint64_t incarnation() const {
+    return GetField<uint64_t>(VT_INCARNATION, 0);
+  }
+  uint8_t state() const {
+    return GetField<uint8_t>(VT_STATE, 0);
+  }
+  int64_t age_us() const {
+    return GetField<int64_t>(VT_AGE_US, 0);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyOffset(verifier, VT_NAME) &&
+           verifier.VerifyString(name()) &&
+           VerifyOffset(verifier, VT_DATA_CENTRE) &&
+           verifier.VerifyString(data_centre()) &&
+           VerifyOffset(verifier, VT_CALLERS) &&
+           verifier.VerifyString(callers()) &&
+           VerifyOffset(verifier, VT_DATAGRAMS) &&
+           verifier.VerifyString(datagrams()) &&
+           VerifyOffset(verifier, VT_QUERIES) &&
+           verifier.VerifyString(queries()) &&
+           VerifyField<double>(verifier, VT_PROCESSOR_SHARE, 8) &&
+           VerifyField<uint64_t>(verifier, VT_INCARNATION, 8) &&
+           VerifyField<uint8_t>(verifier, VT_STATE, 1) &&
+           VerifyField<int64_t>(verifier, VT_AGE_US, 8) &&
+           verifier.EndTable();
+  }
+};
+
+struct hostBuilder {
+  typedef host Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_name(flatbuffers::Offset<flatbuffers::String> name) {
+    fbb_.AddOffset(host::VT_NAME, name);
+  }
+  void add_data_centre(flatbuffers::Offset<flatbuffers::String> data_centre) {
+    fbb_.AddOffset(host::VT_DATA_CENTRE, data_centre);
+  }
+  void add_callers(flatbuffers::Offset<flatbuffers::String> callers) {
+    fbb_.AddOffset(host::VT_CALLERS, callers);
+  }
+  void add_datagrams(flatbuffers::Offset<flatbuffers::String> datagrams) {
+    fbb_.AddOffset(host::VT_DATAGRAMS, datagrams);
+  }
+  void add_queries(flatbuffers::Offset<flatbuffers::String> queries) {
+    fbb_.AddOffset(host::VT_QUERIES, queries);
+  }
+  void add_processor_share(double processor_share) {
+    fbb_.AddElement<double>(host::VT_PROCESSOR_SHARE, processor_share, 0.0);
+  }
+  void add_incarnation(uint64_t incarnation) {
+    fbb_.AddElement<uint64_t>(host::VT_INCARNATION, incarnation, 0);
+  }
+  void add_state(uint8_t state) {
+    fbb_.AddElement<uint8_t>(host::VT_STATE, state, 0);
+  }
+  void add_age_us(int64_t age_us) {
+    fbb_.AddElement<int64_t>(host::VT_AGE_US, age_us, 0);
+  }
+  explicit hostBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<host> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<host>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<host> Createhost(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    flatbuffers::Offset<flatbuffers::String> name = 0,
+    flatbuffers::Offset<flatbuffers::String> data_centre = 0,
+    flatbuffers::Offset<flatbuffers::String> callers = 0,
+    flatbuffers::Offset<flatbuffers::String> datagrams = 0,
+    flatbuffers::Offset<flatbuffers::String> queries = 0,
+    double processor_share = 0.0,
+    uint64_t incarnation = 0,
+    uint8_t state = 0,
+    int64_t age_us = 0) {
+  hostBuilder builder_(_fbb);
+  builder_.add_age_us(age_us);
+  builder_.add_incarnation(incarnation);
+  builder_.add_processor_share(processor_share);
+  builder_.add_queries(queries);
+  builder_.add_datagrams(datagrams);
+  builder_.add_callers(callers);
+  builder_.add_data_centre(data_centre);
+  builder_.add_name(name);
+  builder_.add_state(state);
+  return builder_.Finish();
+}
+
+inline flatbuffers::Offset<host> CreatehostDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    const char *name = nullptr,
+    const char *data_centre = nullptr,
+    const char *callers = nullptr,
+    const char *datagrams = nullptr,
+    const char *queries = nullptr,
+    double processor_share = 0.0,
+    uint64_t incarnation = 0,
+    uint8_t state = 0,
+    int64_t age_us = 0) {
+  auto name__ = name ? _fbb.CreateString(name) : 0;
+  auto data_centre__ = data_centre ? _fbb.CreateString(data_centre) : 0;
+  auto callers__ = callers ? _fbb.CreateString(callers) : 0;
+  auto datagrams__ = datagrams ? _fbb.CreateString(datagrams) : 0;
+  auto queries__ = queries ? _fbb.CreateString(queries) : 0;
+  return fuchsiaquay::wire::Createhost(
+      _fbb,
+      name__,
+      data_centre__,
+      callers__,
+      datagrams__,
+      queries__,
+      processor_share,
+      incarnation,
+      state,
+      age_us);
 }
 
 struct view_request FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
@@ -504,7 +686,11 @@
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
     VT_SENDER = 4,
     VT_NONCE = 6,
-    VT_CATALOGUE_REVISION = 8
+    VT_CATALOGUE_REVISION = 8,
+    VT_DATA_CENTRE = 10,
+    VT_DATAGRAMS = 12,
+    VT_PROCESSOR_SHARE = 14,
+    VT_STANDBY = 16
   };
   const flatbuffers::String *sender() const {
     return GetPointer<const flatbuffers::String *>(VT_SENDER);
@@ -515,12 +701,30 @@
   int64_t catalogue_revision() const {
     return GetField<int64_t>(VT_CATALOGUE_REVISION, 0);
   }
+  const flatbuffers::String *data_centre() const {
+    return GetPointer<const flatbuffers::String *>(VT_DATA_CENTRE);
+  }
+  const flatbuffers::String *datagrams() const {
+    return GetPointer<const flatbuffers::String *>(VT_DATAGRAMS);
+  }
+  double processor_share() const {
+    return GetField<double>(VT_PROCESSOR_SHARE, 0.0);
+  }
+  bool standby() const {
+    return GetField<uint8_t>(VT_STANDBY, 0) != 0;
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffset(verifier, VT_SENDER) &&
            verifier.VerifyString(sender()) &&
            VerifyField<uint64_t>(verifier, VT_NONCE, 8) &&
            VerifyField<int64_t>(verifier, VT_CATALOGUE_REVISION, 8) &&
+           VerifyOffset(verifier, VT_DATA_CENTRE) &&
+           verifier.VerifyString(data_centre()) &&
+           VerifyOffset(verifier, VT_DATAGRAMS) &&
+           verifier.VerifyString(datagrams()) &&
+           VerifyField<double>(verifier, VT_PROCESSOR_SHARE, 8) &&
+           VerifyField<uint8_t>(verifier, VT_STANDBY, 1) &&
            verifier.EndTable();
   }
 };
@@ -538,6 +742,18 @@
   void add_catalogue_revision(int64_t catalogue_revision) {
     fbb_.AddElement<int64_t>(view_request::VT_CATALOGUE_REVISION, catalogue_revision, 0);
   }
+  void add_data_centre(flatbuffers::Offset<flatbuffers::String> data_centre) {
+    fbb_.AddOffset(view_request::VT_DATA_CENTRE, data_centre);
+  }
+  void add_datagrams(flatbuffers::Offset<flatbuffers::String> datagrams) {
+    fbb_.AddOffset(view_request::VT_DATAGRAMS, datagrams);
+  }
+  void add_processor_share(double processor_share) {
+    fbb_.AddElement<double>(view_request::VT_PROCESSOR_SHARE, processor_share, 0.0);
+  }
+  void add_standby(bool standby) {
+    fbb_.AddElement<uint8_t>(view_request::VT_STANDBY, static_cast<uint8_t>(standby), 0);
+  }
   explicit view_requestBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -553,11 +769,19 @@
     flatbuffers::FlatBufferBuilder &_fbb,
     flatbuffers::Offset<flatbuffers::String> sender = 0,
     uint64_t nonce = 0,
-    int64_t catalogue_revision = 0) {
+    int64_t catalogue_revision = 0,
+    flatbuffers::Offset<flatbuffers::String> data_centre = 0,
+    flatbuffers::Offset<flatbuffers::String> datagrams = 0,
+    double processor_share = 0.0,
+    bool standby = false) {
   view_requestBuilder builder_(_fbb);
+  builder_.add_processor_share(processor_share);
   builder_.add_catalogue_revision(catalogue_revision);
   builder_.add_nonce(nonce);
+  builder_.add_datagrams(datagrams);
+  builder_.add_data_centre(data_centre);
   builder_.add_sender(sender);
+  builder_.add_standby(standby);
   return builder_.Finish();
 }
 
@@ -565,13 +789,23 @@
     flatbuffers::FlatBufferBuilder &_fbb,
     const char *sender = nullptr,
     uint64_t nonce = 0,
-    int64_t catalogue_revision = 0) {
+    int64_t catalogue_revision = 0,
+    const char *data_centre = nullptr,
+    const char *datagrams = nullptr,
+    double processor_share = 0.0,
+    bool standby = false) {
   auto sender__ = sender ? _fbb.CreateString(sender) : 0;
+  auto data_centre__ = data_centre ? _fbb.CreateString(data_centre) : 0;
+  auto datagrams__ = datagrams ? _fbb.CreateString(datagrams) : 0;
   return fuchsiaquay::wire::Createview_request(
       _fbb,
       sender__,
       nonce,
-      catalogue_revision);
+      catalogue_revision,
+      data_centre__,
+      datagrams__,
+      processor_share,
+      standby);
 }
 
 struct upstream_change FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
@@ -711,7 +945,9 @@
     VT_CATALOGUE_AGE_US = 12,
     VT_COMPLETE = 14,
     VT_CATALOGUE_REVISION = 16,
-    VT_CHANGES = 18
+    VT_CHANGES = 18,
+    VT_SERVING = 20,
+    VT_INVITATION = 22
   };
   const flatbuffers::String *sender() const {
     return GetPointer<const flatbuffers::String *>(VT_SENDER);
@@ -737,6 +973,12 @@
   const flatbuffers::Vector<flatbuffers::Offset<fuchsiaquay::wire::upstream_change>> *changes() const {
     return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<fuchsiaquay::wire::upstream_change>> *>(VT_CHANGES);
   }
+  const flatbuffers::Vector<flatbuffers::Offset<fuchsiaquay::wire::host>> *serving() const {
+    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<fuchsiaquay::wire::host>> *>(VT_SERVING);
+  }
+  bool invitation() const {
+    return GetField<uint8_t>(VT_INVITATION, 0) != 0;
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffset(verifier, VT_SENDER) &&
@@ -750,6 +992,10 @@
            VerifyOffset(verifier, VT_CHANGES) &&
            verifier.VerifyVector(changes()) &&
            verifier.VerifyVectorOfTables(changes()) &&
+           VerifyOffset(verifier, VT_SERVING) &&
+           verifier.VerifyVector(serving()) &&
+           verifier.VerifyVectorOfTables(serving()) &&
+           VerifyField<uint8_t>(verifier, VT_INVITATION, 1) &&
            verifier.EndTable();
   }
 };
@@ -782,6 +1028,12 @@
   void add_changes(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<fuchsiaquay::wire::upstream_change>>> changes) {
     fbb_.AddOffset(view_reply::VT_CHANGES, changes);
   }
+  void add_serving(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<fuchsiaquay::wire::host>>> serving) {
+    fbb_.AddOffset(view_reply::VT_SERVING, serving);
+  }
+  void add_invitation(bool invitation) {
+    fbb_.AddElement<uint8_t>(view_reply::VT_INVITATION, static_cast<uint8_t>(invitation), 0);
+  }
   explicit view_replyBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -802,15 +1054,19 @@
     int64_t catalogue_age_us = 0,
     bool complete = false,
     int64_t catalogue_revision = 0,
-    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<fuchsiaquay::wire::upstream_change>>> changes = 0) {
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<fuchsiaquay::wire::upstream_change>>> changes = 0,
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<fuchsiaquay::wire::host>>> serving = 0,
+    bool invitation = false) {
   view_replyBuilder builder_(_fbb);
   builder_.add_catalogue_revision(catalogue_revision);
   builder_.add_catalogue_age_us(catalogue_age_us);
   builder_.add_configuration_age_us(configuration_age_us);
   builder_.add_configuration_revision(configuration_revision);
   builder_.add_nonce(nonce);
+  builder_.add_serving(serving);
   builder_.add_changes(changes);
   builder_.add_sender(sender);
+  builder_.add_invitation(invitation);
   builder_.add_complete(complete);
   return builder_.Finish();
 }
@@ -824,9 +1080,12 @@
     int64_t catalogue_age_us = 0,
     bool complete = false,
     int64_t catalogue_revision = 0,
-    const std::vector<flatbuffers::Offset<fuchsiaquay::wire::upstream_change>> *changes = nullptr) {
+    const std::vector<flatbuffers::Offset<fuchsiaquay::wire::upstream_change>> *changes = nullptr,
+    const std::vector<flatbuffers::Offset<fuchsiaquay::wire::host>> *serving = nullptr,
+    bool invitation = false) {
   auto sender__ = sender ? _fbb.CreateString(sender) : 0;
   auto changes__ = changes ? _fbb.CreateVector<flatbuffers::Offset<fuchsiaquay::wire::upstream_change>>(*changes) : 0;
+  auto serving__ = serving ? _fbb.CreateVector<flatbuffers::Offset<fuchsiaquay::wire::host>>(*serving) : 0;
   return fuchsiaquay::wire::Createview_reply(
       _fbb,
       sender__,
@@ -836,7 +1095,9 @@
       catalogue_age_us,
       complete,
       catalogue_revision,
-      changes__);
+      changes__,
+      serving__,
+      invitation);
 }
 
 struct datagram FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
--- a/drivers/settings/define_setting.cpp
+++ b/drivers/settings/define_setting.cpp
@@ -7,6 +7,7 @@
 namespace {
 
 constexpr std::int64_t max_port = 65'535;
+constexpr std::int64_t max_seconds = 3'600;
 constexpr std::int64_t max_milliseconds = 3'600'000;
 
 }  // namespace
@@ -44,6 +45,22 @@
     return definition;
 }
 
+setting_definition number_setting(const char* section, const char* key, const char* value,
+                                  std::int64_t minimum, std::int64_t maximum, const char* unit,
+                                  const char* description) {
+    setting_definition definition = text_setting(section, key, value, description);
+    definition.type = setting_type::number;
+    definition.minimum = minimum;
+    definition.maximum = maximum;
+    definition.unit = unit;
+    return definition;
+}
+
+setting_definition seconds_setting(const char* section, const char* key, const char* value,
+                                   const char* description) {
+    return number_setting(section, key, value, 0, max_seconds, "s", description);
+}
+
 setting_definition milliseconds_setting(const char* section, const char* key, std::int64_t value,
                                         const char* description) {
     return integer_setting(section, key, value, 1, max_milliseconds, "ms", description);
--- a/drivers/settings/define_setting.hpp
+++ b/drivers/settings/define_setting.hpp
@@ -17,6 +17,13 @@
 setting_definition integer_setting(const char* section, const char* key, std::int64_t value,
                                    std::int64_t minimum, std::int64_t maximum, const char* unit,
                                    const char* description);
+/// Number with an optional fraction.
+setting_definition number_setting(const char* section, const char* key, const char* value,
+                                  std::int64_t minimum, std::int64_t maximum, const char* unit,
+                                  const char* description);
+/// Seconds from 0 to one hour, with an optional fraction.
+setting_definition seconds_setting(const char* section, const char* key, const char* value,
+                                   const char* description);
 /// Milliseconds from 1 to one hour.
 setting_definition milliseconds_setting(const char* section, const char* key, std::int64_t value,
                                         const char* description);
--- a/drivers/settings/setting_definition.hpp
+++ b/drivers/settings/setting_definition.hpp
@@ -7,7 +7,7 @@
 namespace fuchsiaquay {
 
 /// Type of a setting's value.
-enum class setting_type { text, integer, ip_address, list };
+enum class setting_type { text, integer, number, ip_address, list };
 
 /// Everything known about one setting. The checker, `--print-settings` and docs/CONFIGURATION.md
 /// all follow from it.
@@ -19,7 +19,7 @@
     std::string default_value;
     /// True: the file must name the key.
     bool required = false;
-    /// Allowed range of integers, both ends included.
+    /// Allowed range of integers and numbers, both ends included.
     std::int64_t minimum = std::numeric_limits<std::int64_t>::min();
     std::int64_t maximum = std::numeric_limits<std::int64_t>::max();
     std::string unit;
--- a/drivers/settings/settings.cpp
+++ b/drivers/settings/settings.cpp
@@ -4,6 +4,8 @@
 #include <ini.h>
 
 #include <charconv>
+#include <cmath>
+#include <cstdlib>
 #include <fstream>
 #include <optional>
 #include <set>
@@ -30,6 +32,15 @@
     return value;
 }
 
+std::optional<double> parse_number(const std::string& text) {
+    char* end = nullptr;
+    const double value = std::strtod(text.c_str(), &end);
+    if (text.empty() || *end != '\0' || !std::isfinite(value)) {
+        return std::nullopt;
+    }
+    return value;
+}
+
 bool is_ip_address(const std::string& text) {
     unsigned char buffer[address_bytes] = {};
     return inet_pton(AF_INET, text.c_str(), buffer) == 1 ||
@@ -159,17 +170,28 @@
         if (definition.type == setting_type::ip_address && !is_ip_address(value)) {
             return "'" + value + "' is no address; allowed: an IP number";
         }
-        if (definition.type != setting_type::integer) {
-            return definition.required && value.empty() ? "empty; allowed: a text" : "";
+        if (definition.type == setting_type::integer) {
+            return check_range(definition, value, "whole number", parse_integer(value));
         }
-        const std::string range = "allowed: a whole number from " +
+        if (definition.type == setting_type::number) {
+            return check_range(definition, value, "number", parse_number(value));
+        }
+        return definition.required && value.empty() ? "empty; allowed: a text" : "";
+    }
+
+    template <typename value_type>
+    static std::string check_range(const setting_definition& definition, const std::string& value,
+                                   const std::string& kind,
+                                   const std::optional<value_type>& number) {
+        const std::string range = "allowed: a " + kind + " from " +
                                   std::to_string(definition.minimum) + " to " +
                                   std::to_string(definition.maximum) + " " + definition.unit;
-        const std::optional<std::int64_t> number = parse_integer(value);
         if (!number) {
-            return "'" + value + "' is no whole number; " + range;
+            return "'" + value + "' is no " + kind + "; " + range;
         }
-        if (*number < definition.minimum || *number > definition.maximum) {
+        const auto minimum = static_cast<value_type>(definition.minimum);
+        const auto maximum = static_cast<value_type>(definition.maximum);
+        if (*number < minimum || *number > maximum) {
             return "'" + value + "' is out of range; " + range;
         }
         return "";
@@ -199,6 +221,10 @@
     return parse_integer(text(section, key)).value_or(0);
 }
 
+double settings::number(const std::string& section, const std::string& key) const {
+    return parse_number(text(section, key)).value_or(0.0);
+}
+
 std::vector<std::string> settings::list(const std::string& section, const std::string& key) const {
     return split_list(text(section, key));
 }
--- a/drivers/settings/settings.hpp
+++ b/drivers/settings/settings.hpp
@@ -20,6 +20,7 @@
     /// Value as text. The key must be defined.
     const std::string& text(const std::string& section, const std::string& key) const;
     std::int64_t integer(const std::string& section, const std::string& key) const;
+    double number(const std::string& section, const std::string& key) const;
     /// Comma-separated parts without surrounding blanks; empty text gives no parts.
     std::vector<std::string> list(const std::string& section, const std::string& key) const;
 
--- a/main/entry_node.cpp
+++ b/main/entry_node.cpp
@@ -31,6 +31,8 @@
 constexpr int kept_answer_factor = 3;
 /// Period of dividing the fleet's retries by the hosts that are there.
 constexpr duration budget_period = std::chrono::seconds(1);
+/// Hosts of the largest fleet.
+constexpr std::size_t most_hosts = 10'000;
 constexpr duration stop_check_period = std::chrono::milliseconds(100);
 /// Time kept of the grace for the last bytes to leave.
 constexpr duration stop_margin = std::chrono::milliseconds(600);
@@ -54,6 +56,7 @@
     record.callers = settings.callers;
     record.datagrams = settings.announcements;
     record.queries = settings.metrics;
+    record.processor_share = settings.processor_share;
     return record;
 }
 
@@ -76,18 +79,32 @@
       hosts_(
           record_of(settings), configuration_store_, channel_, loop, log, board_, host_prefix,
           [this] { return state(); }, [this] { return configuration_.revision(); }),
+      duty_(record_of(settings), settings.serving, settings.directory_lifetime * kept_answer_factor,
+            hosts_, loop, log, [this] { return load(); }),
       queries_(loop),
       views_(record_of(settings),
-             {loop, log, hosts_, channel_, queries_, configuration_store_, configuration_,
+             {loop, log, hosts_, duty_, channel_, queries_, configuration_store_, configuration_,
               configuration_mirror_, upstreams_, upstream_mirror_}),
       health_(breaker_settings()),
       budget_(settings.retries),
       connector_(loop),
       orders_(loop, log, order_timeout),
-      relay_services_{
-          settings.host, loop,    log,      configuration_, configuration_mirror_,
-          upstreams_,    board_,  health_,  budget_,        placement_,
-          connector_,    format_, metrics_, orders_,        [this] { return serving_time_left(); }},
+      relay_services_{settings.host,
+                      loop,
+                      log,
+                      configuration_,
+                      configuration_mirror_,
+                      upstreams_,
+                      board_,
+                      health_,
+                      budget_,
+                      placement_,
+                      connector_,
+                      format_,
+                      metrics_,
+                      orders_,
+                      [this] { return serving_time_left(); },
+                      [this] { return duty_.serving(); }},
       relays_(relay_services_),
       bodies_(settings.memory_bytes / body_memory_divisor),
       callers_(services_for_callers(), settings.callers),
@@ -107,8 +124,9 @@
         }
     });
     channel_.on_receive([this](const peer_datagram& message) { receive(message); });
-    loop_.every(budget_period, [this] { budget_.share_with(hosts_.live_peers().size() + 1); });
+    loop_.every(budget_period, [this] { share_budget(); });
     hosts_.start();
+    duty_.start();
     views_.start();
     log_.write(decision_log::level::info, "started",
                {{"callers", settings_.callers.text()},
@@ -135,12 +153,25 @@
     }
     const bool ready =
         configuration_.current() != nullptr && configuration_mirror_.fresh() && upstreams_.loaded();
+    if (ready && duty_.stepping_down()) {
+        return host_state::standby;
+    }
     return ready ? host_state::ready : host_state::unready;
 }
 
+host_load entry_node::load() const {
+    return {relays_.taken(), relays_.active()};
+}
+
+void entry_node::share_budget() {
+    // Callers are not sent to hosts that stand by: their part is kept for those that serve.
+    budget_.share_with(duty_.serving() ? hosts_.live_peers().size() + 1 : most_hosts);
+}
+
 http_endpoint::reply entry_node::answer_readiness() const {
     http_endpoint::reply reply;
-    const bool ready = state() == host_state::ready;
+    const host_state now = state();
+    const bool ready = now == host_state::ready || now == host_state::standby;
     reply.status = ready ? status_ok : status_unavailable;
     reply.body = ready ? R"({"status":"ready"})" : R"({"status":"not ready"})";
     return reply;
@@ -193,6 +224,7 @@
         {"store_calls_failed_total",
          static_cast<double>(configuration_store_.failures() + catalogue_store_.failures())},
         {"hosts_live", static_cast<double>(hosts_.live_peers().size() + 1)},
+        {"serving", duty_.serving() ? 1.0 : 0.0},
         {"upstreams", static_cast<double>(upstreams_.size())},
         {"configuration_version",
          configuration_.current() ? static_cast<double>(configuration_.current()->version()) : 0.0},
--- a/main/entry_node.hpp
+++ b/main/entry_node.hpp
@@ -23,7 +23,9 @@
 #include "platform/platform_upstream_codec.hpp"
 #include "servers/fleet/configuration_feed.hpp"
 #include "servers/fleet/engine_board.hpp"
+#include "servers/fleet/host_load.hpp"
 #include "servers/fleet/host_registry.hpp"
+#include "servers/fleet/serving_duty.hpp"
 #include "servers/fleet/upstream_registry.hpp"
 #include "servers/fleet/view_exchange.hpp"
 #include "servers/relay/relay_queue.hpp"
@@ -50,6 +52,8 @@
 
 private:
     host_state state() const;
+    host_load load() const;
+    void share_budget();
     http_endpoint::reply answer_readiness() const;
     http_endpoint::reply answer_directory(const std::string& target) const;
     http_endpoint::reply answer_query(const std::string& target) const;
@@ -78,6 +82,7 @@
     engine_board board_;
     udp_datagram_channel channel_;
     host_registry hosts_;
+    serving_duty duty_;
     http_host_queries queries_;
     view_exchange views_;
 
--- a/main/entry_settings.cpp
+++ b/main/entry_settings.cpp
@@ -1,6 +1,6 @@
 #include "main/entry_settings.hpp"
 
-#include <cstdlib>
+#include <algorithm>
 
 #include "drivers/settings/define_setting.hpp"
 #include "drivers/settings/setting_definition.hpp"
@@ -11,7 +11,8 @@
 
 namespace {
 
-constexpr std::size_t bytes_per_megabyte = 1'048'576;
+constexpr double bytes_per_megabyte = 1'048'576.0;
+constexpr double milliseconds_per_second = 1'000.0;
 
 std::vector<setting_definition> make_definitions() {
     return {
@@ -19,8 +20,10 @@
             text_setting("node", "host", "", "name of this host, unique in the fleet")),
         required_setting(text_setting("node", "data_centre", "", "data centre of this host")),
         address_setting("node", "address", "IP number for metrics and announcements"),
-        integer_setting("node", "memory_mb", 256, 64, 1'048'576, "MB",
-                        "memory of the process; a third may hold bodies of requests"),
+        number_setting("node", "memory_mb", "256", 64, 1'048'576, "MB",
+                       "memory of the process; a third may hold bodies of requests"),
+        number_setting("node", "processor_share", "1", 0, 1'024, "cores",
+                       "processor time of the process; hosts with more serve callers first"),
         required_setting(text_setting("listen", "callers", "", "IP:PORT for requests")),
         required_setting(text_setting("listen", "readiness", "", "IP:PORT for readiness checks")),
         required_setting(
@@ -28,17 +31,23 @@
         port_setting("listen", "metrics_port", 9'100, "port of the metrics"),
         port_setting("listen", "announcement_port", 9'101, "UDP port between hosts"),
         required_setting(text_setting("store", "address", "", "IP:PORT of the platform's store")),
-        milliseconds_setting("configuration", "revocation_ms", 5'000,
-                             "longest time after which a revoked key may still be served"),
+        number_setting("configuration", "revocation_ms", "5000", 1, 3'600'000, "ms",
+                       "longest time after which a revoked key may still be served"),
         milliseconds_setting("directory", "lifetime_ms", 2'000,
                              "how long callers may keep an answer"),
-        milliseconds_setting("shutdown", "grace_ms", 8'000,
-                             "time from the signal to stop until the process is ended"),
-        text_setting("retries", "ratio", "0.2",
-                     "retries of the fleet for each request to a service, from 0 to 1"),
-        milliseconds_setting("retries", "window_ms", 10'000, "window of the fleet's bound"),
-        integer_setting("retries", "allowance", 100, 0, 1'000'000, "retries",
-                        "retries of the fleet in a window beyond the ratio"),
+        text_setting("fleet", "data_centres", "",
+                     "data centres of the fleet, separated by commas; none: the host's own"),
+        integer_setting("fleet", "serving_hosts", 15, 1, 64, "hosts",
+                        "hosts that callers are sent to, at least; the others stand by"),
+        number_setting("fleet", "requests_per_host", "30", 1, 100'000, "requests/s",
+                       "load of the serving hosts from which more hosts serve"),
+        seconds_setting("shutdown", "grace_s", "8",
+                        "time from the signal to stop until the process is ended"),
+        number_setting("retries", "ratio", "0.2", 0, 1, "",
+                       "retries of the fleet for each request to a service"),
+        seconds_setting("retries", "window_s", "10", "window of the fleet's bound"),
+        number_setting("retries", "allowance", "100", 0, 1'000'000, "retries",
+                       "retries of the fleet in a window beyond the ratio"),
         integer_setting(
             "retries", "hosts", 16, 1, 10'000, "hosts",
             "hosts that share the allowance at least; a larger fleet divides it further"),
@@ -60,16 +69,6 @@
         }
         return address;
     }
-    double read_ratio(const char* section, const char* key) {
-        const std::string& text = values_.text(section, key);
-        char* end = nullptr;
-        const double value = std::strtod(text.c_str(), &end);
-        if (text.empty() || *end != '\0' || value < 0.0 || value > 1.0) {
-            faults_.push_back(std::string(section) + "." + key + ": '" + text +
-                              "' is no ratio; allowed: a number from 0 to 1");
-        }
-        return value;
-    }
     const std::vector<std::string>& faults() const { return faults_; }
 
 private:
@@ -106,14 +105,20 @@
     const std::string& ip = values.text("node", "address");
     result.metrics = {ip, port(values, "listen", "metrics_port")};
     result.announcements = {ip, port(values, "listen", "announcement_port")};
-    result.revocation_bound = ms(values, "configuration", "revocation_ms");
+    result.revocation_bound =
+        from_seconds(values.number("configuration", "revocation_ms") / milliseconds_per_second);
     result.directory_lifetime = ms(values, "directory", "lifetime_ms");
-    result.stop_grace = ms(values, "shutdown", "grace_ms");
+    result.stop_grace = from_seconds(values.number("shutdown", "grace_s"));
     result.memory_bytes =
-        static_cast<std::size_t>(values.integer("node", "memory_mb")) * bytes_per_megabyte;
-    result.retries.ratio = reader.read_ratio("retries", "ratio");
-    result.retries.window = ms(values, "retries", "window_ms");
-    result.retries.allowance = static_cast<double>(values.integer("retries", "allowance"));
+        static_cast<std::size_t>(values.number("node", "memory_mb") * bytes_per_megabyte);
+    result.processor_share = values.number("node", "processor_share");
+    result.serving.hosts = static_cast<std::size_t>(values.integer("fleet", "serving_hosts"));
+    result.serving.data_centres =
+        std::max<std::size_t>(1, values.list("fleet", "data_centres").size());
+    result.serving.requests_per_host = values.number("fleet", "requests_per_host");
+    result.retries.ratio = values.number("retries", "ratio");
+    result.retries.window = from_seconds(values.number("retries", "window_s"));
+    result.retries.allowance = values.number("retries", "allowance");
     result.retries.hosts = static_cast<int>(values.integer("retries", "hosts"));
     result.log_level = values.text("log", "level");
     if (!reader.faults().empty()) {
--- a/main/entry_settings.hpp
+++ b/main/entry_settings.hpp
@@ -4,6 +4,7 @@
 #include <vector>
 
 #include "core/fleet/network_address.hpp"
+#include "core/fleet/serving_settings.hpp"
 #include "core/retry/fleet_retry_settings.hpp"
 #include "core/time/clock.hpp"
 
@@ -28,6 +29,9 @@
     /// How long callers may keep a directory answer.
     duration directory_lifetime{};
     std::size_t memory_bytes = 0;
+    /// Processor cores that the process may use.
+    double processor_share = 1.0;
+    serving_settings serving;
     fleet_retry_settings retries;
     std::string log_level;
 };
--- a/main/main.cpp
+++ b/main/main.cpp
@@ -63,7 +63,8 @@
             std::cout << (item.default_value.empty() ? "empty" : "`" + item.default_value + "`");
         }
         std::cout << " | ";
-        if (item.type == fuchsiaquay::setting_type::integer) {
+        if (item.type == fuchsiaquay::setting_type::integer ||
+            item.type == fuchsiaquay::setting_type::number) {
             std::cout << item.minimum << " to " << item.maximum;
         } else {
             std::cout << (item.type == fuchsiaquay::setting_type::ip_address ? "IP number"
--- /dev/null
+++ b/servers/fleet/host_entry.cpp
@@ -0,0 +1,102 @@
+#include "servers/fleet/host_entry.hpp"
+
+#include <utility>
+
+#include "servers/decision_log.hpp"
+#include "servers/store/polled_store.hpp"
+#include "servers/timer_service.hpp"
+
+namespace fuchsiaquay {
+
+namespace {
+
+/// Lifetime of the entry in the store, and the period of its renewal.
+constexpr duration lease_time = std::chrono::seconds(30);
+constexpr duration renewal_period = std::chrono::seconds(9);
+constexpr duration registration_retry = std::chrono::milliseconds(500);
+
+}  // namespace
+
+host_entry::host_entry(polled_store& store, timer_service& timers, decision_log& log,
+                       std::string key)
+    : store_(store), timers_(timers), log_(log), key_(std::move(key)) {
+    timers_.every(renewal_period, [this] { renew(); });
+}
+
+void host_entry::keep(std::string value, written_handler written) {
+    value_ = std::move(value);
+    written_ = std::move(written);
+    wanted_ = true;
+    if (!registering_) {
+        register_entry();
+    }
+}
+
+void host_entry::remove() {
+    wanted_ = false;
+    if (lease_ != 0) {
+        store_.revoke_lease(std::exchange(lease_, 0));
+    }
+}
+
+void host_entry::register_entry() {
+    registering_ = wanted_;
+    if (!wanted_) {
+        return;
+    }
+    store_.grant_lease(lease_time, [this](std::int64_t lease) {
+        if (lease == 0) {
+            retry();
+        } else {
+            write(lease);
+        }
+    });
+}
+
+void host_entry::retry() {
+    timers_.after(registration_retry, [this] { register_entry(); });
+}
+
+void host_entry::write(std::int64_t lease) {
+    if (!wanted_) {
+        registering_ = false;
+        store_.revoke_lease(lease);
+        return;
+    }
+    transaction change;
+    change.writes.push_back({key_, value_, false, lease});
+    store_.commit(change, [this, lease](const write_result& result) {
+        if (result.outcome != write_outcome::applied) {
+            log_.write(decision_log::level::warning, "host_registration_failed",
+                       {{"lease", std::to_string(lease)}, {"reason", result.failure}});
+            retry();
+            return;
+        }
+        registering_ = false;
+        if (!wanted_) {
+            store_.revoke_lease(lease);
+            return;
+        }
+        lease_ = lease;
+        log_.write(decision_log::level::info, "host_registered",
+                   {{"revision", std::to_string(result.revision)}});
+        written_(static_cast<std::uint64_t>(result.revision));
+    });
+}
+
+void host_entry::renew() {
+    if (lease_ == 0) {
+        return;
+    }
+    store_.keep_alive(lease_, [this, lease = lease_](bool held) {
+        if (!held && lease == lease_) {
+            log_.write(decision_log::level::warning, "host_entry_lapsed",
+                       {{"lease", std::to_string(lease)}});
+            lease_ = 0;
+            registering_ = true;
+            register_entry();
+        }
+    });
+}
+
+}  // namespace fuchsiaquay
--- a/servers/fleet/host_registry.cpp
+++ b/servers/fleet/host_registry.cpp
@@ -15,10 +15,6 @@
 
 namespace {
 
-/// Lifetime of the entry in the store, and the period of its renewal.
-constexpr duration lease_time = std::chrono::seconds(30);
-constexpr duration renewal_period = std::chrono::seconds(9);
-constexpr duration registration_retry = std::chrono::milliseconds(500);
 /// Period of reading the other hosts' entries; announcements tell the rest.
 constexpr duration directory_period = std::chrono::seconds(60);
 /// Period of heartbeats. Each so many are complete announcements, which make good for lost ones.
@@ -32,6 +28,8 @@
 constexpr duration silence_limit = std::chrono::milliseconds(1'800);
 /// Silence after which a host is forgotten.
 constexpr duration forget_after = std::chrono::seconds(120);
+/// The same for a host that left; its last datagrams have arrived by then.
+constexpr duration forget_left_after = std::chrono::seconds(10);
 /// Changes within this time share an announcement.
 constexpr duration progress_delay = std::chrono::milliseconds(80);
 
@@ -43,6 +41,8 @@
             return "ready";
         case host_state::leaving:
             return "leaving";
+        case host_state::standby:
+            return "standby";
     }
     return "unready";
 }
@@ -59,12 +59,12 @@
       log_(log),
       board_(board),
       prefix_(std::move(prefix)),
+      entry_(store, timers, log, prefix_ + self_.host),
       state_(std::move(state)),
       configuration_(std::move(configuration)) {}
 
 void host_registry::start() {
     board_.on_own_change([this](const engine_work& work) { note_work(work); });
-    register_self();
     timers_.every(announce_period, [this] {
         drop_silent();
         const bool complete = ++heartbeats_ % complete_period == 0;
@@ -75,65 +75,49 @@
             announce_now();
         }
     });
-    timers_.every(renewal_period, [this] { keep_entry(); });
-    timers_.every(directory_period, [this] { read_entries(); });
-}
-
-void host_registry::register_self() {
-    if (left_) {
-        return;
-    }
-    store_.grant_lease(lease_time, [this](std::int64_t lease) {
-        if (lease != 0) {
-            write_entry(lease);
-        } else {
-            timers_.after(registration_retry, [this] { register_self(); });
+    timers_.every(directory_period, [this] {
+        if (serving_) {
+            read_directory({});
         }
     });
 }
 
-void host_registry::write_entry(std::int64_t lease) {
-    transaction change;
-    change.writes.push_back({prefix_ + self_.host, write_host_record(self_), false, lease});
-    store_.commit(change, [this, lease](const write_result& result) {
-        if (result.outcome != write_outcome::applied) {
-            log_.write(decision_log::level::warning, "host_registration_failed",
-                       {{"lease", std::to_string(lease)}, {"reason", result.failure}});
-            timers_.after(registration_retry, [this] { register_self(); });
-            return;
-        }
-        lease_ = lease;
-        // The store's revision grows with every start, whatever the host's clocks do.
-        self_.incarnation = static_cast<std::uint64_t>(result.revision);
-        log_.write(decision_log::level::info, "host_registered",
-                   {{"revision", std::to_string(result.revision)}});
+void host_registry::serve() {
+    if (left_ || std::exchange(serving_, true)) {
+        return;
+    }
+    entry_.keep(write_host_record(self_), [this](std::uint64_t revision) {
+        self_.incarnation = revision;
         // Of two hosts that start together, at least the later writer sees the other's entry.
-        read_entries();
+        read_directory({});
     });
 }
 
-void host_registry::keep_entry() {
-    if (lease_ == 0 || left_) {
+void host_registry::stand_by() {
+    if (!serving_) {
         return;
     }
-    store_.keep_alive(lease_, [this, lease = lease_](bool held) {
-        if (!held && lease == lease_) {
-            log_.write(decision_log::level::warning, "host_entry_lapsed",
-                       {{"lease", std::to_string(lease)}});
-            lease_ = 0;
-            register_self();
-        }
-    });
+    announce_leaving();
+    left_ = false;
+    serving_ = false;
+    self_.incarnation = 0;
+    for (const auto& [host, item] : peers_) {
+        board_.remove_host(host);
+    }
 }
 
-void host_registry::read_entries() {
-    store_.read_prefix(prefix_, [this](const read_result& result) {
+void host_registry::read_directory(directory_handler done) {
+    store_.read_prefix(prefix_, [this, done = std::move(done)](const read_result& result) {
+        directory_reading reading;
+        reading.read = result.ok();
         for (const stored_value& value : result.values) {
             try {
                 host_record record = read_host_record(value.value);
                 record.incarnation = static_cast<std::uint64_t>(value.revision);
+                reading.own = reading.own || record.host == self_.host;
                 peer& known = peers_[record.host];
                 if (record.host != self_.host && known.record.incarnation < record.incarnation) {
+                    ++reading.unknown;
                     known = {};
                     known.record = record;
                     known.heard_at = timers_.now();
@@ -146,15 +130,20 @@
         peers_.erase(self_.host);
         registered_ = registered_ || result.ok();
         announce(true, board_.own_works());
+        if (done) {
+            done(reading);
+        }
     });
 }
 
 void host_registry::leave() {
+    announce_leaving();
+}
+
+void host_registry::announce_leaving() {
     left_ = true;
     announce(true, board_.own_works());
-    if (lease_ != 0) {
-        store_.revoke_lease(std::exchange(lease_, 0));
-    }
+    entry_.remove();
 }
 
 void host_registry::note_work(const engine_work& work) {
@@ -189,6 +178,7 @@
     message.sequence = ++sequence_;
     message.configuration_revision = configuration_();
     message.complete = complete;
+    message.requests_per_s = requests_per_s_;
     message.works = std::move(works);
     message.slow = board_.pace().observed(timers_.now());
     if (complete) {
@@ -256,6 +246,7 @@
     }
     if (message.complete) {
         known.record = message.sender;
+        known.requests_per_s = message.requests_per_s;
     }
     known.state = message.state;
     known.sequence = message.sequence;
@@ -287,7 +278,9 @@
                        {{"peer", item->first},
                         {"silent_ms", std::to_string(to_milliseconds(now - known.heard_at))}});
         }
-        item = now - known.heard_at > forget_after ? peers_.erase(item) : std::next(item);
+        const duration limit =
+            known.state == host_state::leaving ? forget_left_after : forget_after;
+        item = now - known.heard_at > limit ? peers_.erase(item) : std::next(item);
     }
 }
 
@@ -298,7 +291,7 @@
 std::vector<host_record> host_registry::ready_hosts() const {
     const instant now = timers_.now();
     std::vector<host_record> result;
-    if (!left_ && state_() == host_state::ready) {
+    if (serving_ && !left_ && state_() == host_state::ready) {
         result.push_back(self_);
     }
     for (const auto& [host, item] : peers_) {
@@ -320,6 +313,67 @@
     return result;
 }
 
+std::vector<host_record> host_registry::listed_peers() const {
+    std::vector<host_record> result;
+    for (const auto& [host, item] : peers_) {
+        if (item.state != host_state::leaving) {
+            result.push_back(item.record);
+        }
+    }
+    return result;
+}
+
+serving_group host_registry::serving_in(const std::string& data_centre) const {
+    const instant now = timers_.now();
+    serving_group result;
+    if (serving_ && !left_ && self_.data_centre == data_centre && state_() != host_state::standby) {
+        result.hosts.push_back(self_);
+        result.requests_per_s += requests_per_s_;
+    }
+    for (const auto& [host, item] : peers_) {
+        const bool serves = item.state == host_state::ready || item.state == host_state::unready;
+        if (item.record.data_centre == data_centre && serves && alive(item, now)) {
+            result.hosts.push_back(item.record);
+            result.requests_per_s += item.requests_per_s;
+        }
+    }
+    return result;
+}
+
+std::vector<heard_host> host_registry::heard_hosts() const {
+    const instant now = timers_.now();
+    std::vector<heard_host> result;
+    if (serving_ && !left_) {
+        result.push_back({self_, state_(), duration::zero()});
+    }
+    for (const auto& [host, item] : peers_) {
+        if (alive(item, now)) {
+            result.push_back({item.record, item.state, now - item.heard_at});
+        }
+    }
+    return result;
+}
+
+void host_registry::learn(const std::vector<heard_host>& hosts, instant asked_at) {
+    if (serving_) {
+        return;
+    }
+    for (const heard_host& host : hosts) {
+        const instant heard_at = asked_at - host.age;
+        peer& known = peers_[host.record.host];
+        const bool older = known.record.incarnation > host.record.incarnation ||
+                           (known.heard && known.heard_at >= heard_at);
+        if (older || host.record.host == self_.host) {
+            continue;
+        }
+        known.record = host.record;
+        known.state = host.state;
+        known.heard_at = heard_at;
+        known.heard = true;
+    }
+    peers_.erase(self_.host);
+}
+
 const host_record* host_registry::find(const std::string& host) const {
     const auto found = peers_.find(host);
     return found == peers_.end() ? nullptr : &found->second.record;
--- a/servers/fleet/host_registry.hpp
+++ b/servers/fleet/host_registry.hpp
@@ -9,9 +9,13 @@
 
 #include "core/fleet/announcement.hpp"
 #include "core/fleet/announcement_peer.hpp"
+#include "core/fleet/heard_host.hpp"
 #include "core/fleet/host_record.hpp"
 #include "core/fleet/host_state.hpp"
+#include "core/fleet/serving_group.hpp"
 #include "core/time/clock.hpp"
+#include "servers/fleet/directory_reading.hpp"
+#include "servers/fleet/host_entry.hpp"
 
 namespace fuchsiaquay {
 
@@ -21,12 +25,13 @@
 class polled_store;
 class timer_service;
 
-/// The hosts of the fleet: keeps this host's own entry in the store, finds the others there, and
-/// exchanges announcements with them.
+/// The serving hosts of the fleet. A host that serves has an entry in the store, finds the others
+/// there, and exchanges announcements with them. One that stands by hears of them from one of them.
 class host_registry {
 public:
     using state_source = std::function<host_state()>;
     using revision_source = std::function<std::int64_t()>;
+    using directory_handler = std::function<void(const directory_reading& reading)>;
     /// Receives a host whose configuration has another revision than this host's.
     using newer_handler = std::function<void(const host_record& host)>;
 
@@ -36,6 +41,13 @@
                   state_source state, revision_source configuration);
 
     void start();
+    /// Takes part in serving: registers, and announces this host's work.
+    void serve();
+    /// Ends the part in serving; the host has no work left.
+    void stand_by();
+    bool serving() const noexcept { return serving_; }
+    /// Reads the entries of the serving hosts.
+    void read_directory(directory_handler done);
     /// Tells the others at once, and gives up the entry in the store.
     void leave();
 
@@ -43,9 +55,18 @@
     std::vector<host_record> ready_hosts() const;
     /// Other hosts heard of lately that are not leaving.
     std::vector<host_record> live_peers() const;
+    /// Other hosts that have an entry, heard of or not.
+    std::vector<host_record> listed_peers() const;
+    /// The serving hosts of a data centre that are alive, this one included.
+    serving_group serving_in(const std::string& data_centre) const;
+    /// What a host that stands by is told.
+    std::vector<heard_host> heard_hosts() const;
+    /// Takes what a serving host told this one, which stands by.
+    void learn(const std::vector<heard_host>& hosts, instant asked_at);
+    void note_load(double requests_per_s) { requests_per_s_ = requests_per_s; }
     /// Null when the host is not known.
     const host_record* find(const std::string& host) const;
-    /// True once this host's entry is in the store and the others' have been read.
+    /// True once the entries of the serving hosts have been read.
     bool registered() const noexcept { return registered_; }
     void receive(const announcement& message);
     void on_newer_configuration(newer_handler newer) { newer_ = std::move(newer); }
@@ -59,15 +80,13 @@
         std::uint64_t sequence = 0;
         instant heard_at{};
         bool heard = false;
+        double requests_per_s = 0.0;
     };
 
-    void register_self();
-    void write_entry(std::int64_t lease);
-    void keep_entry();
-    void read_entries();
     void note_work(const engine_work& work);
     void flush_planned();
     void flush();
+    void announce_leaving();
     void announce(bool complete, std::vector<engine_work> works);
     /// Sends on what a host of another data centre announced.
     void pass_on(announcement message);
@@ -82,14 +101,16 @@
     decision_log& log_;
     engine_board& board_;
     std::string prefix_;
+    host_entry entry_;
     state_source state_;
     revision_source configuration_;
     newer_handler newer_;
     bool registered_ = false;
     host_state announced_ = host_state::unready;
     std::map<std::string, peer> peers_;
-    std::int64_t lease_ = 0;
+    bool serving_ = false;
     bool left_ = false;
+    double requests_per_s_ = 0.0;
     std::uint64_t sequence_ = 0;
     std::uint64_t heartbeats_ = 0;
     std::vector<engine_work> changes_;
--- /dev/null
+++ b/servers/fleet/serving_duty.cpp
@@ -0,0 +1,249 @@
+#include "servers/fleet/serving_duty.hpp"
+
+#include <algorithm>
+#include <utility>
+
+#include "core/hashing/hash.hpp"
+#include "servers/decision_log.hpp"
+#include "servers/fleet/directory_reading.hpp"
+#include "servers/fleet/host_registry.hpp"
+#include "servers/timer_service.hpp"
+
+namespace fuchsiaquay {
+
+namespace {
+
+constexpr duration tick_period = std::chrono::milliseconds(250);
+/// Pause before the directory is read again after a failure, and what hosts spread it over.
+constexpr duration read_retry = std::chrono::milliseconds(1'000);
+constexpr std::uint64_t read_retry_spread_ms = 500;
+/// Time without any serving host after which one that stands by looks for others, or serves.
+constexpr duration isolation_limit = std::chrono::milliseconds(1'200);
+/// Period over which the load is measured.
+constexpr duration load_period = std::chrono::seconds(2);
+/// A host that was killed is back within this time; only then another one is invited.
+constexpr duration shortage_limit = std::chrono::milliseconds(3'500);
+/// The same for a data centre without any serving host.
+constexpr duration empty_limit = std::chrono::milliseconds(1'000);
+/// A shortage that was not seen for this long is over.
+constexpr duration shortage_gap = std::chrono::milliseconds(1'500);
+/// A host that stands by and has not asked for this long is gone.
+constexpr duration standby_silence = std::chrono::milliseconds(1'500);
+/// Time for an invited host to be heard of.
+constexpr duration invitation_period = std::chrono::milliseconds(1'500);
+/// Time for which a data centre has too many serving hosts before one steps down.
+constexpr duration excess_limit = std::chrono::seconds(8);
+/// Hysteresis: load that may come back while a host steps down.
+constexpr double excess_load = 1.5;
+
+}  // namespace
+
+serving_duty::serving_duty(host_record self, const serving_settings& settings,
+                           duration callers_keep, host_registry& hosts, timer_service& timers,
+                           decision_log& log, load_source load)
+    : self_(std::move(self)),
+      policy_(settings),
+      callers_keep_(callers_keep),
+      hosts_(hosts),
+      timers_(timers),
+      log_(log),
+      load_(std::move(load)) {}
+
+void serving_duty::start() {
+    heard_at_ = timers_.now();
+    measured_at_ = timers_.now();
+    look_for_others();
+    timers_.every(tick_period, [this] { tick(); });
+}
+
+bool serving_duty::serving() const {
+    return hosts_.serving();
+}
+
+void serving_duty::look_for_others() {
+    hosts_.read_directory([this](const directory_reading& reading) { decide(reading); });
+}
+
+void serving_duty::decide(const directory_reading& reading) {
+    if (serving()) {
+        return;
+    }
+    if (!reading.read) {
+        const auto spread =
+            static_cast<std::int64_t>(stable_hash(self_.host) % read_retry_spread_ms);
+        timers_.after(read_retry + std::chrono::milliseconds(spread),
+                      [this] { look_for_others(); });
+        return;
+    }
+    if (reading.own) {
+        serve("has an entry");
+        return;
+    }
+    const std::vector<host_record> listed = hosts_.listed_peers();
+    const auto near = std::count_if(listed.begin(), listed.end(), [this](const host_record& host) {
+        return host.data_centre == self_.data_centre;
+    });
+    if (static_cast<std::size_t>(near) >= policy_.wanted(0.0)) {
+        decided_ = true;
+        heard_at_ = timers_.now();
+        log_.write(decision_log::level::info, "standing_by",
+                   {{"reason", "enough hosts serve"}, {"serving_near", std::to_string(near)}});
+        return;
+    }
+    if (std::exchange(waited_, true)) {
+        serve("too few hosts serve");
+        return;
+    }
+    timers_.after(policy_.first_delay(self_), [this] { look_for_others(); });
+}
+
+void serving_duty::serve(const char* reason) {
+    decided_ = true;
+    if (serving()) {
+        return;
+    }
+    log_.write(
+        decision_log::level::info, "serving",
+        {{"reason", reason},
+         {"serving_near", std::to_string(hosts_.serving_in(self_.data_centre).hosts.size())}});
+    hosts_.serve();
+}
+
+void serving_duty::accept_invitation() {
+    serve("invited");
+}
+
+void serving_duty::tick() {
+    const instant now = timers_.now();
+    measure_load(now);
+    if (!serving()) {
+        watch_isolation(now);
+    } else if (stepping_down()) {
+        finish_stepping_down(now);
+    } else {
+        watch_excess(now);
+    }
+}
+
+void serving_duty::measure_load(instant now) {
+    if (now - measured_at_ < load_period) {
+        return;
+    }
+    const std::uint64_t requests = load_().requests;
+    requests_per_s_ =
+        static_cast<double>(requests - requests_before_) / to_seconds(now - measured_at_);
+    requests_before_ = requests;
+    measured_at_ = now;
+    hosts_.note_load(requests_per_s_);
+}
+
+void serving_duty::watch_isolation(instant now) {
+    if (!hosts_.live_peers().empty()) {
+        heard_at_ = now;
+        postponed_ = false;
+        return;
+    }
+    if (!decided_ || now - heard_at_ < isolation_limit || std::exchange(isolated_, true)) {
+        return;
+    }
+    timers_.after(policy_.first_delay(self_), [this] {
+        hosts_.read_directory([this](const directory_reading& reading) { decide_alone(reading); });
+    });
+}
+
+void serving_duty::decide_alone(const directory_reading& reading) {
+    isolated_ = false;
+    if (serving() || !hosts_.live_peers().empty()) {
+        return;
+    }
+    if (reading.unknown > 0 && !std::exchange(postponed_, true)) {
+        // Others took up service meanwhile: they may answer.
+        heard_at_ = timers_.now();
+        return;
+    }
+    serve("no serving host answers");
+}
+
+void serving_duty::watch_excess(instant now) {
+    const serving_group near = hosts_.serving_in(self_.data_centre);
+    const bool last =
+        std::all_of(near.hosts.begin(), near.hosts.end(), [this](const host_record& host) {
+            return host.host == self_.host || serving_policy::goes_before(host, self_);
+        });
+    if (!last || near.hosts.size() <= policy_.wanted(near.requests_per_s * excess_load)) {
+        excess_since_.reset();
+        return;
+    }
+    if (!excess_since_) {
+        excess_since_ = now;
+    }
+    if (now - *excess_since_ < excess_limit) {
+        return;
+    }
+    excess_since_.reset();
+    stepping_down_since_ = now;
+    log_.write(decision_log::level::info, "stepping_down",
+               {{"serving_near", std::to_string(near.hosts.size())},
+                {"requests_per_s", std::to_string(near.requests_per_s)}});
+}
+
+void serving_duty::finish_stepping_down(instant now) {
+    if (now - *stepping_down_since_ < callers_keep_ || load_().active > 0) {
+        return;
+    }
+    stepping_down_since_.reset();
+    heard_at_ = now;
+    hosts_.stand_by();
+    log_.write(decision_log::level::info, "standing_by", {{"reason", "more hosts than needed"}});
+}
+
+bool serving_duty::invites(const host_record& standby) {
+    const instant now = timers_.now();
+    if (!serving() || stepping_down()) {
+        return false;
+    }
+    standbys_[standby.host] = {standby, now};
+    const bool recently = invited_at_ && now - *invited_at_ < invitation_period;
+    if (recently || !invites_for(standby.data_centre) ||
+        !short_of_hosts(standby.data_centre, now) || !best_standby(standby, now)) {
+        return false;
+    }
+    invited_at_ = now;
+    log_.write(decision_log::level::info, "host_invited",
+               {{"peer", standby.host}, {"data_centre", standby.data_centre}});
+    return true;
+}
+
+bool serving_duty::invites_for(const std::string& data_centre) const {
+    const serving_group near = hosts_.serving_in(data_centre);
+    if (!near.hosts.empty()) {
+        return serving_policy::first_of(near.hosts)->host == self_.host;
+    }
+    // The hosts of a data centre without serving ones all ask the same host elsewhere.
+    return true;
+}
+
+bool serving_duty::short_of_hosts(const std::string& data_centre, instant now) {
+    const serving_group group = hosts_.serving_in(data_centre);
+    if (group.hosts.size() >= policy_.wanted(group.requests_per_s)) {
+        shortages_.erase(data_centre);
+        return false;
+    }
+    shortage& known = shortages_[data_centre];
+    if (now - known.last_missed > shortage_gap) {
+        known.since = now;
+    }
+    known.last_missed = now;
+    return now - known.since >= (group.hosts.empty() ? empty_limit : shortage_limit);
+}
+
+bool serving_duty::best_standby(const host_record& standby, instant now) const {
+    return std::all_of(standbys_.begin(), standbys_.end(), [&](const auto& item) {
+        const standby_host& other = item.second;
+        return now - other.asked_at > standby_silence || other.record.host == standby.host ||
+               other.record.data_centre != standby.data_centre || hosts_.find(item.first) ||
+               serving_policy::goes_before(standby, other.record);
+    });
+}
+
+}  // namespace fuchsiaquay
--- a/servers/fleet/view_exchange.cpp
+++ b/servers/fleet/view_exchange.cpp
@@ -10,6 +10,7 @@
 #include "servers/fleet/datagram_channel.hpp"
 #include "servers/fleet/host_queries.hpp"
 #include "servers/fleet/host_registry.hpp"
+#include "servers/fleet/serving_duty.hpp"
 #include "servers/fleet/upstream_registry.hpp"
 #include "servers/store/polled_store.hpp"
 #include "servers/store/prefix_mirror.hpp"
@@ -22,6 +23,8 @@
 constexpr duration tick_period = std::chrono::milliseconds(50);
 /// Period of questions to the watching host.
 constexpr duration pull_period = std::chrono::milliseconds(250);
+/// The same for a host that stands by.
+constexpr duration standby_pull_period = std::chrono::milliseconds(400);
 /// A source that does not answer within this time is not asked again at once.
 constexpr duration answer_limit = std::chrono::milliseconds(450);
 /// Several hosts may tell of the same new configuration within this time.
@@ -37,6 +40,8 @@
 /// Pauses after a failed call to the store: of a watching host, and of one that stands in.
 constexpr duration watcher_retry = std::chrono::milliseconds(200);
 constexpr duration stand_in_retry = std::chrono::milliseconds(1'000);
+/// Period of questions of a host that has nothing yet.
+constexpr duration first_pulls = std::chrono::milliseconds(50);
 /// Hosts of a data centre that stand in first. The others wait longer, so that an outage of the
 /// store does not bring calls from every host of a large fleet.
 constexpr std::size_t first_stand_ins = 3;
@@ -86,7 +91,8 @@
     const bool old = services_.configuration_mirror.age() > old_copy ||
                      services_.upstream_mirror.age() > old_copy;
     const bool started = services_.configuration.revision() > 0 && services_.upstreams.loaded();
-    const bool due = now - pulled_at_ >= pull_period || !started;
+    const duration period = services_.duty.serving() ? pull_period : standby_pull_period;
+    const bool due = now - pulled_at_ >= period || (!started && now - pulled_at_ >= first_pulls);
     if (due && (!watcher_ || old)) {
         pulled_at_ = now;
         pull(now);
@@ -106,19 +112,23 @@
     const duration limit = first ? old_copy : further_old_copy;
     const duration retry = watcher_ ? watcher_retry : (first ? stand_in_retry : further_retry);
     for (prefix_mirror* mirror : {&services_.configuration_mirror, &services_.upstream_mirror}) {
-        const bool stands_in = !patient && mirror->age() > limit;
+        // A host that hears of no serving host becomes one.
+        const bool stands_in = services_.duty.serving() && !patient && mirror->age() > limit;
         mirror->follow(watcher_ || stands_in, retry);
     }
 }
 
 std::vector<host_id> view_exchange::near_hosts() const {
     std::vector<host_id> near = ids_of(services_.hosts.live_peers(), self_.data_centre);
-    near.emplace_back(self_.host);
+    if (services_.duty.serving()) {
+        near.emplace_back(self_.host);
+    }
     return near;
 }
 
 bool view_exchange::is_watcher() const {
-    return rendezvous_owner(watch_key, near_hosts()) == host_id(self_.host);
+    return services_.duty.serving() &&
+           rendezvous_owner(watch_key, near_hosts()) == host_id(self_.host);
 }
 
 bool view_exchange::stands_in_first() const {
@@ -128,8 +138,13 @@
 
 std::vector<host_record> view_exchange::sources() const {
     const std::vector<host_record> live = services_.hosts.live_peers();
+    if (live.empty()) {
+        return newest_listed();
+    }
+    // Hosts that stand by are many: they spread over the serving ones.
+    const std::string key = services_.duty.serving() ? watch_key : self_.host;
     std::vector<host_id> chosen =
-        rendezvous_order(watch_key, ids_of(live, self_.data_centre), near_sources);
+        rendezvous_order(key, ids_of(live, self_.data_centre), near_sources);
     for (const host_record& host : live) {
         if (host.data_centre == self_.data_centre) {
             continue;
@@ -148,6 +163,14 @@
     return result;
 }
 
+std::vector<host_record> view_exchange::newest_listed() const {
+    std::vector<host_record> listed = services_.hosts.listed_peers();
+    std::sort(listed.begin(), listed.end(), [](const host_record& a, const host_record& b) {
+        return a.incarnation > b.incarnation;
+    });
+    return listed;
+}
+
 void view_exchange::pull(instant now) {
     if (open_ && now - open_->sent_at < answer_limit) {
         return;
@@ -156,6 +179,11 @@
         ++source_;
     }
     const std::vector<host_record> candidates = sources();
+    if (candidates != candidates_) {
+        // Others may have come back that are better than the one asked last.
+        candidates_ = candidates;
+        source_ = 0;
+    }
     if (!candidates.empty()) {
         ask(candidates[source_ % candidates.size()]);
     }
@@ -170,7 +198,8 @@
 
 void view_exchange::ask(const host_record& host) {
     view_request request;
-    request.sender = self_.host;
+    request.sender = self_;
+    request.standby = !services_.duty.serving();
     request.nonce = ++nonce_;
     const bool whole = ++pulls_ % whole_catalogue_period == 0;
     request.catalogue_revision = whole ? 0 : services_.upstreams.revision();
@@ -179,10 +208,6 @@
 }
 
 void view_exchange::answer(const view_request& request) {
-    const host_record* sender = services_.hosts.find(request.sender);
-    if (sender == nullptr) {
-        return;
-    }
     view_reply reply;
     reply.sender = self_.host;
     reply.nonce = request.nonce;
@@ -190,7 +215,11 @@
     reply.configuration_age = services_.configuration_mirror.age();
     reply.catalogue_age = services_.upstream_mirror.age();
     reply.catalogue = services_.upstreams.changes_after(request.catalogue_revision);
-    services_.channel.send({sender->datagrams}, reply);
+    if (request.standby) {
+        reply.serving = services_.hosts.heard_hosts();
+        reply.invitation = services_.duty.invites(request.sender);
+    }
+    services_.channel.send({request.sender.datagrams}, reply);
 }
 
 void view_exchange::take(const view_reply& reply) {
@@ -199,6 +228,10 @@
     }
     const instant asked_at = open_->sent_at;
     open_.reset();
+    services_.hosts.learn(reply.serving, asked_at);
+    if (reply.invitation) {
+        services_.duty.accept_invitation();
+    }
     services_.upstreams.apply(reply.catalogue);
     if (services_.upstreams.loaded() &&
         services_.upstreams.revision() >= reply.catalogue.revision) {
@@ -229,6 +262,9 @@
             if (answer.revision >= revision && services_.configuration.take_answer(answer)) {
                 services_.configuration_mirror.advance(answer.revision);
             } else {
+                services_.log.write(decision_log::level::info, "configuration_read_from_store",
+                                    {{"wanted", std::to_string(revision)},
+                                     {"answered", std::to_string(answer.revision)}});
                 read_configuration();
             }
         });
--- a/servers/fleet/view_exchange.hpp
+++ b/servers/fleet/view_exchange.hpp
@@ -46,6 +46,8 @@
     void ask(const host_record& host);
     void ask_for_newer(const host_record& host);
     std::vector<host_record> sources() const;
+    /// Hosts that may answer when none is heard, the one that registered last first.
+    std::vector<host_record> newest_listed() const;
     void fetch_configuration(const host_record& host, std::int64_t revision);
     void read_configuration();
 
@@ -58,6 +60,8 @@
     instant pulled_at_{};
     std::uint64_t nonce_ = 0;
     std::optional<question> open_;
+    /// Whom to ask, in this order.
+    std::vector<host_record> candidates_;
     /// Grows with each source that could not help.
     std::size_t source_ = 0;
     std::uint64_t pulls_ = 0;
--- a/servers/fleet/view_exchange_services.hpp
+++ b/servers/fleet/view_exchange_services.hpp
@@ -9,6 +9,7 @@
 class host_registry;
 class polled_store;
 class prefix_mirror;
+class serving_duty;
 class timer_service;
 class upstream_registry;
 
@@ -17,6 +18,7 @@
     timer_service& timers;
     decision_log& log;
     host_registry& hosts;
+    serving_duty& duty;
     datagram_channel& channel;
     host_queries& queries;
     polled_store& store;
--- a/servers/relay/relay_queue.hpp
+++ b/servers/relay/relay_queue.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <cstdint>
 #include <set>
 
 #include "servers/relay/relay_services.hpp"
@@ -20,9 +21,14 @@
 
     /// Plans another try for those that wait.
     void retry_waiting();
-    void add(request_relay& relay) { relays_.insert(&relay); }
+    void add(request_relay& relay) {
+        relays_.insert(&relay);
+        ++taken_;
+    }
     void remove(request_relay& relay) { relays_.erase(&relay); }
     std::size_t active() const noexcept { return relays_.size(); }
+    /// Requests since the start.
+    std::uint64_t taken() const noexcept { return taken_; }
     std::size_t waiting() const;
     /// True for a moment after the start of the host.
     bool starting() const;
@@ -34,6 +40,7 @@
     const relay_services& services_;
     upstream_choice choice_;
     std::set<request_relay*> relays_;
+    std::uint64_t taken_ = 0;
     instant started_at_{};
     bool retry_planned_ = false;
 };
--- a/servers/relay/relay_services.hpp
+++ b/servers/relay/relay_services.hpp
@@ -41,6 +41,8 @@
     engine_orders& orders;
     /// Time until this host stops serving; `duration::max()` while it is not stopping.
     std::function<duration()> serving_time_left;
+    /// Whether this host hears of the other hosts' work.
+    std::function<bool()> hears_work;
 };
 
 }  // namespace fuchsiaquay
--- a/servers/relay/upstream_choice.cpp
+++ b/servers/relay/upstream_choice.cpp
@@ -81,6 +81,7 @@
     prompt.target_gap = admitted.terms->target_gap;
     prompt.patience_left = request.received_at + caller_patience(*admitted.terms) - now;
     prompt.excluded = excluded;
+    prompt.loads_known = services_.hears_work();
     engine_work place;
     place.key = key;
     place.read_time = read_time(profile, prompt.prompt_tokens);
--- a/tests/servers/fleet/virtual_hosts.hpp
+++ b/tests/servers/fleet/virtual_hosts.hpp
@@ -16,6 +16,7 @@
 #include "servers/fleet/engine_board.hpp"
 #include "servers/fleet/host_queries.hpp"
 #include "servers/fleet/host_registry.hpp"
+#include "servers/fleet/serving_duty.hpp"
 #include "servers/fleet/upstream_codec.hpp"
 #include "servers/fleet/upstream_registry.hpp"
 #include "servers/fleet/view_exchange.hpp"
@@ -101,10 +102,15 @@
     virtual_network network{timers};
     version_codec configurations;
     ready_codec upstreams;
+    serving_settings serving;
     std::map<std::string, std::unique_ptr<virtual_host>> hosts;
 
-    inline virtual_host& add(const std::string& name, const std::string& data_centre);
+    inline virtual_host& add(const std::string& name, const std::string& data_centre,
+                             double processor_share = 0.25);
     inline int watchers() const;
+    inline std::vector<std::string> serving_hosts() const;
+
+    int added_ = 0;
 };
 
 /// The parts of a host that keep its view of the store.
@@ -120,10 +126,15 @@
           registry(
               record, fleet.store, channel, fleet.timers, fleet.log, board, "hosts/",
               [this] {
-                  return configuration_mirror.fresh() ? host_state::ready : host_state::unready;
+                  if (!configuration_mirror.fresh()) {
+                      return host_state::unready;
+                  }
+                  return duty.stepping_down() ? host_state::standby : host_state::ready;
               },
               [this] { return configuration.revision(); }),
-          views(record, {fleet.timers, fleet.log, registry, channel, *this, fleet.store,
+          duty(record, fleet.serving, std::chrono::seconds(6), registry, fleet.timers, fleet.log,
+               [this] { return load; }),
+          views(record, {fleet.timers, fleet.log, registry, duty, channel, *this, fleet.store,
                          configuration, configuration_mirror, upstreams, upstream_mirror}) {
         channel.on_receive([this](const peer_datagram& message) {
             if (const auto* heard = std::get_if<announcement>(&message)) {
@@ -135,6 +146,7 @@
             }
         });
         registry.start();
+        duty.start();
         views.start();
     }
 
@@ -163,14 +175,18 @@
     prefix_mirror upstream_mirror;
     engine_board board;
     host_registry registry;
+    host_load load;
+    serving_duty duty;
     view_exchange views;
 };
 
-virtual_host& virtual_hosts::add(const std::string& name, const std::string& data_centre) {
+virtual_host& virtual_hosts::add(const std::string& name, const std::string& data_centre,
+                                 double processor_share) {
     host_record record;
     record.host = name;
     record.data_centre = data_centre;
-    const std::string ip = "10.0.0." + std::to_string(hosts.size() + 1);
+    record.processor_share = processor_share;
+    const std::string ip = "10.0.0." + std::to_string(++added_);
     record.callers = {ip, 80};
     record.datagrams = {ip, 81};
     record.queries = {ip, 82};
@@ -187,4 +203,14 @@
     return count;
 }
 
+std::vector<std::string> virtual_hosts::serving_hosts() const {
+    std::vector<std::string> names;
+    for (const auto& [name, host] : hosts) {
+        if (host->duty.serving() && network.cut.count(host->registry_address) == 0) {
+            names.push_back(name);
+        }
+    }
+    return names;
+}
+
 }  // namespace fuchsiaquay::testing
--- a/tests/servers/relay/relay_fixture.hpp
+++ b/tests/servers/relay/relay_fixture.hpp
@@ -298,9 +298,23 @@
     manual_orders orders;
     no_metrics metrics;
     duration serving_time = duration::max();
-    relay_services services{"me",      timers, log,     feed,   mirror,
-                            upstreams, board,  health,  budget, placement,
-                            connector, format, metrics, orders, [this] { return serving_time; }};
+    bool hears_work = true;
+    relay_services services{"me",
+                            timers,
+                            log,
+                            feed,
+                            mirror,
+                            upstreams,
+                            board,
+                            health,
+                            budget,
+                            placement,
+                            connector,
+                            format,
+                            metrics,
+                            orders,
+                            [this] { return serving_time; },
+                            [this] { return hears_work; }};
     relay_queue queue{services};
     recording_sink sink;
     std::unique_ptr<active_request> active;
--- a/tests/servers/relay/request_relay_test.cpp
+++ b/tests/servers/relay/request_relay_test.cpp
@@ -372,7 +372,8 @@
                              host_.format,
                              host_.metrics,
                              host_.orders,
-                             [] { return duration::max(); }};
+                             [] { return duration::max(); },
+                             [] { return true; }};
     relay_queue queue_{services_};
     std::unique_ptr<active_request> active_;
 
