Upstreams in trouble: notices in their answers, bytes without end, drips

Cause: an engine that leaves says so in its answers (Server-Leaving) before the catalogue does, and one that declines may ask for a pause (Retry-After); both were passed on and ignored. The body of an answer, an event, and the framing of an answer (chunk extensions; a second head after an interim answer) had no bound: a host of 160 MB would have been ended. Any byte of a stream counted as progress, so a stalled stream that drips bytes lasted until its deadline.

Change: core/health/upstream_notices keeps both for one lifetime of an upstream (id and start time); such upstreams take no requests, no parts and no reservations; when all want a pause the request is refused at once with the time of the first end, spread over half of it. Bodies end at 8 MiB, events at 1 MiB, framing at 128 KiB. Only whole events are progress.

Shown: with the bounds and the progress rule taken out, five of the new tests fail (answer_whose_framing_never_ends, body_without_end, event_without_end in relay and splitter, stream_that_drips); the notices had no code before.

Not done: notices in answers to orders; other hosts are not told of a notice, each learns by its first answer.

--- a/core/fleet/upstream_entry.hpp
+++ b/core/fleet/upstream_entry.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <cstdint>
 #include <string>
 #include <tuple>
 
@@ -17,10 +18,13 @@
     /// Requests that it processes at once.
     int slots = 1;
     upstream_state state = upstream_state::ready;
+    /// Start of this lifetime, as Unix milliseconds; 0 when it is not told. An upstream may start
+    /// again under the id that it had.
+    std::int64_t started_at_ms = 0;
 
     friend bool operator==(const upstream_entry& a, const upstream_entry& b) {
-        return std::tie(a.id, a.service, a.address, a.slots, a.state) ==
-               std::tie(b.id, b.service, b.address, b.slots, b.state);
+        return std::tie(a.id, a.service, a.address, a.slots, a.state, a.started_at_ms) ==
+               std::tie(b.id, b.service, b.address, b.slots, b.state, b.started_at_ms);
     }
     friend bool operator!=(const upstream_entry& a, const upstream_entry& b) { return !(a == b); }
 };
--- a/core/relay/event_splitter.cpp
+++ b/core/relay/event_splitter.cpp
@@ -7,6 +7,8 @@
 
 namespace {
 
+/// Longest event that is passed on.
+constexpr std::size_t max_event_bytes = 1'048'576;
 constexpr std::string_view id_field = "id:";
 
 /// Position after the blank line that ends an event; npos when none ends.
@@ -45,6 +47,9 @@
 }  // namespace
 
 std::string event_splitter::take(std::string_view bytes) {
+    if (too_long_) {
+        return {};
+    }
     partial_.append(bytes);
     std::size_t whole = 0;
     while (true) {
@@ -58,6 +63,10 @@
     }
     std::string events = partial_.substr(0, whole);
     partial_.erase(0, whole);
+    if (partial_.size() > max_event_bytes) {
+        too_long_ = true;
+        partial_.clear();
+    }
     return events;
 }
 
--- a/core/relay/event_splitter.hpp
+++ b/core/relay/event_splitter.hpp
@@ -16,8 +16,13 @@
     /// Adds bytes and returns those that now form whole events, in order.
     std::string take(std::string_view bytes);
     /// Drops the beginning of an event that will not be completed.
-    void drop_partial() { partial_.clear(); }
+    void drop_partial() {
+        partial_.clear();
+        too_long_ = false;
+    }
 
+    /// True once an event is longer than any that is passed on; its bytes are not kept.
+    bool too_long() const { return too_long_; }
     bool has_partial() const { return !partial_.empty(); }
     std::int64_t last_id() const { return last_id_; }
     /// Events seen so far.
@@ -32,6 +37,7 @@
     std::int64_t last_id_;
     std::int64_t count_ = 0;
     bool out_of_order_ = false;
+    bool too_long_ = false;
 };
 
 }  // namespace fuchsiaquay
--- a/drivers/datagrams/datagram_codec.cpp
+++ b/drivers/datagrams/datagram_codec.cpp
@@ -74,6 +74,7 @@
     result.entry.address = parse_network_address(text_of(item.address()));
     result.entry.slots = item.slots();
     result.entry.state = enumeration_of(item.state(), upstream_state::draining);
+    result.entry.started_at_ms = item.started_at_ms();
     result.removed = item.removed();
     result.revision = item.revision();
     return result;
@@ -216,9 +217,10 @@
             const auto id = builder.CreateString(item.entry.id);
             const auto service = builder.CreateString(item.entry.service);
             const auto address = builder.CreateString(item.entry.address.text());
-            changes.push_back(wire::Createupstream_change(
-                builder, id, service, address, item.entry.slots,
-                static_cast<std::uint8_t>(item.entry.state), item.removed, item.revision));
+            changes.push_back(
+                wire::Createupstream_change(builder, id, service, address, item.entry.slots,
+                                            static_cast<std::uint8_t>(item.entry.state),
+                                            item.removed, item.revision, item.entry.started_at_ms));
         }
         const auto sender = builder.CreateString(message.sender);
         const auto list = builder.CreateVector(changes);
--- a/drivers/datagrams/datagram_generated.h
+++ b/drivers/datagrams/datagram_generated.h
@@ -817,7 +817,8 @@
     VT_SLOTS = 10,
     VT_STATE = 12,
     VT_REMOVED = 14,
-    VT_REVISION = 16
+    VT_REVISION = 16,
+    VT_STARTED_AT_MS = 18
   };
   const flatbuffers::String *id() const {
     return GetPointer<const flatbuffers::String *>(VT_ID);
@@ -840,6 +841,9 @@
   int64_t revision() const {
     return GetField<int64_t>(VT_REVISION, 0);
   }
+  int64_t started_at_ms() const {
+    return GetField<int64_t>(VT_STARTED_AT_MS, 0);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffset(verifier, VT_ID) &&
@@ -852,6 +856,7 @@
            VerifyField<uint8_t>(verifier, VT_STATE, 1) &&
            VerifyField<uint8_t>(verifier, VT_REMOVED, 1) &&
            VerifyField<int64_t>(verifier, VT_REVISION, 8) &&
+           VerifyField<int64_t>(verifier, VT_STARTED_AT_MS, 8) &&
            verifier.EndTable();
   }
 };
@@ -881,6 +886,9 @@
   void add_revision(int64_t revision) {
     fbb_.AddElement<int64_t>(upstream_change::VT_REVISION, revision, 0);
   }
+  void add_started_at_ms(int64_t started_at_ms) {
+    fbb_.AddElement<int64_t>(upstream_change::VT_STARTED_AT_MS, started_at_ms, 0);
+  }
   explicit upstream_changeBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -900,8 +908,10 @@
     int32_t slots = 0,
     uint8_t state = 0,
     bool removed = false,
-    int64_t revision = 0) {
+    int64_t revision = 0,
+    int64_t started_at_ms = 0) {
   upstream_changeBuilder builder_(_fbb);
+  builder_.add_started_at_ms(started_at_ms);
   builder_.add_revision(revision);
   builder_.add_slots(slots);
   builder_.add_address(address);
@@ -920,7 +930,8 @@
     int32_t slots = 0,
     uint8_t state = 0,
     bool removed = false,
-    int64_t revision = 0) {
+    int64_t revision = 0,
+    int64_t started_at_ms = 0) {
   auto id__ = id ? _fbb.CreateString(id) : 0;
   auto service__ = service ? _fbb.CreateString(service) : 0;
   auto address__ = address ? _fbb.CreateString(address) : 0;
@@ -932,7 +943,8 @@
       slots,
       state,
       removed,
-      revision);
+      revision,
+      started_at_ms);
 }
 
 struct view_reply FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
--- a/drivers/net/http_channel.cpp
+++ b/drivers/net/http_channel.cpp
@@ -21,6 +21,8 @@
 
 /// Largest answer that is read. A page of the store holds about one megabyte before its encoding.
 constexpr std::uint64_t max_answer_bytes = 16'777'216;
+/// The same with its head and framing.
+constexpr std::size_t max_buffer_bytes = max_answer_bytes + 1'048'576;
 constexpr int http_1_1 = 11;
 
 }  // namespace
@@ -175,7 +177,7 @@
     std::uint64_t turn_ = 0;
     bool ended_ = false;
     http::request<http::string_body> request_;
-    boost::beast::flat_buffer buffer_;
+    boost::beast::flat_buffer buffer_{max_buffer_bytes};
     std::optional<http::response_parser<http::string_body>> parser_;
 };
 
--- a/drivers/traffic/beast_exchange.cpp
+++ b/drivers/traffic/beast_exchange.cpp
@@ -25,6 +25,8 @@
 constexpr duration keep_margin = std::chrono::milliseconds(1'200);
 constexpr std::size_t read_size = 16'384;
 constexpr std::uint32_t max_answer_header_bytes = 65'536;
+/// Bytes that may wait for the end of a line of an answer's framing.
+constexpr std::size_t max_unparsed_bytes = 131'072;
 constexpr int status_class_divisor = 100;
 
 }  // namespace
@@ -113,6 +115,10 @@
     if (!parse() || !deliver()) {
         return;
     }
+    if (buffer_.size() > max_unparsed_bytes && !parser_->is_done()) {
+        fail("answer: framing without end");
+        return;
+    }
     if (parser_->is_done()) {
         complete();
     } else {
@@ -137,6 +143,7 @@
         if (interim) {
             parser_.emplace();
             parser_->eager(true);
+            parser_->header_limit(max_answer_header_bytes);
             parser_->body_limit(boost::none);
         }
     }
--- a/main/entry_node.cpp
+++ b/main/entry_node.cpp
@@ -97,6 +97,7 @@
                       upstreams_,
                       board_,
                       health_,
+                      notices_,
                       budget_,
                       placement_,
                       connector_,
@@ -117,6 +118,7 @@
     upstreams_.on_gone([this](const std::string& id) {
         board_.remove_upstream(id);
         health_.forget(upstream_id(id));
+        notices_.forget(id);
     });
     configuration_.on_change([this](const fleet_configuration& /*next*/) {
         if (views_.watching()) {
--- a/main/entry_node.hpp
+++ b/main/entry_node.hpp
@@ -6,6 +6,7 @@
 
 #include "core/fleet/host_state.hpp"
 #include "core/health/upstream_health.hpp"
+#include "core/health/upstream_notices.hpp"
 #include "core/placement/undisturbed_placement.hpp"
 #include "core/retry/fleet_retry_budget.hpp"
 #include "drivers/datagrams/udp_datagram_channel.hpp"
@@ -87,6 +88,7 @@
     view_exchange views_;
 
     upstream_health health_;
+    upstream_notices notices_;
     fleet_retry_budget budget_;
     undisturbed_placement placement_;
     beast_upstream_connector connector_;
--- a/servers/relay/relay_services.hpp
+++ b/servers/relay/relay_services.hpp
@@ -19,6 +19,7 @@
 class timer_service;
 class upstream_connector;
 class upstream_health;
+class upstream_notices;
 class upstream_registry;
 
 /// What serving a request needs. All references outlive the requests.
@@ -33,6 +34,7 @@
     const upstream_registry& upstreams;
     engine_board& board;
     upstream_health& health;
+    upstream_notices& notices;
     fleet_retry_budget& budget;
     const placement_policy& placement;
     upstream_connector& connector;
--- a/servers/relay/request_log.cpp
+++ b/servers/relay/request_log.cpp
@@ -68,6 +68,17 @@
                          {"helpers", names_of(decision.helpers)}});
 }
 
+void request_log::upstream_leaves(const std::string& upstream) const {
+    services_.log.write(decision_log::level::info, "upstream_leaves",
+                        {{"request", request_.id}, {"upstream", upstream}});
+}
+
+void request_log::upstream_pauses(const std::string& upstream, duration pause) const {
+    services_.log.write(
+        decision_log::level::info, "upstream_pauses",
+        {{"request", request_.id}, {"upstream", upstream}, {"pause_ms", ms_text(pause)}});
+}
+
 void request_log::first_event(const std::string& upstream, duration took, duration expected) const {
     services_.log.write(decision_log::level::info, "first_event",
                         {{"request", request_.id},
--- a/servers/relay/request_log.hpp
+++ b/servers/relay/request_log.hpp
@@ -30,6 +30,10 @@
     /// @param at_fault  another engine that made the attempt fail; empty for `upstream` itself
     void attempt_failed(const std::string& upstream, const std::string& at_fault, int attempt,
                         const std::string& reason, duration took, bool again) const;
+    /// The upstream's answer says that it leaves.
+    void upstream_leaves(const std::string& upstream) const;
+    /// The upstream declined and wants nothing from this host for `pause`.
+    void upstream_pauses(const std::string& upstream, duration pause) const;
     /// This request's stream showed that an engine is slow, or no longer is.
     void pace_changed(const std::string& upstream, double pace) const;
     void ended(const admission_result& admitted, const request_ending& ending) const;
--- a/servers/relay/request_relay.cpp
+++ b/servers/relay/request_relay.cpp
@@ -249,10 +249,15 @@
         on_attempt_failed(attempt_outcome::unknown, "events out of order");
         return;
     }
+    if (events_.too_long()) {
+        on_attempt_failed(attempt_outcome::unknown, "event too long");
+        return;
+    }
     if (events.empty()) {
         return;
     }
     const instant now = services_.timers.now();
+    attempt_->note_progress();
     if (!begun_) {
         begun_ = true;
         services_.metrics.first_token(admitted_.rank, request_.prompt_tokens.value_or(0),
--- a/servers/relay/upstream_answer.hpp
+++ b/servers/relay/upstream_answer.hpp
@@ -4,6 +4,7 @@
 
 #include "core/fleet/network_address.hpp"
 #include "core/relay/response_head.hpp"
+#include "core/time/clock.hpp"
 
 namespace fuchsiaquay {
 
@@ -14,6 +15,10 @@
     bool not_executed = false;
     /// Another upstream has the address now; the request did not run.
     bool misdirected = false;
+    /// The upstream leaves: it wants no further requests.
+    bool leaving = false;
+    /// Time for which an upstream that declined wants no requests of this host.
+    duration pause{};
     /// The answer carries the upstream's proof of execution.
     bool sealed = false;
     /// Id of the request that this answers; empty when it does not say.
--- a/servers/relay/upstream_attempt.cpp
+++ b/servers/relay/upstream_attempt.cpp
@@ -7,6 +7,7 @@
 #include "core/fleet/upstream_entry.hpp"
 #include "core/health/attempt_evidence.hpp"
 #include "core/health/upstream_health.hpp"
+#include "core/health/upstream_notices.hpp"
 #include "core/identity/names.hpp"
 #include "core/relay/caller_request.hpp"
 #include "servers/fleet/upstream_registry.hpp"
@@ -31,6 +32,8 @@
 /// Urgencies of the upstreams' interface that one rank spans.
 constexpr int urgencies_per_rank = 3;
 constexpr int max_urgency = 9;
+/// Longest answer that is no stream. It is kept whole, so that one that breaks off can be told.
+constexpr std::size_t max_answer_bytes = 8'388'608;
 
 bool is_success(int status) {
     return status >= status_success_first && status <= status_success_last;
@@ -118,6 +121,7 @@
 void upstream_attempt::on_head(response_head head) {
     answer_ = services_.format.read_answer(std::move(head));
     progress_at_ = services_.timers.now();
+    note_notices();
     if (!answer_.request.empty() && answer_.request != request_.id) {
         listener_.on_attempt_failed(attempt_outcome::unknown, "answer of another request");
         return;
@@ -140,6 +144,20 @@
     }
 }
 
+void upstream_attempt::note_notices() {
+    const upstream_entry* entry = services_.upstreams.find(upstream());
+    if (entry == nullptr || answer_.misdirected) {
+        return;
+    }
+    if (answer_.leaving && services_.notices.on_leaving(*entry)) {
+        log_.upstream_leaves(upstream());
+    }
+    if (answer_.pause > duration::zero()) {
+        services_.notices.on_pause(*entry, answer_.pause, services_.timers.now());
+        log_.upstream_pauses(upstream(), answer_.pause);
+    }
+}
+
 void upstream_attempt::note_fault() {
     if (answer_.at_fault.empty()) {
         return;
@@ -162,12 +180,20 @@
 }
 
 void upstream_attempt::on_body(std::string_view bytes) {
-    progress_at_ = services_.timers.now();
     if (streaming_) {
         listener_.on_stream_bytes(bytes);
-    } else {
-        body_.append(bytes);
+        return;
+    }
+    progress_at_ = services_.timers.now();
+    if (body_.size() + bytes.size() > max_answer_bytes) {
+        listener_.on_attempt_failed(attempt_outcome::unknown, "answer too long");
+        return;
     }
+    body_.append(bytes);
+}
+
+void upstream_attempt::note_progress() {
+    progress_at_ = services_.timers.now();
 }
 
 void upstream_attempt::on_end() {
--- a/servers/relay/upstream_attempt.hpp
+++ b/servers/relay/upstream_attempt.hpp
@@ -41,8 +41,11 @@
     /// The request has left this host, at least in part.
     bool sent() const noexcept { return exchange_ != nullptr; }
     instant sent_at() const noexcept { return sent_at_; }
-    /// When bytes last came.
+    /// When the answer last came further: its head, a whole event, or bytes of another body.
     instant progress_at() const noexcept { return progress_at_; }
+    /// A whole event came. Bytes alone are none: a stalled upstream may still send one now and
+    /// then.
+    void note_progress();
     bool streaming() const noexcept { return streaming_; }
     const response_head& head() const noexcept { return answer_.head; }
     std::string take_body() { return std::move(body_); }
@@ -60,6 +63,8 @@
     void send();
     /// Remembers which engine of several an answer blames.
     void note_fault();
+    /// Keeps what the upstream said of itself.
+    void note_notices();
     /// Id of the engine at `address` among those of the attempt, the first one where none is.
     std::string engine_at(const network_address& address) const;
 
--- a/servers/relay/upstream_choice.cpp
+++ b/servers/relay/upstream_choice.cpp
@@ -7,6 +7,7 @@
 #include "core/fleet/upstream_entry.hpp"
 #include "core/hashing/hash.hpp"
 #include "core/health/upstream_health.hpp"
+#include "core/health/upstream_notices.hpp"
 #include "core/identity/names.hpp"
 #include "core/placement/engine_load.hpp"
 #include "core/placement/pass_timing.hpp"
@@ -25,6 +26,8 @@
 
 /// Requests that may wait at a plain upstream for each one that it processes.
 constexpr int plain_queue_factor = 3;
+/// Steps over which returns of refused callers are spread.
+constexpr std::int64_t spread_steps = 1'024;
 
 /// Longest silence, before and within a stream, that every caller bears, and what it is in targets
 /// and allowed pauses; the longest of the three counts. Source: the users' platform, requests.
@@ -52,12 +55,40 @@
     if (services_.upstreams.ready(admitted.service_name).empty()) {
         return refused("no_upstream");
     }
+    if (const auto pause = pause_of_all(admitted.service_name, key)) {
+        placement_decision paused = refused("upstreams_pause");
+        paused.retry_after = *pause;
+        return paused;
+    }
     if (admitted.service != nullptr && admitted.service->engine) {
         return choose_engine(request, admitted, key, excluded, deadline);
     }
     return choose_plain(admitted, key, excluded);
 }
 
+bool upstream_choice::accepts(const upstream_entry& entry, instant now) const {
+    return services_.health.allows(upstream_id(entry.id), now) &&
+           services_.notices.accepts(entry, now);
+}
+
+std::optional<duration> upstream_choice::pause_of_all(const std::string& service,
+                                                      std::uint64_t key) const {
+    const instant now = services_.timers.now();
+    duration shortest = duration::max();
+    for (const upstream_entry& entry : services_.upstreams.ready(service)) {
+        const std::optional<duration> left = services_.notices.pause_left(entry, now);
+        if (left == duration::zero()) {
+            return std::nullopt;
+        }
+        shortest = std::min(shortest, left.value_or(duration::max()));
+    }
+    if (shortest == duration::max()) {
+        return duration::zero();
+    }
+    // Callers that were refused in the same moment come back one after the other.
+    return shortest + shortest * static_cast<std::int64_t>(key % spread_steps) / spread_steps / 2;
+}
+
 placement_decision upstream_choice::choose_engine(const caller_request& request,
                                                   const admission_result& admitted,
                                                   std::uint64_t key, const std::string& excluded,
@@ -66,7 +97,7 @@
     const engine_profile& profile = *admitted.service->engine;
     std::vector<engine_view> engines;
     for (const upstream_entry& entry : services_.upstreams.ready(admitted.service_name)) {
-        if (services_.health.allows(upstream_id(entry.id), now)) {
+        if (accepts(entry, now)) {
             engines.push_back({entry.id, &profile, &services_.board.load(entry.id),
                                services_.board.pace().of(entry.id, now)});
         }
@@ -100,7 +131,7 @@
     int best_load = 0;
     std::uint64_t best_order = 0;
     for (const upstream_entry& entry : services_.upstreams.ready(admitted.service_name)) {
-        if (entry.id == excluded || !services_.health.allows(upstream_id(entry.id), now)) {
+        if (entry.id == excluded || !accepts(entry, now)) {
             continue;
         }
         const int load = services_.board.load(entry.id).requests();
--- a/servers/relay/upstream_choice.hpp
+++ b/servers/relay/upstream_choice.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <cstdint>
+#include <optional>
 #include <string>
 
 #include "core/placement/placement_decision.hpp"
@@ -11,6 +12,7 @@
 struct admission_result;
 struct caller_request;
 struct relay_services;
+struct upstream_entry;
 
 /// Chooses upstreams for requests by what the hosts know of their load.
 class upstream_choice {
@@ -30,6 +32,10 @@
     placement_decision choose_plain(const admission_result& admitted, std::uint64_t key,
                                     const std::string& excluded) const;
 
+    bool accepts(const upstream_entry& entry, instant now) const;
+    /// Time until one of the upstreams accepts requests again, where none does; zero: not known.
+    std::optional<duration> pause_of_all(const std::string& service, std::uint64_t key) const;
+
     const relay_services& services_;
 };
 
--- a/tests/core/relay/event_splitter_test.cpp
+++ b/tests/core/relay/event_splitter_test.cpp
@@ -48,3 +48,15 @@
     wrong.take("id: 15\ndata: n\n\n");
     CHECK_TRUE(wrong.out_of_order());
 }
+
+TEST(event_splitter, event_without_end_is_noticed_and_not_kept) {
+    event_splitter splitter;
+    const std::string bytes(16'384, 'x');
+    for (int i = 0; i < 1'000; ++i) {
+        CHECK_TRUE(splitter.take(bytes).empty());
+    }
+    CHECK_TRUE(splitter.too_long());
+    CHECK_FALSE(splitter.has_partial());
+    splitter.drop_partial();
+    CHECK_FALSE(splitter.too_long());
+}
--- a/tests/drivers/traffic/beast_upstream_connector_test.cpp
+++ b/tests/drivers/traffic/beast_upstream_connector_test.cpp
@@ -125,6 +125,33 @@
     CHECK_TRUE(answer_.failure.has_value());
 }
 
+TEST(beast_upstream_connector, answer_whose_framing_never_ends_is_a_failure) {
+    const std::string much(300'000, 'x');
+    for (const char* start :
+         {"HTTP/1.1 200 ",
+          "HTTP/1.1 200 OK\r\nX-A: ", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1;a=",
+          "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1\r\na\r\n0\r\nX-A: "}) {
+        answer_.clear();
+        answered(start + much);
+        CHECK_TRUE(ended());
+        CHECK_TRUE(answer_.failure.has_value());
+        CHECK_FALSE(answer_.ended);
+    }
+}
+
+TEST(beast_upstream_connector, interim_answers_without_end_keep_no_memory_and_are_no_answer) {
+    std::string many;
+    for (int i = 0; i < 2'000; ++i) {
+        many += "HTTP/1.1 102 Processing\r\n\r\n";
+    }
+    answered(many);
+    loop_.context().run_for(std::chrono::milliseconds(200));
+    CHECK_FALSE(answer_.ended || answer_.failure.has_value());
+    server_.send("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok");
+    CHECK_TRUE(ended());
+    CHECK_EQUAL(std::string("ok"), answer_.body);
+}
+
 TEST(beast_upstream_connector, refused_connection_is_known_not_to_have_sent_anything) {
     upstream_entry nobody;
     nobody.id = "i-2";
--- a/tests/platform/platform_request_format_test.cpp
+++ b/tests/platform/platform_request_format_test.cpp
@@ -90,6 +90,35 @@
     CHECK_TRUE(format_.read_answer(misdirected).misdirected);
 }
 
+TEST(platform_request_format, engine_that_leaves_says_so_in_any_answer) {
+    for (const int status : {200, 404, 500, 503}) {
+        response_head head;
+        head.status = status;
+        CHECK_FALSE(format_.read_answer(head).leaving);
+        head.headers.push_back({"server-leaving", "1"});
+        const upstream_answer answer = format_.read_answer(head);
+        CHECK_TRUE(answer.leaving);
+        CHECK_TRUE(find_header(answer.head.headers, "Server-Leaving") != nullptr);
+    }
+}
+
+TEST(platform_request_format, pause_that_a_busy_engine_wants_is_bounded_and_rubbish_is_none) {
+    const auto pause = [this](int status, const char* value) {
+        response_head head;
+        head.status = status;
+        head.headers.push_back({"Retry-After", value});
+        return to_milliseconds(format_.read_answer(head).pause);
+    };
+    LONGS_EQUAL(1'500, pause(503, "1.5"));
+    LONGS_EQUAL(2'000, pause(503, "2"));
+    LONGS_EQUAL(600'000, pause(503, "1e30"));
+    for (const char* none :
+         {"", "0", "-3", "soon", "nan", "inf", "3 s", "Wed, 21 Oct 2026 07:28:00 GMT"}) {
+        LONGS_EQUAL(0, pause(503, none));
+    }
+    LONGS_EQUAL(0, pause(200, "5"));
+}
+
 TEST(platform_request_format, refusal_says_when_to_come_back_in_seconds) {
     const response_head head = format_.own_answer(503, milliseconds(600), "42");
     CHECK_EQUAL(std::string("0.60"), *find_header(head.headers, "Retry-After"));
--- a/tests/servers/relay/relay_fixture.hpp
+++ b/tests/servers/relay/relay_fixture.hpp
@@ -9,6 +9,7 @@
 #include "core/fleet/fleet_configuration.hpp"
 #include "core/health/breaker_settings.hpp"
 #include "core/health/upstream_health.hpp"
+#include "core/health/upstream_notices.hpp"
 #include "core/placement/undisturbed_placement.hpp"
 #include "core/retry/fleet_retry_budget.hpp"
 #include "servers/fleet/configuration_codec.hpp"
@@ -106,6 +107,10 @@
         answer.not_executed = find_header(head.headers, "not-executed") != nullptr;
         answer.misdirected = head.status == 421;
         answer.sealed = find_header(head.headers, "unsealed") == nullptr;
+        answer.leaving = find_header(head.headers, "leaving") != nullptr;
+        if (const std::string* pause = find_header(head.headers, "pause-ms")) {
+            answer.pause = std::chrono::milliseconds(std::stoll(*pause));
+        }
         if (const std::string* id = find_header(head.headers, "id")) {
             answer.request = *id;
         }
@@ -129,6 +134,7 @@
         ++answers;
         status = head.status;
         own = find_header(head.headers, "own") != nullptr;
+        retry_after_ms = own ? std::stoll(*find_header(head.headers, "own")) : 0;
         text = std::move(body);
     }
     void begin(const response_head& head, std::string_view first) override {
@@ -145,6 +151,7 @@
     int aborted = 0;
     int status = 0;
     bool own = false;
+    std::int64_t retry_after_ms = 0;
     std::string text;
 };
 
@@ -292,6 +299,7 @@
     upstream_registry upstreams{upstream_codec, timers, log, "u/"};
     engine_board board{"me"};
     upstream_health health{breaker_settings()};
+    upstream_notices notices;
     fleet_retry_budget budget{fleet_retry_settings()};
     undisturbed_placement placement;
     manual_connector connector;
@@ -307,6 +315,7 @@
                             upstreams,
                             board,
                             health,
+                            notices,
                             budget,
                             placement,
                             connector,
--- a/tests/servers/relay/request_relay_test.cpp
+++ b/tests/servers/relay/request_relay_test.cpp
@@ -366,6 +366,7 @@
                              upstreams_,
                              host_.board,
                              host_.health,
+                             host_.notices,
                              host_.budget,
                              host_.placement,
                              host_.connector,
--- /dev/null
+++ b/tests/servers/relay/upstream_trouble_test.cpp
@@ -0,0 +1,130 @@
+#include <CppUTest/TestHarness.h>
+
+#include <set>
+#include <string>
+
+#include "tests/servers/relay/relay_fixture.hpp"
+
+using namespace fuchsiaquay;
+using namespace fuchsiaquay::testing;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+TEST_GROUP(request_relay_with_upstreams_in_trouble) {
+    relay_fixture host_;
+    manual_connector& upstream_ = host_.connector;
+    recording_sink& caller_ = host_.sink;
+
+    /// Serves an order to its end and returns the upstream that got it; empty for none.
+    std::string upstream_of_next() {
+        const std::size_t before = host_.attempts();
+        host_.serve(host_.request("/order/1"));
+        if (host_.attempts() == before) {
+            return "";
+        }
+        std::string name = upstream_.last().upstream.id;
+        upstream_.answer(200);
+        upstream_.end();
+        return name;
+    }
+    /// Lets the upstream of the next order answer with `headers`, and returns it.
+    std::string answered_with(int status, const header_list& headers) {
+        host_.serve(host_.request("/order/1"));
+        std::string name = upstream_.last().upstream.id;
+        upstream_.answer(status, headers);
+        host_.active.reset();
+        return name;
+    }
+};
+
+TEST(request_relay_with_upstreams_in_trouble, one_that_says_it_leaves_gets_nothing_more) {
+    const std::string leaving = answered_with(200, {{"leaving", "1"}});
+    for (int i = 0; i < 20; ++i) {
+        const std::string next = upstream_of_next();
+        CHECK_TRUE(!next.empty() && next != leaving);
+        host_.timers.advance(milliseconds(100));
+    }
+}
+
+TEST(request_relay_with_upstreams_in_trouble, one_that_wants_a_pause_gets_nothing_until_its_end) {
+    const std::string paused = answered_with(503, {{"not-executed", "1"}, {"pause-ms", "3000"}});
+    for (int i = 0; i < 20; ++i) {
+        CHECK_TRUE(upstream_of_next() != paused);
+        host_.timers.advance(milliseconds(100));
+    }
+    host_.timers.advance(seconds(2));
+    std::set<std::string> used;
+    for (int i = 0; i < 40; ++i) {
+        host_.timers.advance(milliseconds(10));
+        caller_request order = host_.request("/order/1");
+        order.id = "r" + std::to_string(i);
+        host_.serve(order);
+        used.insert(upstream_.last().upstream.id);
+        upstream_.answer(200);
+        upstream_.end();
+    }
+    CHECK_TRUE(used.count(paused) > 0);
+}
+
+TEST(request_relay_with_upstreams_in_trouble, request_is_refused_at_once_when_all_want_a_pause) {
+    host_.serve(host_.request("/order/1"));
+    upstream_.answer(503, {{"not-executed", "1"}, {"pause-ms", "4000"}});
+    upstream_.answer(503, {{"not-executed", "1"}, {"pause-ms", "2500"}});
+    LONGS_EQUAL(2, host_.attempts());
+    LONGS_EQUAL(503, caller_.status);
+    CHECK_TRUE(caller_.retry_after_ms >= 2'500);
+    CHECK_TRUE(caller_.retry_after_ms <= 4'000);
+    CHECK_EQUAL(std::string(""), upstream_of_next());
+}
+
+TEST(request_relay_with_upstreams_in_trouble, stream_that_drips_bytes_without_events_is_left) {
+    host_.serve(host_.request("/chat/1"));
+    upstream_.answer(200);
+    upstream_.body("id: 1\ndata: a\n\n");
+    for (int i = 0; i < 60 && host_.attempts() == 1; ++i) {
+        upstream_.body("x");
+        host_.timers.advance(milliseconds(100));
+    }
+    LONGS_EQUAL(2, host_.attempts());
+    CHECK_TRUE(upstream_.last().head.find("after=1 ") != std::string::npos);
+}
+
+TEST(request_relay_with_upstreams_in_trouble, slow_stream_with_whole_events_is_not_cut) {
+    host_.serve(host_.request("/chat/1"));
+    upstream_.answer(200);
+    for (int i = 1; i <= 8; ++i) {
+        upstream_.body("id: " + std::to_string(i) + "\ndata: a\n\n");
+        host_.timers.advance(milliseconds(900));
+    }
+    LONGS_EQUAL(1, host_.attempts());
+    upstream_.end();
+    LONGS_EQUAL(1, caller_.answers);
+}
+
+TEST(request_relay_with_upstreams_in_trouble, event_without_end_ends_the_attempt) {
+    host_.serve(host_.request("/chat/1"));
+    upstream_.answer(200);
+    upstream_.body("id: 1\ndata: a\n\nid: 2\ndata: ");
+    const std::string bytes(65'536, 'x');
+    for (int i = 0; i < 100 && host_.attempts() == 1; ++i) {
+        upstream_.body(bytes);
+    }
+    LONGS_EQUAL(2, host_.attempts());
+    CHECK_FALSE(upstream_.attempts.front()->open);
+    CHECK_EQUAL(std::string("id: 1\ndata: a\n\n"), caller_.text);
+}
+
+TEST(request_relay_with_upstreams_in_trouble, body_without_end_is_a_failure_within_bounded_memory) {
+    host_.serve(host_.request("/order/1"));
+    upstream_.answer(200);
+    const std::string bytes(1'048'576, 'x');
+    int sent = 0;
+    while (sent < 64 && caller_.answers == 0) {
+        upstream_.body(bytes);
+        ++sent;
+    }
+    CHECK_TRUE(sent <= 16);
+    CHECK_FALSE(upstream_.last().open);
+    LONGS_EQUAL(1, host_.attempts());
+    LONGS_EQUAL(502, caller_.status);
+}
