Pauses and unexpected errors: no permission outlives a standstill, no handler ends the process

Cause, found by looking for what other operators saw: an engine's answer to a reservation counted from its reading, so a process that stood still for 5 s with the answer in its socket sent a prompt into memory that was no longer held (a renewal likewise); a claim of engines was used however late its timer fired; an exception in any handler of the entry role ended the process, and one other than step_error in a datagram ended the receiving of datagrams.

Shown first: answers_that_lay_unread..., renewal_that_lay_unread... failed on the code before; the claim and the loop have tests of their own.

Ruled out: leases of host entries (bound to the store's own clock), freshness (counts from the question already), directory answers (silence counts on the clock that goes on).

--- a/drivers/control/control_loop.cpp
+++ b/drivers/control/control_loop.cpp
@@ -20,6 +20,7 @@
         asio::make_work_guard(context_);
     std::map<subscription, std::shared_ptr<timer>> timers_;
     subscription last_id_ = 0;
+    std::function<void(const std::string& reason)> error_;
 };
 
 struct control_loop::timer {
@@ -99,7 +100,22 @@
 }
 
 void control_loop::run() {
-    state_->context_.run();
+    while (true) {
+        try {
+            state_->context_.run();
+            return;
+        } catch (const std::exception& error) {
+            // The handler has ended; what it worked on ends by its own time limits.
+            if (!state_->error_) {
+                throw;
+            }
+            state_->error_(error.what());
+        }
+    }
+}
+
+void control_loop::on_error(std::function<void(const std::string& reason)> error) {
+    state_->error_ = std::move(error);
 }
 
 void control_loop::stop() {
--- a/drivers/control/control_loop.hpp
+++ b/drivers/control/control_loop.hpp
@@ -2,6 +2,7 @@
 
 #include <functional>
 #include <memory>
+#include <string>
 
 #include "servers/timer_service.hpp"
 
@@ -31,6 +32,8 @@
     void run();
     /// Ends `run`. Safe from any thread.
     void stop();
+    /// Receives what a handler threw; without it `run` ends with that exception.
+    void on_error(std::function<void(const std::string& reason)> error);
     /// For bindings that own sockets on the control thread.
     boost::asio::io_context& context();
 
--- a/drivers/datagrams/udp_datagram_channel.cpp
+++ b/drivers/datagrams/udp_datagram_channel.cpp
@@ -86,7 +86,7 @@
             if (receive_) {
                 receive_(message);
             }
-        } catch (const step_error& error) {
+        } catch (const std::exception& error) {
             log_.write(decision_log::level::warning, "datagram_unreadable",
                        {{"peer", sender.address().to_string()}, {"reason", error.what()}});
         }
--- a/main/entry_node.cpp
+++ b/main/entry_node.cpp
@@ -115,6 +115,10 @@
                  [this](const std::string& target) { return answer_directory(target); }),
       metrics_endpoint_(loop, settings.metrics,
                         [this](const std::string& target) { return answer_query(target); }) {
+    loop_.on_error([this](const std::string& reason) {
+        ++handler_errors_;
+        log_.write(decision_log::level::error, "handler_failed", {{"reason", reason}});
+    });
     upstreams_.on_gone([this](const std::string& id) {
         board_.remove_upstream(id);
         health_.forget(upstream_id(id));
@@ -228,6 +232,7 @@
         {"store_calls_failed_total",
          static_cast<double>(configuration_store_.failures() + catalogue_store_.failures())},
         {"hosts_live", static_cast<double>(hosts_.live_peers().size() + 1)},
+        {"handler_errors_total", static_cast<double>(handler_errors_)},
         {"serving", duty_.serving() ? 1.0 : 0.0},
         {"upstreams", static_cast<double>(upstreams_.size())},
         {"configuration_version",
--- a/main/entry_node.hpp
+++ b/main/entry_node.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <cstdint>
 #include <functional>
 #include <memory>
 #include <string>
@@ -67,6 +68,7 @@
     entry_settings settings_;
     control_loop& loop_;
     decision_log& log_;
+    std::uint64_t handler_errors_ = 0;
     bool stopping_ = false;
     instant stop_began_{};
     std::function<void()> stopped_;
--- a/servers/relay/memory_reservation.cpp
+++ b/servers/relay/memory_reservation.cpp
@@ -50,23 +50,26 @@
 
 void memory_reservation::reserve(std::size_t index) {
     const memory_claim& claim = claims_[index];
-    orders_.reserve(claim.engine, claim.id, claim.tokens, hold_time,
-                    [this, index, alive = std::weak_ptr<int>(alive_)](bool held) {
-                        if (!alive.expired()) {
-                            answered(index, held);
-                        }
-                    });
+    orders_.reserve(
+        claim.engine, claim.id, claim.tokens, hold_time,
+        [this, index, asked_at = timers_.now(), alive = std::weak_ptr<int>(alive_)](bool held) {
+            if (!alive.expired()) {
+                answered(index, held, asked_at);
+            }
+        });
 }
 
-void memory_reservation::answered(std::size_t index, bool held) {
-    if (!held) {
+void memory_reservation::answered(std::size_t index, bool held, instant asked_at) {
+    // An answer may lie unread while this process stands still.
+    const bool in_time = !ready_ || timers_.now() - started_at_ <= agreement_limit;
+    if (!held || !in_time) {
         // Before the request is sent this means no memory; later, that a renewal went astray,
         // which the next one makes good.
         denied_ = index;
         report(false);
         return;
     }
-    held_at_[index] = timers_.now();
+    held_at_[index] = asked_at;
     const bool all = std::all_of(held_at_.begin(), held_at_.end(),
                                  [](const auto& at) { return at.has_value(); });
     if (all) {
--- a/servers/relay/memory_reservation.hpp
+++ b/servers/relay/memory_reservation.hpp
@@ -40,7 +40,8 @@
 
 private:
     void reserve(std::size_t index);
-    void answered(std::size_t index, bool held);
+    /// @param asked_at  when the engine was asked; its hold counts from then at the earliest
+    void answered(std::size_t index, bool held, instant asked_at);
     void renew();
     void report(bool held);
     void report_lapsed(std::size_t index);
--- a/servers/relay/request_relay.cpp
+++ b/servers/relay/request_relay.cpp
@@ -49,6 +49,8 @@
 constexpr duration no_room_delay = std::chrono::milliseconds(600);
 /// A host hears of another one's choice within this time.
 constexpr duration claim_time = std::chrono::milliseconds(20);
+/// Age from which a claim no longer holds.
+constexpr duration claim_limit = std::chrono::milliseconds(200);
 
 }  // namespace
 
@@ -196,6 +198,7 @@
         begin_attempt();
         return;
     }
+    claimed_at_ = services_.timers.now();
     services_.timers.after(claim_time, [this, alive = std::weak_ptr<int>(alive_)] {
         if (!alive.expired() && !done_) {
             claimed();
@@ -204,7 +207,9 @@
 }
 
 void request_relay::claimed() {
-    if (engines_listed() && !work_.contested()) {
+    // A claim is old where this process stood still: others have chosen without it since.
+    const bool current = services_.timers.now() - claimed_at_ <= claim_limit;
+    if (current && engines_listed() && !work_.contested()) {
         begin_attempt();
         return;
     }
--- a/servers/relay/request_relay.hpp
+++ b/servers/relay/request_relay.hpp
@@ -92,6 +92,7 @@
     /// When a request without an upstream stops waiting for one, unless one is expected in time.
     instant wait_until_{};
     /// When it stops waiting although one is expected: the forecast was wrong.
+    instant claimed_at_{};
     instant patient_until_ = instant::max();
     /// Time after which the caller of a request that found no room comes back.
     duration retry_after_{};
--- /dev/null
+++ b/tests/drivers/control/control_loop_test.cpp
@@ -0,0 +1,33 @@
+#include "drivers/control/control_loop.hpp"
+
+#include <CppUTest/TestHarness.h>
+
+#include <stdexcept>
+#include <string>
+#include <vector>
+
+using namespace fuchsiaquay;
+using std::chrono::milliseconds;
+
+TEST_GROUP(control_loop) {
+    control_loop loop_;
+    std::vector<std::string> errors_;
+
+    void setup() override {
+        loop_.on_error([this](const std::string& reason) { errors_.push_back(reason); });
+    }
+};
+
+TEST(control_loop, handler_that_throws_is_told_and_ends_neither_the_loop_nor_the_others) {
+    int ticks = 0;
+    loop_.every(milliseconds(1), [&ticks] {
+        ++ticks;
+        throw std::length_error("too long");
+    });
+    loop_.post([] { throw std::runtime_error("unexpected"); });
+    loop_.after(milliseconds(30), [this] { loop_.stop(); });
+    loop_.run();
+    CHECK_TRUE(ticks > 1);
+    CHECK_EQUAL(std::string("unexpected"), errors_.front());
+    LONGS_EQUAL(ticks + 1, errors_.size());
+}
--- a/tests/servers/relay/memory_reservation_test.cpp
+++ b/tests/servers/relay/memory_reservation_test.cpp
@@ -84,3 +84,23 @@
     reservation.reset();
     CHECK_TRUE(orders_.held.empty());
 }
+
+TEST(memory_reservation, answers_that_lay_unread_while_the_process_stood_still_hold_nothing) {
+    orders_.unread = true;
+    const auto reservation = reserve();
+    timers_.suspend(seconds(5));
+    orders_.read_answers();
+    CHECK_TRUE(result_.has_value());
+    CHECK_FALSE(*result_);
+}
+
+TEST(memory_reservation, renewal_that_lay_unread_while_the_process_stood_still_holds_nothing) {
+    const auto reservation = reserve();
+    orders_.unread = true;
+    timers_.advance(milliseconds(1'600));
+    CHECK_FALSE(orders_.answers.empty());
+    timers_.suspend(seconds(5));
+    orders_.read_answers();
+    timers_.advance(milliseconds(300));
+    CHECK_TRUE(lapsed_);
+}
--- a/tests/servers/relay/relay_fixture.hpp
+++ b/tests/servers/relay/relay_fixture.hpp
@@ -224,15 +224,27 @@
             return;
         }
         held.insert(id);
+        if (unread) {
+            answers.push_back([done = std::move(done)] { done(true); });
+            return;
+        }
         done(true);
     }
     void release(const network_address&, const std::string& id) override { held.erase(id); }
+    void read_answers() {
+        for (const std::function<void()>& answer : std::exchange(answers, {})) {
+            answer();
+        }
+    }
 
     std::set<std::string> held;
     int reserves = 0;
     int refuse_after = -1;
     /// The engine of the reservation of this number, from 1, denies this one and all later ones.
     int deny_at = 0;
+    /// Answers stay unread until `read_answers`.
+    bool unread = false;
+    std::vector<std::function<void()>> answers;
     int denials = 0;
     network_address denying;
     bool silent = false;
--- a/tests/servers/relay/upstream_trouble_test.cpp
+++ b/tests/servers/relay/upstream_trouble_test.cpp
@@ -1,5 +1,6 @@
 #include <CppUTest/TestHarness.h>
 
+#include <limits>
 #include <set>
 #include <string>
 
@@ -128,3 +129,24 @@
     LONGS_EQUAL(1, host_.attempts());
     LONGS_EQUAL(502, caller_.status);
 }
+
+TEST(request_relay_with_upstreams_in_trouble, claim_from_before_a_standstill_is_chosen_again) {
+    constexpr std::int64_t long_prompt = 40'000;
+    host_.serve(host_.request("/chat/1", long_prompt));
+    LONGS_EQUAL(0, host_.attempts());
+    host_.timers.suspend(seconds(4));
+    // Others took every engine meanwhile; what they announced is read before the timer fires.
+    for (const char* engine : {"llm-1", "llm-2", "llm-3"}) {
+        engine_work other;
+        other.key = std::numeric_limits<std::uint64_t>::max();
+        other.engine = engine;
+        other.read_tokens = long_prompt * 4;
+        other.read_time = seconds(8);
+        other.memory_tokens = 440'000;
+        other.target_gap = seconds(1);
+        other.dispatched_at = host_.timers.now();
+        host_.board.apply_remote("other", other);
+    }
+    host_.timers.advance(milliseconds(25));
+    LONGS_EQUAL(0, host_.attempts());
+}
--- a/tests/servers/virtual_timer_service.hpp
+++ b/tests/servers/virtual_timer_service.hpp
@@ -44,6 +44,16 @@
         now_ = end;
     }
 
+    /// The process stands still for `span` while the clock goes on; timers do not count that time.
+    void suspend(duration span) {
+        std::multimap<instant, entry> later;
+        for (const auto& [at, item] : due_) {
+            later.emplace(at + span, item);
+        }
+        due_ = std::move(later);
+        now_ += span;
+    }
+
 private:
     struct entry {
         subscription id = 0;
