Placement: short prompts count as unread until their first event

An engine reads what came during a pass in the next one and answers all of it at its end, but the estimate took each prompt as read a moment after it was sent, so that more were added until the pass took 300 ms. Also, other hosts heard of a first event up to 80 ms late.

Change: a short prompt counts in full until its first event (for at most 0.5 s); changes wait 10 ms for others in place of 80; a short prompt goes first to engines whose estimate fills 0.65 of its time, of the shared ones and then of the next, and only then to those up to 0.85.

Ruled out: first connections, collisions of hosts (15 hosts hear of each other in 1 to 2 ms).

--- a/core/placement/engine_load.cpp
+++ b/core/placement/engine_load.cpp
@@ -11,6 +11,10 @@
 
 namespace {
 
+/// Prompts that came during a pass are all read in the next one and answered at its end: until its
+/// first event a short prompt counts as unread, unless it has taken longer than any pass.
+constexpr duration short_read_limit = std::chrono::milliseconds(500);
+
 auto waiting_place(const engine_work& work, instant now) {
     const bool last = work.dispatched_at < now || work.read_time > heavy_read;
     return std::make_tuple(last, work.dispatched_at, work.key);
@@ -67,8 +71,14 @@
 
 duration engine_load::pending_read(instant now) const {
     std::vector<const engine_work*> reading;
+    duration unread{};
     for (const auto& [key, work] : works_) {
-        if (work.phase == work_phase::reading) {
+        if (work.phase != work_phase::reading) {
+            continue;
+        }
+        if (work.read_time <= long_read && now - work.dispatched_at < short_read_limit) {
+            unread += work.read_time;
+        } else {
             reading.push_back(&work);
         }
     }
@@ -79,7 +89,7 @@
     for (const engine_work* work : reading) {
         done = std::max(done, work->dispatched_at) + work->read_time;
     }
-    return std::max(duration::zero(), done - now);
+    return std::max(duration::zero(), done - now) + unread;
 }
 
 duration engine_load::smallest_gap() const {
--- a/core/placement/undisturbed_placement.cpp
+++ b/core/placement/undisturbed_placement.cpp
@@ -90,10 +90,10 @@
 }
 
 bool undisturbed_placement::acceptable(const placement_candidate& at,
-                                       const placement_request& request) const {
+                                       const placement_request& request, double fill) const {
     const duration reading = at.read(request.prompt_tokens);
     const duration first = at.first_event(reading);
-    return at.can_answer && first <= scaled(request.target_left, settings_.target_fill) &&
+    return at.can_answer && first <= scaled(request.target_left, fill) &&
            !at.disturbed_by(reading, settings_);
 }
 
@@ -106,7 +106,8 @@
 }
 
 const placement_candidate* undisturbed_placement::best_shared(
-    const placement_request& request, const std::vector<placement_candidate>& shared) const {
+    const placement_request& request, const std::vector<placement_candidate>& shared,
+    double fill) const {
     // Hosts that decide at the same moment see the same loads: weighted rendezvous hashing keeps
     // them from taking the same engine.
     const auto place = [this, &request](const placement_candidate& item) {
@@ -117,7 +118,7 @@
     };
     const placement_candidate* best = nullptr;
     for (const placement_candidate& item : shared) {
-        if (acceptable(item, request) && (best == nullptr || place(item) < place(*best))) {
+        if (acceptable(item, request, fill) && (best == nullptr || place(item) < place(*best))) {
             best = &item;
         }
     }
@@ -125,10 +126,11 @@
 }
 
 const placement_candidate* undisturbed_placement::first_for_short(
-    const placement_request& request, const std::vector<placement_candidate>& choice) const {
-    const auto found =
-        std::find_if(choice.begin(), choice.end(),
-                     [&](const placement_candidate& item) { return acceptable(item, request); });
+    const placement_request& request, const std::vector<placement_candidate>& choice,
+    double fill) const {
+    const auto found = std::find_if(
+        choice.begin(), choice.end(),
+        [&](const placement_candidate& item) { return acceptable(item, request, fill); });
     return found == choice.end() ? nullptr : &*found;
 }
 
@@ -142,7 +144,8 @@
     };
     const placement_candidate* best = nullptr;
     for (const placement_candidate& item : choice) {
-        if (acceptable(item, request) && (best == nullptr || place(item) < place(*best))) {
+        if (acceptable(item, request, settings_.target_fill) &&
+            (best == nullptr || place(item) < place(*best))) {
             best = &item;
         }
     }
@@ -221,15 +224,26 @@
     keep_together(request, choice, shared);
     const std::vector<placement_candidate> pool(
         choice.begin(), choice.begin() + static_cast<std::ptrdiff_t>(shared));
-    if (const placement_candidate* best = best_shared(request, pool)) {
+    const double comfortable = settings_.comfortable_fill;
+    if (const placement_candidate* best = best_shared(request, pool, comfortable)) {
+        return place_whole(request, *best);
+    }
+    const bool too_large = too_large_for(request, pool);
+    if (!too_large) {
+        if (const placement_candidate* first = first_for_short(request, choice, comfortable)) {
+            return place_whole(request, *first);
+        }
+    }
+    if (const placement_candidate* best = best_shared(request, pool, settings_.target_fill)) {
         return place_whole(request, *best);
     }
-    if (too_large_for(request, pool)) {
+    if (too_large) {
         if (const auto split = splitting_.split(request, pool)) {
             return *split;
         }
     }
-    if (const placement_candidate* first = first_for_short(request, choice)) {
+    if (const placement_candidate* first =
+            first_for_short(request, choice, settings_.target_fill)) {
         return place_whole(request, *first);
     }
     if (const auto split = splitting_.split(request, choice)) {
--- a/core/placement/undisturbed_placement.hpp
+++ b/core/placement/undisturbed_placement.hpp
@@ -50,17 +50,21 @@
     /// Engines at the front of `choice` that short prompts share.
     std::size_t engines_for_short(const placement_request& request,
                                   const std::vector<placement_candidate>& choice) const;
-    bool acceptable(const placement_candidate& at, const placement_request& request) const;
+    /// @param fill  part of the time to the first event that the estimate may fill
+    bool acceptable(const placement_candidate& at, const placement_request& request,
+                    double fill) const;
     /// Whether reading the prompt whole would lengthen a pass too much on each of the engines that
     /// short prompts share, even if nothing else were to be read there.
     bool too_large_for(const placement_request& request,
                        const std::vector<placement_candidate>& shared) const;
     /// Of the engines that short prompts share; null for none.
     const placement_candidate* best_shared(const placement_request& request,
-                                           const std::vector<placement_candidate>& shared) const;
+                                           const std::vector<placement_candidate>& shared,
+                                           double fill) const;
     /// First acceptable engine; null for none.
-    const placement_candidate* first_for_short(
-        const placement_request& request, const std::vector<placement_candidate>& choice) const;
+    const placement_candidate* first_for_short(const placement_request& request,
+                                               const std::vector<placement_candidate>& choice,
+                                               double fill) const;
     const placement_candidate* best_for_long(const placement_request& request,
                                              const std::vector<placement_candidate>& choice) const;
 
--- a/core/placement/undisturbed_settings.hpp
+++ b/core/placement/undisturbed_settings.hpp
@@ -13,6 +13,9 @@
     double pause_fill = 0.8;
     /// Part of the time to the first event that the estimate may fill.
     double target_fill = 0.85;
+    /// The same for the engines that a short prompt is offered first: an estimate is often short by
+    /// half a pass.
+    double comfortable_fill = 0.65;
     /// Part of an engine's memory that is given out; answers may grow beyond their estimate.
     double memory_fill = 0.97;
     /// Reading that may wait at an engine that takes a part of a prompt, or a prompt that is late
--- a/servers/fleet/host_registry.cpp
+++ b/servers/fleet/host_registry.cpp
@@ -33,7 +33,7 @@
 /// The same for a host that left; its last datagrams have arrived by then.
 constexpr duration forget_left_after = std::chrono::seconds(10);
 /// Changes within this time share an announcement.
-constexpr duration progress_delay = std::chrono::milliseconds(80);
+constexpr duration progress_delay = std::chrono::milliseconds(10);
 
 const char* name_of(host_state state) {
     switch (state) {
--- a/tests/core/placement/undisturbed_placement_test.cpp
+++ b/tests/core/placement/undisturbed_placement_test.cpp
@@ -150,6 +150,37 @@
     }
 }
 
+TEST(undisturbed_placement, burst_of_short_prompts_opens_engines_before_its_reads_pile_up) {
+    // A burst begins: prompts come faster than those of before end, and none writes yet.
+    fill_with_short(30);
+    constexpr int burst = 30;
+    for (std::uint64_t key = 1'000; key < 1'000 + burst; ++key) {
+        const placement_request request = short_request(key);
+        const placement_decision decision = choose(request);
+        CHECK_TRUE(decision.outcome == placement_decision::verdict::place);
+        CHECK_TRUE(decision.first_event <= request.target_left * 2 / 3);
+        add(decision.engine, request, work_phase::reading);
+    }
+    CHECK_TRUE(engines_with_requests() < engines);
+}
+
+TEST(undisturbed_placement, short_prompts_of_one_pass_do_not_pile_up_while_none_has_been_answered) {
+    // An engine reads what came during a pass in the next one and answers all of it at the end.
+    constexpr int prompts = 24;
+    for (std::uint64_t key = 1'000; key < 1'000 + prompts; ++key) {
+        const placement_request request = short_request(key);
+        const placement_decision decision = choose(request);
+        CHECK_TRUE(decision.outcome == placement_decision::verdict::place);
+        add(decision.engine, request, work_phase::reading);
+        now_ += milliseconds(10);
+    }
+    for (const auto& [engine, load] : loads_) {
+        const duration pass = write_pass_time(profile_, load.requests(), 0);
+        const duration reads = load.requests() * read_time(profile_, short_prompt);
+        CHECK_TRUE(pass + reads <= milliseconds(250) - pass);
+    }
+}
+
 TEST(undisturbed_placement, largest_short_prompts_take_no_engine_from_long_ones) {
     fill_with_short(60);
     const int busy = engines_with_requests();
