Catalogue: hosts that stand by fetch a large one in turn

After such a loss every host that stands by asked 20 times a second and fetched the whole catalogue (300 KB) at once from the serving hosts, over links of 20 Mbit/s, each time anew after 0.6 s.

Change: these ask five times a second until they have something, spread their first fetch of a large catalogue over 2.5 s by their name and pause 2 s between fetches; a fetch may take 2.5 s.

--- a/drivers/queries/http_host_queries.cpp
+++ b/drivers/queries/http_host_queries.cpp
@@ -17,6 +17,8 @@
 constexpr int status_ok = 200;
 constexpr int status_too_large = 413;
 constexpr duration query_timeout = std::chrono::milliseconds(600);
+/// A catalogue of thousands of upstreams takes its time on a small link.
+constexpr duration catalogue_timeout = std::chrono::milliseconds(2'500);
 /// Longest answer that a host gives: a configuration or a delta to one.
 constexpr std::size_t max_configuration_bytes = 98'304;
 /// Hosts to which a connection is kept.
@@ -57,7 +59,7 @@
 http_host_queries::~http_host_queries() = default;
 
 void http_host_queries::ask(const network_address& host, const char* path, std::int64_t known,
-                            answer_handler done) {
+                            duration timeout, answer_handler done) {
     auto& channel = channels_[host];
     if (!channel) {
         channel = std::make_unique<http_channel>(loop_, host);
@@ -65,7 +67,7 @@
     http_call call;
     call.method = "GET";
     call.target = std::string(path) + "?known=" + std::to_string(known);
-    call.timeout = query_timeout;
+    call.timeout = timeout;
     channel->send(std::move(call), [this, host, done = std::move(done)](const http_result& result) {
         if (channels_.size() > max_channels) {
             loop_.post([this, host] { channels_.erase(host); });
@@ -76,13 +78,13 @@
 
 void http_host_queries::fetch_configuration(const network_address& host, std::int64_t known,
                                             configuration_handler done) {
-    ask(host, configuration_query_path, known,
+    ask(host, configuration_query_path, known, query_timeout,
         [done = std::move(done)](const http_result& result) { done(parse_configuration(result)); });
 }
 
 void http_host_queries::fetch_catalogue(const network_address& host, std::int64_t known,
                                         catalogue_handler done) {
-    ask(host, catalogue_query_path, known,
+    ask(host, catalogue_query_path, known, catalogue_timeout,
         [this, done = std::move(done)](const http_result& result) {
             done(parse_catalogue(result, loop_.now()));
         });
--- a/drivers/queries/http_host_queries.hpp
+++ b/drivers/queries/http_host_queries.hpp
@@ -4,6 +4,7 @@
 #include <memory>
 #include <string>
 
+#include "core/time/clock.hpp"
 #include "drivers/net/http_endpoint.hpp"
 #include "servers/fleet/host_queries.hpp"
 
@@ -38,7 +39,7 @@
 private:
     using answer_handler = std::function<void(const http_result& result)>;
 
-    void ask(const network_address& host, const char* path, std::int64_t known,
+    void ask(const network_address& host, const char* path, std::int64_t known, duration timeout,
              answer_handler done);
 
     control_loop& loop_;
--- a/servers/fleet/view_exchange.cpp
+++ b/servers/fleet/view_exchange.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <utility>
 
+#include "core/hashing/hash.hpp"
 #include "core/hashing/rendezvous.hpp"
 #include "core/identity/names.hpp"
 #include "servers/decision_log.hpp"
@@ -42,6 +43,12 @@
 constexpr duration stand_in_retry = std::chrono::milliseconds(1'000);
 /// Period of questions of a host that has nothing yet.
 constexpr duration first_pulls = std::chrono::milliseconds(50);
+/// The same for a host that stands by: after a loss of all hosts the serving ones go first.
+constexpr duration first_standby_pulls = std::chrono::milliseconds(200);
+/// Hosts that stand by spread their first fetch of a large catalogue over this time, and pause for
+/// this long between fetches.
+constexpr std::uint64_t catalogue_spread_ms = 2'500;
+constexpr duration catalogue_pause = std::chrono::milliseconds(2'000);
 /// Hosts of a data centre that stand in first. The others wait longer, so that an outage of the
 /// store does not bring calls from every host of a large fleet.
 constexpr std::size_t first_stand_ins = 3;
@@ -73,7 +80,11 @@
 }  // namespace
 
 view_exchange::view_exchange(host_record self, const view_exchange_services& services)
-    : self_(std::move(self)), services_(services), started_at_(services.timers.now()) {}
+    : self_(std::move(self)),
+      services_(services),
+      started_at_(services.timers.now()),
+      catalogue_turn_(started_at_ + std::chrono::milliseconds(static_cast<std::int64_t>(
+                                        stable_hash(self_.host) % catalogue_spread_ms))) {}
 
 void view_exchange::start() {
     services_.timers.every(tick_period, [this] { tick(); });
@@ -97,8 +108,10 @@
     const bool old = services_.configuration_mirror.age() > old_copy ||
                      services_.upstream_mirror.age() > old_copy;
     const bool started = services_.configuration.revision() > 0 && services_.upstreams.loaded();
-    const duration period = services_.duty.serving() ? pull_period : standby_pull_period;
-    const bool due = now - pulled_at_ >= period || (!started && now - pulled_at_ >= first_pulls);
+    const bool serving = services_.duty.serving();
+    const duration usual = serving ? pull_period : standby_pull_period;
+    const duration first = serving ? first_pulls : first_standby_pulls;
+    const bool due = now - pulled_at_ >= (started ? usual : first);
     if (due && (!watcher_ || old)) {
         pulled_at_ = now;
         pull(now);
@@ -274,9 +287,12 @@
 
 void view_exchange::fetch_catalogue(const std::string& name, instant as_of) {
     const host_record* host = services_.hosts.find(name);
-    if (host == nullptr || std::exchange(fetching_catalogue_, true)) {
+    const instant now = services_.timers.now();
+    const bool turn = services_.duty.serving() || now >= catalogue_turn_;
+    if (host == nullptr || !turn || std::exchange(fetching_catalogue_, true)) {
         return;
     }
+    catalogue_turn_ = now + catalogue_pause;
     services_.queries.fetch_catalogue(host->queries, asked_revision_,
                                       [this, as_of](const catalogue_view& view) {
                                           fetching_catalogue_ = false;
--- a/servers/fleet/view_exchange.hpp
+++ b/servers/fleet/view_exchange.hpp
@@ -72,6 +72,8 @@
     std::uint64_t pulls_ = 0;
     bool fetching_ = false;
     bool fetching_catalogue_ = false;
+    /// When this host, standing by, may fetch a large catalogue.
+    instant catalogue_turn_{};
     /// Revision after which the last question asked for changes.
     std::int64_t asked_revision_ = 0;
 };
