Configuration: hosts that stand by fetch a long one from a serving host

Change: a host that stands by and gets none asks again after up to 1.5 s, spread by its name and the revision, and takes any size. Serving hosts read the store as before.

Test: large_configuration_brings_no_calls..., which on a network without any_size reads the store for each host.

Ruled out: raising the limit for all (280 hosts at once over links of 20 Mbit/s).

--- a/drivers/queries/http_host_queries.cpp
+++ b/drivers/queries/http_host_queries.cpp
@@ -17,13 +17,17 @@
 constexpr int status_ok = 200;
 constexpr int status_too_large = 413;
 constexpr duration query_timeout = std::chrono::milliseconds(600);
-/// A catalogue of thousands of upstreams takes its time on a small link.
-constexpr duration catalogue_timeout = std::chrono::milliseconds(2'500);
-/// Longest answer that a host gives: a configuration or a delta to one.
+/// A catalogue of thousands of upstreams, or a large configuration, takes its time on a small link.
+constexpr duration long_answer_timeout = std::chrono::milliseconds(2'500);
+/// Longest configuration, or delta to one, that a host gives to those that do not take any size.
 constexpr std::size_t max_configuration_bytes = 98'304;
 /// Hosts to which a connection is kept.
 constexpr std::size_t max_channels = 8;
 
+std::string target_of(const char* path, std::int64_t known) {
+    return std::string(path) + "?known=" + std::to_string(known);
+}
+
 configuration_answer parse_configuration(const http_result& result) {
     configuration_answer answer;
     const auto line = result.body.find('\n');
@@ -58,15 +62,15 @@
 
 http_host_queries::~http_host_queries() = default;
 
-void http_host_queries::ask(const network_address& host, const char* path, std::int64_t known,
-                            duration timeout, answer_handler done) {
+void http_host_queries::ask(const network_address& host, std::string target, duration timeout,
+                            answer_handler done) {
     auto& channel = channels_[host];
     if (!channel) {
         channel = std::make_unique<http_channel>(loop_, host);
     }
     http_call call;
     call.method = "GET";
-    call.target = std::string(path) + "?known=" + std::to_string(known);
+    call.target = std::move(target);
     call.timeout = timeout;
     channel->send(std::move(call), [this, host, done = std::move(done)](const http_result& result) {
         if (channels_.size() > max_channels) {
@@ -77,14 +81,15 @@
 }
 
 void http_host_queries::fetch_configuration(const network_address& host, std::int64_t known,
-                                            configuration_handler done) {
-    ask(host, configuration_query_path, known, query_timeout,
+                                            bool any_size, configuration_handler done) {
+    ask(host, target_of(configuration_query_path, known) + (any_size ? "&any_size=1" : ""),
+        any_size ? long_answer_timeout : query_timeout,
         [done = std::move(done)](const http_result& result) { done(parse_configuration(result)); });
 }
 
 void http_host_queries::fetch_catalogue(const network_address& host, std::int64_t known,
                                         catalogue_handler done) {
-    ask(host, catalogue_query_path, known, catalogue_timeout,
+    ask(host, target_of(catalogue_query_path, known), long_answer_timeout,
         [this, done = std::move(done)](const http_result& result) {
             done(parse_catalogue(result, loop_.now()));
         });
@@ -96,9 +101,14 @@
     return text >> revision ? revision : 0;
 }
 
-http_endpoint::reply answer_configuration_query(const configuration_answer& configuration) {
+bool takes_any_size(const std::string& target) {
+    return query_value(target, "any_size") == "1";
+}
+
+http_endpoint::reply answer_configuration_query(const configuration_answer& configuration,
+                                                bool any_size) {
     http_endpoint::reply reply;
-    if (configuration.body.size() > max_configuration_bytes) {
+    if (!any_size && configuration.body.size() > max_configuration_bytes) {
         reply.status = status_too_large;
         return reply;
     }
--- a/main/entry_node.cpp
+++ b/main/entry_node.cpp
@@ -214,7 +214,8 @@
 http_endpoint::reply entry_node::answer_query(const std::string& target) const {
     const std::string path = target.substr(0, target.find('?'));
     if (path == configuration_query_path) {
-        return answer_configuration_query(configuration_.answer_for(known_revision(target)));
+        return answer_configuration_query(configuration_.answer_for(known_revision(target)),
+                                          takes_any_size(target));
     }
     if (path == catalogue_query_path) {
         return answer_catalogue_query(upstreams_.changes_after(known_revision(target)));
--- a/servers/fleet/host_queries.hpp
+++ b/servers/fleet/host_queries.hpp
@@ -23,7 +23,8 @@
     virtual ~host_queries() = default;
 
     /// @param known  revision of the asker's own configuration, to which the answer may be a delta
-    virtual void fetch_configuration(const network_address& host, std::int64_t known,
+    /// @param any_size  false: a host answers nothing that would fill its link
+    virtual void fetch_configuration(const network_address& host, std::int64_t known, bool any_size,
                                      configuration_handler done) = 0;
     /// @param known  revision that the asker's copy reflects; 0 for the whole catalogue
     virtual void fetch_catalogue(const network_address& host, std::int64_t known,
--- a/servers/fleet/view_exchange.cpp
+++ b/servers/fleet/view_exchange.cpp
@@ -45,8 +45,9 @@
 constexpr duration first_pulls = std::chrono::milliseconds(50);
 /// The same for a host that stands by: after a loss of all hosts the serving ones go first.
 constexpr duration first_standby_pulls = std::chrono::milliseconds(200);
-/// Hosts that stand by spread their first fetch of a large catalogue over this time, and pause for
-/// this long between fetches.
+/// Hosts that stand by spread fetches of a large configuration over this time.
+constexpr std::uint64_t configuration_spread_ms = 1'500;
+/// The same for their first fetch of a large catalogue, and the pause between such fetches.
 constexpr std::uint64_t catalogue_spread_ms = 2'500;
 constexpr duration catalogue_pause = std::chrono::milliseconds(2'000);
 /// Hosts of a data centre that stand in first. The others wait longer, so that an outage of the
@@ -267,7 +268,7 @@
     if (reply.configuration_revision > known) {
         if (const host_record* host = services_.hosts.find(reply.sender)) {
             fetch_configuration(*host, reply.configuration_revision,
-                                asked_at - reply.configuration_age);
+                                asked_at - reply.configuration_age, false);
         }
     } else if (known > 0) {
         services_.configuration_mirror.confirm(asked_at - reply.configuration_age);
@@ -303,17 +304,19 @@
 }
 
 void view_exchange::fetch_configuration(const host_record& host, std::int64_t revision,
-                                        instant as_of) {
+                                        instant as_of, bool any_size) {
     if (std::exchange(fetching_, true)) {
         return;
     }
     services_.queries.fetch_configuration(
-        host.queries, services_.configuration.revision(),
-        [this, revision, as_of](const configuration_answer& answer) {
+        host.queries, services_.configuration.revision(), any_size,
+        [this, host, revision, as_of, any_size](const configuration_answer& answer) {
             fetching_ = false;
             if (answer.revision >= revision && services_.configuration.take_answer(answer)) {
                 services_.configuration_mirror.advance(answer.revision);
                 services_.configuration_mirror.confirm(as_of);
+            } else if (!any_size && !services_.duty.serving()) {
+                fetch_in_turn(host, revision, as_of);
             } else {
                 services_.log.write(decision_log::level::info, "configuration_read_from_store",
                                     {{"wanted", std::to_string(revision)},
@@ -323,6 +326,18 @@
         });
 }
 
+void view_exchange::fetch_in_turn(const host_record& host, std::int64_t revision, instant as_of) {
+    fetching_ = true;
+    const auto turn = static_cast<std::int64_t>(
+        stable_hash(self_.host, static_cast<std::uint64_t>(revision)) % configuration_spread_ms);
+    services_.timers.after(std::chrono::milliseconds(turn), [this, host, revision, as_of] {
+        fetching_ = false;
+        if (services_.configuration.revision() < revision) {
+            fetch_configuration(host, revision, as_of, true);
+        }
+    });
+}
+
 void view_exchange::read_configuration() {
     fetching_ = true;
     services_.store.read(services_.configuration.key(), [this](const read_result& result) {
--- a/servers/fleet/view_exchange.hpp
+++ b/servers/fleet/view_exchange.hpp
@@ -53,7 +53,10 @@
     /// Fetches from host `name` what did not fit into its reply.
     void fetch_catalogue(const std::string& name, instant as_of);
     /// @param as_of  time at which `revision` was the current one
-    void fetch_configuration(const host_record& host, std::int64_t revision, instant as_of);
+    void fetch_configuration(const host_record& host, std::int64_t revision, instant as_of,
+                             bool any_size);
+    /// Fetches a large configuration: hosts that stand by do so one after the other.
+    void fetch_in_turn(const host_record& host, std::int64_t revision, instant as_of);
     void read_configuration();
 
     host_record self_;
--- a/tests/servers/fleet/serving_duty_test.cpp
+++ b/tests/servers/fleet/serving_duty_test.cpp
@@ -245,3 +245,15 @@
         CHECK_TRUE(item->upstream_mirror.age() < seconds(2));
     }
 }
+
+TEST(serving_duty_of_a_large_fleet, large_configuration_brings_no_calls_from_hosts_that_stand_by) {
+    fleet_.large_configuration = true;
+    const int before = fleet_.store.calls;
+    fleet_.store.put("config", "2");
+    fleet_.timers.advance(apply_bound);
+    for (const auto& [name, item] : fleet_.hosts) {
+        LONGS_EQUAL(2, item->version());
+    }
+    // Watchers poll two prefixes twice a second; each serving host may read the store once.
+    CHECK_TRUE(fleet_.store.calls - before <= data_centres * (2 * 2 * 4 + large_each * 2));
+}
--- a/tests/servers/fleet/virtual_hosts.hpp
+++ b/tests/servers/fleet/virtual_hosts.hpp
@@ -117,6 +117,8 @@
     inline std::vector<std::string> serving_hosts() const;
 
     int added_ = 0;
+    /// Hosts give their configuration only to those that take any size.
+    bool large_configuration = false;
 };
 
 /// The parts of a host that keep its view of the store.
@@ -156,7 +158,7 @@
         views.start();
     }
 
-    void fetch_configuration(const network_address& host, std::int64_t known,
+    void fetch_configuration(const network_address& host, std::int64_t known, bool any_size,
                              configuration_handler done) override {
         configuration_answer value;
         for (const auto& [name, other] : fleet_.hosts) {
@@ -164,6 +166,9 @@
                 value = other->configuration.answer_for(known);
             }
         }
+        if (fleet_.large_configuration && !any_size) {
+            value = {};
+        }
         fleet_.timers.after(std::chrono::milliseconds(5),
                             [done = std::move(done), value] { done(value); });
     }
