--- a/core/fleet/announcement_routes.cpp
+++ b/core/fleet/announcement_routes.cpp
@@ -1,12 +1,13 @@
 #include "core/fleet/announcement_routes.hpp"
 
+#include <algorithm>
 #include <cstddef>
-#include <cstdint>
 #include <map>
 #include <string>
 
 #include "core/fleet/announcement_peer.hpp"
-#include "core/hashing/hash.hpp"
+#include "core/hashing/rendezvous.hpp"
+#include "core/identity/names.hpp"
 
 namespace fuchsiaquay {
 
@@ -19,16 +20,17 @@
 /// The host of one data centre that passes `sender`'s announcements on; null for none.
 const host_record* forwarder(const std::string& sender,
                              const std::vector<const announcement_peer*>& hosts) {
-    const host_record* best = nullptr;
-    std::uint64_t best_weight = 0;
+    std::vector<host_id> lately;
     for (const announcement_peer* peer : hosts) {
-        const std::uint64_t weight = stable_hash(peer->record.host, stable_hash(sender));
-        if (peer->heard_lately && (best == nullptr || weight > best_weight)) {
-            best = &peer->record;
-            best_weight = weight;
+        if (peer->heard_lately) {
+            lately.emplace_back(peer->record.host);
         }
     }
-    return best;
+    const host_id owner = rendezvous_owner(sender, lately);
+    const auto found = std::find_if(
+        hosts.begin(), hosts.end(),
+        [&owner](const announcement_peer* peer) { return peer->record.host == owner.value(); });
+    return found == hosts.end() ? nullptr : &(*found)->record;
 }
 
 }  // namespace
--- a/core/fleet/host_record.cpp
+++ b/core/fleet/host_record.cpp
@@ -21,7 +21,7 @@
     std::string datagrams;
     std::string queries;
     if (!(stream >> record.host >> record.data_centre >> callers >> datagrams >> queries)) {
-        throw step_error("read host record", "store", "expected five words and a share");
+        throw step_error("read host record", "store", "expected five words");
     }
     if (!(stream >> record.processor_share)) {
         // Entries of earlier versions have no share.
--- a/core/fleet/host_state.hpp
+++ b/core/fleet/host_state.hpp
@@ -13,4 +13,7 @@
     standby,
 };
 
+/// For the log.
+const char* name_of(host_state state);
+
 }  // namespace fuchsiaquay
--- a/core/fleet/serving_policy.cpp
+++ b/core/fleet/serving_policy.cpp
@@ -2,9 +2,9 @@
 
 #include <algorithm>
 #include <cmath>
-#include <cstdint>
 
 #include "core/hashing/hash.hpp"
+#include "core/hashing/spread.hpp"
 
 namespace fuchsiaquay {
 
@@ -16,7 +16,7 @@
 constexpr duration share_delay = std::chrono::milliseconds(400);
 constexpr duration most_share_delay = std::chrono::milliseconds(1'200);
 /// Hosts of the same share spread over this time.
-constexpr std::uint64_t spread_ms = 600;
+constexpr duration share_spread = std::chrono::milliseconds(600);
 
 }  // namespace
 
@@ -31,8 +31,7 @@
 duration serving_policy::first_delay(const host_record& host) const {
     const double times = host.processor_share > 0.0 ? large_share / host.processor_share : 1.0;
     const duration smaller = from_seconds(to_seconds(share_delay) * std::max(0.0, times - 1.0));
-    const auto spread = static_cast<std::int64_t>(stable_hash(host.host) % spread_ms);
-    return std::min(smaller, most_share_delay) + std::chrono::milliseconds(spread);
+    return std::min(smaller, most_share_delay) + spread_delay(host.host, share_spread);
 }
 
 bool serving_policy::goes_before(const host_record& one, const host_record& other) {
--- a/core/health/upstream_notices.cpp
+++ b/core/health/upstream_notices.cpp
@@ -35,8 +35,7 @@
 }
 
 bool upstream_notices::accepts(const upstream_entry& upstream, instant now) const {
-    const notice* known = find(upstream);
-    return known == nullptr || (!known->leaving && known->paused_until <= now);
+    return pause_left(upstream, now) == duration::zero();
 }
 
 std::optional<duration> upstream_notices::pause_left(const upstream_entry& upstream,
--- a/core/placement/placement_candidate.cpp
+++ b/core/placement/placement_candidate.cpp
@@ -29,9 +29,13 @@
     return requests > 0 && longer > scaled(smallest_gap, settings.pause_fill);
 }
 
+double usable_tokens(const engine_profile& profile, const undisturbed_settings& settings) {
+    return settings.memory_fill * static_cast<double>(profile.memory_tokens);
+}
+
 std::size_t engines_needed(const engine_profile& profile, std::int64_t tokens,
                            const undisturbed_settings& settings) {
-    const double room = settings.memory_fill * static_cast<double>(profile.memory_tokens);
+    const double room = usable_tokens(profile, settings);
     return std::max<std::size_t>(
         1, static_cast<std::size_t>(std::ceil(static_cast<double>(tokens) / room)));
 }
--- a/core/placement/placement_candidate.hpp
+++ b/core/placement/placement_candidate.hpp
@@ -35,6 +35,9 @@
     bool disturbed_by(duration reading, const undisturbed_settings& settings) const;
 };
 
+/// Tokens of an engine's memory that are given out.
+double usable_tokens(const engine_profile& profile, const undisturbed_settings& settings);
+
 /// Fewest engines whose memory holds a prompt of `tokens`.
 std::size_t engines_needed(const engine_profile& profile, std::int64_t tokens,
                            const undisturbed_settings& settings);
--- a/core/placement/undisturbed_placement.cpp
+++ b/core/placement/undisturbed_placement.cpp
@@ -59,8 +59,7 @@
                            engine.pace);
         item.pending = scaled(load.pending_read(now), engine.pace);
         item.smallest_gap = load.smallest_gap();
-        const auto room = static_cast<std::int64_t>(
-            settings_.memory_fill * static_cast<double>(engine.profile->memory_tokens));
+        const auto room = static_cast<std::int64_t>(usable_tokens(*engine.profile, settings_));
         item.free_tokens = room - load.memory_tokens();
         item.has_slot = item.requests < engine.profile->slots;
         item.can_answer =
@@ -172,7 +171,7 @@
 bool undisturbed_placement::exceeds_one_engine(const placement_request& request,
                                                const engine_profile& profile) const {
     return static_cast<double>(request.prompt_tokens + request.answer_tokens) >
-           settings_.memory_fill * static_cast<double>(profile.memory_tokens);
+           usable_tokens(profile, settings_);
 }
 
 bool undisturbed_placement::exceeds_all_memory(
--- a/drivers/datagrams/datagram_codec.cpp
+++ b/drivers/datagrams/datagram_codec.cpp
@@ -35,20 +35,28 @@
     return result;
 }
 
+/// Tables of several messages say in the same words where a host can be reached.
+template <typename table>
+host_record read_record(const flatbuffers::String* name, const table& item) {
+    host_record result;
+    result.host = text_of(name);
+    result.data_centre = text_of(item.data_centre());
+    result.callers = parse_network_address(text_of(item.callers()));
+    result.datagrams = parse_network_address(text_of(item.datagrams()));
+    result.queries = parse_network_address(text_of(item.queries()));
+    result.processor_share = item.processor_share();
+    result.incarnation = item.incarnation();
+    return result;
+}
+
 announcement read_announcement(const wire::announcement& root, instant now) {
     announcement result;
-    result.sender.host = text_of(root.host());
-    result.sender.data_centre = text_of(root.data_centre());
-    result.sender.callers = parse_network_address(text_of(root.callers()));
-    result.sender.datagrams = parse_network_address(text_of(root.datagrams()));
-    result.sender.queries = parse_network_address(text_of(root.queries()));
-    result.sender.incarnation = root.incarnation();
+    result.sender = read_record(root.host(), root);
     const bool no_address = result.sender.callers.empty() || result.sender.datagrams.empty();
     if (result.sender.host.empty() || (root.complete() && no_address)) {
         throw step_error("decode datagram", result.sender.host, "no host or no address");
     }
     result.state = enumeration_of(root.state(), host_state::standby);
-    result.sender.processor_share = root.processor_share();
     result.requests_per_s = root.requests_per_s();
     result.sequence = root.sequence();
     result.configuration_revision = root.configuration_revision();
@@ -82,13 +90,7 @@
 
 heard_host read_host(const wire::host& item) {
     heard_host result;
-    result.record.host = text_of(item.name());
-    result.record.data_centre = text_of(item.data_centre());
-    result.record.callers = parse_network_address(text_of(item.callers()));
-    result.record.datagrams = parse_network_address(text_of(item.datagrams()));
-    result.record.queries = parse_network_address(text_of(item.queries()));
-    result.record.processor_share = item.processor_share();
-    result.record.incarnation = item.incarnation();
+    result.record = read_record(item.name(), item);
     result.state = enumeration_of(item.state(), host_state::standby);
     result.age = duration(std::max<std::int64_t>(0, item.age_us()));
     if (result.record.callers.empty() || result.record.datagrams.empty()) {
--- a/servers/fleet/host_registry.cpp
+++ b/servers/fleet/host_registry.cpp
@@ -35,20 +35,6 @@
 /// Changes within this time share an announcement.
 constexpr duration progress_delay = std::chrono::milliseconds(10);
 
-const char* name_of(host_state state) {
-    switch (state) {
-        case host_state::unready:
-            return "unready";
-        case host_state::ready:
-            return "ready";
-        case host_state::leaving:
-            return "leaving";
-        case host_state::standby:
-            return "standby";
-    }
-    return "unready";
-}
-
 }  // namespace
 
 host_registry::host_registry(host_record self, polled_store& store, datagram_channel& channel,
@@ -104,7 +90,7 @@
     if (!serving_) {
         return;
     }
-    announce_leaving();
+    leave();
     left_ = false;
     serving_ = false;
     self_.incarnation = 0;
@@ -144,10 +130,6 @@
 }
 
 void host_registry::leave() {
-    announce_leaving();
-}
-
-void host_registry::announce_leaving() {
     left_ = true;
     announce(true, board_.own_works());
     entry_.remove();
--- a/servers/fleet/host_registry.hpp
+++ b/servers/fleet/host_registry.hpp
@@ -90,7 +90,6 @@
     void flush_planned();
     void flush();
     std::vector<host_record> serving_hosts(host_state state) const;
-    void announce_leaving();
     void announce(bool complete, std::vector<engine_work> works);
     /// Sends on what a host of another data centre announced.
     void pass_on(announcement message);
--- a/servers/fleet/serving_duty.cpp
+++ b/servers/fleet/serving_duty.cpp
@@ -3,7 +3,7 @@
 #include <algorithm>
 #include <utility>
 
-#include "core/hashing/hash.hpp"
+#include "core/hashing/spread.hpp"
 #include "servers/decision_log.hpp"
 #include "servers/fleet/directory_reading.hpp"
 #include "servers/fleet/host_registry.hpp"
@@ -16,7 +16,7 @@
 constexpr duration tick_period = std::chrono::milliseconds(250);
 /// Pause before the directory is read again after a failure, and what hosts spread it over.
 constexpr duration read_retry = std::chrono::milliseconds(1'000);
-constexpr std::uint64_t read_retry_spread_ms = 500;
+constexpr duration read_retry_spread = std::chrono::milliseconds(500);
 /// Time without any serving host after which one that stands by looks for others, or serves.
 constexpr duration isolation_limit = std::chrono::milliseconds(1'200);
 /// Period over which the load is measured.
@@ -69,9 +69,7 @@
         return;
     }
     if (!reading.read) {
-        const auto spread =
-            static_cast<std::int64_t>(stable_hash(self_.host) % read_retry_spread_ms);
-        timers_.after(read_retry + std::chrono::milliseconds(spread),
+        timers_.after(read_retry + spread_delay(self_.host, read_retry_spread),
                       [this] { look_for_others(); });
         return;
     }
--- a/servers/fleet/view_exchange.cpp
+++ b/servers/fleet/view_exchange.cpp
@@ -3,8 +3,8 @@
 #include <algorithm>
 #include <utility>
 
-#include "core/hashing/hash.hpp"
 #include "core/hashing/rendezvous.hpp"
+#include "core/hashing/spread.hpp"
 #include "core/identity/names.hpp"
 #include "servers/decision_log.hpp"
 #include "servers/fleet/configuration_feed.hpp"
@@ -46,9 +46,9 @@
 /// The same for a host that stands by: after a loss of all hosts the serving ones go first.
 constexpr duration first_standby_pulls = std::chrono::milliseconds(200);
 /// Hosts that stand by spread fetches of a large configuration over this time.
-constexpr std::uint64_t configuration_spread_ms = 1'500;
+constexpr duration configuration_spread = std::chrono::milliseconds(1'500);
 /// The same for their first fetch of a large catalogue, and the pause between such fetches.
-constexpr std::uint64_t catalogue_spread_ms = 2'500;
+constexpr duration catalogue_spread = std::chrono::milliseconds(2'500);
 constexpr duration catalogue_pause = std::chrono::milliseconds(2'000);
 /// Hosts of a data centre that stand in first. The others wait longer, so that an outage of the
 /// store does not bring calls from every host of a large fleet.
@@ -84,8 +84,7 @@
     : self_(std::move(self)),
       services_(services),
       started_at_(services.timers.now()),
-      catalogue_turn_(started_at_ + std::chrono::milliseconds(static_cast<std::int64_t>(
-                                        stable_hash(self_.host) % catalogue_spread_ms))) {}
+      catalogue_turn_(started_at_ + spread_delay(self_.host, catalogue_spread)) {}
 
 void view_exchange::start() {
     services_.timers.every(tick_period, [this] { tick(); });
@@ -223,9 +222,8 @@
     request.nonce = ++nonce_;
     const bool large = services_.upstreams.size() >= large_catalogue;
     const bool whole = ++pulls_ % (large ? large_catalogue_period : whole_catalogue_period) == 0;
-    asked_revision_ = whole ? 0 : services_.upstreams.revision();
-    request.catalogue_revision = asked_revision_;
-    open_ = question{host.host, services_.timers.now()};
+    request.catalogue_revision = whole ? 0 : services_.upstreams.revision();
+    open_ = question{host.host, services_.timers.now(), request.catalogue_revision};
     services_.channel.send({host.datagrams}, request);
 }
 
@@ -252,6 +250,7 @@
     if (!open_ || reply.nonce != nonce_ || reply.sender != open_->host) {
         return;
     }
+    const std::int64_t asked_revision = open_->catalogue_revision;
     const instant asked_at = open_->sent_at;
     open_.reset();
     services_.hosts.learn(reply.serving, asked_at);
@@ -260,7 +259,7 @@
     }
     const instant catalogue_as_of = asked_at - reply.catalogue_age;
     if (reply.catalogue_left_out) {
-        fetch_catalogue(reply.sender, catalogue_as_of);
+        fetch_catalogue(reply.sender, asked_revision, catalogue_as_of);
     } else {
         take_catalogue(reply.catalogue, catalogue_as_of);
     }
@@ -286,7 +285,7 @@
     }
 }
 
-void view_exchange::fetch_catalogue(const std::string& name, instant as_of) {
+void view_exchange::fetch_catalogue(const std::string& name, std::int64_t known, instant as_of) {
     const host_record* host = services_.hosts.find(name);
     const instant now = services_.timers.now();
     const bool turn = services_.duty.serving() || now >= catalogue_turn_;
@@ -294,13 +293,16 @@
         return;
     }
     catalogue_turn_ = now + catalogue_pause;
-    services_.queries.fetch_catalogue(host->queries, asked_revision_,
-                                      [this, as_of](const catalogue_view& view) {
-                                          fetching_catalogue_ = false;
-                                          if (view.revision > 0) {
-                                              take_catalogue(view, as_of);
-                                          }
-                                      });
+    services_.queries.fetch_catalogue(
+        host->queries, known, [this, name, as_of](const catalogue_view& view) {
+            fetching_catalogue_ = false;
+            if (view.revision == 0) {
+                services_.log.write(decision_log::level::warning, "catalogue_not_fetched",
+                                    {{"peer", name}});
+                return;
+            }
+            take_catalogue(view, as_of);
+        });
 }
 
 void view_exchange::fetch_configuration(const host_record& host, std::int64_t revision,
@@ -328,9 +330,9 @@
 
 void view_exchange::fetch_in_turn(const host_record& host, std::int64_t revision, instant as_of) {
     fetching_ = true;
-    const auto turn = static_cast<std::int64_t>(
-        stable_hash(self_.host, static_cast<std::uint64_t>(revision)) % configuration_spread_ms);
-    services_.timers.after(std::chrono::milliseconds(turn), [this, host, revision, as_of] {
+    const duration turn =
+        spread_delay(self_.host, configuration_spread, static_cast<std::uint64_t>(revision));
+    services_.timers.after(turn, [this, host, revision, as_of] {
         fetching_ = false;
         if (services_.configuration.revision() < revision) {
             fetch_configuration(host, revision, as_of, true);
--- a/servers/fleet/view_exchange.hpp
+++ b/servers/fleet/view_exchange.hpp
@@ -34,6 +34,8 @@
     struct question {
         std::string host;
         instant sent_at{};
+        /// Revision after which it asked for changes of the catalogue.
+        std::int64_t catalogue_revision = 0;
     };
 
     void tick();
@@ -51,7 +53,8 @@
     /// @param as_of  time at which `view` was current
     void take_catalogue(const catalogue_view& view, instant as_of);
     /// Fetches from host `name` what did not fit into its reply.
-    void fetch_catalogue(const std::string& name, instant as_of);
+    /// @param known  revision after which changes are wanted
+    void fetch_catalogue(const std::string& name, std::int64_t known, instant as_of);
     /// @param as_of  time at which `revision` was the current one
     void fetch_configuration(const host_record& host, std::int64_t revision, instant as_of,
                              bool any_size);
@@ -77,8 +80,6 @@
     bool fetching_catalogue_ = false;
     /// When this host, standing by, may fetch a large catalogue.
     instant catalogue_turn_{};
-    /// Revision after which the last question asked for changes.
-    std::int64_t asked_revision_ = 0;
 };
 
 }  // namespace fuchsiaquay
