Announcements: parts of a prompt in one datagram, recent changes repeated

Cause: each part of a split or grouped prompt was announced in a datagram of its own. Datagrams of one sender overtake each other, and a receiver drops what is older than the newest that it has seen, so hosts did not know of some parts until the next complete announcement, up to a second later. Three new tests, all of which failed on the code before. Kept for correctness: an engine's work is known to all hosts within milliseconds.

--- a/servers/fleet/engine_work_table.cpp
+++ b/servers/fleet/engine_work_table.cpp
@@ -2,26 +2,26 @@
 
 namespace fuchsiaquay {
 
-void engine_work_table::apply_own_work(const engine_work& work) {
-    loads_[work.engine].apply(self_, work);
-    if (work.phase == work_phase::ended) {
-        own_work_items_.erase({work.key, work.engine});
-    } else {
-        own_work_items_[{work.key, work.engine}] = work;
+void engine_work_table::apply_own_works(const std::vector<engine_work>& works) {
+    for (const engine_work& work : works) {
+        loads_[work.engine].apply(self_, work);
+        if (work.phase == work_phase::ended) {
+            own_work_items_.erase({work.key, work.engine});
+        } else {
+            own_work_items_[{work.key, work.engine}] = work;
+        }
     }
-    if (own_changed_) {
-        own_changed_(work);
+    if (own_changed_ && !works.empty()) {
+        own_changed_(works);
     }
-    if (work.phase != work_phase::prefill) {
-        notify_capacity_freed();
+    for (const engine_work& work : works) {
+        notify_if_capacity_freed(work);
     }
 }
 
 void engine_work_table::apply_remote_work(const std::string& host, const engine_work& work) {
     loads_[work.engine].apply(host, work);
-    if (work.phase != work_phase::prefill) {
-        notify_capacity_freed();
-    }
+    notify_if_capacity_freed(work);
 }
 
 void engine_work_table::replace_remote_work(const std::string& host,
@@ -58,6 +58,12 @@
     return works;
 }
 
+void engine_work_table::notify_if_capacity_freed(const engine_work& work) const {
+    if (work.phase != work_phase::prefill) {
+        notify_capacity_freed();
+    }
+}
+
 void engine_work_table::notify_capacity_freed() const {
     if (capacity_freed_) {
         capacity_freed_();
--- a/servers/fleet/engine_work_table.hpp
+++ b/servers/fleet/engine_work_table.hpp
@@ -16,13 +16,14 @@
 /// Work of all hosts at the upstreams: the work of this host and what other hosts have announced.
 class engine_work_table {
 public:
-    using change_handler = std::function<void(const engine_work&)>;
+    using change_handler = std::function<void(const std::vector<engine_work>&)>;
     using capacity_handler = std::function<void()>;
 
     explicit engine_work_table(std::string self) : self_(std::move(self)) {}
 
-    /// Applies a change of this host's work and passes it to the handler that announces it.
-    void apply_own_work(const engine_work& work);
+    /// Applies changes of this host's work and passes them to the handler that announces them.
+    /// Changes that belong together, such as the parts of a prompt, are passed in one call.
+    void apply_own_works(const std::vector<engine_work>& works);
     /// Applies a change that another host announced.
     void apply_remote_work(const std::string& host, const engine_work& work);
     /// Replaces all known work of a host.
@@ -43,6 +44,7 @@
     }
 
 private:
+    void notify_if_capacity_freed(const engine_work& work) const;
     void notify_capacity_freed() const;
 
     std::string self_;
--- a/servers/fleet/host_registry.cpp
+++ b/servers/fleet/host_registry.cpp
@@ -57,11 +57,12 @@
       configuration_revision_(std::move(configuration_revision)) {}
 
 void host_registry::start() {
-    work_table_.on_own_change([this](const engine_work& work) { queue_work(work); });
+    work_table_.on_own_change([this](const std::vector<engine_work>& works) { queue_works(works); });
     timers_.every(announce_period, [this] {
         expire_silent_peers();
         const bool complete = ++heartbeat_count_ % complete_interval == 0;
-        announce(complete, complete ? work_table_.own_work_items() : std::vector<engine_work>());
+        announce(complete,
+                 complete ? work_table_.own_work_items() : recent_changes_.since(timers_.now()));
     });
     timers_.every(state_period, [this] {
         if (announced_state_ != state_()) {
@@ -141,9 +142,13 @@
     registration_.stop();
 }
 
-void host_registry::queue_work(const engine_work& work) {
-    pending_works_.push_back(work);
-    if (work.phase == work_phase::prefill || work.phase == work_phase::waiting) {
+void host_registry::queue_works(const std::vector<engine_work>& works) {
+    recent_changes_.add(works, timers_.now());
+    changes_pending_ = true;
+    const bool urgent = std::any_of(works.begin(), works.end(), [](const engine_work& work) {
+        return work.phase == work_phase::prefill || work.phase == work_phase::waiting;
+    });
+    if (urgent) {
         // Other hosts need new and waiting work for their next decision. Progress and ended work
         // can be batched.
         flush();
@@ -158,8 +163,8 @@
 }
 
 void host_registry::flush() {
-    if (!pending_works_.empty()) {
-        announce(false, std::exchange(pending_works_, {}));
+    if (std::exchange(changes_pending_, false)) {
+        announce(false, recent_changes_.since(timers_.now()));
     }
 }
 
--- a/servers/fleet/host_registry.hpp
+++ b/servers/fleet/host_registry.hpp
@@ -11,6 +11,7 @@
 #include "core/fleet/announcement_peer.hpp"
 #include "core/fleet/host_record.hpp"
 #include "core/fleet/host_state.hpp"
+#include "core/fleet/recent_work_changes.hpp"
 #include "core/fleet/reported_host.hpp"
 #include "core/fleet/serving_group.hpp"
 #include "core/time/clock.hpp"
@@ -90,7 +91,7 @@
         double requests_per_s = 0.0;
     };
 
-    void queue_work(const engine_work& work);
+    void queue_works(const std::vector<engine_work>& works);
     void flush_planned();
     void flush();
     std::vector<host_record> serving_hosts(host_state state) const;
@@ -121,7 +122,8 @@
     double requests_per_s_ = 0.0;
     std::uint64_t sequence_ = 0;
     std::uint64_t heartbeat_count_ = 0;
-    std::vector<engine_work> pending_works_;
+    recent_work_changes recent_changes_;
+    bool changes_pending_ = false;
     bool flush_planned_ = false;
 };
 
--- a/tests/servers/fleet/host_registry_test.cpp
+++ b/tests/servers/fleet/host_registry_test.cpp
@@ -41,7 +41,7 @@
         work.engine = "engine-" + std::to_string(key_);
         work.target_gap = milliseconds(200);
         work.dispatched_at = fleet_.timers.now();
-        host(name).work_table.apply_own_work(work);
+        host(name).work_table.apply_own_works({work});
         return work.engine;
     }
 
@@ -91,6 +91,46 @@
     LONGS_EQUAL(data_centres - 1, cross_datagrams);
 }
 
+TEST(host_registry, work_is_known_although_a_later_announcement_overtakes_it) {
+    // A receiver drops an announcement that arrives after a newer one. Hosts that did not hear of
+    // one part of a split prompt placed other prompts on the engine that was processing it.
+    fleet_.network.overtaking = true;
+    for (int round = 0; round < 2; ++round) {
+        const std::string first = dispatch_at("h0");
+        const std::string second = dispatch_at("h0");
+        fleet_.timers.advance(forwarding_time);
+        LONGS_EQUAL(data_centres * hosts_each, hosts_that_know(first));
+        LONGS_EQUAL(data_centres * hosts_each, hosts_that_know(second));
+    }
+}
+
+TEST(host_registry, work_is_known_although_an_announcement_is_lost) {
+    const std::string ip = host("h0").registry_address;
+    fleet_.network.disconnected.insert(ip);
+    const std::string lost = dispatch_at("h0");
+    fleet_.timers.advance(forwarding_time);
+    fleet_.network.disconnected.erase(ip);
+    LONGS_EQUAL(1, hosts_that_know(lost));
+    dispatch_at("h0");
+    fleet_.timers.advance(forwarding_time);
+    LONGS_EQUAL(data_centres * hosts_each, hosts_that_know(lost));
+}
+
+TEST(host_registry, parts_of_a_prompt_are_announced_in_one_datagram) {
+    fleet_.network.sent.clear();
+    std::vector<engine_work> parts(4);
+    for (std::size_t i = 0; i < parts.size(); ++i) {
+        parts[i].key = 900;
+        parts[i].engine = "engine-part-" + std::to_string(i);
+        parts[i].dispatched_at = fleet_.timers.now();
+    }
+    host("h0").work_table.apply_own_works(parts);
+    const std::string ip = host("h0").registry_address;
+    for (const auto& [pair, count] : fleet_.network.sent) {
+        LONGS_EQUAL(pair.first == ip ? 1 : 0, count);
+    }
+}
+
 TEST(host_registry, waiting_long_prompt_is_known_to_all_hosts_immediately) {
     // Hosts that do not know each other's waiting prompts would choose the same engine once one is
     // free.
@@ -99,7 +139,7 @@
     waiting.phase = work_phase::waiting;
     waiting.prefill_tokens = 300'000;
     waiting.dispatched_at = fleet_.timers.now() + seconds(6);
-    host("h0").work_table.apply_own_work(waiting);
+    host("h0").work_table.apply_own_works({waiting});
     fleet_.timers.advance(forwarding_time);
     for (const auto& [name, item] : fleet_.hosts) {
         engine_work later = waiting;
--- a/tests/servers/fleet/serving_role_test.cpp
+++ b/tests/servers/fleet/serving_role_test.cpp
@@ -185,7 +185,7 @@
     work.engine = "engine";
     work.target_gap = milliseconds(200);
     work.dispatched_at = fleet_.timers.now();
-    host("h0").work_table.apply_own_work(work);
+    host("h0").work_table.apply_own_works({work});
     fleet_.timers.advance(milliseconds(20));
     for (const auto& [name, item] : fleet_.hosts) {
         LONGS_EQUAL(item->role.serving() ? 1 : 0, item->work_table.load("engine").requests());
--- a/tests/servers/fleet/virtual_hosts.hpp
+++ b/tests/servers/fleet/virtual_hosts.hpp
@@ -38,7 +38,8 @@
         if (reply != nullptr && reply->catalogue.changes.size() > max_changes) {
             return;
         }
-        timers_.after(delay, [this, from, to, message] {
+        const bool overtaken = overtaking && sent[{from, to.ip}] % 2 == 1;
+        timers_.after(overtaken ? delay * 2 : delay, [this, from, to, message] {
             const auto found = receivers.find(to.ip);
             if (found != receivers.end() && disconnected.count(from) == 0 &&
                 disconnected.count(to.ip) == 0) {
@@ -53,6 +54,8 @@
     /// Disconnected addresses, which neither send nor receive.
     std::set<std::string> disconnected;
     duration delay = std::chrono::milliseconds(2);
+    /// If true, every other datagram between two hosts takes twice as long.
+    bool overtaking = false;
     /// Number of datagrams by sender and receiver.
     std::map<std::pair<std::string, std::string>, int> sent;
 
