Placement: a first event that is overdue counts as pending prefill of its engine

Cause: an engine that fell silent looked idle to all hosts half a second after a prompt was sent to it, and each host found out by time-outs of its own (three of a second each). Change: all hosts know from the announcements which prompts have no first event yet. The time since it was expected, beyond three passes, is added to the engine's pending prefill. Prompts dispatched before one that the engine answered do not count, so a frozen host blocks no engine. Ruled out: a shorter time-out of the attempt, since a chat is late after 250 ms in any case. Four new tests, all failing before (one without the setting: run with overdue_passes out of reach).

--- a/core/placement/engine_load.cpp
+++ b/core/placement/engine_load.cpp
@@ -75,27 +75,48 @@
 }
 
 duration engine_load::pending_prefill(instant now) const {
-    std::vector<const engine_work*> in_prefill;
     duration not_started{};
-    for (const auto& [key, work] : work_items_) {
-        if (work.phase != work_phase::prefill) {
-            continue;
-        }
-        if (work.prefill_time <= long_prefill_threshold &&
-            now - work.dispatched_at < short_prefill_limit) {
-            not_started += work.prefill_time;
+    instant finished_at{};
+    for (const engine_work* work : works_in_prefill()) {
+        if (work->prefill_time <= long_prefill_threshold &&
+            now - work->dispatched_at < short_prefill_limit) {
+            not_started += work->prefill_time;
         } else {
-            in_prefill.push_back(&work);
+            finished_at = std::max(finished_at, work->dispatched_at) + work->prefill_time;
         }
     }
-    std::sort(in_prefill.begin(), in_prefill.end(), [](const engine_work* a, const engine_work* b) {
-        return a->dispatched_at < b->dispatched_at;
-    });
+    return std::max(duration::zero(), finished_at - now) + not_started;
+}
+
+duration engine_load::overdue(instant now) const {
+    instant last_answered = instant::min();
+    for (const auto& [key, work] : work_items_) {
+        if (work.phase == work_phase::decode && work.generates()) {
+            last_answered = std::max(last_answered, work.dispatched_at);
+        }
+    }
+    duration longest{};
     instant finished_at{};
-    for (const engine_work* work : in_prefill) {
+    for (const engine_work* work : works_in_prefill()) {
         finished_at = std::max(finished_at, work->dispatched_at) + work->prefill_time;
+        if (work->dispatched_at >= last_answered) {
+            longest = std::max(longest, now - finished_at);
+        }
     }
-    return std::max(duration::zero(), finished_at - now) + not_started;
+    return longest;
+}
+
+std::vector<const engine_work*> engine_load::works_in_prefill() const {
+    std::vector<const engine_work*> result;
+    for (const auto& [key, work] : work_items_) {
+        if (work.phase == work_phase::prefill) {
+            result.push_back(&work);
+        }
+    }
+    std::sort(result.begin(), result.end(), [](const engine_work* a, const engine_work* b) {
+        return a->dispatched_at < b->dispatched_at;
+    });
+    return result;
 }
 
 duration engine_load::min_target_gap() const {
--- a/core/placement/engine_load.hpp
+++ b/core/placement/engine_load.hpp
@@ -25,6 +25,9 @@
     std::int64_t memory_tokens() const;
     /// Time until the prefill of all dispatched prompts is complete.
     duration pending_prefill(instant now) const;
+    /// Time since the first event of a prompt was expected. Prompts that were dispatched before one
+    /// that the engine has answered do not count: their host may have failed to announce progress.
+    duration overdue(instant now) const;
     /// Smallest `target_gap` of the requests; `duration::max()` if there are none.
     duration min_target_gap() const;
     /// Number of requests that generate output and whose `target_gap` is below `pass`.
@@ -39,6 +42,9 @@
     bool empty() const { return work_items_.empty(); }
 
 private:
+    /// The work in the prefill phase, by dispatch time.
+    std::vector<const engine_work*> works_in_prefill() const;
+
     /// Work by host and request key.
     std::map<std::pair<std::string, std::uint64_t>, engine_work> work_items_;
 };
--- a/core/placement/interference_aware_placement.cpp
+++ b/core/placement/interference_aware_placement.cpp
@@ -61,7 +61,10 @@
         candidate.pass = scaled(decode_pass_time(*engine.profile, load.decoding_requests(),
                                                  load.decoding_context_tokens()),
                                 engine.slowdown);
-        candidate.pending_prefill = scaled(load.pending_prefill(now), engine.slowdown);
+        // How long an engine stays silent is unknown; the estimate grows with the silence.
+        const duration overdue = load.overdue(now) - settings_.overdue_passes * candidate.pass;
+        candidate.pending_prefill = scaled(load.pending_prefill(now), engine.slowdown) +
+                                    std::max(duration::zero(), overdue);
         candidate.min_target_gap = load.min_target_gap();
         const auto usable_memory =
             static_cast<std::int64_t>(usable_memory_tokens(*engine.profile, settings_));
--- a/core/placement/interference_aware_settings.hpp
+++ b/core/placement/interference_aware_settings.hpp
@@ -31,6 +31,8 @@
     duration forecast_margin = std::chrono::milliseconds(500);
     /// Fraction of an engine's slots that short prompts occupy before they use another engine.
     double slot_utilization = 0.75;
+    /// Number of passes by which a first event may be late before its engine counts as delayed.
+    int overdue_passes = 3;
     /// Engines that are kept for short prompts when a long one is spread, as a multiple of those
     /// that short prompts need now.
     double short_prompt_growth = 1.5;
--- a/tests/core/placement/engine_load_test.cpp
+++ b/tests/core/placement/engine_load_test.cpp
@@ -30,6 +30,33 @@
     CHECK_TRUE(load_.pending_prefill(now_ + seconds(2)) == duration::zero());
 }
 
+TEST(engine_load, prompt_without_its_first_event_is_overdue) {
+    load_.apply("a", work(1, work_phase::prefill));
+    CHECK_TRUE(load_.overdue(now_ + milliseconds(300)) == duration::zero());
+    CHECK_TRUE(load_.overdue(now_ + milliseconds(500)) == milliseconds(200));
+    load_.apply("a", work(1, work_phase::decode));
+    CHECK_TRUE(load_.overdue(now_ + milliseconds(500)) == duration::zero());
+}
+
+TEST(engine_load, prompt_is_not_overdue_after_a_later_one_was_answered) {
+    // A suspended host announces no progress, although its streams may have started.
+    load_.apply("suspended", work(1, work_phase::prefill));
+    engine_work later = work(2, work_phase::decode);
+    later.dispatched_at = now_ + milliseconds(100);
+    load_.apply("b", later);
+    CHECK_TRUE(load_.overdue(now_ + seconds(1)) == duration::zero());
+}
+
+TEST(engine_load, answered_part_of_another_prompt_does_not_hide_an_overdue_one) {
+    // An engine reads the parts of other prompts before its own, which then starts late.
+    load_.apply("a", work(1, work_phase::prefill));
+    engine_work part = work(2, work_phase::decode);
+    part.target_gap = duration::zero();
+    part.dispatched_at = now_ + milliseconds(100);
+    load_.apply("b", part);
+    CHECK_TRUE(load_.overdue(now_ + milliseconds(500)) == milliseconds(200));
+}
+
 TEST(engine_load, work_of_a_removed_host_is_dropped) {
     load_.apply("a", work(1, work_phase::decode));
     load_.apply("b", work(1, work_phase::decode));
--- a/tests/core/placement/interference_aware_placement_test.cpp
+++ b/tests/core/placement/interference_aware_placement_test.cpp
@@ -443,6 +443,18 @@
     CHECK_TRUE(choose(late).outcome == placement_decision::verdict::wait);
 }
 
+TEST(interference_aware_placement, short_prompts_avoid_an_engine_that_fell_silent) {
+    // The engine accepts connections and answers nothing. All hosts know which prompts have no
+    // first event, so that none of them has to wait for time-outs of its own.
+    fill_with_short(20);
+    const placement_decision first = choose(short_request(100));
+    add(first.engine, short_request(100), work_phase::prefill);
+    now_ += milliseconds(700);
+    for (std::uint64_t key = 200; key < 240; ++key) {
+        CHECK_TRUE(choose(short_request(key)).engine != first.engine);
+    }
+}
+
 TEST(interference_aware_placement, short_prompts_avoid_slow_engine) {
     fill_with_short(60);
     const std::string slow = choose(short_request(500)).engine;
