Relay: the time limit of a connection follows from the route's target

Change: a quarter of the target, at least 60 ms (a round trip between regions), at most 600 ms as before. Nothing has been sent by then, so the request may go elsewhere whatever its kind. Ruled out: a fixed shorter limit, which would not fit targets of seconds on distant data centres.

--- a/drivers/traffic/beast_exchange.cpp
+++ b/drivers/traffic/beast_exchange.cpp
@@ -17,8 +17,6 @@
 
 namespace {
 
-/// Shorter than the one second after which TCP resends a lost SYN.
-constexpr duration connect_timeout = std::chrono::milliseconds(600);
 /// Used when the upstream sends no `Keep-Alive` header; upper bound when it does.
 constexpr duration default_idle_lifetime = std::chrono::seconds(4);
 /// An idle connection is discarded this long before the upstream would close it.
@@ -42,7 +40,8 @@
       body_(std::move(body)),
       listener_(&listener) {}
 
-void beast_exchange::start(upstream_connection_pool::socket_ptr idle_socket) {
+void beast_exchange::start(upstream_connection_pool::socket_ptr idle_socket,
+                           duration connect_timeout) {
     parser_.emplace();
     parser_->eager(true);
     parser_->header_limit(max_response_header_bytes);
@@ -53,19 +52,19 @@
         write();
         read();
     } else {
-        connect(address_);
+        connect(connect_timeout);
     }
 }
 
-void beast_exchange::connect(const network_address& address) {
+void beast_exchange::connect(duration timeout) {
     socket_ = std::make_shared<tcp::socket>(loop_.context());
-    connect_timer_.emplace(loop_.context(), connect_timeout);
+    connect_timer_.emplace(loop_.context(), timeout);
     connect_timer_->async_wait([self = shared_from_this()](const error_code& error) {
         if (!error && !self->sent_) {
             self->fail("connect: no answer in time");
         }
     });
-    socket_->async_connect(to_endpoint(address),
+    socket_->async_connect(to_endpoint(address_),
                            [self = shared_from_this()](const error_code& error) {
                                if (self->listener_ == nullptr) {
                                    return;
--- a/drivers/traffic/beast_exchange.hpp
+++ b/drivers/traffic/beast_exchange.hpp
@@ -27,14 +27,15 @@
                    std::shared_ptr<const std::string> body, exchange_listener& listener);
 
     /// Sends the request on `idle_socket`, or on a new connection when it is null.
-    void start(upstream_connection_pool::socket_ptr idle_socket);
+    /// @param connect_timeout  time limit for a new connection
+    void start(upstream_connection_pool::socket_ptr idle_socket, duration connect_timeout);
     /// Closes the connection; the listener is not called any more.
     void cancel();
 
 private:
     using parser_type = boost::beast::http::response_parser<boost::beast::http::string_body>;
 
-    void connect(const network_address& address);
+    void connect(duration timeout);
     void write();
     void read();
     void on_read(std::size_t bytes);
--- a/drivers/traffic/beast_upstream_connector.cpp
+++ b/drivers/traffic/beast_upstream_connector.cpp
@@ -4,6 +4,7 @@
 
 #include "drivers/control/control_loop.hpp"
 #include "drivers/traffic/beast_exchange.hpp"
+#include "servers/relay/connection_options.hpp"
 #include "servers/relay/upstream_exchange.hpp"
 
 namespace fuchsiaquay {
@@ -33,15 +34,15 @@
 
 std::unique_ptr<upstream_exchange> beast_upstream_connector::open(
     const upstream_entry& upstream, std::string head, std::shared_ptr<const std::string> body,
-    bool new_connection, exchange_listener& listener) {
+    const connection_options& options, exchange_listener& listener) {
     upstream_connection_pool::socket_ptr idle_socket;
-    if (!new_connection) {
+    if (!options.new_connection) {
         idle_socket = pool_->acquire(upstream.id, loop_.now());
     }
     opened_connections_ += idle_socket ? 0 : 1;
     auto exchange = std::make_shared<beast_exchange>(loop_, pool_, upstream, std::move(head),
                                                      std::move(body), listener);
-    exchange->start(std::move(idle_socket));
+    exchange->start(std::move(idle_socket), options.connect_timeout);
     return std::make_unique<exchange_handle>(std::move(exchange));
 }
 
--- a/drivers/traffic/beast_upstream_connector.hpp
+++ b/drivers/traffic/beast_upstream_connector.hpp
@@ -17,7 +17,7 @@
 
     std::unique_ptr<upstream_exchange> open(const upstream_entry& upstream, std::string head,
                                             std::shared_ptr<const std::string> body,
-                                            bool new_connection,
+                                            const connection_options& options,
                                             exchange_listener& listener) override;
 
     /// Connections opened so far.
--- a/servers/relay/upstream_attempt.cpp
+++ b/servers/relay/upstream_attempt.cpp
@@ -10,9 +10,11 @@
 #include "core/health/upstream_notices.hpp"
 #include "core/identity/names.hpp"
 #include "core/relay/caller_request.hpp"
+#include "core/relay/connect_timeout.hpp"
 #include "servers/fleet/upstream_registry.hpp"
 #include "servers/relay/admission_result.hpp"
 #include "servers/relay/attempt_listener.hpp"
+#include "servers/relay/connection_options.hpp"
 #include "servers/relay/engine_reservations.hpp"
 #include "servers/relay/exchange_failure.hpp"
 #include "servers/relay/relay_services.hpp"
@@ -115,9 +117,11 @@
     }
     services_.health.on_sent(upstream_id(entry->id), now);
     log_.dispatched(admitted_, parameters_.decision, parameters_.number);
-    const bool new_connection = !admitted_.matched_route->repeatable();
+    connection_options options;
+    options.new_connection = !admitted_.matched_route->repeatable();
+    options.connect_timeout = connect_timeout(admitted_.matched_route->target);
     exchange_ = services_.connector.open(*entry, services_.format.write_request(request_, metadata),
-                                         request_.body, new_connection, *this);
+                                         request_.body, options, *this);
 }
 
 void upstream_attempt::on_head(response_head head) {
--- a/servers/relay/upstream_connector.hpp
+++ b/servers/relay/upstream_connector.hpp
@@ -7,6 +7,7 @@
 
 namespace fuchsiaquay {
 
+struct connection_options;
 class exchange_listener;
 class upstream_exchange;
 
@@ -19,12 +20,11 @@
     virtual ~upstream_connector() = default;
 
     /// @param head  request line and headers with the blank line
-    /// @param new_connection  do not reuse a connection, which the upstream may have closed
     /// @param listener  never called from within `open`; must outlive the exchange
     virtual std::unique_ptr<upstream_exchange> open(const upstream_entry& upstream,
                                                     std::string head,
                                                     std::shared_ptr<const std::string> body,
-                                                    bool new_connection,
+                                                    const connection_options& options,
                                                     exchange_listener& listener) = 0;
 };
 
--- a/tests/drivers/traffic/beast_upstream_connector_test.cpp
+++ b/tests/drivers/traffic/beast_upstream_connector_test.cpp
@@ -6,6 +6,7 @@
 #include <optional>
 #include <string>
 
+#include "servers/relay/connection_options.hpp"
 #include "servers/relay/exchange_listener.hpp"
 #include "servers/relay/upstream_exchange.hpp"
 #include "tests/drivers/traffic/raw_server.hpp"
@@ -15,6 +16,8 @@
 
 namespace {
 
+constexpr duration connect_limit = std::chrono::milliseconds(600);
+
 class recording_listener final : public exchange_listener {
 public:
     void on_head(response_head value) override { head = std::move(value); }
@@ -51,7 +54,7 @@
         exchange_ = connector_.open(
             upstream,
             "POST / HTTP/1.1\r\nContent-Length: " + std::to_string(body_bytes) + "\r\n\r\n", body,
-            new_connection, listener_);
+            {new_connection, connect_limit}, listener_);
     }
     bool ended() {
         return run_until(loop_, [&] { return listener_.ended || listener_.failure.has_value(); });
@@ -156,7 +159,8 @@
     upstream_entry unreachable;
     unreachable.id = "i-2";
     unreachable.address = free_address();
-    exchange_ = connector_.open(unreachable, "GET / HTTP/1.1\r\n\r\n", nullptr, true, listener_);
+    exchange_ = connector_.open(unreachable, "GET / HTTP/1.1\r\n\r\n", nullptr,
+                                {true, connect_limit}, listener_);
     CHECK_TRUE(ended());
     CHECK_FALSE(listener_.failure->sent);
 }
--- a/tests/servers/relay/relay_fixture.hpp
+++ b/tests/servers/relay/relay_fixture.hpp
@@ -18,6 +18,7 @@
 #include "servers/fleet/upstream_codec.hpp"
 #include "servers/fleet/upstream_registry.hpp"
 #include "servers/relay/active_request.hpp"
+#include "servers/relay/connection_options.hpp"
 #include "servers/relay/engine_memory_client.hpp"
 #include "servers/relay/exchange_listener.hpp"
 #include "servers/relay/relay_queue.hpp"
@@ -168,10 +169,11 @@
     };
 
     std::unique_ptr<upstream_exchange> open(const upstream_entry& upstream, std::string head,
-                                            std::shared_ptr<const std::string>, bool new_connection,
+                                            std::shared_ptr<const std::string>,
+                                            const connection_options& options,
                                             exchange_listener& listener) override {
         attempts.push_back(std::make_shared<attempt>(
-            attempt{upstream, std::move(head), new_connection, &listener, true}));
+            attempt{upstream, std::move(head), options.new_connection, &listener, true}));
         return std::make_unique<handle>(attempts.back());
     }
 
