Announcements: a change that waits longer than the repeat time is still announced

Cause: changes were repeated for 100 ms from when they happened. A process that was delayed for longer between a change and its batched announcement (10 ms) would have announced it only with the next complete announcement, up to a second later. Change: the repeat time counts from the first announcement.

--- a/core/fleet/recent_work_changes.cpp
+++ b/core/fleet/recent_work_changes.cpp
@@ -12,18 +12,23 @@
 
 }  // namespace
 
-void recent_work_changes::add(const std::vector<engine_work>& works, instant now) {
-    remove_old(now);
+void recent_work_changes::add(const std::vector<engine_work>& works) {
     for (const engine_work& work : works) {
-        changes_[{work.key, work.engine}] = {work, now, ++count_};
+        changes_[{work.key, work.engine}] = {work, ++count_, std::nullopt};
     }
 }
 
-std::vector<engine_work> recent_work_changes::since(instant now) {
-    remove_old(now);
+std::vector<engine_work> recent_work_changes::announce(instant now) {
     std::vector<const change*> ordered;
-    for (const auto& [key, item] : changes_) {
-        ordered.push_back(&item);
+    for (auto item = changes_.begin(); item != changes_.end();) {
+        change& next = item->second;
+        if (next.announced_at && now - *next.announced_at > repeat_time) {
+            item = changes_.erase(item);
+            continue;
+        }
+        next.announced_at = next.announced_at.value_or(now);
+        ordered.push_back(&next);
+        ++item;
     }
     std::sort(ordered.begin(), ordered.end(),
               [](const change* a, const change* b) { return a->number < b->number; });
@@ -35,10 +40,4 @@
     return works;
 }
 
-void recent_work_changes::remove_old(instant now) {
-    for (auto item = changes_.begin(); item != changes_.end();) {
-        item = now - item->second.changed_at > repeat_time ? changes_.erase(item) : std::next(item);
-    }
-}
-
 }  // namespace fuchsiaquay
--- a/core/fleet/recent_work_changes.hpp
+++ b/core/fleet/recent_work_changes.hpp
@@ -2,6 +2,7 @@
 
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <string>
 #include <utility>
 #include <vector>
@@ -15,19 +16,18 @@
 /// a receiver drops announcements that arrive after a newer one and datagrams can be lost.
 class recent_work_changes {
 public:
-    void add(const std::vector<engine_work>& works, instant now);
-    /// The changes of the repeat time, oldest first.
-    std::vector<engine_work> since(instant now);
+    void add(const std::vector<engine_work>& works);
+    /// The changes of the next announcement, oldest first: those that were not announced yet and
+    /// those that were first announced within the repeat time.
+    std::vector<engine_work> announce(instant now);
 
 private:
     struct change {
         engine_work work;
-        instant changed_at{};
         std::uint64_t number = 0;
+        std::optional<instant> announced_at;
     };
 
-    void remove_old(instant now);
-
     /// Changes by request key and engine.
     std::map<std::pair<std::uint64_t, std::string>, change> changes_;
     std::uint64_t count_ = 0;
--- a/servers/fleet/host_registry.cpp
+++ b/servers/fleet/host_registry.cpp
@@ -63,7 +63,7 @@
         expire_silent_peers();
         const bool complete = ++heartbeat_count_ % complete_interval == 0;
         announce(complete,
-                 complete ? work_table_.own_work_items() : recent_changes_.since(timers_.now()));
+                 complete ? work_table_.own_work_items() : recent_changes_.announce(timers_.now()));
     });
     timers_.every(state_period, [this] {
         if (announced_state_ != state_()) {
@@ -144,7 +144,7 @@
 }
 
 void host_registry::queue_works(const std::vector<engine_work>& works) {
-    recent_changes_.add(works, timers_.now());
+    recent_changes_.add(works);
     changes_pending_ = true;
     const bool urgent = std::any_of(works.begin(), works.end(), [](const engine_work& work) {
         return work.phase == work_phase::prefill || work.phase == work_phase::waiting;
@@ -165,7 +165,7 @@
 
 void host_registry::flush() {
     if (std::exchange(changes_pending_, false)) {
-        announce(false, recent_changes_.since(timers_.now()));
+        announce(false, recent_changes_.announce(timers_.now()));
     }
 }
 
