Relay: a stream is resumed by the time since its last event

Callers saw: a resumable stream older than about two seconds ended with a reset when its engine broke or fell silent, although other engines were idle.

Cause: the time after which a caller abandons a silent request was counted from the arrival of the request also for streams in progress. Beyond it no engine was ever chosen ("not enough time left"), the request waited for a second and was given up.

Evidence: old_broken_stream_resumes_at_another_upstream; on it fails with one attempt in place of two (silent_upstream_test.cpp:92). Ruled out: the retry budget and max_attempts, which had one attempt left in that test.

Why this works: the chooser is given the moment of the last event, which is what the caller waits from.

--- a/servers/relay/request_relay.cpp
+++ b/servers/relay/request_relay.cpp
@@ -16,6 +16,7 @@
 #include "servers/fleet/engine_work_table.hpp"
 #include "servers/fleet/upstream_registry.hpp"
 #include "servers/relay/admission.hpp"
+#include "servers/relay/answer_times.hpp"
 #include "servers/relay/relay_queue.hpp"
 #include "servers/relay/request_format.hpp"
 #include "servers/relay/request_result.hpp"
@@ -132,7 +133,7 @@
     const instant now = services_.timers.now();
     work_key_ = stable_hash(request_.id, static_cast<std::uint64_t>(attempts_));
     const placement_decision decision =
-        chooser_.choose(request_, admitted_, work_key_, excluded_, deadline_);
+        chooser_.choose(request_, admitted_, work_key_, excluded_, current_answer_times());
     switch (decision.outcome) {
         case placement_decision::verdict::place:
             end_waiting();
@@ -151,6 +152,10 @@
     begin_waiting(decision);
 }
 
+answer_times request_relay::current_answer_times() const {
+    return {deadline_, response_started_ ? last_events_at_ : request_.received_at};
+}
+
 void request_relay::give_up(const placement_decision& decision) {
     log_.not_placed(admitted_, decision, attempts_, false);
     retry_after_ = std::max(decision.retry_after, min_no_room_retry_after);
@@ -360,8 +365,8 @@
 }
 
 bool request_relay::another_upstream_available() const {
-    return chooser_.choose(request_, admitted_, work_key_, upstream_, deadline_).outcome ==
-           placement_decision::verdict::place;
+    return chooser_.choose(request_, admitted_, work_key_, upstream_, current_answer_times())
+               .outcome == placement_decision::verdict::place;
 }
 
 void request_relay::on_attempt_failed(attempt_outcome outcome, const std::string& reason) {
--- a/servers/relay/request_relay.hpp
+++ b/servers/relay/request_relay.hpp
@@ -22,6 +22,7 @@
 class response_sink;
 class upstream_attempt;
 class upstream_chooser;
+struct answer_times;
 
 /// Handles one request: admission, placement, attempts at upstreams and exactly one final response.
 class request_relay final : public active_request, private attempt_listener {
@@ -75,6 +76,7 @@
     void apply_next_step(next_step step, const std::string& reason);
     void time_out();
     void check_progress(instant now);
+    answer_times current_answer_times() const;
     /// @param detail  cause, for the log
     void refuse(const rejection& cause, const std::string& detail = "");
     void send_failure(int status, const char* reason, const std::string& detail = "");
--- a/servers/relay/upstream_chooser.cpp
+++ b/servers/relay/upstream_chooser.cpp
@@ -17,6 +17,7 @@
 #include "servers/fleet/engine_work_table.hpp"
 #include "servers/fleet/upstream_registry.hpp"
 #include "servers/relay/admission_result.hpp"
+#include "servers/relay/answer_times.hpp"
 #include "servers/relay/relay_services.hpp"
 #include "servers/timer_service.hpp"
 
@@ -52,7 +53,8 @@
 
 placement_decision upstream_chooser::choose(const caller_request& request,
                                             const admission_result& admitted, std::uint64_t key,
-                                            const std::string& excluded, instant deadline) const {
+                                            const std::string& excluded,
+                                            const answer_times& times) const {
     if (services_.upstreams.ready(admitted.service_name).empty()) {
         return refused("no_upstream");
     }
@@ -62,7 +64,7 @@
         return paused;
     }
     if (admitted.service != nullptr && admitted.service->engine) {
-        return choose_engine(request, admitted, key, excluded, deadline);
+        return choose_engine(request, admitted, key, excluded, times);
     }
     return choose_plain(admitted, key, excluded);
 }
@@ -93,7 +95,7 @@
 placement_decision upstream_chooser::choose_engine(const caller_request& request,
                                                    const admission_result& admitted,
                                                    std::uint64_t key, const std::string& excluded,
-                                                   instant deadline) const {
+                                                   const answer_times& times) const {
     const instant now = services_.timers.now();
     const engine_profile& profile = *admitted.service->engine;
     std::vector<engine_view> engines;
@@ -109,10 +111,10 @@
     placement.answer_tokens =
         request.max_answer_tokens > 0 ? request.max_answer_tokens : profile.usual_answer_tokens;
     placement.first_event_time_left = request.received_at + admitted.matched_route->target - now;
-    placement.time_left = deadline - now;
+    placement.time_left = times.deadline - now;
     placement.target_gap = admitted.matched_route->target_gap;
     placement.abandon_time_left =
-        request.received_at + caller_wait_limit(*admitted.matched_route) - now;
+        times.silent_since + caller_wait_limit(*admitted.matched_route) - now;
     placement.excluded_engine = excluded;
     placement.all_work_known = services_.knows_all_work();
     engine_work queue_entry;
--- a/servers/relay/upstream_chooser.hpp
+++ b/servers/relay/upstream_chooser.hpp
@@ -10,6 +10,7 @@
 namespace fuchsiaquay {
 
 struct admission_result;
+struct answer_times;
 struct caller_request;
 struct relay_services;
 struct upstream_entry;
@@ -20,15 +21,14 @@
     explicit upstream_chooser(const relay_services& services) : services_(services) {}
 
     /// @param excluded  upstream that failed this request before; empty for none
-    /// @param deadline  time after which a response is useless
     placement_decision choose(const caller_request& request, const admission_result& admitted,
                               std::uint64_t key, const std::string& excluded,
-                              instant deadline) const;
+                              const answer_times& times) const;
 
 private:
     placement_decision choose_engine(const caller_request& request,
                                      const admission_result& admitted, std::uint64_t key,
-                                     const std::string& excluded, instant deadline) const;
+                                     const std::string& excluded, const answer_times& times) const;
     placement_decision choose_plain(const admission_result& admitted, std::uint64_t key,
                                     const std::string& excluded) const;
 
