Relay: a silent upstream keeps its attempt while another one is tried

Callers saw: a stream whose engine paused for more than a second, and would have gone on, ended with a reset of the caller's connection. Around a planned stop this is the loss of an accepted request.

Cause: silence ended the attempt at once and another upstream was looked for afterwards. If none took the request within a second, or the next one declined or failed, nothing was left to answer it.

Ruled out: the engine breaking off, which ends in on_failure and is a fault of its own.

Why this works: another upstream is chosen first, and only if one takes the request at this moment does it get it; the silent attempt stays open with its load registered and its incomplete event kept. The first of the two to deliver a whole event or response is used and the other one is cancelled; a failure of one leaves the other. Retry budget and the number of upstreams are spent as before, but no longer when no upstream takes the request.

lookup_at_a_silent_upstream_is_retried_in_time asked that the first attempt be closed when the second begins. That expectation was the fault; the test now asks that it is closed once the second has answered, with exactly one answer.

New log lines: attempt_stalled, attempt_resumed.

--- a/servers/relay/request_log.cpp
+++ b/servers/relay/request_log.cpp
@@ -101,6 +101,20 @@
                          {"again", will_retry ? "yes" : "no"}});
 }
 
+void request_log::attempt_stalled(const std::string& upstream, int attempt,
+                                  duration silence) const {
+    services_.log.write(decision_log::level::info, "attempt_stalled",
+                        {{"request", request_.id},
+                         {"upstream", upstream},
+                         {"attempt", std::to_string(attempt)},
+                         {"silent_ms", ms_text(silence)}});
+}
+
+void request_log::attempt_resumed(const std::string& upstream) const {
+    services_.log.write(decision_log::level::info, "attempt_resumed",
+                        {{"request", request_.id}, {"upstream", upstream}});
+}
+
 void request_log::slowdown_changed(const std::string& upstream, double slowdown) const {
     services_.log.write(decision_log::level::info, "engine_pace",
                         {{"request", request_.id},
--- a/servers/relay/request_log.hpp
+++ b/servers/relay/request_log.hpp
@@ -32,6 +32,10 @@
     /// @param at_fault  another engine that caused the failure; empty if it was `upstream`
     void attempt_failed(const std::string& upstream, const std::string& at_fault, int attempt,
                         const std::string& reason, duration elapsed, bool will_retry) const;
+    /// Logs that an upstream was silent for `silence` and that another one is tried beside it.
+    void attempt_stalled(const std::string& upstream, int attempt, duration silence) const;
+    /// Logs that the request continues with an upstream that was silent.
+    void attempt_resumed(const std::string& upstream) const;
     /// Logs that the upstream announced in its response that it is leaving.
     void upstream_leaves(const std::string& upstream) const;
     /// Logs that the upstream declined and wants no requests from this host for `pause`.
--- a/servers/relay/request_relay.cpp
+++ b/servers/relay/request_relay.cpp
@@ -21,6 +21,7 @@
 #include "servers/relay/request_format.hpp"
 #include "servers/relay/request_result.hpp"
 #include "servers/relay/response_sink.hpp"
+#include "servers/relay/standby_attempt.hpp"
 #include "servers/relay/upstream_attempt.hpp"
 #include "servers/relay/upstream_chooser.hpp"
 #include "servers/request_metrics.hpp"
@@ -38,6 +39,8 @@
 constexpr int max_declined_attempts = 2;
 /// Minimum time before the deadline to start another attempt.
 constexpr duration min_attempt_time = std::chrono::milliseconds(30);
+/// Period of looking for another upstream while one is silent.
+constexpr duration stall_recheck_period = std::chrono::milliseconds(100);
 /// Maximum time that a request waits for a starting host, which usually becomes ready sooner.
 constexpr duration max_startup_wait = std::chrono::milliseconds(800);
 /// Time to wait for another upstream after a failed attempt, even beyond the route's target.
@@ -69,6 +72,7 @@
 
 request_relay::~request_relay() {
     queue_.remove(*this);
+    drop_standby("request ended");
     if (!done_) {
         log_request_end("caller_left", 0,
                         response_started_ ? "during the answer" : "before the answer");
@@ -208,11 +212,13 @@
         return;
     }
     claimed_at_ = services_.timers.now();
-    services_.timers.after(claim_propagation_time, [this, alive = std::weak_ptr<int>(alive_)] {
-        if (!alive.expired() && !done_) {
-            confirm_claim();
-        }
-    });
+    services_.timers.after(claim_propagation_time,
+                           [this, key = work_key_, alive = std::weak_ptr<int>(alive_)] {
+                               // The attempt at a silent upstream may have resumed meanwhile.
+                               if (!alive.expired() && !done_ && key == work_key_ && !attempt_) {
+                                   confirm_claim();
+                               }
+                           });
 }
 
 void request_relay::confirm_claim() {
@@ -257,20 +263,26 @@
     attempt_->start();
 }
 
-void request_relay::on_stream_bytes(std::string_view bytes) {
-    const std::int64_t passed_before = events_.count();
-    const std::string events = events_.append(bytes);
-    if (events_.out_of_order()) {
-        on_attempt_failed(attempt_outcome::unknown, "events out of order");
+void request_relay::on_stream_bytes(upstream_attempt& from, std::string_view bytes) {
+    event_splitter& splitter = is_standby(from) ? standby_->events : events_;
+    const std::int64_t passed_before = splitter.count();
+    const std::string events = splitter.append(bytes);
+    if (splitter.out_of_order()) {
+        on_attempt_failed(from, attempt_outcome::unknown, "events out of order");
         return;
     }
-    if (events_.too_long()) {
-        on_attempt_failed(attempt_outcome::unknown, "event too long");
+    if (splitter.too_long()) {
+        on_attempt_failed(from, attempt_outcome::unknown, "event too long");
         return;
     }
     if (events.empty()) {
         return;
     }
+    if (is_standby(from)) {
+        resume_standby();
+    } else {
+        drop_standby("upstream silent");
+    }
     const instant now = services_.timers.now();
     attempt_->record_progress();
     if (!response_started_) {
@@ -309,7 +321,10 @@
     }
 }
 
-void request_relay::on_response_complete() {
+void request_relay::on_response_complete(upstream_attempt& from) {
+    if (is_standby(from)) {
+        resume_standby();
+    }
     if (attempt_->streaming()) {
         finish_stream();
     } else {
@@ -319,10 +334,11 @@
 
 void request_relay::finish_stream() {
     if (events_.has_partial()) {
-        on_attempt_failed(attempt_outcome::unknown, "stream ended inside an event");
+        on_attempt_failed(*attempt_, attempt_outcome::unknown, "stream ended inside an event");
         return;
     }
     work_.advance(work_phase::ended);
+    drop_standby("upstream silent");
     if (!response_started_) {
         sink_.begin(attempt_->head(), "");
     }
@@ -333,6 +349,7 @@
 
 void request_relay::finish_response() {
     work_.advance(work_phase::ended);
+    drop_standby("upstream silent");
     services_.metrics.answered();
     log_request_end("answered", attempt_->head().status, "");
     sink_.send(attempt_->head(), attempt_->take_body());
@@ -369,7 +386,12 @@
                .outcome == placement_decision::verdict::place;
 }
 
-void request_relay::on_attempt_failed(attempt_outcome outcome, const std::string& reason) {
+void request_relay::on_attempt_failed(upstream_attempt& from, attempt_outcome outcome,
+                                      const std::string& reason) {
+    if (is_standby(from)) {
+        drop_standby(reason);
+        return;
+    }
     const attempt_outcome effective_outcome =
         response_started_ ? attempt_outcome::broken_stream : outcome;
     end_attempt(effective_outcome, step_after(effective_outcome), reason);
@@ -395,6 +417,10 @@
 }
 
 void request_relay::apply_next_step(next_step step, const std::string& reason) {
+    if (standby_ && step != next_step::retry) {
+        resume_standby();
+        return;
+    }
     switch (step) {
         case next_step::retry:
             services_.metrics.retried(reason);
@@ -438,6 +464,7 @@
     may_have_run_ = may_have_run_ || (attempt_ && attempt_->sent());
     attempt_.reset();
     work_.advance(work_phase::ended);
+    drop_standby("deadline passed");
     end_waiting();
     if (response_started_) {
         apply_next_step(next_step::abort, "deadline passed");
@@ -459,18 +486,72 @@
     if (const engine_profile* profile = find_engine_profile()) {
         conditions.full_prefill_time = prefill_time(*profile, request_.prompt_tokens.value_or(0));
     }
-    if (now - std::max(attempt_->progress_at(), last_stall_at_) < stall_timeout(conditions)) {
+    const bool known = last_stall_at_ >= attempt_->progress_at();
+    const duration limit = known ? stall_recheck_period : stall_timeout(conditions);
+    if (now - std::max(attempt_->progress_at(), last_stall_at_) < limit) {
         return;
     }
+    if (!known) {
+        services_.health.on_result(upstream_id(upstream_), attempt_evidence::failed, now);
+    }
+    last_stall_at_ = now;
+    try_beside_silent_upstream();
+}
+
+void request_relay::try_beside_silent_upstream() {
+    if (standby_) {
+        return;
+    }
+    const std::uint64_t key = stable_hash(request_.id, static_cast<std::uint64_t>(attempts_));
+    const placement_decision decision =
+        chooser_.choose(request_, admitted_, key, upstream_, current_answer_times());
     const attempt_outcome outcome =
         response_started_ ? attempt_outcome::broken_stream : attempt_outcome::unknown;
-    last_stall_at_ = now;
-    services_.health.on_result(upstream_id(upstream_), attempt_evidence::failed, now);
-    // The upstream may still answer, so the attempt ends only if the request can be retried.
-    const next_step step = step_after(outcome);
-    if (step == next_step::retry) {
-        end_attempt(outcome, step, "upstream silent");
+    if (decision.outcome != placement_decision::verdict::place ||
+        step_after(outcome) != next_step::retry) {
+        return;
+    }
+    const instant now = services_.timers.now();
+    log_.attempt_stalled(upstream_, attempts_, now - attempt_->progress_at());
+    services_.metrics.retried("upstream silent");
+    ++executed_attempts_;
+    may_have_run_ = true;
+    excluded_ = upstream_;
+    wait_until_ = std::min(std::max(wait_until_, now + retry_wait), deadline_ - min_attempt_time);
+    standby_ = std::make_unique<standby_attempt>(standby_attempt{
+        std::move(attempt_), decision_, std::exchange(work_, request_work(services_.work_table)),
+        work_key_, attempts_, events_});
+    events_.drop_partial();
+    work_key_ = key;
+    dispatch(decision);
+}
+
+bool request_relay::is_standby(const upstream_attempt& attempt) const {
+    return standby_ && standby_->attempt.get() == &attempt;
+}
+
+void request_relay::resume_standby() {
+    const std::unique_ptr<standby_attempt> standby = std::move(standby_);
+    end_waiting();
+    attempt_ = std::move(standby->attempt);
+    work_.advance(work_phase::ended);
+    work_ = std::move(standby->work);
+    work_key_ = standby->work_key;
+    decision_ = standby->decision;
+    upstream_ = decision_.engine;
+    events_ = std::move(standby->events);
+    last_stall_at_ = services_.timers.now();
+    log_.attempt_resumed(upstream_);
+}
+
+void request_relay::drop_standby(const std::string& reason) {
+    if (!standby_) {
+        return;
     }
+    const std::unique_ptr<standby_attempt> standby = std::move(standby_);
+    log_.attempt_failed(standby->decision.engine, standby->attempt->at_fault(), standby->number,
+                        reason, services_.timers.now() - standby->attempt->sent_at(), true);
+    standby->work.advance(work_phase::ended);
 }
 
 void request_relay::refuse(const rejection& cause, const std::string& detail) {
--- a/servers/relay/request_relay.hpp
+++ b/servers/relay/request_relay.hpp
@@ -23,6 +23,7 @@
 class upstream_attempt;
 class upstream_chooser;
 struct answer_times;
+struct standby_attempt;
 
 /// Handles one request: admission, placement, attempts at upstreams and exactly one final response.
 class request_relay final : public active_request, private attempt_listener {
@@ -44,9 +45,10 @@
     instant received_at() const noexcept { return request_.received_at; }
 
 private:
-    void on_stream_bytes(std::string_view bytes) override;
-    void on_response_complete() override;
-    void on_attempt_failed(attempt_outcome outcome, const std::string& reason) override;
+    void on_stream_bytes(upstream_attempt& from, std::string_view bytes) override;
+    void on_response_complete(upstream_attempt& from) override;
+    void on_attempt_failed(upstream_attempt& from, attempt_outcome outcome,
+                           const std::string& reason) override;
 
     /// Whether the host has a configuration and either has confirmed that it is current and loaded
     /// the upstreams, or is past its startup time.
@@ -76,6 +78,14 @@
     void apply_next_step(next_step step, const std::string& reason);
     void time_out();
     void check_progress(instant now);
+    /// Tries another upstream while the silent one may still answer. Does nothing unless another
+    /// upstream takes the request now.
+    void try_beside_silent_upstream();
+    bool is_standby(const upstream_attempt& attempt) const;
+    /// Continues with the upstream that was silent.
+    void resume_standby();
+    /// Cancels the attempt at the upstream that was silent, if there is one.
+    void drop_standby(const std::string& reason);
     answer_times current_answer_times() const;
     /// @param detail  cause, for the log
     void refuse(const rejection& cause, const std::string& detail = "");
@@ -114,6 +124,8 @@
     /// Engine that caused the last attempt to fail; empty if it was `upstream_`.
     std::string at_fault_;
     std::unique_ptr<upstream_attempt> attempt_;
+    /// Attempt at an upstream that fell silent, while another upstream is tried.
+    std::unique_ptr<standby_attempt> standby_;
     placement_decision decision_;
     /// Upstream of the last attempt.
     std::string upstream_;
--- a/servers/relay/request_work.cpp
+++ b/servers/relay/request_work.cpp
@@ -20,7 +20,7 @@
     work.dispatched_at = late_at;
     if (work_items_.empty() && work.prefill_time > long_prefill_threshold) {
         work_items_.push_back(work);
-        work_table_.apply_own_works(work_items_);
+        work_table_->apply_own_works(work_items_);
     }
 }
 
@@ -47,12 +47,12 @@
         work.memory_tokens = part.reserved_tokens;
         work_items_.push_back(work);
     }
-    work_table_.apply_own_works(work_items_);
+    work_table_->apply_own_works(work_items_);
 }
 
 bool request_work::claim_lost() const {
     return std::any_of(work_items_.begin(), work_items_.end(), [this](const engine_work& work) {
-        return work_table_.load(work.engine).claim_lost(work);
+        return work_table_->load(work.engine).claim_lost(work);
     });
 }
 
@@ -62,7 +62,7 @@
         const bool done = !work.generates() && work.memory_tokens == 0;
         work.phase = phase == work_phase::decode && done ? work_phase::ended : phase;
     }
-    work_table_.apply_own_works(work_items_);
+    work_table_->apply_own_works(work_items_);
     work_items_.erase(
         std::remove_if(work_items_.begin(), work_items_.end(),
                        [](const engine_work& work) { return work.phase == work_phase::ended; }),
--- a/servers/relay/request_work.hpp
+++ b/servers/relay/request_work.hpp
@@ -17,7 +17,7 @@
 /// hosts.
 class request_work {
 public:
-    explicit request_work(engine_work_table& work_table) : work_table_(work_table) {}
+    explicit request_work(engine_work_table& work_table) : work_table_(&work_table) {}
 
     /// Registers the request among the waiting long prompts; does nothing for short prompts.
     /// @param late_at  when the first event becomes late
@@ -35,7 +35,8 @@
     bool awaiting_first_event() const;
 
 private:
-    engine_work_table& work_table_;
+    /// Never null.
+    engine_work_table* work_table_;
     std::vector<engine_work> work_items_;
 };
 
--- a/servers/relay/upstream_attempt.cpp
+++ b/servers/relay/upstream_attempt.cpp
@@ -92,7 +92,7 @@
                            [this, outcome, reason, alive = std::weak_ptr<int>(alive_)] {
                                if (!alive.expired() && memory_) {
                                    at_fault_ = engine_by_address(memory_->failed_engine());
-                                   listener_.on_attempt_failed(outcome, reason);
+                                   listener_.on_attempt_failed(*this, outcome, reason);
                                }
                            });
 }
@@ -129,24 +129,25 @@
     progress_at_ = services_.timers.now();
     record_notices();
     if (!response_.request.empty() && response_.request != request_.id) {
-        listener_.on_attempt_failed(attempt_outcome::unknown, "answer of another request");
+        listener_.on_attempt_failed(*this, attempt_outcome::unknown, "answer of another request");
         return;
     }
     const int status = response_.head.status;
     if (response_.misdirected || response_.not_executed) {
         record_fault();
-        listener_.on_attempt_failed(attempt_outcome::declined,
+        listener_.on_attempt_failed(*this, attempt_outcome::declined,
                                     "declined with " + std::to_string(status));
         return;
     }
     if (is_success(status) && !response_.has_execution_proof) {
-        listener_.on_attempt_failed(attempt_outcome::unknown, "success without proof");
+        listener_.on_attempt_failed(*this, attempt_outcome::unknown, "success without proof");
         return;
     }
     streaming_ = admitted_.matched_route->streams() && is_success(status);
     const bool failed = status >= status_server_error && admitted_.matched_route->repeatable();
     if (failed || (parameters_.resumes && !is_success(status))) {
-        listener_.on_attempt_failed(attempt_outcome::failed, "status " + std::to_string(status));
+        listener_.on_attempt_failed(*this, attempt_outcome::failed,
+                                    "status " + std::to_string(status));
     }
 }
 
@@ -187,12 +188,12 @@
 
 void upstream_attempt::on_body(std::string_view bytes) {
     if (streaming_) {
-        listener_.on_stream_bytes(bytes);
+        listener_.on_stream_bytes(*this, bytes);
         return;
     }
     progress_at_ = services_.timers.now();
     if (body_.size() + bytes.size() > max_response_bytes) {
-        listener_.on_attempt_failed(attempt_outcome::unknown, "answer too long");
+        listener_.on_attempt_failed(*this, attempt_outcome::unknown, "answer too long");
         return;
     }
     body_.append(bytes);
@@ -207,7 +208,7 @@
                                services_.timers.now());
     exchange_.reset();
     memory_.reset();
-    listener_.on_response_complete();
+    listener_.on_response_complete(*this);
 }
 
 void upstream_attempt::on_failure(const exchange_failure& failure) {
@@ -215,8 +216,8 @@
                                           ? attempt_evidence::stalled_reused_connection
                                           : attempt_evidence::failed;
     services_.health.on_result(upstream_id(upstream()), evidence, services_.timers.now());
-    listener_.on_attempt_failed(failure.sent ? attempt_outcome::unknown : attempt_outcome::not_sent,
-                                failure.reason);
+    listener_.on_attempt_failed(
+        *this, failure.sent ? attempt_outcome::unknown : attempt_outcome::not_sent, failure.reason);
 }
 
 }  // namespace fuchsiaquay
--- a/tests/servers/relay/request_relay_test.cpp
+++ b/tests/servers/relay/request_relay_test.cpp
@@ -119,6 +119,10 @@
     host_.serve(host_.request("/lookup/1"));
     host_.timers.advance(milliseconds(1'000));
     LONGS_EQUAL(2, host_.attempts());
+    upstream_.answer(200);
+    upstream_.body("done");
+    upstream_.end();
+    LONGS_EQUAL(1, caller_.answers);
     CHECK_FALSE(upstream_.attempts.front()->open);
 }
 
--- a/tests/servers/relay/silent_upstream_test.cpp
+++ b/tests/servers/relay/silent_upstream_test.cpp
@@ -15,6 +15,14 @@
     return "id: " + std::to_string(id) + "\ndata: a\n\n";
 }
 
+std::string events(int first, int last) {
+    std::string text;
+    for (int id = first; id <= last; ++id) {
+        text += event(id);
+    }
+    return text;
+}
+
 }  // namespace
 
 TEST_GROUP(request_relay_with_silent_upstream) {
@@ -48,11 +56,135 @@
     }
 };
 
+// A sound upstream that paused lost its stream when no other upstream took it: the caller's
+// connection was reset although the upstream went on.
+TEST(request_relay_with_silent_upstream, pause_without_another_upstream_does_not_end_the_stream) {
+    stream(3);
+    remove_other_engines();
+    host_.timers.advance(milliseconds(3'500));
+    LONGS_EQUAL(0, caller_.aborted);
+    CHECK_TRUE(first_is_open());
+    first().on_body(events(4, 5));
+    first().on_end();
+    CHECK_EQUAL(events(1, 5), caller_.text);
+    LONGS_EQUAL(1, caller_.answers);
+}
+
 // A stream older than the time after which callers abandon a silent request was never resumed: the
 // time was counted from the arrival of the request, not from the last event.
+TEST(request_relay_with_silent_upstream, old_stream_resumes_at_another_upstream) {
+    stream(30);
+    host_.timers.advance(milliseconds(1'200));
+    LONGS_EQUAL(2, host_.attempts());
+    CHECK_TRUE(upstream_.last().head.find("after=30 ") != std::string::npos);
+    upstream_.answer(200);
+    upstream_.body(events(31, 32));
+    CHECK_FALSE(first_is_open());
+    upstream_.end();
+    CHECK_EQUAL(events(1, 32), caller_.text);
+    LONGS_EQUAL(1, caller_.answers);
+}
+
+// As above, for an upstream whose connection breaks.
 TEST(request_relay_with_silent_upstream, old_broken_stream_resumes_at_another_upstream) {
     stream(30);
     first().on_failure({true, false, "reset"});
     LONGS_EQUAL(2, host_.attempts());
     LONGS_EQUAL(0, caller_.aborted);
 }
+
+// The answer of a sound upstream was lost when the next one failed or declined.
+TEST(request_relay_with_silent_upstream, failure_of_the_next_upstream_does_not_end_the_stream) {
+    stream(3);
+    host_.timers.advance(milliseconds(1'200));
+    LONGS_EQUAL(2, host_.attempts());
+    upstream_.fail(true);
+    LONGS_EQUAL(0, caller_.aborted);
+    first().on_body(events(4, 5));
+    first().on_end();
+    CHECK_EQUAL(events(1, 5), caller_.text);
+    LONGS_EQUAL(1, caller_.answers);
+}
+
+TEST(request_relay_with_silent_upstream, refusal_of_the_next_upstreams_does_not_end_the_stream) {
+    stream(3);
+    for (int i = 0; i < 40; ++i) {
+        host_.timers.advance(milliseconds(60));
+        if (host_.attempts() > 1 && upstream_.last().open) {
+            upstream_.answer(503, {{"not-executed", "1"}});
+        }
+    }
+    CHECK_TRUE(host_.attempts() >= 2);
+    LONGS_EQUAL(0, caller_.aborted);
+    first().on_body(events(4, 5));
+    first().on_end();
+    CHECK_EQUAL(events(1, 5), caller_.text);
+}
+
+TEST(request_relay_with_silent_upstream, event_that_it_began_is_completed_when_it_goes_on) {
+    stream(3);
+    upstream_.body("id: 4\nda");
+    host_.timers.advance(milliseconds(1'200));
+    LONGS_EQUAL(2, host_.attempts());
+    upstream_.answer(200);
+    upstream_.body("id: 4\ndat");
+    first().on_body("ta: a\n\n" + event(5));
+    CHECK_FALSE(upstream_.last().open);
+    first().on_end();
+    CHECK_EQUAL(events(1, 5), caller_.text);
+    LONGS_EQUAL(1, caller_.answers);
+}
+
+TEST(request_relay_with_silent_upstream, only_the_first_to_deliver_is_forwarded) {
+    stream(3);
+    host_.timers.advance(milliseconds(1'200));
+    upstream_.answer(200);
+    upstream_.body(event(4));
+    CHECK_FALSE(first_is_open());
+    CHECK_TRUE(upstream_.last().open);
+    CHECK_EQUAL(events(1, 4), caller_.text);
+}
+
+TEST(request_relay_with_silent_upstream, work_of_both_attempts_ends_with_the_request) {
+    stream(3);
+    host_.timers.advance(milliseconds(1'200));
+    LONGS_EQUAL(2, host_.attempts());
+    CHECK_EQUAL(std::size_t{2}, host_.work_table.own_work_items().size());
+    host_.active.reset();
+    CHECK_TRUE(host_.work_table.own_work_items().empty());
+    CHECK_FALSE(first_is_open());
+    CHECK_FALSE(upstream_.last().open);
+}
+
+TEST(request_relay_with_silent_upstream, late_answer_of_a_lookup_is_delivered) {
+    host_.serve(host_.request("/lookup/1"));
+    host_.timers.advance(milliseconds(1'000));
+    LONGS_EQUAL(2, host_.attempts());
+    upstream_.fail(true);
+    response_head head;
+    head.status = 200;
+    first().on_head(head);
+    first().on_body("done");
+    first().on_end();
+    LONGS_EQUAL(200, caller_.status);
+    CHECK_EQUAL(std::string("done"), caller_.text);
+    LONGS_EQUAL(1, caller_.answers);
+}
+
+TEST(request_relay_with_silent_upstream, lookup_is_cancelled_there_once_another_one_has_answered) {
+    host_.serve(host_.request("/lookup/1"));
+    host_.timers.advance(milliseconds(1'000));
+    upstream_.answer(200);
+    upstream_.body("done");
+    upstream_.end();
+    CHECK_FALSE(first_is_open());
+    LONGS_EQUAL(1, caller_.answers);
+}
+
+TEST(request_relay_with_silent_upstream, budget_of_retries_is_not_spent_without_another_upstream) {
+    const auto granted = host_.budget.granted();
+    stream(3);
+    remove_other_engines();
+    host_.timers.advance(milliseconds(3'500));
+    CHECK_EQUAL(granted, host_.budget.granted());
+}
