Stopping host: a final answer for what it cannot finish, before the process ends

Callers saw: a request that waited for an engine, or was at one without an answer so far, ended with a closed connection when its host had used up the grace of its stop.

Cause: the process ended at that moment whatever was active. Nothing told a request that its host ends, so one that waited went on waiting for an engine that could not finish it there.

Why this works: placement sees the time that the stopping host has left as the deadline, so a request that would end later is refused as not run as soon as that is known, with a short Retry-After, since another host has the time. 0.6 s before the end of the grace the rest is answered: 503 where nothing was sent, otherwise 502, which promises nothing. The process ends 0.3 s before the end of the grace or as soon as these answers are written. Streams in progress run until then."

--- a/main/entry_node.cpp
+++ b/main/entry_node.cpp
@@ -36,8 +36,10 @@
 /// Size of the largest supported fleet.
 constexpr std::size_t max_fleet_hosts = 10'000;
 constexpr duration stop_check_period = std::chrono::milliseconds(100);
-/// Part of the grace period that is reserved for sending the last bytes.
+/// Part of the grace period that is reserved for answering requests that could not be finished.
 constexpr duration stop_margin = std::chrono::milliseconds(600);
+/// Part of the grace period that is reserved for the end of the process.
+constexpr duration exit_margin = std::chrono::milliseconds(300);
 
 prefix_mirror_settings configuration_mirror_settings(const entry_settings& settings) {
     prefix_mirror_settings result;
@@ -280,9 +282,10 @@
         return;
     }
     callers_.close_idle();
-    const duration max_elapsed = settings_.stop_grace - stop_margin;
+    const duration max_elapsed = settings_.stop_grace - exit_margin;
     const bool caller_caches_expired =
-        elapsed >= std::min(settings_.directory_lifetime * directory_staleness_factor, max_elapsed);
+        elapsed >= std::min(settings_.directory_lifetime * directory_staleness_factor,
+                            settings_.stop_grace - stop_margin);
     if ((!caller_caches_expired || callers_.active_requests() > 0) && elapsed < max_elapsed) {
         return;
     }
--- a/servers/relay/request_relay.cpp
+++ b/servers/relay/request_relay.cpp
@@ -157,11 +157,25 @@
 }
 
 answer_times request_relay::current_answer_times() const {
-    return {deadline_, response_started_ ? last_events_at_ : request_.received_at};
+    // A stopping host does not start what it cannot finish.
+    const instant deadline =
+        host_stopping()
+            ? std::min(deadline_, services_.timers.now() + services_.serving_time_left())
+            : deadline_;
+    return {deadline, response_started_ ? last_events_at_ : request_.received_at};
+}
+
+bool request_relay::host_stopping() const {
+    return services_.serving_time_left() != duration::max();
 }
 
 void request_relay::give_up(const placement_decision& decision) {
     log_.not_placed(admitted_, decision, attempts_, false);
+    if (host_stopping() && !may_have_run_ && !response_started_) {
+        // Another host may have the time that this one lacks.
+        refuse({status_unavailable, "host_stopping", host_stopping_retry_after}, decision.reason);
+        return;
+    }
     retry_after_ = std::max(decision.retry_after, min_no_room_retry_after);
     if (response_started_) {
         apply_next_step(next_step::abort, decision.reason);
@@ -455,17 +469,32 @@
     const instant now = services_.timers.now();
     if (now >= deadline_) {
         time_out();
+    } else if (services_.serving_time_left() <= duration::zero() && !response_started_) {
+        end_with_host();
     } else if (attempt_ && attempt_->sent() && repeatable()) {
         check_progress(now);
     }
 }
 
-void request_relay::time_out() {
+void request_relay::cancel_attempts(const char* reason) {
     may_have_run_ = may_have_run_ || (attempt_ && attempt_->sent());
     attempt_.reset();
     work_.advance(work_phase::ended);
-    drop_standby("deadline passed");
+    drop_standby(reason);
     end_waiting();
+}
+
+void request_relay::end_with_host() {
+    cancel_attempts("host stopping");
+    if (may_have_run_) {
+        send_failure(status_bad_gateway, "host_stopping");
+    } else {
+        refuse({status_unavailable, "host_stopping", host_stopping_retry_after});
+    }
+}
+
+void request_relay::time_out() {
+    cancel_attempts("deadline passed");
     if (response_started_) {
         apply_next_step(next_step::abort, "deadline passed");
     } else if (may_have_run_) {
--- a/servers/relay/request_relay.hpp
+++ b/servers/relay/request_relay.hpp
@@ -77,6 +77,8 @@
     bool another_upstream_available() const;
     void apply_next_step(next_step step, const std::string& reason);
     void time_out();
+    /// Cancels all attempts and stops waiting.
+    void cancel_attempts(const char* reason);
     void check_progress(instant now);
     /// Tries another upstream while the silent one may still answer. Does nothing unless another
     /// upstream takes the request now.
@@ -87,6 +89,10 @@
     /// Cancels the attempt at the upstream that was silent, if there is one.
     void drop_standby(const std::string& reason);
     answer_times current_answer_times() const;
+    /// Whether this host has been asked to stop.
+    bool host_stopping() const;
+    /// Answers a request that has no response yet, because the host is about to end.
+    void end_with_host();
     /// @param detail  cause, for the log
     void refuse(const rejection& cause, const std::string& detail = "");
     void send_failure(int status, const char* reason, const std::string& detail = "");
