Stopping host: requests that are being received count as active

Callers saw: a request whose body was still arriving was cut when its host, otherwise idle, ended.

Cause: only requests that had been passed to the relay were counted when the process decided whether it may end.

Evidence: request_counts_as_active_from_its_first_byte_until_its_response_is_sent fails without the change (caller_server_test.cpp:210, none active after five seconds), passes with it. Ruled out: connections that only linger after their last response; they do not count.

--- a/drivers/traffic/caller_server.cpp
+++ b/drivers/traffic/caller_server.cpp
@@ -53,7 +53,7 @@
     std::size_t active_requests() const {
         return static_cast<std::size_t>(
             std::count_if(sessions_.begin(), sessions_.end(),
-                          [](const session_ptr& session) { return session->serving(); }));
+                          [](const session_ptr& session) { return session->busy(); }));
     }
 
 private:
--- a/drivers/traffic/caller_server.hpp
+++ b/drivers/traffic/caller_server.hpp
@@ -20,6 +20,7 @@
     /// Closes connections that have no active request.
     void close_idle();
     std::size_t connections() const;
+    /// Number of requests that are being received or served.
     std::size_t active_requests() const;
 
 private:
--- a/drivers/traffic/caller_session.hpp
+++ b/drivers/traffic/caller_session.hpp
@@ -36,7 +36,8 @@
     /// Closes the connection unless a request is active.
     void close_if_idle();
     void close();
-    bool serving() const noexcept { return request_ != nullptr; }
+    /// Whether a request is being received or served, or its response is not sent completely.
+    bool busy() const noexcept { return head_started_ && !closing_; }
 
     void send(const response_head& head, std::string body) override;
     void begin(const response_head& head, std::string_view first) override;
--- a/tests/drivers/traffic/caller_server_test.cpp
+++ b/tests/drivers/traffic/caller_server_test.cpp
@@ -202,3 +202,16 @@
     CHECK_TRUE(client_->expect("bye"));
     CHECK_TRUE(client_->expect_close());
 }
+
+// A process that stopped did not wait for requests whose body was still arriving: they were cut
+// although their host had accepted the connection and read their head.
+TEST(caller_server, request_counts_as_active_from_its_first_byte_until_its_response_is_sent) {
+    client_->send("POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 5\r\n\r\nhe");
+    CHECK_TRUE(run_until(loop_, [&] { return server_->active_requests() == 1; }));
+    client_->send("llo");
+    CHECK_TRUE(requests_received(1));
+    CHECK_EQUAL(std::size_t{1}, server_->active_requests());
+    handler_.sinks[0]->send(ok(), "done");
+    CHECK_TRUE(client_->expect("done"));
+    CHECK_TRUE(run_until(loop_, [&] { return server_->active_requests() == 0; }));
+}
