--- a/tests/platform/platform_codecs_test.cpp
+++ b/tests/platform/platform_codecs_test.cpp
@@ -79,6 +79,14 @@
     }
 }
 
+// Guards against an entry or configuration of another writer that ends each host that reads it.
+TEST(platform_codecs, deeply_nested_member_makes_an_entry_and_a_configuration_unreadable) {
+    const std::string nested = std::string(200'000, '[') + std::string(200'000, ']');
+    CHECK_FALSE(decodes(R"({"service":"s","address":"10.0.0.1:80","state":"ready","slots":4,"x":)" +
+                        nested + "}"));
+    CHECK_THROWS(operation_error, configurations_.decode(R"({"version":1,"x":)" + nested + "}"));
+}
+
 TEST(platform_codecs, directory_response_lists_addresses_and_lifetime) {
     host_record host;
     host.caller_address = {"10.1.0.40", 8227};
