Addresses: accept only what a socket can be opened for

An entry under servers/ with the address 999.0.0.1:80 or 10.0.0:80 was taken as an engine. Callers saw broken connections, and requests that may not be repeated ran at two upstreams.

Cause: parse_network_address checked that the IP number consists of digits and dots; opening the connection then threw from the middle of placing a request (handler_failed "Invalid argument"). The timer that limits the connection attempt was armed before and kept the listener, which the relay gave up: a call of a destroyed object, or, read from the code and not traced, a failure "not sent" for a request that was at another upstream by then, which was sent again. Class: a value checked less strictly where it is read than where it is used. Entries of hosts and datagrams use the same function, where one such address would have stopped the sending to the hosts after it.

Fix: four numbers from 0 to 255 without leading zeros, as inet_pton reads them; the one reader of addresses, so entries, host records, datagrams, settings and At-Server follow.

--- a/core/fleet/network_address.hpp
+++ b/core/fleet/network_address.hpp
@@ -6,7 +6,7 @@
 
 namespace fuchsiaquay {
 
-/// IP address and port.
+/// IPv4 address and port.
 struct network_address {
     std::string ip;
     std::uint16_t port = 0;
@@ -23,7 +23,8 @@
     }
 };
 
-/// Parses `IP:PORT`. Returns an empty address if the text is invalid.
+/// Parses `IP:PORT`. Returns an empty address if the text is invalid. A socket can be opened for
+/// any other.
 network_address parse_network_address(const std::string& text);
 
 }  // namespace fuchsiaquay
--- a/tests/platform/platform_codecs_test.cpp
+++ b/tests/platform/platform_codecs_test.cpp
@@ -73,6 +73,10 @@
           R"({"service":7,"address":"10.0.0.1:80","state":"ready"})",
           R"({"service":"s","address":"10.0.0.1","state":"ready"})",
           R"({"service":"s","address":"host:80","state":"ready"})",
+          R"({"service":"s","address":"10.0.0.999:80","state":"ready"})",
+          R"({"service":"s","address":"10.0.0.1:65536","state":"ready"})",
+          R"({"service":"s","address":"10.0.0.1:-1","state":"ready"})",
+          R"({"service":"s","address":8080,"state":"ready"})",
           R"({"address":"10.0.0.1:80","state":"ready"})",
           R"({"service":"s","address":"10.0.0.1:80","state":"ready","slots":0})"}) {
         CHECK_FALSE(decodes(text));
