Relay: a refusal counts only if it cannot be of another attempt

What callers saw: 503 ("not run and never will be") for requests that ran. A faulty upstream wrote an earlier refusal once more, for a request that it then ran. A refusal without an id was taken for the answer to the present request; an order could run at two upstreams. A refusal with the id was told apart, except where a request was sent to the same upstream twice: both times it has the same id.

Cause: a response without an id was accepted on any connection, and an upstream that had declined a request could be asked again (only the last failure was excluded, so A, B, A).

Log of chat-2-1 on the unchanged code: dispatched to i-3, i-4, i-3, i-4, "declined with 503" each time; i-4 had run it. Orders use new connections, and the upstream wrote the refusal there too.

Ruled out: a response left on an idle connection and bytes after a complete answer (such connections are not reused, existing tests); a connection on which an answer was rejected (closed, test added). Store and memory orders: one call at a time, a connection with unread bytes is not reused, the answers have no id; a stale 200 to a renewal ends in a refusal by the engine, not in a second run.

Why it works: a response belongs to the attempt if it has the id of the request; without an id only on a connection that the attempt opened. A refusal has to have the id, even on a new connection (the platform allows 400 to omit it), and the request must not have been sent to that upstream before. Otherwise the request may have run: 502, and no other upstream unless it may be repeated. An upstream that declined is not asked again; a request that all have declined is refused at once. Notices in a response of another request (leaving, pause) no longer count.

The fixture's upstreams now answer with the id of the request, as the platform's do; tests of responses without an id say so. The excluded engine of a placement became a set.

The soak gets the two faults as modes of an upstream.

--- a/core/placement/interference_aware_placement.cpp
+++ b/core/placement/interference_aware_placement.cpp
@@ -51,7 +51,7 @@
     const placement_request& request, const std::vector<engine_view>& engines, instant now) const {
     std::vector<placement_candidate> result;
     for (const engine_view& engine : engines) {
-        if (engine.id == request.excluded_engine) {
+        if (request.excluded_engines.count(engine.id) > 0) {
             continue;
         }
         const engine_load& load = *engine.load;
--- a/core/placement/placement_request.hpp
+++ b/core/placement/placement_request.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <cstdint>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -26,8 +27,8 @@
     std::vector<std::int64_t> tokens_ahead;
     /// Whether this host knows the work of all other hosts.
     bool all_work_known = true;
-    /// Upstream id of an engine that must not be chosen; empty for none.
-    std::string excluded_engine;
+    /// Upstream ids of engines that must not be chosen.
+    std::set<std::string> excluded_engines;
 };
 
 }  // namespace fuchsiaquay
--- a/drivers/traffic/beast_exchange.hpp
+++ b/drivers/traffic/beast_exchange.hpp
@@ -31,6 +31,7 @@
     void start(upstream_connection_pool::socket_ptr idle_socket, duration connect_timeout);
     /// Closes the connection; the listener is not called any more.
     void cancel();
+    bool reused_connection() const noexcept { return reused_; }
 
 private:
     using parser_type = boost::beast::http::response_parser<boost::beast::http::string_body>;
--- a/drivers/traffic/beast_upstream_connector.cpp
+++ b/drivers/traffic/beast_upstream_connector.cpp
@@ -21,6 +21,8 @@
     exchange_handle& operator=(const exchange_handle&) = delete;
     ~exchange_handle() override { exchange_->cancel(); }
 
+    bool reused_connection() const override { return exchange_->reused_connection(); }
+
 private:
     std::shared_ptr<beast_exchange> exchange_;
 };
--- a/servers/relay/attempt_parameters.hpp
+++ b/servers/relay/attempt_parameters.hpp
@@ -20,6 +20,9 @@
     std::string last_event_id;
     /// True if the caller already received the head and some events of an earlier attempt.
     bool resumes = false;
+    /// True if this request was sent to the upstream before. What the upstream answers may then
+    /// belong to the earlier attempt, which has the same id.
+    bool sent_before = false;
 };
 
 }  // namespace fuchsiaquay
--- a/servers/relay/request_relay.cpp
+++ b/servers/relay/request_relay.cpp
@@ -131,8 +131,8 @@
 void request_relay::place() {
     const instant now = services_.timers.now();
     work_key_ = stable_hash(request_.id, static_cast<std::uint64_t>(attempts_));
-    const placement_decision decision =
-        chooser_.choose(request_, admitted_, work_key_, excluded_, deadline_);
+    const placement_decision decision = chooser_.choose(
+        request_, admitted_, work_key_, excluded_upstreams(failed_upstream_), deadline_);
     switch (decision.outcome) {
         case placement_decision::verdict::place:
             end_waiting();
@@ -144,7 +144,9 @@
         case placement_decision::verdict::wait:
             break;
     }
-    if (now >= forecast_wait_until_ || (!decision.answer_expected && now >= wait_until_)) {
+    const bool waited_enough =
+        now >= forecast_wait_until_ || (!decision.answer_expected && now >= wait_until_);
+    if (waited_enough || declined_by_all()) {
         give_up(decision);
         return;
     }
@@ -246,6 +248,7 @@
     parameters.last_event_id =
         response_started_ ? std::to_string(events_.last_id()) : request_.last_event_id;
     parameters.resumes = response_started_;
+    parameters.sent_before = sent_to_.count(upstream_) > 0;
     attempt_listener& self = *this;
     attempt_ = std::make_unique<upstream_attempt>(services_, request_, admitted_, log_,
                                                   std::move(parameters), self);
@@ -360,8 +363,34 @@
 }
 
 bool request_relay::another_upstream_available() const {
-    return chooser_.choose(request_, admitted_, work_key_, upstream_, deadline_).outcome ==
-           placement_decision::verdict::place;
+    return chooser_.choose(request_, admitted_, work_key_, excluded_upstreams(upstream_), deadline_)
+               .outcome == placement_decision::verdict::place;
+}
+
+bool request_relay::declined_by_all() const {
+    const std::vector<upstream_entry>& ready = services_.upstreams.ready(admitted_.service_name);
+    return !ready.empty() &&
+           std::all_of(ready.begin(), ready.end(), [this](const upstream_entry& entry) {
+               return declined_by_.count(entry.id) > 0;
+           });
+}
+
+std::set<std::string> request_relay::excluded_upstreams(const std::string& failed) const {
+    std::set<std::string> result = declined_by_;
+    if (!failed.empty()) {
+        result.insert(failed);
+    }
+    return result;
+}
+
+void request_relay::record_attempt(attempt_outcome outcome) {
+    if (outcome != attempt_outcome::not_sent) {
+        sent_to_.insert(upstream_);
+    }
+    const bool helper_at_fault = !at_fault_.empty() && at_fault_ != upstream_;
+    if (outcome == attempt_outcome::declined && !helper_at_fault) {
+        declined_by_.insert(upstream_);
+    }
 }
 
 void request_relay::on_attempt_failed(attempt_outcome outcome, const std::string& reason) {
@@ -380,6 +409,7 @@
     }
     attempt_.reset();
     work_.advance(work_phase::ended);
+    record_attempt(outcome);
     const bool not_executed =
         outcome == attempt_outcome::not_sent || outcome == attempt_outcome::declined;
     if (!not_executed) {
@@ -394,9 +424,9 @@
         case next_step::retry:
             services_.metrics.retried(reason);
             events_.drop_partial();
-            excluded_ = std::exchange(at_fault_, "");
-            if (excluded_.empty()) {
-                excluded_ = upstream_;
+            failed_upstream_ = std::exchange(at_fault_, "");
+            if (failed_upstream_.empty()) {
+                failed_upstream_ = upstream_;
             }
             wait_until_ = std::min(std::max(wait_until_, services_.timers.now() + retry_wait),
                                    deadline_ - min_attempt_time);
--- a/servers/relay/request_relay.hpp
+++ b/servers/relay/request_relay.hpp
@@ -2,6 +2,7 @@
 
 #include <cstdint>
 #include <memory>
+#include <set>
 #include <string>
 
 #include "core/placement/placement_decision.hpp"
@@ -72,6 +73,12 @@
     next_step step_after(attempt_outcome outcome);
     /// Whether another upstream could take the request now.
     bool another_upstream_available() const;
+    bool declined_by_all() const;
+    /// Upstreams that must not be chosen for the next attempt.
+    /// @param failed  upstream of an attempt that failed; empty for none
+    std::set<std::string> excluded_upstreams(const std::string& failed) const;
+    /// Records which upstreams received and which declined the request.
+    void record_attempt(attempt_outcome outcome);
     void apply_next_step(next_step step, const std::string& reason);
     void time_out();
     void check_progress(instant now);
@@ -108,7 +115,13 @@
     int executed_attempts_ = 0;
     int attempts_ = 0;
     bool may_have_run_ = false;
-    std::string excluded_;
+    /// Upstream, or engine at fault, of the last attempt that failed.
+    std::string failed_upstream_;
+    /// Upstreams that declined the request. They are not asked again, because a second refusal
+    /// could be a repetition of the first one, which has the same id.
+    std::set<std::string> declined_by_;
+    /// Upstreams that the request was sent to in attempts that have ended.
+    std::set<std::string> sent_to_;
     /// Engine that caused the last attempt to fail; empty if it was `upstream_`.
     std::string at_fault_;
     std::unique_ptr<upstream_attempt> attempt_;
--- a/servers/relay/upstream_attempt.cpp
+++ b/servers/relay/upstream_attempt.cpp
@@ -127,13 +127,13 @@
 void upstream_attempt::on_head(response_head head) {
     response_ = services_.format.read_response(std::move(head));
     progress_at_ = services_.timers.now();
-    record_notices();
-    if (!response_.request.empty() && response_.request != request_.id) {
-        listener_.on_attempt_failed(attempt_outcome::unknown, "answer of another request");
+    if (const char* mismatch = find_mismatch()) {
+        listener_.on_attempt_failed(attempt_outcome::unknown, mismatch);
         return;
     }
+    record_notices();
     const int status = response_.head.status;
-    if (response_.misdirected || response_.not_executed) {
+    if (response_.declined()) {
         record_fault();
         listener_.on_attempt_failed(attempt_outcome::declined,
                                     "declined with " + std::to_string(status));
@@ -150,6 +150,25 @@
     }
 }
 
+const char* upstream_attempt::find_mismatch() const {
+    const bool named = !response_.request.empty();
+    if (named && response_.request != request_.id) {
+        return "answer of another request";
+    }
+    if (!named && exchange_->reused_connection()) {
+        return "answer without the id of the request";
+    }
+    if (!response_.declined()) {
+        return nullptr;
+    }
+    // A refusal promises that the request never runs, so it must not be a repetition of a refusal
+    // of another attempt.
+    if (!named && response_.reports_request && !request_.id.empty()) {
+        return "refusal without the id of the request";
+    }
+    return parameters_.sent_before ? "refusal that may be of an earlier attempt" : nullptr;
+}
+
 void upstream_attempt::record_notices() {
     const upstream_entry* entry = services_.upstreams.find(upstream());
     if (entry == nullptr || response_.misdirected) {
--- a/servers/relay/upstream_attempt.hpp
+++ b/servers/relay/upstream_attempt.hpp
@@ -62,6 +62,8 @@
     /// Reports failure because an engine denied its reservation or let it expire.
     void reservation_failed(attempt_outcome outcome, const char* reason);
     void send();
+    /// Returns why the response may belong to another attempt; null if it belongs to this one.
+    const char* find_mismatch() const;
     /// Records which engine the response reports as the cause of a failure.
     void record_fault();
     /// Records that the upstream announced a pause or that it is leaving.
--- a/servers/relay/upstream_chooser.cpp
+++ b/servers/relay/upstream_chooser.cpp
@@ -52,7 +52,8 @@
 
 placement_decision upstream_chooser::choose(const caller_request& request,
                                             const admission_result& admitted, std::uint64_t key,
-                                            const std::string& excluded, instant deadline) const {
+                                            const std::set<std::string>& excluded,
+                                            instant deadline) const {
     if (services_.upstreams.ready(admitted.service_name).empty()) {
         return refused("no_upstream");
     }
@@ -92,7 +93,8 @@
 
 placement_decision upstream_chooser::choose_engine(const caller_request& request,
                                                    const admission_result& admitted,
-                                                   std::uint64_t key, const std::string& excluded,
+                                                   std::uint64_t key,
+                                                   const std::set<std::string>& excluded,
                                                    instant deadline) const {
     const instant now = services_.timers.now();
     const engine_profile& profile = *admitted.service->engine;
@@ -113,7 +115,7 @@
     placement.target_gap = admitted.matched_route->target_gap;
     placement.abandon_time_left =
         request.received_at + caller_wait_limit(*admitted.matched_route) - now;
-    placement.excluded_engine = excluded;
+    placement.excluded_engines = excluded;
     placement.all_work_known = services_.knows_all_work();
     engine_work queue_entry;
     queue_entry.key = key;
@@ -128,13 +130,13 @@
 
 placement_decision upstream_chooser::choose_plain(const admission_result& admitted,
                                                   std::uint64_t key,
-                                                  const std::string& excluded) const {
+                                                  const std::set<std::string>& excluded) const {
     const instant now = services_.timers.now();
     const upstream_entry* best = nullptr;
     int best_load = 0;
     std::uint64_t best_order = 0;
     for (const upstream_entry& entry : services_.upstreams.ready(admitted.service_name)) {
-        if (entry.id == excluded || !accepts(entry, now)) {
+        if (excluded.count(entry.id) > 0 || !accepts(entry, now)) {
             continue;
         }
         const int load = services_.work_table.load(entry.id).requests();
--- a/servers/relay/upstream_chooser.hpp
+++ b/servers/relay/upstream_chooser.hpp
@@ -2,6 +2,7 @@
 
 #include <cstdint>
 #include <optional>
+#include <set>
 #include <string>
 
 #include "core/placement/placement_decision.hpp"
@@ -19,18 +20,18 @@
 public:
     explicit upstream_chooser(const relay_services& services) : services_(services) {}
 
-    /// @param excluded  upstream that failed this request before; empty for none
+    /// @param excluded  upstreams that must not be chosen
     /// @param deadline  time after which a response is useless
     placement_decision choose(const caller_request& request, const admission_result& admitted,
-                              std::uint64_t key, const std::string& excluded,
+                              std::uint64_t key, const std::set<std::string>& excluded,
                               instant deadline) const;
 
 private:
     placement_decision choose_engine(const caller_request& request,
                                      const admission_result& admitted, std::uint64_t key,
-                                     const std::string& excluded, instant deadline) const;
+                                     const std::set<std::string>& excluded, instant deadline) const;
     placement_decision choose_plain(const admission_result& admitted, std::uint64_t key,
-                                    const std::string& excluded) const;
+                                    const std::set<std::string>& excluded) const;
 
     bool accepts(const upstream_entry& entry, instant now) const;
     /// Returns the time until an upstream accepts requests again if all of them pause, or zero if
--- a/servers/relay/upstream_response.hpp
+++ b/servers/relay/upstream_response.hpp
@@ -23,8 +23,13 @@
     bool has_execution_proof = false;
     /// Id of the request that was answered; empty if not reported.
     std::string request;
+    /// Responses of this kind report the id of the request if it has one.
+    bool reports_request = true;
     /// The upstream that caused a failure if several work on one request; empty if not reported.
     network_address at_fault;
+
+    /// The upstream reports that the request did not run there.
+    bool declined() const noexcept { return not_executed || misdirected; }
 };
 
 }  // namespace fuchsiaquay
--- a/tests/core/placement/interference_aware_placement_test.cpp
+++ b/tests/core/placement/interference_aware_placement_test.cpp
@@ -484,6 +484,6 @@
 TEST(interference_aware_placement, excluded_engine_is_not_chosen_again) {
     placement_request request = short_request(1);
     const std::string first = choose(request).engine;
-    request.excluded_engine = first;
+    request.excluded_engines = {first};
     CHECK_TRUE(choose(request).engine != first);
 }
--- a/tests/drivers/traffic/beast_upstream_connector_test.cpp
+++ b/tests/drivers/traffic/beast_upstream_connector_test.cpp
@@ -192,3 +192,28 @@
     open(0, true);
     CHECK_TRUE(run_until(loop_, [&] { return server_.connections == 2; }));
 }
+
+// Guards against a stale answer on a kept connection that cannot be told from the answer on a new
+// one.
+TEST(beast_upstream_connector, exchange_tells_whether_its_connection_was_reused) {
+    open_and_respond("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok");
+    CHECK_FALSE(exchange_->reused_connection());
+    CHECK_TRUE(ended());
+    listener_.clear();
+    open_and_respond("HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n\r\n");
+    CHECK_TRUE(ended());
+    CHECK_TRUE(exchange_->reused_connection());
+    LONGS_EQUAL(1, server_.connections);
+}
+
+// Guards against the reuse of a connection on which an answer was rejected: what follows the
+// answer belongs to no request either.
+TEST(beast_upstream_connector, connection_of_a_cancelled_response_is_not_reused) {
+    open_and_respond("HTTP/1.1 503 Busy\r\nContent-Length: 4\r\n\r\nno");
+    CHECK_TRUE(run_until(loop_, [&] { return listener_.head.status == 503; }));
+    exchange_.reset();
+    CHECK_TRUE(run_until(loop_, [&] { return server_.closed; }));
+    listener_.clear();
+    open();
+    CHECK_TRUE(run_until(loop_, [&] { return server_.connections == 2; }));
+}
--- a/tests/platform/platform_request_format_test.cpp
+++ b/tests/platform/platform_request_format_test.cpp
@@ -90,6 +90,18 @@
     CHECK_TRUE(format_.read_response(misdirected).misdirected);
 }
 
+// Guards against a refusal without an id that counts as the answer to whatever request comes next.
+TEST(platform_request_format, only_status_400_may_omit_the_id) {
+    for (const int status : {200, 421, 429, 500, 503}) {
+        response_head head;
+        head.status = status;
+        CHECK_TRUE(format_.read_response(head).reports_request);
+    }
+    response_head malformed;
+    malformed.status = 400;
+    CHECK_FALSE(format_.read_response(malformed).reports_request);
+}
+
 TEST(platform_request_format, shutdown_header_is_read_from_any_response) {
     for (const int status : {200, 404, 500, 503}) {
         response_head head;
--- a/tests/servers/relay/relay_fixture.hpp
+++ b/tests/servers/relay/relay_fixture.hpp
@@ -112,6 +112,7 @@
         if (const std::string* pause = find_header(head.headers, "pause-ms")) {
             answer.pause = std::chrono::milliseconds(std::stoll(*pause));
         }
+        answer.reports_request = head.status != 400;
         if (const std::string* id = find_header(head.headers, "id")) {
             answer.request = *id;
         }
@@ -178,10 +179,16 @@
     }
 
     attempt& last() { return *attempts.back(); }
+    /// Responds with the id of the request, as upstreams do, unless `headers` contains an `id` or
+    /// `unnamed`.
     void answer(int status, const header_list& headers = {}) {
         response_head head;
         head.status = status;
         head.headers = headers;
+        const bool has_id = find_header(headers, "id") != nullptr;
+        if (!has_id && find_header(headers, "unnamed") == nullptr) {
+            head.headers.push_back({"id", last().head.substr(0, last().head.find(' '))});
+        }
         last().listener->on_head(head);
     }
     void body(const std::string& bytes) { last().listener->on_body(bytes); }
@@ -200,6 +207,9 @@
         handle& operator=(const handle&) = delete;
         ~handle() override { item_->open = false; }
 
+        /// All connections but new ones had been used before.
+        bool reused_connection() const override { return !item_->new_connection; }
+
     private:
         std::shared_ptr<attempt> item_;
     };
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -301,7 +301,7 @@
 
     async def fault_upstream(self, rng):
         upstream = rng.choice([u for u in self.upstreams if u.name not in self.gone])
-        upstream.mode = rng.choice(["mute", "lose", "full", "extra"])
+        upstream.mode = rng.choice(["mute", "lose", "full", "extra", "repeat", "repeat_unnamed"])
         await asyncio.sleep(rng.uniform(0.5, 3.0))
         upstream.mode = "well"
 
--- a/tests/soak/stand_ins.py
+++ b/tests/soak/stand_ins.py
@@ -175,6 +175,7 @@
         self.rng, self.name, self.service, self.world = rng, name, service, world
         self.mode = "well"
         self.reserved = {}
+        self.refusals = {}
 
     async def answer(self, line, headers, body, writer):
         method, target, _ = line.split(" ")
@@ -189,6 +190,8 @@
         if self.mode == "full" and self.rng.random() < 0.7:
             writer.write(message(503, headers=echo + [("X-Not-Executed", "1")]))
             return
+        if self.mode.startswith("repeat") and not self.repeat_refusal(request, echo, writer):
+            return
         self.world.arrived(request, self, target, headers)
         if self.mode == "mute" and self.rng.random() < 0.5:
             await asyncio.sleep(30)
@@ -205,6 +208,20 @@
         if self.mode == "extra" and self.rng.random() < 0.5:
             writer.write(answer)
 
+    def repeat_refusal(self, request, echo, writer):
+        """Refuses the request, or writes an earlier refusal once more; returns whether the request runs.
+        `repeat` keeps the id of the refused request, `repeat_unnamed` drops it."""
+        if not self.refusals or self.rng.random() < 0.4:
+            self.refusals[request] = message(503, headers=echo + [("X-Not-Executed", "1")])
+            writer.write(self.refusals[request])
+            return False
+        if self.rng.random() < 0.7:
+            stale = self.refusals.get(request) or self.rng.choice(list(self.refusals.values()))
+            if self.mode == "repeat_unnamed":
+                stale = message(503, headers=[("X-Not-Executed", "1")])
+            writer.write(stale)
+        return True
+
     async def stream(self, headers, echo, writer):
         request = headers["x-attempt-id"]
         head = ["HTTP/1.1 200 OK"] + [f"{n}: {v}" for n, v in echo]
