--- a/tests/servers/relay/silent_upstream_test.cpp
+++ b/tests/servers/relay/silent_upstream_test.cpp
@@ -163,6 +163,7 @@
     upstream_.fail(true);
     response_head head;
     head.status = 200;
+    head.headers.push_back({"id", "r1"});
     first().on_head(head);
     first().on_body("done");
     first().on_end();
