--- a/tests/platform/json_fields_test.cpp
+++ b/tests/platform/json_fields_test.cpp
@@ -70,3 +70,22 @@
         CHECK_FALSE(error_of(R"({"a":)" + number + "}").empty());
     }
 }
+
+// Guards against an abort of the process by an answer that holds a list of numbers, not of objects.
+TEST(json_fields, member_of_a_value_that_is_no_object_is_rejected) {
+    for (const char* const text : {"[]", "7", "null", R"("x")", "true", "1.5"}) {
+        const rapidjson::Document outer =
+            parse_json_object(R"({"item":)" + std::string(text) + "}", "text");
+        CHECK_THROWS(operation_error, find_member(outer["item"], "key"));
+        CHECK_THROWS(operation_error, string_member(outer["item"], "key"));
+        CHECK_THROWS(operation_error, integer_member_or(outer["item"], "key", 1));
+    }
+}
+
+TEST(json_fields, member_that_is_no_array_is_rejected) {
+    const rapidjson::Document document = parse_json_object(R"({"a":{},"b":7,"c":[1]})", "text");
+    CHECK_THROWS(operation_error, array_member(document, "a"));
+    CHECK_THROWS(operation_error, array_member(document, "b"));
+    LONGS_EQUAL(1, array_member(document, "c")->Size());
+    CHECK_TRUE(array_member(document, "d") == nullptr);
+}
--- /dev/null
+++ b/tests/platform/kv_store_test.cpp
@@ -0,0 +1,84 @@
+#include "platform/kv_store.hpp"
+
+#include <CppUTest/TestHarness.h>
+
+#include <optional>
+#include <string>
+
+#include "servers/store/change_batch.hpp"
+#include "servers/store/read_result.hpp"
+#include "tests/drivers/traffic/raw_server.hpp"
+#include "tests/servers/recording_log.hpp"
+
+using namespace fuchsiaquay;
+using namespace fuchsiaquay::testing;
+
+namespace {
+
+bool is_decode_error(const std::string& failure) {
+    return failure.compare(0, 14, "decode (store)") == 0;
+}
+
+}  // namespace
+
+TEST_GROUP(kv_store) {
+    control_loop loop_;
+    recording_log log_;
+    raw_server server_{loop_};
+    kv_store store_{loop_, log_, server_.address(), std::chrono::seconds(3)};
+
+    void answer(const std::string& body) {
+        server_.received.clear();
+        CHECK_TRUE(server_.expect("\r\n\r\n"));
+        server_.send("HTTP/1.1 200 OK\r\nConnection: close\r\nContent-Length: " +
+                     std::to_string(body.size()) + "\r\n\r\n" + body);
+    }
+    read_result read(const std::string& body) {
+        std::optional<read_result> result;
+        store_.read_prefix("servers/", [&result](const read_result& value) { result = value; });
+        answer(body);
+        CHECK_TRUE(run_until(loop_, [&result] { return result.has_value(); }));
+        return *result;
+    }
+    change_batch poll(const std::string& body) {
+        std::optional<change_batch> result;
+        store_.poll("servers/", 5, std::chrono::seconds(1),
+                    [&result](const change_batch& value) { result = value; });
+        answer(body);
+        CHECK_TRUE(run_until(loop_, [&result] { return result.has_value(); }));
+        return *result;
+    }
+};
+
+TEST(kv_store, page_and_changes_are_read) {
+    const read_result page =
+        read(R"({"store_revision":7,"items":[{"key":"servers/a","value":"eA==","revision":6}]})");
+    CHECK_TRUE(page.ok());
+    CHECK_EQUAL(std::string("x"), page.values.front().value);
+    const change_batch changes =
+        poll(R"({"store_revision":8,"events":[{"key":"servers/a","deleted":true,"revision":8}]})");
+    CHECK_TRUE(changes.ok() && changes.events.front().erased);
+}
+
+// Guards against an abort of the process by an answer whose lists have another type.
+TEST(kv_store, answer_with_values_of_other_types_fails) {
+    for (const char* const list :
+         {"7", "{}", R"("x")", "[7]", "[null]", "[[]]", "[{}]", R"([{"key":7,"revision":1}])",
+          R"([{"key":"a","revision":1e300}])", R"([{"key":"a","revision":1,"value":{}}])"}) {
+        const std::string text(list);
+        CHECK_TRUE(is_decode_error(read(R"({"store_revision":7,"items":)" + text + "}").failure));
+        CHECK_TRUE(is_decode_error(poll(R"({"store_revision":7,"events":)" + text + "}").failure));
+    }
+    CHECK_TRUE(is_decode_error(read("[]").failure));
+    CHECK_TRUE(is_decode_error(poll("7").failure));
+}
+
+TEST(kv_store, value_that_is_no_base64_reads_as_empty) {
+    for (const char* const value : {"!!!!", "e", "eA", "====x", "e A=", "\\u0000\\u0000"}) {
+        const read_result page =
+            read(R"({"store_revision":7,"items":[{"key":"servers/a","revision":6,"value":")" +
+                 std::string(value) + R"("}]})");
+        CHECK_TRUE(page.ok());
+        CHECK_EQUAL(std::string(), page.values.front().value);
+    }
+}
