Soak: connections that end without a complete answer are judged by rule LOST

lost.py judges every connection that ended before its answer was complete: the signals, configurations and disturbances of the run, and what each upstream did with the request, decide whether the host owed the answer. A request that was not passed on counts only if a host's log names it, which proves that it was read. A finding names the request, host, upstreams with their times, the time since the signal, reset or end of stream, and is printed with the host's lines.

The callers tell a reset from an end of the stream, and the proxy passes a reset on as a reset. Upstreams see when a host closes their connection and end their work.

--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -21,7 +21,9 @@
 import tempfile
 import time
 
-from stand_ins import Store, Upstream, Wire, read_message, seeded
+from callers import Connection, ConnectionEnded
+from lost import Ending, LossJudge
+from stand_ins import Store, Upstream, Wire, seeded
 
 REVOKE_S = 5.0            # a revoked key must not be accepted later than this
 DRAIN_S = 2.0             # an upstream that left the catalogue must get no new requests later than this
@@ -115,6 +117,7 @@
         self.calm_from = None
         self.stopped = False
         self.number = 0
+        self.losses = LossJudge()
 
     def finding(self, text):
         self.findings.append(f"{time.monotonic() - self.began:.2f} s: {text}")
@@ -134,6 +137,7 @@
         left = self.gone.get(upstream.name)
         if left and now - left > DRAIN_S + 1.0 and self.store_was_well_since(left):
             self.finding(f"{request} sent to {upstream.name}, which left {now - left:.1f} s ago")
+        return self.losses.arrived(request, upstream.name, now)
 
     def store_was_well_since(self, when):
         return self.last_store_fault < when
@@ -165,6 +169,8 @@
         await self.finish()
 
     def configure(self):
+        self.losses.configurations.append(time.monotonic())
+
         def route(prefix, kind, attempts, service):
             return {"name": prefix, "host": "h", "prefix": f"/{prefix}/", "kind": kind,
                     "timeout_ms": int(TIMEOUT_S[prefix] * 1000), "target_latency_ms": 250,
@@ -204,38 +210,44 @@
             sent = time.monotonic()
             try:
                 if connection is None or rng.random() < 0.3:
-                    connection = await asyncio.open_connection("127.0.0.1",
-                                                               node.caller_wire.port)
+                    connection = await Connection(node.name).open(node.caller_wire.port)
                 answer = await asyncio.wait_for(self.ask(connection, kind, request, key),
                                                 TIMEOUT_S[kind] + ANSWER_SLACK_S + FROZEN_S)
                 connection = None if answer[3] else connection
             except asyncio.TimeoutError:
                 answer, connection = ("late", b"", {}, True), None
-            except (ConnectionError, OSError, asyncio.IncompleteReadError):
+            except (ConnectionEnded, OSError) as error:
+                self.note_ending(connection, kind, request, error)
                 answer, connection = ("broken", b"", {}, True), None
+            if connection:
+                self.losses.requests.append((connection.host, time.monotonic()))
             self.judge(kind, request, key, sent, answer)
             self.outcomes.append((sent, kind, answer[0]))
             await asyncio.sleep(rng.uniform(0.05, 0.25))
+        if connection:
+            connection.close()
 
     async def ask(self, connection, kind, request, key):
-        reader, writer = connection
         tokens = {"chat": "2000,500", "season": "480000,500"}.get(kind, "1,1")
-        writer.write((f"POST /{kind}/{request} HTTP/1.1\r\nHost: h\r\nX-Attempt-Id: {request}\r\n"
-                      f"Authorization: Token {key}\r\nX-Token-Counts: {tokens}\r\n"
-                      f"X-Deadline-Ms: {int(TIMEOUT_S[kind] * 1000)}\r\n"
-                      "Content-Length: 4\r\n\r\nbody").encode())
-        answer = await read_message(reader)
-        if answer is None:
-            raise ConnectionError
-        line, headers, body = answer
-        if headers.get("transfer-encoding") == "chunked":
-            while True:
-                size = int(await reader.readuntil(b"\r\n"), 16)
-                body += await reader.readexactly(size)
-                await reader.readexactly(2)
-                if size == 0:
-                    break
-        return int(line.split(" ")[1]), body, headers, headers.get("connection") == "close"
+        await connection.send(self.head(kind, request, key, tokens, 4), b"body")
+        status, headers, body = await connection.receive()
+        return status, body, headers, headers.get("connection") == "close"
+
+    def head(self, kind, request, key, tokens, body_size, query=""):
+        return (f"POST /{kind}/{request}{query} HTTP/1.1\r\nHost: h\r\nX-Attempt-Id: {request}\r\n"
+                f"Authorization: Token {key}\r\nX-Token-Counts: {tokens}\r\n"
+                f"X-Deadline-Ms: {int(TIMEOUT_S[kind] * 1000)}\r\n"
+                f"Content-Length: {body_size}\r\n\r\n").encode()
+
+    def note_ending(self, connection, kind, request, error):
+        """Records a connection that ended before the answer was complete."""
+        if not isinstance(error, ConnectionEnded):
+            return
+        now = time.monotonic()
+        self.losses.requests.append((connection.host, now))
+        self.losses.connection_ended(Ending(
+            request, connection.host, connection.began, connection.sent, now, TIMEOUT_S[kind],
+            error.how, error.received, connection.served > 0))
 
     def judge(self, kind, request, key, sent, answer):
         status, body, headers, _ = answer
@@ -275,47 +287,59 @@
             return
         node.busy = True
         how = rng.choice(["term", "kill", "stop", "hup"])
+        now = time.monotonic()
         if how == "term":
+            self.losses.term(node.name, now)
             if not await node.end(signal.SIGTERM, 9.0):
                 self.finding(f"{node.name} was still there 9 s after SIGTERM")
             await node.start()
         elif how == "kill":
+            fault = self.losses.fault(node.name, now)
             await node.end(signal.SIGKILL, 2.0)
             await node.start()
+            fault[2] = time.monotonic()
         elif how == "stop":
+            fault = self.losses.fault(node.name, now)
             node.signal(signal.SIGSTOP)
             await asyncio.sleep(rng.uniform(0.5, FROZEN_S))
             node.signal(signal.SIGCONT)
+            fault[2] = time.monotonic()
         else:
+            self.losses.hup(node.name, now)
             node.signal(signal.SIGHUP)
         node.busy = False
 
     async def fault_store(self, rng):
         self.last_store_fault = time.monotonic() + 60
+        fault = self.losses.fault("store", time.monotonic())
         self.store.mode = rng.choice(["down", "busy", "slow", "lost", "silent"])
         await asyncio.sleep(rng.uniform(0.5, 4.0))
         self.store.mode = "well"
         if rng.random() < 0.5:
             self.store.compact()
-        self.last_store_fault = time.monotonic()
+        self.last_store_fault = fault[2] = time.monotonic()
 
     async def fault_upstream(self, rng):
         upstream = rng.choice([u for u in self.upstreams if u.name not in self.gone])
+        fault = self.losses.fault(upstream.name, time.monotonic())
         upstream.mode = rng.choice(["mute", "lose", "full", "extra"])
         await asyncio.sleep(rng.uniform(0.5, 3.0))
         upstream.mode = "well"
+        fault[2] = time.monotonic()
 
     async def fault_wire(self, rng):
-        wire = rng.choice([n.store_wire for n in self.nodes] + [n.caller_wire for n in self.nodes] +
-                          [u.wire for u in self.upstreams])
+        name, wire = rng.choice([(n.name, n.store_wire) for n in self.nodes] +
+                                [(n.name, n.caller_wire) for n in self.nodes] +
+                                [(u.name, u.wire) for u in self.upstreams])
         self.last_store_fault = time.monotonic() + 60
+        fault = self.losses.fault(name, time.monotonic())
         wire.mode = rng.choice(["slow", "reset", "silent", "one_way"])
         if wire.mode == "reset":
             wire.reset()
         await asyncio.sleep(rng.uniform(0.3, 2.5))
         wire.mode = "well"
         wire.reset()
-        self.last_store_fault = time.monotonic()
+        self.last_store_fault = fault[2] = time.monotonic()
 
     async def change(self, rng):
         what = rng.choice(["version", "revoke", "replace"])
@@ -348,6 +372,21 @@
         for node in self.nodes:
             if not await node.end(signal.SIGTERM, 9.0):
                 self.finding(f"{node.name} was still there 9 s after SIGTERM")
+        self.judge_losses()
+
+    def judge_losses(self):
+        lines = {}
+        for node in self.nodes:
+            with open(os.path.join(self.folder, f"{node.name}.log"), errors="replace") as log:
+                for line in log:
+                    _, found, rest = line.partition(" request=")
+                    if found:
+                        lines.setdefault(rest.split(" ", 1)[0], []).append(line.strip())
+        for ending, text in self.losses.findings(lines.keys()):
+            logged = "".join(f"\n    {line}" for line in lines.get(ending.request, ["not in the logs"]))
+            self.findings.append(f"{ending.ended - self.began:.2f} s: {text}{logged}")
+        self.summary = (f"{len(self.losses.endings)} connections ended without a whole answer, "
+                        f"{self.losses.owed_elsewhere(lines.keys())} of them owed beside no planned work")
 
 
 async def run_quietly(world):
@@ -380,6 +419,7 @@
     for _, kind, status in world.outcomes:
         counts[f"{kind} {status}"] = counts.get(f"{kind} {status}", 0) + 1
     print(f"seed {options.seed}:", ", ".join(f"{k}: {v}" for k, v in sorted(counts.items())))
+    print(f"seed {options.seed}: {world.summary}")
     for text in world.findings:
         print(f"FINDING seed {options.seed}: {text}")
     if world.findings:
--- a/tests/soak/stand_ins.py
+++ b/tests/soak/stand_ins.py
@@ -4,6 +4,8 @@
 import base64
 import json
 import random
+import socket
+import struct
 import time
 from urllib.parse import parse_qs, urlsplit
 
@@ -35,15 +37,15 @@
     """Serves `answer(line, headers, body, writer)` on a separate loopback port."""
 
     async def open(self):
-        self.connections = set()
+        self.connections = {}
         self.server = await asyncio.start_server(self.serve, "127.0.0.1", 0)
         self.port = self.server.sockets[0].getsockname()[1]
         return self
 
     async def serve(self, reader, writer):
-        self.connections.add(writer)
+        self.connections[writer] = reader
         try:
-            while True:
+            while not writer.is_closing():
                 request = await read_message(reader)
                 if request is None:
                     break
@@ -52,7 +54,7 @@
         except (ConnectionError, asyncio.IncompleteReadError):
             pass
         finally:
-            self.connections.discard(writer)
+            self.connections.pop(writer, None)
             writer.close()
 
     async def close(self):
@@ -189,34 +191,54 @@
         if self.mode == "full" and self.rng.random() < 0.7:
             writer.write(message(503, headers=echo + [("X-Not-Executed", "1")]))
             return
-        self.world.arrived(request, self, target, headers)
-        if self.mode == "mute" and self.rng.random() < 0.5:
-            await asyncio.sleep(30)
-        echo.append(("X-Response-Seal", f"{self.name}.{request}"))
-        if self.service == "llm":
-            await self.stream(headers, echo, writer)
-            return
-        await asyncio.sleep(self.rng.uniform(0.01, 0.05))
+        run = self.world.arrived(request, self, target, headers)
+        try:
+            if self.mode == "mute" and self.rng.random() < 0.5:
+                run.sound = False
+                await self.work(writer, 30)
+            echo.append(("X-Response-Seal", f"{self.name}.{request}"))
+            if self.service == "llm":
+                await self.stream(headers, echo, writer, run)
+            else:
+                await self.plain(target, echo, writer, run)
+            run.complete = True
+        finally:
+            run.ended = time.monotonic()
+
+    async def work(self, writer, seconds):
+        """Lets time pass; raises when the caller closes its connection meanwhile."""
+        reader, end = self.connections[writer], time.monotonic() + seconds
+        while (left := end - time.monotonic()) > 0:
+            if reader.at_eof() or reader.exception():
+                raise ConnectionError
+            await asyncio.sleep(min(left, 0.05))
+
+    async def plain(self, target, echo, writer, run):
+        request = echo[0][1]
+        await self.work(writer, self.rng.uniform(0.01, 0.05))
         if self.mode == "lose" and self.rng.random() < 0.5:
-            writer.transport.abort()
-            raise ConnectionError
+            self.break_off(writer, run)
         answer = message(200, f"{request} {target}".encode(), echo)
         writer.write(answer)
         if self.mode == "extra" and self.rng.random() < 0.5:
             writer.write(answer)
 
-    async def stream(self, headers, echo, writer):
+    def break_off(self, writer, run):
+        run.sound = False
+        writer.transport.abort()
+        raise ConnectionError
+
+    async def stream(self, headers, echo, writer, run):
         request = headers["x-attempt-id"]
         head = ["HTTP/1.1 200 OK"] + [f"{n}: {v}" for n, v in echo]
         writer.write(("\r\n".join(head) + "\r\nTransfer-Encoding: chunked\r\n\r\n").encode())
         for number in range(int(headers.get("last-event-id", "0")) + 1, self.world.events + 1):
-            await asyncio.sleep(0.03)
+            await self.work(writer, 0.03)
             event = f"id: {number}\ndata: {request} {number}\n\n".encode()
             if self.mode == "lose" and self.rng.random() < 0.1:
                 writer.write(b"%x\r\n" % len(event) + event[:9])
                 await writer.drain()
-                writer.transport.abort()
-                raise ConnectionError
+                self.break_off(writer, run)
             writer.write(b"%x\r\n" % len(event) + event + b"\r\n")
             await writer.drain()
         writer.write(b"0\r\n\r\n")
@@ -235,6 +257,13 @@
                            "version": "v1", "slots": 16, "state": state, "seq": 1})
 
 
+def abort_with_reset(writer):
+    sock = writer.get_extra_info("socket")
+    if not writer.is_closing() and sock.fileno() >= 0:
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+    writer.transport.abort()
+
+
 class Wire:
     """A loopback proxy. `mode`: well, slow, reset, silent, one_way (answers are swallowed)."""
 
@@ -276,7 +305,7 @@
                 writer.write(data)
                 await writer.drain()
         except (ConnectionError, RuntimeError):
-            writer.transport.abort()
+            abort_with_reset(writer)
         finally:
             if not writer.is_closing():
                 writer.close()
