Soak: series of planned work only, with engines that pause and callers that read slowly (--planned)

Cause: the soak's engines never paused, its streams lasted 0.4 s, callers read at once and bodies came with the head, so no answer was at risk while a host stopped.

Engines pause one stream, or all they do, for 0.5 to 1.9 s and go on; some answer 504 after 1.1 s or read a long body late. Callers send bodies of up to 1 MB, late in part, read slowly, or use their connection until the process is gone; prompts need several engines. `--mix` changes the shares, `--previous` works as before. The logs of a run begin empty: they are evidence of what a host has read.

--- a/tests/soak/callers.py
+++ b/tests/soak/callers.py
@@ -60,8 +60,8 @@
         self.sent = time.monotonic()
 
     async def receive(self, patience=None, pauses=()):
-        """Returns status, headers and body. Waits for the next of `pauses` before each part."""
-        pauses = iter(pauses)
+        """Returns status, headers and body. `pauses`: (bytes received, seconds to wait then)."""
+        pauses = list(pauses)
         try:
             head = await self.part(self.reader.readuntil(b"\r\n\r\n"), patience)
             line, *rows = head.decode("latin-1").split("\r\n")
@@ -74,7 +74,7 @@
             else:
                 body = b""
                 while True:
-                    await asyncio.sleep(next(pauses, 0))
+                    await self.pause(pauses)
                     size = int(await self.part(self.reader.readuntil(b"\r\n"), patience), 16)
                     body += await self.body(size, patience, pauses)
                     await self.part(self.reader.readexactly(2), patience)
@@ -93,11 +93,15 @@
     async def body(self, size, patience, pauses):
         body = b""
         while len(body) < size:
-            await asyncio.sleep(next(pauses, 0))
+            await self.pause(pauses)
             count = min(size - len(body), 1 << 16)
             body += await self.part(self.reader.readexactly(count), patience)
         return body
 
+    async def pause(self, pauses):
+        if pauses and self.received >= pauses[0][0]:
+            await asyncio.sleep(pauses.pop(0)[1])
+
     async def part(self, reading, patience):
         part = await asyncio.wait_for(reading, patience)
         self.received += len(part)
--- a/tests/soak/lost.py
+++ b/tests/soak/lost.py
@@ -1,5 +1,6 @@
 """Judges connections that ended without a complete answer: rule LOST of the users' platform."""
 
+from collections import Counter
 from dataclasses import dataclass, field
 
 GRACE_S = 8.0             # from SIGTERM until the platform would kill the process
@@ -20,9 +21,6 @@
     sound: bool = True    # the upstream did not break off, fall silent for good or answer an error
     complete: bool = False
 
-    def active_at(self, when):
-        return self.began <= when and (self.ended is None or self.ended >= when)
-
 
 @dataclass
 class Ending:
@@ -42,6 +40,7 @@
 class LossJudge:
     def __init__(self):
         self.terms, self.hups = {}, {}          # host -> times of the signals
+        self.exits = {}                         # host -> times at which its process ended
         self.configurations = []                # times at which one was written
         self.faults = []                        # (name of host or upstream, or "store"; began, ended)
         self.runs = {}                          # request -> its runs
@@ -74,26 +73,33 @@
         return any(name in names and began <= ending.ended and ended >= ending.began - STABLE_S
                    for name, began, ended in self.faults)
 
-    def lacks_answer(self, ending, read):
-        """Whether the host owes the answer, whatever work was planned meanwhile."""
-        if ending.ended - ending.began >= ending.limit or self.disturbed(ending):
-            return False
-        if ending.runs:
-            return any(run.sound for run in ending.runs)
-        return read and ending.ended - ending.sent > SLACK_S
+    def excuse(self, ending, read):
+        """Why the host does not owe the answer, whatever work was planned meanwhile; None if it does."""
+        if ending.ended - ending.began >= ending.limit:
+            return "time limit"
+        if self.disturbed(ending):
+            return "disturbance"
+        if not ending.runs and not (read and ending.ended - ending.sent > SLACK_S):
+            return "not read, or just sent"
+        if ending.runs and not any(run.sound for run in ending.runs):
+            return "upstream"
+        if self.at_work_at_end_of_grace(ending):
+            return "at work at the end of the grace"
+        return None
 
-    def near_term(self, ending):
+    def at_work_at_end_of_grace(self, ending):
         for at in self.terms.get(ending.host, []):
-            if not at <= ending.ended <= at + GRACE_S + AFTER_GRACE_S:
-                continue
             last_sixth = at + GRACE_S * 5 / 6
-            at_work = ending.ended >= last_sixth and any(
-                run.ended is None or run.ended >= last_sixth for run in ending.runs)
-            if not (at_work and ending.sent <= at + LATE_SENT_S):
-                return f"SIGTERM {ending.ended - at:.2f} s before"
-        return None
+            if ending.sent <= at + LATE_SENT_S and last_sixth <= ending.ended <= at + GRACE_S and any(
+                    run.ended is None or run.ended >= last_sixth for run in ending.runs):
+                return True
+        return False
 
-    def near_hup(self, ending):
+    def planned_work(self, ending):
+        """The work of its host beside which an answer was cut; None without any."""
+        for at in self.terms.get(ending.host, []):
+            if at <= ending.ended <= at + GRACE_S + AFTER_GRACE_S:
+                return f"SIGTERM {ending.ended - at:.2f} s before"
         for at in self.hups.get(ending.host, []):
             if ending.began <= at + APPLY_S and at <= ending.ended:
                 return f"SIGHUP {ending.ended - at:.2f} s before"
@@ -111,40 +117,39 @@
         return cuts[True] * requests[False] > 3 * cuts[False] * requests[True] or not requests[False]
 
     def findings(self, read):
-        """Returns (ending, text) for each lost request. `read`: requests that hosts' logs name."""
-        owed = [e for e in self.endings if self.lacks_answer(e, e.request in read)]
+        """Returns (ending, text) for each lost request, and the number of the others by their
+        excuse. `read`: requests that hosts' logs name."""
+        excuses = [(e, self.excuse(e, e.request in read)) for e in self.endings]
+        others = Counter(excuse for _, excuse in excuses if excuse)
+        owed = [ending for ending, excuse in excuses if not excuse]
+        unanswered = [e for e in owed if e.kept and e.runs and not e.received and not self.stops(e)]
         result = []
         for ending in owed:
-            work = self.near_term(ending) or self.near_hup(ending)
+            work = self.planned_work(ending)
             if (work is None and self.in_change(ending.ended)
                     and ending.ended - ending.began < 0.7 * ending.limit
                     and self.cut_more_often_in_changes(ending.host, owed)):
                 work = "configuration changed"
+            if work is None and len(unanswered) > MAX_UNANSWERED and ending in unanswered:
+                work = "kept connection"
             if work:
                 result.append((ending, self.describe(ending, work)))
-        unanswered = [e for e in owed if e.kept and e.runs and e.received == 0
-                      and not self.near_signal(e)]
-        if len(unanswered) > MAX_UNANSWERED:
-            result += [(e, self.describe(e, "kept connection")) for e in unanswered]
-        return result
+            else:
+                others["no planned work nearby"] += 1
+        return result, others
 
-    def near_signal(self, ending):
+    def stops(self, ending):
         return any(at <= ending.ended and at + GRACE_S + STABLE_S >= ending.began
                    for at in self.terms.get(ending.host, []))
 
-    def owed_elsewhere(self, read):
-        """Number of answers that were cut without planned work nearby: not judged, but reported."""
-        lost = {id(ending) for ending, _ in self.findings(read)}
-        return sum(self.lacks_answer(e, e.request in read) and id(e) not in lost
-                   for e in self.endings)
-
-    @staticmethod
-    def describe(ending, work):
+    def describe(self, ending, work):
         def since(when):
             return "open" if when is None else f"{when - ending.began:.2f}"
         runs = ", ".join(f"{r.upstream} {since(r.began)}..{since(r.ended)}"
                          f"{' complete' if r.complete else ''}{'' if r.sound else ' unsound'}"
                          for r in ending.runs) or "not passed on"
+        exits = [f"; its process ended {ending.ended - at:.2f} s before"
+                 for at in self.exits.get(ending.host, []) if abs(ending.ended - at) < GRACE_S]
         return (f"LOST {ending.request} at {ending.host}: {ending.how} after "
                 f"{ending.ended - ending.began:.2f} s, {ending.received} bytes; {work}; "
-                f"sent {ending.sent - ending.began:.2f}; upstreams [{runs}]")
+                f"sent {ending.sent - ending.began:.2f}; upstreams [{runs}]{''.join(exits)}")
--- a/tests/soak/lost_test.py
+++ b/tests/soak/lost_test.py
@@ -20,7 +20,7 @@
         run = self.judge.arrived(cut.request, "i-1", cut.sent)
         run.ended, run.sound = upstream_end or cut.ended, sound
         self.judge.connection_ended(cut)
-        return len(self.judge.findings(read))
+        return len(self.judge.findings(read)[0])
 
     def test_answer_cut_while_host_stops_is_lost(self):
         self.assertEqual(1, self.lost(ending()))
@@ -68,11 +68,11 @@
 
     def test_request_that_was_read_and_not_passed_on_is_lost(self):
         self.judge.connection_ended(ending(received=0))
-        self.assertEqual(1, len(self.judge.findings({"chat-1"})))
+        self.assertEqual(1, len(self.judge.findings({"chat-1"})[0]))
 
     def test_request_that_was_not_read_is_not_lost(self):
         self.judge.connection_ended(ending(received=0))
-        self.assertEqual(0, len(self.judge.findings(set())))
+        self.assertEqual(0, len(self.judge.findings(set())[0]))
 
     def test_cuts_as_frequent_outside_changes_are_not_judged_beside_them(self):
         self.judge.configurations.append(200.0)
@@ -81,7 +81,7 @@
             self.judge.connection_ended(ending(sent=at - 1, ended=at, request=f"chat-{at}"))
             self.judge.arrived(f"chat-{at}", "i-1", at - 1)
             self.judge.endings[-1].runs = self.judge.runs[f"chat-{at}"]
-        self.assertEqual(0, len(self.judge.findings(())))
+        self.assertEqual(0, len(self.judge.findings(())[0]))
 
     def test_cuts_beside_changes_only_are_lost(self):
         self.judge.configurations.append(200.0)
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -63,6 +63,7 @@
     async def prepare(self, store):
         self.store_wire = await Wire(store.port).open()
         self.caller_wire = await Wire(self.callers).open()
+        open(os.path.join(self.folder, f"{self.name}.log"), "w").close()    # it may be of another run
         self.config = os.path.join(self.folder, f"{self.name}.ini")
         with open(self.config, "w") as file:
             file.write(f"""[node]
@@ -105,6 +106,7 @@
     """All processes and callers of a run, and the findings."""
 
     events = 12
+    node_type, upstream_type = Node, Upstream
 
     def __init__(self, options, folder):
         self.options, self.folder = options, folder
@@ -118,13 +120,17 @@
         self.stopped = False
         self.number = 0
         self.losses = LossJudge()
+        self.departures = []
 
     def finding(self, text):
         self.findings.append(f"{time.monotonic() - self.began:.2f} s: {text}")
 
+    def event(self, request, number):
+        return f"id: {number}\ndata: {request} {number}\n\n".encode()
+
     # Checks on the requests that arrive at upstreams.
     def arrived(self, request, upstream, target, headers):
-        now = time.monotonic()
+        now = time.monotonic() - headers.get("paused", 0.0)
         kind = target.split("/")[1]
         runs = self.runs.setdefault(request, [])
         runs.append(upstream.name)
@@ -142,7 +148,7 @@
     def store_was_well_since(self, when):
         return self.last_store_fault < when
 
-    async def run(self):
+    async def open(self):
         self.began = time.monotonic()
         self.last_store_fault = self.began - 60
         self.store = await Store(seeded(self.options.seed, "store")).open()
@@ -153,12 +159,15 @@
         for service, count in (("llm", 4), ("shop", 3)):
             for _ in range(count):
                 await self.add_upstream(service)
-        self.nodes = [Node(self.options.binaries, self.folder, i)
+        self.nodes = [self.node_type(self.options.binaries, self.folder, i)
                       for i in range(self.options.nodes)]
         for node in self.nodes:
             await node.prepare(self.store)
             await node.start()
         await asyncio.sleep(2.0)
+
+    async def run(self):
+        await self.open()
         callers = [asyncio.create_task(self.caller(i)) for i in range(14)]
         faults = [asyncio.create_task(self.trouble(i, self.options.seconds)) for i in range(3)]
         await asyncio.gather(*faults)
@@ -168,12 +177,12 @@
         await asyncio.gather(*callers)
         await self.finish()
 
-    def configure(self):
+    def configure(self, target_s=0.25):
         self.losses.configurations.append(time.monotonic())
 
         def route(prefix, kind, attempts, service):
             return {"name": prefix, "host": "h", "prefix": f"/{prefix}/", "kind": kind,
-                    "timeout_ms": int(TIMEOUT_S[prefix] * 1000), "target_latency_ms": 250,
+                    "timeout_ms": int(TIMEOUT_S[prefix] * 1000), "target_latency_ms": int(target_s * 1000),
                     "priority": 0, "max_attempts": attempts, "service": service,
                     "resume_streams": True, "target_gap_ms": 200}
         engine = {"slots": 16, "kv_capacity_tokens": 450000, "stride": 30, "step_ms": 1.0,
@@ -185,13 +194,13 @@
                        route("chat", "stream", 2, "llm"), route("season", "stream", 2, "llm")],
             "services": [{"name": "llm", "max_conns": 400, "engine": engine},
                          {"name": "shop", "max_conns": 100}],
-            "limits": {"idle_timeout_ms": 15000},
+            "limits": {"idle_timeout_ms": 15000, "max_body_bytes": 2000000},
             "tenants": [{"name": "kim", "api_keys": self.keys}]}))
 
     async def add_upstream(self, service):
         self.number += 1
-        upstream = Upstream(seeded(self.options.seed, self.number), f"i-{self.number}", service,
-                            self)
+        upstream = self.upstream_type(seeded(self.options.seed, self.number), f"i-{self.number}",
+                                      service, self)
         await upstream.open()
         upstream.wire = await Wire(upstream.port).open()
         self.upstreams.append(upstream)
@@ -261,8 +270,7 @@
                 self.finding(f"{request} got an answer with the seal '{seal}'")
             expected = f"{request} /{kind}/{request}".encode()
             if kind in ("chat", "season"):
-                expected = b"".join(f"id: {n}\ndata: {request} {n}\n\n".encode()
-                                    for n in range(1, self.events + 1))
+                expected = b"".join(self.event(request, n) for n in range(1, self.events + 1))
             if body != expected:
                 self.finding(f"{request} got a body of {len(body)} bytes that is not the upstream's")
             taken = self.revoked.get(key)
@@ -382,11 +390,14 @@
                     _, found, rest = line.partition(" request=")
                     if found:
                         lines.setdefault(rest.split(" ", 1)[0], []).append(line.strip())
-        for ending, text in self.losses.findings(lines.keys()):
-            logged = "".join(f"\n    {line}" for line in lines.get(ending.request, ["not in the logs"]))
-            self.findings.append(f"{ending.ended - self.began:.2f} s: {text}{logged}")
+        lost, others = self.losses.findings(lines.keys())
+        for ending, text in lost:
+            logged = lines.get(ending.request, ["not in the logs"])
+            self.findings.append(f"{ending.ended - self.began:.2f} s: {text}")
+            self.findings[-1] += "".join(f"\n    {line}" for line in logged)
+        excuses = ", ".join(f"{reason}: {count}" for reason, count in sorted(others.items()))
         self.summary = (f"{len(self.losses.endings)} connections ended without a whole answer, "
-                        f"{self.losses.owed_elsewhere(lines.keys())} of them owed beside no planned work")
+                        f"{len(lost)} LOST; not judged: {excuses or 'none'}")
 
 
 async def run_quietly(world):
@@ -404,10 +415,17 @@
     parser.add_argument("--seconds", type=float, default=20.0)
     parser.add_argument("--nodes", type=int, default=3)
     parser.add_argument("--keep", help="folder for the logs; a temporary one by default")
+    parser.add_argument("--planned", action="store_true",
+                        help="only planned work, with engines that pause: see planned.py")
+    parser.add_argument("--mix", help="changes of planned.py's mix: NAME=VALUE,...")
     options = parser.parse_args()
     options.binaries = [os.path.abspath(path) for path in (options.binary, options.previous) if path]
     folder = options.keep or tempfile.mkdtemp(prefix="soak-")
     os.makedirs(folder, exist_ok=True)
+    if options.planned:
+        from planned import PlannedWorld as World
+    else:
+        from soak import World
     world = World(options, folder)
     try:
         asyncio.run(run_quietly(world))
--- a/tests/soak/stand_ins.py
+++ b/tests/soak/stand_ins.py
@@ -10,8 +10,12 @@
 from urllib.parse import parse_qs, urlsplit
 
 
-async def read_message(reader):
-    """Reads one HTTP message: start line, lower-case headers and body; None at the end of the stream."""
+LONG_BODY = 65536
+
+
+async def read_message(reader, pause=0.0):
+    """Reads one HTTP message: start line, lower-case headers and body; None at the end of the stream.
+    Waits for `pause` seconds before a long body and notes it in the headers."""
     try:
         head = await reader.readuntil(b"\r\n\r\n")
     except (asyncio.IncompleteReadError, ConnectionError, asyncio.LimitOverrunError):
@@ -23,7 +27,11 @@
         headers[name.strip().lower()] = value.strip()
     body = b""
     if "content-length" in headers:
-        body = await reader.readexactly(int(headers["content-length"]))
+        size = int(headers["content-length"])
+        if pause and size > LONG_BODY:
+            headers["paused"] = pause
+            await asyncio.sleep(pause)
+        body = await reader.readexactly(size)
     return lines[0], headers, body
 
 
@@ -46,7 +54,7 @@
         self.connections[writer] = reader
         try:
             while not writer.is_closing():
-                request = await read_message(reader)
+                request = await self.read(reader)
                 if request is None:
                     break
                 await self.answer(*request, writer)
@@ -57,6 +65,9 @@
             self.connections.pop(writer, None)
             writer.close()
 
+    async def read(self, reader):
+        return await read_message(reader)
+
     async def close(self):
         self.server.close()
         for writer in list(self.connections):
@@ -197,14 +208,17 @@
                 run.sound = False
                 await self.work(writer, 30)
             echo.append(("X-Response-Seal", f"{self.name}.{request}"))
-            if self.service == "llm":
-                await self.stream(headers, echo, writer, run)
-            else:
-                await self.plain(target, echo, writer, run)
+            await self.respond(target, headers, echo, writer, run)
             run.complete = True
         finally:
             run.ended = time.monotonic()
 
+    async def respond(self, target, headers, echo, writer, run):
+        if self.service == "llm":
+            await self.stream(headers, echo, writer, run)
+        else:
+            await self.plain(target, echo, writer, run)
+
     async def work(self, writer, seconds):
         """Lets time pass; raises when the caller closes its connection meanwhile."""
         reader, end = self.connections[writer], time.monotonic() + seconds
@@ -234,7 +248,7 @@
         writer.write(("\r\n".join(head) + "\r\nTransfer-Encoding: chunked\r\n\r\n").encode())
         for number in range(int(headers.get("last-event-id", "0")) + 1, self.world.events + 1):
             await self.work(writer, 0.03)
-            event = f"id: {number}\ndata: {request} {number}\n\n".encode()
+            event = self.world.event(request, number)
             if self.mode == "lose" and self.rng.random() < 0.1:
                 writer.write(b"%x\r\n" % len(event) + event[:9])
                 await writer.drain()
@@ -275,6 +289,9 @@
         self.port = self.server.sockets[0].getsockname()[1]
         return self
 
+    async def close(self):
+        self.server.close()
+
     def reset(self):
         for pair in list(self.open_pairs):
             for writer in pair:
