--- a/tests/soak/stand_ins.py
+++ b/tests/soak/stand_ins.py
@@ -4,12 +4,18 @@
 import base64
 import json
 import random
+import socket
+import struct
 import time
 from urllib.parse import parse_qs, urlsplit
 
 
-async def read_message(reader):
-    """Reads one HTTP message: start line, lower-case headers and body; None at the end of the stream."""
+LONG_BODY = 65536
+
+
+async def read_message(reader, pause=0.0):
+    """Reads one HTTP message: start line, lower-case headers and body; None at the end of the stream.
+    Waits for `pause` seconds before a long body and notes it in the headers."""
     try:
         head = await reader.readuntil(b"\r\n\r\n")
     except (asyncio.IncompleteReadError, ConnectionError, asyncio.LimitOverrunError):
@@ -21,7 +27,11 @@
         headers[name.strip().lower()] = value.strip()
     body = b""
     if "content-length" in headers:
-        body = await reader.readexactly(int(headers["content-length"]))
+        size = int(headers["content-length"])
+        if pause and size > LONG_BODY:
+            headers["paused"] = pause
+            await asyncio.sleep(pause)
+        body = await reader.readexactly(size)
     return lines[0], headers, body
 
 
@@ -35,16 +45,16 @@
     """Serves `answer(line, headers, body, writer)` on a separate loopback port."""
 
     async def open(self):
-        self.connections = set()
+        self.connections = {}
         self.server = await asyncio.start_server(self.serve, "127.0.0.1", 0)
         self.port = self.server.sockets[0].getsockname()[1]
         return self
 
     async def serve(self, reader, writer):
-        self.connections.add(writer)
+        self.connections[writer] = reader
         try:
-            while True:
-                request = await read_message(reader)
+            while not writer.is_closing():
+                request = await self.read(reader)
                 if request is None:
                     break
                 await self.answer(*request, writer)
@@ -52,9 +62,12 @@
         except (ConnectionError, asyncio.IncompleteReadError):
             pass
         finally:
-            self.connections.discard(writer)
+            self.connections.pop(writer, None)
             writer.close()
 
+    async def read(self, reader):
+        return await read_message(reader)
+
     async def close(self):
         self.server.close()
         for writer in list(self.connections):
@@ -192,17 +205,36 @@
             return
         if self.mode.startswith("repeat") and not self.repeat_refusal(request, echo, writer):
             return
-        self.world.arrived(request, self, target, headers)
-        if self.mode == "mute" and self.rng.random() < 0.5:
-            await asyncio.sleep(30)
-        echo.append(("X-Response-Seal", f"{self.name}.{request}"))
+        run = self.world.arrived(request, self, target, headers)
+        try:
+            if self.mode == "mute" and self.rng.random() < 0.5:
+                run.sound = False
+                await self.work(writer, 30)
+            echo.append(("X-Response-Seal", f"{self.name}.{request}"))
+            await self.respond(target, headers, echo, writer, run)
+            run.complete = True
+        finally:
+            run.ended = time.monotonic()
+
+    async def respond(self, target, headers, echo, writer, run):
         if self.service == "llm":
-            await self.stream(headers, echo, writer)
-            return
-        await asyncio.sleep(self.rng.uniform(0.01, 0.05))
+            await self.stream(headers, echo, writer, run)
+        else:
+            await self.plain(target, echo, writer, run)
+
+    async def work(self, writer, seconds):
+        """Lets time pass; raises when the caller closes its connection meanwhile."""
+        reader, end = self.connections[writer], time.monotonic() + seconds
+        while (left := end - time.monotonic()) > 0:
+            if reader.at_eof() or reader.exception():
+                raise ConnectionError
+            await asyncio.sleep(min(left, 0.05))
+
+    async def plain(self, target, echo, writer, run):
+        request = echo[0][1]
+        await self.work(writer, self.rng.uniform(0.01, 0.05))
         if self.mode == "lose" and self.rng.random() < 0.5:
-            writer.transport.abort()
-            raise ConnectionError
+            self.break_off(writer, run)
         answer = message(200, f"{request} {target}".encode(), echo)
         writer.write(answer)
         if self.mode == "extra" and self.rng.random() < 0.5:
@@ -222,18 +254,22 @@
             writer.write(stale)
         return True
 
-    async def stream(self, headers, echo, writer):
+    def break_off(self, writer, run):
+        run.sound = False
+        writer.transport.abort()
+        raise ConnectionError
+
+    async def stream(self, headers, echo, writer, run):
         request = headers["x-attempt-id"]
         head = ["HTTP/1.1 200 OK"] + [f"{n}: {v}" for n, v in echo]
         writer.write(("\r\n".join(head) + "\r\nTransfer-Encoding: chunked\r\n\r\n").encode())
         for number in range(int(headers.get("last-event-id", "0")) + 1, self.world.events + 1):
-            await asyncio.sleep(0.03)
-            event = f"id: {number}\ndata: {request} {number}\n\n".encode()
+            await self.work(writer, 0.03)
+            event = self.world.event(request, number)
             if self.mode == "lose" and self.rng.random() < 0.1:
                 writer.write(b"%x\r\n" % len(event) + event[:9])
                 await writer.drain()
-                writer.transport.abort()
-                raise ConnectionError
+                self.break_off(writer, run)
             writer.write(b"%x\r\n" % len(event) + event + b"\r\n")
             await writer.drain()
         writer.write(b"0\r\n\r\n")
@@ -252,6 +288,13 @@
                            "version": "v1", "slots": 16, "state": state, "seq": 1})
 
 
+def abort_with_reset(writer):
+    sock = writer.get_extra_info("socket")
+    if not writer.is_closing() and sock.fileno() >= 0:
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+    writer.transport.abort()
+
+
 class Wire:
     """A loopback proxy. `mode`: well, slow, reset, silent, one_way (answers are swallowed)."""
 
@@ -263,6 +306,9 @@
         self.port = self.server.sockets[0].getsockname()[1]
         return self
 
+    async def close(self):
+        self.server.close()
+
     def reset(self):
         for pair in list(self.open_pairs):
             for writer in pair:
@@ -293,7 +339,7 @@
                 writer.write(data)
                 await writer.drain()
         except (ConnectionError, RuntimeError):
-            writer.transport.abort()
+            abort_with_reset(writer)
         finally:
             if not writer.is_closing():
                 writer.close()
