Relay: what does not continue a broken stream is not joined to it

What callers could see: text of a failure inside their stream, a stream that ended as complete before its last event, or a stream that was cut although a third upstream could have continued it.

Cause, all in event_splitter: (1) a block without any field of the event format counted as an event, so a success whose body is the text or the whole head of a failure was forwarded; (2) an event that had begun when its upstream broke off was forgotten, so that a next upstream that ended at once ended the stream; (3) an event out of order stayed recorded as the last one and the state was never reset, so the next upstream was asked to continue after events that the caller had never received, and whatever it sent was rejected.

Ruled out by tests that passed before: 302, 400, 404, 421, 429, 500, 502, 503 and 504 of the next upstream with and without "not executed", a success without seal or of another request, an answer that breaks off, no further upstream, the deadline: the caller gets the events and a reset.

Why it works: in a stream with ids a block needs a line of the format; bytes that arrive with an invalid event are discarded with it and the position stays at the last forwarded event; the end of the stream counts only once an event that had begun has arrived. An answer that ends at once after a stream that broke between two events is still taken for the end: nothing shows that more was to come.

--- a/core/relay/event_splitter.hpp
+++ b/core/relay/event_splitter.hpp
@@ -13,29 +13,36 @@
     /// @param last_id  id of the event that precedes the first expected one
     explicit event_splitter(std::int64_t last_id = 0) : last_id_(last_id) {}
 
-    /// Appends bytes to the buffer, and removes and returns all complete events from it.
+    /// Appends bytes to the buffer, and removes and returns all complete events from it. Returns
+    /// nothing, and counts nothing, if one of them does not continue the stream.
     std::string append(std::string_view bytes);
-    /// Discards an incomplete event that will not be completed.
+    /// Prepares for another upstream that continues after the last complete event. An event that
+    /// had begun is still expected.
     void drop_partial() {
+        event_expected_ = event_expected_ || !partial_.empty();
         partial_.clear();
         too_long_ = false;
+        out_of_order_ = false;
     }
 
     /// True if an event exceeds the maximum length. Its bytes are discarded.
     bool too_long() const { return too_long_; }
-    bool has_partial() const { return !partial_.empty(); }
+    /// True if an event has begun and is not complete, so that the stream cannot end here.
+    bool has_partial() const { return event_expected_ || !partial_.empty(); }
     std::int64_t last_id() const { return last_id_; }
     /// Number of complete events so far.
     std::int64_t count() const { return count_; }
-    /// True after an event whose id does not directly follow the previous one.
+    /// True after an event whose id does not directly follow the previous one, or after text that
+    /// is no event in a stream with ids. Nothing is accepted until `drop_partial` is called.
     bool out_of_order() const { return out_of_order_; }
 
 private:
-    void check_order(std::string_view event);
+    bool accept(std::string_view event);
 
     std::string partial_;
     std::int64_t last_id_;
     std::int64_t count_ = 0;
+    bool event_expected_ = false;
     bool out_of_order_ = false;
     bool too_long_ = false;
 };
--- a/tests/core/relay/event_splitter_test.cpp
+++ b/tests/core/relay/event_splitter_test.cpp
@@ -40,6 +40,45 @@
     CHECK_TRUE(repeated.out_of_order());
 }
 
+// Guards against a continuation after events that were discarded with an invalid one.
+TEST(event_splitter, invalid_event_discards_the_bytes_that_arrived_with_it) {
+    splitter_.append("id: 1\ndata: a\n\n");
+    CHECK_EQUAL(std::string(), splitter_.append("id: 2\ndata: b\n\nid: 4\ndata: d\n\nid: 5\n"));
+    CHECK_TRUE(splitter_.out_of_order());
+    CHECK_EQUAL(std::string(), splitter_.append("id: 2\ndata: b\n\n"));
+    LONGS_EQUAL(1, splitter_.last_id());
+    LONGS_EQUAL(1, splitter_.count());
+    splitter_.drop_partial();
+    CHECK_FALSE(splitter_.out_of_order() || splitter_.has_partial());
+    CHECK_EQUAL(std::string("id: 2\ndata: b\n\n"), splitter_.append("id: 2\ndata: b\n\n"));
+}
+
+// Guards against text of a failure that is forwarded as an event.
+TEST(event_splitter, text_without_a_field_is_no_event_in_a_stream_with_ids) {
+    for (const char* text : {"busy\n\n", "HTTP/1.1 500 X\r\nContent-Length: 0\r\n\r\n"}) {
+        event_splitter with_ids(1);
+        CHECK_EQUAL(std::string(), with_ids.append(text));
+        CHECK_TRUE(with_ids.out_of_order());
+    }
+    for (const std::string text :
+         {": still here\n\n", "retry: 10\n\n", "event: a\r\n\r\n", "data: [DONE]\n\n",
+          "x-weights: 2\nid: 2\ndata: a\n\n", "\n\n"}) {
+        event_splitter with_ids(1);
+        CHECK_EQUAL(text, with_ids.append(text));
+        CHECK_FALSE(with_ids.out_of_order());
+    }
+    CHECK_EQUAL(std::string("busy\n\n"), splitter_.append("busy\n\n"));
+}
+
+// Guards against a stream that ends although an event had begun at an upstream that failed.
+TEST(event_splitter, event_that_had_begun_is_expected_after_it_was_dropped) {
+    splitter_.append("id: 1\ndata: a\n\nid: 2\nda");
+    splitter_.drop_partial();
+    CHECK_TRUE(splitter_.has_partial());
+    splitter_.append("id: 2\ndata: b\n\n");
+    CHECK_FALSE(splitter_.has_partial());
+}
+
 TEST(event_splitter, resumed_stream_continues_after_the_given_event) {
     event_splitter resumed(12);
     resumed.append("id: 13\ndata: n\n\n");
--- a/tests/servers/relay/relay_fixture.hpp
+++ b/tests/servers/relay/relay_fixture.hpp
@@ -45,6 +45,7 @@
         add(*result, "/pay/", request_semantics::non_idempotent, 3, "shop");
         add(*result, "/lookup/", request_semantics::idempotent, 2, "shop");
         add(*result, "/chat/", request_semantics::stream, 2, "llm");
+        add(*result, "/talk/", request_semantics::stream, 3, "llm");
         result->add_service({"shop", 10, std::nullopt});
         engine_profile engine;
         engine.slots = 16;
