Relay: a success without the id of the request is not forwarded

What callers could see: the answer or events of another request, if an upstream sends a success without an id on a new connection. The rule for refusals now holds for both kinds of answers that decide a request; other failures without an id are forwarded as before, if they come on a new connection.

The test failed before: declined_requests_test.cpp:139: LONGS_EQUAL(502, caller_.status) failed, but was 0

--- a/servers/relay/upstream_attempt.cpp
+++ b/servers/relay/upstream_attempt.cpp
@@ -158,15 +158,14 @@
     if (!named && exchange_->reused_connection()) {
         return "answer without the id of the request";
     }
-    if (!response_.declined()) {
-        return nullptr;
-    }
-    // A refusal promises that the request never runs, so it must not be a repetition of a refusal
-    // of another attempt.
-    if (!named && response_.reports_request && !request_.id.empty()) {
-        return "refusal without the id of the request";
+    // A success ends the request and a refusal promises that it never runs, so neither may be a
+    // repetition of the response to another attempt. Other failures promise nothing.
+    const bool decides = response_.declined() || is_success(response_.head.status);
+    if (!named && decides && response_.reports_request && !request_.id.empty()) {
+        return "answer without the id of the request";
     }
-    return parameters_.sent_before ? "refusal that may be of an earlier attempt" : nullptr;
+    const bool may_be_repeated = response_.declined() && parameters_.sent_before;
+    return may_be_repeated ? "refusal that may be of an earlier attempt" : nullptr;
 }
 
 void upstream_attempt::record_notices() {
--- a/tests/servers/relay/declined_requests_test.cpp
+++ b/tests/servers/relay/declined_requests_test.cpp
@@ -132,6 +132,18 @@
     CHECK_FALSE(upstream_.attempts.front()->open);
 }
 
+// Guards against a success without an id that an upstream repeats on a new connection.
+TEST(declined_requests, success_without_an_id_is_not_forwarded_to_the_caller_of_an_order) {
+    serve_and_answer("/order/1", 200, {{"unnamed", "1"}});
+    LONGS_EQUAL(1, host_.attempts());
+    LONGS_EQUAL(502, caller_.status);
+    CHECK_TRUE(caller_.own);
+    serve_and_answer("/order/1", 500, {{"unnamed", "1"}});
+    upstream_.end();
+    LONGS_EQUAL(500, caller_.status);
+    CHECK_FALSE(caller_.own);
+}
+
 // Guards against notices that a repeated answer contains: the upstream would get no more requests.
 TEST(declined_requests, notices_in_an_answer_of_another_request_are_ignored) {
     const header_list stale = {{"not-executed", "1"},
