Relay: a status that promises "not run" needs the upstream's word

What callers could see: 503, 429 or 408 for an order that an upstream may have run, if it answers so without saying that it did not run it: the status was forwarded like any other failure. To callers it is the promise that the request did not run and never will.

Now the outcome of such an attempt is unknown: 502 to the caller, without the upstream's seal, or another attempt if the request may be repeated. The platform's engines state "not run" with each refusal.

The test failed before: declined_requests_test.cpp:152: LONGS_EQUAL(502, caller_.status) failed, but was 0 (status 503 was kept to be forwarded with its body)

--- a/servers/relay/upstream_attempt.cpp
+++ b/servers/relay/upstream_attempt.cpp
@@ -139,6 +139,12 @@
                                     "declined with " + std::to_string(status));
         return;
     }
+    if (response_.status_promises_not_run) {
+        // Forwarding the status would make a promise that the upstream did not make.
+        listener_.on_attempt_failed(attempt_outcome::unknown,
+                                    "status " + std::to_string(status) + " without a refusal");
+        return;
+    }
     if (is_success(status) && !response_.has_execution_proof) {
         listener_.on_attempt_failed(attempt_outcome::unknown, "success without proof");
         return;
--- a/servers/relay/upstream_response.hpp
+++ b/servers/relay/upstream_response.hpp
@@ -15,6 +15,8 @@
     bool not_executed = false;
     /// The address now belongs to another upstream, which did not execute the request.
     bool misdirected = false;
+    /// To callers, the status is the promise that the request did not run and never will.
+    bool status_promises_not_run = false;
     /// The upstream is leaving and wants no further requests.
     bool leaving = false;
     /// Time for which an upstream that declined wants no requests from this host.
--- a/tests/platform/platform_request_format_test.cpp
+++ b/tests/platform/platform_request_format_test.cpp
@@ -90,6 +90,16 @@
     CHECK_TRUE(format_.read_response(misdirected).misdirected);
 }
 
+// Guards against a status that promises "not run" although the upstream did not say so.
+TEST(platform_request_format, statuses_that_promise_not_run_are_recognized) {
+    for (const int status : {200, 400, 404, 408, 421, 429, 500, 502, 503, 504}) {
+        response_head head;
+        head.status = status;
+        const bool promise = status == 408 || status == 421 || status == 429 || status == 503;
+        CHECK_EQUAL(promise, format_.read_response(head).status_promises_not_run);
+    }
+}
+
 // Guards against a refusal without an id that counts as the answer to whatever request comes next.
 TEST(platform_request_format, only_status_400_may_omit_the_id) {
     for (const int status : {200, 421, 429, 500, 503}) {
--- a/tests/servers/relay/declined_requests_test.cpp
+++ b/tests/servers/relay/declined_requests_test.cpp
@@ -144,6 +144,17 @@
     CHECK_FALSE(caller_.own);
 }
 
+// Guards against a status that promises "not run" to the caller of an order that may have run.
+TEST(declined_requests, status_of_a_refusal_is_forwarded_only_if_the_upstream_did_not_run_it) {
+    for (const int status : {408, 429, 503}) {
+        const std::size_t before = host_.attempts();
+        serve_and_answer("/order/1", status, {});
+        LONGS_EQUAL(502, caller_.status);
+        LONGS_EQUAL(before + 1, host_.attempts());
+        CHECK_FALSE(upstream_.last().open);
+    }
+}
+
 // Guards against notices that a repeated answer contains: the upstream would get no more requests.
 TEST(declined_requests, notices_in_an_answer_of_another_request_are_ignored) {
     const header_list stale = {{"not-executed", "1"},
--- a/tests/servers/relay/relay_fixture.hpp
+++ b/tests/servers/relay/relay_fixture.hpp
@@ -108,6 +108,8 @@
         upstream_response answer;
         answer.not_executed = find_header(head.headers, "not-executed") != nullptr;
         answer.misdirected = head.status == 421;
+        answer.status_promises_not_run =
+            head.status == 503 || head.status == 429 || head.status == 421 || head.status == 408;
         answer.has_execution_proof = find_header(head.headers, "unsealed") == nullptr;
         answer.leaving = find_header(head.headers, "leaving") != nullptr;
         if (const std::string* pause = find_header(head.headers, "pause-ms")) {
