--- a/servers/relay/upstream_attempt.cpp
+++ b/servers/relay/upstream_attempt.cpp
@@ -139,6 +139,12 @@
                                     "declined with " + std::to_string(status));
         return;
     }
+    if (response_.status_promises_not_run) {
+        // Forwarding the status would make a promise that the upstream did not make.
+        listener_.on_attempt_failed(attempt_outcome::unknown,
+                                    "status " + std::to_string(status) + " without a refusal");
+        return;
+    }
     if (is_success(status) && !response_.has_execution_proof) {
         listener_.on_attempt_failed(*this, attempt_outcome::unknown, "success without proof");
         return;
@@ -159,15 +165,14 @@
     if (!named && exchange_->reused_connection()) {
         return "answer without the id of the request";
     }
-    if (!response_.declined()) {
-        return nullptr;
-    }
-    // A refusal promises that the request never runs, so it must not be a repetition of a refusal
-    // of another attempt.
-    if (!named && response_.reports_request && !request_.id.empty()) {
-        return "refusal without the id of the request";
+    // A success ends the request and a refusal promises that it never runs, so neither may be a
+    // repetition of the response to another attempt. Other failures promise nothing.
+    const bool decides = response_.declined() || is_success(response_.head.status);
+    if (!named && decides && response_.reports_request && !request_.id.empty()) {
+        return "answer without the id of the request";
     }
-    return parameters_.sent_before ? "refusal that may be of an earlier attempt" : nullptr;
+    const bool may_be_repeated = response_.declined() && parameters_.sent_before;
+    return may_be_repeated ? "refusal that may be of an earlier attempt" : nullptr;
 }
 
 void upstream_attempt::record_notices() {
--- a/tests/servers/relay/relay_fixture.hpp
+++ b/tests/servers/relay/relay_fixture.hpp
@@ -45,6 +45,7 @@
         add(*result, "/pay/", request_semantics::non_idempotent, 3, "shop");
         add(*result, "/lookup/", request_semantics::idempotent, 2, "shop");
         add(*result, "/chat/", request_semantics::stream, 2, "llm");
+        add(*result, "/talk/", request_semantics::stream, 3, "llm");
         result->add_service({"shop", 10, std::nullopt});
         engine_profile engine;
         engine.slots = 16;
@@ -107,6 +108,8 @@
         upstream_response answer;
         answer.not_executed = find_header(head.headers, "not-executed") != nullptr;
         answer.misdirected = head.status == 421;
+        answer.status_promises_not_run =
+            head.status == 503 || head.status == 429 || head.status == 421 || head.status == 408;
         answer.has_execution_proof = find_header(head.headers, "unsealed") == nullptr;
         answer.leaving = find_header(head.headers, "leaving") != nullptr;
         if (const std::string* pause = find_header(head.headers, "pause-ms")) {
