Callers: log and count every connection that ends before its answer is complete

The relay wrote outcome=caller_left in its destructor for every end of the connection: the caller's close, a reset, a failed write, the end of the process. An answer that was logged as answered could still be cut while its bytes were buffered. Requests that the connection itself rejects (400, 413, 431, 503 without memory) and requests whose body was still arriving left no line at all.

Now each of these leaves one line `answer_cut` with the request's id, the cause, the error of the socket, whether the request was passed on, and how many bytes of the answer the kernel accepted, did not accept and has not seen acknowledged; answers_cut_total{cause} counts them. The session tells the request the cause before it destroys it, so that request_ended says caller_left only when the caller left, and connection_cut otherwise; may_have_run now covers the attempt that was running. Rejections leave `request_rejected`, and their answers carry the request's id.

--- a/drivers/traffic/caller_server.cpp
+++ b/drivers/traffic/caller_server.cpp
@@ -38,7 +38,7 @@
         error_code ignored;
         acceptor_.close(ignored);
         for (const auto& session : std::vector<session_ptr>(sessions_.begin(), sessions_.end())) {
-            session->close();
+            session->close(cut_cause::host_ended);
         }
     }
 
--- a/drivers/traffic/caller_services.hpp
+++ b/drivers/traffic/caller_services.hpp
@@ -8,8 +8,10 @@
 
 class body_budget;
 class control_loop;
+class decision_log;
 class request_format;
 class request_handler;
+class request_metrics;
 
 /// Dependencies of caller connections. All references must outlive the connections.
 struct caller_services {
@@ -21,6 +23,8 @@
     std::function<caller_limits()> limits;
     /// Returns true once this host is shutting down; responses then close their connections.
     std::function<bool()> stopping;
+    decision_log& log;
+    request_metrics& metrics;
 };
 
 }  // namespace fuchsiaquay
--- a/drivers/traffic/caller_session.cpp
+++ b/drivers/traffic/caller_session.cpp
@@ -1,15 +1,18 @@
 #include "drivers/traffic/caller_session.hpp"
 
-#include <boost/asio/write.hpp>
-#include <cstdio>
 #include <utility>
 
 #include "drivers/control/control_loop.hpp"
 #include "drivers/net/socket_setup.hpp"
+#include "drivers/net/socket_state.hpp"
+#include "drivers/traffic/answer_cut.hpp"
 #include "drivers/traffic/body_budget.hpp"
+#include "drivers/traffic/response_text.hpp"
+#include "servers/decision_log.hpp"
 #include "servers/relay/active_request.hpp"
 #include "servers/relay/request_format.hpp"
 #include "servers/relay/request_handler.hpp"
+#include "servers/request_metrics.hpp"
 
 namespace fuchsiaquay {
 
@@ -58,6 +61,9 @@
     head_accepted_ = false;
     head_started_ = false;
     response_complete_ = false;
+    request_id_.clear();
+    request_read_ = false;
+    accepted_bytes_ = 0;
     idle_since_ = services_.loop.now();
 }
 
@@ -79,7 +85,7 @@
         return;
     }
     if (error) {
-        close();
+        on_read_failed(error);
         return;
     }
     if (closing_) {
@@ -93,6 +99,18 @@
     read();
 }
 
+void caller_session::on_read_failed(const error_code& error) {
+    cut_cause cause = cut_cause::read_failed;
+    if (error == asio::error::eof) {
+        cause = cut_cause::caller_closed;
+    } else if (error == asio::error::connection_reset) {
+        cause = cut_cause::caller_reset;
+    } else if (error == asio::error::timed_out) {
+        cause = cut_cause::caller_unreachable;
+    }
+    close(cause, "receive: " + error.message());
+}
+
 void caller_session::parse() {
     if (!head_started_ && input_.size() > 0) {
         head_started_ = true;
@@ -143,7 +161,7 @@
         return true;
     }
     if (!services_.body_memory.try_reserve(body_bytes - body_bytes_)) {
-        reject(status_unavailable);
+        reject(status_unavailable, "body_memory");
         return false;
     }
     body_bytes_ = body_bytes;
@@ -152,90 +170,89 @@
 
 bool caller_session::reject_malformed(const error_code& error) {
     if (error == http::error::header_limit) {
-        reject(status_header_too_large);
+        reject(status_header_too_large, "header_too_large");
     } else if (error == http::error::body_limit) {
-        reject(status_too_large);
+        reject(status_too_large, "body_too_large");
     } else {
-        reject(status_bad_request);
+        reject(status_bad_request, "malformed");
     }
     return true;
 }
 
-void caller_session::reject(int status) {
+void caller_session::reject(int status, const char* reason) {
+    request_id_ = read_head().id;
+    services_.log.write(
+        decision_log::level::info, "request_rejected",
+        {{"request", request_id_}, {"status", std::to_string(status)}, {"reason", reason}});
+    services_.metrics.refused(reason);
     keep_alive_ = false;
     const response_head head = services_.format.make_error_response(
-        status, status == status_unavailable ? retry_after : duration::zero(), "");
+        status, status == status_unavailable ? retry_after : duration::zero(), request_id_);
     send(head, R"({"error":")" + head.reason + "\"}");
 }
 
-void caller_session::serve() {
-    auto& message = parser_->get();
+caller_request caller_session::read_head() const {
+    const auto& message = parser_->get();
     header_list headers;
     for (const auto& field : message) {
         headers.push_back({std::string(field.name_string()), std::string(field.value())});
     }
-    caller_request request = services_.format.read_request(
-        std::string(message.method_string()), std::string(message.target()), std::move(headers));
+    return services_.format.read_request(std::string(message.method_string()),
+                                         std::string(message.target()), std::move(headers));
+}
+
+void caller_session::serve() {
+    caller_request request = read_head();
+    auto& message = parser_->get();
     request.body = std::make_shared<const std::string>(std::move(message.body()));
     request.received_at = services_.loop.now();
     keep_alive_ = message.keep_alive();
+    request_id_ = request.id;
+    request_read_ = true;
     request_ = services_.handler.serve(std::move(request), *this);
 }
 
-void caller_session::append_head(const response_head& head, const char* framing,
-                                 std::size_t length) {
+void caller_session::append_head(const response_head& head, std::optional<std::size_t> body_bytes) {
     keep_alive_ = keep_alive_ && !services_.stopping();
-    output_ += "HTTP/1.1 " + std::to_string(head.status) + " " + head.reason + "\r\n";
-    for (const header_field& field : head.headers) {
-        output_.append(field.name).append(": ").append(field.value).append("\r\n");
-    }
-    if (!keep_alive_) {
-        output_ += "Connection: close\r\n";
-    }
-    output_ += framing;
-    if (length != std::string::npos) {
-        output_ += std::to_string(length);
-    }
-    output_ += "\r\n\r\n";
+    append_response_head(output_, head, keep_alive_, body_bytes);
 }
 
 void caller_session::send(const response_head& head, std::string body) {
-    append_head(head, "Content-Length: ", body.size());
+    append_head(head, body.size());
     output_ += body;
     complete_response();
 }
 
 void caller_session::begin(const response_head& head, std::string_view first) {
-    append_head(head, "Transfer-Encoding: chunked", std::string::npos);
+    append_head(head, std::nullopt);
     write(first);
 }
 
 void caller_session::write(std::string_view bytes) {
-    if (bytes.empty()) {
-        flush();
-        return;
+    if (!bytes.empty()) {
+        append_chunk(output_, bytes);
     }
-    char size[32];
-    (void)std::snprintf(size, sizeof size, "%zx\r\n", bytes.size());
-    output_.append(size).append(bytes).append("\r\n");
     if (output_.size() > max_output_bytes) {
-        abort();
+        reset_connection(cut_cause::output_limit);
         return;
     }
     flush();
 }
 
 void caller_session::finish() {
-    output_ += "0\r\n\r\n";
+    output_ += last_chunk;
     complete_response();
 }
 
 void caller_session::abort() {
-    // Closes with a TCP reset, so that the caller cannot take a partial response for a complete
-    // one.
+    reset_connection(cut_cause::answer_broken);
+}
+
+void caller_session::reset_connection(cut_cause cause) {
+    // A reset shows the caller that a partial response is not complete.
     error_code ignored;
     socket_.set_option(asio::socket_base::linger(true, 0), ignored);
-    services_.loop.post([self = shared_from_this()] { self->close(); });
+    services_.loop.post([self = shared_from_this(), cause] { self->close(cause); });
 }
 
 void caller_session::complete_response() {
@@ -248,15 +265,32 @@
         return;
     }
     writing_.swap(output_);
-    asio::async_write(socket_, asio::buffer(writing_),
-                      [self = shared_from_this()](const error_code& error, std::size_t) {
-                          self->writing_.clear();
-                          if (error) {
-                              self->close();
-                              return;
-                          }
-                          self->on_flushed();
-                      });
+    written_ = 0;
+    write_some();
+}
+
+void caller_session::write_some() {
+    socket_.async_write_some(
+        asio::buffer(writing_) + written_,
+        [self = shared_from_this()](const error_code& error, std::size_t bytes) {
+            self->on_written(error, bytes);
+        });
+}
+
+void caller_session::on_written(const error_code& error, std::size_t bytes) {
+    written_ += bytes;
+    accepted_bytes_ += bytes;
+    if (error) {
+        close(cut_cause::write_failed, "send: " + error.message());
+        return;
+    }
+    if (written_ < writing_.size()) {
+        write_some();
+        return;
+    }
+    writing_.clear();
+    written_ = 0;
+    on_flushed();
 }
 
 void caller_session::on_flushed() {
@@ -283,7 +317,8 @@
     input_.clear();
     error_code ignored;
     socket_.shutdown(asio::ip::tcp::socket::shutdown_send, ignored);
-    services_.loop.after(close_delay, [self = shared_from_this()] { self->close(); });
+    services_.loop.after(close_delay,
+                         [self = shared_from_this()] { self->close(cut_cause::caller_stalled); });
     read();
 }
 
@@ -296,20 +331,23 @@
         head_started_ && !head_accepted_ && now - head_started_at_ > limits.header_timeout;
     const bool idle = !head_started_ && now - idle_since_ > limits.idle_timeout;
     if (slow_head || idle) {
-        close();
+        close(cut_cause::header_timeout);
     }
 }
 
 void caller_session::close_if_idle() {
     if (request_ == nullptr && !head_started_ && !response_complete_) {
-        close();
+        close(cut_cause::host_ended);
     }
 }
 
-void caller_session::close() {
+void caller_session::close(cut_cause cause, const std::string& reason) {
     if (std::exchange(closed_, true)) {
         return;
     }
+    if (answer_incomplete()) {
+        report_cut(cause, reason);
+    }
     request_.reset();
     release_body_memory();
     error_code ignored;
@@ -317,6 +355,28 @@
     on_end_(shared_from_this());
 }
 
+bool caller_session::answer_incomplete() const {
+    return head_started_ && !closing_;
+}
+
+void caller_session::report_cut(cut_cause cause, const std::string& reason) {
+    answer_cut cut;
+    cut.request = request_read_ ? request_id_ : read_head().id;
+    cut.cause = cause;
+    cut.reason = reason;
+    cut.request_read = request_read_;
+    cut.passed_on = request_ != nullptr && request_->passed_on();
+    cut.answer_ready = response_complete_;
+    cut.accepted_bytes = accepted_bytes_;
+    cut.buffered_bytes = writing_.size() - written_ + output_.size();
+    cut.unacknowledged_bytes = unacknowledged_bytes(socket_);
+    cut.age_ms = to_milliseconds(services_.loop.now() - head_started_at_);
+    if (request_ != nullptr) {
+        request_->on_connection_lost(name_of(cause), is_by_caller(cause));
+    }
+    report(cut, services_);
+}
+
 void caller_session::release_body_memory() {
     services_.body_memory.release(std::exchange(body_bytes_, 0));
 }
--- a/drivers/traffic/caller_session.hpp
+++ b/drivers/traffic/caller_session.hpp
@@ -11,11 +11,13 @@
 
 #include "core/time/clock.hpp"
 #include "drivers/traffic/caller_services.hpp"
+#include "drivers/traffic/cut_cause.hpp"
 #include "servers/relay/response_sink.hpp"
 
 namespace fuchsiaquay {
 
 class active_request;
+struct caller_request;
 
 /// Connection of a caller: serves one request at a time. A read is always pending, so that a
 /// disconnect of the caller is detected immediately.
@@ -35,7 +37,9 @@
     void check_timeouts(instant now);
     /// Closes the connection unless a request is active.
     void close_if_idle();
-    void close();
+    /// Closes the connection. Reports `cause` if a request on it has no complete answer.
+    /// @param reason  error of the socket, or other details; may be empty
+    void close(cut_cause cause, const std::string& reason = "");
     bool serving() const noexcept { return request_ != nullptr; }
 
     void send(const response_head& head, std::string body) override;
@@ -50,19 +54,29 @@
     void prepare_for_request();
     void read();
     void on_read(const boost::system::error_code& error, std::size_t bytes);
+    void on_read_failed(const boost::system::error_code& error);
     void parse();
     bool accept_head();
     /// Raises the reservation to `body_bytes`; rejects the request when the budget is used up.
     bool reserve_body_memory(std::size_t body_bytes);
     /// Responds to a malformed or oversized request. Always returns true.
     bool reject_malformed(const boost::system::error_code& error);
+    /// Request line and headers of the request, as far as they were read.
+    caller_request read_head() const;
     void serve();
-    void reject(int status);
+    /// @param reason  for the log
+    void reject(int status, const char* reason);
+    /// Closes the connection with a reset.
+    void reset_connection(cut_cause cause);
     void complete_response();
-    void append_head(const response_head& head, const char* framing, std::size_t length);
+    void append_head(const response_head& head, std::optional<std::size_t> body_bytes);
     void flush();
+    void write_some();
+    void on_written(const boost::system::error_code& error, std::size_t bytes);
     void on_flushed();
     void shut_down_output();
+    bool answer_incomplete() const;
+    void report_cut(cut_cause cause, const std::string& reason);
     void release_body_memory();
 
     caller_services services_;
@@ -83,6 +97,12 @@
     std::size_t body_bytes_ = 0;
     std::string output_;
     std::string writing_;
+    /// Bytes of `writing_` that the kernel accepted, and of the whole response.
+    std::size_t written_ = 0;
+    std::size_t accepted_bytes_ = 0;
+    /// Set when the whole request was read.
+    std::string request_id_;
+    bool request_read_ = false;
     std::unique_ptr<active_request> request_;
 };
 
--- a/main/entry_node.cpp
+++ b/main/entry_node.cpp
@@ -153,7 +153,9 @@
                 const auto& configuration = configuration_.current();
                 return configuration ? configuration->limits() : caller_limits();
             },
-            [this] { return stopping_; }};
+            [this] { return stopping_; },
+            log_,
+            metrics_};
 }
 
 host_state entry_node::state() const {
--- a/servers/relay/request_relay.cpp
+++ b/servers/relay/request_relay.cpp
@@ -69,13 +69,25 @@
 request_relay::~request_relay() {
     queue_.remove(*this);
     if (!done_) {
-        log_request_end("caller_left", 0,
-                        response_started_ ? "during the answer" : "before the answer");
+        on_connection_lost("", true);
     }
     attempt_.reset();
     work_.advance(work_phase::ended);
 }
 
+bool request_relay::passed_on() const {
+    return may_have_run_ || (attempt_ && attempt_->sent());
+}
+
+void request_relay::on_connection_lost(const std::string& cause, bool by_caller) {
+    if (done_) {
+        return;
+    }
+    may_have_run_ = passed_on();
+    log_request_end(by_caller ? "caller_left" : "connection_cut", 0,
+                    response_started_ ? "during the answer" : "before the answer", cause);
+}
+
 bool request_relay::repeatable() const {
     return admitted_.matched_route->repeatable();
 }
--- a/servers/relay/request_relay.hpp
+++ b/servers/relay/request_relay.hpp
@@ -38,6 +38,9 @@
     /// Ends the request at its deadline and checks that a running attempt makes progress.
     void check_timeouts();
 
+    bool passed_on() const override;
+    void on_connection_lost(const std::string& cause, bool by_caller) override;
+
     bool waiting() const noexcept { return waiting_; }
     int rank() const noexcept { return admitted_.rank; }
     instant received_at() const noexcept { return request_.received_at; }
--- a/tests/drivers/traffic/caller_server_test.cpp
+++ b/tests/drivers/traffic/caller_server_test.cpp
@@ -6,81 +6,20 @@
 #include <string>
 #include <vector>
 
-#include "drivers/traffic/body_budget.hpp"
-#include "platform/platform_request_format.hpp"
-#include "servers/relay/active_request.hpp"
-#include "servers/relay/request_handler.hpp"
-#include "servers/relay/response_sink.hpp"
-#include "tests/drivers/traffic/raw_client.hpp"
+#include "tests/drivers/traffic/caller_fixture.hpp"
 
 using namespace fuchsiaquay;
 using namespace fuchsiaquay::testing;
 
-namespace {
-
-/// Records requests, so that the test can respond to them.
-class recording_handler final : public request_handler {
-public:
-    class request_handle final : public active_request {
-    public:
-        explicit request_handle(int& ended_count) : ended_count_(ended_count) {}
-        request_handle(const request_handle&) = delete;
-        request_handle& operator=(const request_handle&) = delete;
-        ~request_handle() override { ++ended_count_; }
-
-    private:
-        int& ended_count_;
-    };
-
-    std::unique_ptr<active_request> serve(caller_request request, response_sink& sink) override {
-        requests.push_back(std::move(request));
-        sinks.push_back(&sink);
-        return std::make_unique<request_handle>(ended);
-    }
-
-    std::vector<caller_request> requests;
-    std::vector<response_sink*> sinks;
-    int ended = 0;
-};
-
-response_head ok() {
-    response_head head;
-    head.status = 200;
-    head.reason = "OK";
-    return head;
-}
-
-}  // namespace
-
-TEST_GROUP(caller_server) {
-    control_loop loop_;
-    platform_request_format format_;
-    recording_handler handler_;
-    body_budget bodies_{5'000'000};
-    caller_limits limits_;
-    bool stopping_ = false;
-    network_address address_ = free_address();
-    std::unique_ptr<caller_server> server_;
-    std::unique_ptr<raw_client> client_;
-
-    void setup() override {
-        server_ = std::make_unique<caller_server>(
-            caller_services{loop_, format_, handler_, bodies_, [this] { return limits_; },
-                            [this] { return stopping_; }},
-            address_);
-        client_ = std::make_unique<raw_client>(loop_, address_);
-    }
-
-    bool requests_received(std::size_t count) {
-        return run_until(loop_, [&] { return handler_.requests.size() >= count; });
-    }
+TEST_GROUP_BASE(caller_server, caller_fixture){
     /// True when `bytes` lead to a response with `status` and no request reaches the handler.
-    bool rejected(const std::string& bytes, const char* status) {
-        client_ = std::make_unique<raw_client>(loop_, address_);
-        client_->send(bytes);
-        return client_->expect(status) && client_->expect_close() && handler_.requests.empty();
-    }
-};
+    bool rejected(const std::string& bytes,
+                  const char* status){client_ = std::make_unique<raw_client>(loop_, address_);
+client_->send(bytes);
+return client_->expect(status) && client_->expect_close() && handler_.requests.empty();
+}
+}
+;
 
 TEST(caller_server, request_sent_in_pieces_is_assembled) {
     client_->send("POST /a/b?c HTTP/1.1\r\nHost: h\r\nX-Att");
--- a/tests/drivers/traffic/raw_client.hpp
+++ b/tests/drivers/traffic/raw_client.hpp
@@ -31,8 +31,26 @@
         socket_.close(ignored);
     }
 
+    /// Ends the stream towards the server and keeps reading.
+    void close_sending_half() { socket_.shutdown(tcp::socket::shutdown_send); }
+    void reset() {
+        socket_.set_option(boost::asio::socket_base::linger(true, 0));
+        socket_.close();
+    }
+    /// Bytes stay in the kernel's receive buffer, until it is full, or `resume_reading`.
+    void stop_reading() {
+        paused_ = true;
+        socket_.cancel();
+    }
+    void resume_reading() {
+        paused_ = false;
+        read();
+    }
+
     std::string received;
     bool closed = false;
+    /// Error that ended the connection; end of stream if it ended in an orderly way.
+    boost::system::error_code end_error;
 
 private:
     void read() {
@@ -43,8 +61,12 @@
                                         return;
                                     }
                                     received.append(buffer_, bytes);
+                                    if (paused_) {
+                                        return;
+                                    }
                                     if (error) {
                                         closed = true;
+                                        end_error = error;
                                     } else {
                                         read();
                                     }
@@ -53,6 +75,7 @@
 
     control_loop& loop_;
     tcp::socket socket_;
+    bool paused_ = false;
     char buffer_[4096] = {};
     /// Expires with the client; a pending handler may run later than that.
     std::shared_ptr<int> alive_ = std::make_shared<int>(0);
--- a/tests/servers/relay/relay_fixture.hpp
+++ b/tests/servers/relay/relay_fixture.hpp
@@ -262,6 +262,7 @@
     void refused(const std::string&) override {}
     void retried(const std::string&) override {}
     void answered() override {}
+    void answer_cut(const std::string&) override {}
 };
 
 /// Time that other hosts have to announce their claims before a long prompt is sent.
--- a/tests/servers/relay/request_relay_test.cpp
+++ b/tests/servers/relay/request_relay_test.cpp
@@ -175,6 +175,17 @@
     LONGS_EQUAL(1, host_.log.count("request_ended request=r1 route=/chat/ outcome=caller_left"));
 }
 
+// Guards against requests that this host cut and that its log attributes to the caller.
+TEST(request_relay, connection_lost_on_this_side_is_not_logged_as_caller_left) {
+    host_.serve(host_.request("/chat/1"));
+    host_.active->on_connection_lost("host_ended", false);
+    host_.active.reset();
+    LONGS_EQUAL(1, host_.log.count("request_ended"));
+    STRCMP_CONTAINS("outcome=connection_cut status=0 reason=before the answer detail=host_ended",
+                    host_.log.lines.back().c_str());
+    STRCMP_CONTAINS("may_have_run=yes", host_.log.lines.back().c_str());
+}
+
 TEST(request_relay, upstream_receives_the_remaining_time_of_the_caller) {
     caller_request request = host_.request("/chat/1");
     request.time_limit = milliseconds(3'000);
