--- a/servers/relay/upstream_attempt.cpp
+++ b/servers/relay/upstream_attempt.cpp
@@ -141,7 +141,7 @@
     }
     if (response_.status_promises_not_run) {
         // Forwarding the status would make a promise that the upstream did not make.
-        listener_.on_attempt_failed(attempt_outcome::unknown,
+        listener_.on_attempt_failed(*this, attempt_outcome::unknown,
                                     "status " + std::to_string(status) + " without a refusal");
         return;
     }
