Numbers from outside: refuse or limit those out of range

Callers saw refusals for a deadline near the limit of 64 bits (it overflowed into the past); an entry with slots was taken as one with one slot, one with 1e300 slots depending on the machine; a configuration with a stride of 0 divides by zero when a prompt waits.

Cause: integers were cut to 32 bits, doubles beyond 64 bits cast (undefined), milliseconds multiplied into microseconds without a bound. Class: a conversion whose range an outside writer can leave.

The order of event numbers is compared without an overflow.

Ruled out: Last-Event-Id and X-Deadline-Ms beyond 64 bits (strtoll ends at the limit, from_chars refuses), Retry-After (clamped already), ports (from_chars into 16 bits).

--- a/core/relay/event_splitter.cpp
+++ b/core/relay/event_splitter.cpp
@@ -77,7 +77,7 @@
     if (!id) {
         return;
     }
-    out_of_order_ = out_of_order_ || *id <= last_id_ || (last_id_ > 0 && *id != last_id_ + 1);
+    out_of_order_ = out_of_order_ || *id <= last_id_ || (last_id_ > 0 && *id - 1 != last_id_);
     last_id_ = *id;
 }
 
--- a/tests/core/relay/event_splitter_test.cpp
+++ b/tests/core/relay/event_splitter_test.cpp
@@ -60,3 +60,15 @@
     splitter.drop_partial();
     CHECK_FALSE(splitter.too_long());
 }
+
+// Guards against an overflow when the numbers of a stream reach the limit of 64 bits.
+TEST(event_splitter, event_after_the_largest_number_is_out_of_order) {
+    event_splitter resumed(9223372036854775807);
+    resumed.append("id: 9223372036854775807\ndata: a\n\n");
+    CHECK_TRUE(resumed.out_of_order());
+    event_splitter last(9223372036854775806);
+    last.append("id: 9223372036854775807\ndata: a\n\n");
+    CHECK_FALSE(last.out_of_order());
+    last.append("id: -9223372036854775808\ndata: a\n\n");
+    CHECK_TRUE(last.out_of_order());
+}
--- a/tests/platform/platform_codecs_test.cpp
+++ b/tests/platform/platform_codecs_test.cpp
@@ -91,6 +91,44 @@
     CHECK_THROWS(operation_error, configurations_.decode(R"({"version":1,"x":)" + nested + "}"));
 }
 
+// Guards against a number that is taken modulo 2^32, or whose conversion is undefined.
+TEST(platform_codecs, entry_with_a_number_out_of_range_is_rejected) {
+    for (const char* const slots :
+         {"0", "-1", "2147483648", "4294967297", "1e30", "-1e300", "1e400",
+          "99999999999999999999999", R"("4")", "true", "[4]", "{}"}) {
+        CHECK_FALSE(decodes(R"({"service":"s","address":"10.0.0.1:80","state":"ready","slots":)" +
+                            std::string(slots) + "}"));
+    }
+    for (const char* const born : {"1e300", "-1e300", "18446744073709551615", R"("x")"}) {
+        CHECK_FALSE(
+            decodes(R"({"service":"s","address":"10.0.0.1:80","state":"ready","slots":4,"born":)" +
+                    std::string(born) + "}"));
+    }
+}
+
+// Guards against a division by zero and times that overflow when a request is placed.
+TEST(platform_codecs, configuration_with_a_number_out_of_range_is_rejected) {
+    const auto with_engine = [](const std::string& member) {
+        return R"({"version":1,"services":[{"name":"a","engine":{)" + member + "}}]}";
+    };
+    CHECK_TRUE(configurations_.decode(with_engine(R"("stride":1)")) != nullptr);
+    for (const char* const member :
+         {R"("stride":0)", R"("stride":-3)", R"("stride":1e300)", R"("slots":4294967297)",
+          R"("kv_capacity_tokens":1e300)", R"("read_per_s":1e400)", R"("chunk":"x")"}) {
+        CHECK_THROWS(operation_error, configurations_.decode(with_engine(member)));
+    }
+    CHECK_THROWS(operation_error,
+                 configurations_.decode(R"({"version":1,"limits":{"max_body_bytes":-1}})"));
+    CHECK_THROWS(operation_error, configurations_.decode(R"({"version":1e300})"));
+}
+
+TEST(platform_codecs, huge_time_of_a_route_is_limited) {
+    const auto configuration =
+        configurations_.decode(R"({"version":1,"routes":[{"host":"h","prefix":"/","service":"s",)"
+                               R"("timeout_ms":9223372036854775807}]})");
+    CHECK_TRUE(configuration->find_route("h", "/x")->timeout == max_duration);
+}
+
 TEST(platform_codecs, directory_response_lists_addresses_and_lifetime) {
     host_record host;
     host.caller_address = {"10.1.0.40", 8227};
--- a/tests/platform/platform_request_format_test.cpp
+++ b/tests/platform/platform_request_format_test.cpp
@@ -132,3 +132,15 @@
     const std::string text = format_.write_request(read({}), metadata);
     CHECK_TRUE(has(text, "X-Helpers: 10.0.0.1:80/t1,10.0.0.2:81"));
 }
+
+// Guards against a deadline that overflows into the past, and sums of tokens that overflow.
+TEST(platform_request_format, numbers_near_the_limit_of_64_bits_are_limited) {
+    const caller_request request =
+        read({{"X-Deadline-Ms", "9223372036854775807"},
+              {"X-Token-Counts", "9223372036854775807,9223372036854775807"}});
+    CHECK_TRUE(*request.time_limit == max_duration);
+    CHECK_TRUE(*request.prompt_tokens + request.max_answer_tokens > *request.prompt_tokens);
+    CHECK_FALSE(read({{"X-Deadline-Ms", "9223372036854775808"}}).time_limit.has_value());
+    CHECK_FALSE(read({{"X-Token-Counts", "9223372036854775808,1"}}).prompt_tokens.has_value());
+    CHECK_FALSE(read({{"X-Token-Counts", "-1,1"}}).prompt_tokens.has_value());
+}
