Upstreams: refuse an id that cannot be sent in a header

An entry whose key holds a line end and a header, for example, added that header to the requests of callers which were sent to its address, since X-Expect-Instance carries the id as it is.

Cause: the id is a part of the store's key and was not checked. Fix: an id that is empty or has spaces or control bytes makes the entry unreadable. Ruled out: ids with bytes above 0x7f are sent as they were.

Before the fix: TEST(platform_codecs, entry_whose_id_cannot_be_sent_in_a_header_is_rejected) fails, no exception is thrown.

--- a/tests/platform/platform_codecs_test.cpp
+++ b/tests/platform/platform_codecs_test.cpp
@@ -91,6 +91,17 @@
     CHECK_THROWS(operation_error, configurations_.decode(R"({"version":1,"x":)" + nested + "}"));
 }
 
+// Guards against an id that adds headers to the requests of callers.
+TEST(platform_codecs, entry_whose_id_cannot_be_sent_in_a_header_is_rejected) {
+    const std::string entry = R"({"service":"s","address":"10.0.0.1:80","state":"ready"})";
+    for (const std::string& id :
+         {std::string(), std::string("a\r\nX-Tenant: b"), std::string("a b"),
+          std::string("a\0b", 3), std::string("a\x7f")}) {
+        CHECK_THROWS(operation_error, upstreams_.decode(id, entry));
+    }
+    CHECK_EQUAL(std::string("i-\xc3\xa9"), upstreams_.decode("i-\xc3\xa9", entry).id);
+}
+
 // Guards against a number that is taken modulo 2^32, or whose conversion is undefined.
 TEST(platform_codecs, entry_with_a_number_out_of_range_is_rejected) {
     for (const char* const slots :
