--- a/core/relay/event_splitter.cpp
+++ b/core/relay/event_splitter.cpp
@@ -106,7 +106,7 @@
 bool event_splitter::accept(std::string_view event) {
     const std::optional<std::int64_t> id = event_id(event);
     const bool has_ids = last_id_ > 0;
-    if (id && (*id <= last_id_ || (has_ids && *id != last_id_ + 1))) {
+    if (id && (*id <= last_id_ || (has_ids && *id - 1 != last_id_))) {
         return false;
     }
     if (has_ids && !is_event(event)) {
