Callers: a caller that reads slowly keeps its connection

Cause: TCP_USER_TIMEOUT (3 s) on the caller's connection. Linux applies it to a closed window too, also when the peer answers every probe. Evidence: test slow_caller on the code before: slow_caller_test.cpp:41: caller_that_stops_reading_for_four_seconds_receives_the_whole_answer CHECK_TRUE(received_bytes(large_answer_bytes)) failed slow_caller_test.cpp:71: answer_cut request=42 cause=write_failed reason=send: Connection timed out ... buffered_bytes=5192236 ... age_ms=3273 Ruled out: the keep-alive (it does not run while data is on the way) and the close delay (the answer was not complete).

Callers' connections no longer have that option. A session with output on the way looks at its socket twice a second instead: retransmissions or window probes without any reply for 3 s mean that the caller's host is gone (caller_unreachable), no byte taken for the configured idle time-out means that it has stopped reading (caller_stalled). Idle connections keep the keep-alive. Connections to upstreams keep the option.

--- a/drivers/net/socket_setup.cpp
+++ b/drivers/net/socket_setup.cpp
@@ -15,7 +15,8 @@
 
 namespace {
 
-/// The connection is closed when sent data stays unacknowledged for this time.
+/// The connection is closed when sent data stays unacknowledged, or the peer's window closed, for
+/// this time.
 constexpr int user_timeout_ms = 3'000;
 /// Idle time before the first keep-alive probe, and interval between probes.
 constexpr int keepalive_idle_s = 2;
@@ -32,10 +33,14 @@
 }  // namespace
 
 void set_up_socket(tcp::socket& socket) {
+    set_up_caller_socket(socket);
+    set_tcp_option(socket, TCP_USER_TIMEOUT, user_timeout_ms);
+}
+
+void set_up_caller_socket(tcp::socket& socket) {
     boost::system::error_code ignored;
     socket.set_option(tcp::no_delay(true), ignored);
     socket.set_option(asio::socket_base::keep_alive(true), ignored);
-    set_tcp_option(socket, TCP_USER_TIMEOUT, user_timeout_ms);
     set_tcp_option(socket, TCP_KEEPIDLE, keepalive_idle_s);
     set_tcp_option(socket, TCP_KEEPINTVL, keepalive_interval_s);
     set_tcp_option(socket, TCP_KEEPCNT, keepalive_probes);
--- a/drivers/net/socket_setup.hpp
+++ b/drivers/net/socket_setup.hpp
@@ -6,10 +6,14 @@
 
 namespace fuchsiaquay {
 
-/// Sets the options of every TCP connection of this program: no delay of small writes
-/// (TCP_NODELAY), and detection of a dead peer within seconds.
+/// Sets the options of a TCP connection: no delay of small writes (TCP_NODELAY), and detection
+/// within seconds of a peer that is dead or takes no data.
 void set_up_socket(boost::asio::ip::tcp::socket& socket);
 
+/// The same for the connection of a caller, which may read slowly. The keep-alive detects a dead
+/// peer only while no data is on the way; see `output_monitor`.
+void set_up_caller_socket(boost::asio::ip::tcp::socket& socket);
+
 boost::asio::ip::tcp::endpoint to_endpoint(const network_address& address);
 
 /// True when an idle connection can be reused: it is open and has no unread data.
--- a/drivers/traffic/caller_session.cpp
+++ b/drivers/traffic/caller_session.cpp
@@ -47,7 +47,7 @@
 }
 
 void caller_session::start() {
-    set_up_socket(socket_);
+    set_up_caller_socket(socket_);
     prepare_for_request();
     read();
 }
@@ -63,7 +63,7 @@
     response_complete_ = false;
     request_id_.clear();
     request_read_ = false;
-    accepted_bytes_ = 0;
+    accepted_before_ = accepted_bytes_;
     idle_since_ = services_.loop.now();
 }
 
@@ -266,6 +266,9 @@
     }
     writing_.swap(output_);
     written_ = 0;
+    if (!std::exchange(output_pending_, true)) {
+        output_monitor_.restart(services_.loop.now());
+    }
     write_some();
 }
 
@@ -323,6 +326,7 @@
 }
 
 void caller_session::check_timeouts(instant now) {
+    check_output(now);
     if (closed_ || request_ != nullptr || response_complete_) {
         return;
     }
@@ -335,6 +339,27 @@
     }
 }
 
+void caller_session::check_output(instant now) {
+    if (closed_ || !output_pending_) {
+        return;
+    }
+    const bool buffered = !writing_.empty() || !output_.empty();
+    switch (output_monitor_.check(socket_, accepted_bytes_, buffered,
+                                  services_.limits().idle_timeout, now)) {
+        case output_monitor::finding::delivered:
+            output_pending_ = false;
+            return;
+        case output_monitor::finding::sending:
+            return;
+        case output_monitor::finding::stalled:
+            close(cut_cause::caller_stalled, "took no data for the idle time-out");
+            return;
+        case output_monitor::finding::unreachable:
+            close(cut_cause::caller_unreachable, "send: no reply from the caller's host");
+            return;
+    }
+}
+
 void caller_session::close_if_idle() {
     if (request_ == nullptr && !head_started_ && !response_complete_) {
         close(cut_cause::host_ended);
@@ -367,7 +392,7 @@
     cut.request_read = request_read_;
     cut.passed_on = request_ != nullptr && request_->passed_on();
     cut.answer_ready = response_complete_;
-    cut.accepted_bytes = accepted_bytes_;
+    cut.accepted_bytes = accepted_bytes_ - accepted_before_;
     cut.buffered_bytes = writing_.size() - written_ + output_.size();
     cut.unacknowledged_bytes = unacknowledged_bytes(socket_);
     cut.age_ms = to_milliseconds(services_.loop.now() - head_started_at_);
--- a/drivers/traffic/caller_session.hpp
+++ b/drivers/traffic/caller_session.hpp
@@ -12,6 +12,7 @@
 #include "core/time/clock.hpp"
 #include "drivers/traffic/caller_services.hpp"
 #include "drivers/traffic/cut_cause.hpp"
+#include "drivers/traffic/output_monitor.hpp"
 #include "servers/relay/response_sink.hpp"
 
 namespace fuchsiaquay {
@@ -33,7 +34,8 @@
     ~caller_session() override;
 
     void start();
-    /// Closes the connection when its idle time-out or header time-out has passed.
+    /// Closes the connection when its idle time-out or header time-out has passed, or when its
+    /// caller does not receive what is sent.
     void check_timeouts(instant now);
     /// Closes the connection unless a request is active.
     void close_if_idle();
@@ -75,6 +77,8 @@
     void on_written(const boost::system::error_code& error, std::size_t bytes);
     void on_flushed();
     void shut_down_output();
+    /// Closes the connection if its caller is unreachable or takes no data.
+    void check_output(instant now);
     bool answer_incomplete() const;
     void report_cut(cut_cause cause, const std::string& reason);
     void release_body_memory();
@@ -97,9 +101,13 @@
     std::size_t body_bytes_ = 0;
     std::string output_;
     std::string writing_;
-    /// Bytes of `writing_` that the kernel accepted, and of the whole response.
+    /// Bytes of `writing_` that the kernel accepted.
     std::size_t written_ = 0;
+    /// The same of the whole connection, now and at the start of the response.
     std::size_t accepted_bytes_ = 0;
+    std::size_t accepted_before_ = 0;
+    output_monitor output_monitor_;
+    bool output_pending_ = false;
     /// Set when the whole request was read.
     std::string request_id_;
     bool request_read_ = false;
--- a/tests/drivers/traffic/raw_client.hpp
+++ b/tests/drivers/traffic/raw_client.hpp
@@ -1,9 +1,14 @@
 #pragma once
 
+#include <linux/filter.h>
+#include <sys/socket.h>
+
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/write.hpp>
+#include <cerrno>
 #include <memory>
 #include <string>
+#include <system_error>
 
 #include "tests/drivers/traffic/loopback.hpp"
 
@@ -12,8 +17,13 @@
 /// TCP client that sends and receives raw bytes on the test's event loop.
 class raw_client {
 public:
-    raw_client(control_loop& loop, const network_address& server)
+    /// @param receive_buffer  size of the kernel's receive buffer; 0 keeps the system's default
+    raw_client(control_loop& loop, const network_address& server, int receive_buffer = 0)
         : loop_(loop), socket_(loop.context()) {
+        socket_.open(tcp::v4());
+        if (receive_buffer > 0) {
+            socket_.set_option(boost::asio::socket_base::receive_buffer_size(receive_buffer));
+        }
         socket_.connect({boost::asio::ip::make_address_v4(server.ip), server.port});
         read();
     }
@@ -37,6 +47,16 @@
         socket_.set_option(boost::asio::socket_base::linger(true, 0));
         socket_.close();
     }
+    /// From now on, the kernel drops every packet for this client: a host that has lost its
+    /// network.
+    void vanish() {
+        sock_filter drop_all{BPF_RET | BPF_K, 0, 0, 0};
+        const sock_fprog program{1, &drop_all};
+        if (setsockopt(socket_.native_handle(), SOL_SOCKET, SO_ATTACH_FILTER, &program,
+                       sizeof program) != 0) {
+            throw std::system_error(errno, std::generic_category(), "SO_ATTACH_FILTER");
+        }
+    }
     /// Bytes stay in the kernel's receive buffer, until it is full, or `resume_reading`.
     void stop_reading() {
         paused_ = true;
--- /dev/null
+++ b/tests/drivers/traffic/slow_caller_test.cpp
@@ -0,0 +1,89 @@
+#include <CppUTest/TestHarness.h>
+
+#include <memory>
+#include <string>
+
+#include "drivers/control/control_loop.hpp"
+#include "tests/drivers/traffic/caller_fixture.hpp"
+
+using namespace fuchsiaquay;
+using namespace fuchsiaquay::testing;
+
+namespace {
+
+constexpr int small_receive_buffer = 4'096;
+/// More than the buffers of the kernel and of the client hold together.
+constexpr std::size_t large_answer_bytes = 8'000'000;
+const char* const get_request = "GET / HTTP/1.1\r\nHost: h\r\nX-Attempt-Id: 42\r\n\r\n";
+
+}  // namespace
+
+TEST_GROUP_BASE(slow_caller, caller_fixture){void setup() override{caller_fixture::setup();
+client_ = std::make_unique<raw_client>(loop_, address_, small_receive_buffer);
+}
+
+bool received_bytes(std::size_t count) {
+    return run_until(loop_, [&] { return client_->received.size() >= count; });
+}
+void run_for(duration time) {
+    loop_.context().run_for(time);
+}
+}
+;
+
+// Guards against an answer that is cut because its caller read nothing for some seconds.
+TEST(slow_caller, caller_that_stops_reading_for_four_seconds_receives_the_whole_answer) {
+    client_->send(get_request);
+    CHECK_TRUE(requests_received(1));
+    client_->stop_reading();
+    handler_.sinks[0]->send(ok(), std::string(large_answer_bytes, 'x'));
+    run_for(std::chrono::milliseconds(4'000));
+    client_->resume_reading();
+    CHECK_TRUE(received_bytes(large_answer_bytes));
+    LONGS_EQUAL(0, log_.count("answer_cut"));
+}
+
+TEST(slow_caller, caller_that_vanishes_during_its_answer_is_noticed) {
+    client_->send(get_request);
+    CHECK_TRUE(requests_received(1));
+    handler_.sinks[0]->begin(ok(), "id: 1\n\n");
+    CHECK_TRUE(client_->expect("id: 1"));
+    client_->vanish();
+    handler_.sinks[0]->write("id: 2\n\n");
+    CHECK_TRUE(run_until(loop_, [&] { return handler_.ended == 1; }));
+    STRCMP_CONTAINS("answer_cut request=42 cause=caller_unreachable", log_.lines.back().c_str());
+}
+
+TEST(slow_caller, caller_that_vanishes_while_it_waits_is_noticed) {
+    client_->send(get_request);
+    CHECK_TRUE(requests_received(1));
+    client_->vanish();
+    CHECK_TRUE(run_until(loop_, [&] { return handler_.ended == 1; }));
+    STRCMP_CONTAINS("answer_cut request=42 cause=caller_unreachable", log_.lines.back().c_str());
+}
+
+TEST(slow_caller, caller_that_never_reads_its_answer_is_closed_after_the_idle_time_out) {
+    limits_.idle_timeout = std::chrono::milliseconds(1'000);
+    client_->send(get_request);
+    CHECK_TRUE(requests_received(1));
+    client_->stop_reading();
+    handler_.sinks[0]->send(ok(), std::string(large_answer_bytes, 'x'));
+    CHECK_TRUE(run_until(loop_, [&] { return handler_.ended == 1; }));
+    STRCMP_CONTAINS("answer_cut request=42 cause=caller_stalled", log_.lines.back().c_str());
+}
+
+// Guards against a stall that is counted from before the answer had anything to send.
+TEST(slow_caller, pause_of_a_stream_does_not_count_as_a_stall_of_its_caller) {
+    limits_.idle_timeout = std::chrono::milliseconds(1'500);
+    client_->send(get_request);
+    CHECK_TRUE(requests_received(1));
+    handler_.sinks[0]->begin(ok(), "id: 1\n\n");
+    run_for(std::chrono::milliseconds(2'200));
+    client_->stop_reading();
+    const std::size_t before = client_->received.size();
+    handler_.sinks[0]->write(std::string(3'000'000, 'x'));
+    run_for(std::chrono::milliseconds(800));
+    client_->resume_reading();
+    CHECK_TRUE(received_bytes(before + 3'000'000));
+    LONGS_EQUAL(0, log_.count("answer_cut"));
+}
