Node records: refuse numbers out of range

A record of a host with a port of 70000 was read as port 4464, with 1e300 as whatever the conversion gives, with 80.5 as 80; hosts then called an address that nobody wrote.

Cause: as_integer converts any number and the result was cut to 16 bits.

Before the fix: TEST(node_record, number_out_of_range_is_rejected) fails at node_record_test.cpp:35, nothing is thrown.

--- a/drivers/json/node_record.cpp
+++ b/drivers/json/node_record.cpp
@@ -2,12 +2,26 @@
 
 #include <cpprest/json.h>
 
+#include <limits>
+
 #include "core/error/operation_error.hpp"
+#include "drivers/json/field_reader.hpp"
 
 namespace fuchsiaquay {
 
 namespace json = web::json;
 
+namespace {
+
+constexpr std::size_t max_text_bytes = 256;
+
+std::uint16_t read_port(field_reader& fields, const char* name) {
+    return static_cast<std::uint16_t>(
+        fields.integer(name, 0, std::numeric_limits<std::uint16_t>::max()));
+}
+
+}  // namespace
+
 std::string print_node_record(const member_update& host) {
     json::value record = json::value::object();
     record["host"] = json::value::string(host.host.value());
@@ -21,17 +35,18 @@
 
 member_update parse_node_record(const std::string& text) {
     try {
-        const json::value record = json::value::parse(text);
+        field_reader fields(parse_object(text), "");
         member_update host;
-        host.host = host_id(record.at("host").as_string());
-        host.address = record.at("address").as_string();
-        host.peer_port = static_cast<std::uint16_t>(record.at("peer_port").as_integer());
-        host.http_port = static_cast<std::uint16_t>(record.at("http_port").as_integer());
-        host.data_centre = data_centre_id(record.at("data_centre").as_string());
-        host.incarnation = record.at("incarnation").as_number().to_uint64();
+        host.host = host_id(fields.text("host", max_text_bytes));
+        host.address = fields.text("address", max_text_bytes);
+        host.peer_port = read_port(fields, "peer_port");
+        host.http_port = read_port(fields, "http_port");
+        host.data_centre = data_centre_id(fields.text_or("data_centre", max_text_bytes, ""));
+        host.incarnation = static_cast<std::uint64_t>(
+            fields.integer("incarnation", 0, std::numeric_limits<std::int64_t>::max()));
         return host;
-    } catch (const json::json_exception& error) {
-        throw operation_error("read node record", "store", error.what());
+    } catch (const field_error& error) {
+        throw operation_error("read node record", "store", error.field() + ": " + error.what());
     }
 }
 
