JSON: one parser for texts read with cpprestsdk, one type of error

A caller, an operator or another writer of the store could end a host with one pair of escaped surrogates, \ud800\ud800: no answer to the requests that it had accepted.

Cause: json::value::parse throws std::range_error for such a pair, also the overload that returns an error code, and its callers caught json_exception or looked at the code. The exception left a task of pplx, which ends the process for it, or a handler of the control loop. Class: a library's exception of a type that is not caught.

Fix: parse_json turns every exception into a json_error; contracts, records of upstreams and of nodes, lists of operators, bodies of callers and operators, streams of engines and watch lines go through it.

--- a/drivers/admin/admin_json.cpp
+++ b/drivers/admin/admin_json.cpp
@@ -1,5 +1,7 @@
 #include "drivers/admin/admin_json.hpp"
 
+#include "drivers/json/json_parser.hpp"
+#include "drivers/json/json_text.hpp"
 #include "drivers/json/json_writer.hpp"
 
 namespace fuchsiaquay {
@@ -31,9 +33,11 @@
 }
 
 web::json::value parse_or_null(const std::string& text) {
-    std::error_code failure;
-    web::json::value value = web::json::value::parse(text, failure);
-    return failure ? web::json::value::null() : value;
+    try {
+        return parse_json(text);
+    } catch (const json_error&) {
+        return web::json::value::null();
+    }
 }
 
 }  // namespace fuchsiaquay
--- a/drivers/api/completion_body.cpp
+++ b/drivers/api/completion_body.cpp
@@ -6,6 +6,8 @@
 
 #include "drivers/api/api_limits.hpp"
 #include "drivers/api/bad_request.hpp"
+#include "drivers/json/json_parser.hpp"
+#include "drivers/json/json_text.hpp"
 
 namespace fuchsiaquay {
 
@@ -57,8 +59,8 @@
 json::value parse_object(const std::string& text) {
     json::value body;
     try {
-        body = json::value::parse(text);
-    } catch (const json::json_exception&) {
+        body = parse_json(text);
+    } catch (const json_error&) {
         throw bad_request(status_bad_request, "malformed_json", "the body is not JSON");
     }
     if (!body.is_object()) {
--- a/drivers/engine/stream_parser.cpp
+++ b/drivers/engine/stream_parser.cpp
@@ -6,6 +6,8 @@
 #include <utility>
 
 #include "core/error/operation_error.hpp"
+#include "drivers/json/json_parser.hpp"
+#include "drivers/json/json_text.hpp"
 
 namespace fuchsiaquay {
 
@@ -54,8 +56,8 @@
     }
     json::value message;
     try {
-        message = json::value::parse(data);
-    } catch (const json::json_exception& error) {
+        message = parse_json(data);
+    } catch (const json_error& error) {
         throw operation_error("read stream", stream_id_, error.what());
     }
     if (!message.has_string_field("id") || message.at("id").as_string() != stream_id_) {
--- a/drivers/json/field_reader.cpp
+++ b/drivers/json/field_reader.cpp
@@ -3,6 +3,9 @@
 #include <algorithm>
 #include <sstream>
 
+#include "drivers/json/json_parser.hpp"
+#include "drivers/json/json_text.hpp"
+
 namespace fuchsiaquay {
 namespace {
 
@@ -197,15 +200,15 @@
 }
 
 web::json::value parse_object(const std::string& json) {
-    std::error_code failure;
-    web::json::value value = web::json::value::parse(json, failure);
-    if (failure) {
-        throw field_error("", "the text is not JSON: " + failure.message());
-    }
-    if (!value.is_object()) {
-        refuse_type("", "an object", value);
+    try {
+        web::json::value value = parse_json(json);
+        if (!value.is_object()) {
+            refuse_type("", "an object", value);
+        }
+        return value;
+    } catch (const json_error& error) {
+        throw field_error("", error.what());
     }
-    return value;
 }
 
 }  // namespace fuchsiaquay
--- a/drivers/json/json_writer.cpp
+++ b/drivers/json/json_writer.cpp
@@ -4,6 +4,7 @@
 #include <cmath>
 #include <cstddef>
 
+#include "drivers/json/json_parser.hpp"
 #include "drivers/json/json_text.hpp"
 
 namespace fuchsiaquay {
@@ -106,13 +107,8 @@
 }
 
 std::string indent_json(const std::string& json) {
-    std::error_code failure;
     web::json::keep_object_element_order(true);
-    const web::json::value value = web::json::value::parse(json, failure);
-    if (failure) {
-        throw json_error("the text is not JSON: " + failure.message());
-    }
-    return write_json(value, json_layout::indented) + "\n";
+    return write_json(parse_json(json), json_layout::indented) + "\n";
 }
 
 std::string quote_json(const std::string& text) {
--- a/drivers/store/etcd_json.cpp
+++ b/drivers/store/etcd_json.cpp
@@ -4,6 +4,7 @@
 
 #include "core/error/operation_error.hpp"
 #include "drivers/crypto/base64.hpp"
+#include "drivers/json/json_parser.hpp"
 
 namespace fuchsiaquay {
 
@@ -141,7 +142,7 @@
 }
 
 std::vector<watch_event> parse_watch_line(const std::string& line) {
-    const json::value message = json::value::parse(line);
+    const json::value message = parse_json(line);
     if (!message.has_object_field("result")) {
         throw operation_error("watch", "store", "the stream reported an error");
     }
