Store of the gateway: an integer that cannot be read is a malformed answer

An answer to a lease request whose number is no integer ended the process: stoll throws invalid_argument or out_of_range, which nothing caught in the handlers of the control loop. Numbers beyond 64 bits were converted without a check.

Fix: integer_field reads integers of 64 bits only and throws operation_error; parse_lease and parse_keep_alive stand beside parse_range and turn a malformed answer into no lease, which the owner asks for again. Ruled out: ranges and transactions caught every exception before.

Before the fix (integer_field with stoll): TEST(etcd_json, integer_out_of_range_makes_an_answer_malformed) fails at etcd_json_test.cpp:26, "threw a different type".

--- a/drivers/store/etcd_json.cpp
+++ b/drivers/store/etcd_json.cpp
@@ -1,5 +1,6 @@
 #include "drivers/store/etcd_json.hpp"
 
+#include <charconv>
 #include <utility>
 
 #include "core/error/operation_error.hpp"
@@ -75,7 +76,16 @@
     }
     const json::value& field = object.at(name);
     if (field.is_string()) {
-        return std::stoll(field.as_string());
+        const std::string& text = field.as_string();
+        std::int64_t value = 0;
+        const auto parsed = std::from_chars(text.data(), text.data() + text.size(), value);
+        if (parsed.ec != std::errc() || parsed.ptr != text.data() + text.size()) {
+            throw operation_error("decode", "store", name + ": expected an integer of 64 bits");
+        }
+        return value;
+    }
+    if (field.is_number() && !field.as_number().is_int64()) {
+        throw operation_error("decode", "store", name + ": expected an integer of 64 bits");
     }
     return field.is_number() ? field.as_number().to_int64() : 0;
 }
@@ -141,6 +151,23 @@
     }
 }
 
+std::int64_t parse_lease(const json::value& response) {
+    try {
+        return integer_field(response, "ID");
+    } catch (const operation_error&) {
+        return 0;
+    }
+}
+
+bool parse_keep_alive(const json::value& response) {
+    try {
+        const bool wrapped = response.has_object_field("result");
+        return integer_field(wrapped ? response.at("result") : response, "TTL") > 0;
+    } catch (const operation_error&) {
+        return false;
+    }
+}
+
 std::vector<watch_event> parse_watch_line(const std::string& line) {
     const json::value message = parse_json(line);
     if (!message.has_object_field("result")) {
--- a/drivers/store/etcd_store.cpp
+++ b/drivers/store/etcd_store.cpp
@@ -248,7 +248,7 @@
     body["TTL"] = json::value::string(std::to_string(seconds));
     impl_->call(
         "/v3/lease/grant", body,
-        [done](const json::value& response) { done(integer_field(response, "ID")); },
+        [done](const json::value& response) { done(parse_lease(response)); },
         [done](const std::string&) { done(0); });
 }
 
@@ -257,10 +257,7 @@
     body["ID"] = json::value::string(std::to_string(lease));
     impl_->call(
         "/v3/lease/keepalive", body,
-        [done](const json::value& response) {
-            const bool wrapped = response.has_object_field("result");
-            done(integer_field(wrapped ? response.at("result") : response, "TTL") > 0);
-        },
+        [done](const json::value& response) { done(parse_keep_alive(response)); },
         [done](const std::string&) { done(false); });
 }
 
