Callers: the last answer of a connection is received whole

What callers saw: an answer with Connection: close, or a rejection (413, 431, 400, 503 without memory) sent while the body was still arriving, ended with a reset and without its tail.

Cause: the connection was closed 500 ms after the kernel had accepted the last byte, however much of it was still on the way, and whatever the caller went on sending. Input that arrives at a closed socket, or lies unread in it, makes Linux send a reset and drop the data that was not sent yet. Evidence, on the code before (slow_caller_test): :106 last_answer_is_received_whole_although_input_is_left_unread CHECK_TRUE(received_bytes(accepted_answer_bytes)) failed :118 rejection_is_received_although_the_body_is_still_being_sent CHECK_TRUE(client_->try_send(std::string(100'000, 'x'))) failed (write: Broken pipe) Ruled out: TCP_USER_TIMEOUT, which callers' connections no longer have.

The connection now lingers: after the end of the output it reads and discards until the caller closes. It closes by itself when everything was acknowledged and the caller sent nothing for 1 s, or went on sending for 10 s; while data is on the way, the limits for a slow caller apply. A connection that ends with an unacknowledged tail leaves `answer_cut`. rejected_caller_that_sends_on_and_on_is_ closed passed before and bounds the new behaviour.

The output part of caller_session moves to a file of its own.

--- a/drivers/traffic/caller_session.cpp
+++ b/drivers/traffic/caller_session.cpp
@@ -7,7 +7,6 @@
 #include "drivers/net/socket_state.hpp"
 #include "drivers/traffic/answer_cut.hpp"
 #include "drivers/traffic/body_budget.hpp"
-#include "drivers/traffic/response_text.hpp"
 #include "servers/decision_log.hpp"
 #include "servers/relay/active_request.hpp"
 #include "servers/relay/request_format.hpp"
@@ -25,10 +24,6 @@
 constexpr std::size_t read_size = 16'384;
 /// Bytes of pipelined requests that are buffered while a request is served.
 constexpr std::size_t max_pipelined_bytes = 65'536;
-/// Bytes of a response that are buffered for a slow caller.
-constexpr std::size_t max_output_bytes = 4'194'304;
-/// Time for the caller to read the last response before the connection is closed.
-constexpr duration close_delay = std::chrono::milliseconds(500);
 constexpr duration retry_after = std::chrono::seconds(1);
 
 constexpr int status_bad_request = 400;
@@ -63,6 +58,7 @@
     response_complete_ = false;
     request_id_.clear();
     request_read_ = false;
+    passed_on_ = false;
     accepted_before_ = accepted_bytes_;
     idle_since_ = services_.loop.now();
 }
@@ -89,6 +85,7 @@
         return;
     }
     if (closing_) {
+        last_discarded_at_ = services_.loop.now();
         read();
         return;
     }
@@ -212,121 +209,9 @@
     request_ = services_.handler.serve(std::move(request), *this);
 }
 
-void caller_session::append_head(const response_head& head, std::optional<std::size_t> body_bytes) {
-    keep_alive_ = keep_alive_ && !services_.stopping();
-    append_response_head(output_, head, keep_alive_, body_bytes);
-}
-
-void caller_session::send(const response_head& head, std::string body) {
-    append_head(head, body.size());
-    output_ += body;
-    complete_response();
-}
-
-void caller_session::begin(const response_head& head, std::string_view first) {
-    append_head(head, std::nullopt);
-    write(first);
-}
-
-void caller_session::write(std::string_view bytes) {
-    if (!bytes.empty()) {
-        append_chunk(output_, bytes);
-    }
-    if (output_.size() > max_output_bytes) {
-        reset_connection(cut_cause::output_limit);
-        return;
-    }
-    flush();
-}
-
-void caller_session::finish() {
-    output_ += last_chunk;
-    complete_response();
-}
-
-void caller_session::abort() {
-    reset_connection(cut_cause::answer_broken);
-}
-
-void caller_session::reset_connection(cut_cause cause) {
-    // A reset shows the caller that a partial response is not complete.
-    error_code ignored;
-    socket_.set_option(asio::socket_base::linger(true, 0), ignored);
-    services_.loop.post([self = shared_from_this(), cause] { self->close(cause); });
-}
-
-void caller_session::complete_response() {
-    response_complete_ = true;
-    flush();
-}
-
-void caller_session::flush() {
-    if (closed_ || !writing_.empty() || output_.empty()) {
-        return;
-    }
-    writing_.swap(output_);
-    written_ = 0;
-    if (!std::exchange(output_pending_, true)) {
-        output_monitor_.restart(services_.loop.now());
-    }
-    write_some();
-}
-
-void caller_session::write_some() {
-    socket_.async_write_some(
-        asio::buffer(writing_) + written_,
-        [self = shared_from_this()](const error_code& error, std::size_t bytes) {
-            self->on_written(error, bytes);
-        });
-}
-
-void caller_session::on_written(const error_code& error, std::size_t bytes) {
-    written_ += bytes;
-    accepted_bytes_ += bytes;
-    if (error) {
-        close(cut_cause::write_failed, "send: " + error.message());
-        return;
-    }
-    if (written_ < writing_.size()) {
-        write_some();
-        return;
-    }
-    writing_.clear();
-    written_ = 0;
-    on_flushed();
-}
-
-void caller_session::on_flushed() {
-    if (!output_.empty()) {
-        flush();
-        return;
-    }
-    if (!response_complete_ || closed_) {
-        return;
-    }
-    request_.reset();
-    release_body_memory();
-    if (!keep_alive_) {
-        shut_down_output();
-        return;
-    }
-    prepare_for_request();
-    parse();
-    read();
-}
-
-void caller_session::shut_down_output() {
-    closing_ = true;
-    input_.clear();
-    error_code ignored;
-    socket_.shutdown(asio::ip::tcp::socket::shutdown_send, ignored);
-    services_.loop.after(close_delay,
-                         [self = shared_from_this()] { self->close(cut_cause::caller_stalled); });
-    read();
-}
-
 void caller_session::check_timeouts(instant now) {
     check_output(now);
+    check_linger(now);
     if (closed_ || request_ != nullptr || response_complete_) {
         return;
     }
@@ -339,27 +224,6 @@
     }
 }
 
-void caller_session::check_output(instant now) {
-    if (closed_ || !output_pending_) {
-        return;
-    }
-    const bool buffered = !writing_.empty() || !output_.empty();
-    switch (output_monitor_.check(socket_, accepted_bytes_, buffered,
-                                  services_.limits().idle_timeout, now)) {
-        case output_monitor::finding::delivered:
-            output_pending_ = false;
-            return;
-        case output_monitor::finding::sending:
-            return;
-        case output_monitor::finding::stalled:
-            close(cut_cause::caller_stalled, "took no data for the idle time-out");
-            return;
-        case output_monitor::finding::unreachable:
-            close(cut_cause::caller_unreachable, "send: no reply from the caller's host");
-            return;
-    }
-}
-
 void caller_session::close_if_idle() {
     if (request_ == nullptr && !head_started_ && !response_complete_) {
         close(cut_cause::host_ended);
@@ -370,7 +234,7 @@
     if (std::exchange(closed_, true)) {
         return;
     }
-    if (answer_incomplete()) {
+    if (answer_incomplete(cause)) {
         report_cut(cause, reason);
     }
     request_.reset();
@@ -380,17 +244,22 @@
     on_end_(shared_from_this());
 }
 
-bool caller_session::answer_incomplete() const {
-    return head_started_ && !closing_;
+bool caller_session::answer_incomplete(cut_cause cause) {
+    if (!closing_) {
+        return head_started_;
+    }
+    // A caller that closes the connection has what it wants of the answer.
+    const bool caller_ended = cause == cut_cause::caller_closed || cause == cut_cause::caller_reset;
+    return !caller_ended && unacknowledged_bytes(socket_) > 0;
 }
 
 void caller_session::report_cut(cut_cause cause, const std::string& reason) {
     answer_cut cut;
-    cut.request = request_read_ ? request_id_ : read_head().id;
+    cut.request = request_read_ || closing_ ? request_id_ : read_head().id;
     cut.cause = cause;
     cut.reason = reason;
     cut.request_read = request_read_;
-    cut.passed_on = request_ != nullptr && request_->passed_on();
+    cut.passed_on = passed_on_ || (request_ != nullptr && request_->passed_on());
     cut.answer_ready = response_complete_;
     cut.accepted_bytes = accepted_bytes_ - accepted_before_;
     cut.buffered_bytes = writing_.size() - written_ + output_.size();
--- a/drivers/traffic/caller_session.hpp
+++ b/drivers/traffic/caller_session.hpp
@@ -76,10 +76,14 @@
     void write_some();
     void on_written(const boost::system::error_code& error, std::size_t bytes);
     void on_flushed();
+    /// Ends the output. The connection is closed when its caller has received everything and sends
+    /// no more: closing it earlier would send a reset, which destroys data on the way.
     void shut_down_output();
+    void check_linger(instant now);
     /// Closes the connection if its caller is unreachable or takes no data.
     void check_output(instant now);
-    bool answer_incomplete() const;
+    /// Whether a connection that ends for `cause` leaves its caller without a complete answer.
+    bool answer_incomplete(cut_cause cause);
     void report_cut(cut_cause cause, const std::string& reason);
     void release_body_memory();
 
@@ -93,7 +97,11 @@
     bool keep_alive_ = true;
     /// The response is complete; once it is written, the connection is reused or closed.
     bool response_complete_ = false;
+    /// The output has ended; input is discarded.
     bool closing_ = false;
+    /// When input was last discarded, and when everything was found to be delivered.
+    instant last_discarded_at_{};
+    std::optional<instant> delivered_at_;
     bool closed_ = false;
     instant idle_since_{};
     instant head_started_at_{};
@@ -111,6 +119,8 @@
     /// Set when the whole request was read.
     std::string request_id_;
     bool request_read_ = false;
+    /// Whether a request that was answered had been sent to an upstream.
+    bool passed_on_ = false;
     std::unique_ptr<active_request> request_;
 };
 
--- a/tests/drivers/traffic/raw_client.hpp
+++ b/tests/drivers/traffic/raw_client.hpp
@@ -29,6 +29,23 @@
     }
 
     void send(const std::string& bytes) { boost::asio::write(socket_, boost::asio::buffer(bytes)); }
+    /// Sends what the kernel accepts. Returns false if the connection is closed.
+    bool try_send(const std::string& bytes) {
+        boost::system::error_code error;
+        socket_.non_blocking(true);
+        socket_.write_some(boost::asio::buffer(bytes), error);
+        return !error || error == boost::asio::error::would_block;
+    }
+    /// Reads on the calling thread until `count` bytes were received or the connection ends.
+    void read_blocking(std::size_t count) {
+        char bytes[4096];
+        boost::system::error_code error;
+        socket_.non_blocking(false);
+        while (received.size() < count && !error) {
+            received.append(bytes, socket_.read_some(boost::asio::buffer(bytes), error));
+        }
+        end_error = error;
+    }
     /// Waits until the received bytes contain `text`.
     bool expect(const std::string& text) {
         return run_until(loop_, [&] { return received.find(text) != std::string::npos; });
--- a/tests/drivers/traffic/slow_caller_test.cpp
+++ b/tests/drivers/traffic/slow_caller_test.cpp
@@ -14,6 +14,8 @@
 constexpr int small_receive_buffer = 4'096;
 /// More than the buffers of the kernel and of the client hold together.
 constexpr std::size_t large_answer_bytes = 8'000'000;
+/// The kernel accepts this much at once, but the client's buffer does not hold it.
+constexpr std::size_t accepted_answer_bytes = 1'000'000;
 const char* const get_request = "GET / HTTP/1.1\r\nHost: h\r\nX-Attempt-Id: 42\r\n\r\n";
 
 }  // namespace
@@ -87,3 +89,48 @@
     CHECK_TRUE(received_bytes(before + 3'000'000));
     LONGS_EQUAL(0, log_.count("answer_cut"));
 }
+
+// Guards against a large last answer whose tail is lost because the connection closes 500 ms after
+// the kernel accepted it.
+TEST(slow_caller, last_answer_is_received_whole_although_input_is_left_unread) {
+    client_->send("GET / HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n");
+    CHECK_TRUE(requests_received(1));
+    client_->stop_reading();
+    handler_.sinks[0]->send(ok(), std::string(accepted_answer_bytes, 'x'));
+    run_for(std::chrono::milliseconds(300));
+    LONGS_EQUAL(1, handler_.ended);
+    run_for(std::chrono::milliseconds(1'200));
+    client_->send("GET /next HTTP/1.1\r\nHost: h\r\n\r\n");
+    client_->resume_reading();
+    CHECK_TRUE(received_bytes(accepted_answer_bytes));
+    CHECK_TRUE(client_->expect_close());
+    CHECK_TRUE(client_->end_error == boost::asio::error::eof);
+}
+
+// Guards against a rejection that its caller cannot read because it is still sending the body.
+TEST(slow_caller, rejection_is_received_although_the_body_is_still_being_sent) {
+    limits_.body_bytes = 10;
+    client_->send("POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 3000000\r\n\r\n");
+    client_->stop_reading();
+    for (int i = 0; i < 15; ++i) {
+        run_for(std::chrono::milliseconds(100));
+        CHECK_TRUE(client_->try_send(std::string(100'000, 'x')));
+    }
+    client_->resume_reading();
+    CHECK_TRUE(client_->expect("413"));
+    CHECK_TRUE(client_->expect_close());
+    CHECK_TRUE(client_->end_error == boost::asio::error::eof);
+}
+
+// Guards against connections that stay open because their caller never stops sending.
+TEST(slow_caller, rejected_caller_that_sends_on_and_on_is_closed) {
+    limits_.body_bytes = 10;
+    client_->send("POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 3000000000\r\n\r\n");
+    CHECK_TRUE(client_->expect("413"));
+    const instant began = loop_.now();
+    while (server_->connections() > 0 && loop_.now() - began < std::chrono::seconds(15)) {
+        (void)client_->try_send(std::string(1'000, 'x'));
+        run_for(std::chrono::milliseconds(50));
+    }
+    LONGS_EQUAL(0, server_->connections());
+}
