Callers: an idle close and the end of the process leave answers on the way alone

What callers saw: the tail of a complete answer on a kept connection was lost when the host closed idle connections during a planned stop, or when the process ended.

Cause: a connection counted as idle as soon as the kernel had accepted its answer. If bytes of the next request were in the receive buffer, close() sent a reset and dropped what the caller had not received. Such answers did not count as active either, so a stop did not wait for them. Evidence, on the code before (slow_caller_test): :150 answer_is_received_whole_although_idle_connections_are_closed CHECK_TRUE(received_bytes(accepted_answer_bytes)) failed :161 answer_on_the_way_counts_as_active_until_it_is_received expected <1>, but was <0> :178 answer_is_received_whole_although_the_process_ends CHECK_TRUE(client_->received.size() >= accepted_answer_bytes) failed

A connection is now idle only when the kernel has no unacknowledged output and no unread input; unread input is read and answered instead. Answers on the way count as active requests, within the limits for slow callers and the stop's own limit. After the loop has ended, the server waits up to 300 ms for answers that the kernel holds. Whatever is still cut then leaves `answer_cut`.

--- a/drivers/traffic/caller_server.cpp
+++ b/drivers/traffic/caller_server.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <boost/asio/ip/tcp.hpp>
 #include <set>
+#include <thread>
 #include <utility>
 #include <vector>
 
@@ -18,6 +19,9 @@
 namespace {
 
 constexpr duration accept_retry_delay = std::chrono::milliseconds(20);
+/// Time at the end of the process for callers to receive the last bytes of their answers.
+constexpr duration final_delivery_time = std::chrono::milliseconds(300);
+constexpr duration final_delivery_check_period = std::chrono::milliseconds(5);
 /// Period of the check for idle and slow connections.
 constexpr duration timeout_check_period = std::chrono::milliseconds(500);
 
@@ -37,6 +41,7 @@
         services_.loop.cancel(timer_);
         error_code ignored;
         acceptor_.close(ignored);
+        wait_for_delivery();
         for (const auto& session : std::vector<session_ptr>(sessions_.begin(), sessions_.end())) {
             session->close(cut_cause::host_ended);
         }
@@ -86,6 +91,16 @@
         session->start();
     }
 
+    /// Waits until callers have received the answers that the kernel holds. The loop has stopped.
+    void wait_for_delivery() {
+        const instant end = services_.loop.now() + final_delivery_time;
+        const auto delivering = [](const session_ptr& session) { return session->delivering(); };
+        while (std::any_of(sessions_.begin(), sessions_.end(), delivering) &&
+               services_.loop.now() < end) {
+            std::this_thread::sleep_for(final_delivery_check_period);
+        }
+    }
+
     void check_timeouts() {
         const instant now = services_.loop.now();
         for (const auto& session : std::vector<session_ptr>(sessions_.begin(), sessions_.end())) {
--- a/drivers/traffic/caller_server.hpp
+++ b/drivers/traffic/caller_server.hpp
@@ -17,9 +17,10 @@
     caller_server& operator=(const caller_server&) = delete;
     ~caller_server();
 
-    /// Closes connections that have no active request.
+    /// Closes connections that have no request and no answer on the way.
     void close_idle();
     std::size_t connections() const;
+    /// Requests that are being served and answers that callers have not received.
     std::size_t active_requests() const;
 
 private:
--- a/drivers/traffic/caller_session.cpp
+++ b/drivers/traffic/caller_session.cpp
@@ -56,9 +56,7 @@
     head_accepted_ = false;
     head_started_ = false;
     response_complete_ = false;
-    request_id_.clear();
     request_read_ = false;
-    passed_on_ = false;
     accepted_before_ = accepted_bytes_;
     idle_since_ = services_.loop.now();
 }
@@ -111,6 +109,7 @@
 void caller_session::parse() {
     if (!head_started_ && input_.size() > 0) {
         head_started_ = true;
+        passed_on_ = false;
         head_started_at_ = services_.loop.now();
     }
     while (input_.size() > 0 && !parser_->is_done()) {
@@ -218,25 +217,32 @@
     const caller_limits limits = services_.limits();
     const bool slow_head =
         head_started_ && !head_accepted_ && now - head_started_at_ > limits.header_timeout;
-    const bool idle = !head_started_ && now - idle_since_ > limits.idle_timeout;
-    if (slow_head || idle) {
+    const bool idle_too_long = now - idle_since_ > limits.idle_timeout && idle();
+    if (slow_head || idle_too_long) {
         close(cut_cause::header_timeout);
     }
 }
 
 void caller_session::close_if_idle() {
-    if (request_ == nullptr && !head_started_ && !response_complete_) {
+    if (idle()) {
         close(cut_cause::host_ended);
     }
 }
 
+bool caller_session::idle() {
+    // With unread input, closing the connection would send a reset and drop data on the way.
+    return request_ == nullptr && !head_started_ && !response_complete_ && !delivering() &&
+           unread_bytes(socket_) == 0;
+}
+
 void caller_session::close(cut_cause cause, const std::string& reason) {
-    if (std::exchange(closed_, true)) {
+    if (closed_) {
         return;
     }
     if (answer_incomplete(cause)) {
         report_cut(cause, reason);
     }
+    closed_ = true;
     request_.reset();
     release_body_memory();
     error_code ignored;
@@ -245,22 +251,22 @@
 }
 
 bool caller_session::answer_incomplete(cut_cause cause) {
-    if (!closing_) {
-        return head_started_;
+    if (head_started_ && !closing_) {
+        return true;
     }
     // A caller that closes the connection has what it wants of the answer.
     const bool caller_ended = cause == cut_cause::caller_closed || cause == cut_cause::caller_reset;
-    return !caller_ended && unacknowledged_bytes(socket_) > 0;
+    return !caller_ended && delivering();
 }
 
 void caller_session::report_cut(cut_cause cause, const std::string& reason) {
     answer_cut cut;
-    cut.request = request_read_ || closing_ ? request_id_ : read_head().id;
+    cut.request = head_started_ && !request_read_ && !closing_ ? read_head().id : request_id_;
     cut.cause = cause;
     cut.reason = reason;
-    cut.request_read = request_read_;
+    cut.request_read = request_read_ || !head_started_;
     cut.passed_on = passed_on_ || (request_ != nullptr && request_->passed_on());
-    cut.answer_ready = response_complete_;
+    cut.answer_ready = response_complete_ || !head_started_;
     cut.accepted_bytes = accepted_bytes_ - accepted_before_;
     cut.buffered_bytes = writing_.size() - written_ + output_.size();
     cut.unacknowledged_bytes = unacknowledged_bytes(socket_);
--- a/drivers/traffic/caller_session.hpp
+++ b/drivers/traffic/caller_session.hpp
@@ -37,12 +37,18 @@
     /// Closes the connection when its idle time-out or header time-out has passed, or when its
     /// caller does not receive what is sent.
     void check_timeouts(instant now);
-    /// Closes the connection unless a request is active.
+    /// Closes the connection unless a request is active, has begun to arrive, or its answer is on
+    /// the way.
     void close_if_idle();
     /// Closes the connection. Reports `cause` if a request on it has no complete answer.
     /// @param reason  error of the socket, or other details; may be empty
     void close(cut_cause cause, const std::string& reason = "");
-    bool serving() const noexcept { return request_ != nullptr; }
+    /// Whether a request is being served or an answer is on the way to the caller.
+    bool serving() {
+        return request_ != nullptr || (response_complete_ && !closing_) || delivering();
+    }
+    /// Whether the kernel holds parts of an answer that the caller has not received.
+    bool delivering();
 
     void send(const response_head& head, std::string body) override;
     void begin(const response_head& head, std::string_view first) override;
@@ -80,6 +86,7 @@
     /// no more: closing it earlier would send a reset, which destroys data on the way.
     void shut_down_output();
     void check_linger(instant now);
+    bool idle();
     /// Closes the connection if its caller is unreachable or takes no data.
     void check_output(instant now);
     /// Whether a connection that ends for `cause` leaves its caller without a complete answer.
--- a/drivers/traffic/caller_session_output.cpp
+++ b/drivers/traffic/caller_session_output.cpp
@@ -5,6 +5,7 @@
 #include <utility>
 
 #include "drivers/control/control_loop.hpp"
+#include "drivers/net/socket_state.hpp"
 #include "drivers/traffic/caller_session.hpp"
 #include "drivers/traffic/response_text.hpp"
 #include "servers/relay/active_request.hpp"
@@ -150,6 +151,10 @@
     }
 }
 
+bool caller_session::delivering() {
+    return !closed_ && output_pending_ && unacknowledged_bytes(socket_) > 0;
+}
+
 void caller_session::check_output(instant now) {
     if (closed_ || !output_pending_) {
         return;
--- a/tests/drivers/traffic/slow_caller_test.cpp
+++ b/tests/drivers/traffic/slow_caller_test.cpp
@@ -2,6 +2,7 @@
 
 #include <memory>
 #include <string>
+#include <thread>
 
 #include "drivers/control/control_loop.hpp"
 #include "tests/drivers/traffic/caller_fixture.hpp"
@@ -134,3 +135,45 @@
     }
     LONGS_EQUAL(0, server_->connections());
 }
+
+// Guards against an answer whose tail is lost when the host closes idle connections.
+TEST(slow_caller, answer_is_received_whole_although_idle_connections_are_closed) {
+    client_->send(get_request);
+    CHECK_TRUE(requests_received(1));
+    client_->stop_reading();
+    handler_.sinks[0]->send(ok(), std::string(accepted_answer_bytes, 'x'));
+    run_for(std::chrono::milliseconds(300));
+    LONGS_EQUAL(1, handler_.ended);
+    client_->send("GET /next HTTP/1.1\r\nHost: h\r\n\r\n");
+    server_->close_idle();
+    client_->resume_reading();
+    CHECK_TRUE(received_bytes(accepted_answer_bytes));
+}
+
+// Guards against a host that stops before its callers have received their answers.
+TEST(slow_caller, answer_on_the_way_counts_as_active_until_it_is_received) {
+    client_->send(get_request);
+    CHECK_TRUE(requests_received(1));
+    client_->stop_reading();
+    handler_.sinks[0]->send(ok(), std::string(accepted_answer_bytes, 'x'));
+    run_for(std::chrono::milliseconds(300));
+    LONGS_EQUAL(1, handler_.ended);
+    LONGS_EQUAL(1, server_->active_requests());
+    client_->resume_reading();
+    CHECK_TRUE(received_bytes(accepted_answer_bytes));
+    CHECK_TRUE(run_until(loop_, [&] { return server_->active_requests() == 0; }));
+}
+
+// Guards against an answer whose tail is lost when the process ends.
+TEST(slow_caller, answer_is_received_whole_although_the_process_ends) {
+    client_->send(get_request);
+    CHECK_TRUE(requests_received(1));
+    client_->stop_reading();
+    handler_.sinks[0]->send(ok(), std::string(accepted_answer_bytes, 'x'));
+    run_for(std::chrono::milliseconds(300));
+    client_->send("GET /next HTTP/1.1\r\nHost: h\r\n\r\n");
+    std::thread reader([&] { client_->read_blocking(accepted_answer_bytes); });
+    server_.reset();
+    reader.join();
+    CHECK_TRUE(client_->received.size() >= accepted_answer_bytes);
+}
