Callers: an exception of a handler closes the connection

What callers saw: nothing, for good. Seen in a test only: when serving a request throws, the session has no pending read or write any more and no time-out applies to a request whose head was read.

The handlers of the socket close the connection (cause handler_failed, with the error's text) and pass the exception on to the loop, which counts and logs it as before.

--- a/drivers/traffic/caller_session.cpp
+++ b/drivers/traffic/caller_session.cpp
@@ -70,7 +70,7 @@
         input_.prepare(read_size),
         [self = shared_from_this()](const error_code& error, std::size_t bytes) {
             self->reading_ = false;
-            self->on_read(error, bytes);
+            self->run_guarded([&] { self->on_read(error, bytes); });
         });
 }
 
--- a/drivers/traffic/caller_session.hpp
+++ b/drivers/traffic/caller_session.hpp
@@ -3,6 +3,7 @@
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http.hpp>
+#include <exception>
 #include <functional>
 #include <memory>
 #include <optional>
@@ -59,6 +60,17 @@
 private:
     using parser_type = boost::beast::http::request_parser<boost::beast::http::string_body>;
 
+    /// Runs a handler of the socket. An exception closes the connection, on which no operation may
+    /// be pending any more, and goes on to the loop.
+    template <typename handler>
+    void run_guarded(const handler& run) {
+        try {
+            run();
+        } catch (const std::exception& error) {
+            close(cut_cause::handler_failed, error.what());
+            throw;
+        }
+    }
     void prepare_for_request();
     void read();
     void on_read(const boost::system::error_code& error, std::size_t bytes);
--- a/drivers/traffic/caller_session_output.cpp
+++ b/drivers/traffic/caller_session_output.cpp
@@ -90,7 +90,7 @@
     socket_.async_write_some(
         asio::buffer(writing_) + written_,
         [self = shared_from_this()](const error_code& error, std::size_t bytes) {
-            self->on_written(error, bytes);
+            self->run_guarded([&] { self->on_written(error, bytes); });
         });
 }
 
--- a/tests/drivers/traffic/caller_fixture.hpp
+++ b/tests/drivers/traffic/caller_fixture.hpp
@@ -3,6 +3,7 @@
 #include <CppUTest/TestHarness.h>
 
 #include <memory>
+#include <stdexcept>
 #include <string>
 #include <utility>
 #include <vector>
@@ -40,6 +41,9 @@
     };
 
     std::unique_ptr<active_request> serve(caller_request request, response_sink& sink) override {
+        if (fails) {
+            throw std::runtime_error("serve: broken");
+        }
         requests.push_back(std::move(request));
         sinks.push_back(&sink);
         return std::make_unique<request_handle>(*this);
@@ -49,6 +53,8 @@
     std::vector<response_sink*> sinks;
     std::vector<std::string> lost_connections;
     int ended = 0;
+    /// Throw instead of serving.
+    bool fails = false;
 };
 
 inline response_head ok() {
--- a/tests/drivers/traffic/connection_end_test.cpp
+++ b/tests/drivers/traffic/connection_end_test.cpp
@@ -1,6 +1,7 @@
 #include <CppUTest/TestHarness.h>
 
 #include <functional>
+#include <stdexcept>
 #include <string>
 
 #include "drivers/control/control_loop.hpp"
@@ -135,3 +136,23 @@
     server_.reset();
     LONGS_EQUAL(0, log_.count("answer_cut"));
 }
+
+// Guards against a request that hangs for good after an exception of its handler.
+TEST(connection_end, exception_of_the_handler_closes_the_connection_and_is_logged) {
+    handler_.fails = true;
+    client_->send(get_request);
+    CHECK_THROWS(std::runtime_error, requests_received(1));
+    check_cut("answer_cut request=42 cause=handler_failed reason=serve: broken");
+    CHECK_TRUE(client_->expect_close());
+}
+
+// Guards against a pipelined request that hangs after an exception of its handler.
+TEST(connection_end, exception_for_a_pipelined_request_closes_the_connection_and_is_logged) {
+    client_->send(std::string(get_request) + "GET / HTTP/1.1\r\nX-Attempt-Id: 43\r\n\r\n");
+    CHECK_TRUE(requests_received(1));
+    handler_.fails = true;
+    handler_.sinks[0]->send(ok(), "answer");
+    CHECK_THROWS(std::runtime_error, requests_received(2));
+    check_cut("answer_cut request=43 cause=handler_failed reason=serve: broken");
+    CHECK_TRUE(client_->expect_close());
+}
