Callers: a request whose body stops arriving is refused

What callers saw: no answer, for good, if their request body stopped half way while the connection stayed open; the memory set aside for the body stayed reserved. No time-out applied once the head had been read.

Evidence, on the code before (connection_end_test:164): body_that_stops_arriving_is_refused_after_the_idle_time_out CHECK_TRUE(client_->expect("408")) failed

A body of which nothing arrives for the configured idle time-out is answered 408 (reason body_timeout). The request has not been passed on, so 408 is true.

--- a/drivers/traffic/caller_session.cpp
+++ b/drivers/traffic/caller_session.cpp
@@ -27,6 +27,7 @@
 constexpr duration retry_after = std::chrono::seconds(1);
 
 constexpr int status_bad_request = 400;
+constexpr int status_timeout = 408;
 constexpr int status_too_large = 413;
 constexpr int status_header_too_large = 431;
 constexpr int status_unavailable = 503;
@@ -83,11 +84,12 @@
         return;
     }
     if (closing_) {
-        last_discarded_at_ = services_.loop.now();
+        last_input_at_ = services_.loop.now();
         read();
         return;
     }
     input_.commit(bytes);
+    last_input_at_ = services_.loop.now();
     if (request_ == nullptr && !response_complete_) {
         parse();
     }
@@ -220,6 +222,8 @@
     const bool idle_too_long = now - idle_since_ > limits.idle_timeout && idle();
     if (slow_head || idle_too_long) {
         close(cut_cause::header_timeout);
+    } else if (head_accepted_ && now - last_input_at_ > limits.idle_timeout) {
+        reject(status_timeout, "body_timeout");
     }
 }
 
--- a/drivers/traffic/caller_session.hpp
+++ b/drivers/traffic/caller_session.hpp
@@ -35,8 +35,8 @@
     ~caller_session() override;
 
     void start();
-    /// Closes the connection when its idle time-out or header time-out has passed, or when its
-    /// caller does not receive what is sent.
+    /// Ends the connection when its idle time-out or header time-out has passed, when a body stops
+    /// arriving for the idle time-out, or when its caller does not receive what is sent.
     void check_timeouts(instant now);
     /// Closes the connection unless a request is active, has begun to arrive, or its answer is on
     /// the way.
@@ -118,8 +118,8 @@
     bool response_complete_ = false;
     /// The output has ended; input is discarded.
     bool closing_ = false;
-    /// When input was last discarded, and when everything was found to be delivered.
-    instant last_discarded_at_{};
+    instant last_input_at_{};
+    /// When everything was found to be delivered after the end of the output.
     std::optional<instant> delivered_at_;
     bool closed_ = false;
     instant idle_since_{};
--- a/drivers/traffic/caller_session_output.cpp
+++ b/drivers/traffic/caller_session_output.cpp
@@ -145,7 +145,7 @@
         return;
     }
     delivered_at_ = delivered_at_.value_or(now);
-    const bool quiet = now - std::max(*delivered_at_, last_discarded_at_) >= linger_quiet;
+    const bool quiet = now - std::max(*delivered_at_, last_input_at_) >= linger_quiet;
     if (quiet || now - *delivered_at_ >= max_linger) {
         close(cut_cause::host_ended);
     }
--- a/tests/drivers/traffic/connection_end_test.cpp
+++ b/tests/drivers/traffic/connection_end_test.cpp
@@ -156,3 +156,13 @@
     check_cut("answer_cut request=43 cause=handler_failed reason=serve: broken");
     CHECK_TRUE(client_->expect_close());
 }
+
+// Guards against a request that hangs for good because its body stops arriving.
+TEST(connection_end, body_that_stops_arriving_is_refused_after_the_idle_time_out) {
+    limits_.idle_timeout = std::chrono::milliseconds(500);
+    client_->send("POST / HTTP/1.1\r\nHost: h\r\nX-Attempt-Id: 42\r\nContent-Length: 9\r\n\r\nhe");
+    CHECK_TRUE(client_->expect("408"));
+    CHECK_TRUE(client_->expect_close());
+    LONGS_EQUAL(0, bodies_.used());
+    LONGS_EQUAL(1, log_.count("request_rejected request=42 status=408 reason=body_timeout"));
+}
