--- a/drivers/traffic/caller_session.cpp
+++ b/drivers/traffic/caller_session.cpp
@@ -7,7 +7,6 @@
 #include "drivers/net/socket_state.hpp"
 #include "drivers/traffic/answer_cut.hpp"
 #include "drivers/traffic/body_budget.hpp"
-#include "drivers/traffic/response_text.hpp"
 #include "servers/decision_log.hpp"
 #include "servers/relay/active_request.hpp"
 #include "servers/relay/request_format.hpp"
@@ -25,13 +24,10 @@
 constexpr std::size_t read_size = 16'384;
 /// Bytes of pipelined requests that are buffered while a request is served.
 constexpr std::size_t max_pipelined_bytes = 65'536;
-/// Bytes of a response that are buffered for a slow caller.
-constexpr std::size_t max_output_bytes = 4'194'304;
-/// Time for the caller to read the last response before the connection is closed.
-constexpr duration close_delay = std::chrono::milliseconds(500);
 constexpr duration retry_after = std::chrono::seconds(1);
 
 constexpr int status_bad_request = 400;
+constexpr int status_timeout = 408;
 constexpr int status_too_large = 413;
 constexpr int status_header_too_large = 431;
 constexpr int status_unavailable = 503;
@@ -61,7 +57,6 @@
     head_accepted_ = false;
     head_started_ = false;
     response_complete_ = false;
-    request_id_.clear();
     request_read_ = false;
     accepted_before_ = accepted_bytes_;
     idle_since_ = services_.loop.now();
@@ -76,7 +71,7 @@
         input_.prepare(read_size),
         [self = shared_from_this()](const error_code& error, std::size_t bytes) {
             self->reading_ = false;
-            self->on_read(error, bytes);
+            self->run_guarded([&] { self->on_read(error, bytes); });
         });
 }
 
@@ -89,10 +84,12 @@
         return;
     }
     if (closing_) {
+        last_input_at_ = services_.loop.now();
         read();
         return;
     }
     input_.commit(bytes);
+    last_input_at_ = services_.loop.now();
     if (request_ == nullptr && !response_complete_) {
         parse();
     }
@@ -114,6 +111,7 @@
 void caller_session::parse() {
     if (!head_started_ && input_.size() > 0) {
         head_started_ = true;
+        passed_on_ = false;
         head_started_at_ = services_.loop.now();
     }
     while (input_.size() > 0 && !parser_->is_done()) {
@@ -212,167 +210,43 @@
     request_ = services_.handler.serve(std::move(request), *this);
 }
 
-void caller_session::append_head(const response_head& head, std::optional<std::size_t> body_bytes) {
-    keep_alive_ = keep_alive_ && !services_.stopping();
-    append_response_head(output_, head, keep_alive_, body_bytes);
-}
-
-void caller_session::send(const response_head& head, std::string body) {
-    append_head(head, body.size());
-    output_ += body;
-    complete_response();
-}
-
-void caller_session::begin(const response_head& head, std::string_view first) {
-    append_head(head, std::nullopt);
-    write(first);
-}
-
-void caller_session::write(std::string_view bytes) {
-    if (!bytes.empty()) {
-        append_chunk(output_, bytes);
-    }
-    if (output_.size() > max_output_bytes) {
-        reset_connection(cut_cause::output_limit);
-        return;
-    }
-    flush();
-}
-
-void caller_session::finish() {
-    output_ += last_chunk;
-    complete_response();
-}
-
-void caller_session::abort() {
-    reset_connection(cut_cause::answer_broken);
-}
-
-void caller_session::reset_connection(cut_cause cause) {
-    // A reset shows the caller that a partial response is not complete.
-    error_code ignored;
-    socket_.set_option(asio::socket_base::linger(true, 0), ignored);
-    services_.loop.post([self = shared_from_this(), cause] { self->close(cause); });
-}
-
-void caller_session::complete_response() {
-    response_complete_ = true;
-    flush();
-}
-
-void caller_session::flush() {
-    if (closed_ || !writing_.empty() || output_.empty()) {
-        return;
-    }
-    writing_.swap(output_);
-    written_ = 0;
-    if (!std::exchange(output_pending_, true)) {
-        output_monitor_.restart(services_.loop.now());
-    }
-    write_some();
-}
-
-void caller_session::write_some() {
-    socket_.async_write_some(
-        asio::buffer(writing_) + written_,
-        [self = shared_from_this()](const error_code& error, std::size_t bytes) {
-            self->on_written(error, bytes);
-        });
-}
-
-void caller_session::on_written(const error_code& error, std::size_t bytes) {
-    written_ += bytes;
-    accepted_bytes_ += bytes;
-    if (error) {
-        close(cut_cause::write_failed, "send: " + error.message());
-        return;
-    }
-    if (written_ < writing_.size()) {
-        write_some();
-        return;
-    }
-    writing_.clear();
-    written_ = 0;
-    on_flushed();
-}
-
-void caller_session::on_flushed() {
-    if (!output_.empty()) {
-        flush();
-        return;
-    }
-    if (!response_complete_ || closed_) {
-        return;
-    }
-    request_.reset();
-    release_body_memory();
-    if (!keep_alive_) {
-        shut_down_output();
-        return;
-    }
-    prepare_for_request();
-    parse();
-    read();
-}
-
-void caller_session::shut_down_output() {
-    closing_ = true;
-    input_.clear();
-    error_code ignored;
-    socket_.shutdown(asio::ip::tcp::socket::shutdown_send, ignored);
-    services_.loop.after(close_delay,
-                         [self = shared_from_this()] { self->close(cut_cause::caller_stalled); });
-    read();
-}
-
 void caller_session::check_timeouts(instant now) {
     check_output(now);
+    check_linger(now);
     if (closed_ || request_ != nullptr || response_complete_) {
         return;
     }
     const caller_limits limits = services_.limits();
     const bool slow_head =
         head_started_ && !head_accepted_ && now - head_started_at_ > limits.header_timeout;
-    const bool idle = !head_started_ && now - idle_since_ > limits.idle_timeout;
-    if (slow_head || idle) {
+    const bool idle_too_long = now - idle_since_ > limits.idle_timeout && idle();
+    if (slow_head || idle_too_long) {
         close(cut_cause::header_timeout);
-    }
-}
-
-void caller_session::check_output(instant now) {
-    if (closed_ || !output_pending_) {
-        return;
-    }
-    const bool buffered = !writing_.empty() || !output_.empty();
-    switch (output_monitor_.check(socket_, accepted_bytes_, buffered,
-                                  services_.limits().idle_timeout, now)) {
-        case output_monitor::finding::delivered:
-            output_pending_ = false;
-            return;
-        case output_monitor::finding::sending:
-            return;
-        case output_monitor::finding::stalled:
-            close(cut_cause::caller_stalled, "took no data for the idle time-out");
-            return;
-        case output_monitor::finding::unreachable:
-            close(cut_cause::caller_unreachable, "send: no reply from the caller's host");
-            return;
+    } else if (head_accepted_ && now - last_input_at_ > limits.idle_timeout) {
+        reject(status_timeout, "body_timeout");
     }
 }
 
 void caller_session::close_if_idle() {
-    if (request_ == nullptr && !head_started_ && !response_complete_) {
+    if (idle()) {
         close(cut_cause::host_ended);
     }
 }
 
+bool caller_session::idle() {
+    // With unread input, closing the connection would send a reset and drop data on the way.
+    return request_ == nullptr && !head_started_ && !response_complete_ && !delivering() &&
+           unread_bytes(socket_) == 0;
+}
+
 void caller_session::close(cut_cause cause, const std::string& reason) {
-    if (std::exchange(closed_, true)) {
+    if (closed_) {
         return;
     }
-    if (busy()) {
+    if (answer_incomplete(cause)) {
         report_cut(cause, reason);
     }
+    closed_ = true;
     request_.reset();
     release_body_memory();
     error_code ignored;
@@ -380,14 +254,23 @@
     on_end_(shared_from_this());
 }
 
+bool caller_session::answer_incomplete(cut_cause cause) {
+    if (head_started_ && !closing_) {
+        return true;
+    }
+    // A caller that closes the connection has what it wants of the answer.
+    const bool caller_ended = cause == cut_cause::caller_closed || cause == cut_cause::caller_reset;
+    return !caller_ended && delivering();
+}
+
 void caller_session::report_cut(cut_cause cause, const std::string& reason) {
     answer_cut cut;
-    cut.request = request_read_ ? request_id_ : read_head().id;
+    cut.request = head_started_ && !request_read_ && !closing_ ? read_head().id : request_id_;
     cut.cause = cause;
     cut.reason = reason;
-    cut.request_read = request_read_;
-    cut.passed_on = request_ != nullptr && request_->passed_on();
-    cut.answer_ready = response_complete_;
+    cut.request_read = request_read_ || !head_started_;
+    cut.passed_on = passed_on_ || (request_ != nullptr && request_->passed_on());
+    cut.answer_ready = response_complete_ || !head_started_;
     cut.accepted_bytes = accepted_bytes_ - accepted_before_;
     cut.buffered_bytes = writing_.size() - written_ + output_.size();
     cut.unacknowledged_bytes = unacknowledged_bytes(socket_);
--- a/drivers/traffic/caller_session.hpp
+++ b/drivers/traffic/caller_session.hpp
@@ -3,6 +3,7 @@
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http.hpp>
+#include <exception>
 #include <functional>
 #include <memory>
 #include <optional>
@@ -34,16 +35,19 @@
     ~caller_session() override;
 
     void start();
-    /// Closes the connection when its idle time-out or header time-out has passed, or when its
-    /// caller does not receive what is sent.
+    /// Ends the connection when its idle time-out or header time-out has passed, when a body stops
+    /// arriving for the idle time-out, or when its caller does not receive what is sent.
     void check_timeouts(instant now);
-    /// Closes the connection unless a request is active.
+    /// Closes the connection unless a request is active, has begun to arrive, or its answer is on
+    /// the way.
     void close_if_idle();
     /// Closes the connection. Reports `cause` if a request on it has no complete answer.
     /// @param reason  error of the socket, or other details; may be empty
     void close(cut_cause cause, const std::string& reason = "");
-    /// Whether a request is being received or served, or its response is not sent completely.
-    bool busy() const noexcept { return head_started_ && !closing_; }
+    /// Whether a request is being received or served, or an answer is on the way to the caller.
+    bool busy() { return (head_started_ && !closing_) || delivering(); }
+    /// Whether the kernel holds parts of an answer that the caller has not received.
+    bool delivering();
 
     void send(const response_head& head, std::string body) override;
     void begin(const response_head& head, std::string_view first) override;
@@ -54,6 +58,17 @@
 private:
     using parser_type = boost::beast::http::request_parser<boost::beast::http::string_body>;
 
+    /// Runs a handler of the socket. An exception closes the connection, on which no operation may
+    /// be pending any more, and goes on to the loop.
+    template <typename handler>
+    void run_guarded(const handler& run) {
+        try {
+            run();
+        } catch (const std::exception& error) {
+            close(cut_cause::handler_failed, error.what());
+            throw;
+        }
+    }
     void prepare_for_request();
     void read();
     void on_read(const boost::system::error_code& error, std::size_t bytes);
@@ -77,9 +92,15 @@
     void write_some();
     void on_written(const boost::system::error_code& error, std::size_t bytes);
     void on_flushed();
+    /// Ends the output. The connection is closed when its caller has received everything and sends
+    /// no more: closing it earlier would send a reset, which destroys data on the way.
     void shut_down_output();
+    void check_linger(instant now);
+    bool idle();
     /// Closes the connection if its caller is unreachable or takes no data.
     void check_output(instant now);
+    /// Whether a connection that ends for `cause` leaves its caller without a complete answer.
+    bool answer_incomplete(cut_cause cause);
     void report_cut(cut_cause cause, const std::string& reason);
     void release_body_memory();
 
@@ -93,7 +114,11 @@
     bool keep_alive_ = true;
     /// The response is complete; once it is written, the connection is reused or closed.
     bool response_complete_ = false;
+    /// The output has ended; input is discarded.
     bool closing_ = false;
+    instant last_input_at_{};
+    /// When everything was found to be delivered after the end of the output.
+    std::optional<instant> delivered_at_;
     bool closed_ = false;
     instant idle_since_{};
     instant head_started_at_{};
@@ -111,6 +136,8 @@
     /// Set when the whole request was read.
     std::string request_id_;
     bool request_read_ = false;
+    /// Whether a request that was answered had been sent to an upstream.
+    bool passed_on_ = false;
     std::unique_ptr<active_request> request_;
 };
 
