--- a/servers/relay/request_relay.hpp
+++ b/servers/relay/request_relay.hpp
@@ -2,10 +2,10 @@
 
 #include <cstdint>
 #include <memory>
-#include <set>
 #include <string>
 
 #include "core/placement/placement_decision.hpp"
+#include "core/relay/attempt_history.hpp"
 #include "core/relay/attempt_outcome.hpp"
 #include "core/relay/caller_request.hpp"
 #include "core/relay/event_splitter.hpp"
@@ -80,11 +80,8 @@
     /// Whether another upstream could take the request now.
     bool another_upstream_available() const;
     bool declined_by_all() const;
-    /// Upstreams that must not be chosen for the next attempt.
-    /// @param failed  upstream of an attempt that failed; empty for none
-    std::set<std::string> excluded_upstreams(const std::string& failed) const;
-    /// Records which upstreams received and which declined the request.
-    void record_attempt(attempt_outcome outcome);
+    /// Records that the request may have run if an attempt has sent it.
+    void note_execution();
     void apply_next_step(next_step step, const std::string& reason);
     void time_out();
     /// Cancels all attempts and stops waiting.
@@ -112,6 +109,9 @@
     /// Profile of the service's model engines; null for plain services.
     const engine_profile* find_engine_profile() const;
 
+    /// Minimum time before the deadline to start another attempt.
+    static constexpr duration min_attempt_time = std::chrono::milliseconds(30);
+
     const relay_services& services_;
     const upstream_chooser& chooser_;
     relay_queue& queue_;
@@ -132,19 +132,7 @@
     bool waiting_ = false;
     bool done_ = false;
 
-    /// Number of attempts that an upstream may have executed, and of all attempts.
-    int executed_attempts_ = 0;
-    int attempts_ = 0;
-    bool may_have_run_ = false;
-    /// Upstream, or engine at fault, of the last attempt that failed.
-    std::string failed_upstream_;
-    /// Upstreams that declined the request. They are not asked again, because a second refusal
-    /// could be a repetition of the first one, which has the same id.
-    std::set<std::string> declined_by_;
-    /// Upstreams that the request was sent to in attempts that have ended.
-    std::set<std::string> sent_to_;
-    /// Engine that caused the last attempt to fail; empty if it was `upstream_`.
-    std::string at_fault_;
+    attempt_history history_;
     std::unique_ptr<upstream_attempt> attempt_;
     /// Attempt at an upstream that fell silent, while another upstream is tried.
     std::unique_ptr<standby_attempt> standby_;
