--- a/tests/soak/planned.py
+++ b/tests/soak/planned.py
@@ -13,6 +13,25 @@
 CACHE_S = 2.0             # most callers avoid a host this long after its SIGTERM
 LEAVE_S = (2.5, 6.0)      # an upstream ends so long after its entry has gone, once it is idle
 
+# Numbers of callers, shares of requests, and lengths in seconds.
+MIX = {"callers": 21, "season_callers": 3, "gaps": (0.03, 0.15, 0.3), "target": 1.0,
+       "pause": 0.3, "engine_pause": 0.1, "pauses": (0.5, 1.9), "gateway_timeout": 0.02,
+       "slow_upload": 0.05, "upload_pauses": (0.5, 3.5), "large_body": 0.15, "late_body": 0.1,
+       "slow_reader": 0.08, "reader_pauses": (0.5, 4.5), "large_prompt": 0.08, "stop": 0.5,
+       "freeze": 0.02, "slots": 16}
+ONE_RISK = {"pause": 0, "engine_pause": 0, "slow_reader": 0, "freeze": 0, "large_prompt": 0,
+            "season_callers": 0, "callers": 21, "stop": 0.4}
+# What a run of each name changes: one risk at a time, or all together.
+SERIES = {
+    "all": {},
+    "engine_pauses": {**ONE_RISK, "pause": 0.6, "pauses": (1.2, 1.9), "gaps": (0.15, 0.3)},
+    "group_pauses": {**ONE_RISK, "callers": 3, "season_callers": 3, "target": 2.0, "gaps": (0.3,),
+                     "engine_pause": 0.8, "pauses": (1.7, 1.9)},
+    "slow_callers": {**ONE_RISK, "slow_reader": 0.5},
+    "waiting_prompts": {**ONE_RISK, "callers": 56, "target": 7.0, "gaps": (0.3,), "slots": 3,
+                        "stop": 0.9},
+}
+
 
 class PlannedNode(Node):
     """Reached directly: a proxy would hide what the kernel does with unread data."""
@@ -103,22 +122,14 @@
 
 class PlannedWorld(World):
     node_type, upstream_type = PlannedNode, PlannedUpstream
-    # Numbers of callers, shares of requests, and lengths in seconds.
-    mix = {"callers": 21, "season_callers": 3, "gaps": (0.03, 0.15, 0.3), "target": 1.0,
-           "pause": 0.3, "engine_pause": 0.1, "pauses": (0.5, 1.9), "gateway_timeout": 0.02,
-           "slow_upload": 0.05, "upload_pauses": (0.5, 3.5), "large_body": 0.15, "late_body": 0.1,
-           "slow_reader": 0.08, "reader_pauses": (0.5, 4.5), "large_prompt": 0.08, "freeze": 0.02}
 
     def __init__(self, options, folder):
         super().__init__(options, folder)
-        self.mix = dict(PlannedWorld.mix)
-        for pair in filter(None, (options.mix or "").split(",")):
-            name, value = pair.split("=")
-            self.mix[name] = tuple(map(float, value.split("/"))) if "/" in value else float(value)
+        self.mix = {**MIX, **SERIES[options.planned]}
         self.padding = {}
 
-    def configure(self, target_s=0.25):
-        super().configure(self.mix["target"])
+    def configure(self, target_s=0.25, slots=16):
+        super().configure(self.mix["target"], self.mix["slots"])
 
     def event(self, request, number):
         padding = "x" * self.padding.get(request, 0)
@@ -203,8 +214,9 @@
         rng = seeded(self.options.seed, f"planned {index}")
         end = time.monotonic() + seconds
         while time.monotonic() < end:
-            kind = rng.choice([self.stop, self.stop, self.stop, self.reload, self.change_series,
-                               self.leave])
+            kind = rng.choice([self.reload, self.reload, self.change_series, self.leave])
+            if rng.random() < self.mix["stop"]:
+                kind = self.stop
             if rng.random() < self.mix["freeze"]:
                 kind = self.freeze
             if rng.random() < self.mix["engine_pause"]:
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -177,7 +177,7 @@
         await asyncio.gather(*callers)
         await self.finish()
 
-    def configure(self, target_s=0.25):
+    def configure(self, target_s=0.25, slots=16):
         self.losses.configurations.append(time.monotonic())
 
         def route(prefix, kind, attempts, service):
@@ -185,7 +185,7 @@
                     "timeout_ms": int(TIMEOUT_S[prefix] * 1000), "target_latency_ms": int(target_s * 1000),
                     "priority": 0, "max_attempts": attempts, "service": service,
                     "resume_streams": True, "target_gap_ms": 200}
-        engine = {"slots": 16, "kv_capacity_tokens": 450000, "stride": 30, "step_ms": 1.0,
+        engine = {"slots": slots, "kv_capacity_tokens": 450000, "stride": 30, "step_ms": 1.0,
                   "read_per_s": 256000.0, "pairs_per_m": 0.0917, "chunk": 2048}
         self.store.put("op/config", json.dumps({
             "version": self.version,
@@ -377,8 +377,9 @@
             held = [i for i, end in upstream.reserved.items() if end > now]
             if held:
                 self.finding(f"{upstream.name} still holds {held}")
-        for node in self.nodes:
-            if not await node.end(signal.SIGTERM, 9.0):
+        ended = await asyncio.gather(*(node.end(signal.SIGTERM, 9.0) for node in self.nodes))
+        for node, in_time in zip(self.nodes, ended):
+            if not in_time:
                 self.finding(f"{node.name} was still there 9 s after SIGTERM")
         self.judge_losses()
 
@@ -415,9 +416,8 @@
     parser.add_argument("--seconds", type=float, default=20.0)
     parser.add_argument("--nodes", type=int, default=3)
     parser.add_argument("--keep", help="folder for the logs; a temporary one by default")
-    parser.add_argument("--planned", action="store_true",
-                        help="only planned work, with engines that pause: see planned.py")
-    parser.add_argument("--mix", help="changes of planned.py's mix: NAME=VALUE,...")
+    parser.add_argument("--planned", metavar="SERIES",
+                        help="only planned work: the name of a series of planned.py, such as `all`")
     options = parser.parse_args()
     options.binaries = [os.path.abspath(path) for path in (options.binary, options.previous) if path]
     folder = options.keep or tempfile.mkdtemp(prefix="soak-")
