Sanitizers: run the tests of platform/ too

They hold the readers of other writers' texts, whose faults (reads beyond a value, undefined conversions) show there first.

--- a/scripts/sanitize.sh
+++ b/scripts/sanitize.sh
@@ -5,6 +5,7 @@
 cd "$(dirname "$0")/.."
 preset=${1:-asan}
 cmake --preset "$preset" >/dev/null
-cmake --build "build-$preset" --target core_test servers_test frames_test json_test journal_codec_test
+cmake --build "build-$preset" --target core_test servers_test frames_test json_test journal_codec_test \
+  platform_test
 ctest --test-dir "build-$preset" --output-on-failure -j 4 \
-  -R '^(core_test|servers_test|frames_test|json_test|journal_codec_test)$' --timeout 300
+  -R '^(core_test|servers_test|frames_test|json_test|journal_codec_test|platform_test)$' --timeout 300
