--- a/main/entry_node.cpp
+++ b/main/entry_node.cpp
@@ -244,6 +244,7 @@
                                                          catalogue_store_.failure_count())},
         {"hosts_live", static_cast<double>(hosts_.live_peers().size() + 1)},
         {"handler_errors_total", static_cast<double>(handler_errors_)},
+        {"log_lines_dropped_total", static_cast<double>(log_.lines_dropped())},
         {"serving", serving_role_.serving() ? 1.0 : 0.0},
         {"upstreams", static_cast<double>(upstreams_.size())},
         {"configuration_version",
--- a/servers/decision_log.hpp
+++ b/servers/decision_log.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <cstdint>
 #include <initializer_list>
 #include <string>
 #include <string_view>
@@ -24,6 +25,8 @@
     /// Writes one line: `event=<event>` and the fields in order. Thread-safe.
     virtual void write(level severity, std::string_view event,
                        std::initializer_list<field> fields) = 0;
+    /// Number of lines that could not be written. Thread-safe.
+    virtual std::uint64_t lines_dropped() const { return 0; }
 };
 
 }  // namespace fuchsiaquay
