--- a/tests/servers/relay/memory_reservation_test.cpp
+++ b/tests/servers/relay/memory_reservation_test.cpp
@@ -69,6 +69,20 @@
     CHECK_FALSE(expired_);
 }
 
+// Guards against streams of several engines that end because one of them paused, for a time after
+// which it goes on.
+TEST(memory_reservation, engine_that_pauses_keeps_its_reservation) {
+    for (int offset_ms = 0; offset_ms < 2'000; offset_ms += 50) {
+        const auto reservation = reserve();
+        timers_.advance(milliseconds(1'000 + offset_ms));
+        memory_client_.silent = true;
+        timers_.advance(milliseconds(1'900));
+        memory_client_.silent = false;
+        timers_.advance(milliseconds(1'000));
+        CHECK_FALSE(expired_);
+    }
+}
+
 TEST(memory_reservation, unresponsive_engine_fails_the_reservation_after_a_timeout) {
     memory_client_.silent = true;
     auto reservation = reserve();
