Soak: receive buffer of slow callers is part of the mix

Cause to be told apart: whether a slow caller loses its answer to one long pause, to many short ones, or to the end of the host's process with bytes unsent.

With the former buffer of 4 KB short pauses add up, since the window never opens for a whole segment.

--- a/tests/soak/planned.py
+++ b/tests/soak/planned.py
@@ -17,8 +17,8 @@
 MIX = {"callers": 21, "season_callers": 3, "gaps": (0.03, 0.15, 0.3), "target": 1.0,
        "pause": 0.3, "engine_pause": 0.1, "pauses": (0.5, 1.9), "gateway_timeout": 0.02,
        "slow_upload": 0.05, "upload_pauses": (0.5, 3.5), "large_body": 0.15, "late_body": 0.1,
-       "slow_reader": 0.08, "reader_pauses": (0.5, 4.5), "large_prompt": 0.08, "stop": 0.5,
-       "freeze": 0.02, "slots": 16}
+       "slow_reader": 0.08, "reader_pauses": (0.5, 4.5), "reader_buffer": 4096,
+       "large_prompt": 0.08, "stop": 0.5, "freeze": 0.02, "slots": 16}
 ONE_RISK = {"pause": 0, "engine_pause": 0, "slow_reader": 0, "freeze": 0, "large_prompt": 0,
             "season_callers": 0, "callers": 21, "stop": 0.4}
 # What a run of each name changes: one risk at a time, or all together.
@@ -154,6 +154,7 @@
         if index >= self.mix["callers"]:
             kind = "season"
         loyal = index % 3 == 0              # uses its connection until the process is gone
+        buffer = self.mix["reader_buffer"]
         connection, node, count = None, None, 0
         while not self.stopped:
             count += 1
@@ -168,7 +169,7 @@
                 if connection is None:
                     offered = [n for n in self.nodes if n.offered()] or self.nodes
                     node = rng.choice(self.nodes if loyal and rng.random() < 0.5 else offered)
-                    connection = await Connection(node.name).open(node.callers, 4096 if slow else None)
+                    connection = await Connection(node.name).open(node.callers, buffer if slow else None)
                 answer = await asyncio.wait_for(
                     self.request(rng, connection, kind, request, slow),
                     1.5 * TIMEOUT_S[kind] + ANSWER_SLACK_S + 20.0 * slow)
