Connections to upstreams: leave no timer behind when an attempt cannot be opened

Cause: the timer of the connection attempt was started before the address was converted, which throws. The relay does not hold such an attempt, but the timer later told it "not sent": the relay was gone, or its request was at another upstream by then and was sent again.

Fix: convert first. Class: a resource armed before the step that can fail.

Before the fix: TEST(beast_upstream_connector, attempt_that_cannot_be_opened_reports_nothing_later) fails at beast_upstream_connector_test.cpp:204, the failure is reported.

--- a/drivers/traffic/beast_exchange.cpp
+++ b/drivers/traffic/beast_exchange.cpp
@@ -57,6 +57,8 @@
 }
 
 void beast_exchange::connect(duration timeout) {
+    // Throws for an address that is no IP number, which must not leave a running timer behind.
+    const tcp::endpoint endpoint = to_endpoint(address_);
     socket_ = std::make_shared<tcp::socket>(loop_.context());
     connect_timer_.emplace(loop_.context(), timeout);
     connect_timer_->async_wait([self = shared_from_this()](const error_code& error) {
@@ -64,20 +66,19 @@
             self->fail("connect: no answer in time");
         }
     });
-    socket_->async_connect(to_endpoint(address_),
-                           [self = shared_from_this()](const error_code& error) {
-                               if (self->listener_ == nullptr) {
-                                   return;
-                               }
-                               self->connect_timer_.reset();
-                               if (error) {
-                                   self->fail("connect: " + error.message());
-                                   return;
-                               }
-                               set_up_socket(*self->socket_);
-                               self->write();
-                               self->read();
-                           });
+    socket_->async_connect(endpoint, [self = shared_from_this()](const error_code& error) {
+        if (self->listener_ == nullptr) {
+            return;
+        }
+        self->connect_timer_.reset();
+        if (error) {
+            self->fail("connect: " + error.message());
+            return;
+        }
+        set_up_socket(*self->socket_);
+        self->write();
+        self->read();
+    });
 }
 
 void beast_exchange::write() {
--- a/tests/drivers/traffic/beast_upstream_connector_test.cpp
+++ b/tests/drivers/traffic/beast_upstream_connector_test.cpp
@@ -192,3 +192,14 @@
     open(0, true);
     CHECK_TRUE(run_until(loop_, [&] { return server_.connections == 2; }));
 }
+
+// Guards against a report to a listener that was given up when its attempt could not be opened.
+TEST(beast_upstream_connector, attempt_that_cannot_be_opened_reports_nothing_later) {
+    upstream_entry upstream;
+    upstream.id = "i-1";
+    upstream.address = {"999.0.0.1", 80};
+    CHECK_THROWS(std::exception, connector_.open(upstream, "GET / HTTP/1.1\r\n\r\n", nullptr,
+                                                 {true, std::chrono::milliseconds(20)}, listener_));
+    loop_.context().run_for(std::chrono::milliseconds(100));
+    CHECK_FALSE(listener_.failure.has_value());
+}
