Tests: interim responses before a failure, and responses that end early

Variants of a broken stream at the level of sockets: a 500 with a length or in chunks after an interim response, and connections that end inside a head, after an interim response, or inside the framing, also after "Connection: close". They pass at once: no fault was seen, and the parsing that they test has not changed.

--- a/tests/drivers/traffic/beast_upstream_connector_test.cpp
+++ b/tests/drivers/traffic/beast_upstream_connector_test.cpp
@@ -217,3 +217,39 @@
     open();
     CHECK_TRUE(run_until(loop_, [&] { return server_.connections == 2; }));
 }
+
+// Guards against a failure after an interim response that is taken for a success, or whose head
+// reaches the listener as a body.
+TEST(beast_upstream_connector, failure_after_an_interim_response_is_delivered_as_a_failure) {
+    const std::string interim = "HTTP/1.1 102 Processing\r\nX-Not-Executed: 1\r\n\r\n";
+    for (const char* failure :
+         {"HTTP/1.1 500 X\r\nContent-Length: 4\r\n\r\nbusy",
+          "HTTP/1.1 500 X\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nbusy\r\n0\r\n\r\n"}) {
+        listener_.clear();
+        open_and_respond(interim + failure);
+        CHECK_TRUE(ended());
+        CHECK_TRUE(listener_.ended);
+        LONGS_EQUAL(500, listener_.head.status);
+        CHECK_TRUE(find_header(listener_.head.headers, "X-Not-Executed") == nullptr);
+        CHECK_EQUAL(std::string("busy"), listener_.body);
+    }
+}
+
+// Guards against a false end of a stream: the connection ends inside the head or a chunk.
+TEST(beast_upstream_connector, response_that_ends_inside_its_head_or_framing_is_a_failure) {
+    for (const char* part :
+         {"HTTP/1.1 200 OK\r\nX-A: b", "HTTP/1.1 102 Processing\r\n\r\n",
+          "HTTP/1.1 200 OK\r\nConnection: close\r\nTransfer-Encoding: chunked\r\n\r\n",
+          "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n9\r\nid: 1\n",
+          "HTTP/1.1 200 OK\r\nConnection: close\r\nContent-Length: 9\r\n\r\nid: 1\n"}) {
+        listener_.clear();
+        const int connections = server_.connections;
+        open_and_respond(part);
+        LONGS_EQUAL(connections + 1, server_.connections);
+        loop_.context().run_for(std::chrono::milliseconds(20));
+        server_.close(false);
+        CHECK_TRUE(ended());
+        CHECK_TRUE(listener_.failure.has_value());
+        CHECK_FALSE(listener_.ended);
+    }
+}
