Relay: an upstream cannot end a broken stream without an event of it

What callers could see: a stream that ended as complete before its last event. An upstream broke off between two events; the next one answered the resumption with a success that ended at once, and that end was forwarded.

Why it works: once a stream has begun and its upstream broke off, its end counts only after a further event. The price: a stream that broke between its last event and its end is cut, or tried elsewhere. Its caller may resume it, and a resumption by the caller itself may end at once as before.

The test failed before: broken_streams_test.cpp:123, in check_aborted: LONGS_EQUAL(1, sink.aborted) failed, but was 0

--- a/core/relay/event_splitter.hpp
+++ b/core/relay/event_splitter.hpp
@@ -16,10 +16,11 @@
     /// Appends bytes to the buffer, and removes and returns all complete events from it. Returns
     /// nothing, and counts nothing, if one of them does not continue the stream.
     std::string append(std::string_view bytes);
-    /// Prepares for another upstream that continues after the last complete event. An event that
-    /// had begun is still expected.
+    /// Prepares for another upstream that continues after the last complete event. If the stream
+    /// had begun, the end counts only after a further event: without one, an upstream that knows
+    /// nothing of the stream would end it.
     void drop_partial() {
-        event_expected_ = event_expected_ || !partial_.empty();
+        event_expected_ = event_expected_ || count_ > 0 || !partial_.empty();
         partial_.clear();
         too_long_ = false;
         out_of_order_ = false;
@@ -27,7 +28,7 @@
 
     /// True if an event exceeds the maximum length. Its bytes are discarded.
     bool too_long() const { return too_long_; }
-    /// True if an event has begun and is not complete, so that the stream cannot end here.
+    /// True if an event has begun or is expected, so that the stream cannot end here.
     bool has_partial() const { return event_expected_ || !partial_.empty(); }
     std::int64_t last_id() const { return last_id_; }
     /// Number of complete events so far.
--- a/tests/servers/relay/broken_streams_test.cpp
+++ b/tests/servers/relay/broken_streams_test.cpp
@@ -118,6 +118,24 @@
     check_continued(3);
 }
 
+// Guards against a false end: the first upstream broke off between two events, and the next one
+// ends the stream without an event.
+TEST(broken_streams, answer_without_an_event_does_not_end_the_stream) {
+    for (const std::size_t upstreams : {2, 3}) {
+        host_ = std::make_unique<relay_fixture>();
+        host_->serve(host_->request(upstreams == 2 ? "/chat/1" : "/talk/1"));
+        host_->connector.answer(200);
+        host_->connector.body(first_events);
+        host_->connector.fail(true);
+        answer_whole(200, {}, "");
+        if (upstreams == 2) {
+            check_aborted();
+        } else {
+            check_continued(3);
+        }
+    }
+}
+
 // Guards against a stream that is cut although a third upstream could continue it, and against a
 // continuation after events that the caller never received.
 TEST(broken_streams, stream_continues_after_the_last_forwarded_event) {
