--- a/ctl/console/request_trace.cpp
+++ b/ctl/console/request_trace.cpp
@@ -13,7 +13,7 @@
 constexpr long long state_window_ms = 10'000;
 constexpr int time_width = 9;
 
-/// Explanation of the reason in a `request_ended` event.
+/// Explanation of the reason in a `request_ended` or `request_rejected` event.
 struct explanation {
     const char* reason;
     const char* cause;
@@ -38,6 +38,31 @@
      "first_ms of the dispatch compared with the actual time, and waited_ms"},
     {"upstream_failed", "Every attempt that the route allows failed at an upstream.",
      "attempt_failed of the same upstreams from other nodes"},
+    {"body_memory", "The bodies of other requests took the memory for bodies.",
+     "body_bytes in the metrics"},
+    {"body_timeout", "The body stopped arriving.", "the caller, and the network to it"},
+};
+
+/// Explanation of the cause in an `answer_cut` event.
+constexpr explanation cut_explanations[] = {
+    {"caller_closed", "The caller closed its connection, or the sending half of it.",
+     "the caller: did it give up, or does it close its sending half after a request?"},
+    {"caller_reset", "The caller's side reset the connection.", "the caller, or a proxy before it"},
+    {"caller_unreachable", "The caller's host answered no packet for seconds.",
+     "the network between caller and node"},
+    {"caller_stalled", "The caller took no part of its answer for the idle time-out.",
+     "the caller: why did it stop reading?"},
+    {"read_failed", "Receiving from the caller failed.", "reason, the error of the socket"},
+    {"write_failed", "Sending to the caller failed.", "reason, the error of the socket"},
+    {"answer_broken", "The node could not complete an answer that it had begun.",
+     "attempt_failed and request_ended of this request"},
+    {"output_limit", "The caller read more slowly than its answer arrived.",
+     "buffered_bytes, and whether other callers of that node were slow"},
+    {"header_timeout", "The head of the request did not arrive in time.", "the caller"},
+    {"handler_failed", "An unexpected error ended the handling of the connection.",
+     "handler_failed at that time: a defect of the node"},
+    {"host_ended", "The process ended before the answer was complete.",
+     "drain_started and stopped at this node: did the stop reach its time limit?"},
 };
 
 /// Events that change the state of a node.
@@ -51,7 +76,9 @@
                                         "stopped",
                                         "host_silent",
                                         "host_entry_lapsed",
-                                        "upstream_gone"};
+                                        "upstream_gone",
+                                        "handler_failed",
+                                        "log_lines_dropped"};
 
 bool is_state_change(const log_record& record) {
     return std::find(std::begin(state_events), std::end(state_events), record.event) !=
@@ -69,6 +96,17 @@
     return text;
 }
 
+void print_explanation(std::ostream& out, const explanation* begin, const explanation* end,
+                       const std::string& reason) {
+    const explanation* found = std::find_if(
+        begin, end, [&reason](const explanation& each) { return reason == each.reason; });
+    if (found == end) {
+        out << "cause: " << reason << "\n";
+        return;
+    }
+    out << "cause: " << found->cause << "\nlook at: " << found->look_at << "\n";
+}
+
 }  // namespace
 
 void request_trace::add(const log_record& record) {
@@ -125,24 +163,37 @@
 
 void request_trace::print_cause(std::ostream& out) const {
     const log_record& last = steps_.back();
-    if (last.event != "request_ended") {
+    if (last.event == "answer_cut") {
+        print_cut(out, last);
+        return;
+    }
+    const bool rejected = last.event == "request_rejected";
+    if (!rejected && last.event != "request_ended") {
         out << "no end: the node stopped or was lost first, its log is missing, or lines were left "
                "out\n";
         return;
     }
-    out << "outcome: " << last.field("outcome") << ", status " << last.field("status")
+    out << "outcome: " << (rejected ? "rejected" : last.field("outcome")) << ", status "
+        << last.field("status")
         << (last.field("may_have_run") == "yes" ? ", may have run" : ", did not run at an upstream")
         << "\n";
     if (last.field("outcome") == "answered") {
         return;
     }
-    for (const explanation& each : explanations) {
-        if (last.field("reason") == each.reason) {
-            out << "cause: " << each.cause << "\nlook at: " << each.look_at << "\n";
-            return;
-        }
-    }
-    out << "cause: " << last.field("reason") << "\n";
+    print_explanation(out, std::begin(explanations), std::end(explanations), last.field("reason"));
+}
+
+void request_trace::print_cut(std::ostream& out, const log_record& cut) const {
+    const bool complete = cut.field("answer_ready") == "yes";
+    out << "outcome: the connection ended before the answer was complete; the request was "
+        << (cut.field("request_read") == "yes" ? "read" : "not read whole") << " and "
+        << (cut.field("passed_on") == "yes" ? "" : "not ") << "passed on\n"
+        << "answer: " << (complete ? "complete at the node, " : "incomplete at the node, ")
+        << cut.field("accepted_bytes") << " bytes sent, of which "
+        << cut.field("unacknowledged_bytes") << " were not acknowledged, and "
+        << cut.field("buffered_bytes") << " bytes not sent\n";
+    print_explanation(out, std::begin(cut_explanations), std::end(cut_explanations),
+                      cut.field("cause"));
 }
 
 }  // namespace fuchsiaquay
--- a/ctl/console/request_trace.hpp
+++ b/ctl/console/request_trace.hpp
@@ -25,6 +25,7 @@
     void print_step(std::ostream& out, const log_record& step) const;
     void print_state_changes(std::ostream& out) const;
     void print_cause(std::ostream& out) const;
+    void print_cut(std::ostream& out, const log_record& cut) const;
     bool is_relevant(const log_record& record) const;
 
     std::string id_;
--- a/tests/ctl/console/request_trace_test.cpp
+++ b/tests/ctl/console/request_trace_test.cpp
@@ -80,3 +80,28 @@
     log("2026-07-22T15:44:46.000 INFO event=request_dispatched host=a request=r1 upstream=i-1");
     check_contains(text(), "no end: the node stopped or was lost first");
 }
+
+// Guards against a cut answer that is explained as answered.
+TEST(request_trace, answer_that_broke_off_is_explained_with_its_cause) {
+    log("2026-07-22T15:44:46.030 INFO event=request_ended host=a request=r1 outcome=answered "
+        "status=200 may_have_run=no");
+    log("2026-07-22T15:44:46.040 INFO event=answer_cut host=a request=r1 cause=host_ended "
+        "reason=\"\" request_read=yes passed_on=yes answer_ready=yes accepted_bytes=900 "
+        "buffered_bytes=100 unacknowledged_bytes=50 age_ms=40");
+    const std::string printed = text();
+    check_contains(printed,
+                   "outcome: the connection ended before the answer was complete; the "
+                   "request was read and passed on");
+    check_contains(printed,
+                   "answer: complete at the node, 900 bytes sent, of which 50 were not "
+                   "acknowledged, and 100 bytes not sent");
+    check_contains(printed, "cause: The process ended before the answer was complete.");
+}
+
+TEST(request_trace, rejection_by_the_connection_is_explained) {
+    log("2026-07-22T15:44:46.030 INFO event=request_rejected host=a request=r1 status=503 "
+        "reason=body_memory");
+    const std::string printed = text();
+    check_contains(printed, "outcome: rejected, status 503, did not run at an upstream");
+    check_contains(printed, "cause: The bodies of other requests took the memory for bodies.");
+}
