Log: a crash leaves a line

A handler of SIGSEGV, SIGBUS, SIGABRT, SIGFPE and SIGILL, on a stack of its own because deep nesting overflows the usual one, writes `event=crashed signal=N` and lets the signal end the process as before. Requests that are open then still leave no line of their own.

--- a/ctl/console/request_trace.cpp
+++ b/ctl/console/request_trace.cpp
@@ -78,6 +78,7 @@
                                         "host_entry_lapsed",
                                         "upstream_gone",
                                         "handler_failed",
+                                        "crashed",
                                         "log_lines_dropped"};
 
 bool is_state_change(const log_record& record) {
--- a/main/main.cpp
+++ b/main/main.cpp
@@ -13,6 +13,7 @@
 #include "core/error/operation_error.hpp"
 #include "drivers/control/control_loop.hpp"
 #include "drivers/http/http_thread_count.hpp"
+#include "drivers/log/crash_line.hpp"
 #include "drivers/log/log4cxx_decision_log.hpp"
 #include "drivers/settings/setting_definition.hpp"
 #include "drivers/settings/settings_error.hpp"
@@ -188,6 +189,7 @@
 
 void run_entry(const command_line& arguments, const fuchsiaquay::entry_settings& settings) {
     std::signal(SIGPIPE, SIG_IGN);
+    fuchsiaquay::write_line_at_crash(settings.host);
     fuchsiaquay::control_loop loop;
     fuchsiaquay::log4cxx_decision_log log(settings.host, settings.log_level);
     boost::asio::signal_set stop_signals(loop.context(), SIGTERM, SIGINT);
