Relay: a third attempt avoids the engine whose silent attempt is still open

After the attempt beside a silent engine had failed, the next one could go to the silent engine again, with the same id as the attempt that is still open there.

Cause: only the last failed upstream and those that declined were excluded.

Evidence: third_attempt_goes_to_neither_of_the_others fails without the change (silent_upstream_test.cpp:160). Why this works: the engine of the standby attempt is excluded as long as that attempt is open.

--- a/servers/relay/request_relay.cpp
+++ b/servers/relay/request_relay.cpp
@@ -143,7 +143,7 @@
     const instant now = services_.timers.now();
     work_key_ = stable_hash(request_.id, static_cast<std::uint64_t>(history_.count()));
     const placement_decision decision =
-        chooser_.choose(request_, admitted_, work_key_, history_.excluded(history_.last_failed()),
+        chooser_.choose(request_, admitted_, work_key_, excluded_upstreams(history_.last_failed()),
                         current_answer_times());
     switch (decision.outcome) {
         case placement_decision::verdict::place:
--- a/servers/relay/request_relay.hpp
+++ b/servers/relay/request_relay.hpp
@@ -2,6 +2,7 @@
 
 #include <cstdint>
 #include <memory>
+#include <set>
 #include <string>
 
 #include "core/placement/placement_decision.hpp"
@@ -80,6 +81,9 @@
     /// Whether another upstream could take the request now.
     bool another_upstream_available() const;
     bool declined_by_all() const;
+    /// Upstreams that must not be chosen for another attempt: those that declined, the one that is
+    /// silent, and `failed`.
+    std::set<std::string> excluded_upstreams(const std::string& failed) const;
     /// Records that the request may have run if an attempt has sent it.
     void note_execution();
     void apply_next_step(next_step step, const std::string& reason);
--- a/servers/relay/request_relay_attempts.cpp
+++ b/servers/relay/request_relay_attempts.cpp
@@ -174,11 +174,19 @@
 
 bool request_relay::another_upstream_available() const {
     return chooser_
-               .choose(request_, admitted_, work_key_, history_.excluded(upstream_),
+               .choose(request_, admitted_, work_key_, excluded_upstreams(upstream_),
                        current_answer_times())
                .outcome == placement_decision::verdict::place;
 }
 
+std::set<std::string> request_relay::excluded_upstreams(const std::string& failed) const {
+    std::set<std::string> result = history_.excluded(failed);
+    if (standby_) {
+        result.insert(standby_->decision.engine);
+    }
+    return result;
+}
+
 bool request_relay::declined_by_all() const {
     const std::vector<upstream_entry>& ready = services_.upstreams.ready(admitted_.service_name);
     return !ready.empty() &&
@@ -270,7 +278,7 @@
     const std::uint64_t key =
         stable_hash(request_.id, static_cast<std::uint64_t>(history_.count()));
     const placement_decision decision = chooser_.choose(
-        request_, admitted_, key, history_.excluded(upstream_), current_answer_times());
+        request_, admitted_, key, excluded_upstreams(upstream_), current_answer_times());
     const attempt_outcome outcome =
         response_started_ ? attempt_outcome::broken_stream : attempt_outcome::unknown;
     if (decision.outcome != placement_decision::verdict::place ||
--- a/tests/servers/relay/silent_upstream_test.cpp
+++ b/tests/servers/relay/silent_upstream_test.cpp
@@ -145,6 +145,21 @@
     CHECK_EQUAL(events(1, 4), caller_.text);
 }
 
+// The engine of the attempt that is still open was asked again after the next one had failed.
+TEST(request_relay_with_silent_upstream, third_attempt_goes_to_neither_of_the_others) {
+    host_.serve(host_.request("/talk/1"));
+    upstream_.answer(200);
+    upstream_.body(event(1));
+    host_.timers.advance(milliseconds(1'200));
+    LONGS_EQUAL(2, host_.attempts());
+    const std::string second = upstream_.last().upstream.id;
+    upstream_.fail(true);
+    host_.timers.advance(milliseconds(100));
+    LONGS_EQUAL(3, host_.attempts());
+    CHECK_TRUE(upstream_.last().upstream.id != second);
+    CHECK_TRUE(upstream_.last().upstream.id != upstream_.attempts.front()->upstream.id);
+}
+
 TEST(request_relay_with_silent_upstream, work_of_both_attempts_ends_with_the_request) {
     stream(3);
     host_.timers.advance(milliseconds(1'200));
