Connections to upstreams: a sound upstream may read a long body slowly

Callers would have seen a reset stream, or 502 for a request that runs on.

Cause: TCP_USER_TIMEOUT (3 s) also ends a connection whose peer answers every probe but keeps its window closed. Evidence: upstream_that_stops_reading_for_four_seconds_keeps_its_connection fails with the option (beast_upstream_connector_test.cpp:276, the exchange has failed), passes without it.

Why this works: connections that carry callers' requests or responses have no such option; the limits of the request (silence, deadline) find a dead upstream. Connections to the store and to other hosts keep it. Also: a session without a reservation no longer touches the memory budget, which may be gone at the end of the process.

--- a/drivers/net/socket_setup.cpp
+++ b/drivers/net/socket_setup.cpp
@@ -33,11 +33,11 @@
 }  // namespace
 
 void set_up_socket(tcp::socket& socket) {
-    set_up_caller_socket(socket);
+    set_up_traffic_socket(socket);
     set_tcp_option(socket, TCP_USER_TIMEOUT, user_timeout_ms);
 }
 
-void set_up_caller_socket(tcp::socket& socket) {
+void set_up_traffic_socket(tcp::socket& socket) {
     boost::system::error_code ignored;
     socket.set_option(tcp::no_delay(true), ignored);
     socket.set_option(asio::socket_base::keep_alive(true), ignored);
--- a/drivers/net/socket_setup.hpp
+++ b/drivers/net/socket_setup.hpp
@@ -10,9 +10,10 @@
 /// within seconds of a peer that is dead or takes no data.
 void set_up_socket(boost::asio::ip::tcp::socket& socket);
 
-/// The same for the connection of a caller, which may read slowly. The keep-alive detects a dead
-/// peer only while no data is on the way; see `output_monitor`.
-void set_up_caller_socket(boost::asio::ip::tcp::socket& socket);
+/// The same for a connection that carries requests or responses of callers, whose peer may read
+/// slowly. The keep-alive detects a dead peer only while no data is on the way; otherwise time-outs
+/// of the request do, and `output_monitor` for callers.
+void set_up_traffic_socket(boost::asio::ip::tcp::socket& socket);
 
 boost::asio::ip::tcp::endpoint to_endpoint(const network_address& address);
 
--- a/drivers/traffic/beast_exchange.cpp
+++ b/drivers/traffic/beast_exchange.cpp
@@ -75,7 +75,7 @@
             self->fail("connect: " + error.message());
             return;
         }
-        set_up_socket(*self->socket_);
+        set_up_traffic_socket(*self->socket_);
         self->write();
         self->read();
     });
--- a/drivers/traffic/caller_session.cpp
+++ b/drivers/traffic/caller_session.cpp
@@ -43,7 +43,7 @@
 }
 
 void caller_session::start() {
-    set_up_caller_socket(socket_);
+    set_up_traffic_socket(socket_);
     prepare_for_request();
     read();
 }
@@ -282,7 +282,9 @@
 }
 
 void caller_session::release_body_memory() {
-    services_.body_memory.release(std::exchange(body_bytes_, 0));
+    if (body_bytes_ > 0) {
+        services_.body_memory.release(std::exchange(body_bytes_, 0));
+    }
 }
 
 }  // namespace fuchsiaquay
--- a/tests/drivers/traffic/beast_upstream_connector_test.cpp
+++ b/tests/drivers/traffic/beast_upstream_connector_test.cpp
@@ -264,3 +264,19 @@
     loop_.context().run_for(std::chrono::milliseconds(100));
     CHECK_FALSE(listener_.failure.has_value());
 }
+
+// Guards against a connection that ends because a sound upstream reads a long body slowly: the
+// kernel counts a window that stays closed as unacknowledged data.
+TEST(beast_upstream_connector, upstream_that_stops_reading_for_four_seconds_keeps_its_connection) {
+    server_.pause_reading();
+    constexpr std::size_t body_bytes = 16'000'000;
+    open(body_bytes);
+    CHECK_TRUE(server_.expect("\r\n\r\n"));
+    loop_.context().run_for(std::chrono::milliseconds(4'200));
+    CHECK_FALSE(listener_.failure.has_value());
+    server_.resume_reading();
+    CHECK_TRUE(run_until(loop_, [&] { return server_.received.size() > body_bytes; }));
+    server_.send("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok");
+    CHECK_TRUE(ended());
+    CHECK_EQUAL(std::string("ok"), listener_.body);
+}
--- a/tests/drivers/traffic/raw_server.hpp
+++ b/tests/drivers/traffic/raw_server.hpp
@@ -32,6 +32,13 @@
         connection_->close(ignored);
     }
 
+    /// Stops reading; what arrives fills the buffers of the kernel.
+    void pause_reading() { paused_ = true; }
+    void resume_reading() {
+        paused_ = false;
+        read(connection_);
+    }
+
     std::string received;
     int connections = 0;
     bool closed = false;
@@ -55,7 +62,7 @@
                 received.append(buffer_, bytes);
                 if (error) {
                     closed = true;
-                } else {
+                } else if (!paused_) {
                     read(socket);
                 }
             });
@@ -64,6 +71,7 @@
     control_loop& loop_;
     tcp::acceptor acceptor_;
     std::shared_ptr<tcp::socket> connection_;
+    bool paused_ = false;
     char buffer_[65536] = {};
 };
 
