Catalogue from other hosts: an entry that cannot be used counts as removed

Cause (review): checks of addresses and slots were made where the store's entries are read, not where another host passes them on.

--- a/drivers/datagrams/datagram_codec.cpp
+++ b/drivers/datagrams/datagram_codec.cpp
@@ -85,7 +85,9 @@
     result.entry.slots = item.slots();
     result.entry.state = read_enumeration(item.state(), upstream_state::draining);
     result.entry.started_at_ms = item.started_at_ms();
-    result.removed = item.removed();
+    // A host of another version may pass on an entry that this one cannot use.
+    const bool usable = !result.entry.address.empty() && result.entry.slots > 0;
+    result.removed = item.removed() || !usable;
     result.revision = item.revision();
     return result;
 }
--- a/tests/drivers/datagrams/datagram_codec_test.cpp
+++ b/tests/drivers/datagrams/datagram_codec_test.cpp
@@ -103,6 +103,24 @@
     CHECK_TRUE(decoded.catalogue.changes.front() == change);
 }
 
+// Guards against an entry that a host of another version accepted and that this one cannot connect
+// to.
+TEST(datagram_codec, upstream_without_address_or_slots_counts_as_removed) {
+    view_reply reply;
+    upstream_change change;
+    change.entry.id = "i-1";
+    change.entry.service = "s";
+    change.entry.address = {"999.1.0.1", 8080};
+    reply.catalogue.changes.push_back(change);
+    change.entry.address = {"10.1.0.1", 8080};
+    change.entry.slots = 0;
+    reply.catalogue.changes.push_back(change);
+    const auto decoded = std::get<view_reply>(decode_datagram(encode_datagram(reply, now_), now_));
+    for (const upstream_change& item : decoded.catalogue.changes) {
+        CHECK_TRUE(item.removed);
+    }
+}
+
 TEST(datagram_codec, corrupted_bytes_are_rejected_without_a_crash) {
     std::mt19937 random(20261204);
     const std::string valid = encode_datagram(sample(), now_);
