Stop: the waits at the end of the process fit into the grace together

Cause (review): the limit of the stop, the delivery of last bytes and the writing of the last log lines each had a limit of its own, and together exceeded the grace by up to 1.1 s, so that SIGKILL could take the lines that explain what was cut.

Requests without an answer are answered 0.9 s before the end of the grace, streams run until 0.6 s before it, then 0.2 s for delivery and 0.3 s for the log at most. A crash writes its line only if the reader takes it, since a blocking write would keep a crashed process and its connections. A throw while a connection is set up no longer ends accepting. Read from the code, no run shows the overrun.

--- a/drivers/log/crash_line.cpp
+++ b/drivers/log/crash_line.cpp
@@ -1,5 +1,6 @@
 #include "drivers/log/crash_line.hpp"
 
+#include <poll.h>
 #include <time.h>
 #include <unistd.h>
 
@@ -56,7 +57,13 @@
         append(".");
         append(now.tv_nsec / nanoseconds_per_millisecond, 3);
     }
-    void write_out() const { (void)!write(STDOUT_FILENO, text_, size_); }
+    /// Skips the line if the reader takes nothing: a process that has crashed must not wait.
+    void write_out() const {
+        pollfd target{STDOUT_FILENO, POLLOUT, 0};
+        if (poll(&target, 1, 0) > 0) {
+            (void)!write(STDOUT_FILENO, text_, size_);
+        }
+    }
 
 private:
     /// Gregorian date; the year is counted from March, so that a leap day is its last day.
--- a/drivers/log/log_output.cpp
+++ b/drivers/log/log_output.cpp
@@ -15,9 +15,9 @@
 
 constexpr int poll_period_ms = 50;
 /// At the end of the process, a reader that takes nothing for this time is given up.
-constexpr auto closing_progress_limit = std::chrono::milliseconds(250);
+constexpr auto closing_progress_limit = std::chrono::milliseconds(150);
 /// Maximum time for writing the last lines. The platform kills a process that stops too late.
-constexpr auto closing_limit = std::chrono::milliseconds(1'000);
+constexpr auto closing_limit = std::chrono::milliseconds(300);
 
 }  // namespace
 
--- a/drivers/traffic/caller_server.cpp
+++ b/drivers/traffic/caller_server.cpp
@@ -20,7 +20,7 @@
 
 constexpr duration accept_retry_delay = std::chrono::milliseconds(20);
 /// Time at the end of the process for callers to receive the last bytes of their answers.
-constexpr duration final_delivery_time = std::chrono::milliseconds(300);
+constexpr duration final_delivery_time = std::chrono::milliseconds(200);
 constexpr duration final_delivery_check_period = std::chrono::milliseconds(5);
 /// Period of the check for idle and slow connections.
 constexpr duration timeout_check_period = std::chrono::milliseconds(500);
@@ -75,8 +75,8 @@
                     self->services_.loop.after(accept_retry_delay, [self] { self->accept(); });
                     return;
                 }
-                self->start_session(std::move(socket));
                 self->accept();
+                self->start_session(std::move(socket));
             });
     }
 
--- a/main/entry_node.cpp
+++ b/main/entry_node.cpp
@@ -37,9 +37,9 @@
 constexpr std::size_t max_fleet_hosts = 10'000;
 constexpr duration stop_check_period = std::chrono::milliseconds(100);
 /// Part of the grace period that is reserved for answering requests that could not be finished.
-constexpr duration stop_margin = std::chrono::milliseconds(600);
+constexpr duration stop_margin = std::chrono::milliseconds(900);
 /// Part of the grace period that is reserved for the end of the process.
-constexpr duration exit_margin = std::chrono::milliseconds(300);
+constexpr duration exit_margin = std::chrono::milliseconds(600);
 
 prefix_mirror_settings configuration_mirror_settings(const entry_settings& settings) {
     prefix_mirror_settings result;
