--- a/core/relay/attempt_history.hpp
+++ b/core/relay/attempt_history.hpp
@@ -18,6 +18,8 @@
     void end(const std::string& upstream, attempt_outcome outcome, const std::string& at_fault);
     /// Records that `upstream` is silent, so that another one is asked before it has answered.
     void stall(const std::string& upstream);
+    /// Records that an attempt at `upstream` was cancelled before it ended.
+    void abandon(const std::string& upstream) { sent_to_.insert(upstream); }
     /// Records that some upstream may have executed the request.
     void note_execution() { may_have_run_ = true; }
 
--- a/core/relay/event_splitter.cpp
+++ b/core/relay/event_splitter.cpp
@@ -49,6 +49,20 @@
     return std::nullopt;
 }
 
+/// True if each line of `text` is blank or a comment, so that it carries no part of a response.
+bool is_comment(std::string_view text) {
+    std::size_t line_start = 0;
+    while (line_start < text.size()) {
+        const std::size_t end = std::min(text.find('\n', line_start), text.size());
+        const std::string_view line = text.substr(line_start, end - line_start);
+        line_start = end + 1;
+        if (line.substr(0, 1) != ":" && line.find_first_not_of('\r') != std::string_view::npos) {
+            return false;
+        }
+    }
+    return true;
+}
+
 /// True if `text` has a line with a field or a comment of the event stream format, or no text.
 bool is_event(std::string_view text) {
     bool blank = true;
@@ -95,7 +109,7 @@
     }
     std::string events = partial_.substr(0, complete_bytes);
     partial_.erase(0, complete_bytes);
-    event_expected_ = event_expected_ && complete_bytes == 0;
+    event_expected_ = event_expected_ && count_ == count_before;
     if (partial_.size() > max_event_bytes) {
         too_long_ = true;
         partial_.clear();
@@ -112,7 +126,7 @@
     if (has_ids && !is_event(event)) {
         return false;
     }
-    ++count_;
+    count_ += is_comment(event) ? 0 : 1;
     last_id_ = id.value_or(last_id_);
     return true;
 }
--- a/core/relay/event_splitter.hpp
+++ b/core/relay/event_splitter.hpp
@@ -31,7 +31,7 @@
     /// True if an event has begun or is expected, so that the stream cannot end here.
     bool has_partial() const { return event_expected_ || !partial_.empty(); }
     std::int64_t last_id() const { return last_id_; }
-    /// Number of complete events so far.
+    /// Number of complete events so far, without comments.
     std::int64_t count() const { return count_; }
     /// True after an event whose id does not directly follow the previous one, or after text that
     /// is no event in a stream with ids. Nothing is accepted until `drop_partial` is called.
--- a/servers/relay/memory_reservation.cpp
+++ b/servers/relay/memory_reservation.cpp
@@ -17,8 +17,7 @@
 constexpr duration renewal_period = std::chrono::milliseconds(300);
 /// Time without a confirmed renewal after which an engine is considered dead. Shorter than
 /// `reservation_lifetime`, so that memory on the other engines is free within four seconds of the
-/// engine's failure. Longer than the oldest confirmation at the end of a pause of 1.9 s, which is
-/// shorter than callers wait.
+/// engine's failure. Engines that pause for two seconds keep their reservations.
 constexpr duration max_renewal_age = std::chrono::milliseconds(3'100);
 /// Time limit for all engines to confirm the first reservation request.
 constexpr duration reserve_timeout = std::chrono::milliseconds(500);
--- a/servers/relay/relay_queue.cpp
+++ b/servers/relay/relay_queue.cpp
@@ -15,6 +15,9 @@
 
 /// Interval between timeout checks.
 constexpr duration check_period = std::chrono::milliseconds(50);
+/// Pause of this process after which responses may be waiting to be read, so that nothing can be
+/// said about the silence of upstreams.
+constexpr duration max_check_gap = check_period * 4;
 /// Changes within this time are combined into one placement attempt.
 constexpr duration retry_delay = std::chrono::milliseconds(2);
 /// Time after startup within which a host finds out whether it can serve requests.
@@ -77,11 +80,14 @@
 }
 
 void relay_queue::check_all_timeouts() {
+    const instant now = services_.timers.now();
+    const bool check_silence = now - last_check_at_ <= max_check_gap;
+    last_check_at_ = now;
     place_waiting();
     const std::vector<request_relay*> all(relays_.begin(), relays_.end());
     for (request_relay* relay : all) {
         if (relays_.count(relay) > 0) {
-            relay->check_timeouts();
+            relay->check_timeouts(check_silence);
         }
     }
 }
--- a/servers/relay/relay_queue.hpp
+++ b/servers/relay/relay_queue.hpp
@@ -42,6 +42,7 @@
     std::set<request_relay*> relays_;
     std::uint64_t accepted_ = 0;
     instant started_at_{};
+    instant last_check_at_{};
     bool retry_planned_ = false;
 };
 
--- a/servers/relay/request_relay.cpp
+++ b/servers/relay/request_relay.cpp
@@ -266,7 +266,7 @@
                        [&listed](const placement_part& part) { return listed(part.engine); });
 }
 
-void request_relay::check_timeouts() {
+void request_relay::check_timeouts(bool check_silence) {
     if (done_ || admitted_.matched_route == nullptr) {
         return;
     }
@@ -275,7 +275,7 @@
         time_out();
     } else if (services_.serving_time_left() <= duration::zero() && !response_started_) {
         end_with_host();
-    } else if (attempt_ && attempt_->sent() && repeatable()) {
+    } else if (check_silence && attempt_ && attempt_->sent() && repeatable()) {
         check_progress(now);
     }
 }
--- a/servers/relay/request_relay.hpp
+++ b/servers/relay/request_relay.hpp
@@ -39,8 +39,10 @@
     void start();
     /// Tries to place the request if it is waiting.
     void try_place();
-    /// Ends the request at its deadline and checks that a running attempt makes progress.
-    void check_timeouts();
+    /// Ends the request at its deadline.
+    /// @param check_silence  whether to look for another upstream if that of a running attempt is
+    ///                       silent
+    void check_timeouts(bool check_silence);
 
     bool passed_on() const override;
     void on_connection_lost(const std::string& cause, bool by_caller) override;
--- a/servers/relay/request_relay_attempts.cpp
+++ b/servers/relay/request_relay_attempts.cpp
@@ -73,9 +73,13 @@
     if (events.empty()) {
         return;
     }
+    const bool progress = splitter.count() > passed_before;
     if (is_standby(from)) {
+        if (!progress) {
+            return;
+        }
         resume_standby();
-    } else {
+    } else if (progress) {
         drop_standby("upstream silent");
     }
     const instant now = services_.timers.now();
@@ -118,6 +122,10 @@
 
 void request_relay::on_response_complete(upstream_attempt& from) {
     if (is_standby(from)) {
+        if (from.streaming() && standby_->events.has_partial()) {
+            drop_standby("stream ended inside an event");
+            return;
+        }
         resume_standby();
     }
     if (attempt_->streaming()) {
@@ -259,7 +267,7 @@
     if (const engine_profile* profile = find_engine_profile()) {
         conditions.full_prefill_time = prefill_time(*profile, request_.prompt_tokens.value_or(0));
     }
-    const bool known = last_stall_at_ >= attempt_->progress_at();
+    const bool known = last_stall_at_ > attempt_->progress_at();
     const duration limit = known ? stall_recheck_period : stall_timeout(conditions);
     if (now - std::max(attempt_->progress_at(), last_stall_at_) < limit) {
         return;
@@ -305,6 +313,11 @@
 void request_relay::resume_standby() {
     const std::unique_ptr<standby_attempt> standby = std::move(standby_);
     end_waiting();
+    if (attempt_) {
+        log_.attempt_failed(upstream_, "", history_.count(), "silent upstream went on",
+                            services_.timers.now() - attempt_->sent_at(), false);
+        history_.abandon(upstream_);
+    }
     attempt_ = std::move(standby->attempt);
     work_.advance(work_phase::ended);
     work_ = std::move(standby->work);
--- a/servers/relay/standby_attempt.hpp
+++ b/servers/relay/standby_attempt.hpp
@@ -12,7 +12,7 @@
 class upstream_attempt;
 
 /// An attempt whose upstream fell silent, kept open while another upstream is tried: the first one
-/// to deliver is used, and a failure of the other one does not end the answer.
+/// to deliver is used, and a failure of the other one to answer does not end the request.
 struct standby_attempt {
     std::unique_ptr<upstream_attempt> attempt;
     placement_decision decision;
--- a/servers/relay/upstream_attempt.cpp
+++ b/servers/relay/upstream_attempt.cpp
@@ -1,6 +1,7 @@
 #include "servers/relay/upstream_attempt.hpp"
 
 #include <algorithm>
+#include <exception>
 #include <utility>
 #include <vector>
 
@@ -120,8 +121,23 @@
     connection_options options;
     options.new_connection = !admitted_.matched_route->repeatable();
     options.connect_timeout = connect_timeout(admitted_.matched_route->target);
-    exchange_ = services_.connector.open(*entry, services_.format.write_request(request_, metadata),
-                                         request_.body, options, *this);
+    try {
+        exchange_ =
+            services_.connector.open(*entry, services_.format.write_request(request_, metadata),
+                                     request_.body, options, *this);
+        sent_ = true;
+    } catch (const std::exception& error) {
+        fail_later(attempt_outcome::not_sent, std::string("open: ") + error.what());
+    }
+}
+
+void upstream_attempt::fail_later(attempt_outcome outcome, const std::string& reason) {
+    services_.timers.after(duration::zero(),
+                           [this, outcome, reason, alive = std::weak_ptr<int>(alive_)] {
+                               if (!alive.expired()) {
+                                   listener_.on_attempt_failed(*this, outcome, reason);
+                               }
+                           });
 }
 
 void upstream_attempt::on_head(response_head head) {
--- a/servers/relay/upstream_attempt.hpp
+++ b/servers/relay/upstream_attempt.hpp
@@ -39,7 +39,7 @@
     const std::string& at_fault() const noexcept { return at_fault_; }
     const placement_decision& decision() const noexcept { return parameters_.decision; }
     /// Whether the request was sent, at least in part.
-    bool sent() const noexcept { return exchange_ != nullptr; }
+    bool sent() const noexcept { return sent_; }
     instant sent_at() const noexcept { return sent_at_; }
     /// When the response last made progress: its head, a complete event, or body bytes if it is not
     /// a stream.
@@ -62,6 +62,8 @@
     /// Reports failure because an engine denied its reservation or let it expire.
     void reservation_failed(attempt_outcome outcome, const char* reason);
     void send();
+    /// Reports a failure once the caller of this function has returned.
+    void fail_later(attempt_outcome outcome, const std::string& reason);
     /// Returns why the response may belong to another attempt; null if it belongs to this one.
     const char* find_mismatch() const;
     /// Records which engine the response reports as the cause of a failure.
@@ -86,6 +88,7 @@
     upstream_response response_;
     std::string body_;
     bool streaming_ = false;
+    bool sent_ = false;
     std::shared_ptr<int> alive_ = std::make_shared<int>(0);
 };
 
--- a/tests/servers/relay/broken_streams_test.cpp
+++ b/tests/servers/relay/broken_streams_test.cpp
@@ -177,3 +177,13 @@
     host_->timers.advance(seconds(3));
     check_aborted();
 }
+
+// Guards against a false end: a comment is no part of a stream.
+TEST(broken_streams, comment_of_the_next_upstream_does_not_end_the_stream) {
+    for (const char* body : {":\n\n", "\n\n"}) {
+        break_stream("/chat/1");
+        answer_whole(200, {}, body);
+        LONGS_EQUAL(1, host_->sink.aborted);
+        LONGS_EQUAL(0, host_->sink.answers);
+    }
+}
--- a/tests/servers/relay/relay_fixture.hpp
+++ b/tests/servers/relay/relay_fixture.hpp
@@ -2,6 +2,7 @@
 
 #include <memory>
 #include <set>
+#include <stdexcept>
 #include <string>
 #include <utility>
 #include <vector>
@@ -176,6 +177,9 @@
                                             std::shared_ptr<const std::string>,
                                             const connection_options& options,
                                             exchange_listener& listener) override {
+        if (std::exchange(fail_to_open, false)) {
+            throw std::runtime_error("no address");
+        }
         attempts.push_back(std::make_shared<attempt>(
             attempt{upstream, std::move(head), options.new_connection, &listener, true}));
         return std::make_unique<handle>(attempts.back());
@@ -201,6 +205,8 @@
     }
 
     std::vector<std::shared_ptr<attempt>> attempts;
+    /// The next attempt throws an exception.
+    bool fail_to_open = false;
 
 private:
     class handle final : public upstream_exchange {
--- a/tests/servers/relay/request_relay_test.cpp
+++ b/tests/servers/relay/request_relay_test.cpp
@@ -55,6 +55,17 @@
     CHECK_TRUE(upstream_.last().upstream.id != first);
 }
 
+// Guards against a request that is left without an answer when its attempt cannot be made.
+TEST(request_relay, order_whose_attempt_cannot_be_opened_is_retried_at_another_upstream) {
+    upstream_.fail_to_open = true;
+    host_.serve(host_.request("/order/1"));
+    host_.timers.advance(milliseconds(1));
+    LONGS_EQUAL(1, host_.attempts());
+    upstream_.answer(200);
+    upstream_.end();
+    LONGS_EQUAL(200, caller_.status);
+}
+
 TEST(request_relay, order_declined_by_every_upstream_is_refused_as_not_run) {
     host_.serve(host_.request("/order/1"));
     while (caller_.answers == 0) {
--- a/tests/servers/relay/silent_upstream_test.cpp
+++ b/tests/servers/relay/silent_upstream_test.cpp
@@ -204,3 +204,40 @@
     host_.timers.advance(milliseconds(3'500));
     CHECK_EQUAL(granted, host_.budget.granted());
 }
+
+// The attempt that was about to answer was cancelled for a response that ended inside an event.
+TEST(request_relay_with_silent_upstream, its_end_inside_an_event_leaves_the_next_attempt_alone) {
+    stream(3);
+    upstream_.body("id: 4\nda");
+    host_.timers.advance(milliseconds(1'200));
+    LONGS_EQUAL(2, host_.attempts());
+    first().on_end();
+    CHECK_TRUE(upstream_.last().open);
+    upstream_.answer(200);
+    upstream_.body(events(4, 5));
+    upstream_.end();
+    CHECK_EQUAL(events(1, 5), caller_.text);
+    LONGS_EQUAL(1, caller_.answers);
+}
+
+// A comment carries no part of the response, so it does not decide which attempt goes on.
+TEST(request_relay_with_silent_upstream, comment_of_the_next_upstream_does_not_end_its_attempt) {
+    stream(3);
+    host_.timers.advance(milliseconds(1'200));
+    upstream_.answer(200);
+    upstream_.body(":\n\n");
+    CHECK_TRUE(first_is_open());
+    first().on_body(event(4));
+    CHECK_FALSE(upstream_.last().open);
+}
+
+// After a pause of this process all upstreams seemed silent, although their responses were waiting
+// to be read.
+TEST(request_relay_with_silent_upstream, pause_of_this_process_is_not_taken_for_its_silence) {
+    stream(3);
+    host_.timers.suspend(milliseconds(1'500));
+    host_.timers.advance(milliseconds(60));
+    first().on_body(event(4));
+    host_.timers.advance(milliseconds(200));
+    LONGS_EQUAL(1, host_.attempts());
+}
