Prompts: parts under which engines end are kept from the engines

Cause: what ended an engine was known only to the attempt that failed. Every new request with the part, and every repeat, was placed like any other, at whichever host it came.

Class: a fault that follows the request, treated as a fault of the upstream only (breaker, exclusion of the last engine). Ruled out: repeats alone (requests without a repeat end engines too, series until_close) and engines that end under load (returned, idle ones ended 40 to 120 ms after they began such an answer).

Change: prompt_part_quarantine. A host notes the parts of each request whose connection ended before the engine had proved that it survives the start of the answer (events later than two target gaps after the first, or a whole answer). It counts once the engine is known to be gone: connection refused, or entry removed. Hosts exchange their observations in complete announcements, at once when there is a new one; a host that has seen a suspected part answered says so, which clears it everywhere. Four ends at separate moments under two requests or more, of a part that no host saw answered, quarantine the part; ends that it explains do not count against other parts. Requests with it are refused with 503 and the time left (502 if they may have run), those at an engine are withdrawn before their answer begins. Hosts that start take the quarantine over; standby hosts get it with the store's view. Hosts of the older build ignore the new fields. attempt_failed names the parts.

--- a/core/fleet/announcement.hpp
+++ b/core/fleet/announcement.hpp
@@ -8,6 +8,7 @@
 #include "core/fleet/host_state.hpp"
 #include "core/placement/engine_work.hpp"
 #include "core/placement/slow_engine.hpp"
+#include "core/quarantine/prompt_part_report.hpp"
 
 namespace fuchsiaquay {
 
@@ -31,6 +32,8 @@
     std::vector<engine_work> works;
     /// Engines that are slow according to the sender's streams.
     std::vector<slow_engine> slow_engines;
+    /// Set only in complete announcements, which are not forwarded.
+    prompt_part_report prompt_parts;
 };
 
 }  // namespace fuchsiaquay
--- a/core/fleet/view_reply.hpp
+++ b/core/fleet/view_reply.hpp
@@ -6,6 +6,7 @@
 
 #include "core/fleet/catalogue_delta.hpp"
 #include "core/fleet/reported_host.hpp"
+#include "core/quarantine/quarantined_part.hpp"
 #include "core/time/clock.hpp"
 
 namespace fuchsiaquay {
@@ -25,6 +26,8 @@
     bool catalogue_left_out = false;
     /// Serving hosts including the sender; set only in replies to hosts on standby.
     std::vector<reported_host> serving_hosts;
+    /// Parts of prompts that the sender refuses; set only in replies to hosts on standby.
+    std::vector<quarantined_part> quarantined_parts;
     /// Whether the requesting host should start to serve.
     bool invitation = false;
 };
--- a/core/relay/caller_request.hpp
+++ b/core/relay/caller_request.hpp
@@ -4,6 +4,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <vector>
 
 #include "core/relay/header_field.hpp"
 #include "core/time/clock.hpp"
@@ -28,6 +29,10 @@
     /// Absent if the request states no sizes.
     std::optional<std::int64_t> prompt_tokens;
     std::int64_t max_answer_tokens = 0;
+    /// Ids of the parts of the prompt that other requests may share; the last part, which belongs
+    /// to the request or its session, is in `prompt_subject`.
+    std::vector<std::string> prompt_parts;
+    std::uint64_t prompt_subject = 0;
     /// Id of the last event that the caller received; empty for a new stream.
     std::string last_event_id;
     instant received_at{};
--- a/core/relay/response_head.hpp
+++ b/core/relay/response_head.hpp
@@ -11,6 +11,8 @@
     int status = 0;
     std::string reason;
     header_list headers;
+    /// The body has neither a length nor chunks and ends with the connection.
+    bool ends_with_connection = false;
 };
 
 }  // namespace fuchsiaquay
--- a/drivers/datagrams/datagram_codec.cpp
+++ b/drivers/datagrams/datagram_codec.cpp
@@ -12,6 +12,9 @@
 
 using builder_type = flatbuffers::FlatBufferBuilder;
 
+/// Upper bound of the time for which another host may have a part in quarantine.
+constexpr duration max_quarantine = std::chrono::minutes(10);
+
 std::string read_string(const flatbuffers::String* text) {
     return text == nullptr ? "" : text->str();
 }
@@ -49,6 +52,41 @@
     return result;
 }
 
+using string_list = flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>>;
+using quarantined_list = flatbuffers::Vector<flatbuffers::Offset<wire::quarantined_part>>;
+
+std::vector<std::string> read_strings(const string_list* texts) {
+    std::vector<std::string> result;
+    for (flatbuffers::uoffset_t i = 0; texts != nullptr && i < texts->size(); ++i) {
+        result.push_back(read_string(texts->Get(i)));
+    }
+    return result;
+}
+
+std::vector<quarantined_part> read_quarantined(const quarantined_list* parts, instant now) {
+    std::vector<quarantined_part> result;
+    for (flatbuffers::uoffset_t i = 0; parts != nullptr && i < parts->size(); ++i) {
+        const duration left = std::min(duration(parts->Get(i)->left_us()), max_quarantine);
+        result.push_back({read_string(parts->Get(i)->id()), now + left});
+    }
+    return result;
+}
+
+prompt_part_report read_prompt_parts(const wire::announcement& root, instant now) {
+    prompt_part_report result;
+    if (root.engine_ends() != nullptr) {
+        for (const wire::engine_end* item : *root.engine_ends()) {
+            const duration age = std::max(duration::zero(), duration(item->age_us()));
+            result.ends.push_back({read_string(item->engine()), item->subject(),
+                                   read_strings(item->parts()), now - age,
+                                   item->looked_complete()});
+        }
+    }
+    result.answered = read_strings(root.answered_parts());
+    result.quarantined = read_quarantined(root.quarantined_parts(), now);
+    return result;
+}
+
 announcement read_announcement(const wire::announcement& root, instant now) {
     announcement result;
     result.sender = read_record(root.host(), root);
@@ -74,6 +112,7 @@
             result.slow_engines.push_back({read_string(item->id()), item->pace()});
         }
     }
+    result.prompt_parts = read_prompt_parts(root, now);
     return result;
 }
 
@@ -104,7 +143,7 @@
     return result;
 }
 
-view_reply read_reply(const wire::view_reply& root) {
+view_reply read_reply(const wire::view_reply& root, instant now) {
     view_reply result;
     result.sender = read_string(root.sender());
     result.nonce = root.nonce();
@@ -123,6 +162,7 @@
             result.serving_hosts.push_back(read_host(*item));
         }
     }
+    result.quarantined_parts = read_quarantined(root.quarantined_parts(), now);
     result.invitation = root.invitation();
     result.catalogue_left_out = root.catalogue_left_out();
     return result;
@@ -172,16 +212,48 @@
             slow.push_back(wire::Createslow_engine(builder, id, static_cast<float>(item.slowdown)));
         }
         const auto slow_list = slow.empty() ? 0 : builder.CreateVector(slow);
+        const prompt_part_report& prompt_parts = message.prompt_parts;
+        const auto ends = write_ends(prompt_parts.ends);
+        const auto answered = write_strings(prompt_parts.answered);
+        const auto quarantined = write_quarantined(prompt_parts.quarantined);
         finish(wire::message_announcement,
                wire::Createannouncement(builder, host, data_centre, callers, datagrams, queries,
                                         message.sender.incarnation,
                                         static_cast<std::uint8_t>(message.state), message.sequence,
                                         message.configuration_revision, message.complete, work_list,
                                         slow_list, message.forward, message.sender.processor_share,
-                                        message.requests_per_s)
+                                        message.requests_per_s, ends, answered, quarantined)
                    .Union());
     }
 
+    /// Empty lists are omitted.
+    flatbuffers::Offset<string_list> write_strings(const std::vector<std::string>& texts) const {
+        return texts.empty() ? 0 : builder.CreateVectorOfStrings(texts);
+    }
+
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<wire::engine_end>>> write_ends(
+        const std::vector<engine_end>& items) const {
+        std::vector<flatbuffers::Offset<wire::engine_end>> ends;
+        for (const engine_end& item : items) {
+            const auto engine = builder.CreateString(item.engine);
+            const auto parts = write_strings(item.parts);
+            ends.push_back(wire::Createengine_end(builder, engine, item.subject, parts,
+                                                  (now - item.ended_at).count(),
+                                                  item.looked_complete));
+        }
+        return ends.empty() ? 0 : builder.CreateVector(ends);
+    }
+
+    flatbuffers::Offset<quarantined_list> write_quarantined(
+        const std::vector<quarantined_part>& items) const {
+        std::vector<flatbuffers::Offset<wire::quarantined_part>> parts;
+        for (const quarantined_part& item : items) {
+            const auto id = builder.CreateString(item.id);
+            parts.push_back(wire::Createquarantined_part(builder, id, (item.until - now).count()));
+        }
+        return parts.empty() ? 0 : builder.CreateVector(parts);
+    }
+
     flatbuffers::Offset<wire::work> write_work(const engine_work& item) const {
         const auto engine = builder.CreateString(item.engine);
         const auto phase = static_cast<std::uint8_t>(item.phase);
@@ -235,12 +307,13 @@
         const auto sender = builder.CreateString(message.sender);
         const auto change_list = builder.CreateVector(changes);
         const auto serving = hosts.empty() ? 0 : builder.CreateVector(hosts);
+        const auto quarantined = write_quarantined(message.quarantined_parts);
         finish(wire::message_view_reply,
                wire::Createview_reply(
                    builder, sender, message.nonce, message.configuration_revision,
                    message.configuration_age.count(), message.catalogue_age.count(),
                    message.catalogue.complete, message.catalogue.revision, change_list, serving,
-                   message.invitation, message.catalogue_left_out)
+                   message.invitation, message.catalogue_left_out, quarantined)
                    .Union());
     }
 
@@ -272,7 +345,7 @@
         return read_request(*body);
     }
     if (const auto* body = root->message_as_view_reply()) {
-        return read_reply(*body);
+        return read_reply(*body, now);
     }
     throw operation_error("decode datagram", "peer", "unknown message type");
 }
--- a/drivers/datagrams/datagram_generated.h
+++ b/drivers/datagrams/datagram_generated.h
@@ -22,6 +22,12 @@
 struct slow_engine;
 struct slow_engineBuilder;
 
+struct engine_end;
+struct engine_endBuilder;
+
+struct quarantined_part;
+struct quarantined_partBuilder;
+
 struct announcement;
 struct announcementBuilder;
 
@@ -293,6 +299,171 @@
       pace);
 }
 
+struct engine_end FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef engine_endBuilder Builder;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_ENGINE = 4,
+    VT_SUBJECT = 6,
+    VT_PARTS = 8,
+    VT_AGE_US = 10,
+    VT_LOOKED_COMPLETE = 12
+  };
+  const flatbuffers::String *engine() const {
+    return GetPointer<const flatbuffers::String *>(VT_ENGINE);
+  }
+  uint64_t subject() const {
+    return GetField<uint64_t>(VT_SUBJECT, 0);
+  }
+  const flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>> *parts() const {
+    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>> *>(VT_PARTS);
+  }
+  int64_t age_us() const {
+    return GetField<int64_t>(VT_AGE_US, 0);
+  }
+  bool looked_complete() const {
+    return GetField<uint8_t>(VT_LOOKED_COMPLETE, 0) != 0;
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyOffset(verifier, VT_ENGINE) &&
+           verifier.VerifyString(engine()) &&
+           VerifyField<uint64_t>(verifier, VT_SUBJECT, 8) &&
+           VerifyOffset(verifier, VT_PARTS) &&
+           verifier.VerifyVector(parts()) &&
+           verifier.VerifyVectorOfStrings(parts()) &&
+           VerifyField<int64_t>(verifier, VT_AGE_US, 8) &&
+           VerifyField<uint8_t>(verifier, VT_LOOKED_COMPLETE, 1) &&
+           verifier.EndTable();
+  }
+};
+
+struct engine_endBuilder {
+  typedef engine_end Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_engine(flatbuffers::Offset<flatbuffers::String> engine) {
+    fbb_.AddOffset(engine_end::VT_ENGINE, engine);
+  }
+  void add_subject(uint64_t subject) {
+    fbb_.AddElement<uint64_t>(engine_end::VT_SUBJECT, subject, 0);
+  }
+  void add_parts(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>>> parts) {
+    fbb_.AddOffset(engine_end::VT_PARTS, parts);
+  }
+  void add_age_us(int64_t age_us) {
+    fbb_.AddElement<int64_t>(engine_end::VT_AGE_US, age_us, 0);
+  }
+  void add_looked_complete(bool looked_complete) {
+    fbb_.AddElement<uint8_t>(engine_end::VT_LOOKED_COMPLETE, static_cast<uint8_t>(looked_complete), 0);
+  }
+  explicit engine_endBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<engine_end> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<engine_end>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<engine_end> Createengine_end(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    flatbuffers::Offset<flatbuffers::String> engine = 0,
+    uint64_t subject = 0,
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>>> parts = 0,
+    int64_t age_us = 0,
+    bool looked_complete = false) {
+  engine_endBuilder builder_(_fbb);
+  builder_.add_age_us(age_us);
+  builder_.add_subject(subject);
+  builder_.add_parts(parts);
+  builder_.add_engine(engine);
+  builder_.add_looked_complete(looked_complete);
+  return builder_.Finish();
+}
+
+inline flatbuffers::Offset<engine_end> Createengine_endDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    const char *engine = nullptr,
+    uint64_t subject = 0,
+    const std::vector<flatbuffers::Offset<flatbuffers::String>> *parts = nullptr,
+    int64_t age_us = 0,
+    bool looked_complete = false) {
+  auto engine__ = engine ? _fbb.CreateString(engine) : 0;
+  auto parts__ = parts ? _fbb.CreateVector<flatbuffers::Offset<flatbuffers::String>>(*parts) : 0;
+  return fuchsiaquay::wire::Createengine_end(
+      _fbb,
+      engine__,
+      subject,
+      parts__,
+      age_us,
+      looked_complete);
+}
+
+struct quarantined_part FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef quarantined_partBuilder Builder;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_ID = 4,
+    VT_LEFT_US = 6
+  };
+  const flatbuffers::String *id() const {
+    return GetPointer<const flatbuffers::String *>(VT_ID);
+  }
+  int64_t left_us() const {
+    return GetField<int64_t>(VT_LEFT_US, 0);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyOffset(verifier, VT_ID) &&
+           verifier.VerifyString(id()) &&
+           VerifyField<int64_t>(verifier, VT_LEFT_US, 8) &&
+           verifier.EndTable();
+  }
+};
+
+struct quarantined_partBuilder {
+  typedef quarantined_part Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_id(flatbuffers::Offset<flatbuffers::String> id) {
+    fbb_.AddOffset(quarantined_part::VT_ID, id);
+  }
+  void add_left_us(int64_t left_us) {
+    fbb_.AddElement<int64_t>(quarantined_part::VT_LEFT_US, left_us, 0);
+  }
+  explicit quarantined_partBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<quarantined_part> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<quarantined_part>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<quarantined_part> Createquarantined_part(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    flatbuffers::Offset<flatbuffers::String> id = 0,
+    int64_t left_us = 0) {
+  quarantined_partBuilder builder_(_fbb);
+  builder_.add_left_us(left_us);
+  builder_.add_id(id);
+  return builder_.Finish();
+}
+
+inline flatbuffers::Offset<quarantined_part> Createquarantined_partDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    const char *id = nullptr,
+    int64_t left_us = 0) {
+  auto id__ = id ? _fbb.CreateString(id) : 0;
+  return fuchsiaquay::wire::Createquarantined_part(
+      _fbb,
+      id__,
+      left_us);
+}
+
 struct announcement FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
   typedef announcementBuilder Builder;
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
@@ -310,7 +481,10 @@
     VT_SLOW = 26,
     VT_FORWARD = 28,
     VT_PROCESSOR_SHARE = 30,
-    VT_REQUESTS_PER_S = 32
+    VT_REQUESTS_PER_S = 32,
+    VT_ENGINE_ENDS = 34,
+    VT_ANSWERED_PARTS = 36,
+    VT_QUARANTINED_PARTS = 38
   };
   const flatbuffers::String *host() const {
     return GetPointer<const flatbuffers::String *>(VT_HOST);
@@ -357,6 +531,15 @@
   double requests_per_s() const {
     return GetField<double>(VT_REQUESTS_PER_S, 0.0);
   }
+  const flatbuffers::Vector<flatbuffers::Offset<fuchsiaquay::wire::engine_end>> *engine_ends() const {
+    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<fuchsiaquay::wire::engine_end>> *>(VT_ENGINE_ENDS);
+  }
+  const flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>> *answered_parts() const {
+    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>> *>(VT_ANSWERED_PARTS);
+  }
+  const flatbuffers::Vector<flatbuffers::Offset<fuchsiaquay::wire::quarantined_part>> *quarantined_parts() const {
+    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<fuchsiaquay::wire::quarantined_part>> *>(VT_QUARANTINED_PARTS);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffset(verifier, VT_HOST) &&
@@ -383,6 +566,15 @@
            VerifyField<uint8_t>(verifier, VT_FORWARD, 1) &&
            VerifyField<double>(verifier, VT_PROCESSOR_SHARE, 8) &&
            VerifyField<double>(verifier, VT_REQUESTS_PER_S, 8) &&
+           VerifyOffset(verifier, VT_ENGINE_ENDS) &&
+           verifier.VerifyVector(engine_ends()) &&
+           verifier.VerifyVectorOfTables(engine_ends()) &&
+           VerifyOffset(verifier, VT_ANSWERED_PARTS) &&
+           verifier.VerifyVector(answered_parts()) &&
+           verifier.VerifyVectorOfStrings(answered_parts()) &&
+           VerifyOffset(verifier, VT_QUARANTINED_PARTS) &&
+           verifier.VerifyVector(quarantined_parts()) &&
+           verifier.VerifyVectorOfTables(quarantined_parts()) &&
            verifier.EndTable();
   }
 };
@@ -436,6 +628,15 @@
   void add_requests_per_s(double requests_per_s) {
     fbb_.AddElement<double>(announcement::VT_REQUESTS_PER_S, requests_per_s, 0.0);
   }
+  void add_engine_ends(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<fuchsiaquay::wire::engine_end>>> engine_ends) {
+    fbb_.AddOffset(announcement::VT_ENGINE_ENDS, engine_ends);
+  }
+  void add_answered_parts(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>>> answered_parts) {
+    fbb_.AddOffset(announcement::VT_ANSWERED_PARTS, answered_parts);
+  }
+  void add_quarantined_parts(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<fuchsiaquay::wire::quarantined_part>>> quarantined_parts) {
+    fbb_.AddOffset(announcement::VT_QUARANTINED_PARTS, quarantined_parts);
+  }
   explicit announcementBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -463,13 +664,19 @@
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<fuchsiaquay::wire::slow_engine>>> slow = 0,
     bool forward = false,
     double processor_share = 0.0,
-    double requests_per_s = 0.0) {
+    double requests_per_s = 0.0,
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<fuchsiaquay::wire::engine_end>>> engine_ends = 0,
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>>> answered_parts = 0,
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<fuchsiaquay::wire::quarantined_part>>> quarantined_parts = 0) {
   announcementBuilder builder_(_fbb);
   builder_.add_requests_per_s(requests_per_s);
   builder_.add_processor_share(processor_share);
   builder_.add_configuration_revision(configuration_revision);
   builder_.add_sequence(sequence);
   builder_.add_incarnation(incarnation);
+  builder_.add_quarantined_parts(quarantined_parts);
+  builder_.add_answered_parts(answered_parts);
+  builder_.add_engine_ends(engine_ends);
   builder_.add_slow(slow);
   builder_.add_works(works);
   builder_.add_queries(queries);
@@ -499,7 +706,10 @@
     const std::vector<flatbuffers::Offset<fuchsiaquay::wire::slow_engine>> *slow = nullptr,
     bool forward = false,
     double processor_share = 0.0,
-    double requests_per_s = 0.0) {
+    double requests_per_s = 0.0,
+    const std::vector<flatbuffers::Offset<fuchsiaquay::wire::engine_end>> *engine_ends = nullptr,
+    const std::vector<flatbuffers::Offset<flatbuffers::String>> *answered_parts = nullptr,
+    const std::vector<flatbuffers::Offset<fuchsiaquay::wire::quarantined_part>> *quarantined_parts = nullptr) {
   auto host__ = host ? _fbb.CreateString(host) : 0;
   auto data_centre__ = data_centre ? _fbb.CreateString(data_centre) : 0;
   auto callers__ = callers ? _fbb.CreateString(callers) : 0;
@@ -507,6 +717,9 @@
   auto queries__ = queries ? _fbb.CreateString(queries) : 0;
   auto works__ = works ? _fbb.CreateVector<flatbuffers::Offset<fuchsiaquay::wire::work>>(*works) : 0;
   auto slow__ = slow ? _fbb.CreateVector<flatbuffers::Offset<fuchsiaquay::wire::slow_engine>>(*slow) : 0;
+  auto engine_ends__ = engine_ends ? _fbb.CreateVector<flatbuffers::Offset<fuchsiaquay::wire::engine_end>>(*engine_ends) : 0;
+  auto answered_parts__ = answered_parts ? _fbb.CreateVector<flatbuffers::Offset<flatbuffers::String>>(*answered_parts) : 0;
+  auto quarantined_parts__ = quarantined_parts ? _fbb.CreateVector<flatbuffers::Offset<fuchsiaquay::wire::quarantined_part>>(*quarantined_parts) : 0;
   return fuchsiaquay::wire::Createannouncement(
       _fbb,
       host__,
@@ -523,7 +736,10 @@
       slow__,
       forward,
       processor_share,
-      requests_per_s);
+      requests_per_s,
+      engine_ends__,
+      answered_parts__,
+      quarantined_parts__);
 }
 
 struct host FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
@@ -960,7 +1176,8 @@
     VT_CHANGES = 18,
     VT_SERVING = 20,
     VT_INVITATION = 22,
-    VT_CATALOGUE_LEFT_OUT = 24
+    VT_CATALOGUE_LEFT_OUT = 24,
+    VT_QUARANTINED_PARTS = 26
   };
   const flatbuffers::String *sender() const {
     return GetPointer<const flatbuffers::String *>(VT_SENDER);
@@ -995,6 +1212,9 @@
   bool catalogue_left_out() const {
     return GetField<uint8_t>(VT_CATALOGUE_LEFT_OUT, 0) != 0;
   }
+  const flatbuffers::Vector<flatbuffers::Offset<fuchsiaquay::wire::quarantined_part>> *quarantined_parts() const {
+    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<fuchsiaquay::wire::quarantined_part>> *>(VT_QUARANTINED_PARTS);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffset(verifier, VT_SENDER) &&
@@ -1013,6 +1233,9 @@
            verifier.VerifyVectorOfTables(serving()) &&
            VerifyField<uint8_t>(verifier, VT_INVITATION, 1) &&
            VerifyField<uint8_t>(verifier, VT_CATALOGUE_LEFT_OUT, 1) &&
+           VerifyOffset(verifier, VT_QUARANTINED_PARTS) &&
+           verifier.VerifyVector(quarantined_parts()) &&
+           verifier.VerifyVectorOfTables(quarantined_parts()) &&
            verifier.EndTable();
   }
 };
@@ -1054,6 +1277,9 @@
   void add_catalogue_left_out(bool catalogue_left_out) {
     fbb_.AddElement<uint8_t>(view_reply::VT_CATALOGUE_LEFT_OUT, static_cast<uint8_t>(catalogue_left_out), 0);
   }
+  void add_quarantined_parts(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<fuchsiaquay::wire::quarantined_part>>> quarantined_parts) {
+    fbb_.AddOffset(view_reply::VT_QUARANTINED_PARTS, quarantined_parts);
+  }
   explicit view_replyBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -1077,13 +1303,15 @@
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<fuchsiaquay::wire::upstream_change>>> changes = 0,
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<fuchsiaquay::wire::host>>> serving = 0,
     bool invitation = false,
-    bool catalogue_left_out = false) {
+    bool catalogue_left_out = false,
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<fuchsiaquay::wire::quarantined_part>>> quarantined_parts = 0) {
   view_replyBuilder builder_(_fbb);
   builder_.add_catalogue_revision(catalogue_revision);
   builder_.add_catalogue_age_us(catalogue_age_us);
   builder_.add_configuration_age_us(configuration_age_us);
   builder_.add_configuration_revision(configuration_revision);
   builder_.add_nonce(nonce);
+  builder_.add_quarantined_parts(quarantined_parts);
   builder_.add_serving(serving);
   builder_.add_changes(changes);
   builder_.add_sender(sender);
@@ -1105,10 +1333,12 @@
     const std::vector<flatbuffers::Offset<fuchsiaquay::wire::upstream_change>> *changes = nullptr,
     const std::vector<flatbuffers::Offset<fuchsiaquay::wire::host>> *serving = nullptr,
     bool invitation = false,
-    bool catalogue_left_out = false) {
+    bool catalogue_left_out = false,
+    const std::vector<flatbuffers::Offset<fuchsiaquay::wire::quarantined_part>> *quarantined_parts = nullptr) {
   auto sender__ = sender ? _fbb.CreateString(sender) : 0;
   auto changes__ = changes ? _fbb.CreateVector<flatbuffers::Offset<fuchsiaquay::wire::upstream_change>>(*changes) : 0;
   auto serving__ = serving ? _fbb.CreateVector<flatbuffers::Offset<fuchsiaquay::wire::host>>(*serving) : 0;
+  auto quarantined_parts__ = quarantined_parts ? _fbb.CreateVector<flatbuffers::Offset<fuchsiaquay::wire::quarantined_part>>(*quarantined_parts) : 0;
   return fuchsiaquay::wire::Createview_reply(
       _fbb,
       sender__,
@@ -1121,7 +1351,8 @@
       changes__,
       serving__,
       invitation,
-      catalogue_left_out);
+      catalogue_left_out,
+      quarantined_parts__);
 }
 
 struct datagram FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
--- a/drivers/traffic/beast_exchange.cpp
+++ b/drivers/traffic/beast_exchange.cpp
@@ -72,7 +72,7 @@
         }
         self->connect_timer_.reset();
         if (error) {
-            self->fail("connect: " + error.message());
+            self->fail("connect: " + error.message(), error == asio::error::connection_refused);
             return;
         }
         set_up_traffic_socket(*self->socket_);
@@ -174,6 +174,7 @@
             head.headers.push_back(std::move(copy));
         }
     }
+    head.ends_with_connection = parser_->need_eof();
     listener_->on_head(std::move(head));
 }
 
@@ -217,11 +218,11 @@
                               std::chrono::seconds(seconds) - idle_lifetime_margin);
 }
 
-void beast_exchange::fail(const std::string& reason) {
+void beast_exchange::fail(const std::string& reason, bool refused) {
     exchange_listener* listener = std::exchange(listener_, nullptr);
     close();
     if (listener != nullptr) {
-        listener->on_failure({sent_, reused_, reason});
+        listener->on_failure({sent_, reused_, reason, refused});
     }
 }
 
--- a/drivers/traffic/beast_exchange.hpp
+++ b/drivers/traffic/beast_exchange.hpp
@@ -45,7 +45,7 @@
     void deliver_head();
     void on_read_error(const boost::system::error_code& error);
     void complete();
-    void fail(const std::string& reason);
+    void fail(const std::string& reason, bool refused = false);
     void close();
     duration idle_lifetime() const;
 
--- a/main/entry_node.cpp
+++ b/main/entry_node.cpp
@@ -126,6 +126,7 @@
     });
     upstreams_.on_removed([this](const std::string& id) {
         engine_work_.remove_upstream(id);
+        engine_work_.quarantine().on_engine_gone(id, loop_.now());
         health_.forget(upstream_id(id));
         notices_.forget(id);
     });
@@ -244,6 +245,7 @@
          static_cast<double>(configuration_store_.call_count() + catalogue_store_.call_count())},
         {"store_calls_failed_total", static_cast<double>(configuration_store_.failure_count() +
                                                          catalogue_store_.failure_count())},
+        {"prompt_parts_quarantined", static_cast<double>(engine_work_.quarantine().size())},
         {"hosts_live", static_cast<double>(hosts_.live_peers().size() + 1)},
         {"handler_errors_total", static_cast<double>(handler_errors_)},
         {"log_lines_dropped_total", static_cast<double>(log_.lines_dropped())},
--- a/servers/fleet/engine_work_table.hpp
+++ b/servers/fleet/engine_work_table.hpp
@@ -10,6 +10,7 @@
 #include "core/placement/engine_load.hpp"
 #include "core/placement/engine_slowdown_tracker.hpp"
 #include "core/placement/engine_work.hpp"
+#include "core/quarantine/prompt_part_quarantine.hpp"
 
 namespace fuchsiaquay {
 
@@ -35,6 +36,9 @@
     /// Slowdowns of the engines as observed in this host's streams or announced by other hosts.
     engine_slowdown_tracker& slowdowns() noexcept { return slowdowns_; }
     const engine_slowdown_tracker& slowdowns() const noexcept { return slowdowns_; }
+    /// Parts of prompts that end engines, as observed by all hosts.
+    prompt_part_quarantine& quarantine() noexcept { return quarantine_; }
+    const prompt_part_quarantine& quarantine() const noexcept { return quarantine_; }
     std::vector<engine_work> own_work_items() const;
 
     void on_own_change(change_handler changed) { own_changed_ = std::move(changed); }
@@ -50,6 +54,7 @@
     std::string self_;
     std::map<std::string, engine_load> loads_;
     engine_slowdown_tracker slowdowns_;
+    prompt_part_quarantine quarantine_;
     /// Work of this host by key and upstream.
     std::map<std::pair<std::uint64_t, std::string>, engine_work> own_work_items_;
     change_handler own_changed_;
--- a/servers/fleet/host_registry.hpp
+++ b/servers/fleet/host_registry.hpp
@@ -24,6 +24,7 @@
 class decision_log;
 class engine_work_table;
 class polled_store;
+class prompt_part_quarantine;
 class timer_service;
 
 /// Tracks the serving hosts of the fleet. A serving host has an entry in the store, finds the other
@@ -78,6 +79,8 @@
     void on_newer_configuration(newer_configuration_handler on_newer) {
         newer_configuration_ = std::move(on_newer);
     }
+    /// Parts of prompts that end engines, as known to this host.
+    prompt_part_quarantine& quarantine() const;
     /// Sends a complete announcement immediately, for example after a change of the configuration.
     void announce_now();
 
@@ -125,6 +128,8 @@
     recent_work_changes recent_changes_;
     bool changes_pending_ = false;
     bool flush_planned_ = false;
+    /// Whether a complete announcement is planned.
+    bool report_planned_ = false;
 };
 
 }  // namespace fuchsiaquay
--- a/servers/fleet/store_view_sync.cpp
+++ b/servers/fleet/store_view_sync.cpp
@@ -6,6 +6,7 @@
 #include "core/hashing/rendezvous.hpp"
 #include "core/hashing/stagger_delay.hpp"
 #include "core/identity/names.hpp"
+#include "core/quarantine/prompt_part_quarantine.hpp"
 #include "servers/decision_log.hpp"
 #include "servers/fleet/configuration_feed.hpp"
 #include "servers/fleet/datagram_channel.hpp"
@@ -250,6 +251,8 @@
     if (request.standby) {
         reply.serving_hosts = services_.hosts.reported_hosts();
         reply.invitation = services_.role.should_invite(request.sender);
+        reply.quarantined_parts =
+            services_.hosts.quarantine().report(services_.timers.now()).quarantined;
     }
     services_.channel.send({request.sender.datagram_address}, reply);
 }
@@ -262,6 +265,10 @@
     const instant requested_at = pending_request_->sent_at;
     pending_request_.reset();
     services_.hosts.merge_reported_hosts(reply.serving_hosts, requested_at);
+    if (!services_.role.serving()) {
+        services_.hosts.quarantine().merge({{}, {}, reply.quarantined_parts},
+                                           services_.timers.now());
+    }
     if (reply.invitation) {
         services_.role.accept_invitation();
     }
--- a/servers/relay/exchange_failure.hpp
+++ b/servers/relay/exchange_failure.hpp
@@ -11,6 +11,8 @@
     /// True if the connection had been used for earlier requests.
     bool reused_connection = false;
     std::string reason;
+    /// Nothing listens at the address of the upstream.
+    bool refused = false;
 };
 
 }  // namespace fuchsiaquay
--- a/servers/relay/relay_queue.cpp
+++ b/servers/relay/relay_queue.cpp
@@ -5,6 +5,7 @@
 #include <utility>
 #include <vector>
 
+#include "servers/decision_log.hpp"
 #include "servers/fleet/engine_work_table.hpp"
 #include "servers/relay/request_relay.hpp"
 #include "servers/timer_service.hpp"
@@ -79,17 +80,37 @@
     }
 }
 
+template <typename visitor>
+void relay_queue::for_each(visitor visit) {
+    const std::vector<request_relay*> all(relays_.begin(), relays_.end());
+    for (request_relay* relay : all) {
+        if (relays_.count(relay) > 0) {
+            visit(*relay);
+        }
+    }
+}
+
 void relay_queue::check_all_timeouts() {
     const instant now = services_.timers.now();
     const bool check_silence = now - last_check_at_ <= max_check_gap;
     last_check_at_ = now;
+    review_quarantine();
     place_waiting();
-    const std::vector<request_relay*> all(relays_.begin(), relays_.end());
-    for (request_relay* relay : all) {
-        if (relays_.count(relay) > 0) {
-            relay->check_timeouts(check_silence);
+    for_each([check_silence](request_relay& relay) { relay.check_timeouts(check_silence); });
+}
+
+void relay_queue::review_quarantine() {
+    prompt_part_quarantine& quarantine = services_.work_table.quarantine();
+    // Until the other hosts have reported, this host does not know which parts they answered.
+    if (services_.knows_all_work()) {
+        for (const std::string& part : quarantine.review(services_.timers.now())) {
+            services_.log.write(decision_log::level::warning, "prompt_part_quarantined",
+                                {{"part", part}, {"source", "engines ended"}});
         }
     }
+    if (quarantine.size() > 0) {
+        for_each([](request_relay& relay) { relay.check_quarantine(); });
+    }
 }
 
 }  // namespace fuchsiaquay
--- a/servers/relay/relay_queue.hpp
+++ b/servers/relay/relay_queue.hpp
@@ -36,6 +36,11 @@
 private:
     void place_waiting();
     void check_all_timeouts();
+    /// Ends the requests with parts that are quarantined from now on.
+    void review_quarantine();
+    /// Calls `visit` for each request, except those that end meanwhile.
+    template <typename visitor>
+    void for_each(visitor visit);
 
     const relay_services& services_;
     upstream_chooser chooser_;
--- a/servers/relay/request_log.cpp
+++ b/servers/relay/request_log.cpp
@@ -19,6 +19,15 @@
     return std::to_string(to_milliseconds(value));
 }
 
+/// Returns the texts, separated by commas.
+std::string join(const std::vector<std::string>& texts) {
+    std::string result;
+    for (const std::string& text : texts) {
+        result += (result.empty() ? "" : ",") + text;
+    }
+    return result;
+}
+
 /// Returns the engine ids, separated by commas.
 std::string join_engine_ids(const std::vector<placement_part>& parts) {
     std::string ids;
@@ -98,6 +107,7 @@
                          {"attempt", std::to_string(attempt)},
                          {"reason", reason},
                          {"took_ms", ms_text(elapsed)},
+                         {"parts", join(request_.prompt_parts)},
                          {"again", will_retry ? "yes" : "no"}});
 }
 
--- a/servers/relay/request_relay.cpp
+++ b/servers/relay/request_relay.cpp
@@ -139,8 +139,34 @@
     }
 }
 
+void request_relay::check_quarantine() {
+    const bool placed_before = admitted_.matched_route != nullptr && !done_;
+    if (placed_before && (waiting_ || !attempt_ || work_.awaiting_first_event()) &&
+        services_.work_table.quarantine().blocks(request_.prompt_parts, services_.timers.now())) {
+        end_quarantined();
+    }
+}
+
+void request_relay::end_quarantined() {
+    constexpr const char* reason = "prompt_part_ends_engines";
+    cancel_attempts("prompt part in quarantine");
+    if (response_started_) {
+        apply_next_step(next_step::abort, reason);
+    } else if (history_.may_have_run()) {
+        send_failure(status_bad_gateway, reason);
+    } else {
+        const duration left = services_.work_table.quarantine().blocked_for(request_.prompt_parts,
+                                                                            services_.timers.now());
+        refuse({status_unavailable, reason, left});
+    }
+}
+
 void request_relay::place() {
     const instant now = services_.timers.now();
+    if (services_.work_table.quarantine().blocks(request_.prompt_parts, now)) {
+        end_quarantined();
+        return;
+    }
     work_key_ = stable_hash(request_.id, static_cast<std::uint64_t>(history_.count()));
     const placement_decision decision =
         chooser_.choose(request_, admitted_, work_key_, excluded_upstreams(history_.last_failed()),
--- a/servers/relay/request_relay.hpp
+++ b/servers/relay/request_relay.hpp
@@ -44,6 +44,9 @@
     ///                       silent
     void check_timeouts(bool check_silence);
 
+    /// Ends the request if it must not reach an engine any more and none has begun to answer it.
+    void check_quarantine();
+
     bool passed_on() const override;
     void on_connection_lost(const std::string& cause, bool by_caller) override;
 
@@ -61,6 +64,7 @@
     /// the upstreams, or is past its startup time.
     bool host_ready() const;
     void place();
+    void end_quarantined();
     /// Ends a request that no upstream can take.
     void give_up(const placement_decision& decision);
     void dispatch(const placement_decision& decision);
--- a/servers/relay/upstream_attempt.cpp
+++ b/servers/relay/upstream_attempt.cpp
@@ -12,6 +12,7 @@
 #include "core/identity/names.hpp"
 #include "core/relay/caller_request.hpp"
 #include "core/relay/connect_timeout.hpp"
+#include "servers/fleet/engine_work_table.hpp"
 #include "servers/fleet/upstream_registry.hpp"
 #include "servers/relay/admission_result.hpp"
 #include "servers/relay/attempt_listener.hpp"
@@ -35,6 +36,9 @@
 /// Number of urgency levels in the upstreams' interface for each rank.
 constexpr int urgencies_per_rank = 3;
 constexpr int max_urgency = 9;
+/// An answer has begun soundly once events arrive later than this multiple of the target gap after
+/// the first one.
+constexpr int gaps_of_beginning = 2;
 /// Maximum size of a response that is not a stream. Such a response is buffered until it is
 /// complete, so that a truncated one is detected.
 constexpr std::size_t max_response_bytes = 8'388'608;
@@ -241,11 +245,35 @@
 
 void upstream_attempt::record_progress() {
     progress_at_ = services_.timers.now();
+    first_event_at_ = first_event_at_.value_or(progress_at_);
+    const duration beginning = admitted_.matched_route->target_gap * gaps_of_beginning;
+    if (!answered_ && progress_at_ - *first_event_at_ >= beginning) {
+        note_answered();
+    }
+}
+
+void upstream_attempt::note_answered() {
+    answered_ = true;
+    services_.work_table.quarantine().on_answered(request_.prompt_parts, services_.timers.now());
+}
+
+void upstream_attempt::note_connection_ended(bool looked_complete) {
+    if (answered_) {
+        return;
+    }
+    services_.work_table.quarantine().on_connection_ended(
+        {upstream(), request_.prompt_subject, request_.prompt_parts, services_.timers.now(),
+         looked_complete});
 }
 
 void upstream_attempt::on_end() {
     services_.health.on_result(upstream_id(upstream()), attempt_evidence::answered,
                                services_.timers.now());
+    if (response_.head.ends_with_connection) {
+        note_connection_ended(first_event_at_.has_value());
+    } else if (is_success(response_.head.status)) {
+        note_answered();
+    }
     exchange_.reset();
     memory_.reset();
     listener_.on_response_complete(*this);
@@ -255,7 +283,13 @@
     const attempt_evidence evidence = failure.reused_connection
                                           ? attempt_evidence::stalled_reused_connection
                                           : attempt_evidence::failed;
-    services_.health.on_result(upstream_id(upstream()), evidence, services_.timers.now());
+    const instant now = services_.timers.now();
+    services_.health.on_result(upstream_id(upstream()), evidence, now);
+    if (failure.refused) {
+        services_.work_table.quarantine().on_engine_gone(upstream(), now);
+    } else if (failure.sent) {
+        note_connection_ended(false);
+    }
     listener_.on_attempt_failed(
         *this, failure.sent ? attempt_outcome::unknown : attempt_outcome::not_sent, failure.reason);
 }
--- a/servers/relay/upstream_attempt.hpp
+++ b/servers/relay/upstream_attempt.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <memory>
+#include <optional>
 #include <string>
 #include <string_view>
 
@@ -66,6 +67,10 @@
     void fail_later(attempt_outcome outcome, const std::string& reason);
     /// Returns why the response may belong to another attempt; null if it belongs to this one.
     const char* find_mismatch() const;
+    /// Records that the engine went on after it had begun to answer.
+    void note_answered();
+    /// Records that the connection ended before `note_answered` was called.
+    void note_connection_ended(bool looked_complete);
     /// Records which engine the response reports as the cause of a failure.
     void record_fault();
     /// Records that the upstream announced a pause or that it is leaving.
@@ -87,6 +92,9 @@
     instant progress_at_{};
     upstream_response response_;
     std::string body_;
+    /// When the first event arrived; absent before.
+    std::optional<instant> first_event_at_;
+    bool answered_ = false;
     bool streaming_ = false;
     bool sent_ = false;
     std::shared_ptr<int> alive_ = std::make_shared<int>(0);
--- a/tests/drivers/datagrams/datagram_codec_test.cpp
+++ b/tests/drivers/datagrams/datagram_codec_test.cpp
@@ -51,6 +51,26 @@
     CHECK_TRUE(message.works.front().target_gap == milliseconds(200));
 }
 
+TEST(datagram_codec, prompt_parts_keep_their_ages_on_the_receivers_clock) {
+    announcement message = sample();
+    message.prompt_parts.ends.push_back({"e1", 5, {"a", "b"}, now_ - seconds(2), true});
+    message.prompt_parts.answered = {"c"};
+    message.prompt_parts.quarantined.push_back({"d", now_ + seconds(60)});
+    const auto decoded =
+        std::get<announcement>(decode_datagram(encode_datagram(message, now_), now_ + seconds(1)));
+    prompt_part_report expected = message.prompt_parts;
+    expected.ends.front().ended_at = now_ - seconds(1);
+    expected.quarantined.front().until = now_ + seconds(61);
+    CHECK_TRUE(decoded.prompt_parts == expected);
+}
+
+TEST(datagram_codec, view_reply_keeps_the_quarantined_parts) {
+    view_reply reply;
+    reply.quarantined_parts.push_back({"d", now_ + seconds(60)});
+    const auto decoded = std::get<view_reply>(decode_datagram(encode_datagram(reply, now_), now_));
+    CHECK_TRUE(decoded.quarantined_parts == reply.quarantined_parts);
+}
+
 TEST(datagram_codec, slow_engines_keep_their_slowdown) {
     announcement message = sample();
     message.slow_engines.push_back({"e7", 4.5});
--- a/tests/platform/platform_request_format_test.cpp
+++ b/tests/platform/platform_request_format_test.cpp
@@ -76,6 +76,16 @@
     CHECK_TRUE(*valid.time_limit == milliseconds(900));
 }
 
+TEST(platform_request_format, prompt_parts_are_read_without_the_last_one) {
+    const caller_request valid = read({{"X-Prompt-Prefix", "5c1e:800, 91bd:410,e440:250"}});
+    LONGS_EQUAL(2, valid.prompt_parts.size());
+    CHECK_EQUAL(std::string("5c1e"), valid.prompt_parts[0]);
+    CHECK_EQUAL(std::string("91bd"), valid.prompt_parts[1]);
+    LONGS_EQUAL(0, read({{"X-Prompt-Prefix", "5c1e:800"}}).prompt_parts.size());
+    LONGS_EQUAL(0, read({{"X-Prompt-Prefix", ",:,"}}).prompt_parts.size());
+    LONGS_EQUAL(0, read({}).prompt_parts.size());
+}
+
 TEST(platform_request_format, not_executed_requires_its_header_and_misdirected_requires_421) {
     response_head busy;
     busy.status = 503;
--- a/tests/servers/fleet/host_registry_test.cpp
+++ b/tests/servers/fleet/host_registry_test.cpp
@@ -187,3 +187,23 @@
         }
     }
 }
+
+// Guards against hosts that learn of a part only from their own requests, one engine at a time.
+TEST(host_registry, part_that_ends_engines_of_different_hosts_is_quarantined_everywhere) {
+    for (int i = 0; i < 4; ++i) {
+        const std::string engine = "e" + std::to_string(i);
+        host("h" + std::to_string(i))
+            .work_table.quarantine()
+            .on_connection_ended(
+                {engine, static_cast<std::uint64_t>(i), {"bad"}, fleet_.timers.now(), false});
+        for (const auto& [name, item] : fleet_.hosts) {
+            item->work_table.quarantine().on_engine_gone(engine, fleet_.timers.now());
+        }
+        fleet_.timers.advance(milliseconds(200));
+    }
+    host("h5").work_table.quarantine().review(fleet_.timers.now());
+    fleet_.timers.advance(milliseconds(20));
+    for (const auto& [name, item] : fleet_.hosts) {
+        CHECK_TRUE(item->work_table.quarantine().blocks({"bad"}, fleet_.timers.now()));
+    }
+}
