--- a/tests/soak/engine_ends.py
+++ b/tests/soak/engine_ends.py
@@ -79,10 +79,12 @@
 
 class EngineEnds(World):
     upstream_type = MortalEngine
+    all_series = SERIES
 
     def __init__(self, options, folder):
         super().__init__(options, folder)
-        self.series = SERIES[options.series]
+        self.series = self.all_series[options.series]
+        self.answers = {}
         self.ends = {BAD: [], OTHER_BAD: []}
         self.late_arrivals = {BAD: 0, OTHER_BAD: 0}
         self.ended = 0
@@ -161,13 +163,14 @@
             await asyncio.sleep(rng.uniform(0.02, 0.1))
 
     async def ask_once(self, rng, request, parts, bad=False):
-        began = time.monotonic()
+        began, kind = time.monotonic(), request.split("-")[0]
         node, connection = rng.choice(self.nodes), None
         self.parts[request] = parts
         try:
             connection = await Connection(node.name).open(node.caller_wire.port)
-            await connection.send(self.head("chat", request, "k0", "2000,500", 4), b"body")
-            answer = await asyncio.wait_for(connection.receive(), TIMEOUT_S["chat"] + 1.5)
+            tokens = "1,1" if kind == "lookup" else "2000,500"
+            await connection.send(self.head(kind, request, "k0", tokens, 4), b"body")
+            answer = await asyncio.wait_for(connection.receive(), TIMEOUT_S[kind] + 1.5)
             answer = (answer[0], answer[2], answer[1], False)
         except asyncio.TimeoutError:
             answer = ("late", b"", {}, True)
@@ -180,7 +183,8 @@
         elif answer[0] in (400, 401, 404):
             self.finding(f"{request} was answered {answer[0]}")
         else:
-            self.judge("chat", request, "k0", began, answer)
+            self.judge(kind, request, "k0", began, answer)
+        self.answers[request] = (began, time.monotonic(), answer[0], answer[2])
         self.blamed += not bad and answer[0] != "late" and BLAME in answer[1]
         self.outcomes.append((began, "bad" if bad else "sound", answer[0]))
 
@@ -217,11 +221,11 @@
                         f"{list(self.late_arrivals.values())}, sound served {before:.2f}, {after:.2f}")
 
 
-def main():
+def run_series(world_type):
     parser = argparse.ArgumentParser()
     parser.add_argument("--binary", required=True)
     parser.add_argument("--previous", help="program of another version, on every second node")
-    parser.add_argument("--series", choices=SERIES, required=True)
+    parser.add_argument("--series", choices=world_type.all_series, required=True)
     parser.add_argument("--seed", type=int, default=1)
     parser.add_argument("--seconds", type=float, default=20.0)
     parser.add_argument("--nodes", type=int, default=6)
@@ -230,7 +234,7 @@
     options.binaries = [os.path.abspath(path) for path in (options.binary, options.previous) if path]
     folder = options.keep or tempfile.mkdtemp(prefix="soak-")
     os.makedirs(folder, exist_ok=True)
-    world = EngineEnds(options, folder)
+    world = world_type(options, folder)
     try:
         asyncio.run(run_quietly(world))
     finally:
@@ -245,4 +249,4 @@
 
 
 if __name__ == "__main__":
-    sys.exit(main())
+    sys.exit(run_series(EngineEnds))
