Upstreams: the limits that they name in their answers hold for all hosts together

Cause: the header was not read; placement knew slots, memory and load only. Class: a notice of an upstream about itself that concerns the fleet, of which each host sees only its own answers.

Change: upstream_rate_limits. Hosts already announce every dispatch; each now counts the dispatches of all hosts against the limit, and tells the others at once what answers said. The latest answer counts, one without a limit ends it, a malformed value changes nothing, of several the smallest counts. A host that does not hear all others takes its share only. Upstreams without room are no candidates; a request waits for room until its target at most, urgent ones first, and is refused at once when those ahead of it take the room until later, with that time.

--- a/core/fleet/announcement.hpp
+++ b/core/fleet/announcement.hpp
@@ -6,6 +6,7 @@
 
 #include "core/fleet/host_record.hpp"
 #include "core/fleet/host_state.hpp"
+#include "core/limits/rate_limit_notice.hpp"
 #include "core/placement/engine_work.hpp"
 #include "core/placement/slow_engine.hpp"
 #include "core/quarantine/prompt_part_report.hpp"
@@ -34,6 +35,8 @@
     std::vector<slow_engine> slow_engines;
     /// Set only in complete announcements, which are not forwarded.
     prompt_part_report prompt_parts;
+    /// What upstreams said to the sender about their limits; set only in complete announcements.
+    std::vector<rate_limit_notice> rate_limits;
 };
 
 }  // namespace fuchsiaquay
--- a/core/fleet/view_reply.hpp
+++ b/core/fleet/view_reply.hpp
@@ -6,6 +6,7 @@
 
 #include "core/fleet/catalogue_delta.hpp"
 #include "core/fleet/reported_host.hpp"
+#include "core/limits/rate_limit_notice.hpp"
 #include "core/quarantine/quarantined_part.hpp"
 #include "core/time/clock.hpp"
 
@@ -28,6 +29,9 @@
     std::vector<reported_host> serving_hosts;
     /// Parts of prompts that the sender refuses; set only in replies to hosts on standby.
     std::vector<quarantined_part> quarantined_parts;
+    /// What upstreams said to the sender about their limits; set only in replies to hosts on
+    /// standby.
+    std::vector<rate_limit_notice> rate_limits;
     /// Whether the requesting host should start to serve.
     bool invitation = false;
 };
--- a/core/placement/engine_load.hpp
+++ b/core/placement/engine_load.hpp
@@ -16,6 +16,9 @@
     /// Adds the work of a host or updates the known entry. The phase `ended` removes the entry.
     void apply(const std::string& host, const engine_work& work);
     void remove(const std::string& host, std::uint64_t key);
+    bool contains(const std::string& host, std::uint64_t key) const {
+        return work_items_.count({host, key}) > 0;
+    }
     void remove_host(const std::string& host);
 
     /// Requests that occupy a slot or wait for one.
--- a/drivers/datagrams/datagram_codec.cpp
+++ b/drivers/datagrams/datagram_codec.cpp
@@ -72,6 +72,22 @@
     return result;
 }
 
+using rate_limit_list = flatbuffers::Vector<flatbuffers::Offset<wire::rate_limit>>;
+
+std::vector<rate_limit_notice> read_rate_limits(const rate_limit_list* notices, instant now) {
+    std::vector<rate_limit_notice> result;
+    for (flatbuffers::uoffset_t i = 0; notices != nullptr && i < notices->size(); ++i) {
+        const wire::rate_limit& item = *notices->Get(i);
+        std::optional<double> limit;
+        if (item.named() && item.requests_per_s() >= 0.0) {
+            limit = item.requests_per_s();
+        }
+        const duration age = std::max(duration::zero(), duration(item.age_us()));
+        result.push_back({read_string(item.upstream()), limit, now - age});
+    }
+    return result;
+}
+
 prompt_part_report read_prompt_parts(const wire::announcement& root, instant now) {
     prompt_part_report result;
     if (root.engine_ends() != nullptr) {
@@ -113,6 +129,7 @@
         }
     }
     result.prompt_parts = read_prompt_parts(root, now);
+    result.rate_limits = read_rate_limits(root.rate_limits(), now);
     return result;
 }
 
@@ -163,6 +180,7 @@
         }
     }
     result.quarantined_parts = read_quarantined(root.quarantined_parts(), now);
+    result.rate_limits = read_rate_limits(root.rate_limits(), now);
     result.invitation = root.invitation();
     result.catalogue_left_out = root.catalogue_left_out();
     return result;
@@ -216,13 +234,14 @@
         const auto ends = write_ends(prompt_parts.ends);
         const auto answered = write_strings(prompt_parts.answered);
         const auto quarantined = write_quarantined(prompt_parts.quarantined);
+        const auto rate_limits = write_rate_limits(message.rate_limits);
         finish(wire::message_announcement,
-               wire::Createannouncement(builder, host, data_centre, callers, datagrams, queries,
-                                        message.sender.incarnation,
-                                        static_cast<std::uint8_t>(message.state), message.sequence,
-                                        message.configuration_revision, message.complete, work_list,
-                                        slow_list, message.forward, message.sender.processor_share,
-                                        message.requests_per_s, ends, answered, quarantined)
+               wire::Createannouncement(
+                   builder, host, data_centre, callers, datagrams, queries,
+                   message.sender.incarnation, static_cast<std::uint8_t>(message.state),
+                   message.sequence, message.configuration_revision, message.complete, work_list,
+                   slow_list, message.forward, message.sender.processor_share,
+                   message.requests_per_s, ends, answered, quarantined, rate_limits)
                    .Union());
     }
 
@@ -266,6 +285,18 @@
                                 item.target_gap.count(), (now - item.dispatched_at).count());
     }
 
+    flatbuffers::Offset<rate_limit_list> write_rate_limits(
+        const std::vector<rate_limit_notice>& items) const {
+        std::vector<flatbuffers::Offset<wire::rate_limit>> notices;
+        for (const rate_limit_notice& item : items) {
+            const auto upstream = builder.CreateString(item.upstream);
+            notices.push_back(wire::Createrate_limit(
+                builder, upstream, item.requests_per_s.has_value(),
+                item.requests_per_s.value_or(0.0), (now - item.named_at).count()));
+        }
+        return notices.empty() ? 0 : builder.CreateVector(notices);
+    }
+
     void operator()(const view_request& message) const {
         const auto sender = builder.CreateString(message.sender.host);
         const auto data_centre = builder.CreateString(message.sender.data_centre);
@@ -308,12 +339,13 @@
         const auto change_list = builder.CreateVector(changes);
         const auto serving = hosts.empty() ? 0 : builder.CreateVector(hosts);
         const auto quarantined = write_quarantined(message.quarantined_parts);
+        const auto rate_limits = write_rate_limits(message.rate_limits);
         finish(wire::message_view_reply,
                wire::Createview_reply(
                    builder, sender, message.nonce, message.configuration_revision,
                    message.configuration_age.count(), message.catalogue_age.count(),
                    message.catalogue.complete, message.catalogue.revision, change_list, serving,
-                   message.invitation, message.catalogue_left_out, quarantined)
+                   message.invitation, message.catalogue_left_out, quarantined, rate_limits)
                    .Union());
     }
 
--- a/drivers/datagrams/datagram_generated.h
+++ b/drivers/datagrams/datagram_generated.h
@@ -28,6 +28,9 @@
 struct quarantined_part;
 struct quarantined_partBuilder;
 
+struct rate_limit;
+struct rate_limitBuilder;
+
 struct announcement;
 struct announcementBuilder;
 
@@ -464,6 +467,93 @@
       left_us);
 }
 
+struct rate_limit FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef rate_limitBuilder Builder;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_UPSTREAM = 4,
+    VT_NAMED = 6,
+    VT_REQUESTS_PER_S = 8,
+    VT_AGE_US = 10
+  };
+  const flatbuffers::String *upstream() const {
+    return GetPointer<const flatbuffers::String *>(VT_UPSTREAM);
+  }
+  bool named() const {
+    return GetField<uint8_t>(VT_NAMED, 0) != 0;
+  }
+  double requests_per_s() const {
+    return GetField<double>(VT_REQUESTS_PER_S, 0.0);
+  }
+  int64_t age_us() const {
+    return GetField<int64_t>(VT_AGE_US, 0);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyOffset(verifier, VT_UPSTREAM) &&
+           verifier.VerifyString(upstream()) &&
+           VerifyField<uint8_t>(verifier, VT_NAMED, 1) &&
+           VerifyField<double>(verifier, VT_REQUESTS_PER_S, 8) &&
+           VerifyField<int64_t>(verifier, VT_AGE_US, 8) &&
+           verifier.EndTable();
+  }
+};
+
+struct rate_limitBuilder {
+  typedef rate_limit Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_upstream(flatbuffers::Offset<flatbuffers::String> upstream) {
+    fbb_.AddOffset(rate_limit::VT_UPSTREAM, upstream);
+  }
+  void add_named(bool named) {
+    fbb_.AddElement<uint8_t>(rate_limit::VT_NAMED, static_cast<uint8_t>(named), 0);
+  }
+  void add_requests_per_s(double requests_per_s) {
+    fbb_.AddElement<double>(rate_limit::VT_REQUESTS_PER_S, requests_per_s, 0.0);
+  }
+  void add_age_us(int64_t age_us) {
+    fbb_.AddElement<int64_t>(rate_limit::VT_AGE_US, age_us, 0);
+  }
+  explicit rate_limitBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<rate_limit> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<rate_limit>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<rate_limit> Createrate_limit(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    flatbuffers::Offset<flatbuffers::String> upstream = 0,
+    bool named = false,
+    double requests_per_s = 0.0,
+    int64_t age_us = 0) {
+  rate_limitBuilder builder_(_fbb);
+  builder_.add_age_us(age_us);
+  builder_.add_requests_per_s(requests_per_s);
+  builder_.add_upstream(upstream);
+  builder_.add_named(named);
+  return builder_.Finish();
+}
+
+inline flatbuffers::Offset<rate_limit> Createrate_limitDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    const char *upstream = nullptr,
+    bool named = false,
+    double requests_per_s = 0.0,
+    int64_t age_us = 0) {
+  auto upstream__ = upstream ? _fbb.CreateString(upstream) : 0;
+  return fuchsiaquay::wire::Createrate_limit(
+      _fbb,
+      upstream__,
+      named,
+      requests_per_s,
+      age_us);
+}
+
 struct announcement FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
   typedef announcementBuilder Builder;
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
@@ -484,7 +574,8 @@
     VT_REQUESTS_PER_S = 32,
     VT_ENGINE_ENDS = 34,
     VT_ANSWERED_PARTS = 36,
-    VT_QUARANTINED_PARTS = 38
+    VT_QUARANTINED_PARTS = 38,
+    VT_RATE_LIMITS = 40
   };
   const flatbuffers::String *host() const {
     return GetPointer<const flatbuffers::String *>(VT_HOST);
@@ -540,6 +631,9 @@
   const flatbuffers::Vector<flatbuffers::Offset<fuchsiaquay::wire::quarantined_part>> *quarantined_parts() const {
     return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<fuchsiaquay::wire::quarantined_part>> *>(VT_QUARANTINED_PARTS);
   }
+  const flatbuffers::Vector<flatbuffers::Offset<fuchsiaquay::wire::rate_limit>> *rate_limits() const {
+    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<fuchsiaquay::wire::rate_limit>> *>(VT_RATE_LIMITS);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffset(verifier, VT_HOST) &&
@@ -575,6 +669,9 @@
            VerifyOffset(verifier, VT_QUARANTINED_PARTS) &&
            verifier.VerifyVector(quarantined_parts()) &&
            verifier.VerifyVectorOfTables(quarantined_parts()) &&
+           VerifyOffset(verifier, VT_RATE_LIMITS) &&
+           verifier.VerifyVector(rate_limits()) &&
+           verifier.VerifyVectorOfTables(rate_limits()) &&
            verifier.EndTable();
   }
 };
@@ -637,6 +734,9 @@
   void add_quarantined_parts(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<fuchsiaquay::wire::quarantined_part>>> quarantined_parts) {
     fbb_.AddOffset(announcement::VT_QUARANTINED_PARTS, quarantined_parts);
   }
+  void add_rate_limits(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<fuchsiaquay::wire::rate_limit>>> rate_limits) {
+    fbb_.AddOffset(announcement::VT_RATE_LIMITS, rate_limits);
+  }
   explicit announcementBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -667,13 +767,15 @@
     double requests_per_s = 0.0,
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<fuchsiaquay::wire::engine_end>>> engine_ends = 0,
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>>> answered_parts = 0,
-    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<fuchsiaquay::wire::quarantined_part>>> quarantined_parts = 0) {
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<fuchsiaquay::wire::quarantined_part>>> quarantined_parts = 0,
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<fuchsiaquay::wire::rate_limit>>> rate_limits = 0) {
   announcementBuilder builder_(_fbb);
   builder_.add_requests_per_s(requests_per_s);
   builder_.add_processor_share(processor_share);
   builder_.add_configuration_revision(configuration_revision);
   builder_.add_sequence(sequence);
   builder_.add_incarnation(incarnation);
+  builder_.add_rate_limits(rate_limits);
   builder_.add_quarantined_parts(quarantined_parts);
   builder_.add_answered_parts(answered_parts);
   builder_.add_engine_ends(engine_ends);
@@ -709,7 +811,8 @@
     double requests_per_s = 0.0,
     const std::vector<flatbuffers::Offset<fuchsiaquay::wire::engine_end>> *engine_ends = nullptr,
     const std::vector<flatbuffers::Offset<flatbuffers::String>> *answered_parts = nullptr,
-    const std::vector<flatbuffers::Offset<fuchsiaquay::wire::quarantined_part>> *quarantined_parts = nullptr) {
+    const std::vector<flatbuffers::Offset<fuchsiaquay::wire::quarantined_part>> *quarantined_parts = nullptr,
+    const std::vector<flatbuffers::Offset<fuchsiaquay::wire::rate_limit>> *rate_limits = nullptr) {
   auto host__ = host ? _fbb.CreateString(host) : 0;
   auto data_centre__ = data_centre ? _fbb.CreateString(data_centre) : 0;
   auto callers__ = callers ? _fbb.CreateString(callers) : 0;
@@ -720,6 +823,7 @@
   auto engine_ends__ = engine_ends ? _fbb.CreateVector<flatbuffers::Offset<fuchsiaquay::wire::engine_end>>(*engine_ends) : 0;
   auto answered_parts__ = answered_parts ? _fbb.CreateVector<flatbuffers::Offset<flatbuffers::String>>(*answered_parts) : 0;
   auto quarantined_parts__ = quarantined_parts ? _fbb.CreateVector<flatbuffers::Offset<fuchsiaquay::wire::quarantined_part>>(*quarantined_parts) : 0;
+  auto rate_limits__ = rate_limits ? _fbb.CreateVector<flatbuffers::Offset<fuchsiaquay::wire::rate_limit>>(*rate_limits) : 0;
   return fuchsiaquay::wire::Createannouncement(
       _fbb,
       host__,
@@ -739,7 +843,8 @@
       requests_per_s,
       engine_ends__,
       answered_parts__,
-      quarantined_parts__);
+      quarantined_parts__,
+      rate_limits__);
 }
 
 struct host FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
@@ -1177,7 +1282,8 @@
     VT_SERVING = 20,
     VT_INVITATION = 22,
     VT_CATALOGUE_LEFT_OUT = 24,
-    VT_QUARANTINED_PARTS = 26
+    VT_QUARANTINED_PARTS = 26,
+    VT_RATE_LIMITS = 28
   };
   const flatbuffers::String *sender() const {
     return GetPointer<const flatbuffers::String *>(VT_SENDER);
@@ -1215,6 +1321,9 @@
   const flatbuffers::Vector<flatbuffers::Offset<fuchsiaquay::wire::quarantined_part>> *quarantined_parts() const {
     return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<fuchsiaquay::wire::quarantined_part>> *>(VT_QUARANTINED_PARTS);
   }
+  const flatbuffers::Vector<flatbuffers::Offset<fuchsiaquay::wire::rate_limit>> *rate_limits() const {
+    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<fuchsiaquay::wire::rate_limit>> *>(VT_RATE_LIMITS);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffset(verifier, VT_SENDER) &&
@@ -1236,6 +1345,9 @@
            VerifyOffset(verifier, VT_QUARANTINED_PARTS) &&
            verifier.VerifyVector(quarantined_parts()) &&
            verifier.VerifyVectorOfTables(quarantined_parts()) &&
+           VerifyOffset(verifier, VT_RATE_LIMITS) &&
+           verifier.VerifyVector(rate_limits()) &&
+           verifier.VerifyVectorOfTables(rate_limits()) &&
            verifier.EndTable();
   }
 };
@@ -1280,6 +1392,9 @@
   void add_quarantined_parts(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<fuchsiaquay::wire::quarantined_part>>> quarantined_parts) {
     fbb_.AddOffset(view_reply::VT_QUARANTINED_PARTS, quarantined_parts);
   }
+  void add_rate_limits(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<fuchsiaquay::wire::rate_limit>>> rate_limits) {
+    fbb_.AddOffset(view_reply::VT_RATE_LIMITS, rate_limits);
+  }
   explicit view_replyBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -1304,13 +1419,15 @@
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<fuchsiaquay::wire::host>>> serving = 0,
     bool invitation = false,
     bool catalogue_left_out = false,
-    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<fuchsiaquay::wire::quarantined_part>>> quarantined_parts = 0) {
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<fuchsiaquay::wire::quarantined_part>>> quarantined_parts = 0,
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<fuchsiaquay::wire::rate_limit>>> rate_limits = 0) {
   view_replyBuilder builder_(_fbb);
   builder_.add_catalogue_revision(catalogue_revision);
   builder_.add_catalogue_age_us(catalogue_age_us);
   builder_.add_configuration_age_us(configuration_age_us);
   builder_.add_configuration_revision(configuration_revision);
   builder_.add_nonce(nonce);
+  builder_.add_rate_limits(rate_limits);
   builder_.add_quarantined_parts(quarantined_parts);
   builder_.add_serving(serving);
   builder_.add_changes(changes);
@@ -1334,11 +1451,13 @@
     const std::vector<flatbuffers::Offset<fuchsiaquay::wire::host>> *serving = nullptr,
     bool invitation = false,
     bool catalogue_left_out = false,
-    const std::vector<flatbuffers::Offset<fuchsiaquay::wire::quarantined_part>> *quarantined_parts = nullptr) {
+    const std::vector<flatbuffers::Offset<fuchsiaquay::wire::quarantined_part>> *quarantined_parts = nullptr,
+    const std::vector<flatbuffers::Offset<fuchsiaquay::wire::rate_limit>> *rate_limits = nullptr) {
   auto sender__ = sender ? _fbb.CreateString(sender) : 0;
   auto changes__ = changes ? _fbb.CreateVector<flatbuffers::Offset<fuchsiaquay::wire::upstream_change>>(*changes) : 0;
   auto serving__ = serving ? _fbb.CreateVector<flatbuffers::Offset<fuchsiaquay::wire::host>>(*serving) : 0;
   auto quarantined_parts__ = quarantined_parts ? _fbb.CreateVector<flatbuffers::Offset<fuchsiaquay::wire::quarantined_part>>(*quarantined_parts) : 0;
+  auto rate_limits__ = rate_limits ? _fbb.CreateVector<flatbuffers::Offset<fuchsiaquay::wire::rate_limit>>(*rate_limits) : 0;
   return fuchsiaquay::wire::Createview_reply(
       _fbb,
       sender__,
@@ -1352,7 +1471,8 @@
       serving__,
       invitation,
       catalogue_left_out,
-      quarantined_parts__);
+      quarantined_parts__,
+      rate_limits__);
 }
 
 struct datagram FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
--- a/main/entry_node.cpp
+++ b/main/entry_node.cpp
@@ -181,6 +181,10 @@
     // Standby hosts receive no callers, so they take only the minimum share of the budget.
     retry_budget_.set_live_hosts(serving_role_.serving() ? hosts_.live_peers().size() + 1
                                                          : max_fleet_hosts);
+    // A host that is not heard may be cut off from this one and still send requests.
+    const auto listed = static_cast<double>(hosts_.listed_peers().size()) + 1.0;
+    const auto heard = static_cast<double>(hosts_.live_peers().size()) + 1.0;
+    engine_work_.rate_limits().set_share((hosts_.knows_all_work() ? heard : 1.0) / listed);
 }
 
 http_endpoint::reply entry_node::handle_readiness() const {
@@ -245,6 +249,7 @@
          static_cast<double>(configuration_store_.call_count() + catalogue_store_.call_count())},
         {"store_calls_failed_total", static_cast<double>(configuration_store_.failure_count() +
                                                          catalogue_store_.failure_count())},
+        {"upstreams_limited", static_cast<double>(engine_work_.rate_limits().size())},
         {"prompt_parts_quarantined", static_cast<double>(engine_work_.quarantine().size())},
         {"hosts_live", static_cast<double>(hosts_.live_peers().size() + 1)},
         {"handler_errors_total", static_cast<double>(handler_errors_)},
--- a/servers/fleet/engine_work_table.cpp
+++ b/servers/fleet/engine_work_table.cpp
@@ -4,6 +4,7 @@
 
 void engine_work_table::apply_own_works(const std::vector<engine_work>& works) {
     for (const engine_work& work : works) {
+        count_if_new(self_, work);
         loads_[work.engine].apply(self_, work);
         if (work.phase == work_phase::ended) {
             own_work_items_.erase({work.key, work.engine});
@@ -20,12 +21,16 @@
 }
 
 void engine_work_table::apply_remote_work(const std::string& host, const engine_work& work) {
+    count_if_new(host, work);
     loads_[work.engine].apply(host, work);
     notify_if_capacity_freed(work);
 }
 
 void engine_work_table::replace_remote_work(const std::string& host,
                                             const std::vector<engine_work>& works) {
+    for (const engine_work& work : works) {
+        count_if_new(host, work);
+    }
     for (auto& [upstream, load] : loads_) {
         load.remove_host(host);
     }
@@ -42,6 +47,14 @@
 void engine_work_table::remove_upstream(const std::string& upstream) {
     loads_.erase(upstream);
     slowdowns_.remove(upstream);
+    rate_limits_.remove(upstream);
+}
+
+void engine_work_table::count_if_new(const std::string& host, const engine_work& work) {
+    const bool sent = work.phase == work_phase::prefill || work.phase == work_phase::decode;
+    if (sent && !load(work.engine).contains(host, work.key)) {
+        rate_limits_.on_dispatch(work.engine, work.dispatched_at);
+    }
 }
 
 const engine_load& engine_work_table::load(const std::string& upstream) const {
--- a/servers/fleet/engine_work_table.hpp
+++ b/servers/fleet/engine_work_table.hpp
@@ -7,6 +7,7 @@
 #include <utility>
 #include <vector>
 
+#include "core/limits/upstream_rate_limits.hpp"
 #include "core/placement/engine_load.hpp"
 #include "core/placement/engine_slowdown_tracker.hpp"
 #include "core/placement/engine_work.hpp"
@@ -39,6 +40,9 @@
     /// Parts of prompts that end engines, as observed by all hosts.
     prompt_part_quarantine& quarantine() noexcept { return quarantine_; }
     const prompt_part_quarantine& quarantine() const noexcept { return quarantine_; }
+    /// Limits that the upstreams name, against which the work of all hosts counts.
+    upstream_rate_limits& rate_limits() noexcept { return rate_limits_; }
+    const upstream_rate_limits& rate_limits() const noexcept { return rate_limits_; }
     std::vector<engine_work> own_work_items() const;
 
     void on_own_change(change_handler changed) { own_changed_ = std::move(changed); }
@@ -48,6 +52,8 @@
     }
 
 private:
+    /// Counts work against the limit of its upstream unless it is known.
+    void count_if_new(const std::string& host, const engine_work& work);
     void notify_if_capacity_freed(const engine_work& work) const;
     void notify_capacity_freed() const;
 
@@ -55,6 +61,7 @@
     std::map<std::string, engine_load> loads_;
     engine_slowdown_tracker slowdowns_;
     prompt_part_quarantine quarantine_;
+    upstream_rate_limits rate_limits_;
     /// Work of this host by key and upstream.
     std::map<std::pair<std::uint64_t, std::string>, engine_work> own_work_items_;
     change_handler own_changed_;
--- a/servers/fleet/host_registry.cpp
+++ b/servers/fleet/host_registry.cpp
@@ -59,14 +59,8 @@
 void host_registry::start() {
     work_table_.on_own_change(
         [this](const std::vector<engine_work>& works) { queue_works(works); });
-    work_table_.quarantine().on_change([this] {
-        if (!std::exchange(report_planned_, true)) {
-            timers_.after(batch_delay, [this] {
-                report_planned_ = false;
-                announce_now();
-            });
-        }
-    });
+    work_table_.quarantine().on_change([this] { plan_report(); });
+    work_table_.rate_limits().on_change([this] { plan_report(); });
     timers_.every(announce_period, [this] {
         expire_silent_peers();
         const bool complete = ++heartbeat_count_ % complete_interval == 0;
@@ -166,6 +160,15 @@
     }
 }
 
+void host_registry::plan_report() {
+    if (!std::exchange(report_planned_, true)) {
+        timers_.after(batch_delay, [this] {
+            report_planned_ = false;
+            announce_now();
+        });
+    }
+}
+
 void host_registry::flush_planned() {
     flush_planned_ = false;
     flush();
@@ -193,6 +196,7 @@
     message.slow_engines = work_table_.slowdowns().observed(timers_.now());
     if (complete) {
         message.prompt_parts = work_table_.quarantine().report(timers_.now());
+        message.rate_limits = work_table_.rate_limits().notices(timers_.now());
         // Complete announcements are always sent directly, so that a failed forwarder only delays
         // changes.
         std::vector<network_address> all;
@@ -260,6 +264,7 @@
         known.record = message.sender;
         known.requests_per_s = message.requests_per_s;
         work_table_.quarantine().merge(message.prompt_parts, timers_.now());
+        work_table_.rate_limits().merge(message.rate_limits);
     }
     known.state = message.state;
     known.sequence = message.sequence;
@@ -306,8 +311,8 @@
     return found == peers_.end() ? nullptr : &found->second.record;
 }
 
-prompt_part_quarantine& host_registry::quarantine() const {
-    return work_table_.quarantine();
+engine_work_table& host_registry::work_table() const {
+    return work_table_;
 }
 
 void host_registry::announce_now() {
--- a/servers/fleet/host_registry.hpp
+++ b/servers/fleet/host_registry.hpp
@@ -24,7 +24,6 @@
 class decision_log;
 class engine_work_table;
 class polled_store;
-class prompt_part_quarantine;
 class timer_service;
 
 /// Tracks the serving hosts of the fleet. A serving host has an entry in the store, finds the other
@@ -79,8 +78,7 @@
     void on_newer_configuration(newer_configuration_handler on_newer) {
         newer_configuration_ = std::move(on_newer);
     }
-    /// Parts of prompts that end engines, as known to this host.
-    prompt_part_quarantine& quarantine() const;
+    engine_work_table& work_table() const;
     /// Sends a complete announcement immediately, for example after a change of the configuration.
     void announce_now();
 
@@ -95,6 +93,8 @@
     };
 
     void queue_works(const std::vector<engine_work>& works);
+    /// Plans a complete announcement.
+    void plan_report();
     void flush_planned();
     void flush();
     std::vector<host_record> serving_hosts(host_state state) const;
--- a/servers/fleet/store_view_sync.cpp
+++ b/servers/fleet/store_view_sync.cpp
@@ -6,10 +6,10 @@
 #include "core/hashing/rendezvous.hpp"
 #include "core/hashing/stagger_delay.hpp"
 #include "core/identity/names.hpp"
-#include "core/quarantine/prompt_part_quarantine.hpp"
 #include "servers/decision_log.hpp"
 #include "servers/fleet/configuration_feed.hpp"
 #include "servers/fleet/datagram_channel.hpp"
+#include "servers/fleet/engine_work_table.hpp"
 #include "servers/fleet/host_queries.hpp"
 #include "servers/fleet/host_registry.hpp"
 #include "servers/fleet/serving_role.hpp"
@@ -251,8 +251,10 @@
     if (request.standby) {
         reply.serving_hosts = services_.hosts.reported_hosts();
         reply.invitation = services_.role.should_invite(request.sender);
-        reply.quarantined_parts =
-            services_.hosts.quarantine().report(services_.timers.now()).quarantined;
+        const engine_work_table& work_table = services_.hosts.work_table();
+        const instant now = services_.timers.now();
+        reply.quarantined_parts = work_table.quarantine().report(now).quarantined;
+        reply.rate_limits = work_table.rate_limits().notices(now);
     }
     services_.channel.send({request.sender.datagram_address}, reply);
 }
@@ -266,8 +268,9 @@
     pending_request_.reset();
     services_.hosts.merge_reported_hosts(reply.serving_hosts, requested_at);
     if (!services_.role.serving()) {
-        services_.hosts.quarantine().merge({{}, {}, reply.quarantined_parts},
-                                           services_.timers.now());
+        engine_work_table& work_table = services_.hosts.work_table();
+        work_table.quarantine().merge({{}, {}, reply.quarantined_parts}, services_.timers.now());
+        work_table.rate_limits().merge(reply.rate_limits);
     }
     if (reply.invitation) {
         services_.role.accept_invitation();
--- a/servers/relay/relay_queue.cpp
+++ b/servers/relay/relay_queue.cpp
@@ -24,6 +24,11 @@
 /// Time after startup within which a host finds out whether it can serve requests.
 constexpr duration startup_time = std::chrono::milliseconds(2'000);
 
+/// Order of the requests that wait.
+bool goes_before(const request_relay& a, const request_relay& b) {
+    return std::make_tuple(a.rank(), a.received_at()) < std::make_tuple(b.rank(), b.received_at());
+}
+
 }  // namespace
 
 relay_queue::relay_queue(const relay_services& services)
@@ -45,6 +50,14 @@
                       [](const request_relay* relay) { return relay->waiting(); }));
 }
 
+std::size_t relay_queue::rate_waiters_ahead(const request_relay& relay) const {
+    return static_cast<std::size_t>(
+        std::count_if(relays_.begin(), relays_.end(), [&relay](const request_relay* other) {
+            return other != &relay && other->waits_for_rate() &&
+                   other->service() == relay.service() && goes_before(*other, relay);
+        }));
+}
+
 bool relay_queue::starting() const {
     return services_.timers.now() - started_at_ < startup_time;
 }
@@ -67,10 +80,8 @@
             waiting.push_back(relay);
         }
     }
-    std::sort(waiting.begin(), waiting.end(), [](const request_relay* a, const request_relay* b) {
-        return std::make_tuple(a->rank(), a->received_at()) <
-               std::make_tuple(b->rank(), b->received_at());
-    });
+    std::sort(waiting.begin(), waiting.end(),
+              [](const request_relay* a, const request_relay* b) { return goes_before(*a, *b); });
     for (request_relay* relay : waiting) {
         // Placing an earlier request may have ended this one, for example when its connection
         // broke.
--- a/servers/relay/relay_queue.hpp
+++ b/servers/relay/relay_queue.hpp
@@ -30,6 +30,9 @@
     /// Number of requests since startup.
     std::uint64_t accepted() const noexcept { return accepted_; }
     std::size_t waiting() const;
+    /// Number of requests for the same service that wait until the limits of its upstreams leave
+    /// room, and go before `relay`.
+    std::size_t rate_waiters_ahead(const request_relay& relay) const;
     /// True shortly after startup, while the host may still be loading what it needs to serve.
     bool starting() const;
 
--- a/servers/relay/request_log.cpp
+++ b/servers/relay/request_log.cpp
@@ -132,6 +132,14 @@
                          {"times_slower", std::to_string(slowdown)}});
 }
 
+void request_log::rate_limit_changed(const std::string& upstream,
+                                     std::optional<double> limit) const {
+    services_.log.write(decision_log::level::info, "upstream_limit",
+                        {{"request", request_.id},
+                         {"upstream", upstream},
+                         {"requests_per_s", limit ? std::to_string(*limit) : "none"}});
+}
+
 void request_log::ended(const admission_result& admitted, const request_result& result) const {
     services_.log.write(
         decision_log::level::info, "request_ended",
--- a/servers/relay/request_log.hpp
+++ b/servers/relay/request_log.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <optional>
 #include <string>
 
 #include "core/time/clock.hpp"
@@ -40,6 +41,8 @@
     void upstream_leaves(const std::string& upstream) const;
     /// Logs that the upstream declined and wants no requests from this host for `pause`.
     void upstream_pauses(const std::string& upstream, duration pause) const;
+    /// Logs that the upstream named a limit in its response that was not known, or none any more.
+    void rate_limit_changed(const std::string& upstream, std::optional<double> limit) const;
     /// Logs that this request's stream showed an engine to be slow, or no longer slow.
     void slowdown_changed(const std::string& upstream, double slowdown) const;
     void ended(const admission_result& admitted, const request_result& result) const;
--- a/servers/relay/request_relay.cpp
+++ b/servers/relay/request_relay.cpp
@@ -39,6 +39,8 @@
 constexpr duration host_stopping_retry_after = std::chrono::milliseconds(10);
 /// Minimum retry delay for callers if no upstream has room.
 constexpr duration min_no_room_retry_after = std::chrono::milliseconds(600);
+/// Number of steps over which the retries of rejected callers are spread.
+constexpr std::int64_t spread_steps = 1'024;
 /// Time within which a host's claim reaches the other hosts.
 constexpr duration claim_propagation_time = std::chrono::milliseconds(20);
 /// Age above which a claim is no longer valid.
@@ -171,6 +173,13 @@
     const placement_decision decision =
         chooser_.choose(request_, admitted_, work_key_, excluded_upstreams(history_.last_failed()),
                         current_answer_times());
+    const bool overtakes = decision.outcome == placement_decision::verdict::place &&
+                           queue_.rate_waiters_ahead(*this) > 0;
+    waits_for_rate_ = overtakes || decision.reason == rate_limited_reason;
+    if (waits_for_rate_) {
+        wait_for_rate(decision);
+        return;
+    }
     switch (decision.outcome) {
         case placement_decision::verdict::place:
             end_waiting();
@@ -191,6 +200,27 @@
     begin_waiting(decision);
 }
 
+void request_relay::wait_for_rate(placement_decision decision) {
+    const instant now = services_.timers.now();
+    const auto ahead = static_cast<double>(queue_.rate_waiters_ahead(*this));
+    const std::optional<double> rate = chooser_.total_rate(admitted_.service_name);
+    duration expected = decision.retry_after;
+    if (rate && *rate > 0.0) {
+        expected += from_seconds(ahead / *rate);
+    }
+    decision.outcome = placement_decision::verdict::wait;
+    decision.reason = rate_limited_reason;
+    if (now + expected >= wait_until_) {
+        // Spreads the retries of callers that were rejected at the same time.
+        decision.retry_after = std::max(expected, min_no_room_retry_after);
+        decision.retry_after += decision.retry_after *
+                                static_cast<std::int64_t>(work_key_ % spread_steps) / spread_steps;
+        give_up(decision);
+        return;
+    }
+    begin_waiting(decision);
+}
+
 answer_times request_relay::current_answer_times() const {
     // A stopping host does not start what it cannot finish.
     const instant deadline =
--- a/servers/relay/request_relay.hpp
+++ b/servers/relay/request_relay.hpp
@@ -51,6 +51,9 @@
     void on_connection_lost(const std::string& cause, bool by_caller) override;
 
     bool waiting() const noexcept { return waiting_; }
+    /// Whether the request waits because the limits of the upstreams leave no room.
+    bool waits_for_rate() const noexcept { return waiting_ && waits_for_rate_; }
+    const std::string& service() const noexcept { return admitted_.service_name; }
     int rank() const noexcept { return admitted_.rank; }
     instant received_at() const noexcept { return request_.received_at; }
 
@@ -65,6 +68,9 @@
     bool host_ready() const;
     void place();
     void end_quarantined();
+    /// Decides whether the request waits until the limits of the upstreams leave room for it, or is
+    /// given up at once because those ahead of it take the room until too late.
+    void wait_for_rate(placement_decision decision);
     /// Ends a request that no upstream can take.
     void give_up(const placement_decision& decision);
     void dispatch(const placement_decision& decision);
@@ -140,6 +146,7 @@
     /// Retry delay for the caller if no upstream has room.
     duration retry_after_{};
     bool waiting_ = false;
+    bool waits_for_rate_ = false;
     bool done_ = false;
 
     attempt_history history_;
--- a/servers/relay/upstream_attempt.cpp
+++ b/servers/relay/upstream_attempt.cpp
@@ -200,6 +200,7 @@
     if (entry == nullptr || response_.misdirected) {
         return;
     }
+    note_rate_limit();
     if (response_.leaving && services_.notices.on_leaving(*entry)) {
         log_.upstream_leaves(upstream());
     }
@@ -209,6 +210,20 @@
     }
 }
 
+void upstream_attempt::note_rate_limit() {
+    // A malformed value leaves the known limit in force. So does an answer that is not the
+    // upstream's own, which need not name a limit.
+    const bool names_none =
+        !response_.rate_limit && !response_.rate_limit_malformed && response_.has_execution_proof;
+    if (!response_.rate_limit && !names_none) {
+        return;
+    }
+    if (services_.work_table.rate_limits().on_answer(upstream(), response_.rate_limit,
+                                                     services_.timers.now())) {
+        log_.rate_limit_changed(upstream(), response_.rate_limit);
+    }
+}
+
 void upstream_attempt::record_fault() {
     if (response_.at_fault.empty()) {
         return;
--- a/servers/relay/upstream_attempt.hpp
+++ b/servers/relay/upstream_attempt.hpp
@@ -71,6 +71,8 @@
     void note_answered();
     /// Records that the connection ended before `note_answered` was called.
     void note_connection_ended(bool looked_complete);
+    /// Records the limit that the response names, or that it names none.
+    void note_rate_limit();
     /// Records which engine the response reports as the cause of a failure.
     void record_fault();
     /// Records that the upstream announced a pause or that it is leaving.
--- a/servers/relay/upstream_chooser.cpp
+++ b/servers/relay/upstream_chooser.cpp
@@ -63,6 +63,12 @@
         paused.retry_after = *pause;
         return paused;
     }
+    if (const auto wait = remaining_rate_wait(admitted)) {
+        placement_decision limited;
+        limited.reason = rate_limited_reason;
+        limited.retry_after = *wait;
+        return limited;
+    }
     if (admitted.service != nullptr && admitted.service->engine) {
         return choose_engine(request, admitted, key, excluded, times);
     }
@@ -74,6 +80,41 @@
            services_.notices.accepts(entry, now);
 }
 
+bool upstream_chooser::within_rate(const upstream_entry& entry, const admission_result& admitted,
+                                   instant now) const {
+    return services_.work_table.rate_limits().accepts(entry.id, admitted.rank, now);
+}
+
+std::optional<duration> upstream_chooser::remaining_rate_wait(
+    const admission_result& admitted) const {
+    const instant now = services_.timers.now();
+    std::optional<duration> shortest;
+    for (const upstream_entry& entry : services_.upstreams.ready(admitted.service_name)) {
+        if (!accepts(entry, now)) {
+            continue;
+        }
+        const duration wait =
+            services_.work_table.rate_limits().time_until_accepted(entry.id, admitted.rank, now);
+        if (wait == duration::zero()) {
+            return std::nullopt;
+        }
+        shortest = std::min(wait, shortest.value_or(wait));
+    }
+    return shortest;
+}
+
+std::optional<double> upstream_chooser::total_rate(const std::string& service) const {
+    double total = 0.0;
+    for (const upstream_entry& entry : services_.upstreams.ready(service)) {
+        const std::optional<double> rate = services_.work_table.rate_limits().rate_of(entry.id);
+        if (!rate) {
+            return std::nullopt;
+        }
+        total += *rate;
+    }
+    return total;
+}
+
 std::optional<duration> upstream_chooser::remaining_pause(const std::string& service,
                                                           std::uint64_t key) const {
     const instant now = services_.timers.now();
@@ -101,7 +142,7 @@
     const engine_profile& profile = *admitted.service->engine;
     std::vector<engine_view> engines;
     for (const upstream_entry& entry : services_.upstreams.ready(admitted.service_name)) {
-        if (accepts(entry, now)) {
+        if (accepts(entry, now) && within_rate(entry, admitted, now)) {
             engines.push_back({entry.id, &profile, &services_.work_table.load(entry.id),
                                services_.work_table.slowdowns().slowdown_of(entry.id, now)});
         }
@@ -137,7 +178,8 @@
     int best_load = 0;
     std::uint64_t best_order = 0;
     for (const upstream_entry& entry : services_.upstreams.ready(admitted.service_name)) {
-        if (excluded.count(entry.id) > 0 || !accepts(entry, now)) {
+        if (excluded.count(entry.id) > 0 || !accepts(entry, now) ||
+            !within_rate(entry, admitted, now)) {
             continue;
         }
         const int load = services_.work_table.load(entry.id).requests();
--- a/servers/relay/upstream_chooser.hpp
+++ b/servers/relay/upstream_chooser.hpp
@@ -16,6 +16,9 @@
 struct relay_services;
 struct upstream_entry;
 
+/// Reason of a decision if the limits that the upstreams name leave no room.
+constexpr const char* rate_limited_reason = "rate_limited";
+
 /// Chooses upstreams for requests by the load that is known to this host.
 class upstream_chooser {
 public:
@@ -26,6 +29,10 @@
                               std::uint64_t key, const std::set<std::string>& excluded,
                               const answer_times& times) const;
 
+    /// Requests per second that all upstreams of a service take together; absent if one of them
+    /// names no limit.
+    std::optional<double> total_rate(const std::string& service) const;
+
 private:
     placement_decision choose_engine(const caller_request& request,
                                      const admission_result& admitted, std::uint64_t key,
@@ -35,6 +42,10 @@
                                     const std::set<std::string>& excluded) const;
 
     bool accepts(const upstream_entry& entry, instant now) const;
+    bool within_rate(const upstream_entry& entry, const admission_result& admitted,
+                     instant now) const;
+    /// Returns the time until an upstream's limit leaves room, if none has room now.
+    std::optional<duration> remaining_rate_wait(const admission_result& admitted) const;
     /// Returns the time until an upstream accepts requests again if all of them pause, or zero if
     /// that time is not known. Returns nothing if an upstream is not paused.
     std::optional<duration> remaining_pause(const std::string& service, std::uint64_t key) const;
--- a/servers/relay/upstream_response.hpp
+++ b/servers/relay/upstream_response.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <optional>
 #include <string>
 
 #include "core/fleet/network_address.hpp"
@@ -21,6 +22,11 @@
     bool leaving = false;
     /// Time for which an upstream that declined wants no requests from this host.
     duration pause{};
+    /// Requests per second that the upstream takes from all hosts together; absent if the response
+    /// names no limit.
+    std::optional<double> rate_limit;
+    /// The response names a limit that is not a decimal number.
+    bool rate_limit_malformed = false;
     /// The response contains the upstream's proof of execution.
     bool has_execution_proof = false;
     /// Id of the request that was answered; empty if not reported.
--- a/tests/drivers/datagrams/datagram_codec_test.cpp
+++ b/tests/drivers/datagrams/datagram_codec_test.cpp
@@ -64,6 +64,15 @@
     CHECK_TRUE(decoded.prompt_parts == expected);
 }
 
+TEST(datagram_codec, limits_and_their_ends_are_announced) {
+    announcement message = sample();
+    message.rate_limits.push_back({"e1", 1.6, now_ - seconds(1)});
+    message.rate_limits.push_back({"e2", std::nullopt, now_});
+    const auto decoded =
+        std::get<announcement>(decode_datagram(encode_datagram(message, now_), now_));
+    CHECK_TRUE(decoded.rate_limits == message.rate_limits);
+}
+
 TEST(datagram_codec, view_reply_keeps_the_quarantined_parts) {
     view_reply reply;
     reply.quarantined_parts.push_back({"d", now_ + seconds(60)});
--- a/tests/platform/platform_request_format_test.cpp
+++ b/tests/platform/platform_request_format_test.cpp
@@ -86,6 +86,26 @@
     LONGS_EQUAL(0, read({}).prompt_parts.size());
 }
 
+TEST(platform_request_format, limit_is_the_smallest_decimal_number_that_is_named) {
+    const auto read_limit = [this](const header_list& headers) {
+        response_head head;
+        head.status = 200;
+        head.headers = headers;
+        return format_.read_response(head);
+    };
+    CHECK_TRUE(read_limit({{"Server-Limit", "1.6"}}).rate_limit == std::optional<double>(1.6));
+    CHECK_TRUE(read_limit({{"Server-Limit", "0"}}).rate_limit == std::optional<double>(0.0));
+    CHECK_TRUE(read_limit({{"Server-Limit", "5"}, {"server-limit", "2"}}).rate_limit ==
+               std::optional<double>(2.0));
+    for (const char* malformed : {"", "abc", "-1", "nan", "inf", "1e3", "1.6.1", ".", "0x10", "1,5",
+                                  "999999999999999999999999999999999999"}) {
+        const upstream_response response = read_limit({{"Server-Limit", malformed}});
+        CHECK_FALSE(response.rate_limit.has_value());
+        CHECK_TRUE(response.rate_limit_malformed);
+    }
+    CHECK_FALSE(read_limit({}).rate_limit_malformed);
+}
+
 TEST(platform_request_format, not_executed_requires_its_header_and_misdirected_requires_421) {
     response_head busy;
     busy.status = 503;
--- a/tests/servers/fleet/host_registry_test.cpp
+++ b/tests/servers/fleet/host_registry_test.cpp
@@ -207,3 +207,17 @@
         CHECK_TRUE(item->work_table.quarantine().blocks({"bad"}, fleet_.timers.now()));
     }
 }
+
+// Guards against a limit that each host keeps by itself, so that the upstream gets it several
+// times.
+TEST(host_registry, requests_of_all_hosts_count_against_a_limit_that_one_host_was_told) {
+    host("h0").work_table.rate_limits().on_answer("engine-1", 2.0, fleet_.timers.now());
+    fleet_.timers.advance(milliseconds(20));
+    dispatch_at("h1");
+    fleet_.timers.advance(milliseconds(20));
+    for (const auto& [name, item] : fleet_.hosts) {
+        const upstream_rate_limits& limits = item->work_table.rate_limits();
+        CHECK_FALSE(limits.accepts("engine-1", 0, fleet_.timers.now()));
+        CHECK_TRUE(limits.accepts("engine-1", 0, fleet_.timers.now() + milliseconds(500)));
+    }
+}
--- a/tests/servers/relay/relay_fixture.hpp
+++ b/tests/servers/relay/relay_fixture.hpp
@@ -116,6 +116,9 @@
         if (const std::string* pause = find_header(head.headers, "pause-ms")) {
             answer.pause = std::chrono::milliseconds(std::stoll(*pause));
         }
+        if (const std::string* limit = find_header(head.headers, "limit")) {
+            answer.rate_limit = std::stod(*limit);
+        }
         answer.reports_request = head.status != 400;
         if (const std::string* id = find_header(head.headers, "id")) {
             answer.request = *id;
