Streams: one without an event that ends with its connection is not whole

It happens here: an answer with neither a length nor chunks ends with its connection, which an engine that ends closes in the same way. The relay passed a stream without any event on as a whole answer. In the soak of engine ends, series until_close on, requests that ended their engine were answered 200 with an empty body.

Now such a stream counts as broken off: it is tried again or answered 502. A caller that resumes may still get an empty rest. Not affected, as before: heads that are cut (502 after the attempts), lengths and chunks that are cut, streams that end inside an event. A cut between two events of such a stream cannot be told from its end.

--- a/servers/relay/request_relay_attempts.cpp
+++ b/servers/relay/request_relay_attempts.cpp
@@ -140,6 +140,12 @@
         on_attempt_failed(*attempt_, attempt_outcome::unknown, "stream ended inside an event");
         return;
     }
+    const bool unproved = attempt_->head().ends_with_connection && events_.count() == 0;
+    if (unproved && request_.last_event_id.empty()) {
+        // An upstream that ends after its head closes the connection in the same way.
+        on_attempt_failed(*attempt_, attempt_outcome::unknown, "stream ended without an event");
+        return;
+    }
     work_.advance(work_phase::ended);
     drop_standby("upstream silent");
     if (!response_started_) {
--- a/tests/servers/relay/broken_streams_test.cpp
+++ b/tests/servers/relay/broken_streams_test.cpp
@@ -187,3 +187,23 @@
         LONGS_EQUAL(0, host_->sink.answers);
     }
 }
+
+// Guards against an engine that ends after its head, whose stream looked complete and empty.
+TEST(broken_streams, stream_without_an_event_that_ends_with_its_connection_is_not_complete) {
+    host_->serve(host_->request("/chat/x"));
+    answer_whole(200, {{"until-close", ""}}, "");
+    LONGS_EQUAL(2, host_->attempts());
+    LONGS_EQUAL(0, host_->sink.begun);
+    answer_whole(200, {{"until-close", ""}}, first_events);
+    CHECK_EQUAL(first_events, host_->sink.text);
+    LONGS_EQUAL(1, host_->sink.answers);
+}
+
+TEST(broken_streams, resumed_stream_may_end_with_its_connection_without_another_event) {
+    caller_request request = host_->request("/chat/x");
+    request.last_event_id = "2";
+    host_->serve(request);
+    answer_whole(200, {{"until-close", ""}}, "");
+    LONGS_EQUAL(1, host_->attempts());
+    LONGS_EQUAL(1, host_->sink.answers);
+}
--- a/tests/servers/relay/relay_fixture.hpp
+++ b/tests/servers/relay/relay_fixture.hpp
@@ -190,11 +190,12 @@
 
     attempt& last() { return *attempts.back(); }
     /// Responds with the id of the request, as upstreams do, unless `headers` contains an `id` or
-    /// `unnamed`.
+    /// `unnamed`. With `until-close` the body ends with the connection.
     void answer(int status, const header_list& headers = {}) {
         response_head head;
         head.status = status;
         head.headers = headers;
+        head.ends_with_connection = find_header(headers, "until-close") != nullptr;
         const bool has_id = find_header(headers, "id") != nullptr;
         if (!has_id && find_header(headers, "unnamed") == nullptr) {
             head.headers.push_back({"id", last().head.substr(0, last().head.find(' '))});
