Circuit breaker: a refused connection opens the circuit at once

Cause: each host needed three failures of an engine before it left it alone, whatever the failure said. A refused connection says that nothing listens there. Class: evidence that is certain was weighed like evidence that is not.

Evidence: upstream_that_refused_a_connection_is_not_tried_again failed before (the third attempt went to the first engine again).

--- a/core/health/circuit_breaker.cpp
+++ b/core/health/circuit_breaker.cpp
@@ -58,7 +58,8 @@
         return;
     }
     ++failures_;
-    if (before == breaker_state::closed && failures_ >= settings_.failure_threshold) {
+    const bool certain = evidence == attempt_evidence::refused;
+    if (before == breaker_state::closed && (certain || failures_ >= settings_.failure_threshold)) {
         open(now);
     }
 }
--- a/core/health/circuit_breaker.hpp
+++ b/core/health/circuit_breaker.hpp
@@ -7,9 +7,10 @@
 
 namespace fuchsiaquay {
 
-/// Circuit breaker of one upstream, driven by the results of requests. Closed: requests pass. Open:
-/// no request passes. Half open: a bounded number of concurrent trials pass; the first answer
-/// closes the circuit, a failure opens it again for twice the time.
+/// Circuit breaker of one upstream, driven by the results of requests. Closed: requests pass;
+/// several failures in a row, or one refused connection, open the circuit. Open: no request passes.
+/// Half open: a bounded number of concurrent trials pass; the first answer closes the circuit, a
+/// failure opens it again for twice the time.
 class circuit_breaker {
 public:
     explicit circuit_breaker(const breaker_settings& settings);
--- a/servers/relay/upstream_attempt.cpp
+++ b/servers/relay/upstream_attempt.cpp
@@ -295,9 +295,10 @@
 }
 
 void upstream_attempt::on_failure(const exchange_failure& failure) {
-    const attempt_evidence evidence = failure.reused_connection
-                                          ? attempt_evidence::stalled_reused_connection
-                                          : attempt_evidence::failed;
+    const attempt_evidence broken = failure.reused_connection
+                                        ? attempt_evidence::stalled_reused_connection
+                                        : attempt_evidence::failed;
+    const attempt_evidence evidence = failure.refused ? attempt_evidence::refused : broken;
     const instant now = services_.timers.now();
     services_.health.on_result(upstream_id(upstream()), evidence, now);
     if (failure.refused) {
--- a/tests/core/health/circuit_breaker_test.cpp
+++ b/tests/core/health/circuit_breaker_test.cpp
@@ -36,6 +36,13 @@
     CHECK_FALSE(breaker_.allows(now_));
 }
 
+// Guards against requests that go to an upstream whose process is gone until it has failed thrice.
+TEST(circuit_breaker, refused_connection_opens_at_once) {
+    send(attempt_evidence::refused);
+    CHECK_FALSE(breaker_.allows(now_));
+    CHECK_TRUE(breaker_.allows(now_ + seconds(1)));
+}
+
 TEST(circuit_breaker, half_open_lets_one_trial_through_and_answer_closes) {
     open();
     now_ += seconds(1);
--- a/tests/servers/relay/unavailable_upstreams_test.cpp
+++ b/tests/servers/relay/unavailable_upstreams_test.cpp
@@ -156,3 +156,16 @@
     host_.timers.advance(milliseconds(25));
     LONGS_EQUAL(0, host_.attempts());
 }
+
+// Guards against attempts that alternate between engines of which each is known to be gone.
+TEST(request_relay_with_unavailable_upstreams,
+     upstream_that_refused_a_connection_is_not_tried_again) {
+    host_.serve(host_.request("/chat/x"));
+    std::set<std::string> tried;
+    for (int i = 0; i < 3; ++i) {
+        tried.insert(upstream_.last().upstream.id);
+        upstream_.last().listener->on_failure({false, false, "connect: refused", true});
+    }
+    LONGS_EQUAL(3, tried.size());
+    LONGS_EQUAL(3, host_.attempts());
+}
