--- a/core/quarantine/prompt_part_quarantine.cpp
+++ b/core/quarantine/prompt_part_quarantine.cpp
@@ -1,6 +1,7 @@
 #include "core/quarantine/prompt_part_quarantine.hpp"
 
 #include <algorithm>
+#include <cstddef>
 
 namespace fuchsiaquay {
 
@@ -26,7 +27,7 @@
 constexpr duration quarantine_time = std::chrono::minutes(10);
 /// Bounds of what is stored and reported.
 constexpr std::size_t max_observations = 1'024;
-constexpr std::size_t max_answered = 4'096;
+constexpr std::size_t max_answered = 16'384;
 constexpr std::size_t max_reported = 48;
 
 template <typename container>
@@ -36,6 +37,17 @@
     }
 }
 
+void remove_older_half(std::map<std::string, instant>& items) {
+    std::vector<instant> times;
+    times.reserve(items.size());
+    for (const auto& [key, time] : items) {
+        times.push_back(time);
+    }
+    const auto middle = times.begin() + static_cast<std::ptrdiff_t>(times.size() / 2);
+    std::nth_element(times.begin(), middle, times.end());
+    remove_older(items, *middle);
+}
+
 }  // namespace
 
 void prompt_part_quarantine::on_answered(const std::vector<std::string>& parts, instant now) {
@@ -50,13 +62,10 @@
 }
 
 void prompt_part_quarantine::note_answered(const std::string& part, instant now) {
-    if (answered_.size() >= max_answered && !was_answered(part)) {
-        const auto oldest =
-            std::min_element(answered_.begin(), answered_.end(),
-                             [](const auto& a, const auto& b) { return a.second < b.second; });
-        answered_.erase(oldest);
-    }
     answered_[part] = now;
+    if (answered_.size() > max_answered) {
+        remove_older_half(answered_);
+    }
     quarantined_.erase(part);
 }
 
@@ -76,8 +85,8 @@
 }
 
 void prompt_part_quarantine::on_engine_gone(const std::string& engine, instant now) {
-    const auto known = gone_.find(engine);
     remove_older(gone_, now - memory_time);
+    const auto known = gone_.find(engine);
     // An engine may return with the same id and end again.
     if (known == gone_.end() || now - known->second > confirmation_time) {
         gone_[engine] = now;
@@ -250,7 +259,8 @@
     return result;
 }
 
-void prompt_part_quarantine::merge(const prompt_part_report& report, instant now) {
+std::vector<std::string> prompt_part_quarantine::merge(const prompt_part_report& report,
+                                                       instant now) {
     for (const std::string& part : report.answered) {
         note_answered(part, now);
     }
@@ -267,14 +277,16 @@
             observations_.try_emplace({end.engine, end.subject}, observation{end, false, now});
         }
     }
+    std::vector<std::string> added;
     for (const quarantined_part& part : report.quarantined) {
-        if (!dispute(part.id)) {
-            quarantined_.emplace(part.id, part.until);
+        if (!dispute(part.id) && quarantined_.emplace(part.id, part.until).second) {
+            added.push_back(part.id);
         }
     }
     if (newly_disputed) {
         notify();
     }
+    return added;
 }
 
 void prompt_part_quarantine::notify() const {
--- a/core/quarantine/prompt_part_quarantine.hpp
+++ b/core/quarantine/prompt_part_quarantine.hpp
@@ -48,7 +48,8 @@
     /// What this host tells the others.
     prompt_part_report report(instant now) const;
     /// Merges the report of another host.
-    void merge(const prompt_part_report& report, instant now);
+    /// @return the parts that are quarantined from now on
+    std::vector<std::string> merge(const prompt_part_report& report, instant now);
     /// Sets the handler that is called when other hosts should receive the report soon.
     void on_change(change_handler changed) { changed_ = std::move(changed); }
     /// Number of parts in quarantine.
--- a/servers/fleet/host_registry.cpp
+++ b/servers/fleet/host_registry.cpp
@@ -263,7 +263,7 @@
     if (message.complete) {
         known.record = message.sender;
         known.requests_per_s = message.requests_per_s;
-        work_table_.quarantine().merge(message.prompt_parts, timers_.now());
+        merge_prompt_parts(host, message.prompt_parts);
         work_table_.rate_limits().merge(message.rate_limits);
     }
     known.state = message.state;
@@ -285,6 +285,13 @@
     }
 }
 
+void host_registry::merge_prompt_parts(const std::string& from, const prompt_part_report& report) {
+    for (const std::string& part : work_table_.quarantine().merge(report, timers_.now())) {
+        log_.write(decision_log::level::warning, "prompt_part_quarantined",
+                   {{"part", part}, {"source", from}});
+    }
+}
+
 void host_registry::expire_silent_peers() {
     const instant now = timers_.now();
     for (auto item = peers_.begin(); item != peers_.end();) {
--- a/servers/fleet/host_registry.hpp
+++ b/servers/fleet/host_registry.hpp
@@ -79,6 +79,8 @@
         newer_configuration_ = std::move(on_newer);
     }
     engine_work_table& work_table() const;
+    /// Merges what another host reports about parts of prompts.
+    void merge_prompt_parts(const std::string& from, const prompt_part_report& report);
     /// Sends a complete announcement immediately, for example after a change of the configuration.
     void announce_now();
 
--- a/servers/fleet/store_view_sync.cpp
+++ b/servers/fleet/store_view_sync.cpp
@@ -268,9 +268,8 @@
     pending_request_.reset();
     services_.hosts.merge_reported_hosts(reply.serving_hosts, requested_at);
     if (!services_.role.serving()) {
-        engine_work_table& work_table = services_.hosts.work_table();
-        work_table.quarantine().merge({{}, {}, reply.quarantined_parts}, services_.timers.now());
-        work_table.rate_limits().merge(reply.rate_limits);
+        services_.hosts.merge_prompt_parts(reply.sender, {{}, {}, reply.quarantined_parts});
+        services_.hosts.work_table().rate_limits().merge(reply.rate_limits);
     }
     if (reply.invitation) {
         services_.role.accept_invitation();
