Quarantine: hosts tell each other which engines are gone

An end counts against a part once the engine is known to be gone, by a refused connection or the removal of its entry. Each host had to find that out for itself.

Now a host that finds an engine gone of which there are observations says so at once, and the others count the end. engines_that_only_the_other_host_found_gone_count failed before (nothing quarantined) and passes now. Hosts of the older build ignore the field.

--- a/core/quarantine/prompt_part_quarantine.cpp
+++ b/core/quarantine/prompt_part_quarantine.cpp
@@ -88,8 +88,15 @@
     remove_older(gone_, now - memory_time);
     const auto known = gone_.find(engine);
     // An engine may return with the same id and end again.
-    if (known == gone_.end() || now - known->second > confirmation_time) {
-        gone_[engine] = now;
+    if (known != gone_.end() && now - known->second <= confirmation_time) {
+        return;
+    }
+    gone_[engine] = now;
+    const bool observed =
+        std::any_of(observations_.begin(), observations_.end(),
+                    [&engine](const auto& item) { return item.second.end.engine == engine; });
+    if (observed) {
+        notify();
     }
 }
 
@@ -246,6 +253,14 @@
             result.ends.push_back(std::move(end));
         }
     }
+    std::set<std::string> gone;
+    for (const auto& [key, item] : observations_) {
+        const bool recent_end = now - item.end.ended_at < confirmation_time;
+        if (recent_end && confirmed(item.end) && gone.size() < max_reported) {
+            gone.insert(item.end.engine);
+        }
+    }
+    result.gone_engines.assign(gone.begin(), gone.end());
     for (const auto& [part, since] : disputed_) {
         if (was_answered(part) && result.answered.size() < max_reported) {
             result.answered.push_back(part);
@@ -277,6 +292,9 @@
             observations_.try_emplace({end.engine, end.subject}, observation{end, false, now});
         }
     }
+    for (const std::string& engine : report.gone_engines) {
+        gone_.emplace(engine, now);
+    }
     std::vector<std::string> added;
     for (const quarantined_part& part : report.quarantined) {
         if (!dispute(part.id) && quarantined_.emplace(part.id, part.until).second) {
--- a/core/quarantine/prompt_part_report.hpp
+++ b/core/quarantine/prompt_part_report.hpp
@@ -13,15 +13,19 @@
 struct prompt_part_report {
     /// Its own observations. Parts that it knows to be answered are left out.
     std::vector<engine_end> ends;
+    /// Engines of any host's observations that this host knows to be gone.
+    std::vector<std::string> gone_engines;
     /// Parts that other hosts have reported and that this host has seen answered.
     std::vector<std::string> answered;
     std::vector<quarantined_part> quarantined;
 
-    bool empty() const { return ends.empty() && answered.empty() && quarantined.empty(); }
+    bool empty() const {
+        return ends.empty() && gone_engines.empty() && answered.empty() && quarantined.empty();
+    }
 
     friend bool operator==(const prompt_part_report& a, const prompt_part_report& b) {
-        return std::tie(a.ends, a.answered, a.quarantined) ==
-               std::tie(b.ends, b.answered, b.quarantined);
+        return std::tie(a.ends, a.gone_engines, a.answered, a.quarantined) ==
+               std::tie(b.ends, b.gone_engines, b.answered, b.quarantined);
     }
 };
 
--- a/drivers/datagrams/datagram_codec.cpp
+++ b/drivers/datagrams/datagram_codec.cpp
@@ -98,6 +98,7 @@
                                    item->looked_complete()});
         }
     }
+    result.gone_engines = read_strings(root.gone_engines());
     result.answered = read_strings(root.answered_parts());
     result.quarantined = read_quarantined(root.quarantined_parts(), now);
     return result;
@@ -232,6 +233,7 @@
         const auto slow_list = slow.empty() ? 0 : builder.CreateVector(slow);
         const prompt_part_report& prompt_parts = message.prompt_parts;
         const auto ends = write_ends(prompt_parts.ends);
+        const auto gone = write_strings(prompt_parts.gone_engines);
         const auto answered = write_strings(prompt_parts.answered);
         const auto quarantined = write_quarantined(prompt_parts.quarantined);
         const auto rate_limits = write_rate_limits(message.rate_limits);
@@ -241,7 +243,7 @@
                    message.sender.incarnation, static_cast<std::uint8_t>(message.state),
                    message.sequence, message.configuration_revision, message.complete, work_list,
                    slow_list, message.forward, message.sender.processor_share,
-                   message.requests_per_s, ends, answered, quarantined, rate_limits)
+                   message.requests_per_s, ends, answered, quarantined, rate_limits, gone)
                    .Union());
     }
 
--- a/drivers/datagrams/datagram_generated.h
+++ b/drivers/datagrams/datagram_generated.h
@@ -575,7 +575,8 @@
     VT_ENGINE_ENDS = 34,
     VT_ANSWERED_PARTS = 36,
     VT_QUARANTINED_PARTS = 38,
-    VT_RATE_LIMITS = 40
+    VT_RATE_LIMITS = 40,
+    VT_GONE_ENGINES = 42
   };
   const flatbuffers::String *host() const {
     return GetPointer<const flatbuffers::String *>(VT_HOST);
@@ -634,6 +635,9 @@
   const flatbuffers::Vector<flatbuffers::Offset<fuchsiaquay::wire::rate_limit>> *rate_limits() const {
     return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<fuchsiaquay::wire::rate_limit>> *>(VT_RATE_LIMITS);
   }
+  const flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>> *gone_engines() const {
+    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>> *>(VT_GONE_ENGINES);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffset(verifier, VT_HOST) &&
@@ -672,6 +676,9 @@
            VerifyOffset(verifier, VT_RATE_LIMITS) &&
            verifier.VerifyVector(rate_limits()) &&
            verifier.VerifyVectorOfTables(rate_limits()) &&
+           VerifyOffset(verifier, VT_GONE_ENGINES) &&
+           verifier.VerifyVector(gone_engines()) &&
+           verifier.VerifyVectorOfStrings(gone_engines()) &&
            verifier.EndTable();
   }
 };
@@ -737,6 +744,9 @@
   void add_rate_limits(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<fuchsiaquay::wire::rate_limit>>> rate_limits) {
     fbb_.AddOffset(announcement::VT_RATE_LIMITS, rate_limits);
   }
+  void add_gone_engines(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>>> gone_engines) {
+    fbb_.AddOffset(announcement::VT_GONE_ENGINES, gone_engines);
+  }
   explicit announcementBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -768,13 +778,15 @@
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<fuchsiaquay::wire::engine_end>>> engine_ends = 0,
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>>> answered_parts = 0,
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<fuchsiaquay::wire::quarantined_part>>> quarantined_parts = 0,
-    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<fuchsiaquay::wire::rate_limit>>> rate_limits = 0) {
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<fuchsiaquay::wire::rate_limit>>> rate_limits = 0,
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>>> gone_engines = 0) {
   announcementBuilder builder_(_fbb);
   builder_.add_requests_per_s(requests_per_s);
   builder_.add_processor_share(processor_share);
   builder_.add_configuration_revision(configuration_revision);
   builder_.add_sequence(sequence);
   builder_.add_incarnation(incarnation);
+  builder_.add_gone_engines(gone_engines);
   builder_.add_rate_limits(rate_limits);
   builder_.add_quarantined_parts(quarantined_parts);
   builder_.add_answered_parts(answered_parts);
@@ -812,7 +824,8 @@
     const std::vector<flatbuffers::Offset<fuchsiaquay::wire::engine_end>> *engine_ends = nullptr,
     const std::vector<flatbuffers::Offset<flatbuffers::String>> *answered_parts = nullptr,
     const std::vector<flatbuffers::Offset<fuchsiaquay::wire::quarantined_part>> *quarantined_parts = nullptr,
-    const std::vector<flatbuffers::Offset<fuchsiaquay::wire::rate_limit>> *rate_limits = nullptr) {
+    const std::vector<flatbuffers::Offset<fuchsiaquay::wire::rate_limit>> *rate_limits = nullptr,
+    const std::vector<flatbuffers::Offset<flatbuffers::String>> *gone_engines = nullptr) {
   auto host__ = host ? _fbb.CreateString(host) : 0;
   auto data_centre__ = data_centre ? _fbb.CreateString(data_centre) : 0;
   auto callers__ = callers ? _fbb.CreateString(callers) : 0;
@@ -824,6 +837,7 @@
   auto answered_parts__ = answered_parts ? _fbb.CreateVector<flatbuffers::Offset<flatbuffers::String>>(*answered_parts) : 0;
   auto quarantined_parts__ = quarantined_parts ? _fbb.CreateVector<flatbuffers::Offset<fuchsiaquay::wire::quarantined_part>>(*quarantined_parts) : 0;
   auto rate_limits__ = rate_limits ? _fbb.CreateVector<flatbuffers::Offset<fuchsiaquay::wire::rate_limit>>(*rate_limits) : 0;
+  auto gone_engines__ = gone_engines ? _fbb.CreateVector<flatbuffers::Offset<flatbuffers::String>>(*gone_engines) : 0;
   return fuchsiaquay::wire::Createannouncement(
       _fbb,
       host__,
@@ -844,7 +858,8 @@
       engine_ends__,
       answered_parts__,
       quarantined_parts__,
-      rate_limits__);
+      rate_limits__,
+      gone_engines__);
 }
 
 struct host FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
--- a/servers/fleet/store_view_sync.cpp
+++ b/servers/fleet/store_view_sync.cpp
@@ -268,7 +268,7 @@
     pending_request_.reset();
     services_.hosts.merge_reported_hosts(reply.serving_hosts, requested_at);
     if (!services_.role.serving()) {
-        services_.hosts.merge_prompt_parts(reply.sender, {{}, {}, reply.quarantined_parts});
+        services_.hosts.merge_prompt_parts(reply.sender, {{}, {}, {}, reply.quarantined_parts});
         services_.hosts.work_table().rate_limits().merge(reply.rate_limits);
     }
     if (reply.invitation) {
--- a/tests/core/quarantine/prompt_part_quarantine_test.cpp
+++ b/tests/core/quarantine/prompt_part_quarantine_test.cpp
@@ -65,6 +65,25 @@
     CHECK_FALSE(fleet.here.blocks({"common"}, fleet.now));
 }
 
+// Guards against hosts that wait for the entries of engines to lapse although another host already
+// knows that the engines are gone. Among many engines a host rarely meets one of them.
+TEST(prompt_part_quarantine, engines_that_only_the_other_host_found_gone_count) {
+    for (int i = 0; i < 4; ++i) {
+        fleet.now += milliseconds(300);
+        const std::string engine = "e" + std::to_string(i);
+        fleet.here.on_connection_ended(
+            {engine, static_cast<std::uint64_t>(i), {"bad"}, fleet.now, false});
+        fleet.exchange();
+        if (i % 2 == 0) {
+            fleet.here.on_engine_gone(engine, fleet.now);
+        } else {
+            fleet.there.on_engine_gone(engine, fleet.now);
+        }
+        fleet.exchange();
+    }
+    LONGS_EQUAL(1, fleet.review().size());
+}
+
 TEST(prompt_part_quarantine, three_ends_do_not_quarantine) {
     end_engines(3, {"bad"});
     CHECK_TRUE(fleet.review().empty());
--- a/tests/servers/relay/prompt_quarantine_test.cpp
+++ b/tests/servers/relay/prompt_quarantine_test.cpp
@@ -84,7 +84,7 @@
     CHECK_TRUE(attempt->open);
     host_.sink.status = 0;
     host_.sink.text.clear();
-    host_.work_table.quarantine().merge({{}, {}, {{"bad", host_.timers.now() + seconds(60)}}},
+    host_.work_table.quarantine().merge({{}, {}, {}, {{"bad", host_.timers.now() + seconds(60)}}},
                                         host_.timers.now());
     host_.timers.advance(milliseconds(100));
     CHECK_FALSE(attempt->open);
