Stop: late requests are taken only if they end before the host does

Report of other operators: in a planned stop, requests that came late in the grace were taken, and cut at its end.

Here a stopping host takes a request while 4.5 s are left, even if its route allows more. With a grace of 8 s that ends 2.6 s after the SIGTERM; with a longer one (20 s, say) a stream taken 14 s after it may be cut in the middle.

Now a request that comes later than 3 s after the begin of the stop is taken only if its whole time fits.

--- a/servers/relay/relay_services.hpp
+++ b/servers/relay/relay_services.hpp
@@ -43,6 +43,8 @@
     engine_memory_client& memory_client;
     /// Time until this host stops serving; `duration::max()` while it is not stopping.
     std::function<duration()> serving_time_left;
+    /// Time since this host was asked to stop; zero while it is not stopping.
+    std::function<duration()> stopping_time;
     /// Whether this host knows the work of all other hosts.
     std::function<bool()> knows_all_work;
 };
--- a/servers/relay/request_relay.cpp
+++ b/servers/relay/request_relay.cpp
@@ -35,6 +35,9 @@
 constexpr duration max_startup_wait = std::chrono::milliseconds(800);
 /// Most requests are served within this time. A host that stops sooner rejects new requests.
 constexpr duration usual_service_time = std::chrono::milliseconds(4'500);
+/// Time after the begin of a stop within which most callers leave the host. A request that comes
+/// later is taken only if it ends before the host does, whatever its upstream does.
+constexpr duration callers_leaving_time = std::chrono::seconds(3);
 /// Retry delay for callers of a stopping host, which retry at another host.
 constexpr duration host_stopping_retry_after = std::chrono::milliseconds(10);
 /// Minimum retry delay for callers if no upstream has room.
@@ -108,7 +111,9 @@
     const duration limit = std::min(admitted_.matched_route->timeout,
                                     request_.time_limit.value_or(admitted_.matched_route->timeout));
     deadline_ = request_.received_at + limit;
-    if (services_.serving_time_left() < std::min(limit, usual_service_time)) {
+    const bool callers_left = services_.stopping_time() > callers_leaving_time;
+    const duration needed_time = callers_left ? limit : std::min(limit, usual_service_time);
+    if (services_.serving_time_left() < needed_time) {
         refuse({status_unavailable, "host_stopping", host_stopping_retry_after});
         return;
     }
--- a/tests/servers/relay/relay_fixture.hpp
+++ b/tests/servers/relay/relay_fixture.hpp
@@ -348,6 +348,7 @@
     manual_memory_client memory_client;
     no_metrics metrics;
     duration serving_time = duration::max();
+    duration stopping_time = duration::zero();
     bool knows_all_work = true;
     relay_services services{"me",
                             timers,
@@ -365,6 +366,7 @@
                             metrics,
                             memory_client,
                             [this] { return serving_time; },
+                            [this] { return stopping_time; },
                             [this] { return knows_all_work; }};
     relay_queue queue{services};
     recording_sink sink;
--- a/tests/servers/relay/request_relay_test.cpp
+++ b/tests/servers/relay/request_relay_test.cpp
@@ -400,6 +400,7 @@
                              host_.metrics,
                              host_.memory_client,
                              [] { return duration::max(); },
+                             [] { return duration::zero(); },
                              [] { return true; }};
     relay_queue queue_{services_};
     std::unique_ptr<active_request> active_;
--- a/tests/servers/relay/stopping_host_test.cpp
+++ b/tests/servers/relay/stopping_host_test.cpp
@@ -78,3 +78,26 @@
     LONGS_EQUAL(0, caller_.aborted);
     CHECK_TRUE(upstream_.last().open);
 }
+
+// Guards against streams that a stopping host takes late although they may outlast it, and cuts.
+TEST(request_relay_of_a_stopping_host, late_request_that_may_outlast_the_host_is_refused) {
+    host_.stopping_time = seconds(12);
+    host_.serving_time = seconds(7);
+    host_.serve(host_.request("/chat/1"));
+    LONGS_EQUAL(0, host_.attempts());
+    LONGS_EQUAL(503, caller_.status);
+}
+
+TEST(request_relay_of_a_stopping_host, late_request_that_ends_before_the_host_is_served) {
+    host_.stopping_time = seconds(12);
+    host_.serving_time = seconds(7);
+    host_.serve(host_.request("/order/1"));
+    LONGS_EQUAL(1, host_.attempts());
+}
+
+TEST(request_relay_of_a_stopping_host, early_request_is_served_while_callers_leave_the_host) {
+    host_.stopping_time = seconds(2);
+    host_.serving_time = seconds(5);
+    host_.serve(host_.request("/chat/1"));
+    LONGS_EQUAL(1, host_.attempts());
+}
