Limits: the decision says itself that limits leave no room

The relay recognised such a decision by the address of its reason, a string of which each translation unit has a copy of its own; only a linker that merges equal strings made the addresses equal. Where they are not, a request beyond all limits waits until its target and is refused then, in place of at once.

Now placement_decision::rate_limited says it.

--- a/core/placement/placement_decision.hpp
+++ b/core/placement/placement_decision.hpp
@@ -40,6 +40,8 @@
     duration max_wait = duration::max();
     /// For `wait` and `refuse`: expected time until engines become available.
     duration retry_after{};
+    /// For `wait`: the limits that the upstreams name leave no room before `retry_after`.
+    bool rate_limited = false;
     /// Reason for the decision, written to the log.
     const char* reason = "";
 };
--- a/servers/relay/request_relay.cpp
+++ b/servers/relay/request_relay.cpp
@@ -180,7 +180,7 @@
                         current_answer_times());
     const bool overtakes = decision.outcome == placement_decision::verdict::place &&
                            queue_.rate_waiters_ahead(*this) > 0;
-    waits_for_rate_ = overtakes || decision.reason == rate_limited_reason;
+    waits_for_rate_ = overtakes || decision.rate_limited;
     if (waits_for_rate_) {
         wait_for_rate(decision);
         return;
@@ -214,7 +214,7 @@
         expected += from_seconds(ahead / *rate);
     }
     decision.outcome = placement_decision::verdict::wait;
-    decision.reason = rate_limited_reason;
+    decision.reason = "rate_limited";
     if (now + expected >= wait_until_) {
         // Spreads the retries of callers that were rejected at the same time.
         decision.retry_after = std::max(expected, min_no_room_retry_after);
--- a/servers/relay/upstream_chooser.cpp
+++ b/servers/relay/upstream_chooser.cpp
@@ -65,7 +65,7 @@
     }
     if (const auto wait = remaining_rate_wait(admitted)) {
         placement_decision limited;
-        limited.reason = rate_limited_reason;
+        limited.rate_limited = true;
         limited.retry_after = *wait;
         return limited;
     }
--- a/servers/relay/upstream_chooser.hpp
+++ b/servers/relay/upstream_chooser.hpp
@@ -16,9 +16,6 @@
 struct relay_services;
 struct upstream_entry;
 
-/// Reason of a decision if the limits that the upstreams name leave no room.
-constexpr const char* rate_limited_reason = "rate_limited";
-
 /// Chooses upstreams for requests by the load that is known to this host.
 class upstream_chooser {
 public:
