review: an error in a script is no verdict, and hosts end with their script

An exception that the harness did not expect ended with exit code 1, which stands for a broken rule; now with 2. Hosts also end when their script is killed.

--- a/review/lib/harness.py
+++ b/review/lib/harness.py
@@ -5,6 +5,7 @@
 """
 
 import asyncio
+import ctypes
 import json
 import os
 import random
@@ -24,6 +25,7 @@
 PROGRAM = os.path.join(ROOT, "target", "main", "fuchsiaquay")
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
 LIMIT_S = 110
+LIBC, PR_SET_PDEATHSIG = ctypes.CDLL(None), 1
 HELD, BROKEN, COULD_NOT_RUN = 0, 1, 2
 
 
@@ -31,6 +33,11 @@
     """The case could not be played as described."""
 
 
+def end_with_parent():
+    """Runs in a new host process: the kernel kills it when the script ends without having done so."""
+    LIBC.prctl(PR_SET_PDEATHSIG, signal.SIGKILL)
+
+
 class Record:
     """Lines of what was sent, answered and run, with seconds from the start."""
 
@@ -88,7 +95,8 @@
     async def start(self):
         with open(self.log, "ab") as log:
             self.process = await asyncio.create_subprocess_exec(
-                PROGRAM, "entry", "--config", self.config, stdout=log, stderr=log)
+                PROGRAM, "entry", "--config", self.config, stdout=log, stderr=log,
+                preexec_fn=end_with_parent)
 
     async def end(self, number=signal.SIGKILL, limit=9.0):
         if self.process and self.process.returncode is None:
@@ -162,7 +170,7 @@
 
     def __init__(self, record, folder, zones=("z1", "z2", "z3")):
         self.record, self.folder, self.zones = record, folder, zones
-        self.hosts, self.upstreams, self.beats = [], [], []
+        self.hosts, self.upstreams, self.beats, self.store = [], [], [], None
 
     async def open(self, hosts=3, upstreams=(), configuration=None):
         self.store = await Store(random.Random(1)).open()
@@ -207,7 +215,8 @@
             beat.cancel()
         for upstream in self.upstreams:
             await upstream.close()
-        await self.store.close()
+        if self.store:
+            await self.store.close()
 
 
 def route(name, kind, service, **values):
@@ -244,7 +253,8 @@
     with tempfile.TemporaryDirectory() as logs:
         try:
             held = asyncio.run(run_bounded(case(record, os.environ.get("KEEP") or logs)))
-        except (CouldNotRun, asyncio.CancelledError, asyncio.TimeoutError, OSError) as error:
+        except (Exception, asyncio.CancelledError, KeyboardInterrupt) as error:
+            # Only a verdict of the case may end with BROKEN.
             record.write(f"could not run: {error!r}")
             print(f"could not run: {error!r}")
             sys.exit(COULD_NOT_RUN)
