--- a/core/quarantine/prompt_part_quarantine.cpp
+++ b/core/quarantine/prompt_part_quarantine.cpp
@@ -232,6 +232,12 @@
     return result;
 }
 
+std::size_t prompt_part_quarantine::proved_ends() const {
+    return static_cast<std::size_t>(
+        std::count_if(observations_.begin(), observations_.end(),
+                      [this](const auto& item) { return confirmed(item.second.end); }));
+}
+
 prompt_part_report prompt_part_quarantine::report(instant now) const {
     prompt_part_report result;
     std::vector<const observation*> recent;
--- a/core/quarantine/prompt_part_quarantine.hpp
+++ b/core/quarantine/prompt_part_quarantine.hpp
@@ -54,6 +54,10 @@
     void on_change(change_handler changed) { changed_ = std::move(changed); }
     /// Number of parts in quarantine.
     std::size_t size() const noexcept { return quarantined_.size(); }
+    /// Number of requests whose connection ended and whose engine is known to have ended too.
+    std::size_t proved_ends() const;
+    /// Number of requests whose connection ended and whose engine may still run.
+    std::size_t unproved_ends() const { return observations_.size() - proved_ends(); }
 
 private:
     struct observation {
--- a/main/entry_node.cpp
+++ b/main/entry_node.cpp
@@ -253,6 +253,8 @@
                                                          catalogue_store_.failure_count())},
         {"upstreams_limited", static_cast<double>(engine_work_.rate_limits().size())},
         {"prompt_parts_quarantined", static_cast<double>(engine_work_.quarantine().size())},
+        {"engine_ends_proved", static_cast<double>(engine_work_.quarantine().proved_ends())},
+        {"engine_ends_unproved", static_cast<double>(engine_work_.quarantine().unproved_ends())},
         {"hosts_live", static_cast<double>(hosts_.live_peers().size() + 1)},
         {"handler_errors_total", static_cast<double>(handler_errors_)},
         {"log_lines_dropped_total", static_cast<double>(log_.lines_dropped())},
--- a/servers/fleet/upstream_registry.cpp
+++ b/servers/fleet/upstream_registry.cpp
@@ -162,6 +162,7 @@
                 {"service", entry.service},
                 {"address", entry.address.text()},
                 {"state", name_of(entry.state)},
+                {"started_at_ms", std::to_string(entry.started_at_ms)},
                 {"revision", std::to_string(revision)}});
     entries_[entry.id] = {entry, revision};
     ready_index_outdated_ = true;
