Quarantine: each process of an engine ends once, and a restart proves its end

Cause: what was known of an engine's end was kept by its id. The entry of the next process overwrote that of the one that had ended, so that no end was proved in quiet traffic; and all ends of one id counted as one, so that two engines could never make the four ends that are required.

Ruled out: the part counting as answered.

Now a process is named by id and start (upstream_lifetime) in attempts, observations, proofs and reports of hosts, and the entry of a later process proves the end of all earlier ones at every host that reads the catalogue, without traffic. An entry that is written again, or late by an earlier process, proves nothing.

The unit tests name the process where they named the engine; their checks are unchanged.

--- a/core/fleet/upstream_entry.hpp
+++ b/core/fleet/upstream_entry.hpp
@@ -5,6 +5,7 @@
 #include <tuple>
 
 #include "core/fleet/network_address.hpp"
+#include "core/fleet/upstream_lifetime.hpp"
 #include "core/fleet/upstream_state.hpp"
 
 namespace fuchsiaquay {
@@ -22,6 +23,8 @@
     /// the same id.
     std::int64_t started_at_ms = 0;
 
+    upstream_lifetime lifetime() const { return {id, started_at_ms}; }
+
     friend bool operator==(const upstream_entry& a, const upstream_entry& b) {
         return std::tie(a.id, a.service, a.address, a.slots, a.state, a.started_at_ms) ==
                std::tie(b.id, b.service, b.address, b.slots, b.state, b.started_at_ms);
--- a/core/quarantine/engine_end.hpp
+++ b/core/quarantine/engine_end.hpp
@@ -5,6 +5,7 @@
 #include <tuple>
 #include <vector>
 
+#include "core/fleet/upstream_lifetime.hpp"
 #include "core/time/clock.hpp"
 
 namespace fuchsiaquay {
@@ -12,7 +13,8 @@
 /// A request whose connection to an engine ended before the engine had proved that it survives the
 /// start of the answer. Whether the engine ended too is known later.
 struct engine_end {
-    std::string engine;
+    /// The process to which the request was sent.
+    upstream_lifetime engine;
     /// Hash of the last part of the prompt, which belongs to the request or its session.
     std::uint64_t subject = 0;
     /// Ids of the other parts of the prompt.
--- a/core/quarantine/prompt_part_quarantine.cpp
+++ b/core/quarantine/prompt_part_quarantine.cpp
@@ -2,6 +2,9 @@
 
 #include <algorithm>
 #include <cstddef>
+#include <limits>
+
+#include "core/time/remove_older.hpp"
 
 namespace fuchsiaquay {
 
@@ -17,11 +20,13 @@
 constexpr duration same_moment = std::chrono::milliseconds(100);
 /// Time for other hosts to report that a suspected part was answered.
 constexpr duration dispute_time = std::chrono::milliseconds(150);
-/// Time after the end of a connection within which its engine is found to be gone, if it is. The
-/// entry of an engine that ended remains listed for some seconds.
-constexpr duration confirmation_time = std::chrono::seconds(6);
-/// Time before the end of a connection at which its engine may already have been found to be gone.
-constexpr duration confirmation_slack = std::chrono::seconds(1);
+/// Time after the end of a connection within which the end of its engine is proved, if it ended.
+/// The entry of an engine that ended remains listed for some seconds, or until the store is back.
+constexpr duration proof_time = std::chrono::seconds(15);
+/// Time before the end of a connection at which the end of its engine may already have been proved.
+constexpr duration proof_slack = std::chrono::seconds(1);
+/// Time after which an answer that ended with its connection counts, unless its engine ended too.
+constexpr duration settle_time = std::chrono::seconds(6);
 /// Lifetime of observations and answers.
 constexpr duration memory_time = std::chrono::minutes(10);
 constexpr duration quarantine_time = std::chrono::minutes(10);
@@ -30,13 +35,6 @@
 constexpr std::size_t max_answered = 16'384;
 constexpr std::size_t max_reported = 48;
 
-template <typename container>
-void remove_older(container& items, instant oldest) {
-    for (auto item = items.begin(); item != items.end();) {
-        item = item->second < oldest ? items.erase(item) : std::next(item);
-    }
-}
-
 void remove_older_half(std::map<std::string, instant>& items) {
     std::vector<instant> times;
     times.reserve(items.size());
@@ -78,39 +76,53 @@
         !std::all_of(end.parts.begin(), end.parts.end(),
                      [this](const std::string& part) { return was_answered(part); });
     auto key = std::make_pair(end.engine, end.subject);
-    observations_[std::move(key)] = {std::move(end), true, now};
+    const bool proved = proves(end);
+    observations_[std::move(key)] = {std::move(end), true, now, proved};
     if (suspects_new) {
         notify();
     }
 }
 
-void prompt_part_quarantine::on_engine_gone(const std::string& engine, instant now) {
-    remove_older(gone_, now - memory_time);
-    const auto known = gone_.find(engine);
-    // An engine may return with the same id and end again.
-    if (known != gone_.end() && now - known->second <= confirmation_time) {
-        return;
+void prompt_part_quarantine::on_engine_gone(const upstream_lifetime& engine, instant now) {
+    proofs_.remove_older(now - memory_time);
+    proofs_.on_gone(engine, now);
+    if (mark_proved(engine.id)) {
+        notify();
     }
-    gone_[engine] = now;
-    const bool observed =
-        std::any_of(observations_.begin(), observations_.end(),
-                    [&engine](const auto& item) { return item.second.end.engine == engine; });
-    if (observed) {
+}
+
+void prompt_part_quarantine::on_engine_restarted(const upstream_lifetime& engine, instant now) {
+    proofs_.remove_older(now - memory_time);
+    proofs_.on_restarted(engine, now);
+    if (mark_proved(engine.id)) {
         notify();
     }
 }
 
-bool prompt_part_quarantine::confirmed(const engine_end& end) const {
-    const auto found = gone_.find(end.engine);
-    return found != gone_.end() && found->second >= end.ended_at - confirmation_slack &&
-           found->second <= end.ended_at + confirmation_time;
+bool prompt_part_quarantine::proves(const engine_end& end) const {
+    return proofs_.proved_between(end.engine, end.ended_at - proof_slack,
+                                  end.ended_at + proof_time);
+}
+
+bool prompt_part_quarantine::mark_proved(const std::string& engine) {
+    bool any_new = false;
+    const upstream_lifetime first{engine, std::numeric_limits<std::int64_t>::min()};
+    for (auto item = observations_.lower_bound({first, 0});
+         item != observations_.end() && item->first.first.id == engine; ++item) {
+        observation& known = item->second;
+        if (!known.proved && proves(known.end)) {
+            known.proved = true;
+            any_new = true;
+        }
+    }
+    return any_new;
 }
 
 void prompt_part_quarantine::settle_complete_answers(instant now) {
     for (auto item = observations_.begin(); item != observations_.end();) {
         const engine_end& end = item->second.end;
         const bool settled =
-            end.looked_complete && !confirmed(end) && now - end.ended_at > confirmation_time;
+            end.looked_complete && !item->second.proved && now - end.ended_at > settle_time;
         if (settled && item->second.own) {
             on_answered(end.parts, now);
         }
@@ -120,20 +132,20 @@
 
 void prompt_part_quarantine::remove_expired(instant now) {
     const instant oldest = now - memory_time;
-    remove_older(gone_, oldest);
+    proofs_.remove_older(oldest);
     remove_older(answered_, oldest);
     remove_older(disputed_, oldest);
     remove_older(quarantined_, now);
     for (auto item = observations_.begin(); item != observations_.end();) {
         const engine_end& end = item->second.end;
         const bool outdated =
-            end.ended_at < oldest || (!confirmed(end) && now - end.ended_at > confirmation_time);
+            end.ended_at < oldest || (!item->second.proved && now - end.ended_at > proof_time);
         item = outdated ? observations_.erase(item) : std::next(item);
     }
 }
 
 prompt_part_quarantine::suspicions prompt_part_quarantine::collect_suspicions() const {
-    std::set<std::string> explained;
+    std::set<upstream_lifetime> explained;
     for (const auto& [key, item] : observations_) {
         const auto quarantined = [this](const std::string& part) {
             return quarantined_.count(part) > 0;
@@ -144,7 +156,7 @@
     }
     suspicions result;
     for (const auto& [key, item] : observations_) {
-        if (explained.count(item.end.engine) > 0 || !confirmed(item.end)) {
+        if (explained.count(item.end.engine) > 0 || !item.proved) {
             continue;
         }
         for (const std::string& part : item.end.parts) {
@@ -235,7 +247,7 @@
 std::size_t prompt_part_quarantine::proved_ends() const {
     return static_cast<std::size_t>(
         std::count_if(observations_.begin(), observations_.end(),
-                      [this](const auto& item) { return confirmed(item.second.end); }));
+                      [](const auto& item) { return item.second.proved; }));
 }
 
 prompt_part_report prompt_part_quarantine::report(instant now) const {
@@ -259,10 +271,10 @@
             result.ends.push_back(std::move(end));
         }
     }
-    std::set<std::string> gone;
+    std::set<upstream_lifetime> gone;
     for (const auto& [key, item] : observations_) {
-        const bool recent_end = now - item.end.ended_at < confirmation_time;
-        if (recent_end && confirmed(item.end) && gone.size() < max_reported) {
+        const bool recent_end = now - item.end.ended_at < proof_time;
+        if (recent_end && item.proved && gone.size() < max_reported) {
             gone.insert(item.end.engine);
         }
     }
@@ -295,11 +307,13 @@
     for (const engine_end& end : report.ends) {
         std::for_each(end.parts.begin(), end.parts.end(), dispute);
         if (observations_.size() < max_observations && !end.parts.empty()) {
-            observations_.try_emplace({end.engine, end.subject}, observation{end, false, now});
+            observations_.try_emplace({end.engine, end.subject},
+                                      observation{end, false, now, proves(end)});
         }
     }
-    for (const std::string& engine : report.gone_engines) {
-        gone_.emplace(engine, now);
+    for (const upstream_lifetime& engine : report.gone_engines) {
+        proofs_.on_gone(engine, now);
+        mark_proved(engine.id);
     }
     std::vector<std::string> added;
     for (const quarantined_part& part : report.quarantined) {
--- a/core/quarantine/prompt_part_quarantine.hpp
+++ b/core/quarantine/prompt_part_quarantine.hpp
@@ -10,7 +10,9 @@
 #include <utility>
 #include <vector>
 
+#include "core/fleet/upstream_lifetime.hpp"
 #include "core/quarantine/engine_end.hpp"
+#include "core/quarantine/engine_end_proofs.hpp"
 #include "core/quarantine/prompt_part_report.hpp"
 
 namespace fuchsiaquay {
@@ -22,6 +24,10 @@
 /// among them, and no host has seen a request with it answered. Ends that a quarantined part
 /// explains do not count against the other parts of the same requests. Hosts exchange what they
 /// observed, since each sees its own requests only.
+///
+/// Each process of an engine ends once, whether or not the next one has the same id. An end counts
+/// once it is proved: nothing listens at the address, the entry was removed, or a later process has
+/// replaced it.
 class prompt_part_quarantine {
 public:
     using change_handler = std::function<void()>;
@@ -30,9 +36,11 @@
     void on_answered(const std::vector<std::string>& parts, instant now);
     /// Records a request of this host whose connection to its engine ended.
     void on_connection_ended(engine_end end);
-    /// Records that the process of an engine is gone: nothing listens at its address, or its entry
+    /// Records that a process of an engine is gone: nothing listens at its address, or its entry
     /// was removed.
-    void on_engine_gone(const std::string& engine, instant now);
+    void on_engine_gone(const upstream_lifetime& engine, instant now);
+    /// Records that `engine` replaced an earlier process with the same id.
+    void on_engine_restarted(const upstream_lifetime& engine, instant now);
 
     /// Draws conclusions from the observations. To be called periodically.
     /// @return the parts that are quarantined from now on
@@ -65,11 +73,13 @@
         bool own = false;
         /// When this host learned of it.
         instant known_at{};
+        /// Whether the process is known to have ended with the connection.
+        bool proved = false;
     };
     /// Ends of engines under one part.
     struct suspicion {
-        /// Engines and the time of their ends.
-        std::map<std::string, instant> engines;
+        /// Processes of engines and the time of their ends.
+        std::map<upstream_lifetime, instant> engines;
         std::set<std::uint64_t> subjects;
         instant known_since = instant::max();
     };
@@ -77,7 +87,10 @@
 
     bool was_answered(const std::string& part) const { return answered_.count(part) > 0; }
     void note_answered(const std::string& part, instant now);
-    bool confirmed(const engine_end& end) const;
+    bool proves(const engine_end& end) const;
+    /// Marks the observations of `engine` whose ends are proved by now.
+    /// @return whether there is a new one
+    bool mark_proved(const std::string& engine);
     suspicions collect_suspicions() const;
     /// Number of separate moments at which engines ended.
     static std::size_t count_ends(const suspicion& item);
@@ -86,10 +99,9 @@
     void remove_expired(instant now);
     void notify() const;
 
-    /// Observations by engine and subject.
-    std::map<std::pair<std::string, std::uint64_t>, observation> observations_;
-    /// Engines that are gone, and since when.
-    std::map<std::string, instant> gone_;
+    /// Observations by process and subject.
+    std::map<std::pair<upstream_lifetime, std::uint64_t>, observation> observations_;
+    engine_end_proofs proofs_;
     /// Parts with an answer, and the time of the latest one.
     std::map<std::string, instant> answered_;
     /// Parts that other hosts suspect or have in quarantine although this host has seen an answer.
--- a/core/quarantine/prompt_part_report.hpp
+++ b/core/quarantine/prompt_part_report.hpp
@@ -4,6 +4,7 @@
 #include <tuple>
 #include <vector>
 
+#include "core/fleet/upstream_lifetime.hpp"
 #include "core/quarantine/engine_end.hpp"
 #include "core/quarantine/quarantined_part.hpp"
 
@@ -13,8 +14,8 @@
 struct prompt_part_report {
     /// Its own observations. Parts that it knows to be answered are left out.
     std::vector<engine_end> ends;
-    /// Engines of any host's observations that this host knows to be gone.
-    std::vector<std::string> gone_engines;
+    /// Processes of any host's observations that this host knows to have ended.
+    std::vector<upstream_lifetime> gone_engines;
     /// Parts that other hosts have reported and that this host has seen answered.
     std::vector<std::string> answered;
     std::vector<quarantined_part> quarantined;
--- a/drivers/datagrams/datagram_codec.cpp
+++ b/drivers/datagrams/datagram_codec.cpp
@@ -93,12 +93,18 @@
     if (root.engine_ends() != nullptr) {
         for (const wire::engine_end* item : *root.engine_ends()) {
             const duration age = std::max(duration::zero(), duration(item->age_us()));
-            result.ends.push_back({read_string(item->engine()), item->subject(),
-                                   read_strings(item->parts()), now - age,
+            result.ends.push_back({{read_string(item->engine()), item->started_at_ms()},
+                                   item->subject(),
+                                   read_strings(item->parts()),
+                                   now - age,
                                    item->looked_complete()});
         }
     }
-    result.gone_engines = read_strings(root.gone_engines());
+    if (root.gone_lifetimes() != nullptr) {
+        for (const wire::upstream_lifetime* item : *root.gone_lifetimes()) {
+            result.gone_engines.push_back({read_string(item->id()), item->started_at_ms()});
+        }
+    }
     result.answered = read_strings(root.answered_parts());
     result.quarantined = read_quarantined(root.quarantined_parts(), now);
     return result;
@@ -233,7 +239,7 @@
         const auto slow_list = slow.empty() ? 0 : builder.CreateVector(slow);
         const prompt_part_report& prompt_parts = message.prompt_parts;
         const auto ends = write_ends(prompt_parts.ends);
-        const auto gone = write_strings(prompt_parts.gone_engines);
+        const auto gone = write_lifetimes(prompt_parts.gone_engines);
         const auto answered = write_strings(prompt_parts.answered);
         const auto quarantined = write_quarantined(prompt_parts.quarantined);
         const auto rate_limits = write_rate_limits(message.rate_limits);
@@ -256,15 +262,25 @@
         const std::vector<engine_end>& items) const {
         std::vector<flatbuffers::Offset<wire::engine_end>> ends;
         for (const engine_end& item : items) {
-            const auto engine = builder.CreateString(item.engine);
+            const auto engine = builder.CreateString(item.engine.id);
             const auto parts = write_strings(item.parts);
             ends.push_back(wire::Createengine_end(builder, engine, item.subject, parts,
                                                   (now - item.ended_at).count(),
-                                                  item.looked_complete));
+                                                  item.looked_complete, item.engine.started_at_ms));
         }
         return ends.empty() ? 0 : builder.CreateVector(ends);
     }
 
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<wire::upstream_lifetime>>>
+    write_lifetimes(const std::vector<upstream_lifetime>& items) const {
+        std::vector<flatbuffers::Offset<wire::upstream_lifetime>> lifetimes;
+        for (const upstream_lifetime& item : items) {
+            const auto id = builder.CreateString(item.id);
+            lifetimes.push_back(wire::Createupstream_lifetime(builder, id, item.started_at_ms));
+        }
+        return lifetimes.empty() ? 0 : builder.CreateVector(lifetimes);
+    }
+
     flatbuffers::Offset<quarantined_list> write_quarantined(
         const std::vector<quarantined_part>& items) const {
         std::vector<flatbuffers::Offset<wire::quarantined_part>> parts;
--- a/drivers/datagrams/datagram_generated.h
+++ b/drivers/datagrams/datagram_generated.h
@@ -25,6 +25,9 @@
 struct engine_end;
 struct engine_endBuilder;
 
+struct upstream_lifetime;
+struct upstream_lifetimeBuilder;
+
 struct quarantined_part;
 struct quarantined_partBuilder;
 
@@ -309,7 +312,8 @@
     VT_SUBJECT = 6,
     VT_PARTS = 8,
     VT_AGE_US = 10,
-    VT_LOOKED_COMPLETE = 12
+    VT_LOOKED_COMPLETE = 12,
+    VT_STARTED_AT_MS = 14
   };
   const flatbuffers::String *engine() const {
     return GetPointer<const flatbuffers::String *>(VT_ENGINE);
@@ -326,6 +330,9 @@
   bool looked_complete() const {
     return GetField<uint8_t>(VT_LOOKED_COMPLETE, 0) != 0;
   }
+  int64_t started_at_ms() const {
+    return GetField<int64_t>(VT_STARTED_AT_MS, 0);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffset(verifier, VT_ENGINE) &&
@@ -336,6 +343,7 @@
            verifier.VerifyVectorOfStrings(parts()) &&
            VerifyField<int64_t>(verifier, VT_AGE_US, 8) &&
            VerifyField<uint8_t>(verifier, VT_LOOKED_COMPLETE, 1) &&
+           VerifyField<int64_t>(verifier, VT_STARTED_AT_MS, 8) &&
            verifier.EndTable();
   }
 };
@@ -359,6 +367,9 @@
   void add_looked_complete(bool looked_complete) {
     fbb_.AddElement<uint8_t>(engine_end::VT_LOOKED_COMPLETE, static_cast<uint8_t>(looked_complete), 0);
   }
+  void add_started_at_ms(int64_t started_at_ms) {
+    fbb_.AddElement<int64_t>(engine_end::VT_STARTED_AT_MS, started_at_ms, 0);
+  }
   explicit engine_endBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -376,8 +387,10 @@
     uint64_t subject = 0,
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>>> parts = 0,
     int64_t age_us = 0,
-    bool looked_complete = false) {
+    bool looked_complete = false,
+    int64_t started_at_ms = 0) {
   engine_endBuilder builder_(_fbb);
+  builder_.add_started_at_ms(started_at_ms);
   builder_.add_age_us(age_us);
   builder_.add_subject(subject);
   builder_.add_parts(parts);
@@ -392,7 +405,8 @@
     uint64_t subject = 0,
     const std::vector<flatbuffers::Offset<flatbuffers::String>> *parts = nullptr,
     int64_t age_us = 0,
-    bool looked_complete = false) {
+    bool looked_complete = false,
+    int64_t started_at_ms = 0) {
   auto engine__ = engine ? _fbb.CreateString(engine) : 0;
   auto parts__ = parts ? _fbb.CreateVector<flatbuffers::Offset<flatbuffers::String>>(*parts) : 0;
   return fuchsiaquay::wire::Createengine_end(
@@ -401,7 +415,71 @@
       subject,
       parts__,
       age_us,
-      looked_complete);
+      looked_complete,
+      started_at_ms);
+}
+
+struct upstream_lifetime FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef upstream_lifetimeBuilder Builder;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_ID = 4,
+    VT_STARTED_AT_MS = 6
+  };
+  const flatbuffers::String *id() const {
+    return GetPointer<const flatbuffers::String *>(VT_ID);
+  }
+  int64_t started_at_ms() const {
+    return GetField<int64_t>(VT_STARTED_AT_MS, 0);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyOffset(verifier, VT_ID) &&
+           verifier.VerifyString(id()) &&
+           VerifyField<int64_t>(verifier, VT_STARTED_AT_MS, 8) &&
+           verifier.EndTable();
+  }
+};
+
+struct upstream_lifetimeBuilder {
+  typedef upstream_lifetime Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_id(flatbuffers::Offset<flatbuffers::String> id) {
+    fbb_.AddOffset(upstream_lifetime::VT_ID, id);
+  }
+  void add_started_at_ms(int64_t started_at_ms) {
+    fbb_.AddElement<int64_t>(upstream_lifetime::VT_STARTED_AT_MS, started_at_ms, 0);
+  }
+  explicit upstream_lifetimeBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<upstream_lifetime> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<upstream_lifetime>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<upstream_lifetime> Createupstream_lifetime(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    flatbuffers::Offset<flatbuffers::String> id = 0,
+    int64_t started_at_ms = 0) {
+  upstream_lifetimeBuilder builder_(_fbb);
+  builder_.add_started_at_ms(started_at_ms);
+  builder_.add_id(id);
+  return builder_.Finish();
+}
+
+inline flatbuffers::Offset<upstream_lifetime> Createupstream_lifetimeDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    const char *id = nullptr,
+    int64_t started_at_ms = 0) {
+  auto id__ = id ? _fbb.CreateString(id) : 0;
+  return fuchsiaquay::wire::Createupstream_lifetime(
+      _fbb,
+      id__,
+      started_at_ms);
 }
 
 struct quarantined_part FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
@@ -576,7 +654,7 @@
     VT_ANSWERED_PARTS = 36,
     VT_QUARANTINED_PARTS = 38,
     VT_RATE_LIMITS = 40,
-    VT_GONE_ENGINES = 42
+    VT_GONE_LIFETIMES = 44
   };
   const flatbuffers::String *host() const {
     return GetPointer<const flatbuffers::String *>(VT_HOST);
@@ -635,8 +713,8 @@
   const flatbuffers::Vector<flatbuffers::Offset<fuchsiaquay::wire::rate_limit>> *rate_limits() const {
     return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<fuchsiaquay::wire::rate_limit>> *>(VT_RATE_LIMITS);
   }
-  const flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>> *gone_engines() const {
-    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>> *>(VT_GONE_ENGINES);
+  const flatbuffers::Vector<flatbuffers::Offset<fuchsiaquay::wire::upstream_lifetime>> *gone_lifetimes() const {
+    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<fuchsiaquay::wire::upstream_lifetime>> *>(VT_GONE_LIFETIMES);
   }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
@@ -676,9 +754,9 @@
            VerifyOffset(verifier, VT_RATE_LIMITS) &&
            verifier.VerifyVector(rate_limits()) &&
            verifier.VerifyVectorOfTables(rate_limits()) &&
-           VerifyOffset(verifier, VT_GONE_ENGINES) &&
-           verifier.VerifyVector(gone_engines()) &&
-           verifier.VerifyVectorOfStrings(gone_engines()) &&
+           VerifyOffset(verifier, VT_GONE_LIFETIMES) &&
+           verifier.VerifyVector(gone_lifetimes()) &&
+           verifier.VerifyVectorOfTables(gone_lifetimes()) &&
            verifier.EndTable();
   }
 };
@@ -744,8 +822,8 @@
   void add_rate_limits(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<fuchsiaquay::wire::rate_limit>>> rate_limits) {
     fbb_.AddOffset(announcement::VT_RATE_LIMITS, rate_limits);
   }
-  void add_gone_engines(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>>> gone_engines) {
-    fbb_.AddOffset(announcement::VT_GONE_ENGINES, gone_engines);
+  void add_gone_lifetimes(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<fuchsiaquay::wire::upstream_lifetime>>> gone_lifetimes) {
+    fbb_.AddOffset(announcement::VT_GONE_LIFETIMES, gone_lifetimes);
   }
   explicit announcementBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
@@ -779,14 +857,14 @@
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>>> answered_parts = 0,
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<fuchsiaquay::wire::quarantined_part>>> quarantined_parts = 0,
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<fuchsiaquay::wire::rate_limit>>> rate_limits = 0,
-    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>>> gone_engines = 0) {
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<fuchsiaquay::wire::upstream_lifetime>>> gone_lifetimes = 0) {
   announcementBuilder builder_(_fbb);
   builder_.add_requests_per_s(requests_per_s);
   builder_.add_processor_share(processor_share);
   builder_.add_configuration_revision(configuration_revision);
   builder_.add_sequence(sequence);
   builder_.add_incarnation(incarnation);
-  builder_.add_gone_engines(gone_engines);
+  builder_.add_gone_lifetimes(gone_lifetimes);
   builder_.add_rate_limits(rate_limits);
   builder_.add_quarantined_parts(quarantined_parts);
   builder_.add_answered_parts(answered_parts);
@@ -825,7 +903,7 @@
     const std::vector<flatbuffers::Offset<flatbuffers::String>> *answered_parts = nullptr,
     const std::vector<flatbuffers::Offset<fuchsiaquay::wire::quarantined_part>> *quarantined_parts = nullptr,
     const std::vector<flatbuffers::Offset<fuchsiaquay::wire::rate_limit>> *rate_limits = nullptr,
-    const std::vector<flatbuffers::Offset<flatbuffers::String>> *gone_engines = nullptr) {
+    const std::vector<flatbuffers::Offset<fuchsiaquay::wire::upstream_lifetime>> *gone_lifetimes = nullptr) {
   auto host__ = host ? _fbb.CreateString(host) : 0;
   auto data_centre__ = data_centre ? _fbb.CreateString(data_centre) : 0;
   auto callers__ = callers ? _fbb.CreateString(callers) : 0;
@@ -837,7 +915,7 @@
   auto answered_parts__ = answered_parts ? _fbb.CreateVector<flatbuffers::Offset<flatbuffers::String>>(*answered_parts) : 0;
   auto quarantined_parts__ = quarantined_parts ? _fbb.CreateVector<flatbuffers::Offset<fuchsiaquay::wire::quarantined_part>>(*quarantined_parts) : 0;
   auto rate_limits__ = rate_limits ? _fbb.CreateVector<flatbuffers::Offset<fuchsiaquay::wire::rate_limit>>(*rate_limits) : 0;
-  auto gone_engines__ = gone_engines ? _fbb.CreateVector<flatbuffers::Offset<flatbuffers::String>>(*gone_engines) : 0;
+  auto gone_lifetimes__ = gone_lifetimes ? _fbb.CreateVector<flatbuffers::Offset<fuchsiaquay::wire::upstream_lifetime>>(*gone_lifetimes) : 0;
   return fuchsiaquay::wire::Createannouncement(
       _fbb,
       host__,
@@ -859,7 +937,7 @@
       answered_parts__,
       quarantined_parts__,
       rate_limits__,
-      gone_engines__);
+      gone_lifetimes__);
 }
 
 struct host FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
--- a/main/entry_node.cpp
+++ b/main/entry_node.cpp
@@ -126,11 +126,14 @@
         ++handler_errors_;
         log_.write(decision_log::level::error, "handler_failed", {{"reason", reason}});
     });
-    upstreams_.on_removed([this](const std::string& id) {
-        engine_work_.remove_upstream(id);
-        engine_work_.quarantine().on_engine_gone(id, loop_.now());
-        health_.forget(upstream_id(id));
-        notices_.forget(id);
+    upstreams_.on_removed([this](const upstream_lifetime& upstream) {
+        engine_work_.remove_upstream(upstream.id);
+        engine_work_.quarantine().on_engine_gone(upstream, loop_.now());
+        health_.forget(upstream_id(upstream.id));
+        notices_.forget(upstream.id);
+    });
+    upstreams_.on_restarted([this](const upstream_lifetime& upstream) {
+        engine_work_.quarantine().on_engine_restarted(upstream, loop_.now());
     });
     configuration_.on_change([this](const fleet_configuration& /*next*/) {
         if (view_sync_.watches_store()) {
--- a/servers/fleet/upstream_registry.cpp
+++ b/servers/fleet/upstream_registry.cpp
@@ -164,15 +164,24 @@
                 {"state", name_of(entry.state)},
                 {"started_at_ms", std::to_string(entry.started_at_ms)},
                 {"revision", std::to_string(revision)}});
+    // An entry of an earlier process that is written late is no restart.
+    const bool restarted = known != entries_.end() && known->second.entry.started_at_ms > 0 &&
+                           known->second.entry.started_at_ms < entry.started_at_ms;
     entries_[entry.id] = {entry, revision};
     ready_index_outdated_ = true;
+    if (restarted && restarted_handler_) {
+        restarted_handler_(entry.lifetime());
+    }
 }
 
 void upstream_registry::remove(const std::string& id, std::int64_t revision, const char* reason) {
     missing_.erase(id);
-    if (entries_.erase(id) == 0) {
+    const auto known = entries_.find(id);
+    if (known == entries_.end()) {
         return;
     }
+    const upstream_lifetime lifetime = known->second.entry.lifetime();
+    entries_.erase(known);
     ready_index_outdated_ = true;
     removals_.push_back({id, revision});
     if (removals_.size() > max_removals) {
@@ -182,7 +191,7 @@
     log_.write(decision_log::level::info, "upstream_gone",
                {{"upstream", id}, {"reason", reason}, {"revision", std::to_string(revision)}});
     if (removed_handler_) {
-        removed_handler_(id);
+        removed_handler_(lifetime);
     }
 }
 
--- a/servers/fleet/upstream_registry.hpp
+++ b/servers/fleet/upstream_registry.hpp
@@ -24,7 +24,7 @@
 /// is kept until its upstream has had time to register again.
 class upstream_registry final : public mirror_listener {
 public:
-    using removed_handler = std::function<void(const std::string& id)>;
+    using lifetime_handler = std::function<void(const upstream_lifetime& upstream)>;
 
     /// @param prefix  prefix of the store keys, followed by the id of the upstream
     upstream_registry(const upstream_codec& codec, timer_service& timers, decision_log& log,
@@ -38,7 +38,9 @@
     bool loaded() const noexcept { return loaded_; }
     std::size_t size() const noexcept { return entries_.size(); }
     /// Sets the handler that is called for each upstream that is no longer listed.
-    void on_removed(removed_handler handler) { removed_handler_ = std::move(handler); }
+    void on_removed(lifetime_handler handler) { removed_handler_ = std::move(handler); }
+    /// Sets the handler that is called with each process that replaces an earlier one in its entry.
+    void on_restarted(lifetime_handler handler) { restarted_handler_ = std::move(handler); }
 
     /// Changes that are missing from a copy at `revision`.
     catalogue_delta changes_after(std::int64_t revision) const;
@@ -85,7 +87,8 @@
     std::map<std::string, std::vector<upstream_entry>> ready_;
     /// Entries that are missing after an outage, with the time at which this was noticed.
     std::map<std::string, instant> missing_;
-    removed_handler removed_handler_;
+    lifetime_handler removed_handler_;
+    lifetime_handler restarted_handler_;
     std::shared_ptr<int> alive_ = std::make_shared<int>(0);
 };
 
--- a/servers/relay/upstream_attempt.cpp
+++ b/servers/relay/upstream_attempt.cpp
@@ -105,6 +105,7 @@
 void upstream_attempt::send() {
     const upstream_entry* entry = services_.upstreams.find(upstream());
     const instant now = services_.timers.now();
+    lifetime_ = entry->lifetime();
     upstream_request_metadata metadata;
     metadata.upstream = entry->id;
     metadata.customer = admitted_.customer;
@@ -277,7 +278,7 @@
         return;
     }
     services_.work_table.quarantine().on_connection_ended(
-        {upstream(), request_.prompt_subject, request_.prompt_parts, services_.timers.now(),
+        {lifetime_, request_.prompt_subject, request_.prompt_parts, services_.timers.now(),
          looked_complete});
 }
 
@@ -302,7 +303,7 @@
     const instant now = services_.timers.now();
     services_.health.on_result(upstream_id(upstream()), evidence, now);
     if (failure.refused) {
-        services_.work_table.quarantine().on_engine_gone(upstream(), now);
+        services_.work_table.quarantine().on_engine_gone(lifetime_, now);
     } else if (failure.sent) {
         note_connection_ended(false);
     }
--- a/servers/relay/upstream_attempt.hpp
+++ b/servers/relay/upstream_attempt.hpp
@@ -5,6 +5,7 @@
 #include <string>
 #include <string_view>
 
+#include "core/fleet/upstream_lifetime.hpp"
 #include "core/relay/attempt_outcome.hpp"
 #include "servers/relay/attempt_parameters.hpp"
 #include "servers/relay/exchange_listener.hpp"
@@ -90,6 +91,8 @@
     std::unique_ptr<memory_reservation> memory_;
     std::unique_ptr<upstream_exchange> exchange_;
     std::string at_fault_;
+    /// The process to which the request is sent.
+    upstream_lifetime lifetime_;
     instant sent_at_{};
     instant progress_at_{};
     upstream_response response_;
--- a/tests/core/quarantine/prompt_part_quarantine_test.cpp
+++ b/tests/core/quarantine/prompt_part_quarantine_test.cpp
@@ -2,6 +2,8 @@
 
 #include <CppUTest/TestHarness.h>
 
+#include <cstdint>
+#include <map>
 #include <string>
 #include <vector>
 
@@ -20,11 +22,25 @@
     void end_engine(prompt_part_quarantine& host, const parts& ids) {
         now += milliseconds(300);
         const std::string engine = "e" + std::to_string(++count);
-        host.on_connection_ended({engine, static_cast<std::uint64_t>(count), ids, now, false});
-        here.on_engine_gone(engine, now);
-        there.on_engine_gone(engine, now);
+        host.on_connection_ended({{engine, 0}, static_cast<std::uint64_t>(count), ids, now, false});
+        here.on_engine_gone({engine, 0}, now);
+        there.on_engine_gone({engine, 0}, now);
         exchange();
     }
+    /// The process of `engine` ends under a request with `ids`; the next one has the same id.
+    void restart_engine(prompt_part_quarantine& host, const std::string& engine, const parts& ids) {
+        const std::int64_t started_at_ms = ++starts[engine];
+        host.on_connection_ended(
+            {{engine, started_at_ms}, static_cast<std::uint64_t>(++count), ids, now, false});
+        exchange();
+        now += milliseconds(300);
+        list({engine, started_at_ms + 1});
+    }
+    /// Both hosts read the entry of a process that replaced another one.
+    void list(const upstream_lifetime& engine) {
+        here.on_engine_restarted(engine, now);
+        there.on_engine_restarted(engine, now);
+    }
     void exchange() {
         for (int round = 0; round < 2; ++round) {
             there.merge(here.report(now), now);
@@ -40,6 +56,8 @@
 
     instant now{seconds(100)};
     int count = 0;
+    /// Start of the process of each engine.
+    std::map<std::string, std::int64_t> starts;
     prompt_part_quarantine here;
     prompt_part_quarantine there;
 };
@@ -72,12 +90,12 @@
         fleet.now += milliseconds(300);
         const std::string engine = "e" + std::to_string(i);
         fleet.here.on_connection_ended(
-            {engine, static_cast<std::uint64_t>(i), {"bad"}, fleet.now, false});
+            {{engine, 0}, static_cast<std::uint64_t>(i), {"bad"}, fleet.now, false});
         fleet.exchange();
         if (i % 2 == 0) {
-            fleet.here.on_engine_gone(engine, fleet.now);
+            fleet.here.on_engine_gone({engine, 0}, fleet.now);
         } else {
-            fleet.there.on_engine_gone(engine, fleet.now);
+            fleet.there.on_engine_gone({engine, 0}, fleet.now);
         }
         fleet.exchange();
     }
@@ -122,8 +140,8 @@
     for (int i = 0; i < 8; ++i) {
         const std::string engine = "r" + std::to_string(i);
         fleet.here.on_connection_ended(
-            {engine, static_cast<std::uint64_t>(i), {"part"}, fleet.now, false});
-        fleet.here.on_engine_gone(engine, fleet.now);
+            {{engine, 0}, static_cast<std::uint64_t>(i), {"part"}, fleet.now, false});
+        fleet.here.on_engine_gone({engine, 0}, fleet.now);
     }
     CHECK_TRUE(fleet.review().empty());
 }
@@ -132,8 +150,8 @@
     for (int i = 0; i < 6; ++i) {
         fleet.now += milliseconds(300);
         const std::string engine = "r" + std::to_string(i);
-        fleet.here.on_connection_ended({engine, 7, {"part"}, fleet.now, false});
-        fleet.here.on_engine_gone(engine, fleet.now);
+        fleet.here.on_connection_ended({{engine, 0}, 7, {"part"}, fleet.now, false});
+        fleet.here.on_engine_gone({engine, 0}, fleet.now);
     }
     CHECK_TRUE(fleet.review().empty());
 }
@@ -141,14 +159,17 @@
 TEST(prompt_part_quarantine, broken_connections_of_living_engines_do_not_quarantine) {
     for (int i = 0; i < 6; ++i) {
         fleet.now += milliseconds(300);
-        fleet.here.on_connection_ended(
-            {"e" + std::to_string(i), static_cast<std::uint64_t>(i), {"part"}, fleet.now, false});
+        fleet.here.on_connection_ended({{"e" + std::to_string(i), 0},
+                                        static_cast<std::uint64_t>(i),
+                                        {"part"},
+                                        fleet.now,
+                                        false});
     }
     CHECK_TRUE(fleet.review().empty());
 }
 
 TEST(prompt_part_quarantine, answer_that_ends_with_its_connection_counts_once_its_engine_lives_on) {
-    fleet.here.on_connection_ended({"e1", 1, {"sound"}, fleet.now, true});
+    fleet.here.on_connection_ended({{"e1", 0}, 1, {"sound"}, fleet.now, true});
     fleet.now += seconds(7);
     fleet.review();
     end_engines(5, {"sound"});
@@ -183,3 +204,79 @@
     fleet.review();
     CHECK_FALSE(fleet.here.blocks({"bad"}, fleet.now));
 }
+
+// Guards against a part that is never quarantined because the engines come back under their ids.
+TEST(prompt_part_quarantine, two_engines_that_restart_under_their_ids_quarantine_the_part) {
+    for (int i = 0; i < 2; ++i) {
+        fleet.restart_engine(fleet.here, "e1", {"bad"});
+        fleet.restart_engine(fleet.there, "e2", {"bad"});
+    }
+    LONGS_EQUAL(1, fleet.review().size());
+}
+
+// Guards against parts that are not told apart because a later process of the same engine counts
+// as explained.
+TEST(prompt_part_quarantine, second_part_at_later_processes_of_the_same_engines_is_quarantined) {
+    for (const std::string part : {"bad", "worse"}) {
+        for (int i = 0; i < 4; ++i) {
+            fleet.restart_engine(fleet.here, "e1", {part});
+        }
+        LONGS_EQUAL(1, fleet.review().size());
+    }
+}
+
+// Guards against proof that only the host has that did not see the connections end.
+TEST(prompt_part_quarantine, restarts_that_only_the_other_host_read_count) {
+    for (int i = 0; i < 4; ++i) {
+        fleet.here.on_connection_ended(
+            {{"e1", i + 1}, static_cast<std::uint64_t>(i), {"bad"}, fleet.now, false});
+        fleet.exchange();
+        fleet.now += milliseconds(300);
+        fleet.there.on_engine_restarted({"e1", i + 2}, fleet.now);
+        fleet.exchange();
+    }
+    LONGS_EQUAL(1, fleet.review().size());
+}
+
+// Guards against an end that is forgotten while the catalogue cannot be read.
+TEST(prompt_part_quarantine, restart_that_is_read_ten_seconds_later_counts) {
+    for (int i = 0; i < 4; ++i) {
+        fleet.now += milliseconds(300);
+        fleet.here.on_connection_ended({{"e" + std::to_string(i), 1},
+                                        static_cast<std::uint64_t>(i),
+                                        {"bad"},
+                                        fleet.now,
+                                        false});
+    }
+    fleet.now += seconds(10);
+    fleet.review();
+    for (int i = 0; i < 4; ++i) {
+        fleet.list({"e" + std::to_string(i), 2});
+    }
+    LONGS_EQUAL(1, fleet.review().size());
+}
+
+TEST(prompt_part_quarantine, entry_of_the_same_or_an_earlier_process_proves_no_end) {
+    for (int i = 0; i < 6; ++i) {
+        fleet.now += milliseconds(300);
+        const std::string engine = "e" + std::to_string(i);
+        fleet.here.on_connection_ended(
+            {{engine, 5}, static_cast<std::uint64_t>(i), {"part"}, fleet.now, false});
+        fleet.list({engine, 5});
+        fleet.list({engine, 4});
+    }
+    LONGS_EQUAL(0, fleet.here.proved_ends());
+    CHECK_TRUE(fleet.review().empty());
+}
+
+// Guards against blame when one process breaks off answer after answer and then ends.
+TEST(prompt_part_quarantine, ends_of_connections_to_one_process_count_once) {
+    for (int i = 0; i < 6; ++i) {
+        fleet.now += milliseconds(300);
+        fleet.here.on_connection_ended(
+            {{"e1", 1}, static_cast<std::uint64_t>(i), {"part"}, fleet.now, false});
+    }
+    fleet.list({"e1", 2});
+    LONGS_EQUAL(6, fleet.here.proved_ends());
+    CHECK_TRUE(fleet.review().empty());
+}
--- a/tests/servers/fleet/upstream_registry_test.cpp
+++ b/tests/servers/fleet/upstream_registry_test.cpp
@@ -2,7 +2,9 @@
 
 #include <CppUTest/TestHarness.h>
 
+#include <cctype>
 #include <string>
+#include <vector>
 
 #include "core/error/operation_error.hpp"
 #include "servers/fleet/upstream_codec.hpp"
@@ -16,7 +18,8 @@
 
 namespace {
 
-/// Accepts the values "ready" and "draining"; anything else is invalid.
+/// Accepts the values "ready" and "draining", and numbers: the start times of processes that are
+/// ready. Anything else is invalid.
 class word_codec final : public upstream_codec {
 public:
     upstream_entry decode(const std::string& id, const std::string& text) const override {
@@ -26,6 +29,8 @@
         entry.address = {"10.0.0.1", 80};
         if (text == "draining") {
             entry.state = upstream_state::draining;
+        } else if (!text.empty() && std::isdigit(static_cast<unsigned char>(text.front())) != 0) {
+            entry.started_at_ms = std::stoll(text);
         } else if (text != "ready") {
             throw operation_error("decode", id, "unreadable");
         }
@@ -114,3 +119,41 @@
     copy.apply(outdated);
     LONGS_EQUAL(2, copy.ready("s").size());
 }
+
+/// A registry that lists the process of `a` that started at 100.
+TEST_GROUP_BASE(upstream_restart, TEST_GROUP_CppUTestGroupupstream_registry) {
+    std::vector<upstream_lifetime> restarted_;
+
+    void setup() override {
+        registry_.on_snapshot({{"u/a", "100", 2}}, 5, false);
+        registry_.on_restarted(
+            [this](const upstream_lifetime& upstream) { restarted_.push_back(upstream); });
+    }
+};
+
+// Guards against an engine that ends and returns under its id without anybody learning of it.
+TEST(upstream_restart, entry_of_a_later_process_is_reported) {
+    registry_.on_changes({change("a", "200", 6)}, 6);
+    LONGS_EQUAL(1, restarted_.size());
+    CHECK_TRUE(restarted_.front() == (upstream_lifetime{"a", 200}));
+}
+
+TEST(upstream_restart, entry_of_a_later_process_in_another_hosts_copy_is_reported) {
+    upstream_registry source(codec_, timers_, log_, "u/");
+    source.on_snapshot({{"u/a", "200", 6}}, 6, false);
+    registry_.apply(source.changes_after(5));
+    LONGS_EQUAL(1, restarted_.size());
+}
+
+TEST(upstream_restart, entry_that_is_written_again_or_late_is_not_reported) {
+    registry_.on_changes({change("a", "100", 6), change("a", "50", 7)}, 7);
+    LONGS_EQUAL(0, restarted_.size());
+}
+
+TEST(upstream_restart, removal_names_the_process_that_was_listed) {
+    registry_.on_removed(
+        [this](const upstream_lifetime& upstream) { restarted_.push_back(upstream); });
+    registry_.on_changes({change("a", "", 6)}, 6);
+    LONGS_EQUAL(1, restarted_.size());
+    CHECK_TRUE(restarted_.front() == (upstream_lifetime{"a", 100}));
+}
--- a/tests/servers/relay/prompt_quarantine_test.cpp
+++ b/tests/servers/relay/prompt_quarantine_test.cpp
@@ -34,7 +34,19 @@
         const std::string& engine = attempt->upstream.id;
         ++revision_;
         host_.upstreams.on_changes({{{"u/" + engine, "", revision_}, true}}, revision_);
-        host_.work_table.quarantine().on_engine_gone(engine, host_.timers.now());
+        host_.work_table.quarantine().on_engine_gone({engine, 0}, host_.timers.now());
+        host_.timers.advance(milliseconds(200));
+    }
+    void list_engine(const std::string& engine, int started_at_ms) {
+        ++revision_;
+        const std::string text = "llm " + std::to_string(started_at_ms);
+        host_.upstreams.on_changes({{{"u/" + engine, text, revision_}, false}}, revision_);
+    }
+    /// The engine of the last attempt ends, and its next process is listed under the same id.
+    void restart_engine(int started_at_ms) {
+        const auto attempt = host_.connector.attempts.back();
+        attempt->listener->on_failure({true, false, "answer: End of file"});
+        list_engine(attempt->upstream.id, started_at_ms);
         host_.timers.advance(milliseconds(200));
     }
     void answer_sound_request() {
@@ -90,3 +102,24 @@
     CHECK_FALSE(attempt->open);
     LONGS_EQUAL(502, host_.sink.status);
 }
+
+// Guards against ends that never count because the engines return under their ids.
+TEST(prompt_quarantine, request_after_four_restarts_of_engines_is_refused_as_not_run) {
+    host_.upstreams.on_restarted([this](const upstream_lifetime& upstream) {
+        host_.work_table.quarantine().on_engine_restarted(upstream, host_.timers.now());
+    });
+    for (int i = 1; i <= 8; ++i) {
+        list_engine("llm-" + std::to_string(i), 1);
+    }
+    answer_sound_request();
+    for (int subject = 10; subject < 12; ++subject) {
+        host_.serve(request(subject, "bad"));
+        restart_engine(subject);
+        restart_engine(subject);
+    }
+    host_.timers.advance(milliseconds(300));
+    const std::size_t before = host_.attempts();
+    host_.serve(request(20, "bad"));
+    LONGS_EQUAL(before, host_.attempts());
+    LONGS_EQUAL(503, host_.sink.status);
+}
--- a/tests/servers/relay/relay_fixture.hpp
+++ b/tests/servers/relay/relay_fixture.hpp
@@ -1,5 +1,7 @@
 #pragma once
 
+#include <algorithm>
+#include <cstddef>
 #include <memory>
 #include <set>
 #include <stdexcept>
@@ -78,13 +80,16 @@
     }
 };
 
-/// Decodes entries whose text is the name of their service.
+/// Decodes entries whose text is the name of their service, and the start time of the process if it
+/// follows after a space.
 class service_codec final : public upstream_codec {
 public:
     upstream_entry decode(const std::string& id, const std::string& text) const override {
         upstream_entry entry;
         entry.id = id;
-        entry.service = text;
+        const std::size_t end = std::min(text.find(' '), text.size());
+        entry.service = text.substr(0, end);
+        entry.started_at_ms = end < text.size() ? std::stoll(text.substr(end)) : 0;
         entry.address = {"10.0.0.9", static_cast<std::uint16_t>(id.back())};
         entry.slots = 6;
         return entry;
--- a/tests/soak/engine_ends.py
+++ b/tests/soak/engine_ends.py
@@ -1,5 +1,5 @@
 """Soak of engines that end: a part of some prompts crashes every engine that begins to answer on it,
-or engines end by themselves. Each is back some seconds later under another id.
+or engines end by themselves. Each is back some seconds later under another id, or under its own.
 
     engine_ends.py --binary build/main/fuchsiaquay --series SERIES [--seed 1] [--seconds 20]
 
@@ -10,6 +10,7 @@
 
 import argparse
 import asyncio
+import json
 import os
 import signal
 import sys
@@ -33,7 +34,8 @@
 COMMON, MIDDLE, BAD, OTHER_BAD = "c0de0001", "c0de0002", "bad00001", "bad00002"
 
 # `parts`: the prompts that crash engines, without their own last part; `gap`: seconds between two;
-# `end`: what an engine has sent when it ends under one.
+# `end`: what an engine has sent when it ends under one; `same_id`: seconds after which it is back
+# under its id and at its address; `quiet`: no request is sent to an engine that is down.
 SERIES = {
     "part_between": {"parts": [[COMMON, BAD, MIDDLE]], "gap": 0.2, "end": "head"},
     "part_first": {"parts": [[BAD, COMMON]], "gap": 0.2, "end": "event"},
@@ -43,6 +45,18 @@
     "two_parts": {"parts": [[COMMON, BAD], [COMMON, OTHER_BAD]], "gap": 0.2, "end": "head"},
     "seldom": {"parts": [[COMMON, BAD, MIDDLE]], "gap": 1.5, "end": "head"},
     "by_themselves": {"parts": [], "gap": 0.5, "end": "head"},
+    "same_id": {"parts": [[COMMON, BAD, MIDDLE]], "gap": 1.5, "end": "head", "same_id": 0.3,
+                "quiet": True},
+    "same_id_later": {"parts": [[COMMON, BAD, MIDDLE]], "gap": 4.0, "end": "head", "same_id": 2.5,
+                      "quiet": True},
+    "same_id_no_byte": {"parts": [[COMMON, BAD, MIDDLE]], "gap": 3.0, "end": "nothing",
+                        "same_id": 0.3, "quiet": True},
+    "same_id_seldom": {"parts": [[COMMON, BAD, MIDDLE]], "gap": 9.0, "end": "head", "same_id": 2.5,
+                       "quiet": True},
+    "same_id_busy": {"parts": [[COMMON, BAD, MIDDLE]], "gap": 0.2, "end": "head", "same_id": 0.3},
+    "same_id_two_parts": {"parts": [[COMMON, BAD], [COMMON, OTHER_BAD]], "gap": 1.5, "end": "head",
+                          "same_id": 0.3, "quiet": True},
+    "same_id_by_themselves": {"parts": [], "gap": 0.5, "end": "head", "same_id": 0.3},
 }
 
 
@@ -52,6 +66,15 @@
 
 
 class MortalEngine(Upstream):
+    born = 0
+
+    async def open(self):
+        self.born = int(time.time() * 1000)
+        return await super().open()
+
+    def entry(self, port, state="ready"):
+        return json.dumps(dict(json.loads(super().entry(port, state)), born=self.born))
+
     async def stream(self, headers, echo, writer, run):
         if not {BAD, OTHER_BAD} & set(middle_parts(headers)):
             await super().stream(headers, echo, writer, run)
@@ -76,6 +99,12 @@
         for writer in list(self.connections):
             writer.close()
 
+    async def open_again(self):
+        """The next process of this engine, with the same id and address."""
+        self.born = int(time.time() * 1000)
+        self.reserved, self.connections = {}, {}
+        self.server = await asyncio.start_server(self.serve, "127.0.0.1", self.port)
+
 
 class EngineEnds(World):
     upstream_type = MortalEngine
@@ -88,6 +117,7 @@
         self.ends = {BAD: [], OTHER_BAD: []}
         self.late_arrivals = {BAD: 0, OTHER_BAD: 0}
         self.ended = 0
+        self.down = 0
         self.blamed = 0
         self.parts = {}
         self.tasks = set()
@@ -123,6 +153,9 @@
         task.add_done_callback(self.tasks.discard)
 
     async def bring_back(self, engine):
+        if "same_id" in self.series:
+            await self.bring_back_as_it_was(engine)
+            return
         began = time.monotonic()
         back = began + engine.rng.uniform(*RETURN_S)
         await asyncio.sleep(LAPSE_S)
@@ -130,6 +163,15 @@
         await asyncio.sleep(max(0.0, back - time.monotonic()))
         await self.add_upstream(engine.service)
 
+    async def bring_back_as_it_was(self, engine):
+        self.down += 1
+        await asyncio.sleep(self.series["same_id"])
+        await engine.open_again()
+        self.down -= 1
+        self.upstreams.append(engine)
+        port = engine.wire.port if hasattr(engine, "wire") else engine.port
+        self.store.put(f"servers/{engine.name}", engine.entry(port))
+
     async def run(self):
         await self.open()
         for _ in range(ENGINES - len([u for u in self.upstreams if u.service == "llm"])):
@@ -161,6 +203,8 @@
             parts = [COMMON, MIDDLE, f"{index:04x}{count:04x}"]
             await self.ask_once(rng, f"chat-{index}-{count}", parts)
             await asyncio.sleep(rng.uniform(0.02, 0.1))
+            while self.down and self.series.get("quiet"):
+                await asyncio.sleep(0.05)
 
     async def ask_once(self, rng, request, parts, bad=False):
         began, kind = time.monotonic(), request.split("-")[0]
