Quarantine: an end under a repeated request counts beside the one before it

Cause: engines that end within 0.1 s count once, as those of a rack that loses power. A request whose engine ended is repeated at once, and the second engine ended 51 ms after the first, so that four ends made two.

An engine that got the repeat after the other one had ended cannot have ended at the same moment, so its end counts by itself. Ends carry how long their request had been at the engine; of one subject, the later one counts if it was sent after the first end. Ruled out: a shorter moment, since hosts that are out of processor time notice the same end 0.1 s apart.

Evidence: ends_under_two_requests_and_their_repeats_quarantine_the_part fails without the change of count_ends.

--- a/core/quarantine/engine_end.hpp
+++ b/core/quarantine/engine_end.hpp
@@ -22,10 +22,17 @@
     instant ended_at{};
     /// The answer looked complete, but the end of its connection was the only sign of it.
     bool looked_complete = false;
+    /// Time from the sending of the request to the end of its connection; zero if unknown.
+    duration lasted{};
+
+    /// Whether the request was sent to its engine after `other` had ended, as when it is repeated.
+    bool sent_after(const engine_end& other) const {
+        return lasted > duration::zero() && other.ended_at <= ended_at - lasted;
+    }
 
     friend bool operator==(const engine_end& a, const engine_end& b) {
-        return std::tie(a.engine, a.subject, a.parts, a.ended_at, a.looked_complete) ==
-               std::tie(b.engine, b.subject, b.parts, b.ended_at, b.looked_complete);
+        return std::tie(a.engine, a.subject, a.parts, a.ended_at, a.looked_complete, a.lasted) ==
+               std::tie(b.engine, b.subject, b.parts, b.ended_at, b.looked_complete, b.lasted);
     }
 };
 
--- a/core/quarantine/prompt_part_quarantine.cpp
+++ b/core/quarantine/prompt_part_quarantine.cpp
@@ -16,7 +16,8 @@
 /// Different requests among them, because one request may be repeated while engines end for another
 /// reason.
 constexpr std::size_t required_subjects = 2;
-/// Engines that end within this time, such as those of a rack that loses power, count once.
+/// Engines that end within this time, such as those of a rack that loses power, count once, unless
+/// a request was repeated at one of them after it had ended the other.
 constexpr duration same_moment = std::chrono::milliseconds(100);
 /// Time for other hosts to report that a suspected part was answered.
 constexpr duration dispute_time = std::chrono::milliseconds(150);
@@ -165,6 +166,7 @@
             }
             suspicion& known = result[part];
             known.engines.emplace(item.end.engine, item.end.ended_at);
+            known.ends.push_back(&item.end);
             known.subjects.insert(item.end.subject);
             known.known_since = std::min(known.known_since, item.known_at);
         }
@@ -173,15 +175,16 @@
 }
 
 std::size_t prompt_part_quarantine::count_ends(const suspicion& item) {
-    std::vector<instant> times;
+    const std::set<upstream_lifetime> repeated = find_repeated(item);
+    std::vector<std::pair<instant, bool>> times;
     for (const auto& [engine, ended_at] : item.engines) {
-        times.push_back(ended_at);
+        times.emplace_back(ended_at, repeated.count(engine) > 0);
     }
     std::sort(times.begin(), times.end());
     std::size_t count = 0;
     instant moment{};
-    for (const instant time : times) {
-        if (count == 0 || time - moment > same_moment) {
+    for (const auto& [time, separate] : times) {
+        if (count == 0 || separate || time - moment > same_moment) {
             ++count;
             moment = time;
         }
@@ -189,6 +192,21 @@
     return count;
 }
 
+std::set<upstream_lifetime> prompt_part_quarantine::find_repeated(const suspicion& item) {
+    std::map<std::uint64_t, const engine_end*> first_ends;
+    for (const engine_end* end : item.ends) {
+        const engine_end*& first = first_ends.emplace(end->subject, end).first->second;
+        first = end->ended_at < first->ended_at ? end : first;
+    }
+    std::set<upstream_lifetime> result;
+    for (const engine_end* end : item.ends) {
+        if (end->sent_after(*first_ends.at(end->subject))) {
+            result.insert(end->engine);
+        }
+    }
+    return result;
+}
+
 const std::string* prompt_part_quarantine::find_most_suspect(const suspicions& items, instant now) {
     const std::string* result = nullptr;
     std::size_t most = required_ends - 1;
--- a/core/quarantine/prompt_part_quarantine.hpp
+++ b/core/quarantine/prompt_part_quarantine.hpp
@@ -80,6 +80,7 @@
     struct suspicion {
         /// Processes of engines and the time of their ends.
         std::map<upstream_lifetime, instant> engines;
+        std::vector<const engine_end*> ends;
         std::set<std::uint64_t> subjects;
         instant known_since = instant::max();
     };
@@ -94,6 +95,9 @@
     suspicions collect_suspicions() const;
     /// Number of separate moments at which engines ended.
     static std::size_t count_ends(const suspicion& item);
+    /// Processes that got a request after another one had ended under it, so that both did not end
+    /// at the same moment.
+    static std::set<upstream_lifetime> find_repeated(const suspicion& item);
     static const std::string* find_most_suspect(const suspicions& items, instant now);
     void settle_complete_answers(instant now);
     void remove_expired(instant now);
--- a/drivers/datagrams/datagram_codec.cpp
+++ b/drivers/datagrams/datagram_codec.cpp
@@ -97,7 +97,8 @@
                                    item->subject(),
                                    read_strings(item->parts()),
                                    now - age,
-                                   item->looked_complete()});
+                                   item->looked_complete(),
+                                   duration(item->lasted_us())});
         }
     }
     if (root.gone_lifetimes() != nullptr) {
@@ -264,9 +265,9 @@
         for (const engine_end& item : items) {
             const auto engine = builder.CreateString(item.engine.id);
             const auto parts = write_strings(item.parts);
-            ends.push_back(wire::Createengine_end(builder, engine, item.subject, parts,
-                                                  (now - item.ended_at).count(),
-                                                  item.looked_complete, item.engine.started_at_ms));
+            ends.push_back(wire::Createengine_end(
+                builder, engine, item.subject, parts, (now - item.ended_at).count(),
+                item.looked_complete, item.engine.started_at_ms, item.lasted.count()));
         }
         return ends.empty() ? 0 : builder.CreateVector(ends);
     }
--- a/drivers/datagrams/datagram_generated.h
+++ b/drivers/datagrams/datagram_generated.h
@@ -313,7 +313,8 @@
     VT_PARTS = 8,
     VT_AGE_US = 10,
     VT_LOOKED_COMPLETE = 12,
-    VT_STARTED_AT_MS = 14
+    VT_STARTED_AT_MS = 14,
+    VT_LASTED_US = 16
   };
   const flatbuffers::String *engine() const {
     return GetPointer<const flatbuffers::String *>(VT_ENGINE);
@@ -333,6 +334,9 @@
   int64_t started_at_ms() const {
     return GetField<int64_t>(VT_STARTED_AT_MS, 0);
   }
+  int64_t lasted_us() const {
+    return GetField<int64_t>(VT_LASTED_US, 0);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffset(verifier, VT_ENGINE) &&
@@ -344,6 +348,7 @@
            VerifyField<int64_t>(verifier, VT_AGE_US, 8) &&
            VerifyField<uint8_t>(verifier, VT_LOOKED_COMPLETE, 1) &&
            VerifyField<int64_t>(verifier, VT_STARTED_AT_MS, 8) &&
+           VerifyField<int64_t>(verifier, VT_LASTED_US, 8) &&
            verifier.EndTable();
   }
 };
@@ -370,6 +375,9 @@
   void add_started_at_ms(int64_t started_at_ms) {
     fbb_.AddElement<int64_t>(engine_end::VT_STARTED_AT_MS, started_at_ms, 0);
   }
+  void add_lasted_us(int64_t lasted_us) {
+    fbb_.AddElement<int64_t>(engine_end::VT_LASTED_US, lasted_us, 0);
+  }
   explicit engine_endBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -388,8 +396,10 @@
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>>> parts = 0,
     int64_t age_us = 0,
     bool looked_complete = false,
-    int64_t started_at_ms = 0) {
+    int64_t started_at_ms = 0,
+    int64_t lasted_us = 0) {
   engine_endBuilder builder_(_fbb);
+  builder_.add_lasted_us(lasted_us);
   builder_.add_started_at_ms(started_at_ms);
   builder_.add_age_us(age_us);
   builder_.add_subject(subject);
@@ -406,7 +416,8 @@
     const std::vector<flatbuffers::Offset<flatbuffers::String>> *parts = nullptr,
     int64_t age_us = 0,
     bool looked_complete = false,
-    int64_t started_at_ms = 0) {
+    int64_t started_at_ms = 0,
+    int64_t lasted_us = 0) {
   auto engine__ = engine ? _fbb.CreateString(engine) : 0;
   auto parts__ = parts ? _fbb.CreateVector<flatbuffers::Offset<flatbuffers::String>>(*parts) : 0;
   return fuchsiaquay::wire::Createengine_end(
@@ -416,7 +427,8 @@
       parts__,
       age_us,
       looked_complete,
-      started_at_ms);
+      started_at_ms,
+      lasted_us);
 }
 
 struct upstream_lifetime FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
--- a/servers/relay/upstream_attempt.cpp
+++ b/servers/relay/upstream_attempt.cpp
@@ -277,9 +277,10 @@
     if (answered_) {
         return;
     }
-    services_.work_table.quarantine().on_connection_ended(
-        {lifetime_, request_.prompt_subject, request_.prompt_parts, services_.timers.now(),
-         looked_complete});
+    const instant now = services_.timers.now();
+    services_.work_table.quarantine().on_connection_ended({lifetime_, request_.prompt_subject,
+                                                           request_.prompt_parts, now,
+                                                           looked_complete, now - sent_at_});
 }
 
 void upstream_attempt::on_end() {
--- a/tests/core/quarantine/prompt_part_quarantine_test.cpp
+++ b/tests/core/quarantine/prompt_part_quarantine_test.cpp
@@ -22,7 +22,8 @@
     void end_engine(prompt_part_quarantine& host, const parts& ids) {
         now += milliseconds(300);
         const std::string engine = "e" + std::to_string(++count);
-        host.on_connection_ended({{engine, 0}, static_cast<std::uint64_t>(count), ids, now, false});
+        host.on_connection_ended(
+            {{engine, 0}, static_cast<std::uint64_t>(count), ids, now, false, {}});
         here.on_engine_gone({engine, 0}, now);
         there.on_engine_gone({engine, 0}, now);
         exchange();
@@ -31,7 +32,7 @@
     void restart_engine(prompt_part_quarantine& host, const std::string& engine, const parts& ids) {
         const std::int64_t started_at_ms = ++starts[engine];
         host.on_connection_ended(
-            {{engine, started_at_ms}, static_cast<std::uint64_t>(++count), ids, now, false});
+            {{engine, started_at_ms}, static_cast<std::uint64_t>(++count), ids, now, false, {}});
         exchange();
         now += milliseconds(300);
         list({engine, started_at_ms + 1});
@@ -90,7 +91,7 @@
         fleet.now += milliseconds(300);
         const std::string engine = "e" + std::to_string(i);
         fleet.here.on_connection_ended(
-            {{engine, 0}, static_cast<std::uint64_t>(i), {"bad"}, fleet.now, false});
+            {{engine, 0}, static_cast<std::uint64_t>(i), {"bad"}, fleet.now, false, {}});
         fleet.exchange();
         if (i % 2 == 0) {
             fleet.here.on_engine_gone({engine, 0}, fleet.now);
@@ -140,7 +141,7 @@
     for (int i = 0; i < 8; ++i) {
         const std::string engine = "r" + std::to_string(i);
         fleet.here.on_connection_ended(
-            {{engine, 0}, static_cast<std::uint64_t>(i), {"part"}, fleet.now, false});
+            {{engine, 0}, static_cast<std::uint64_t>(i), {"part"}, fleet.now, false, {}});
         fleet.here.on_engine_gone({engine, 0}, fleet.now);
     }
     CHECK_TRUE(fleet.review().empty());
@@ -150,7 +151,7 @@
     for (int i = 0; i < 6; ++i) {
         fleet.now += milliseconds(300);
         const std::string engine = "r" + std::to_string(i);
-        fleet.here.on_connection_ended({{engine, 0}, 7, {"part"}, fleet.now, false});
+        fleet.here.on_connection_ended({{engine, 0}, 7, {"part"}, fleet.now, false, {}});
         fleet.here.on_engine_gone({engine, 0}, fleet.now);
     }
     CHECK_TRUE(fleet.review().empty());
@@ -163,13 +164,14 @@
                                         static_cast<std::uint64_t>(i),
                                         {"part"},
                                         fleet.now,
-                                        false});
+                                        false,
+                                        {}});
     }
     CHECK_TRUE(fleet.review().empty());
 }
 
 TEST(prompt_part_quarantine, answer_that_ends_with_its_connection_counts_once_its_engine_lives_on) {
-    fleet.here.on_connection_ended({{"e1", 0}, 1, {"sound"}, fleet.now, true});
+    fleet.here.on_connection_ended({{"e1", 0}, 1, {"sound"}, fleet.now, true, {}});
     fleet.now += seconds(7);
     fleet.review();
     end_engines(5, {"sound"});
@@ -229,7 +231,7 @@
 TEST(prompt_part_quarantine, restarts_that_only_the_other_host_read_count) {
     for (int i = 0; i < 4; ++i) {
         fleet.here.on_connection_ended(
-            {{"e1", i + 1}, static_cast<std::uint64_t>(i), {"bad"}, fleet.now, false});
+            {{"e1", i + 1}, static_cast<std::uint64_t>(i), {"bad"}, fleet.now, false, {}});
         fleet.exchange();
         fleet.now += milliseconds(300);
         fleet.there.on_engine_restarted({"e1", i + 2}, fleet.now);
@@ -246,7 +248,8 @@
                                         static_cast<std::uint64_t>(i),
                                         {"bad"},
                                         fleet.now,
-                                        false});
+                                        false,
+                                        {}});
     }
     fleet.now += seconds(10);
     fleet.review();
@@ -261,7 +264,7 @@
         fleet.now += milliseconds(300);
         const std::string engine = "e" + std::to_string(i);
         fleet.here.on_connection_ended(
-            {{engine, 5}, static_cast<std::uint64_t>(i), {"part"}, fleet.now, false});
+            {{engine, 5}, static_cast<std::uint64_t>(i), {"part"}, fleet.now, false, {}});
         fleet.list({engine, 5});
         fleet.list({engine, 4});
     }
@@ -274,9 +277,43 @@
     for (int i = 0; i < 6; ++i) {
         fleet.now += milliseconds(300);
         fleet.here.on_connection_ended(
-            {{"e1", 1}, static_cast<std::uint64_t>(i), {"part"}, fleet.now, false});
+            {{"e1", 1}, static_cast<std::uint64_t>(i), {"part"}, fleet.now, false, {}});
     }
     fleet.list({"e1", 2});
     LONGS_EQUAL(6, fleet.here.proved_ends());
     CHECK_TRUE(fleet.review().empty());
 }
+
+// Guards against engines that end under a request and at once under its repeat, and count once.
+TEST(prompt_part_quarantine, ends_under_two_requests_and_their_repeats_quarantine_the_part) {
+    for (int i = 0; i < 2; ++i) {
+        const auto subject = static_cast<std::uint64_t>(i);
+        const parts ids{"bad"};
+        const duration lasted = milliseconds(20);
+        fleet.now += seconds(3);
+        fleet.here.on_connection_ended({{"e1", i}, subject, ids, fleet.now, false, lasted});
+        fleet.now += milliseconds(21);
+        fleet.here.on_connection_ended({{"e2", i}, subject, ids, fleet.now, false, lasted});
+        fleet.exchange();
+        fleet.now += milliseconds(300);
+        fleet.list({"e1", i + 1});
+        fleet.list({"e2", i + 1});
+    }
+    LONGS_EQUAL(1, fleet.review().size());
+    CHECK_TRUE(fleet.there.blocks({"bad"}, fleet.now));
+}
+
+TEST(prompt_part_quarantine, engines_that_had_two_requests_when_they_ended_together_count_once) {
+    for (int i = 0; i < 8; ++i) {
+        const upstream_lifetime engine{"r" + std::to_string(i), 1};
+        fleet.now += milliseconds(5);
+        fleet.here.on_connection_ended({engine,
+                                        static_cast<std::uint64_t>(i % 2),
+                                        {"part"},
+                                        fleet.now,
+                                        false,
+                                        milliseconds(500)});
+        fleet.here.on_engine_gone(engine, fleet.now);
+    }
+    CHECK_TRUE(fleet.review().empty());
+}
--- a/tests/drivers/datagrams/datagram_codec_test.cpp
+++ b/tests/drivers/datagrams/datagram_codec_test.cpp
@@ -53,7 +53,8 @@
 
 TEST(datagram_codec, prompt_parts_keep_their_ages_on_the_receivers_clock) {
     announcement message = sample();
-    message.prompt_parts.ends.push_back({{"e1", 1'700}, 5, {"a", "b"}, now_ - seconds(2), true});
+    message.prompt_parts.ends.push_back(
+        {{"e1", 1'700}, 5, {"a", "b"}, now_ - seconds(2), true, milliseconds(40)});
     message.prompt_parts.gone_engines = {{"e1", 1'700}};
     message.prompt_parts.answered = {"c"};
     message.prompt_parts.quarantined.push_back({"d", now_ + seconds(60)});
--- a/tests/servers/fleet/host_registry_test.cpp
+++ b/tests/servers/fleet/host_registry_test.cpp
@@ -194,8 +194,12 @@
         const std::string engine = "e" + std::to_string(i);
         host("h" + std::to_string(i))
             .work_table.quarantine()
-            .on_connection_ended(
-                {{engine, 0}, static_cast<std::uint64_t>(i), {"bad"}, fleet_.timers.now(), false});
+            .on_connection_ended({{engine, 0},
+                                  static_cast<std::uint64_t>(i),
+                                  {"bad"},
+                                  fleet_.timers.now(),
+                                  false,
+                                  {}});
         for (const auto& [name, item] : fleet_.hosts) {
             item->work_table.quarantine().on_engine_gone({engine, 0}, fleet_.timers.now());
         }
--- a/tests/soak/engine_ends.py
+++ b/tests/soak/engine_ends.py
@@ -34,8 +34,9 @@
 COMMON, MIDDLE, BAD, OTHER_BAD = "c0de0001", "c0de0002", "bad00001", "bad00002"
 
 # `parts`: the prompts that crash engines, without their own last part; `gap`: seconds between two;
-# `end`: what an engine has sent when it ends under one; `same_id`: seconds after which it is back
-# under its id and at its address; `quiet`: no request is sent to an engine that is down.
+# `end`: what an engine has sent when it ends under one; `step`: seconds before its head and before its end;
+# `same_id`: seconds after which it is back under its id and at its address; `quiet`: no request is
+# sent to an engine that is down.
 SERIES = {
     "part_between": {"parts": [[COMMON, BAD, MIDDLE]], "gap": 0.2, "end": "head"},
     "part_first": {"parts": [[BAD, COMMON]], "gap": 0.2, "end": "event"},
@@ -56,6 +57,8 @@
     "same_id_busy": {"parts": [[COMMON, BAD, MIDDLE]], "gap": 0.2, "end": "head", "same_id": 0.3},
     "same_id_two_parts": {"parts": [[COMMON, BAD], [COMMON, OTHER_BAD]], "gap": 1.5, "end": "head",
                           "same_id": 0.3, "quiet": True},
+    "same_id_at_once": {"parts": [[COMMON, BAD, MIDDLE]], "gap": 3.0, "end": "head",
+                        "same_id": 2.5, "step": 0.01, "quiet": True},
     "same_id_by_themselves": {"parts": [], "gap": 0.5, "end": "head", "same_id": 0.3},
 }
 
@@ -79,7 +82,8 @@
         if not {BAD, OTHER_BAD} & set(middle_parts(headers)):
             await super().stream(headers, echo, writer, run)
             return
-        await self.work(writer, 0.05)
+        step = self.world.series.get("step", 0.05)
+        await self.work(writer, step)
         end = self.world.series["end"]
         head = ["HTTP/1.1 200 OK"] + [f"{name}: {value}" for name, value in echo]
         if end != "unframed":
@@ -89,7 +93,7 @@
         if end == "event":
             event = self.world.event(headers["x-attempt-id"], 1)
             writer.write(b"%x\r\n" % len(event) + event + b"\r\n")
-        await self.work(writer, 0.05)
+        await self.work(writer, step)
         await self.world.end_engine(self, middle_parts(headers))
         raise ConnectionError
 
