Exchanges: interim responses without end fail the attempt

Cause: every limit was one of the final response; interim ones were skipped without counting. The new test waits for a failure that did not come before.

--- a/drivers/traffic/beast_exchange.cpp
+++ b/drivers/traffic/beast_exchange.cpp
@@ -26,6 +26,8 @@
 /// Bytes buffered while a line of the response's framing is incomplete.
 constexpr std::size_t max_unparsed_bytes = 131'072;
 constexpr int status_class_divisor = 100;
+/// Bytes of the interim responses before the final one. They carry nothing for the caller.
+constexpr std::size_t max_interim_bytes = 262'144;
 
 }  // namespace
 
@@ -42,10 +44,7 @@
 
 void beast_exchange::start(upstream_connection_pool::socket_ptr idle_socket,
                            duration connect_timeout) {
-    parser_.emplace();
-    parser_->eager(true);
-    parser_->header_limit(max_response_header_bytes);
-    parser_->body_limit(boost::none);
+    reset_parser();
     if (idle_socket) {
         reused_ = true;
         socket_ = std::move(idle_socket);
@@ -56,6 +55,13 @@
     }
 }
 
+void beast_exchange::reset_parser() {
+    parser_.emplace();
+    parser_->eager(true);
+    parser_->header_limit(max_response_header_bytes);
+    parser_->body_limit(boost::none);
+}
+
 void beast_exchange::connect(duration timeout) {
     // Throws for an address that is no IP number, which must not leave a running timer behind.
     const tcp::endpoint endpoint = to_endpoint(address_);
@@ -132,6 +138,7 @@
         error_code error;
         const std::size_t used = parser_->put(buffer_.data(), error);
         buffer_.consume(used);
+        parsed_bytes_ += used;
         if (error == http::error::need_more) {
             return true;
         }
@@ -142,10 +149,11 @@
         const bool interim =
             parser_->is_done() && parser_->get().result_int() / status_class_divisor == 1;
         if (interim) {
-            parser_.emplace();
-            parser_->eager(true);
-            parser_->header_limit(max_response_header_bytes);
-            parser_->body_limit(boost::none);
+            reset_parser();
+        }
+        if (interim && parsed_bytes_ > max_interim_bytes) {
+            fail("answer: interim responses without end");
+            return false;
         }
     }
     return true;
--- a/drivers/traffic/beast_exchange.hpp
+++ b/drivers/traffic/beast_exchange.hpp
@@ -36,6 +36,7 @@
 private:
     using parser_type = boost::beast::http::response_parser<boost::beast::http::string_body>;
 
+    void reset_parser();
     void connect(duration timeout);
     void write();
     void read();
@@ -61,6 +62,7 @@
     std::optional<boost::asio::steady_timer> connect_timer_;
     boost::beast::flat_buffer buffer_;
     std::optional<parser_type> parser_;
+    std::size_t parsed_bytes_ = 0;
     bool head_delivered_ = false;
     bool sent_ = false;
     bool written_ = false;
--- a/tests/drivers/traffic/beast_upstream_connector_test.cpp
+++ b/tests/drivers/traffic/beast_upstream_connector_test.cpp
@@ -128,6 +128,17 @@
     CHECK_TRUE(listener_.failure.has_value());
 }
 
+// Guards against an upstream whose interim responses are read until the request's deadline.
+TEST(beast_upstream_connector, interim_responses_without_end_are_a_failure) {
+    std::string bytes;
+    for (int i = 0; i < 11'000; ++i) {
+        bytes += "HTTP/1.1 100 Continue\r\n\r\n";
+    }
+    open_and_respond(bytes);
+    CHECK_TRUE(ended());
+    CHECK_TRUE(listener_.failure.has_value());
+}
+
 TEST(beast_upstream_connector, endless_framing_line_is_a_failure) {
     const std::string filler(300'000, 'x');
     for (const char* start :
