--- a/drivers/net/http_channel.cpp
+++ b/drivers/net/http_channel.cpp
@@ -19,18 +19,20 @@
 
 namespace {
 
-/// A page of the store holds about one megabyte before it is encoded.
-constexpr std::uint64_t max_response_bytes = 16'777'216;
-/// Includes the response head and framing.
-constexpr std::size_t max_buffer_bytes = max_response_bytes + 1'048'576;
+/// Size of the response head and framing.
+constexpr std::size_t max_framing_bytes = 1'048'576;
 constexpr int http_1_1 = 11;
 
 }  // namespace
 
 class http_channel::connection : public std::enable_shared_from_this<connection> {
 public:
-    connection(control_loop& loop, network_address server)
-        : context_(loop.context()), server_(std::move(server)), timer_(context_) {}
+    connection(control_loop& loop, network_address server, std::size_t max_response_bytes)
+        : context_(loop.context()),
+          server_(std::move(server)),
+          max_response_bytes_(max_response_bytes),
+          timer_(context_),
+          buffer_(max_response_bytes + max_framing_bytes) {}
 
     void enqueue(http_call call, handler done) {
         waiting_.push_back({std::move(call), std::move(done)});
@@ -118,7 +120,7 @@
     void read() {
         buffer_.clear();
         parser_.emplace();
-        parser_->body_limit(max_response_bytes);
+        parser_->body_limit(max_response_bytes_);
         http::async_read(*socket_, buffer_, *parser_,
                          [self = shared_from_this(), sequence = sequence_, socket = socket_](
                              const error_code& error, std::size_t /*bytes*/) {
@@ -171,6 +173,7 @@
 
     asio::io_context& context_;
     network_address server_;
+    std::size_t max_response_bytes_;
     asio::steady_timer timer_;
     std::shared_ptr<tcp::socket> socket_;
     std::deque<pending_call> waiting_;
@@ -179,12 +182,13 @@
     std::uint64_t sequence_ = 0;
     bool ended_ = false;
     http::request<http::string_body> request_;
-    boost::beast::flat_buffer buffer_{max_buffer_bytes};
+    boost::beast::flat_buffer buffer_;
     std::optional<http::response_parser<http::string_body>> parser_;
 };
 
-http_channel::http_channel(control_loop& loop, network_address server)
-    : connection_(std::make_shared<connection>(loop, std::move(server))) {}
+http_channel::http_channel(control_loop& loop, network_address server,
+                           std::size_t max_response_bytes)
+    : connection_(std::make_shared<connection>(loop, std::move(server), max_response_bytes)) {}
 
 http_channel::~http_channel() {
     connection_->shut_down();
--- a/drivers/net/http_channel.hpp
+++ b/drivers/net/http_channel.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <cstddef>
 #include <functional>
 #include <memory>
 
@@ -17,7 +18,12 @@
 public:
     using handler = std::function<void(const http_result&)>;
 
-    http_channel(control_loop& loop, network_address server);
+    /// A page of the store holds about one megabyte before it is encoded.
+    static constexpr std::size_t default_max_response_bytes = 16'777'216;
+
+    /// @param max_response_bytes  a longer response body fails its call
+    http_channel(control_loop& loop, network_address server,
+                 std::size_t max_response_bytes = default_max_response_bytes);
     http_channel(const http_channel&) = delete;
     http_channel& operator=(const http_channel&) = delete;
     ~http_channel();
