Answers: all that a host buffers share one limit, and the largest is dropped first

What others saw: a faulty engine sent bytes without end, its caller kept them and ran out of memory, and the requests of other clients ended with it.

Cause: a body, an event and the output to a caller had a limit each, their sum had none; buffers kept their capacity for as long as a connection lived.

answer_memory counts the capacity of all of them against a third of memory_mb. When the sum exceeds it, the largest answer is dropped: its attempt fails and may be repeated, or its caller's connection is reset. A sound answer is small beside one without end. Weighed: a smaller limit for each answer (whole answers of 8 MB are sound), refusing new requests (the sound ones would be refused with the others), first come first dropped.

--- a/core/relay/event_splitter.hpp
+++ b/core/relay/event_splitter.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <cstddef>
 #include <cstdint>
 #include <optional>
 #include <string>
@@ -30,6 +31,8 @@
     bool too_long() const { return too_long_; }
     /// True if an event has begun or is expected, so that the stream cannot end here.
     bool has_partial() const { return event_expected_ || !partial_.empty(); }
+    /// Memory of an event that is not complete.
+    std::size_t partial_bytes() const { return partial_.empty() ? 0 : partial_.capacity(); }
     std::int64_t last_id() const { return last_id_; }
     /// Number of complete events so far, without comments.
     std::int64_t count() const { return count_; }
--- a/drivers/traffic/caller_services.hpp
+++ b/drivers/traffic/caller_services.hpp
@@ -6,6 +6,7 @@
 
 namespace fuchsiaquay {
 
+class answer_memory;
 class body_budget;
 class control_loop;
 class decision_log;
@@ -19,6 +20,7 @@
     const request_format& format;
     request_handler& handler;
     body_budget& body_memory;
+    answer_memory& answers;
     /// Returns the current limits.
     std::function<caller_limits()> limits;
     /// Returns true once this host is shutting down; responses then close their connections.
--- a/drivers/traffic/caller_session.cpp
+++ b/drivers/traffic/caller_session.cpp
@@ -2,6 +2,7 @@
 
 #include <utility>
 
+#include "core/relay/answer_memory.hpp"
 #include "drivers/control/control_loop.hpp"
 #include "drivers/net/socket_setup.hpp"
 #include "drivers/net/socket_state.hpp"
@@ -40,6 +41,7 @@
 
 caller_session::~caller_session() {
     release_body_memory();
+    release_output_memory();
 }
 
 void caller_session::start() {
@@ -249,6 +251,7 @@
     closed_ = true;
     request_.reset();
     release_body_memory();
+    release_output_memory();
     error_code ignored;
     socket_.close(ignored);
     on_end_(shared_from_this());
--- a/drivers/traffic/caller_session.hpp
+++ b/drivers/traffic/caller_session.hpp
@@ -10,6 +10,7 @@
 #include <string>
 #include <string_view>
 
+#include "core/relay/answer_holder.hpp"
 #include "core/time/clock.hpp"
 #include "drivers/traffic/caller_services.hpp"
 #include "drivers/traffic/cut_cause.hpp"
@@ -24,6 +25,7 @@
 /// Connection of a caller: serves one request at a time. A read is always pending, so that a
 /// disconnect of the caller is detected immediately.
 class caller_session final : public response_sink,
+                             private answer_holder,
                              public std::enable_shared_from_this<caller_session> {
 public:
     using end_handler = std::function<void(const std::shared_ptr<caller_session>&)>;
@@ -56,6 +58,7 @@
     void abort() override;
 
 private:
+    void on_answer_memory_exceeded() override;
     using parser_type = boost::beast::http::request_parser<boost::beast::http::string_body>;
 
     /// Runs a handler of the socket. An exception closes the connection, on which no operation may
@@ -95,6 +98,9 @@
     /// Ends the output. The connection is closed when its caller has received everything and sends
     /// no more: closing it earlier would send a reset, which destroys data on the way.
     void shut_down_output();
+    /// Counts the buffered output against the memory for answers.
+    void record_output();
+    void release_output_memory();
     void check_linger(instant now);
     bool idle();
     /// Closes the connection if its caller is unreachable or takes no data.
@@ -126,6 +132,8 @@
     std::size_t body_bytes_ = 0;
     std::string output_;
     std::string writing_;
+    /// Whether the buffers count against the memory for answers.
+    bool output_counted_ = false;
     /// Bytes of `writing_` that the kernel accepted.
     std::size_t written_ = 0;
     /// The same of the whole connection, now and at the start of the response.
--- a/drivers/traffic/caller_session_output.cpp
+++ b/drivers/traffic/caller_session_output.cpp
@@ -4,6 +4,7 @@
 #include <algorithm>
 #include <utility>
 
+#include "core/relay/answer_memory.hpp"
 #include "drivers/control/control_loop.hpp"
 #include "drivers/net/socket_state.hpp"
 #include "drivers/traffic/caller_session.hpp"
@@ -19,6 +20,9 @@
 
 /// Bytes of a response that are buffered for a slow caller.
 constexpr std::size_t max_output_bytes = 4'194'304;
+/// Larger buffers are released once they are written. Two smaller ones are kept for the next
+/// response and do not count against the memory for answers.
+constexpr std::size_t max_kept_bytes = 65'536;
 /// A caller that has received its last response and sends nothing for this time is done.
 constexpr duration linger_quiet = std::chrono::milliseconds(1'000);
 /// Maximum time for a caller that has received its last response to go on sending.
@@ -51,6 +55,27 @@
         return;
     }
     flush();
+    record_output();
+}
+
+void caller_session::record_output() {
+    const std::size_t bytes = output_.capacity() + writing_.capacity();
+    if (bytes <= 2 * max_kept_bytes || closed_) {
+        release_output_memory();
+        return;
+    }
+    output_counted_ = true;
+    services_.answers.resize(*this, bytes);
+}
+
+void caller_session::release_output_memory() {
+    if (std::exchange(output_counted_, false)) {
+        services_.answers.remove(*this);
+    }
+}
+
+void caller_session::on_answer_memory_exceeded() {
+    reset_connection(cut_cause::output_limit);
 }
 
 void caller_session::finish() {
@@ -80,6 +105,7 @@
     }
     writing_.swap(output_);
     written_ = 0;
+    record_output();
     if (!std::exchange(output_pending_, true)) {
         output_monitor_.restart(services_.loop.now());
     }
@@ -106,7 +132,12 @@
         return;
     }
     writing_.clear();
+    if (writing_.capacity() > max_kept_bytes) {
+        // An assignment would keep the buffer.
+        std::string().swap(writing_);
+    }
     written_ = 0;
+    record_output();
     on_flushed();
 }
 
--- a/main/entry_node.cpp
+++ b/main/entry_node.cpp
@@ -28,6 +28,8 @@
 constexpr duration catalogue_poll_pause = std::chrono::milliseconds(500);
 /// Request bodies may take this fraction (1 / divisor) of the process memory.
 constexpr std::size_t body_memory_divisor = 3;
+/// Buffered answers may take this fraction (1 / divisor) of the process memory.
+constexpr std::size_t answer_memory_divisor = 3;
 /// Callers may use a directory response for three times its stated lifetime, according to the
 /// platform's documentation.
 constexpr int directory_staleness_factor = 3;
@@ -94,6 +96,7 @@
       retry_budget_(settings.retries),
       connector_(loop),
       engine_memory_(loop, log, engine_memory_timeout),
+      answer_memory_(settings.memory_bytes / answer_memory_divisor),
       relay_services_{
           settings.host,
           loop,
@@ -110,6 +113,7 @@
           format_,
           metrics_,
           engine_memory_,
+          answer_memory_,
           [this] { return serving_time_left(); },
           [this] { return stopping_ ? loop_.now() - stop_requested_at_ : duration::zero(); },
           [this] { return hosts_.knows_all_work(); }},
@@ -157,6 +161,7 @@
             format_,
             relay_queue_,
             body_memory_,
+            answer_memory_,
             [this] {
                 const auto& configuration = configuration_.current();
                 return configuration ? configuration->limits() : caller_limits();
@@ -248,6 +253,7 @@
         {"connections_callers", static_cast<double>(callers_.connections())},
         {"upstream_connections_opened", static_cast<double>(connector_.opened_connections())},
         {"body_bytes", static_cast<double>(body_memory_.used())},
+        {"answer_bytes", static_cast<double>(answer_memory_.used())},
         {"retries_granted_total", static_cast<double>(retry_budget_.granted())},
         {"retries_denied_total", static_cast<double>(retry_budget_.denied())},
         {"store_calls_total",
--- a/main/entry_node.hpp
+++ b/main/entry_node.hpp
@@ -9,6 +9,7 @@
 #include "core/health/upstream_health.hpp"
 #include "core/health/upstream_notices.hpp"
 #include "core/placement/interference_aware_placement.hpp"
+#include "core/relay/answer_memory.hpp"
 #include "core/retry/fleet_retry_budget.hpp"
 #include "drivers/datagrams/udp_datagram_channel.hpp"
 #include "drivers/metrics/histogram_metrics.hpp"
@@ -97,6 +98,7 @@
     interference_aware_placement placement_;
     beast_upstream_connector connector_;
     platform_engine_memory_client engine_memory_;
+    answer_memory answer_memory_;
     histogram_metrics metrics_;
     relay_services relay_services_;
     relay_queue relay_queue_;
--- a/servers/relay/relay_services.hpp
+++ b/servers/relay/relay_services.hpp
@@ -7,6 +7,7 @@
 
 namespace fuchsiaquay {
 
+class answer_memory;
 class configuration_feed;
 class decision_log;
 class engine_work_table;
@@ -41,6 +42,7 @@
     const request_format& format;
     request_metrics& metrics;
     engine_memory_client& memory_client;
+    answer_memory& answers;
     /// Time until this host stops serving; `duration::max()` while it is not stopping.
     std::function<duration()> serving_time_left;
     /// Time since this host was asked to stop; zero while it is not stopping.
--- a/servers/relay/request_relay_attempts.cpp
+++ b/servers/relay/request_relay_attempts.cpp
@@ -70,6 +70,7 @@
         on_attempt_failed(from, attempt_outcome::unknown, "event too long");
         return;
     }
+    from.record_buffered(splitter.partial_bytes());
     if (events.empty()) {
         return;
     }
--- a/servers/relay/upstream_attempt.cpp
+++ b/servers/relay/upstream_attempt.cpp
@@ -10,6 +10,7 @@
 #include "core/health/upstream_health.hpp"
 #include "core/health/upstream_notices.hpp"
 #include "core/identity/names.hpp"
+#include "core/relay/answer_memory.hpp"
 #include "core/relay/caller_request.hpp"
 #include "core/relay/connect_timeout.hpp"
 #include "servers/fleet/engine_work_table.hpp"
@@ -61,7 +62,9 @@
       sent_at_(services.timers.now()),
       progress_at_(sent_at_) {}
 
-upstream_attempt::~upstream_attempt() = default;
+upstream_attempt::~upstream_attempt() {
+    services_.answers.remove(*this);
+}
 
 void upstream_attempt::start() {
     if (parameters_.decision.reserved_tokens > 0) {
@@ -257,6 +260,23 @@
         return;
     }
     body_.append(bytes);
+    record_buffered(body_.capacity());
+}
+
+std::string upstream_attempt::take_body() {
+    record_buffered(0);
+    return std::move(body_);
+}
+
+void upstream_attempt::record_buffered(std::size_t bytes) {
+    if (bytes != buffered_) {
+        buffered_ = bytes;
+        services_.answers.resize(*this, bytes);
+    }
+}
+
+void upstream_attempt::on_answer_memory_exceeded() {
+    fail_later(attempt_outcome::unknown, "memory for answers exceeded");
 }
 
 void upstream_attempt::record_progress() {
--- a/servers/relay/upstream_attempt.hpp
+++ b/servers/relay/upstream_attempt.hpp
@@ -1,11 +1,13 @@
 #pragma once
 
+#include <cstddef>
 #include <memory>
 #include <optional>
 #include <string>
 #include <string_view>
 
 #include "core/fleet/upstream_lifetime.hpp"
+#include "core/relay/answer_holder.hpp"
 #include "core/relay/attempt_outcome.hpp"
 #include "servers/relay/attempt_parameters.hpp"
 #include "servers/relay/exchange_listener.hpp"
@@ -24,7 +26,7 @@
 /// One attempt to process a request at an upstream, or at an engine and its helpers. Reserves
 /// memory if needed, sends the request and reads the response. The destructor closes the exchange
 /// and releases the memory. All referenced objects must outlive the attempt.
-class upstream_attempt final : private exchange_listener {
+class upstream_attempt final : private exchange_listener, private answer_holder {
 public:
     upstream_attempt(const relay_services& services, const caller_request& request,
                      const admission_result& admitted, const request_log& log,
@@ -51,7 +53,9 @@
     void record_progress();
     bool streaming() const noexcept { return streaming_; }
     const response_head& head() const noexcept { return response_.head; }
-    std::string take_body() { return std::move(body_); }
+    std::string take_body();
+    /// Records how much memory the buffered part of the response takes.
+    void record_buffered(std::size_t bytes);
 
 private:
     void on_head(response_head head) override;
@@ -72,6 +76,7 @@
     void note_answered();
     /// Records that the connection ended before `note_answered` was called.
     void note_connection_ended(bool looked_complete);
+    void on_answer_memory_exceeded() override;
     /// Records the limit that the response names, or that it names none.
     void note_rate_limit();
     /// Records which engine the response reports as the cause of a failure.
@@ -97,6 +102,8 @@
     instant progress_at_{};
     upstream_response response_;
     std::string body_;
+    /// Memory of the part of the response that is buffered for this attempt.
+    std::size_t buffered_ = 0;
     /// When the first event arrived; absent before.
     std::optional<instant> first_event_at_;
     bool answered_ = false;
--- a/tests/drivers/traffic/caller_fixture.hpp
+++ b/tests/drivers/traffic/caller_fixture.hpp
@@ -8,6 +8,7 @@
 #include <utility>
 #include <vector>
 
+#include "core/relay/answer_memory.hpp"
 #include "drivers/metrics/histogram_metrics.hpp"
 #include "drivers/traffic/body_budget.hpp"
 #include "drivers/traffic/caller_server.hpp"
@@ -69,7 +70,7 @@
 public:
     void setup() override {
         server_ = std::make_unique<caller_server>(
-            caller_services{loop_, format_, handler_, bodies_, [this] { return limits_; },
+            caller_services{loop_, format_, handler_, bodies_, answers_, [this] { return limits_; },
                             [this] { return stopping_; }, log_, metrics_},
             address_);
         client_ = std::make_unique<raw_client>(loop_, address_);
@@ -83,6 +84,7 @@
     platform_request_format format_;
     recording_handler handler_;
     body_budget bodies_{5'000'000};
+    answer_memory answers_{20'000'000};
     recording_log log_;
     histogram_metrics metrics_;
     caller_limits limits_;
--- a/tests/drivers/traffic/slow_caller_test.cpp
+++ b/tests/drivers/traffic/slow_caller_test.cpp
@@ -177,3 +177,19 @@
     reader.join();
     CHECK_TRUE(client_->received.size() >= accepted_answer_bytes);
 }
+
+// Guards against callers that do not read their answers, which together take the memory of the
+// process.
+TEST(slow_caller, largest_unread_answer_is_cut_when_answers_exceed_their_memory) {
+    client_->send(get_request);
+    CHECK_TRUE(requests_received(1));
+    client_->stop_reading();
+    handler_.sinks[0]->send(ok(), std::string(large_answer_bytes * 2, 'x'));
+    raw_client other(loop_, address_);
+    other.send(get_request);
+    CHECK_TRUE(requests_received(2));
+    handler_.sinks[1]->send(ok(), std::string(large_answer_bytes, 'x'));
+    CHECK_TRUE(run_until(loop_, [&] { return other.received.size() >= large_answer_bytes; }));
+    STRCMP_CONTAINS("answer_cut request=42 cause=output_limit", log_.lines.back().c_str());
+    CHECK_TRUE(run_until(loop_, [&] { return answers_.used() == 0; }));
+}
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -60,6 +60,8 @@
         (self.callers, self.ready, self.directory, self.metrics, self.peers) = self.claims
         self.process = None
 
+    node_settings = ""
+
     async def prepare(self, store):
         self.store_wire = await Wire(store.port).open()
         self.caller_wire = await Wire(self.callers).open()
@@ -69,6 +71,7 @@
             file.write(f"""[node]
 host = {self.name}
 data_centre = z1
+{self.node_settings}
 [listen]
 callers = 127.0.0.1:{self.callers}
 readiness = 127.0.0.1:{self.ready}
