Upstreams: circuit, slowdown, limit and kept connections end with the process

The class of the quarantine's fault on related paths: what is known of a process was kept by the id of its upstream and taken for the next process, which may have the same id and address. A restarted upstream got no requests while the circuit of the one before was open, kept its limit until it answered (also when another host told of it again), and could be sent a request on a connection that the earlier process had left half open.

A restart resets circuit, slowdown and limit; a limit named before the restart was known is not taken over; kept connections are kept by process. The reset of the circuit is wiring in entry_node and has no test of its own.

--- a/core/limits/upstream_rate_limits.cpp
+++ b/core/limits/upstream_rate_limits.cpp
@@ -50,6 +50,10 @@
 
 void upstream_rate_limits::merge(const std::vector<rate_limit_notice>& notices) {
     for (const rate_limit_notice& notice : notices) {
+        const auto restarted = restarted_.find(notice.upstream);
+        if (restarted != restarted_.end() && notice.named_at < restarted->second) {
+            continue;
+        }
         const bool known = records_.count(notice.upstream) > 0;
         if (!known && !notice.requests_per_s) {
             continue;
@@ -87,6 +91,12 @@
 
 void upstream_rate_limits::remove(const std::string& upstream) {
     records_.erase(upstream);
+    restarted_.erase(upstream);
+}
+
+void upstream_rate_limits::on_restarted(const std::string& upstream, instant now) {
+    records_.erase(upstream);
+    restarted_[upstream] = now;
 }
 
 duration upstream_rate_limits::time_until_accepted(const std::string& upstream, int rank,
--- a/core/limits/upstream_rate_limits.hpp
+++ b/core/limits/upstream_rate_limits.hpp
@@ -32,6 +32,9 @@
     /// Counts a request that some host sent to `upstream`.
     void on_dispatch(const std::string& upstream, instant now);
     void remove(const std::string& upstream);
+    /// Forgets the limit that an earlier process of `upstream` named, also if another host still
+    /// tells of it.
+    void on_restarted(const std::string& upstream, instant now);
     /// Sets the share of all limits that this host, and the hosts that it hears, may use.
     void set_share(double share) { share_ = share; }
     /// Sets the handler that is called when other hosts should receive the notices soon.
@@ -63,6 +66,8 @@
 
     /// By upstream id; only upstreams that name a limit, or did recently.
     std::map<std::string, record> records_;
+    /// When upstreams were found to have restarted.
+    std::map<std::string, instant> restarted_;
     double share_ = 1.0;
     change_handler changed_;
 };
--- a/drivers/traffic/beast_exchange.cpp
+++ b/drivers/traffic/beast_exchange.cpp
@@ -36,7 +36,7 @@
                                std::shared_ptr<const std::string> body, exchange_listener& listener)
     : loop_(loop),
       pool_(std::move(pool)),
-      upstream_(upstream.id),
+      upstream_(upstream.lifetime()),
       address_(upstream.address),
       head_(std::move(head)),
       body_(std::move(body)),
--- a/drivers/traffic/beast_exchange.hpp
+++ b/drivers/traffic/beast_exchange.hpp
@@ -52,7 +52,7 @@
 
     control_loop& loop_;
     std::shared_ptr<upstream_connection_pool> pool_;
-    std::string upstream_;
+    upstream_lifetime upstream_;
     network_address address_;
     std::string head_;
     std::shared_ptr<const std::string> body_;
--- a/drivers/traffic/beast_upstream_connector.cpp
+++ b/drivers/traffic/beast_upstream_connector.cpp
@@ -39,7 +39,7 @@
     const connection_options& options, exchange_listener& listener) {
     upstream_connection_pool::socket_ptr idle_socket;
     if (!options.new_connection) {
-        idle_socket = pool_->acquire(upstream.id, loop_.now());
+        idle_socket = pool_->acquire(upstream.lifetime(), loop_.now());
     }
     opened_connections_ += idle_socket ? 0 : 1;
     auto exchange = std::make_shared<beast_exchange>(loop_, pool_, upstream, std::move(head),
--- a/drivers/traffic/upstream_connection_pool.cpp
+++ b/drivers/traffic/upstream_connection_pool.cpp
@@ -14,8 +14,8 @@
 
 }  // namespace
 
-upstream_connection_pool::socket_ptr upstream_connection_pool::acquire(const std::string& upstream,
-                                                                       instant now) {
+upstream_connection_pool::socket_ptr upstream_connection_pool::acquire(
+    const upstream_lifetime& upstream, instant now) {
     const auto found = idle_.find(upstream);
     if (found == idle_.end()) {
         return nullptr;
@@ -30,8 +30,8 @@
     return nullptr;
 }
 
-void upstream_connection_pool::release(const std::string& upstream, socket_ptr socket, instant now,
-                                       duration usable_for) {
+void upstream_connection_pool::release(const upstream_lifetime& upstream, socket_ptr socket,
+                                       instant now, duration usable_for) {
     std::vector<idle_connection>& connections = idle_[upstream];
     if (connections.size() < max_idle_connections && usable_for > duration::zero()) {
         connections.push_back({std::move(socket), now + usable_for});
--- a/drivers/traffic/upstream_connection_pool.hpp
+++ b/drivers/traffic/upstream_connection_pool.hpp
@@ -3,23 +3,24 @@
 #include <boost/asio/ip/tcp.hpp>
 #include <map>
 #include <memory>
-#include <string>
 #include <vector>
 
+#include "core/fleet/upstream_lifetime.hpp"
 #include "core/time/clock.hpp"
 
 namespace fuchsiaquay {
 
-/// Pool of idle connections to upstreams, by upstream id.
+/// Pool of idle connections to upstreams, by process.
 class upstream_connection_pool {
 public:
     using socket_ptr = std::shared_ptr<boost::asio::ip::tcp::socket>;
 
     /// Returns an open connection without unread data, or null.
-    socket_ptr acquire(const std::string& upstream, instant now);
+    socket_ptr acquire(const upstream_lifetime& upstream, instant now);
     /// Adds an idle connection to the pool, or closes it when the pool is full.
     /// @param usable_for  time before the upstream may close the idle connection
-    void release(const std::string& upstream, socket_ptr socket, instant now, duration usable_for);
+    void release(const upstream_lifetime& upstream, socket_ptr socket, instant now,
+                 duration usable_for);
     /// Closes connections that the upstream may be about to close.
     void remove_expired(instant now);
     std::size_t size() const;
@@ -30,7 +31,7 @@
         instant usable_until{};
     };
 
-    std::map<std::string, std::vector<idle_connection>> idle_;
+    std::map<upstream_lifetime, std::vector<idle_connection>> idle_;
 };
 
 }  // namespace fuchsiaquay
--- a/main/entry_node.cpp
+++ b/main/entry_node.cpp
@@ -137,7 +137,8 @@
         notices_.forget(upstream.id);
     });
     upstreams_.on_restarted([this](const upstream_lifetime& upstream) {
-        engine_work_.quarantine().on_engine_restarted(upstream, loop_.now());
+        engine_work_.on_upstream_restarted(upstream, loop_.now());
+        health_.forget(upstream_id(upstream.id));
     });
     configuration_.on_change([this](const fleet_configuration& /*next*/) {
         if (view_sync_.watches_store()) {
--- a/servers/fleet/engine_work_table.cpp
+++ b/servers/fleet/engine_work_table.cpp
@@ -50,6 +50,12 @@
     rate_limits_.remove(upstream);
 }
 
+void engine_work_table::on_upstream_restarted(const upstream_lifetime& upstream, instant now) {
+    slowdowns_.remove(upstream.id);
+    rate_limits_.on_restarted(upstream.id, now);
+    quarantine_.on_engine_restarted(upstream, now);
+}
+
 void engine_work_table::count_if_new(const std::string& host, const engine_work& work) {
     const bool sent = work.phase == work_phase::prefill || work.phase == work_phase::decode;
     if (sent && !load(work.engine).contains(host, work.key)) {
--- a/servers/fleet/engine_work_table.hpp
+++ b/servers/fleet/engine_work_table.hpp
@@ -32,6 +32,8 @@
     void replace_remote_work(const std::string& host, const std::vector<engine_work>& works);
     void remove_host(const std::string& host);
     void remove_upstream(const std::string& upstream);
+    /// Forgets what earlier processes of `upstream` showed. Its load ends with the requests there.
+    void on_upstream_restarted(const upstream_lifetime& upstream, instant now);
 
     const engine_load& load(const std::string& upstream) const;
     /// Slowdowns of the engines as observed in this host's streams or announced by other hosts.
--- a/tests/core/limits/upstream_rate_limits_test.cpp
+++ b/tests/core/limits/upstream_rate_limits_test.cpp
@@ -106,3 +106,18 @@
     CHECK_TRUE(limits_.accepts("e", 2, now_));
     CHECK_TRUE(limits_.notices(now_).empty());
 }
+
+// Guards against a limit of a process that has ended, which a host that has not yet heard of the
+// restart still tells of.
+TEST(upstream_rate_limits, limit_of_an_earlier_process_ends_with_its_restart) {
+    limits_.on_answer("e", 0.5, now_);
+    other_.on_answer("e", 0.5, now_);
+    now_ += seconds(1);
+    limits_.on_restarted("e", now_);
+    limits_.merge(other_.notices(now_));
+    CHECK_TRUE(limits_.rate_of("e") == std::nullopt);
+    now_ += seconds(1);
+    other_.on_answer("e", 2.0, now_);
+    limits_.merge(other_.notices(now_));
+    CHECK_TRUE(limits_.rate_of("e") == std::optional<double>(2.0));
+}
--- a/tests/drivers/traffic/beast_upstream_connector_test.cpp
+++ b/tests/drivers/traffic/beast_upstream_connector_test.cpp
@@ -2,6 +2,7 @@
 
 #include <CppUTest/TestHarness.h>
 
+#include <cstdint>
 #include <memory>
 #include <optional>
 #include <string>
@@ -45,10 +46,12 @@
     beast_upstream_connector connector_{loop_};
     recording_listener listener_;
     std::unique_ptr<upstream_exchange> exchange_;
+    std::int64_t started_at_ms_ = 0;
 
     void open(std::size_t body_bytes = 0, bool new_connection = false) {
         upstream_entry upstream;
         upstream.id = "i-1";
+        upstream.started_at_ms = started_at_ms_;
         upstream.address = server_.address();
         auto body = std::make_shared<const std::string>(body_bytes, 'b');
         exchange_ = connector_.open(
@@ -79,6 +82,17 @@
     LONGS_EQUAL(1, server_.connections);
 }
 
+// Guards against a request on a connection that an earlier process with the same id left half open.
+TEST(beast_upstream_connector, connection_to_an_earlier_process_is_not_reused) {
+    started_at_ms_ = 1;
+    open_and_respond("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok");
+    CHECK_TRUE(ended());
+    listener_.clear();
+    started_at_ms_ = 2;
+    open();
+    CHECK_TRUE(run_until(loop_, [&] { return server_.connections == 2; }));
+}
+
 TEST(beast_upstream_connector, connection_with_an_extra_response_is_not_reused) {
     open_and_respond(
         "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
