Answers: a response that is complete is not dropped afterwards

answer_that_becomes_complete_before_it_is_dropped_is_sent_once fails without the check (a fourth attempt was made).

--- a/main/entry_settings.cpp
+++ b/main/entry_settings.cpp
@@ -20,8 +20,9 @@
             text_setting("node", "host", "", "name of this host, unique in the fleet")),
         required_setting(text_setting("node", "data_centre", "", "data centre of this host")),
         address_setting("node", "address", "IP number for metrics and announcements"),
-        number_setting("node", "memory_mb", "256", 64, 1'048'576, "MB",
-                       "memory of the process; a third may hold bodies of requests"),
+        number_setting(
+            "node", "memory_mb", "256", 64, 1'048'576, "MB",
+            "memory of the process; a third may hold bodies of requests, another one answers"),
         number_setting("node", "processor_share", "1", 0, 1'024, "cores",
                        "processor time of the process; hosts with more serve callers first"),
         required_setting(text_setting("listen", "callers", "", "IP:PORT for requests")),
--- a/servers/relay/upstream_attempt.cpp
+++ b/servers/relay/upstream_attempt.cpp
@@ -276,7 +276,13 @@
 }
 
 void upstream_attempt::on_answer_memory_exceeded() {
-    fail_later(attempt_outcome::unknown, "memory for answers exceeded");
+    services_.timers.after(duration::zero(), [this, alive = std::weak_ptr<int>(alive_)] {
+        // The response may have become complete meanwhile.
+        if (!alive.expired() && exchange_) {
+            listener_.on_attempt_failed(*this, attempt_outcome::unknown,
+                                        "memory for answers exceeded");
+        }
+    });
 }
 
 void upstream_attempt::record_progress() {
--- a/tests/servers/relay/answer_without_end_test.cpp
+++ b/tests/servers/relay/answer_without_end_test.cpp
@@ -58,3 +58,19 @@
     requests_.clear();
     LONGS_EQUAL(0, host_.answers.used());
 }
+
+// Guards against a second answer to a request whose answer becomes complete before it is dropped.
+TEST(answer_without_end, answer_that_becomes_complete_before_it_is_dropped_is_sent_once) {
+    begin_answer(sinks_[0], std::string(8'000'000, 'x'));
+    begin_answer(sinks_[1], std::string(7'000'000, 'x'));
+    begin_answer(sinks_[2], std::string(7'000'000, 'x'));
+    for (std::size_t i = 0; i < 3; ++i) {
+        host_.connector.attempts[i]->listener->on_end();
+    }
+    host_.timers.advance(milliseconds(100));
+    for (const recording_sink& sink : sinks_) {
+        LONGS_EQUAL(200, sink.status);
+        LONGS_EQUAL(1, sink.answers);
+    }
+    LONGS_EQUAL(3, host_.attempts());
+}
