--- a/drivers/datagrams/datagram_codec.cpp
+++ b/drivers/datagrams/datagram_codec.cpp
@@ -55,57 +55,54 @@
 using string_list = flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>>;
 using quarantined_list = flatbuffers::Vector<flatbuffers::Offset<wire::quarantined_part>>;
 
-std::vector<std::string> read_strings(const string_list* texts) {
-    std::vector<std::string> result;
-    for (flatbuffers::uoffset_t i = 0; texts != nullptr && i < texts->size(); ++i) {
-        result.push_back(read_string(texts->Get(i)));
+/// Reads each item of a list. An empty list may be absent.
+template <typename list, typename reader>
+auto read_list(const list* items, const reader& read) {
+    std::vector<decltype(read(items->Get(0)))> result;
+    for (flatbuffers::uoffset_t i = 0; items != nullptr && i < items->size(); ++i) {
+        result.push_back(read(items->Get(i)));
     }
     return result;
 }
 
+std::vector<std::string> read_strings(const string_list* texts) {
+    return read_list(texts, read_string);
+}
+
 std::vector<quarantined_part> read_quarantined(const quarantined_list* parts, instant now) {
-    std::vector<quarantined_part> result;
-    for (flatbuffers::uoffset_t i = 0; parts != nullptr && i < parts->size(); ++i) {
-        const duration left = std::min(duration(parts->Get(i)->left_us()), max_quarantine);
-        result.push_back({read_string(parts->Get(i)->id()), now + left});
-    }
-    return result;
+    return read_list(parts, [now](const wire::quarantined_part* item) {
+        const duration left = std::min(duration(item->left_us()), max_quarantine);
+        return quarantined_part{read_string(item->id()), now + left};
+    });
 }
 
 using rate_limit_list = flatbuffers::Vector<flatbuffers::Offset<wire::rate_limit>>;
 
 std::vector<rate_limit_notice> read_rate_limits(const rate_limit_list* notices, instant now) {
-    std::vector<rate_limit_notice> result;
-    for (flatbuffers::uoffset_t i = 0; notices != nullptr && i < notices->size(); ++i) {
-        const wire::rate_limit& item = *notices->Get(i);
+    return read_list(notices, [now](const wire::rate_limit* item) {
         std::optional<double> limit;
-        if (item.named() && item.requests_per_s() >= 0.0) {
-            limit = item.requests_per_s();
+        if (item->named() && item->requests_per_s() >= 0.0) {
+            limit = item->requests_per_s();
         }
-        const duration age = std::max(duration::zero(), duration(item.age_us()));
-        result.push_back({read_string(item.upstream()), limit, now - age});
-    }
-    return result;
+        const duration age = std::max(duration::zero(), duration(item->age_us()));
+        return rate_limit_notice{read_string(item->upstream()), limit, now - age};
+    });
 }
 
 prompt_part_report read_prompt_parts(const wire::announcement& root, instant now) {
     prompt_part_report result;
-    if (root.engine_ends() != nullptr) {
-        for (const wire::engine_end* item : *root.engine_ends()) {
-            const duration age = std::max(duration::zero(), duration(item->age_us()));
-            result.ends.push_back({{read_string(item->engine()), item->started_at_ms()},
-                                   item->subject(),
-                                   read_strings(item->parts()),
-                                   now - age,
-                                   item->looked_complete(),
-                                   duration(item->lasted_us())});
-        }
-    }
-    if (root.gone_lifetimes() != nullptr) {
-        for (const wire::upstream_lifetime* item : *root.gone_lifetimes()) {
-            result.gone_engines.push_back({read_string(item->id()), item->started_at_ms()});
-        }
-    }
+    result.ends = read_list(root.engine_ends(), [now](const wire::engine_end* item) {
+        const duration age = std::max(duration::zero(), duration(item->age_us()));
+        return engine_end{{read_string(item->engine()), item->started_at_ms()},
+                          item->subject(),
+                          read_strings(item->parts()),
+                          now - age,
+                          item->looked_complete(),
+                          duration(item->lasted_us())};
+    });
+    result.gone_engines = read_list(root.gone_lifetimes(), [](const wire::upstream_lifetime* item) {
+        return upstream_lifetime{read_string(item->id()), item->started_at_ms()};
+    });
     result.answered = read_strings(root.answered_parts());
     result.quarantined = read_quarantined(root.quarantined_parts(), now);
     return result;
@@ -126,16 +123,11 @@
     result.configuration_revision = root.configuration_revision();
     result.complete = root.complete();
     result.forward = root.forward();
-    if (root.works() != nullptr) {
-        for (const wire::work* item : *root.works()) {
-            result.works.push_back(read_work(*item, now));
-        }
-    }
-    if (root.slow() != nullptr) {
-        for (const wire::slow_engine* item : *root.slow()) {
-            result.slow_engines.push_back({read_string(item->id()), item->pace()});
-        }
-    }
+    result.works =
+        read_list(root.works(), [now](const wire::work* item) { return read_work(*item, now); });
+    result.slow_engines = read_list(root.slow(), [](const wire::slow_engine* item) {
+        return slow_engine{read_string(item->id()), item->pace()};
+    });
     result.prompt_parts = read_prompt_parts(root, now);
     result.rate_limits = read_rate_limits(root.rate_limits(), now);
     return result;
@@ -177,16 +169,10 @@
     result.catalogue_age = duration(root.catalogue_age_us());
     result.catalogue.complete = root.complete();
     result.catalogue.revision = root.catalogue_revision();
-    if (root.changes() != nullptr) {
-        for (const wire::upstream_change* item : *root.changes()) {
-            result.catalogue.changes.push_back(read_change(*item));
-        }
-    }
-    if (root.serving() != nullptr) {
-        for (const wire::host* item : *root.serving()) {
-            result.serving_hosts.push_back(read_host(*item));
-        }
-    }
+    result.catalogue.changes = read_list(
+        root.changes(), [](const wire::upstream_change* item) { return read_change(*item); });
+    result.serving_hosts =
+        read_list(root.serving(), [](const wire::host* item) { return read_host(*item); });
     result.quarantined_parts = read_quarantined(root.quarantined_parts(), now);
     result.rate_limits = read_rate_limits(root.rate_limits(), now);
     result.invitation = root.invitation();
