Soak: an engine that returns opens its own server again

open_again of engine_ends.py wrote HttpServer.open once more, since that took no port. open takes one now, and each process of an engine starts there. A prefix that no series read is gone from endless_answers.py.

--- a/tests/soak/endless_answers.py
+++ b/tests/soak/endless_answers.py
@@ -32,7 +32,7 @@
     "interim": {"flood": "lookup", "sound": "chat"},
     "unread": {"flood": "lookup", "sound": "chat", "unread": True, "whole": 6_000_000},
 }
-PREFIX = {"until_close": b"", "one_event": b"id: 1\ndata: "}
+PREFIX = {"one_event": b"id: 1\ndata: "}
 
 
 class EndlessUpstream(Upstream):
--- a/tests/soak/engine_ends.py
+++ b/tests/soak/engine_ends.py
@@ -34,7 +34,7 @@
 COMMON, MIDDLE, BAD, OTHER_BAD = "c0de0001", "c0de0002", "bad00001", "bad00002"
 
 # `parts`: the prompts that crash engines, without their own last part; `gap`: seconds between two;
-# `end`: what an engine has sent when it ends under one; `step`: seconds before its head and before its end;
+# `end`: what an engine has sent when it ends under one; `step`: seconds before its head and its end;
 # `same_id`: seconds after which it is back under its id and at its address; `quiet`: no request is
 # sent to an engine that is down.
 SERIES = {
@@ -71,9 +71,11 @@
 class MortalEngine(Upstream):
     born = 0
 
-    async def open(self):
+    async def open(self, port=0):
+        """Starts a process; the next one may have the same id and address."""
         self.born = int(time.time() * 1000)
-        return await super().open()
+        self.reserved = {}
+        return await super().open(port)
 
     def entry(self, port, state="ready"):
         return json.dumps(dict(json.loads(super().entry(port, state)), born=self.born))
@@ -103,12 +105,6 @@
         for writer in list(self.connections):
             writer.close()
 
-    async def open_again(self):
-        """The next process of this engine, with the same id and address."""
-        self.born = int(time.time() * 1000)
-        self.reserved, self.connections = {}, {}
-        self.server = await asyncio.start_server(self.serve, "127.0.0.1", self.port)
-
 
 class EngineEnds(World):
     upstream_type = MortalEngine
@@ -170,7 +166,7 @@
     async def bring_back_as_it_was(self, engine):
         self.down += 1
         await asyncio.sleep(self.series["same_id"])
-        await engine.open_again()
+        await engine.open(engine.port)
         self.down -= 1
         self.upstreams.append(engine)
         port = engine.wire.port if hasattr(engine, "wire") else engine.port
--- a/tests/soak/stand_ins.py
+++ b/tests/soak/stand_ins.py
@@ -44,9 +44,9 @@
 class HttpServer:
     """Serves `answer(line, headers, body, writer)` on a separate loopback port."""
 
-    async def open(self):
+    async def open(self, port=0):
         self.connections = {}
-        self.server = await asyncio.start_server(self.serve, "127.0.0.1", 0)
+        self.server = await asyncio.start_server(self.serve, "127.0.0.1", port)
         self.port = self.server.sockets[0].getsockname()[1]
         return self
 
