Configuration and catalogue: data centres, cold times and allowed regions are read

Cause: the entries of upstreams name their data centre and how long they stay cold, services name a limit for cold upstreams, routes and client accounts the regions in which they may be served. Nothing read them, so the parts that need them could not be built side by side.

Change: the codecs read the fields into upstream_entry, service_profile, route and customer_terms; hosts pass data centre and cold time on with changes of the catalogue. No decision uses them yet.

--- a/drivers/datagrams/datagram_codec.cpp
+++ b/drivers/datagrams/datagram_codec.cpp
@@ -141,6 +141,8 @@
     result.entry.slots = item.slots();
     result.entry.state = read_enumeration(item.state(), upstream_state::draining);
     result.entry.started_at_ms = item.started_at_ms();
+    result.entry.data_centre = read_string(item.data_centre());
+    result.entry.cold_time = std::chrono::microseconds(item.cold_us());
     // A host of another version may pass on an entry that this one cannot use.
     const bool usable = !result.entry.address.empty() && result.entry.slots > 0;
     result.removed = item.removed() || !usable;
@@ -335,10 +337,11 @@
             const auto id = builder.CreateString(item.entry.id);
             const auto service = builder.CreateString(item.entry.service);
             const auto address = builder.CreateString(item.entry.address.text());
-            changes.push_back(
-                wire::Createupstream_change(builder, id, service, address, item.entry.slots,
-                                            static_cast<std::uint8_t>(item.entry.state),
-                                            item.removed, item.revision, item.entry.started_at_ms));
+            const auto data_centre = builder.CreateSharedString(item.entry.data_centre);
+            changes.push_back(wire::Createupstream_change(
+                builder, id, service, address, item.entry.slots,
+                static_cast<std::uint8_t>(item.entry.state), item.removed, item.revision,
+                item.entry.started_at_ms, data_centre, item.entry.cold_time.count()));
         }
         const auto sender = builder.CreateString(message.sender);
         const auto change_list = builder.CreateVector(changes);
--- a/drivers/datagrams/datagram_generated.h
+++ b/drivers/datagrams/datagram_generated.h
@@ -1244,7 +1244,9 @@
     VT_STATE = 12,
     VT_REMOVED = 14,
     VT_REVISION = 16,
-    VT_STARTED_AT_MS = 18
+    VT_STARTED_AT_MS = 18,
+    VT_DATA_CENTRE = 20,
+    VT_COLD_US = 22
   };
   const flatbuffers::String *id() const {
     return GetPointer<const flatbuffers::String *>(VT_ID);
@@ -1270,6 +1272,12 @@
   int64_t started_at_ms() const {
     return GetField<int64_t>(VT_STARTED_AT_MS, 0);
   }
+  const flatbuffers::String *data_centre() const {
+    return GetPointer<const flatbuffers::String *>(VT_DATA_CENTRE);
+  }
+  int64_t cold_us() const {
+    return GetField<int64_t>(VT_COLD_US, 0);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffset(verifier, VT_ID) &&
@@ -1283,6 +1291,9 @@
            VerifyField<uint8_t>(verifier, VT_REMOVED, 1) &&
            VerifyField<int64_t>(verifier, VT_REVISION, 8) &&
            VerifyField<int64_t>(verifier, VT_STARTED_AT_MS, 8) &&
+           VerifyOffset(verifier, VT_DATA_CENTRE) &&
+           verifier.VerifyString(data_centre()) &&
+           VerifyField<int64_t>(verifier, VT_COLD_US, 8) &&
            verifier.EndTable();
   }
 };
@@ -1315,6 +1326,12 @@
   void add_started_at_ms(int64_t started_at_ms) {
     fbb_.AddElement<int64_t>(upstream_change::VT_STARTED_AT_MS, started_at_ms, 0);
   }
+  void add_data_centre(flatbuffers::Offset<flatbuffers::String> data_centre) {
+    fbb_.AddOffset(upstream_change::VT_DATA_CENTRE, data_centre);
+  }
+  void add_cold_us(int64_t cold_us) {
+    fbb_.AddElement<int64_t>(upstream_change::VT_COLD_US, cold_us, 0);
+  }
   explicit upstream_changeBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -1335,10 +1352,14 @@
     uint8_t state = 0,
     bool removed = false,
     int64_t revision = 0,
-    int64_t started_at_ms = 0) {
+    int64_t started_at_ms = 0,
+    flatbuffers::Offset<flatbuffers::String> data_centre = 0,
+    int64_t cold_us = 0) {
   upstream_changeBuilder builder_(_fbb);
+  builder_.add_cold_us(cold_us);
   builder_.add_started_at_ms(started_at_ms);
   builder_.add_revision(revision);
+  builder_.add_data_centre(data_centre);
   builder_.add_slots(slots);
   builder_.add_address(address);
   builder_.add_service(service);
@@ -1357,10 +1378,13 @@
     uint8_t state = 0,
     bool removed = false,
     int64_t revision = 0,
-    int64_t started_at_ms = 0) {
+    int64_t started_at_ms = 0,
+    const char *data_centre = nullptr,
+    int64_t cold_us = 0) {
   auto id__ = id ? _fbb.CreateString(id) : 0;
   auto service__ = service ? _fbb.CreateString(service) : 0;
   auto address__ = address ? _fbb.CreateString(address) : 0;
+  auto data_centre__ = data_centre ? _fbb.CreateString(data_centre) : 0;
   return fuchsiaquay::wire::Createupstream_change(
       _fbb,
       id__,
@@ -1370,7 +1394,9 @@
       state,
       removed,
       revision,
-      started_at_ms);
+      started_at_ms,
+      data_centre__,
+      cold_us);
 }
 
 struct view_reply FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
--- a/tests/drivers/datagrams/datagram_codec_test.cpp
+++ b/tests/drivers/datagrams/datagram_codec_test.cpp
@@ -127,11 +127,14 @@
     change.entry.service = "s";
     change.entry.address = {"10.1.0.1", 8080};
     change.entry.state = upstream_state::draining;
+    change.entry.data_centre = "south-a";
+    change.entry.cold_time = milliseconds(900);
     change.revision = 39;
     reply.catalogue.changes.push_back(change);
     const auto decoded = std::get<view_reply>(decode_datagram(encode_datagram(reply, now_), now_));
     CHECK_TRUE(decoded.configuration_age == milliseconds(1'300));
     CHECK_TRUE(decoded.catalogue.changes.front() == change);
+    CHECK_TRUE(decoded.catalogue.changes.front().entry.cold_time == milliseconds(900));
 }
 
 // Guards against an entry that a host of another version accepted and that this one cannot connect
--- a/tests/platform/platform_codecs_test.cpp
+++ b/tests/platform/platform_codecs_test.cpp
@@ -53,6 +53,30 @@
     CHECK_EQUAL(std::string("kim"), configuration->find_customer("k2")->customer);
 }
 
+TEST(platform_codecs, regions_and_cold_limit_of_a_configuration_are_decoded) {
+    const auto configuration = configurations_.decode(
+        R"({"version":7,"routes":[{"host":"f.example","prefix":"/lo/","service":"a",
+            "allowed_regions":["south"]}],
+            "services":[{"name":"a","cold_s":3.5,"cold_per_s":26.0},{"name":"b"}],
+            "tenants":[{"name":"kim","api_keys":["k1"],"allowed_regions":["south","north"]}]})");
+    CHECK_EQUAL(std::string("south"),
+                configuration->find_route("f.example", "/lo/")->allowed_regions.at(0));
+    LONGS_EQUAL(2, configuration->find_customer("k1")->allowed_regions.size());
+    const service_profile* service = configuration->find_service("a");
+    CHECK_TRUE(service->cold_time == std::chrono::milliseconds(3'500));
+    DOUBLES_EQUAL(26.0, service->cold_requests_per_s, 0.0);
+    CHECK_TRUE(configuration->find_service("b")->cold_time == duration::zero());
+}
+
+TEST(platform_codecs, data_centre_and_cold_time_of_an_upstream_are_decoded) {
+    const upstream_entry entry = upstreams_.decode(
+        "i-1",
+        R"({"service":"a","address":"10.1.2.3:80","slots":4,"state":"ready","zone":"south-a",
+            "cold_ms":1200})");
+    CHECK_EQUAL(std::string("south-a"), entry.data_centre);
+    CHECK_TRUE(entry.cold_time == std::chrono::milliseconds(1'200));
+}
+
 TEST(platform_codecs, route_of_unknown_kind_is_not_repeatable) {
     const auto configuration = configurations_.decode(configuration_text);
     CHECK_FALSE(configuration->find_route("f.example", "/pu/")->repeatable());
