Admission: an unknown route or key is final only if the configuration is current

It asks every 400 ms, had missed one small version, and the next one grew by 1,200 routes: hosts on standby fetch a large version after a delay of up to 1.5 s and over links of 14 Mbit/s.

Change: prefix_mirror tells current, late and expired copies apart. A late one, which may lack a version that has to be in force (configuration.apply_ms, from the platform's bounds), answers 503 as not run in place of 404 and 401, which callers do not retry. Everything else is as before.

Ruled out: a shorter delay of the fetches alone (a cut host is late whatever the delay is).

--- a/main/entry_node.cpp
+++ b/main/entry_node.cpp
@@ -46,6 +46,7 @@
 prefix_mirror_settings configuration_mirror_settings(const entry_settings& settings) {
     prefix_mirror_settings result;
     result.freshness_limit = settings.revocation_bound - revocation_margin;
+    result.apply_limit = settings.apply_bound;
     return result;
 }
 
--- a/main/entry_settings.hpp
+++ b/main/entry_settings.hpp
@@ -24,6 +24,8 @@
     network_address store;
     /// Time limit within which a revoked key or a removed route is refused.
     duration revocation_bound{};
+    /// Time within which a new version of the configuration is in force.
+    duration apply_bound{};
     /// Time from the stop signal until the process is killed.
     duration stop_grace{};
     /// How long callers may cache a directory response.
--- a/servers/relay/admission.cpp
+++ b/servers/relay/admission.cpp
@@ -22,11 +22,21 @@
     return result;
 }
 
+/// Refuses a request that names what the configuration does not contain. Such a status is final for
+/// callers, so it is only given if no version that has to be in force can be missing here.
+admission_result refuse_unknown(admission_result result, int status, const char* reason,
+                                copy_state state) {
+    return state == copy_state::current
+               ? refuse(std::move(result), status, reason)
+               : refuse(std::move(result), status_unavailable, "configuration_out_of_date",
+                        configuration_retry_after);
+}
+
 }  // namespace
 
 admission_result admit(const caller_request& request,
                        const std::shared_ptr<const fleet_configuration>& configuration,
-                       bool up_to_date) {
+                       copy_state state) {
     if (!configuration) {
         return refuse({}, status_unavailable, "no_configuration", configuration_retry_after);
     }
@@ -34,19 +44,17 @@
     result.configuration = configuration;
     result.matched_route = configuration->find_route(request.host, request.path());
     if (result.matched_route == nullptr) {
-        return up_to_date ? refuse(std::move(result), status_not_found, "no_route")
-                          : refuse(std::move(result), status_unavailable,
-                                   "configuration_out_of_date", configuration_retry_after);
+        return refuse_unknown(std::move(result), status_not_found, "no_route", state);
     }
     result.rank = result.matched_route->rank;
     if (configuration->requires_key() && !result.matched_route->is_public) {
-        if (!up_to_date) {
+        if (state == copy_state::expired) {
             return refuse(std::move(result), status_unavailable, "configuration_out_of_date",
                           configuration_retry_after);
         }
         const customer_terms* key_owner = configuration->find_customer(request.api_key);
         if (key_owner == nullptr) {
-            return refuse(std::move(result), status_unauthorized, "unknown_key");
+            return refuse_unknown(std::move(result), status_unauthorized, "unknown_key", state);
         }
         result.customer = key_owner->customer;
         result.rank = key_owner->rank.value_or(result.rank);
--- a/servers/relay/admission.hpp
+++ b/servers/relay/admission.hpp
@@ -2,6 +2,7 @@
 
 #include <memory>
 
+#include "core/freshness/copy_state.hpp"
 #include "servers/relay/admission_result.hpp"
 
 namespace fuchsiaquay {
@@ -10,9 +11,9 @@
 
 /// Checks a request against the configuration and resolves its route, service and customer.
 /// @param configuration  null until the first one is loaded
-/// @param up_to_date  whether the configuration is known to be current
+/// @param state  how far the configuration can be relied on
 admission_result admit(const caller_request& request,
                        const std::shared_ptr<const fleet_configuration>& configuration,
-                       bool up_to_date);
+                       copy_state state);
 
 }  // namespace fuchsiaquay
--- a/servers/relay/request_relay.cpp
+++ b/servers/relay/request_relay.cpp
@@ -103,7 +103,7 @@
     }
     waiting_ = false;
     admitted_ =
-        admit(request_, services_.configuration.current(), services_.configuration_mirror.fresh());
+        admit(request_, services_.configuration.current(), services_.configuration_mirror.state());
     if (admitted_.refused) {
         refuse(*admitted_.refused);
         return;
--- a/servers/store/prefix_mirror.cpp
+++ b/servers/store/prefix_mirror.cpp
@@ -63,6 +63,14 @@
     return freshness_.is_current(timers_.now());
 }
 
+copy_state prefix_mirror::state() const {
+    if (!fresh()) {
+        return copy_state::expired;
+    }
+    return age() <= settings_.apply_limit + settings_.watch_lag ? copy_state::current
+                                                                : copy_state::late;
+}
+
 duration prefix_mirror::age() const {
     return freshness_.age(timers_.now());
 }
--- a/servers/store/prefix_mirror.hpp
+++ b/servers/store/prefix_mirror.hpp
@@ -4,6 +4,7 @@
 #include <memory>
 #include <string>
 
+#include "core/freshness/copy_state.hpp"
 #include "core/freshness/freshness.hpp"
 #include "servers/store/prefix_mirror_settings.hpp"
 
@@ -35,6 +36,7 @@
     void advance(std::int64_t revision);
     /// True while the last confirmation of the copy is within the freshness limit.
     bool fresh() const;
+    copy_state state() const;
     /// True once the copy has been fresh at least once since the start.
     bool was_fresh() const noexcept { return was_fresh_; }
     /// Upper bound on the age of the copy.
--- a/servers/store/prefix_mirror_settings.hpp
+++ b/servers/store/prefix_mirror_settings.hpp
@@ -15,6 +15,8 @@
     duration watch_lag = std::chrono::milliseconds(1200);
     /// How long a copy is valid after its last confirmation.
     duration freshness_limit = std::chrono::seconds(5);
+    /// Time after which every change has to be in force, not counting `watch_lag`.
+    duration apply_limit = duration::max() / 2;
 };
 
 }  // namespace fuchsiaquay
--- a/tests/servers/relay/relay_fixture.hpp
+++ b/tests/servers/relay/relay_fixture.hpp
@@ -59,7 +59,7 @@
         engine.read_ms_per_million_pairs = 0.0917;
         engine.read_tokens_per_step = 2'048;
         result->add_service({"llm", 10, engine});
-        result->add_key("key", {"kim", std::nullopt});
+        result->add_key("key", {"kim", std::nullopt, {}});
         return result;
     }
 
--- a/tests/servers/store/prefix_mirror_test.cpp
+++ b/tests/servers/store/prefix_mirror_test.cpp
@@ -91,6 +91,19 @@
     LONGS_EQUAL(1, copy_.outages);
 }
 
+TEST(prefix_mirror, copy_is_late_between_the_apply_limit_and_the_freshness_limit) {
+    settings_.apply_limit = seconds(2);
+    prefix_mirror limited(store_, timers_, log_, copy_, "k/", settings_);
+    limited.follow(true, retry);
+    timers_.advance(milliseconds(50));
+    CHECK_TRUE(limited.state() == copy_state::current);
+    store_.down = true;
+    timers_.advance(settings_.apply_limit + settings_.watch_lag + retry);
+    CHECK_TRUE(limited.state() == copy_state::late);
+    timers_.advance(settings_.freshness_limit);
+    CHECK_TRUE(limited.state() == copy_state::expired);
+}
+
 TEST(prefix_mirror, outage_not_seen_by_another_host_expires_no_entry) {
     timers_.advance(seconds(3));
     store_.down = true;
