Customer terms: a short list of initializers compiles again

allowed_regions has a default initializer, so that tests that give only the name and the rank build under -Wmissing-field-initializers. core_test did not build before.

--- a/core/fleet/customer_terms.hpp
+++ b/core/fleet/customer_terms.hpp
@@ -12,7 +12,7 @@
     /// Overrides the rank of the route.
     std::optional<int> rank;
     /// Regions in which the customer may be served; any region if empty.
-    std::vector<std::string> allowed_regions;
+    std::vector<std::string> allowed_regions = {};
 };
 
 }  // namespace fuchsiaquay
