Evacuation of a data centre: nothing more is sent to its upstreams

Change: with [configuration] evacuation_ms the mirror of the configuration follows the operator's whole prefix, so no further store call is made. evacuation_feed holds the set with the revision at which it was read or changed. Replies to view requests carry both; a reply confirms the copy only if its sender knows the evacuations. Announcements name the later of the revisions of configuration and evacuations. upstream_chooser, the check after a claim and upstream_attempt refuse upstreams of evacuated data centres; a host whose copy is too old sends nothing. Without the setting nothing changes.

Ruled out: revisions of polls without changes as age of the set, because the store may withhold changes (test withheld_changes); advancing the mirror to a fetched configuration, because a host that polled only later could miss an evacuation.

--- a/core/placement/placement_decision.hpp
+++ b/core/placement/placement_decision.hpp
@@ -42,6 +42,8 @@
     duration retry_after{};
     /// For `wait`: the limits that the upstreams name leave no room before `retry_after`.
     bool rate_limited = false;
+    /// For `refuse`: the operator evacuates the data centres of all upstreams.
+    bool evacuated = false;
     /// Reason for the decision, written to the log.
     const char* reason = "";
 };
--- a/drivers/datagrams/datagram_generated.h
+++ b/drivers/datagrams/datagram_generated.h
@@ -1414,7 +1414,10 @@
     VT_INVITATION = 22,
     VT_CATALOGUE_LEFT_OUT = 24,
     VT_QUARANTINED_PARTS = 26,
-    VT_RATE_LIMITS = 28
+    VT_RATE_LIMITS = 28,
+    VT_EVACUATED = 30,
+    VT_EVACUATIONS_REVISION = 32,
+    VT_EVACUATIONS_AS_OF = 34
   };
   const flatbuffers::String *sender() const {
     return GetPointer<const flatbuffers::String *>(VT_SENDER);
@@ -1455,6 +1458,15 @@
   const flatbuffers::Vector<flatbuffers::Offset<fuchsiaquay::wire::rate_limit>> *rate_limits() const {
     return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<fuchsiaquay::wire::rate_limit>> *>(VT_RATE_LIMITS);
   }
+  const flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>> *evacuated() const {
+    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>> *>(VT_EVACUATED);
+  }
+  int64_t evacuations_revision() const {
+    return GetField<int64_t>(VT_EVACUATIONS_REVISION, 0);
+  }
+  int64_t evacuations_as_of() const {
+    return GetField<int64_t>(VT_EVACUATIONS_AS_OF, 0);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffset(verifier, VT_SENDER) &&
@@ -1479,6 +1491,11 @@
            VerifyOffset(verifier, VT_RATE_LIMITS) &&
            verifier.VerifyVector(rate_limits()) &&
            verifier.VerifyVectorOfTables(rate_limits()) &&
+           VerifyOffset(verifier, VT_EVACUATED) &&
+           verifier.VerifyVector(evacuated()) &&
+           verifier.VerifyVectorOfStrings(evacuated()) &&
+           VerifyField<int64_t>(verifier, VT_EVACUATIONS_REVISION, 8) &&
+           VerifyField<int64_t>(verifier, VT_EVACUATIONS_AS_OF, 8) &&
            verifier.EndTable();
   }
 };
@@ -1526,6 +1543,15 @@
   void add_rate_limits(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<fuchsiaquay::wire::rate_limit>>> rate_limits) {
     fbb_.AddOffset(view_reply::VT_RATE_LIMITS, rate_limits);
   }
+  void add_evacuated(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>>> evacuated) {
+    fbb_.AddOffset(view_reply::VT_EVACUATED, evacuated);
+  }
+  void add_evacuations_revision(int64_t evacuations_revision) {
+    fbb_.AddElement<int64_t>(view_reply::VT_EVACUATIONS_REVISION, evacuations_revision, 0);
+  }
+  void add_evacuations_as_of(int64_t evacuations_as_of) {
+    fbb_.AddElement<int64_t>(view_reply::VT_EVACUATIONS_AS_OF, evacuations_as_of, 0);
+  }
   explicit view_replyBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -1551,13 +1577,19 @@
     bool invitation = false,
     bool catalogue_left_out = false,
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<fuchsiaquay::wire::quarantined_part>>> quarantined_parts = 0,
-    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<fuchsiaquay::wire::rate_limit>>> rate_limits = 0) {
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<fuchsiaquay::wire::rate_limit>>> rate_limits = 0,
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>>> evacuated = 0,
+    int64_t evacuations_revision = 0,
+    int64_t evacuations_as_of = 0) {
   view_replyBuilder builder_(_fbb);
+  builder_.add_evacuations_as_of(evacuations_as_of);
+  builder_.add_evacuations_revision(evacuations_revision);
   builder_.add_catalogue_revision(catalogue_revision);
   builder_.add_catalogue_age_us(catalogue_age_us);
   builder_.add_configuration_age_us(configuration_age_us);
   builder_.add_configuration_revision(configuration_revision);
   builder_.add_nonce(nonce);
+  builder_.add_evacuated(evacuated);
   builder_.add_rate_limits(rate_limits);
   builder_.add_quarantined_parts(quarantined_parts);
   builder_.add_serving(serving);
@@ -1583,12 +1615,16 @@
     bool invitation = false,
     bool catalogue_left_out = false,
     const std::vector<flatbuffers::Offset<fuchsiaquay::wire::quarantined_part>> *quarantined_parts = nullptr,
-    const std::vector<flatbuffers::Offset<fuchsiaquay::wire::rate_limit>> *rate_limits = nullptr) {
+    const std::vector<flatbuffers::Offset<fuchsiaquay::wire::rate_limit>> *rate_limits = nullptr,
+    const std::vector<flatbuffers::Offset<flatbuffers::String>> *evacuated = nullptr,
+    int64_t evacuations_revision = 0,
+    int64_t evacuations_as_of = 0) {
   auto sender__ = sender ? _fbb.CreateString(sender) : 0;
   auto changes__ = changes ? _fbb.CreateVector<flatbuffers::Offset<fuchsiaquay::wire::upstream_change>>(*changes) : 0;
   auto serving__ = serving ? _fbb.CreateVector<flatbuffers::Offset<fuchsiaquay::wire::host>>(*serving) : 0;
   auto quarantined_parts__ = quarantined_parts ? _fbb.CreateVector<flatbuffers::Offset<fuchsiaquay::wire::quarantined_part>>(*quarantined_parts) : 0;
   auto rate_limits__ = rate_limits ? _fbb.CreateVector<flatbuffers::Offset<fuchsiaquay::wire::rate_limit>>(*rate_limits) : 0;
+  auto evacuated__ = evacuated ? _fbb.CreateVector<flatbuffers::Offset<flatbuffers::String>>(*evacuated) : 0;
   return fuchsiaquay::wire::Createview_reply(
       _fbb,
       sender__,
@@ -1603,7 +1639,10 @@
       invitation,
       catalogue_left_out,
       quarantined_parts__,
-      rate_limits__);
+      rate_limits__,
+      evacuated__,
+      evacuations_revision,
+      evacuations_as_of);
 }
 
 struct datagram FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
--- a/main/entry_node.cpp
+++ b/main/entry_node.cpp
@@ -1,5 +1,6 @@
 #include "main/entry_node.hpp"
 
+#include <algorithm>
 #include <utility>
 #include <variant>
 
@@ -23,6 +24,8 @@
 constexpr duration engine_memory_timeout = std::chrono::milliseconds(400);
 /// Part of the revocation bound that is reserved for requests in flight and clock differences.
 constexpr duration revocation_margin = std::chrono::milliseconds(300);
+/// The same part of the bound of evacuations.
+constexpr duration evacuation_margin = std::chrono::milliseconds(300);
 /// Upstreams report their status continuously. The pause between polls lets one call return several
 /// changes.
 constexpr duration catalogue_poll_pause = std::chrono::milliseconds(500);
@@ -46,6 +49,10 @@
 prefix_mirror_settings configuration_mirror_settings(const entry_settings& settings) {
     prefix_mirror_settings result;
     result.freshness_limit = settings.revocation_bound - revocation_margin;
+    if (settings.evacuation_bound) {
+        result.freshness_limit =
+            std::min(result.freshness_limit, *settings.evacuation_bound - evacuation_margin);
+    }
     return result;
 }
 
@@ -75,7 +82,10 @@
       configuration_store_(loop, log, settings.store, store_timeout),
       catalogue_store_(loop, log, settings.store, store_timeout),
       configuration_(configuration_codec_, log, configuration_key),
-      configuration_mirror_(configuration_store_, loop, log, configuration_, configuration_key,
+      evacuations_(log, evacuation_prefix, settings.evacuation_bound.has_value()),
+      operator_values_({&configuration_, &evacuations_}),
+      configuration_mirror_(configuration_store_, loop, log, operator_values_,
+                            settings.evacuation_bound ? operator_prefix : configuration_key,
                             configuration_mirror_settings(settings)),
       upstreams_(upstream_codec_, loop, log, upstream_prefix),
       upstream_mirror_(catalogue_store_, loop, log, upstreams_, upstream_prefix,
@@ -84,14 +94,17 @@
       datagrams_(loop, log, settings.announcements),
       hosts_(
           make_host_record(settings), configuration_store_, datagrams_, loop, log, engine_work_,
-          host_prefix, [this] { return state(); }, [this] { return configuration_.revision(); }),
+          host_prefix, [this] { return state(); }, [this] {
+              return std::max(configuration_.revision(), evacuations_.current().revision());
+          }),
       serving_role_(make_host_record(settings), settings.serving,
                     settings.directory_lifetime * directory_staleness_factor, hosts_, loop, log,
                     [this] { return load(); }),
       queries_(loop),
       view_sync_(make_host_record(settings),
                  {loop, log, hosts_, serving_role_, datagrams_, queries_, configuration_store_,
-                  configuration_, configuration_mirror_, upstreams_, upstream_mirror_}),
+                  configuration_, configuration_mirror_, evacuations_, upstreams_,
+                  upstream_mirror_}),
       health_(breaker_settings()),
       retry_budget_(settings.retries),
       connector_(loop),
@@ -103,6 +116,7 @@
           log,
           configuration_,
           configuration_mirror_,
+          evacuations_,
           upstreams_,
           engine_work_,
           health_,
@@ -145,6 +159,11 @@
             hosts_.announce_now();
         }
     });
+    evacuations_.on_change([this] {
+        if (view_sync_.watches_store()) {
+            hosts_.announce_now();
+        }
+    });
     datagrams_.on_receive([this](const peer_datagram& message) { receive(message); });
     loop_.every(retry_budget_period, [this] { update_retry_budget(); });
     hosts_.start();
@@ -270,6 +289,8 @@
         {"log_lines_dropped_total", static_cast<double>(log_.lines_dropped())},
         {"serving", serving_role_.serving() ? 1.0 : 0.0},
         {"upstreams", static_cast<double>(upstreams_.size())},
+        {"data_centres_evacuated",
+         static_cast<double>(evacuations_.current().data_centres().size())},
         {"configuration_version",
          configuration_.current() ? static_cast<double>(configuration_.current()->version()) : 0.0},
         {"configuration_age_seconds", to_seconds(configuration_mirror_.age())}};
--- a/main/entry_node.hpp
+++ b/main/entry_node.hpp
@@ -26,6 +26,7 @@
 #include "platform/platform_upstream_codec.hpp"
 #include "servers/fleet/configuration_feed.hpp"
 #include "servers/fleet/engine_work_table.hpp"
+#include "servers/fleet/evacuation_feed.hpp"
 #include "servers/fleet/host_load.hpp"
 #include "servers/fleet/host_registry.hpp"
 #include "servers/fleet/serving_role.hpp"
@@ -33,6 +34,7 @@
 #include "servers/fleet/upstream_registry.hpp"
 #include "servers/relay/relay_queue.hpp"
 #include "servers/relay/relay_services.hpp"
+#include "servers/store/mirror_listeners.hpp"
 #include "servers/store/prefix_mirror.hpp"
 
 namespace fuchsiaquay {
@@ -82,6 +84,8 @@
     kv_store configuration_store_;
     kv_store catalogue_store_;
     configuration_feed configuration_;
+    evacuation_feed evacuations_;
+    mirror_listeners operator_values_;
     prefix_mirror configuration_mirror_;
     upstream_registry upstreams_;
     prefix_mirror upstream_mirror_;
--- a/main/entry_settings.cpp
+++ b/main/entry_settings.cpp
@@ -34,6 +34,9 @@
         required_setting(text_setting("store", "address", "", "IP:PORT of the platform's store")),
         number_setting("configuration", "revocation_ms", "5000", 1, 3'600'000, "ms",
                        "longest time after which a revoked key may still be served"),
+        number_setting("configuration", "evacuation_ms", "0", 0, 3'600'000, "ms",
+                       "longest time after which an upstream of an evacuated data centre may still "
+                       "get a request; 0: evacuations are not read"),
         milliseconds_setting("directory", "lifetime_ms", 2'000,
                              "how long callers may keep an answer"),
         text_setting("fleet", "data_centres", "",
@@ -108,6 +111,10 @@
     result.announcements = {ip, port_value(values, "listen", "announcement_port")};
     result.revocation_bound =
         from_seconds(values.number("configuration", "revocation_ms") / milliseconds_per_second);
+    const double evacuation_ms = values.number("configuration", "evacuation_ms");
+    if (evacuation_ms > 0.0) {
+        result.evacuation_bound = from_seconds(evacuation_ms / milliseconds_per_second);
+    }
     result.directory_lifetime = milliseconds_value(values, "directory", "lifetime_ms");
     result.stop_grace = from_seconds(values.number("shutdown", "grace_s"));
     result.memory_bytes =
--- a/main/entry_settings.hpp
+++ b/main/entry_settings.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -24,6 +25,8 @@
     network_address store;
     /// Time limit within which a revoked key or a removed route is refused.
     duration revocation_bound{};
+    /// Absent if evacuations are not read.
+    std::optional<duration> evacuation_bound;
     /// Time from the stop signal until the process is killed.
     duration stop_grace{};
     /// How long callers may cache a directory response.
--- a/servers/fleet/store_view_sync.cpp
+++ b/servers/fleet/store_view_sync.cpp
@@ -10,6 +10,7 @@
 #include "servers/fleet/configuration_feed.hpp"
 #include "servers/fleet/datagram_channel.hpp"
 #include "servers/fleet/engine_work_table.hpp"
+#include "servers/fleet/evacuation_feed.hpp"
 #include "servers/fleet/host_queries.hpp"
 #include "servers/fleet/host_registry.hpp"
 #include "servers/fleet/serving_role.hpp"
@@ -242,6 +243,8 @@
     reply.nonce = request.nonce;
     reply.configuration_revision = services_.configuration.revision();
     reply.configuration_age = services_.configuration_mirror.age();
+    reply.evacuations = services_.evacuations.current();
+    reply.evacuations_as_of = services_.evacuations.as_of();
     reply.catalogue_age = services_.upstream_mirror.age();
     reply.catalogue = services_.upstreams.changes_after(request.catalogue_revision);
     if (reply.catalogue.changes.size() > max_changes_per_reply) {
@@ -280,20 +283,28 @@
     } else {
         apply_catalogue(reply.catalogue, catalogue_as_of);
     }
+    services_.evacuations.merge(reply.evacuations, reply.evacuations_as_of, reply.sender);
     const std::int64_t known_revision = services_.configuration.revision();
-    if (reply.configuration_revision > known_revision) {
+    const operator_state state = {reply.configuration_revision, reply.evacuations_as_of > 0,
+                                  requested_at - reply.configuration_age};
+    if (state.configuration_revision > known_revision) {
         if (const host_record* host = services_.hosts.find(reply.sender)) {
-            fetch_configuration(*host, reply.configuration_revision,
-                                requested_at - reply.configuration_age, false);
+            fetch_configuration(*host, state, false);
         }
     } else if (known_revision > 0) {
-        services_.configuration_mirror.confirm(requested_at - reply.configuration_age);
+        confirm(state);
     }
     if (std::max(reply.configuration_age, reply.catalogue_age) > stale_age) {
         ++source_index_;
     }
 }
 
+void store_view_sync::confirm(const operator_state& state) {
+    if (!services_.evacuations.active() || state.has_evacuations) {
+        services_.configuration_mirror.confirm(state.as_of);
+    }
+}
+
 void store_view_sync::apply_catalogue(const catalogue_delta& delta, instant as_of) {
     services_.upstreams.apply(delta);
     if (services_.upstreams.loaded() && services_.upstreams.revision() >= delta.revision) {
@@ -323,49 +334,56 @@
         });
 }
 
-void store_view_sync::fetch_configuration(const host_record& host, std::int64_t revision,
-                                          instant as_of, bool any_size) {
+void store_view_sync::fetch_configuration(const host_record& host, const operator_state& state,
+                                          bool any_size) {
     if (std::exchange(fetching_configuration_, true)) {
         return;
     }
     services_.queries.fetch_configuration(
         host.query_address, services_.configuration.revision(), any_size,
-        [this, host, revision, as_of, any_size](const configuration_answer& answer) {
+        [this, host, state, any_size](const configuration_answer& answer) {
             fetching_configuration_ = false;
-            if (answer.revision >= revision && services_.configuration.apply_answer(answer)) {
-                services_.configuration_mirror.advance(answer.revision);
-                services_.configuration_mirror.confirm(as_of);
+            if (answer.revision >= state.configuration_revision &&
+                services_.configuration.apply_answer(answer)) {
+                advance_mirror(answer.revision);
+                confirm(state);
             } else if (!any_size && !services_.role.serving()) {
-                fetch_after_delay(host, revision, as_of);
+                fetch_after_delay(host, state);
             } else {
                 services_.log.write(decision_log::level::info, "configuration_read_from_store",
-                                    {{"wanted", std::to_string(revision)},
+                                    {{"wanted", std::to_string(state.configuration_revision)},
                                      {"answered", std::to_string(answer.revision)}});
                 read_configuration();
             }
         });
 }
 
-void store_view_sync::fetch_after_delay(const host_record& host, std::int64_t revision,
-                                        instant as_of) {
+void store_view_sync::fetch_after_delay(const host_record& host, const operator_state& state) {
     fetching_configuration_ = true;
-    const duration delay =
-        stagger_delay(self_.host, configuration_spread, static_cast<std::uint64_t>(revision));
-    services_.timers.after(delay, [this, host, revision, as_of] {
+    const duration delay = stagger_delay(self_.host, configuration_spread,
+                                         static_cast<std::uint64_t>(state.configuration_revision));
+    services_.timers.after(delay, [this, host, state] {
         fetching_configuration_ = false;
-        if (services_.configuration.revision() < revision) {
-            fetch_configuration(host, revision, as_of, true);
+        if (services_.configuration.revision() < state.configuration_revision) {
+            fetch_configuration(host, state, true);
         }
     });
 }
 
+void store_view_sync::advance_mirror(std::int64_t configuration_revision) {
+    // A host that polled only after this revision could miss an earlier change of the evacuations.
+    if (!services_.evacuations.active()) {
+        services_.configuration_mirror.advance(configuration_revision);
+    }
+}
+
 void store_view_sync::read_configuration() {
     fetching_configuration_ = true;
     services_.store.read(services_.configuration.key(), [this](const read_result& result) {
         fetching_configuration_ = false;
         for (const stored_value& value : result.values) {
             services_.configuration.apply(value);
-            services_.configuration_mirror.advance(value.revision);
+            advance_mirror(value.revision);
         }
     });
 }
--- a/servers/fleet/store_view_sync.hpp
+++ b/servers/fleet/store_view_sync.hpp
@@ -38,6 +38,15 @@
         std::int64_t catalogue_revision = 0;
     };
 
+    /// What another host has of the operator's configuration and evacuations.
+    struct operator_state {
+        std::int64_t configuration_revision = 0;
+        /// Whether it knows the evacuations.
+        bool has_evacuations = false;
+        /// Time at which both were current.
+        instant as_of{};
+    };
+
     void tick();
     void update_watching(instant now);
     /// Live serving hosts of this data centre, including this one if it serves.
@@ -55,12 +64,15 @@
     /// Fetches the changes that did not fit into the reply of host `name`.
     /// @param known_revision  revision after which changes are requested
     void fetch_catalogue(const std::string& name, std::int64_t known_revision, instant as_of);
-    /// @param as_of  time at which `revision` was current
-    void fetch_configuration(const host_record& host, std::int64_t revision, instant as_of,
-                             bool any_size);
+    /// Records that this host has all that `state` describes. Without the evacuations, the copy is
+    /// not current.
+    void confirm(const operator_state& state);
+    void fetch_configuration(const host_record& host, const operator_state& state, bool any_size);
     /// Fetches a large configuration after a delay that differs between hosts on standby, so that
     /// they do not all fetch it at once.
-    void fetch_after_delay(const host_record& host, std::int64_t revision, instant as_of);
+    void fetch_after_delay(const host_record& host, const operator_state& state);
+    /// Lets the mirror continue after the revision of a configuration, if it mirrors nothing else.
+    void advance_mirror(std::int64_t configuration_revision);
     void read_configuration();
 
     host_record self_;
--- a/servers/fleet/store_view_sync_services.hpp
+++ b/servers/fleet/store_view_sync_services.hpp
@@ -5,6 +5,7 @@
 class configuration_feed;
 class datagram_channel;
 class decision_log;
+class evacuation_feed;
 class host_queries;
 class host_registry;
 class polled_store;
@@ -23,7 +24,9 @@
     host_queries& queries;
     polled_store& store;
     configuration_feed& configuration;
+    /// Mirror of the configuration and, if the deployment uses them, the evacuations.
     prefix_mirror& configuration_mirror;
+    evacuation_feed& evacuations;
     upstream_registry& upstreams;
     prefix_mirror& upstream_mirror;
 };
--- a/servers/relay/relay_services.hpp
+++ b/servers/relay/relay_services.hpp
@@ -12,6 +12,7 @@
 class decision_log;
 class engine_work_table;
 class engine_memory_client;
+class evacuation_feed;
 class placement_policy;
 class prefix_mirror;
 class fleet_retry_budget;
@@ -32,6 +33,8 @@
     const configuration_feed& configuration;
     /// Mirror of the configuration in the store, which provides the age of the local copy.
     const prefix_mirror& configuration_mirror;
+    /// Follows the store with the same mirror as the configuration.
+    const evacuation_feed& evacuations;
     const upstream_registry& upstreams;
     engine_work_table& work_table;
     upstream_health& health;
--- a/servers/relay/request_relay.cpp
+++ b/servers/relay/request_relay.cpp
@@ -13,6 +13,7 @@
 #include "servers/fleet/upstream_registry.hpp"
 #include "servers/relay/admission.hpp"
 #include "servers/relay/answer_times.hpp"
+#include "servers/relay/evacuation_guard.hpp"
 #include "servers/relay/relay_queue.hpp"
 #include "servers/relay/request_format.hpp"
 #include "servers/relay/request_result.hpp"
@@ -108,6 +109,11 @@
         refuse(*admitted_.refused);
         return;
     }
+    if (!evacuation_guard(services_).informed()) {
+        refuse({status_unavailable, evacuation_guard::not_informed_reason,
+                evacuation_guard::not_informed_retry_after});
+        return;
+    }
     const duration limit = std::min(admitted_.matched_route->timeout,
                                     request_.time_limit.value_or(admitted_.matched_route->timeout));
     deadline_ = request_.received_at + limit;
@@ -247,6 +253,9 @@
         return;
     }
     retry_after_ = std::max(decision.retry_after, min_no_room_retry_after);
+    if (decision.evacuated) {
+        no_room_reason_ = decision.reason;
+    }
     if (response_started_) {
         apply_next_step(next_step::abort, decision.reason);
     } else {
@@ -322,7 +331,7 @@
         const upstream_entry* entry = services_.upstreams.find(id);
         return entry != nullptr && entry->state == upstream_state::ready;
     };
-    return listed(decision_.engine) &&
+    return evacuation_guard(services_).allows(decision_) && listed(decision_.engine) &&
            std::all_of(decision_.helpers.begin(), decision_.helpers.end(),
                        [&listed](const placement_part& part) { return listed(part.engine); });
 }
--- a/servers/relay/request_relay.hpp
+++ b/servers/relay/request_relay.hpp
@@ -145,6 +145,8 @@
     instant forecast_wait_until_ = instant::max();
     /// Retry delay for the caller if no upstream has room.
     duration retry_after_{};
+    /// Why no upstream has room, as told to the caller.
+    const char* no_room_reason_ = "no_room";
     bool waiting_ = false;
     bool waits_for_rate_ = false;
     bool done_ = false;
--- a/servers/relay/request_relay_attempts.cpp
+++ b/servers/relay/request_relay_attempts.cpp
@@ -4,6 +4,7 @@
 #include <algorithm>
 #include <utility>
 
+#include "core/fleet/evacuation_set.hpp"
 #include "core/fleet/upstream_entry.hpp"
 #include "core/hashing/hash.hpp"
 #include "core/health/attempt_evidence.hpp"
@@ -14,6 +15,7 @@
 #include "core/relay/stall_timeout.hpp"
 #include "core/retry/fleet_retry_budget.hpp"
 #include "servers/fleet/engine_work_table.hpp"
+#include "servers/fleet/evacuation_feed.hpp"
 #include "servers/fleet/upstream_registry.hpp"
 #include "servers/relay/answer_times.hpp"
 #include "servers/relay/request_relay.hpp"
@@ -204,9 +206,10 @@
 
 bool request_relay::declined_by_all() const {
     const std::vector<upstream_entry>& ready = services_.upstreams.ready(admitted_.service_name);
+    const evacuation_set& evacuations = services_.evacuations.current();
     return !ready.empty() &&
-           std::all_of(ready.begin(), ready.end(), [this](const upstream_entry& entry) {
-               return history_.declined_by(entry.id);
+           std::all_of(ready.begin(), ready.end(), [&](const upstream_entry& entry) {
+               return history_.declined_by(entry.id) || evacuations.covers(entry.data_centre);
            });
 }
 
@@ -249,7 +252,7 @@
             place();
             return;
         case next_step::refuse:
-            refuse({status_unavailable, "no_room", retry_after_}, reason);
+            refuse({status_unavailable, no_room_reason_, retry_after_}, reason);
             return;
         case next_step::report_failure:
             send_failure(status_bad_gateway, "upstream_failed", reason);
--- a/servers/relay/upstream_attempt.cpp
+++ b/servers/relay/upstream_attempt.cpp
@@ -19,6 +19,7 @@
 #include "servers/relay/attempt_listener.hpp"
 #include "servers/relay/connection_options.hpp"
 #include "servers/relay/engine_reservations.hpp"
+#include "servers/relay/evacuation_guard.hpp"
 #include "servers/relay/exchange_failure.hpp"
 #include "servers/relay/relay_services.hpp"
 #include "servers/relay/request_format.hpp"
@@ -67,6 +68,10 @@
 }
 
 void upstream_attempt::start() {
+    if (!evacuation_guard(services_).allows(parameters_.decision)) {
+        fail_later(attempt_outcome::not_sent, "data centre evacuated");
+        return;
+    }
     if (parameters_.decision.reserved_tokens > 0) {
         reserve();
     } else {
@@ -87,10 +92,15 @@
 
 void upstream_attempt::on_memory_reserved(bool held) {
     const bool listed = services_.upstreams.find(upstream()) != nullptr;
-    if (held && listed) {
+    if (held && listed && evacuation_guard(services_).allows(parameters_.decision)) {
         send();
         return;
     }
+    if (held && listed) {
+        // No engine is at fault.
+        fail_later(attempt_outcome::not_sent, "data centre evacuated");
+        return;
+    }
     reservation_failed(attempt_outcome::not_sent, "memory not reserved");
 }
 
--- a/servers/relay/upstream_chooser.cpp
+++ b/servers/relay/upstream_chooser.cpp
@@ -15,9 +15,11 @@
 #include "core/placement/placement_request.hpp"
 #include "core/relay/caller_request.hpp"
 #include "servers/fleet/engine_work_table.hpp"
+#include "servers/fleet/evacuation_feed.hpp"
 #include "servers/fleet/upstream_registry.hpp"
 #include "servers/relay/admission_result.hpp"
 #include "servers/relay/answer_times.hpp"
+#include "servers/relay/evacuation_guard.hpp"
 #include "servers/relay/relay_services.hpp"
 #include "servers/timer_service.hpp"
 
@@ -30,6 +32,10 @@
 /// Number of steps over which the retries of rejected callers are spread.
 constexpr std::int64_t spread_steps = 1'024;
 
+/// Retry delay for callers while all upstreams of a service are evacuated. The operator does not
+/// say when an evacuation ends; a host learns of the end within a second.
+constexpr duration evacuated_retry_after = std::chrono::milliseconds(2'000);
+
 /// Every caller accepts this time without data before and within a stream, or these multiples of
 /// the route's target and target gap, whichever is longest. Specified by the users' platform
 /// (requests).
@@ -42,6 +48,12 @@
                      matched_route.target_gap * caller_wait_gaps});
 }
 
+/// Spreads the retries of callers that were rejected at the same time.
+duration spread(duration retry_after, std::uint64_t key) {
+    return retry_after +
+           retry_after * static_cast<std::int64_t>(key % spread_steps) / spread_steps / 2;
+}
+
 placement_decision refused(const char* reason) {
     placement_decision result;
     result.outcome = placement_decision::verdict::refuse;
@@ -55,9 +67,23 @@
                                             const admission_result& admitted, std::uint64_t key,
                                             const std::set<std::string>& excluded,
                                             const answer_times& times) const {
-    if (services_.upstreams.ready(admitted.service_name).empty()) {
+    const std::vector<upstream_entry>& ready = services_.upstreams.ready(admitted.service_name);
+    if (ready.empty()) {
         return refused("no_upstream");
     }
+    if (!evacuation_guard(services_).informed()) {
+        placement_decision unknown;
+        unknown.reason = evacuation_guard::not_informed_reason;
+        unknown.retry_after = evacuation_guard::not_informed_retry_after;
+        return unknown;
+    }
+    if (std::all_of(ready.begin(), ready.end(),
+                    [this](const upstream_entry& entry) { return evacuated(entry); })) {
+        placement_decision none = refused("data_centres_evacuated");
+        none.evacuated = true;
+        none.retry_after = spread(evacuated_retry_after, key);
+        return none;
+    }
     if (const auto pause = remaining_pause(admitted.service_name, key)) {
         placement_decision paused = refused("upstreams_pause");
         paused.retry_after = *pause;
@@ -76,10 +102,14 @@
 }
 
 bool upstream_chooser::accepts(const upstream_entry& entry, instant now) const {
-    return services_.health.allows(upstream_id(entry.id), now) &&
+    return !evacuated(entry) && services_.health.allows(upstream_id(entry.id), now) &&
            services_.notices.accepts(entry, now);
 }
 
+bool upstream_chooser::evacuated(const upstream_entry& entry) const {
+    return services_.evacuations.current().covers(entry.data_centre);
+}
+
 bool upstream_chooser::within_rate(const upstream_entry& entry, const admission_result& admitted,
                                    instant now) const {
     return services_.work_table.rate_limits().accepts(entry.id, admitted.rank, now);
@@ -106,6 +136,9 @@
 std::optional<double> upstream_chooser::total_rate(const std::string& service) const {
     double total = 0.0;
     for (const upstream_entry& entry : services_.upstreams.ready(service)) {
+        if (evacuated(entry)) {
+            continue;
+        }
         const std::optional<double> rate = services_.work_table.rate_limits().rate_of(entry.id);
         if (!rate) {
             return std::nullopt;
@@ -120,6 +153,9 @@
     const instant now = services_.timers.now();
     duration shortest = duration::max();
     for (const upstream_entry& entry : services_.upstreams.ready(service)) {
+        if (evacuated(entry)) {
+            continue;
+        }
         const std::optional<duration> left = services_.notices.pause_left(entry, now);
         if (left == duration::zero()) {
             return std::nullopt;
@@ -129,8 +165,7 @@
     if (shortest == duration::max()) {
         return duration::zero();
     }
-    // Spreads the retries of callers that were rejected at the same time.
-    return shortest + shortest * static_cast<std::int64_t>(key % spread_steps) / spread_steps / 2;
+    return spread(shortest, key);
 }
 
 placement_decision upstream_chooser::choose_engine(const caller_request& request,
--- a/servers/relay/upstream_chooser.hpp
+++ b/servers/relay/upstream_chooser.hpp
@@ -39,6 +39,8 @@
                                     const std::set<std::string>& excluded) const;
 
     bool accepts(const upstream_entry& entry, instant now) const;
+    /// Whether the operator evacuates the data centre of an upstream.
+    bool evacuated(const upstream_entry& entry) const;
     bool within_rate(const upstream_entry& entry, const admission_result& admitted,
                      instant now) const;
     /// Returns the time until an upstream's limit leaves room, if none has room now.
--- a/tests/drivers/datagrams/datagram_codec_test.cpp
+++ b/tests/drivers/datagrams/datagram_codec_test.cpp
@@ -82,6 +82,15 @@
     CHECK_TRUE(decoded.quarantined_parts == reply.quarantined_parts);
 }
 
+TEST(datagram_codec, view_reply_keeps_the_evacuations) {
+    view_reply reply;
+    reply.evacuations = evacuation_set({"south-a", "south-b"}, 41);
+    reply.evacuations_as_of = 57;
+    const auto decoded = std::get<view_reply>(decode_datagram(encode_datagram(reply, now_), now_));
+    CHECK_TRUE(decoded.evacuations == reply.evacuations);
+    LONGS_EQUAL(57, decoded.evacuations_as_of);
+}
+
 TEST(datagram_codec, slow_engines_keep_their_slowdown) {
     announcement message = sample();
     message.slow_engines.push_back({"e7", 4.5});
--- a/tests/servers/fleet/virtual_hosts.hpp
+++ b/tests/servers/fleet/virtual_hosts.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <algorithm>
 #include <functional>
 #include <map>
 #include <memory>
@@ -14,12 +15,14 @@
 #include "servers/fleet/configuration_feed.hpp"
 #include "servers/fleet/datagram_channel.hpp"
 #include "servers/fleet/engine_work_table.hpp"
+#include "servers/fleet/evacuation_feed.hpp"
 #include "servers/fleet/host_queries.hpp"
 #include "servers/fleet/host_registry.hpp"
 #include "servers/fleet/serving_role.hpp"
 #include "servers/fleet/store_view_sync.hpp"
 #include "servers/fleet/upstream_codec.hpp"
 #include "servers/fleet/upstream_registry.hpp"
+#include "servers/store/mirror_listeners.hpp"
 #include "servers/store/prefix_mirror.hpp"
 #include "tests/servers/recording_log.hpp"
 #include "tests/servers/store/scripted_store.hpp"
@@ -123,6 +126,8 @@
     int added_ = 0;
     /// If true, hosts return their configuration only if the request accepts any size.
     bool large_configuration = false;
+    /// Whether the deployment uses evacuations, read from the keys with prefix `config/evacuate/`.
+    bool with_evacuations = false;
 };
 
 /// The components of a host that keep its copies of the store's data and its serving role.
@@ -131,7 +136,9 @@
         : fleet_(fleet),
           channel(fleet.network, record.datagram_address.ip),
           configuration(fleet.configurations, fleet.log, "config"),
-          configuration_mirror(fleet.store, fleet.timers, fleet.log, configuration, "config", {}),
+          evacuations(fleet.log, "config/evacuate/", fleet.with_evacuations),
+          operator_values({&configuration, &evacuations}),
+          configuration_mirror(fleet.store, fleet.timers, fleet.log, operator_values, "config", {}),
           upstreams(fleet.upstreams, fleet.timers, fleet.log, "servers/"),
           upstream_mirror(fleet.store, fleet.timers, fleet.log, upstreams, "servers/", {}),
           work_table(record.host),
@@ -143,11 +150,14 @@
                   }
                   return role.stepping_down() ? host_state::standby : host_state::ready;
               },
-              [this] { return configuration.revision(); }),
+              [this] {
+                  return std::max(configuration.revision(), evacuations.current().revision());
+              }),
           role(record, fleet.serving, std::chrono::seconds(6), registry, fleet.timers, fleet.log,
                [this] { return load; }),
           views(record, {fleet.timers, fleet.log, registry, role, channel, *this, fleet.store,
-                         configuration, configuration_mirror, upstreams, upstream_mirror}) {
+                         configuration, configuration_mirror, evacuations, upstreams,
+                         upstream_mirror}) {
         channel.on_receive([this](const peer_datagram& message) {
             if (const auto* heard = std::get_if<announcement>(&message)) {
                 registry.receive(*heard);
@@ -199,6 +209,8 @@
     std::string registry_address;
     virtual_channel channel;
     configuration_feed configuration;
+    evacuation_feed evacuations;
+    mirror_listeners operator_values;
     prefix_mirror configuration_mirror;
     upstream_registry upstreams;
     prefix_mirror upstream_mirror;
--- a/tests/servers/relay/relay_fixture.hpp
+++ b/tests/servers/relay/relay_fixture.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <algorithm>
+#include <cctype>
 #include <cstddef>
 #include <memory>
 #include <set>
@@ -19,6 +20,7 @@
 #include "servers/fleet/configuration_codec.hpp"
 #include "servers/fleet/configuration_feed.hpp"
 #include "servers/fleet/engine_work_table.hpp"
+#include "servers/fleet/evacuation_feed.hpp"
 #include "servers/fleet/upstream_codec.hpp"
 #include "servers/fleet/upstream_registry.hpp"
 #include "servers/relay/active_request.hpp"
@@ -32,6 +34,7 @@
 #include "servers/relay/upstream_exchange.hpp"
 #include "servers/relay/upstream_request_metadata.hpp"
 #include "servers/request_metrics.hpp"
+#include "servers/store/mirror_listeners.hpp"
 #include "servers/store/prefix_mirror.hpp"
 #include "tests/servers/recording_log.hpp"
 #include "tests/servers/store/scripted_store.hpp"
@@ -82,7 +85,7 @@
 };
 
 /// Decodes entries whose text is the name of their service, and the start time of the process if it
-/// follows after a space.
+/// follows after a space. A letter before the number of the id names the data centre: `shop-a1`.
 class service_codec final : public upstream_codec {
 public:
     upstream_entry decode(const std::string& id, const std::string& text) const override {
@@ -93,6 +96,10 @@
         entry.started_at_ms = end < text.size() ? std::stoll(text.substr(end)) : 0;
         entry.address = {"10.0.0.9", static_cast<std::uint16_t>(id.back())};
         entry.slots = 6;
+        const std::size_t dash = id.find('-');
+        if (dash != std::string::npos && std::isalpha(id[dash + 1]) != 0) {
+            entry.data_centre = id.substr(dash + 1, 1);
+        }
         return entry;
     }
 };
@@ -301,7 +308,11 @@
 /// The request relay of one host, with a recording sink and upstream exchanges that the test
 /// controls.
 struct relay_fixture {
-    relay_fixture() {
+    /// @param with_evacuations  whether the deployment uses evacuations; they are read from the keys
+    /// with the prefix `config/evacuate/`
+    explicit relay_fixture(bool with_evacuations = false)
+        : evacuations(log, "config/evacuate/", with_evacuations),
+          mirror(store, timers, log, operator_values, "config", {}) {
         store.put("config", "1");
         mirror.follow(true, std::chrono::seconds(1));
         upstreams.on_snapshot({{"u/shop-1", "shop", 1},
@@ -344,7 +355,9 @@
     service_codec upstream_codec;
     plain_text_format format;
     configuration_feed feed{configuration_codec, log, "config"};
-    prefix_mirror mirror{store, timers, log, feed, "config", {}};
+    evacuation_feed evacuations;
+    mirror_listeners operator_values{{&feed, &evacuations}};
+    prefix_mirror mirror;
     upstream_registry upstreams{upstream_codec, timers, log, "u/"};
     engine_work_table work_table{"me"};
     upstream_health health{breaker_settings()};
@@ -363,6 +376,7 @@
                             log,
                             feed,
                             mirror,
+                            evacuations,
                             upstreams,
                             work_table,
                             health,
--- a/tests/servers/relay/request_relay_test.cpp
+++ b/tests/servers/relay/request_relay_test.cpp
@@ -389,6 +389,7 @@
                              host_.log,
                              feed_,
                              mirror_,
+                             host_.evacuations,
                              upstreams_,
                              host_.work_table,
                              host_.health,
