--- a/drivers/datagrams/datagram_codec.cpp
+++ b/drivers/datagrams/datagram_codec.cpp
@@ -1,7 +1,6 @@
 #include "drivers/datagrams/datagram_codec.hpp"
 
 #include <algorithm>
-#include <set>
 #include <vector>
 
 #include "core/error/operation_error.hpp"
@@ -179,8 +178,7 @@
     result.quarantined_parts = read_quarantined(root.quarantined_parts(), now);
     result.rate_limits = read_rate_limits(root.rate_limits(), now);
     const std::vector<std::string> evacuated = read_strings(root.evacuated());
-    result.evacuations = evacuation_set({evacuated.begin(), evacuated.end()},
-                                        root.evacuations_revision());
+    result.evacuations = {{evacuated.begin(), evacuated.end()}, root.evacuations_revision()};
     result.evacuations_as_of = root.evacuations_as_of();
     result.invitation = root.invitation();
     result.catalogue_left_out = root.catalogue_left_out();
@@ -353,16 +351,15 @@
         const auto serving = hosts.empty() ? 0 : builder.CreateVector(hosts);
         const auto quarantined = write_quarantined(message.quarantined_parts);
         const auto rate_limits = write_rate_limits(message.rate_limits);
-        const std::set<std::string>& data_centres = message.evacuations.data_centres();
-        const auto evacuated = write_strings({data_centres.begin(), data_centres.end()});
+        const auto& names = message.evacuations.data_centres();
+        const auto evacuated = write_strings({names.begin(), names.end()});
         finish(wire::message_view_reply,
                wire::Createview_reply(
                    builder, sender, message.nonce, message.configuration_revision,
                    message.configuration_age.count(), message.catalogue_age.count(),
                    message.catalogue.complete, message.catalogue.revision, change_list, serving,
                    message.invitation, message.catalogue_left_out, quarantined, rate_limits,
-                   evacuated, message.evacuations.revision(),
-                   message.evacuations_as_of)
+                   evacuated, message.evacuations.revision(), message.evacuations_as_of)
                    .Union());
     }
 
--- a/main/entry_node.cpp
+++ b/main/entry_node.cpp
@@ -94,17 +94,18 @@
       datagrams_(loop, log, settings.announcements),
       hosts_(
           make_host_record(settings), configuration_store_, datagrams_, loop, log, engine_work_,
-          host_prefix, [this] { return state(); }, [this] {
+          host_prefix, [this] { return state(); },
+          [this] {
               return std::max(configuration_.revision(), evacuations_.current().revision());
           }),
       serving_role_(make_host_record(settings), settings.serving,
                     settings.directory_lifetime * directory_staleness_factor, hosts_, loop, log,
                     [this] { return load(); }),
       queries_(loop),
-      view_sync_(make_host_record(settings),
-                 {loop, log, hosts_, serving_role_, datagrams_, queries_, configuration_store_,
-                  configuration_, configuration_mirror_, evacuations_, upstreams_,
-                  upstream_mirror_}),
+      view_sync_(
+          make_host_record(settings),
+          {loop, log, hosts_, serving_role_, datagrams_, queries_, configuration_store_,
+           configuration_, configuration_mirror_, evacuations_, upstreams_, upstream_mirror_}),
       health_(breaker_settings()),
       retry_budget_(settings.retries),
       connector_(loop),
--- a/servers/fleet/evacuation_feed.cpp
+++ b/servers/fleet/evacuation_feed.cpp
@@ -104,10 +104,9 @@
 
 void evacuation_feed::log_change(const char* event, const std::string& data_centre,
                                  std::int64_t revision, const std::string& source) {
-    log_.write(decision_log::level::info, event,
-               {{"data_centre", data_centre},
-                {"revision", std::to_string(revision)},
-                {"source", source}});
+    log_.write(
+        decision_log::level::info, event,
+        {{"data_centre", data_centre}, {"revision", std::to_string(revision)}, {"source", source}});
 }
 
 }  // namespace fuchsiaquay
--- a/servers/relay/evacuation_guard.cpp
+++ b/servers/relay/evacuation_guard.cpp
@@ -13,8 +13,20 @@
 
 namespace fuchsiaquay {
 
-bool evacuation_guard::informed() const {
-    return !services_.evacuations.active() || services_.configuration_mirror.fresh();
+namespace {
+
+constexpr int status_unavailable = 503;
+/// Retry delay for callers while the evacuations are not known. Another host usually tells them
+/// within this time.
+constexpr duration unknown_retry_after = std::chrono::milliseconds(700);
+
+}  // namespace
+
+std::optional<rejection> evacuation_guard::refusal() const {
+    if (!services_.evacuations.active() || services_.configuration_mirror.fresh()) {
+        return std::nullopt;
+    }
+    return rejection{status_unavailable, "evacuations_unknown", unknown_retry_after};
 }
 
 bool evacuation_guard::allows(const placement_decision& decision) const {
@@ -26,7 +38,7 @@
         const upstream_entry* entry = services_.upstreams.find(id);
         return !evacuations.covers(entry == nullptr ? "" : entry->data_centre);
     };
-    return informed() && stays(decision.engine) &&
+    return !refusal() && stays(decision.engine) &&
            std::all_of(decision.helpers.begin(), decision.helpers.end(),
                        [&stays](const placement_part& part) { return stays(part.engine); });
 }
--- a/servers/relay/request_relay.cpp
+++ b/servers/relay/request_relay.cpp
@@ -105,15 +105,13 @@
     waiting_ = false;
     admitted_ =
         admit(request_, services_.configuration.current(), services_.configuration_mirror.fresh());
+    if (!admitted_.refused) {
+        admitted_.refused = evacuation_guard(services_).refusal();
+    }
     if (admitted_.refused) {
         refuse(*admitted_.refused);
         return;
     }
-    if (!evacuation_guard(services_).informed()) {
-        refuse({status_unavailable, evacuation_guard::not_informed_reason,
-                evacuation_guard::not_informed_retry_after});
-        return;
-    }
     const duration limit = std::min(admitted_.matched_route->timeout,
                                     request_.time_limit.value_or(admitted_.matched_route->timeout));
     deadline_ = request_.received_at + limit;
@@ -326,16 +324,6 @@
     place();
 }
 
-bool request_relay::engines_ready() const {
-    const auto listed = [this](const std::string& id) {
-        const upstream_entry* entry = services_.upstreams.find(id);
-        return entry != nullptr && entry->state == upstream_state::ready;
-    };
-    return evacuation_guard(services_).allows(decision_) && listed(decision_.engine) &&
-           std::all_of(decision_.helpers.begin(), decision_.helpers.end(),
-                       [&listed](const placement_part& part) { return listed(part.engine); });
-}
-
 void request_relay::check_timeouts(bool check_silence) {
     if (done_ || admitted_.matched_route == nullptr) {
         return;
--- a/servers/relay/request_relay_attempts.cpp
+++ b/servers/relay/request_relay_attempts.cpp
@@ -18,6 +18,7 @@
 #include "servers/fleet/evacuation_feed.hpp"
 #include "servers/fleet/upstream_registry.hpp"
 #include "servers/relay/answer_times.hpp"
+#include "servers/relay/evacuation_guard.hpp"
 #include "servers/relay/request_relay.hpp"
 #include "servers/relay/response_sink.hpp"
 #include "servers/relay/standby_attempt.hpp"
@@ -39,6 +40,16 @@
 
 }  // namespace
 
+bool request_relay::engines_ready() const {
+    const auto listed = [this](const std::string& id) {
+        const upstream_entry* entry = services_.upstreams.find(id);
+        return entry != nullptr && entry->state == upstream_state::ready;
+    };
+    return evacuation_guard(services_).allows(decision_) && listed(decision_.engine) &&
+           std::all_of(decision_.helpers.begin(), decision_.helpers.end(),
+                       [&listed](const placement_part& part) { return listed(part.engine); });
+}
+
 void request_relay::begin_attempt() {
     history_.begin();
     if (history_.count() == 1) {
--- a/servers/relay/upstream_chooser.cpp
+++ b/servers/relay/upstream_chooser.cpp
@@ -71,10 +71,10 @@
     if (ready.empty()) {
         return refused("no_upstream");
     }
-    if (!evacuation_guard(services_).informed()) {
+    if (const std::optional<rejection> refusal = evacuation_guard(services_).refusal()) {
         placement_decision unknown;
-        unknown.reason = evacuation_guard::not_informed_reason;
-        unknown.retry_after = evacuation_guard::not_informed_retry_after;
+        unknown.reason = refusal->reason;
+        unknown.retry_after = refusal->retry_after;
         return unknown;
     }
     if (std::all_of(ready.begin(), ready.end(),
--- a/tests/servers/fleet/virtual_hosts.hpp
+++ b/tests/servers/fleet/virtual_hosts.hpp
@@ -155,9 +155,9 @@
               }),
           role(record, fleet.serving, std::chrono::seconds(6), registry, fleet.timers, fleet.log,
                [this] { return load; }),
-          views(record, {fleet.timers, fleet.log, registry, role, channel, *this, fleet.store,
-                         configuration, configuration_mirror, evacuations, upstreams,
-                         upstream_mirror}) {
+          views(record,
+                {fleet.timers, fleet.log, registry, role, channel, *this, fleet.store,
+                 configuration, configuration_mirror, evacuations, upstreams, upstream_mirror}) {
         channel.on_receive([this](const peer_datagram& message) {
             if (const auto* heard = std::get_if<announcement>(&message)) {
                 registry.receive(*heard);
--- a/tests/servers/relay/relay_fixture.hpp
+++ b/tests/servers/relay/relay_fixture.hpp
@@ -308,8 +308,8 @@
 /// The request relay of one host, with a recording sink and upstream exchanges that the test
 /// controls.
 struct relay_fixture {
-    /// @param with_evacuations  whether the deployment uses evacuations; they are read from the keys
-    /// with the prefix `config/evacuate/`
+    /// @param with_evacuations  whether the deployment uses evacuations; they are read from the
+    /// keys with the prefix `config/evacuate/`
     explicit relay_fixture(bool with_evacuations = false)
         : evacuations(log, "config/evacuate/", with_evacuations),
           mirror(store, timers, log, operator_values, "config", {}) {
