--- a/core/fleet/engine_profile.hpp
+++ b/core/fleet/engine_profile.hpp
@@ -12,6 +12,8 @@
     int slots = 1;
     /// Number of context tokens that fit into memory.
     std::int64_t memory_tokens = 0;
+    /// Memory of one token, which moves between engines that process parts of a prompt.
+    std::int64_t memory_bytes_per_token = 0;
     /// Decoding steps of a pass that includes requests in the decoding phase.
     int steps_per_pass = 1;
     /// Duration of one step, and the time that each decoding request and each 1,000 tokens of
--- a/core/placement/engine_view.hpp
+++ b/core/placement/engine_view.hpp
@@ -14,6 +14,8 @@
     const engine_load* load = nullptr;
     /// Factor by which the engine is slower than its profile.
     double slowdown = 1.0;
+    /// Null if it is not known; empty if the entry of the engine does not name it.
+    const std::string* data_centre = nullptr;
 };
 
 }  // namespace fuchsiaquay
--- a/main/entry_node.cpp
+++ b/main/entry_node.cpp
@@ -108,6 +108,7 @@
            configuration_, configuration_mirror_, evacuations_, upstreams_, upstream_mirror_}),
       health_(breaker_settings()),
       retry_budget_(settings.retries),
+      own_data_centre_first_(placement_, settings.data_centre),
       connector_(loop),
       engine_memory_(loop, log, engine_memory_timeout),
       answer_memory_(settings.memory_bytes / answer_memory_divisor),
@@ -123,7 +124,7 @@
           health_,
           notices_,
           retry_budget_,
-          placement_,
+          placement_policy_for(settings),
           connector_,
           format_,
           metrics_,
@@ -131,7 +132,8 @@
           answer_memory_,
           [this] { return serving_time_left(); },
           [this] { return stopping_ ? loop_.now() - stop_requested_at_ : duration::zero(); },
-          [this] { return hosts_.knows_all_work(); }},
+          [this] { return hosts_.knows_all_work(); },
+          settings.prefer_own_data_centre ? settings.data_centre : ""},
       relay_queue_(relay_services_),
       body_memory_(settings.memory_bytes / body_memory_divisor),
       callers_(make_caller_services(), settings.callers),
@@ -177,6 +179,13 @@
                 {"data_centre", settings_.data_centre}});
 }
 
+const placement_policy& entry_node::placement_policy_for(const entry_settings& settings) const {
+    if (settings.prefer_own_data_centre) {
+        return own_data_centre_first_;
+    }
+    return placement_;
+}
+
 caller_services entry_node::make_caller_services() {
     return {loop_,
             format_,
--- a/main/entry_node.hpp
+++ b/main/entry_node.hpp
@@ -8,6 +8,7 @@
 #include "core/fleet/host_state.hpp"
 #include "core/health/upstream_health.hpp"
 #include "core/health/upstream_notices.hpp"
+#include "core/placement/data_centre_preference.hpp"
 #include "core/placement/interference_aware_placement.hpp"
 #include "core/relay/answer_memory.hpp"
 #include "core/retry/fleet_retry_budget.hpp"
@@ -67,6 +68,7 @@
     http_endpoint::reply handle_metrics() const;
     void receive(const peer_datagram& message);
     caller_services make_caller_services();
+    const placement_policy& placement_policy_for(const entry_settings& settings) const;
     duration serving_time_left() const;
     void finish_when_idle();
 
@@ -100,6 +102,7 @@
     upstream_notices notices_;
     fleet_retry_budget retry_budget_;
     interference_aware_placement placement_;
+    data_centre_preference own_data_centre_first_;
     beast_upstream_connector connector_;
     platform_engine_memory_client engine_memory_;
     answer_memory answer_memory_;
--- a/main/entry_settings.cpp
+++ b/main/entry_settings.cpp
@@ -45,6 +45,8 @@
                         "hosts that callers are sent to, at least; the others stand by"),
         number_setting("fleet", "requests_per_host", "30", 1, 100'000, "requests/s",
                        "load of the serving hosts from which more hosts serve"),
+        integer_setting("fleet", "prefer_own_data_centre", 0, 0, 1, "",
+                        "1: requests leave the host's data centre only if they gain by it"),
         seconds_setting("shutdown", "grace_s", "8",
                         "time from the signal to stop until the process is ended"),
         number_setting("retries", "ratio", "0.2", 0, 1, "",
@@ -124,6 +126,7 @@
     result.serving.data_centres =
         std::max<std::size_t>(1, values.list("fleet", "data_centres").size());
     result.serving.requests_per_host = values.number("fleet", "requests_per_host");
+    result.prefer_own_data_centre = values.integer("fleet", "prefer_own_data_centre") > 0;
     result.retries.ratio = values.number("retries", "ratio");
     result.retries.window = from_seconds(values.number("retries", "window_s"));
     result.retries.allowance = values.number("retries", "allowance");
--- a/main/entry_settings.hpp
+++ b/main/entry_settings.hpp
@@ -25,6 +25,8 @@
     network_address store;
     /// Time limit within which a revoked key or a removed route is refused.
     duration revocation_bound{};
+    /// Whether requests stay in the host's own data centre while it serves them as well.
+    bool prefer_own_data_centre = false;
     /// Absent if evacuations are not read.
     std::optional<duration> evacuation_bound;
     /// Time from the stop signal until the process is killed.
--- a/servers/relay/relay_services.hpp
+++ b/servers/relay/relay_services.hpp
@@ -52,6 +52,8 @@
     std::function<duration()> stopping_time;
     /// Whether this host knows the work of all other hosts.
     std::function<bool()> knows_all_work;
+    /// Data centre whose upstreams plain requests prefer; empty if none is preferred.
+    std::string preferred_data_centre{};
 };
 
 }  // namespace fuchsiaquay
--- a/servers/relay/upstream_chooser.cpp
+++ b/servers/relay/upstream_chooser.cpp
@@ -1,6 +1,7 @@
 #include "servers/relay/upstream_chooser.hpp"
 
 #include <algorithm>
+#include <tuple>
 #include <vector>
 
 #include "core/fleet/route.hpp"
@@ -9,6 +10,7 @@
 #include "core/health/upstream_health.hpp"
 #include "core/health/upstream_notices.hpp"
 #include "core/identity/names.hpp"
+#include "core/placement/data_centre_preference.hpp"
 #include "core/placement/engine_load.hpp"
 #include "core/placement/pass_timing.hpp"
 #include "core/placement/placement_policy.hpp"
@@ -54,6 +56,18 @@
            retry_after * static_cast<std::int64_t>(key % spread_steps) / spread_steps / 2;
 }
 
+/// An upstream that a plain request may be sent to.
+struct plain_choice {
+    const upstream_entry* entry = nullptr;
+    int load = 0;
+    std::uint64_t order = 0;
+
+    bool goes_before(const plain_choice& other) const {
+        return other.entry == nullptr ||
+               std::make_tuple(load, order) < std::make_tuple(other.load, other.order);
+    }
+};
+
 placement_decision refused(const char* reason) {
     placement_decision result;
     result.outcome = placement_decision::verdict::refuse;
@@ -179,7 +193,8 @@
     for (const upstream_entry& entry : services_.upstreams.ready(admitted.service_name)) {
         if (accepts(entry, now) && within_rate(entry, admitted, now)) {
             engines.push_back({entry.id, &profile, &services_.work_table.load(entry.id),
-                               services_.work_table.slowdowns().slowdown_of(entry.id, now)});
+                               services_.work_table.slowdowns().slowdown_of(entry.id, now),
+                               &entry.data_centre});
         }
     }
     placement_request placement;
@@ -209,33 +224,33 @@
                                                   std::uint64_t key,
                                                   const std::set<std::string>& excluded) const {
     const instant now = services_.timers.now();
-    const upstream_entry* best = nullptr;
-    int best_load = 0;
-    std::uint64_t best_order = 0;
+    plain_choice any;
+    plain_choice own;
     for (const upstream_entry& entry : services_.upstreams.ready(admitted.service_name)) {
         if (excluded.count(entry.id) > 0 || !accepts(entry, now) ||
             !within_rate(entry, admitted, now)) {
             continue;
         }
         const int load = services_.work_table.load(entry.id).requests();
-        const std::uint64_t order = stable_hash(entry.id, key);
         if (load >= entry.slots * plain_queue_factor) {
             continue;
         }
-        if (best == nullptr || load < best_load || (load == best_load && order < best_order)) {
-            best = &entry;
-            best_load = load;
-            best_order = order;
-        }
+        const plain_choice next = {&entry, load, stable_hash(entry.id, key)};
+        any = next.goes_before(any) ? next : any;
+        const bool is_own = !services_.preferred_data_centre.empty() &&
+                            entry.data_centre == services_.preferred_data_centre;
+        own = is_own && next.goes_before(own) ? next : own;
     }
     placement_decision result;
     result.reason = "least_loaded";
-    if (best == nullptr) {
+    if (any.entry == nullptr) {
         result.reason = "no_room";
         return result;
     }
+    const bool stays =
+        own.entry != nullptr && stays_in_data_centre(own.load, any.load, own.entry->slots);
     result.outcome = placement_decision::verdict::place;
-    result.engine = best->id;
+    result.engine = (stays ? own : any).entry->id;
     return result;
 }
 
--- a/tests/servers/relay/evacuations_test.cpp
+++ b/tests/servers/relay/evacuations_test.cpp
@@ -32,6 +32,7 @@
     }
     void use_upstreams(const std::vector<std::string>& ids) {
         std::vector<stored_value> values;
+        values.reserve(ids.size());
         for (const std::string& id : ids) {
             values.push_back({"u/" + id, id.substr(0, id.find('-')), 5});
         }
