Placement: the own data centre first, where a deployment asks for it

Change: data_centre_preference asks the placement for the own engines first and leaves when that saves a wait that matters for the target, with two bounds for each length of prompt; plain requests stay while an own upstream has a free slot. interference_aware_placement is unchanged.

Ruled out: a fixed share, a price of bytes in the settings, an order of candidates inside the placement.

--- a/core/placement/data_centre_preference.cpp
+++ b/core/placement/data_centre_preference.cpp
@@ -44,12 +44,14 @@
                                                data_centre_preference_settings settings)
     : placement_(placement), data_centre_(std::move(data_centre)), settings_(settings) {}
 
-data_centre_preference::engine_filter data_centre_preference::engines_of(
-    const std::vector<engine_view>& engines, const std::string& data_centre) const {
-    engine_filter result;
+data_centre_preference::engine_list data_centre_preference::engines_of(
+    const std::vector<engine_view>& engines, const std::string& data_centre, bool inside) {
+    engine_list result;
     std::copy_if(engines.begin(), engines.end(), std::back_inserter(result),
-                 [&data_centre](const engine_view& engine) {
-                     return engine.data_centre != nullptr && *engine.data_centre == data_centre;
+                 [&data_centre, inside](const engine_view& engine) {
+                     const bool matches =
+                         engine.data_centre != nullptr && *engine.data_centre == data_centre;
+                     return matches == inside;
                  });
     return result;
 }
@@ -60,9 +62,9 @@
            decision.time_to_first_event <= scaled(request.first_event_time_left, utilization);
 }
 
-placement_decision data_centre_preference::choose_elsewhere(const placement_request& request,
-                                                            const std::vector<engine_view>& engines,
-                                                            instant now) const {
+placement_decision data_centre_preference::choose_anywhere(const placement_request& request,
+                                                           const std::vector<engine_view>& engines,
+                                                           instant now) const {
     placement_decision any = placement_.choose(request, engines, now);
     if (moved_memory_bytes(any, request, engines) == 0) {
         return any;
@@ -74,7 +76,8 @@
         }
     }
     for (const std::string& other : others) {
-        placement_decision alone = placement_.choose(request, engines_of(engines, other), now);
+        placement_decision alone =
+            placement_.choose(request, engines_of(engines, other, true), now);
         if (meets(alone, request, settings_.short_leave)) {
             return alone;
         }
@@ -82,10 +85,25 @@
     return any;
 }
 
+placement_decision data_centre_preference::choose_away(const placement_request& request,
+                                                       const std::vector<engine_view>& engines,
+                                                       const placement_decision& home,
+                                                       instant now) const {
+    if (home.outcome == placement_decision::verdict::place) {
+        placement_decision others =
+            placement_.choose(request, engines_of(engines, data_centre_, false), now);
+        if (meets(others, request, settings_.short_leave) ||
+            meets(home, request, settings_.short_leave)) {
+            return others;
+        }
+    }
+    return choose_anywhere(request, engines, now);
+}
+
 placement_decision data_centre_preference::choose(const placement_request& request,
                                                   const std::vector<engine_view>& engines,
                                                   instant now) const {
-    const engine_filter own = engines_of(engines, data_centre_);
+    const engine_list own = engines_of(engines, data_centre_, true);
     if (own.empty() || own.size() == engines.size()) {
         return placement_.choose(request, engines, now);
     }
@@ -99,22 +117,25 @@
         leaves = false;
         return home;
     }
-    placement_decision away = choose_elsewhere(request, engines, now);
-    if (home.outcome != placement_decision::verdict::place) {
-        leaves = away.outcome == placement_decision::verdict::place;
-        return away;
-    }
+    placement_decision away = choose_away(request, engines, home, now);
     if (away.outcome != placement_decision::verdict::place) {
-        return home;
+        return home.outcome == placement_decision::verdict::place ? home : away;
+    }
+    leaves =
+        home.outcome != placement_decision::verdict::place || pays(home, away, request, leaves);
+    return leaves ? away : home;
+}
+
+bool data_centre_preference::pays(const placement_decision& home, const placement_decision& away,
+                                  const placement_request& request, bool left_before) const {
+    const duration saved = home.time_to_first_event - away.time_to_first_event;
+    if (left_before) {
+        return saved > duration::zero();
     }
-    // Callers do not notice less than the pause that they tolerate within a stream, unless it
-    // decides whether the first event is in time.
     const bool in_time_only_away =
         meets(away, request, settings_.short_leave) && !meets(home, request, settings_.short_leave);
-    const duration saved = home.time_to_first_event - away.time_to_first_event;
-    const bool still_leaves = leaves && saved > duration::zero();
-    leaves = still_leaves || in_time_only_away || saved >= request.target_gap;
-    return leaves ? away : home;
+    // Callers do not notice less than the pause that they tolerate within a stream.
+    return in_time_only_away || saved >= request.target_gap;
 }
 
 }  // namespace fuchsiaquay
--- a/core/placement/data_centre_preference.hpp
+++ b/core/placement/data_centre_preference.hpp
@@ -24,17 +24,24 @@
                               const std::vector<engine_view>& engines, instant now) const override;
 
 private:
-    using engine_filter = std::vector<engine_view>;
+    using engine_list = std::vector<engine_view>;
 
-    engine_filter engines_of(const std::vector<engine_view>& engines,
-                             const std::string& data_centre) const;
+    /// @param inside  whether to return the engines in `data_centre` or the others
+    static engine_list engines_of(const std::vector<engine_view>& engines,
+                                  const std::string& data_centre, bool inside);
     /// Whether a decision meets the part `utilization` of the time left to the target.
     static bool meets(const placement_decision& decision, const placement_request& request,
                       double utilization);
     /// Chooses among all engines. If prompt parts would cross data centres, a data centre that
     /// meets the target alone is preferred, because the memory of the parts is large.
-    placement_decision choose_elsewhere(const placement_request& request,
-                                        const std::vector<engine_view>& engines, instant now) const;
+    placement_decision choose_anywhere(const placement_request& request,
+                                       const std::vector<engine_view>& engines, instant now) const;
+    placement_decision choose_away(const placement_request& request,
+                                   const std::vector<engine_view>& engines,
+                                   const placement_decision& home, instant now) const;
+    /// Whether leaving for `away` saves a wait that matters.
+    bool pays(const placement_decision& home, const placement_decision& away,
+              const placement_request& request, bool left_before) const;
 
     const placement_policy& placement_;
     std::string data_centre_;
