--- a/main/entry_node.cpp
+++ b/main/entry_node.cpp
@@ -1,5 +1,6 @@
 #include "main/entry_node.hpp"
 
+#include <algorithm>
 #include <utility>
 #include <variant>
 
@@ -23,6 +24,8 @@
 constexpr duration engine_memory_timeout = std::chrono::milliseconds(400);
 /// Part of the revocation bound that is reserved for requests in flight and clock differences.
 constexpr duration revocation_margin = std::chrono::milliseconds(300);
+/// The same part of the bound of evacuations.
+constexpr duration evacuation_margin = std::chrono::milliseconds(300);
 /// Upstreams report their status continuously. The pause between polls lets one call return several
 /// changes.
 constexpr duration catalogue_poll_pause = std::chrono::milliseconds(500);
@@ -47,6 +50,10 @@
     prefix_mirror_settings result;
     result.freshness_limit = settings.revocation_bound - revocation_margin;
     result.apply_limit = settings.apply_bound;
+    if (settings.evacuation_bound) {
+        result.freshness_limit =
+            std::min(result.freshness_limit, *settings.evacuation_bound - evacuation_margin);
+    }
     return result;
 }
 
@@ -76,7 +83,10 @@
       configuration_store_(loop, log, settings.store, store_timeout),
       catalogue_store_(loop, log, settings.store, store_timeout),
       configuration_(configuration_codec_, log, configuration_key),
-      configuration_mirror_(configuration_store_, loop, log, configuration_, configuration_key,
+      evacuations_(log, evacuation_prefix, settings.evacuation_bound.has_value()),
+      operator_values_({&configuration_, &evacuations_}),
+      configuration_mirror_(configuration_store_, loop, log, operator_values_,
+                            settings.evacuation_bound ? operator_prefix : configuration_key,
                             configuration_mirror_settings(settings)),
       upstreams_(upstream_codec_, loop, log, upstream_prefix),
       upstream_mirror_(catalogue_store_, loop, log, upstreams_, upstream_prefix,
@@ -85,16 +95,21 @@
       datagrams_(loop, log, settings.announcements),
       hosts_(
           make_host_record(settings), configuration_store_, datagrams_, loop, log, engine_work_,
-          host_prefix, [this] { return state(); }, [this] { return configuration_.revision(); }),
+          host_prefix, [this] { return state(); },
+          [this] {
+              return std::max(configuration_.revision(), evacuations_.current().revision());
+          }),
       serving_role_(make_host_record(settings), settings.serving,
                     settings.directory_lifetime * directory_staleness_factor, hosts_, loop, log,
                     [this] { return load(); }),
       queries_(loop),
-      view_sync_(make_host_record(settings),
-                 {loop, log, hosts_, serving_role_, datagrams_, queries_, configuration_store_,
-                  configuration_, configuration_mirror_, upstreams_, upstream_mirror_}),
+      view_sync_(
+          make_host_record(settings),
+          {loop, log, hosts_, serving_role_, datagrams_, queries_, configuration_store_,
+           configuration_, configuration_mirror_, evacuations_, upstreams_, upstream_mirror_}),
       health_(breaker_settings()),
       retry_budget_(settings.retries),
+      own_data_centre_first_(placement_, settings.data_centre),
       connector_(loop),
       engine_memory_(loop, log, engine_memory_timeout),
       answer_memory_(settings.memory_bytes / answer_memory_divisor),
@@ -104,12 +119,13 @@
           log,
           configuration_,
           configuration_mirror_,
+          evacuations_,
           upstreams_,
           engine_work_,
           health_,
           notices_,
           retry_budget_,
-          placement_,
+          placement_policy_for(settings),
           connector_,
           format_,
           metrics_,
@@ -117,7 +133,8 @@
           answer_memory_,
           [this] { return serving_time_left(); },
           [this] { return stopping_ ? loop_.now() - stop_requested_at_ : duration::zero(); },
-          [this] { return hosts_.knows_all_work(); }},
+          [this] { return hosts_.knows_all_work(); },
+          settings.prefer_own_data_centre ? settings.data_centre : ""},
       relay_queue_(relay_services_),
       body_memory_(settings.memory_bytes / body_memory_divisor),
       callers_(make_caller_services(), settings.callers),
@@ -146,6 +163,11 @@
             hosts_.announce_now();
         }
     });
+    evacuations_.on_change([this] {
+        if (view_sync_.watches_store()) {
+            hosts_.announce_now();
+        }
+    });
     datagrams_.on_receive([this](const peer_datagram& message) { receive(message); });
     loop_.every(retry_budget_period, [this] { update_retry_budget(); });
     hosts_.start();
@@ -158,6 +180,13 @@
                 {"data_centre", settings_.data_centre}});
 }
 
+const placement_policy& entry_node::placement_policy_for(const entry_settings& settings) const {
+    if (settings.prefer_own_data_centre) {
+        return own_data_centre_first_;
+    }
+    return placement_;
+}
+
 caller_services entry_node::make_caller_services() {
     return {loop_,
             format_,
@@ -271,6 +300,8 @@
         {"log_lines_dropped_total", static_cast<double>(log_.lines_dropped())},
         {"serving", serving_role_.serving() ? 1.0 : 0.0},
         {"upstreams", static_cast<double>(upstreams_.size())},
+        {"data_centres_evacuated",
+         static_cast<double>(evacuations_.current().data_centres().size())},
         {"configuration_version",
          configuration_.current() ? static_cast<double>(configuration_.current()->version()) : 0.0},
         {"configuration_age_seconds", to_seconds(configuration_mirror_.age())}};
--- a/main/entry_node.hpp
+++ b/main/entry_node.hpp
@@ -8,6 +8,7 @@
 #include "core/fleet/host_state.hpp"
 #include "core/health/upstream_health.hpp"
 #include "core/health/upstream_notices.hpp"
+#include "core/placement/data_centre_preference.hpp"
 #include "core/placement/interference_aware_placement.hpp"
 #include "core/relay/answer_memory.hpp"
 #include "core/retry/fleet_retry_budget.hpp"
@@ -26,6 +27,7 @@
 #include "platform/platform_upstream_codec.hpp"
 #include "servers/fleet/configuration_feed.hpp"
 #include "servers/fleet/engine_work_table.hpp"
+#include "servers/fleet/evacuation_feed.hpp"
 #include "servers/fleet/host_load.hpp"
 #include "servers/fleet/host_registry.hpp"
 #include "servers/fleet/serving_role.hpp"
@@ -33,6 +35,7 @@
 #include "servers/fleet/upstream_registry.hpp"
 #include "servers/relay/relay_queue.hpp"
 #include "servers/relay/relay_services.hpp"
+#include "servers/store/mirror_listeners.hpp"
 #include "servers/store/prefix_mirror.hpp"
 
 namespace fuchsiaquay {
@@ -65,6 +68,7 @@
     http_endpoint::reply handle_metrics() const;
     void receive(const peer_datagram& message);
     caller_services make_caller_services();
+    const placement_policy& placement_policy_for(const entry_settings& settings) const;
     duration serving_time_left() const;
     void finish_when_idle();
 
@@ -82,6 +86,8 @@
     kv_store configuration_store_;
     kv_store catalogue_store_;
     configuration_feed configuration_;
+    evacuation_feed evacuations_;
+    mirror_listeners operator_values_;
     prefix_mirror configuration_mirror_;
     upstream_registry upstreams_;
     prefix_mirror upstream_mirror_;
@@ -96,6 +102,7 @@
     upstream_notices notices_;
     fleet_retry_budget retry_budget_;
     interference_aware_placement placement_;
+    data_centre_preference own_data_centre_first_;
     beast_upstream_connector connector_;
     platform_engine_memory_client engine_memory_;
     answer_memory answer_memory_;
--- a/main/entry_settings.cpp
+++ b/main/entry_settings.cpp
@@ -37,6 +37,9 @@
         number_setting("configuration", "apply_ms", "5000", 1, 3'600'000, "ms",
                        "time within which a new version is in force; a host whose copy may be "
                        "older answers 503 in place of 404 and 401"),
+        number_setting("configuration", "evacuation_ms", "0", 0, 3'600'000, "ms",
+                       "longest time after which an upstream of an evacuated data centre may still "
+                       "get a request; 0: evacuations are not read"),
         milliseconds_setting("directory", "lifetime_ms", 2'000,
                              "how long callers may keep an answer"),
         text_setting("fleet", "data_centres", "",
@@ -45,6 +48,8 @@
                         "hosts that callers are sent to, at least; the others stand by"),
         number_setting("fleet", "requests_per_host", "30", 1, 100'000, "requests/s",
                        "load of the serving hosts from which more hosts serve"),
+        integer_setting("fleet", "prefer_own_data_centre", 0, 0, 1, "",
+                        "1: requests leave the host's data centre only if they gain by it"),
         seconds_setting("shutdown", "grace_s", "8",
                         "time from the signal to stop until the process is ended"),
         number_setting("retries", "ratio", "0.2", 0, 1, "",
@@ -113,6 +118,10 @@
         from_seconds(values.number("configuration", "revocation_ms") / milliseconds_per_second);
     result.apply_bound =
         from_seconds(values.number("configuration", "apply_ms") / milliseconds_per_second);
+    const double evacuation_ms = values.number("configuration", "evacuation_ms");
+    if (evacuation_ms > 0.0) {
+        result.evacuation_bound = from_seconds(evacuation_ms / milliseconds_per_second);
+    }
     result.directory_lifetime = milliseconds_value(values, "directory", "lifetime_ms");
     result.stop_grace = from_seconds(values.number("shutdown", "grace_s"));
     result.memory_bytes =
@@ -122,6 +131,7 @@
     result.serving.data_centres =
         std::max<std::size_t>(1, values.list("fleet", "data_centres").size());
     result.serving.requests_per_host = values.number("fleet", "requests_per_host");
+    result.prefer_own_data_centre = values.integer("fleet", "prefer_own_data_centre") > 0;
     result.retries.ratio = values.number("retries", "ratio");
     result.retries.window = from_seconds(values.number("retries", "window_s"));
     result.retries.allowance = values.number("retries", "allowance");
--- a/main/entry_settings.hpp
+++ b/main/entry_settings.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -26,6 +27,10 @@
     duration revocation_bound{};
     /// Time within which a new version of the configuration is in force.
     duration apply_bound{};
+    /// Whether requests stay in the host's own data centre while it serves them as well.
+    bool prefer_own_data_centre = false;
+    /// Absent if evacuations are not read.
+    std::optional<duration> evacuation_bound;
     /// Time from the stop signal until the process is killed.
     duration stop_grace{};
     /// How long callers may cache a directory response.
--- a/servers/relay/request_relay.cpp
+++ b/servers/relay/request_relay.cpp
@@ -13,6 +13,7 @@
 #include "servers/fleet/upstream_registry.hpp"
 #include "servers/relay/admission.hpp"
 #include "servers/relay/answer_times.hpp"
+#include "servers/relay/evacuation_guard.hpp"
 #include "servers/relay/relay_queue.hpp"
 #include "servers/relay/request_format.hpp"
 #include "servers/relay/request_result.hpp"
@@ -104,6 +105,9 @@
     waiting_ = false;
     admitted_ =
         admit(request_, services_.configuration.current(), services_.configuration_mirror.state());
+    if (!admitted_.refused) {
+        admitted_.refused = evacuation_guard(services_).refusal();
+    }
     if (admitted_.refused) {
         refuse(*admitted_.refused);
         return;
@@ -247,6 +251,9 @@
         return;
     }
     retry_after_ = std::max(decision.retry_after, min_no_room_retry_after);
+    if (decision.evacuated) {
+        no_room_reason_ = decision.reason;
+    }
     if (response_started_) {
         apply_next_step(next_step::abort, decision.reason);
     } else {
@@ -317,16 +324,6 @@
     place();
 }
 
-bool request_relay::engines_ready() const {
-    const auto listed = [this](const std::string& id) {
-        const upstream_entry* entry = services_.upstreams.find(id);
-        return entry != nullptr && entry->state == upstream_state::ready;
-    };
-    return listed(decision_.engine) &&
-           std::all_of(decision_.helpers.begin(), decision_.helpers.end(),
-                       [&listed](const placement_part& part) { return listed(part.engine); });
-}
-
 void request_relay::check_timeouts(bool check_silence) {
     if (done_ || admitted_.matched_route == nullptr) {
         return;
--- a/servers/relay/upstream_chooser.cpp
+++ b/servers/relay/upstream_chooser.cpp
@@ -1,6 +1,7 @@
 #include "servers/relay/upstream_chooser.hpp"
 
 #include <algorithm>
+#include <tuple>
 #include <vector>
 
 #include "core/fleet/route.hpp"
@@ -9,15 +10,18 @@
 #include "core/health/upstream_health.hpp"
 #include "core/health/upstream_notices.hpp"
 #include "core/identity/names.hpp"
+#include "core/placement/data_centre_preference.hpp"
 #include "core/placement/engine_load.hpp"
 #include "core/placement/pass_timing.hpp"
 #include "core/placement/placement_policy.hpp"
 #include "core/placement/placement_request.hpp"
 #include "core/relay/caller_request.hpp"
 #include "servers/fleet/engine_work_table.hpp"
+#include "servers/fleet/evacuation_feed.hpp"
 #include "servers/fleet/upstream_registry.hpp"
 #include "servers/relay/admission_result.hpp"
 #include "servers/relay/answer_times.hpp"
+#include "servers/relay/evacuation_guard.hpp"
 #include "servers/relay/relay_services.hpp"
 #include "servers/timer_service.hpp"
 
@@ -30,6 +34,10 @@
 /// Number of steps over which the retries of rejected callers are spread.
 constexpr std::int64_t spread_steps = 1'024;
 
+/// Retry delay for callers while all upstreams of a service are evacuated. The operator does not
+/// say when an evacuation ends; a host learns of the end within a second.
+constexpr duration evacuated_retry_after = std::chrono::milliseconds(2'000);
+
 /// Every caller accepts this time without data before and within a stream, or these multiples of
 /// the route's target and target gap, whichever is longest. Specified by the users' platform
 /// (requests).
@@ -42,6 +50,24 @@
                      matched_route.target_gap * caller_wait_gaps});
 }
 
+/// Spreads the retries of callers that were rejected at the same time.
+duration spread(duration retry_after, std::uint64_t key) {
+    return retry_after +
+           retry_after * static_cast<std::int64_t>(key % spread_steps) / spread_steps / 2;
+}
+
+/// An upstream that a plain request may be sent to.
+struct plain_choice {
+    const upstream_entry* entry = nullptr;
+    int load = 0;
+    std::uint64_t order = 0;
+
+    bool goes_before(const plain_choice& other) const {
+        return other.entry == nullptr ||
+               std::make_tuple(load, order) < std::make_tuple(other.load, other.order);
+    }
+};
+
 placement_decision refused(const char* reason) {
     placement_decision result;
     result.outcome = placement_decision::verdict::refuse;
@@ -55,9 +81,23 @@
                                             const admission_result& admitted, std::uint64_t key,
                                             const std::set<std::string>& excluded,
                                             const answer_times& times) const {
-    if (services_.upstreams.ready(admitted.service_name).empty()) {
+    const std::vector<upstream_entry>& ready = services_.upstreams.ready(admitted.service_name);
+    if (ready.empty()) {
         return refused("no_upstream");
     }
+    if (const std::optional<rejection> refusal = evacuation_guard(services_).refusal()) {
+        placement_decision unknown;
+        unknown.reason = refusal->reason;
+        unknown.retry_after = refusal->retry_after;
+        return unknown;
+    }
+    if (std::all_of(ready.begin(), ready.end(),
+                    [this](const upstream_entry& entry) { return evacuated(entry); })) {
+        placement_decision none = refused("data_centres_evacuated");
+        none.evacuated = true;
+        none.retry_after = spread(evacuated_retry_after, key);
+        return none;
+    }
     if (const auto pause = remaining_pause(admitted.service_name, key)) {
         placement_decision paused = refused("upstreams_pause");
         paused.retry_after = *pause;
@@ -76,10 +116,14 @@
 }
 
 bool upstream_chooser::accepts(const upstream_entry& entry, instant now) const {
-    return services_.health.allows(upstream_id(entry.id), now) &&
+    return !evacuated(entry) && services_.health.allows(upstream_id(entry.id), now) &&
            services_.notices.accepts(entry, now);
 }
 
+bool upstream_chooser::evacuated(const upstream_entry& entry) const {
+    return services_.evacuations.current().covers(entry.data_centre);
+}
+
 bool upstream_chooser::within_rate(const upstream_entry& entry, const admission_result& admitted,
                                    instant now) const {
     return services_.work_table.rate_limits().accepts(entry.id, admitted.rank, now);
@@ -106,6 +150,9 @@
 std::optional<double> upstream_chooser::total_rate(const std::string& service) const {
     double total = 0.0;
     for (const upstream_entry& entry : services_.upstreams.ready(service)) {
+        if (evacuated(entry)) {
+            continue;
+        }
         const std::optional<double> rate = services_.work_table.rate_limits().rate_of(entry.id);
         if (!rate) {
             return std::nullopt;
@@ -120,6 +167,9 @@
     const instant now = services_.timers.now();
     duration shortest = duration::max();
     for (const upstream_entry& entry : services_.upstreams.ready(service)) {
+        if (evacuated(entry)) {
+            continue;
+        }
         const std::optional<duration> left = services_.notices.pause_left(entry, now);
         if (left == duration::zero()) {
             return std::nullopt;
@@ -129,8 +179,7 @@
     if (shortest == duration::max()) {
         return duration::zero();
     }
-    // Spreads the retries of callers that were rejected at the same time.
-    return shortest + shortest * static_cast<std::int64_t>(key % spread_steps) / spread_steps / 2;
+    return spread(shortest, key);
 }
 
 placement_decision upstream_chooser::choose_engine(const caller_request& request,
@@ -144,7 +193,8 @@
     for (const upstream_entry& entry : services_.upstreams.ready(admitted.service_name)) {
         if (accepts(entry, now) && within_rate(entry, admitted, now)) {
             engines.push_back({entry.id, &profile, &services_.work_table.load(entry.id),
-                               services_.work_table.slowdowns().slowdown_of(entry.id, now)});
+                               services_.work_table.slowdowns().slowdown_of(entry.id, now),
+                               &entry.data_centre});
         }
     }
     placement_request placement;
@@ -174,33 +224,33 @@
                                                   std::uint64_t key,
                                                   const std::set<std::string>& excluded) const {
     const instant now = services_.timers.now();
-    const upstream_entry* best = nullptr;
-    int best_load = 0;
-    std::uint64_t best_order = 0;
+    plain_choice any;
+    plain_choice own;
     for (const upstream_entry& entry : services_.upstreams.ready(admitted.service_name)) {
         if (excluded.count(entry.id) > 0 || !accepts(entry, now) ||
             !within_rate(entry, admitted, now)) {
             continue;
         }
         const int load = services_.work_table.load(entry.id).requests();
-        const std::uint64_t order = stable_hash(entry.id, key);
         if (load >= entry.slots * plain_queue_factor) {
             continue;
         }
-        if (best == nullptr || load < best_load || (load == best_load && order < best_order)) {
-            best = &entry;
-            best_load = load;
-            best_order = order;
-        }
+        const plain_choice next = {&entry, load, stable_hash(entry.id, key)};
+        any = next.goes_before(any) ? next : any;
+        const bool is_own = !services_.preferred_data_centre.empty() &&
+                            entry.data_centre == services_.preferred_data_centre;
+        own = is_own && next.goes_before(own) ? next : own;
     }
     placement_decision result;
     result.reason = "least_loaded";
-    if (best == nullptr) {
+    if (any.entry == nullptr) {
         result.reason = "no_room";
         return result;
     }
+    const bool stays =
+        own.entry != nullptr && stays_in_data_centre(own.load, any.load, own.entry->slots);
     result.outcome = placement_decision::verdict::place;
-    result.engine = best->id;
+    result.engine = (stays ? own : any).entry->id;
     return result;
 }
 
