Cold upstreams: a bound for each process that holds without a message, and placement that avoids them

Cause: nothing read how long an upstream is cold. Hosts sent to it as if it were warm, while it is slow and crashes well above the requests a second that its service names.

Change: the catalogue keeps until when a process is cold (its entry, the service's cold time for a new process, an upstream that answers again after failures) and passes on what is left. The bound for any second is divided among the listed hosts, at least serving_hosts, so it holds for hosts that hear each other late or not at all; the dispatches that hosts announce count as well. A host whose catalogue is older than the cold time keeps to its share everywhere. Placement tries the warm engines first and knows cold ones to be slow. Settings cold_upstreams.overage and slack, log lines, metric. A service without a limit is served as before; tests say so.

The relay fixture names the fields of its services, because a list of initializers no longer fits service_profile. Ruled out: polling health for the time left (priced, the entry brings the same), a shared bucket (15 hosts see the same room at once), one deciding host.

--- a/core/placement/engine_view.hpp
+++ b/core/placement/engine_view.hpp
@@ -14,6 +14,8 @@
     const engine_load* load = nullptr;
     /// Factor by which the engine is slower than its profile.
     double slowdown = 1.0;
+    /// Whether the engine started, or was without work, so shortly ago that it is still cold.
+    bool cold = false;
 };
 
 }  // namespace fuchsiaquay
--- a/core/placement/interference_aware_placement.cpp
+++ b/core/placement/interference_aware_placement.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <cmath>
 #include <cstdint>
+#include <iterator>
 #include <tuple>
 #include <utility>
 
@@ -359,6 +360,21 @@
 placement_decision interference_aware_placement::choose(const placement_request& request,
                                                         const std::vector<engine_view>& engines,
                                                         instant now) const {
+    std::vector<engine_view> warm;
+    std::copy_if(engines.begin(), engines.end(), std::back_inserter(warm),
+                 [](const engine_view& engine) { return !engine.cold; });
+    if (!warm.empty() && warm.size() < engines.size()) {
+        const placement_decision decision = choose_among(request, warm, now);
+        if (decision.outcome == placement_decision::verdict::place &&
+            decision.time_to_first_event <= request.first_event_time_left) {
+            return decision;
+        }
+    }
+    return choose_among(request, engines, now);
+}
+
+placement_decision interference_aware_placement::choose_among(
+    const placement_request& request, const std::vector<engine_view>& engines, instant now) const {
     const std::vector<placement_candidate> all = make_candidates(request, engines, now);
     if (all.empty()) {
         placement_decision none;
--- a/core/placement/interference_aware_placement.hpp
+++ b/core/placement/interference_aware_placement.hpp
@@ -28,6 +28,8 @@
                               const std::vector<engine_view>& engines, instant now) const override;
 
 private:
+    placement_decision choose_among(const placement_request& request,
+                                    const std::vector<engine_view>& engines, instant now) const;
     std::vector<placement_candidate> make_candidates(const placement_request& request,
                                                      const std::vector<engine_view>& engines,
                                                      instant now) const;
--- a/main/entry_node.cpp
+++ b/main/entry_node.cpp
@@ -1,5 +1,6 @@
 #include "main/entry_node.hpp"
 
+#include <algorithm>
 #include <utility>
 #include <variant>
 
@@ -140,7 +141,9 @@
         engine_work_.on_upstream_restarted(upstream, loop_.now());
         health_.forget(upstream_id(upstream.id));
     });
+    connect_cold_upstreams();
     configuration_.on_change([this](const fleet_configuration& /*next*/) {
+        upstreams_.report_cold();
         if (view_sync_.watches_store()) {
             hosts_.announce_now();
         }
@@ -196,6 +199,42 @@
     const auto listed = static_cast<double>(hosts_.listed_peers().size()) + 1.0;
     const auto heard = static_cast<double>(hosts_.live_peers().size()) + 1.0;
     engine_work_.rate_limits().set_share((hosts_.knows_all_work() ? heard : 1.0) / listed);
+    update_cold_budget();
+}
+
+void entry_node::connect_cold_upstreams() {
+    engine_work_.cold_budget().set_bounds(settings_.cold_upstreams);
+    upstreams_.set_cold_times([this](const std::string& service) { return cold_time_of(service); });
+    upstreams_.on_cold([this](const upstream_lifetime& upstream, instant until) {
+        engine_work_.cold_budget().on_cold(upstream, until, loop_.now());
+    });
+}
+
+std::optional<duration> entry_node::cold_time_of(const std::string& service) const {
+    const auto& configuration = configuration_.current();
+    const service_profile* profile =
+        configuration == nullptr ? nullptr : configuration->find_service(service);
+    if (profile == nullptr || profile->cold_requests_per_s <= 0.0) {
+        return std::nullopt;
+    }
+    return profile->cold_time;
+}
+
+void entry_node::update_cold_budget() {
+    std::vector<std::string> hosts = {settings_.host};
+    for (const host_record& peer : hosts_.listed_peers()) {
+        hosts.push_back(peer.host);
+    }
+    engine_work_.cold_budget().set_hosts(settings_.host, std::move(hosts));
+    // In a copy of the catalogue that is older than a cold time, an upstream may have become cold
+    // unnoticed.
+    duration shortest = duration::max();
+    if (const auto& configuration = configuration_.current()) {
+        for (const auto& [name, profile] : configuration->services()) {
+            shortest = std::min(shortest, cold_time_of(name).value_or(shortest));
+        }
+    }
+    engine_work_.cold_budget().set_informed(upstream_mirror_.age() <= shortest);
 }
 
 http_endpoint::reply entry_node::handle_readiness() const {
@@ -262,6 +301,7 @@
         {"store_calls_failed_total", static_cast<double>(configuration_store_.failure_count() +
                                                          catalogue_store_.failure_count())},
         {"upstreams_limited", static_cast<double>(engine_work_.rate_limits().size())},
+        {"upstreams_cold", static_cast<double>(engine_work_.cold_budget().size(loop_.now()))},
         {"prompt_parts_quarantined", static_cast<double>(engine_work_.quarantine().size())},
         {"engine_ends_proved", static_cast<double>(engine_work_.quarantine().proved_ends())},
         {"engine_ends_unproved", static_cast<double>(engine_work_.quarantine().unproved_ends())},
--- a/main/entry_node.hpp
+++ b/main/entry_node.hpp
@@ -59,6 +59,11 @@
     host_state state() const;
     host_load load() const;
     void update_retry_budget();
+    void connect_cold_upstreams();
+    /// Updates what this host may send to upstreams that may be cold.
+    void update_cold_budget();
+    /// Time for which new upstreams are cold; absent if the service limits no requests meanwhile.
+    std::optional<duration> cold_time_of(const std::string& service) const;
     http_endpoint::reply handle_readiness() const;
     http_endpoint::reply handle_directory(const std::string& target) const;
     http_endpoint::reply handle_query(const std::string& target) const;
--- a/main/entry_settings.cpp
+++ b/main/entry_settings.cpp
@@ -52,6 +52,11 @@
         integer_setting(
             "retries", "hosts", 16, 1, 10'000, "hosts",
             "hosts that share the allowance at least; a larger fleet divides it further"),
+        number_setting("cold_upstreams", "overage", "1.5", 0, 1'000, "",
+                       "bound of requests to a cold upstream in a second, as a multiple of what "
+                       "its service tolerates"),
+        number_setting("cold_upstreams", "slack", "5", 0, 1'000'000, "requests",
+                       "requests in a second beyond that"),
         text_setting("log", "level", "info", "debug, info, warning or error"),
     };
 }
@@ -121,6 +126,9 @@
     result.retries.window = from_seconds(values.number("retries", "window_s"));
     result.retries.allowance = values.number("retries", "allowance");
     result.retries.min_hosts = static_cast<int>(values.integer("retries", "hosts"));
+    result.cold_upstreams.overage = values.number("cold_upstreams", "overage");
+    result.cold_upstreams.slack = values.number("cold_upstreams", "slack");
+    result.cold_upstreams.min_hosts = result.serving.hosts;
     result.log_level = values.text("log", "level");
     if (!reader.faults().empty()) {
         throw settings_error(file, reader.faults());
--- a/main/entry_settings.hpp
+++ b/main/entry_settings.hpp
@@ -5,6 +5,7 @@
 
 #include "core/fleet/network_address.hpp"
 #include "core/fleet/serving_settings.hpp"
+#include "core/limits/cold_upstream_bounds.hpp"
 #include "core/retry/fleet_retry_settings.hpp"
 #include "core/time/clock.hpp"
 
@@ -33,6 +34,7 @@
     double processor_share = 1.0;
     serving_settings serving;
     fleet_retry_settings retries;
+    cold_upstream_bounds cold_upstreams;
     std::string log_level;
 };
 
--- a/servers/fleet/engine_work_table.cpp
+++ b/servers/fleet/engine_work_table.cpp
@@ -48,6 +48,7 @@
     loads_.erase(upstream);
     slowdowns_.remove(upstream);
     rate_limits_.remove(upstream);
+    cold_budget_.remove(upstream);
 }
 
 void engine_work_table::on_upstream_restarted(const upstream_lifetime& upstream, instant now) {
@@ -60,6 +61,7 @@
     const bool sent = work.phase == work_phase::prefill || work.phase == work_phase::decode;
     if (sent && !load(work.engine).contains(host, work.key)) {
         rate_limits_.on_dispatch(work.engine, work.dispatched_at);
+        cold_budget_.on_dispatch(work.engine, host == self_, work.dispatched_at);
     }
 }
 
--- a/servers/fleet/engine_work_table.hpp
+++ b/servers/fleet/engine_work_table.hpp
@@ -7,7 +7,9 @@
 #include <utility>
 #include <vector>
 
+#include "core/limits/cold_upstream_budget.hpp"
 #include "core/limits/upstream_rate_limits.hpp"
+#include "core/placement/cold_slowdown_estimate.hpp"
 #include "core/placement/engine_load.hpp"
 #include "core/placement/engine_slowdown_tracker.hpp"
 #include "core/placement/engine_work.hpp"
@@ -39,12 +41,18 @@
     /// Slowdowns of the engines as observed in this host's streams or announced by other hosts.
     engine_slowdown_tracker& slowdowns() noexcept { return slowdowns_; }
     const engine_slowdown_tracker& slowdowns() const noexcept { return slowdowns_; }
+    /// Slowdowns of cold engines by service, as observed in this host's streams.
+    cold_slowdown_estimate& cold_slowdowns() noexcept { return cold_slowdowns_; }
+    const cold_slowdown_estimate& cold_slowdowns() const noexcept { return cold_slowdowns_; }
     /// Parts of prompts that end engines, as observed by all hosts.
     prompt_part_quarantine& quarantine() noexcept { return quarantine_; }
     const prompt_part_quarantine& quarantine() const noexcept { return quarantine_; }
     /// Limits that the upstreams name, against which the work of all hosts counts.
     upstream_rate_limits& rate_limits() noexcept { return rate_limits_; }
     const upstream_rate_limits& rate_limits() const noexcept { return rate_limits_; }
+    /// Bound of the requests to upstreams that are cold, against which the same work counts.
+    cold_upstream_budget& cold_budget() noexcept { return cold_budget_; }
+    const cold_upstream_budget& cold_budget() const noexcept { return cold_budget_; }
     std::vector<engine_work> own_work_items() const;
 
     void on_own_change(change_handler changed) { own_changed_ = std::move(changed); }
@@ -64,6 +72,8 @@
     engine_slowdown_tracker slowdowns_;
     prompt_part_quarantine quarantine_;
     upstream_rate_limits rate_limits_;
+    cold_upstream_budget cold_budget_;
+    cold_slowdown_estimate cold_slowdowns_;
     /// Work of this host by key and upstream.
     std::map<std::pair<std::uint64_t, std::string>, engine_work> own_work_items_;
     change_handler own_changed_;
--- a/servers/fleet/upstream_registry.cpp
+++ b/servers/fleet/upstream_registry.cpp
@@ -47,12 +47,14 @@
     for (const auto& [id, item] : entries_) {
         if (delta.complete || item.revision > revision) {
             delta.changes.push_back({item.entry, false, item.revision});
+            delta.changes.back().entry.cold_time =
+                std::max(duration::zero(), item.cold_until - timers_.now());
         }
     }
     for (const removal& item : removals_) {
         if (!delta.complete && item.revision > revision) {
             upstream_change change;
-            change.entry.id = item.id;
+            change.entry.id = item.process.id;
             change.removed = true;
             change.revision = item.revision;
             delta.changes.push_back(change);
@@ -155,6 +157,7 @@
     missing_.erase(entry.id);
     const auto known = entries_.find(entry.id);
     if (known != entries_.end() && known->second.entry == entry) {
+        note_cold(known->second, entry.cold_time, revision, "entry");
         return;
     }
     log_.write(decision_log::level::info, "upstream_listed",
@@ -167,11 +170,24 @@
     // An entry of an earlier process that is written late is no restart.
     const bool restarted = known != entries_.end() && known->second.entry.started_at_ms > 0 &&
                            known->second.entry.started_at_ms < entry.started_at_ms;
-    entries_[entry.id] = {entry, revision};
+    const bool new_process =
+        known == entries_.end() ? loaded_ && !removed_lately(entry.lifetime()) : restarted;
+    listed_entry& item = entries_[entry.id];
+    const bool same_process = item.entry.lifetime() == entry.lifetime();
+    if (!same_process) {
+        item = {};
+    }
+    item.entry = entry;
+    item.revision = revision;
     ready_index_outdated_ = true;
     if (restarted && restarted_handler_) {
         restarted_handler_(entry.lifetime());
     }
+    // The entry may be late, or may not tell.
+    const duration usual =
+        new_process ? cold_time_of(entry.service).value_or(duration::zero()) : duration::zero();
+    note_cold(item, std::max(usual, entry.cold_time), revision,
+              new_process ? "new process" : "entry");
 }
 
 void upstream_registry::remove(const std::string& id, std::int64_t revision, const char* reason) {
@@ -183,7 +199,7 @@
     const upstream_lifetime lifetime = known->second.entry.lifetime();
     entries_.erase(known);
     ready_index_outdated_ = true;
-    removals_.push_back({id, revision});
+    removals_.push_back({lifetime, revision});
     if (removals_.size() > max_removals) {
         last_dropped_removal_ = std::max(last_dropped_removal_, removals_.front().revision);
         removals_.pop_front();
--- a/servers/fleet/upstream_registry.hpp
+++ b/servers/fleet/upstream_registry.hpp
@@ -5,6 +5,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
 #include <vector>
@@ -25,6 +26,8 @@
 class upstream_registry final : public mirror_listener {
 public:
     using lifetime_handler = std::function<void(const upstream_lifetime& upstream)>;
+    using cold_handler = std::function<void(const upstream_lifetime& upstream, instant until)>;
+    using cold_time_lookup = std::function<std::optional<duration>(const std::string& service)>;
 
     /// @param prefix  prefix of the store keys, followed by the id of the upstream
     upstream_registry(const upstream_codec& codec, timer_service& timers, decision_log& log,
@@ -41,6 +44,15 @@
     void on_removed(lifetime_handler handler) { removed_handler_ = std::move(handler); }
     /// Sets the handler that is called with each process that replaces an earlier one in its entry.
     void on_restarted(lifetime_handler handler) { restarted_handler_ = std::move(handler); }
+    /// Sets the handler that is called when a process is found to be cold, or cold for longer.
+    void on_cold(cold_handler handler) { cold_handler_ = std::move(handler); }
+    /// Sets how long new processes of a service are cold; absent if it does not matter to the
+    /// service how many requests a cold process receives.
+    void set_cold_times(cold_time_lookup lookup) { cold_times_ = std::move(lookup); }
+    /// Reports every process that is cold again, because the cold times have changed.
+    void report_cold();
+    /// Records that the upstreams of a data centre received nothing for a while and may be cold.
+    void on_data_centre_returned(const std::string& data_centre);
 
     /// Changes that are missing from a copy at `revision`.
     catalogue_delta changes_after(std::int64_t revision) const;
@@ -58,14 +70,26 @@
     struct listed_entry {
         upstream_entry entry;
         std::int64_t revision = 0;
+        instant cold_until{};
+        /// End of the cold time as of `revision`, which other hosts know.
+        instant announced_cold_until{};
+        /// Whether the process was reported to be cold, and not to be warm since.
+        bool cold = false;
     };
     struct removal {
-        std::string id;
+        upstream_lifetime process;
         std::int64_t revision = 0;
     };
 
     void apply_value(const stored_value& value);
     void add_or_update(const upstream_entry& entry, std::int64_t revision);
+    bool removed_lately(const upstream_lifetime& process) const;
+    void note_cold(listed_entry& item, duration cold_time, std::int64_t revision,
+                   const char* reason);
+    void report_if_cold(listed_entry& item, const char* reason);
+    void plan_warm(const upstream_lifetime& process, duration left);
+    void note_if_warm(const upstream_lifetime& process);
+    std::optional<duration> cold_time_of(const std::string& service) const;
     void remove(const std::string& id, std::int64_t revision, const char* reason);
     void remove_all_but(const std::set<std::string>& kept, std::int64_t as_of, bool after_outage);
     void remove_expired();
@@ -89,6 +113,8 @@
     std::map<std::string, instant> missing_;
     lifetime_handler removed_handler_;
     lifetime_handler restarted_handler_;
+    cold_handler cold_handler_;
+    cold_time_lookup cold_times_;
     std::shared_ptr<int> alive_ = std::make_shared<int>(0);
 };
 
--- a/servers/relay/request_log.cpp
+++ b/servers/relay/request_log.cpp
@@ -140,6 +140,14 @@
                          {"requests_per_s", limit ? std::to_string(*limit) : "none"}});
 }
 
+void request_log::may_be_cold(const std::string& upstream, duration cold_time) const {
+    services_.log.write(decision_log::level::info, "upstream_cold",
+                        {{"request", request_.id},
+                         {"upstream", upstream},
+                         {"left_ms", std::to_string(to_milliseconds(cold_time))},
+                         {"reason", "answers again after failures"}});
+}
+
 void request_log::ended(const admission_result& admitted, const request_result& result) const {
     services_.log.write(
         decision_log::level::info, "request_ended",
--- a/servers/relay/request_log.hpp
+++ b/servers/relay/request_log.hpp
@@ -43,6 +43,8 @@
     void upstream_pauses(const std::string& upstream, duration pause) const;
     /// Logs that the upstream named a limit in its response that was not known, or none any more.
     void rate_limit_changed(const std::string& upstream, std::optional<double> limit) const;
+    /// Logs that an upstream answered again after failures and counts as cold.
+    void may_be_cold(const std::string& upstream, duration cold_time) const;
     /// Logs that this request's stream showed an engine to be slow, or no longer slow.
     void slowdown_changed(const std::string& upstream, double slowdown) const;
     void ended(const admission_result& admitted, const request_result& result) const;
--- a/servers/relay/request_relay.cpp
+++ b/servers/relay/request_relay.cpp
@@ -214,7 +214,9 @@
         expected += from_seconds(ahead / *rate);
     }
     decision.outcome = placement_decision::verdict::wait;
-    decision.reason = "rate_limited";
+    if (!decision.rate_limited) {
+        decision.reason = "rate_limited";
+    }
     if (now + expected >= wait_until_) {
         // Spreads the retries of callers that were rejected at the same time.
         decision.retry_after = std::max(expected, min_no_room_retry_after);
--- a/servers/relay/request_relay_attempts.cpp
+++ b/servers/relay/request_relay_attempts.cpp
@@ -115,6 +115,9 @@
         decode_pass_time(*profile, load.decoding_requests(), load.decoding_context_tokens());
     const double ratio =
         to_seconds(now - last_events_at_) / static_cast<double>(events) / to_seconds(pass);
+    if (services_.work_table.cold_budget().is_cold(upstream_, now)) {
+        services_.work_table.cold_slowdowns().observe(admitted_.service_name, ratio);
+    }
     if (services_.work_table.slowdowns().observe(upstream_, ratio, now)) {
         log_.slowdown_changed(upstream_,
                               services_.work_table.slowdowns().slowdown_of(upstream_, now));
--- a/servers/relay/upstream_attempt.cpp
+++ b/servers/relay/upstream_attempt.cpp
@@ -309,9 +309,23 @@
                                                            looked_complete, now - sent_at_});
 }
 
+void upstream_attempt::note_return(instant now) {
+    const service_profile* service = admitted_.service;
+    const bool was_closed =
+        services_.health.state(upstream_id(upstream()), now) == breaker_state::closed;
+    if (was_closed || service == nullptr || service->cold_requests_per_s <= 0.0) {
+        return;
+    }
+    // It may have restarted, which its entry tells later.
+    if (services_.work_table.cold_budget().on_cold(lifetime_, now + service->cold_time, now)) {
+        log_.may_be_cold(upstream(), service->cold_time);
+    }
+}
+
 void upstream_attempt::on_end() {
-    services_.health.on_result(upstream_id(upstream()), attempt_evidence::answered,
-                               services_.timers.now());
+    const instant now = services_.timers.now();
+    note_return(now);
+    services_.health.on_result(upstream_id(upstream()), attempt_evidence::answered, now);
     if (response_.head.ends_with_connection) {
         note_connection_ended(first_event_at_.has_value());
     } else if (is_success(response_.head.status)) {
--- a/servers/relay/upstream_attempt.hpp
+++ b/servers/relay/upstream_attempt.hpp
@@ -74,6 +74,8 @@
     const char* find_mismatch() const;
     /// Records that the engine went on after it had begun to answer.
     void note_answered();
+    /// Treats an upstream that answers again after failures as cold.
+    void note_return(instant now);
     /// Records that the connection ended before `note_answered` was called.
     void note_connection_ended(bool looked_complete);
     void on_answer_memory_exceeded() override;
--- a/servers/relay/upstream_chooser.cpp
+++ b/servers/relay/upstream_chooser.cpp
@@ -42,6 +42,11 @@
                      matched_route.target_gap * caller_wait_gaps});
 }
 
+/// Requests per second that a cold upstream of the service tolerates; 0 if there is no limit.
+double tolerated_when_cold(const admission_result& admitted) {
+    return admitted.service == nullptr ? 0.0 : admitted.service->cold_requests_per_s;
+}
+
 placement_decision refused(const char* reason) {
     placement_decision result;
     result.outcome = placement_decision::verdict::refuse;
@@ -66,6 +71,7 @@
     if (const auto wait = remaining_rate_wait(admitted)) {
         placement_decision limited;
         limited.rate_limited = true;
+        limited.reason = rate_wait_reason(admitted);
         limited.retry_after = *wait;
         return limited;
     }
@@ -80,9 +86,17 @@
            services_.notices.accepts(entry, now);
 }
 
+duration upstream_chooser::rate_wait(const upstream_entry& entry, const admission_result& admitted,
+                                     instant now) const {
+    const duration named =
+        services_.work_table.rate_limits().time_until_accepted(entry.id, admitted.rank, now);
+    return std::max(named, services_.work_table.cold_budget().time_until_accepted(
+                               entry.id, tolerated_when_cold(admitted), now));
+}
+
 bool upstream_chooser::within_rate(const upstream_entry& entry, const admission_result& admitted,
                                    instant now) const {
-    return services_.work_table.rate_limits().accepts(entry.id, admitted.rank, now);
+    return rate_wait(entry, admitted, now) == duration::zero();
 }
 
 std::optional<duration> upstream_chooser::remaining_rate_wait(
@@ -93,8 +107,7 @@
         if (!accepts(entry, now)) {
             continue;
         }
-        const duration wait =
-            services_.work_table.rate_limits().time_until_accepted(entry.id, admitted.rank, now);
+        const duration wait = rate_wait(entry, admitted, now);
         if (wait == duration::zero()) {
             return std::nullopt;
         }
@@ -103,6 +116,17 @@
     return shortest;
 }
 
+const char* upstream_chooser::rate_wait_reason(const admission_result& admitted) const {
+    const instant now = services_.timers.now();
+    const auto& ready = services_.upstreams.ready(admitted.service_name);
+    const bool only_cold =
+        std::any_of(ready.begin(), ready.end(), [&](const upstream_entry& entry) {
+            return accepts(entry, now) &&
+                   services_.work_table.rate_limits().accepts(entry.id, admitted.rank, now);
+        });
+    return only_cold ? "upstreams_cold" : "rate_limited";
+}
+
 std::optional<double> upstream_chooser::total_rate(const std::string& service) const {
     double total = 0.0;
     for (const upstream_entry& entry : services_.upstreams.ready(service)) {
@@ -140,12 +164,19 @@
                                                    const answer_times& times) const {
     const instant now = services_.timers.now();
     const engine_profile& profile = *admitted.service->engine;
+    const engine_work_table& table = services_.work_table;
+    const bool cold_matters = tolerated_when_cold(admitted) > 0.0;
     std::vector<engine_view> engines;
     for (const upstream_entry& entry : services_.upstreams.ready(admitted.service_name)) {
-        if (accepts(entry, now) && within_rate(entry, admitted, now)) {
-            engines.push_back({entry.id, &profile, &services_.work_table.load(entry.id),
-                               services_.work_table.slowdowns().slowdown_of(entry.id, now)});
+        if (!accepts(entry, now) || !within_rate(entry, admitted, now)) {
+            continue;
         }
+        const bool cold = cold_matters && table.cold_budget().is_cold(entry.id, now);
+        const double slowdown = table.slowdowns().slowdown_of(entry.id, now);
+        const double when_cold =
+            cold ? table.cold_slowdowns().slowdown_of(admitted.service_name) : 1.0;
+        engines.push_back(
+            {entry.id, &profile, &table.load(entry.id), std::max(slowdown, when_cold), cold});
     }
     placement_request placement;
     placement.key = key;
--- a/servers/relay/upstream_chooser.hpp
+++ b/servers/relay/upstream_chooser.hpp
@@ -39,8 +39,13 @@
                                     const std::set<std::string>& excluded) const;
 
     bool accepts(const upstream_entry& entry, instant now) const;
+    /// Time until the limits of the upstream leave room for another request.
+    duration rate_wait(const upstream_entry& entry, const admission_result& admitted,
+                       instant now) const;
     bool within_rate(const upstream_entry& entry, const admission_result& admitted,
                      instant now) const;
+    /// Why a request waits if no upstream has room within its limits.
+    const char* rate_wait_reason(const admission_result& admitted) const;
     /// Returns the time until an upstream's limit leaves room, if none has room now.
     std::optional<duration> remaining_rate_wait(const admission_result& admitted) const;
     /// Returns the time until an upstream accepts requests again if all of them pause, or zero if
--- a/tests/servers/fleet/upstream_registry_test.cpp
+++ b/tests/servers/fleet/upstream_registry_test.cpp
@@ -3,6 +3,8 @@
 #include <CppUTest/TestHarness.h>
 
 #include <cctype>
+#include <cstdint>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -19,7 +21,8 @@
 namespace {
 
 /// Accepts the values "ready" and "draining", and numbers: the start times of processes that are
-/// ready. Anything else is invalid.
+/// ready, and for how many milliseconds they are cold if that follows after a space. Anything else
+/// is invalid.
 class word_codec final : public upstream_codec {
 public:
     upstream_entry decode(const std::string& id, const std::string& text) const override {
@@ -27,10 +30,15 @@
         entry.id = id;
         entry.service = "s";
         entry.address = {"10.0.0.1", 80};
+        entry.data_centre = "dc1";
         if (text == "draining") {
             entry.state = upstream_state::draining;
         } else if (!text.empty() && std::isdigit(static_cast<unsigned char>(text.front())) != 0) {
             entry.started_at_ms = std::stoll(text);
+            const std::size_t space = text.find(' ');
+            if (space != std::string::npos) {
+                entry.cold_time = milliseconds(std::stoll(text.substr(space)));
+            }
         } else if (text != "ready") {
             throw operation_error("decode", id, "unreadable");
         }
@@ -157,3 +165,125 @@
     LONGS_EQUAL(1, restarted_.size());
     CHECK_TRUE(restarted_.front() == (upstream_lifetime{"a", 100}));
 }
+
+/// A registry whose service limits the requests to cold processes. It lists the process of `a` that
+/// started at 100.
+TEST_GROUP_BASE(cold_processes, TEST_GROUP_CppUTestGroupupstream_registry) {
+    struct report {
+        upstream_lifetime process;
+        instant until{};
+    };
+    std::vector<report> reports_;
+
+    static std::optional<duration> three_seconds(const std::string& service) {
+        return service == "s" ? std::optional<duration>(seconds(3)) : std::nullopt;
+    }
+    void follow(upstream_registry & registry) {
+        registry.set_cold_times(three_seconds);
+        registry.on_cold([this](const upstream_lifetime& process, instant until) {
+            reports_.push_back({process, until});
+        });
+    }
+    void setup() override {
+        follow(registry_);
+        registry_.on_snapshot({{"u/a", "100", 2}}, 5, false);
+    }
+    duration left() const {
+        return reports_.empty() ? duration::zero() : reports_.back().until - timers_.now();
+    }
+};
+
+TEST(cold_processes, entry_that_names_a_cold_time_is_reported_until_it_is_warm) {
+    registry_.on_changes({change("a", "100 1500", 6)}, 6);
+    CHECK_TRUE(left() == milliseconds(1'500));
+    LONGS_EQUAL(1, log_.count("upstream_cold"));
+    timers_.advance(milliseconds(1'400));
+    LONGS_EQUAL(0, log_.count("upstream_warm"));
+    timers_.advance(milliseconds(200));
+    LONGS_EQUAL(1, log_.count("upstream_warm"));
+}
+
+// Guards against an engine that returned and whose entry says that it is warm, or is late.
+TEST(cold_processes, new_process_is_cold_for_the_time_of_its_service) {
+    registry_.on_changes({change("a", "200", 6), change("b", "300 10", 7)}, 7);
+    LONGS_EQUAL(2, reports_.size());
+    CHECK_TRUE(reports_[0].process == (upstream_lifetime{"a", 200}));
+    CHECK_TRUE(reports_[1].process == (upstream_lifetime{"b", 300}));
+    CHECK_TRUE(left() == seconds(3));
+}
+
+TEST(cold_processes, process_that_was_listed_when_the_host_started_is_warm) {
+    registry_.on_changes({change("a", "100", 6)}, 6);
+    LONGS_EQUAL(0, reports_.size());
+}
+
+// Load pattern: entries lapse in an outage of the store and return with it.
+TEST(cold_processes, process_whose_entry_returns_after_an_outage_is_warm) {
+    registry_.on_snapshot({}, 9, true);
+    timers_.advance(seconds(3));
+    CHECK_TRUE(registry_.find("a") == nullptr);
+    registry_.on_changes({change("a", "100", 10)}, 10);
+    LONGS_EQUAL(0, reports_.size());
+}
+
+// Load pattern: an engine becomes cold again in traffic; its process and entry stay the same.
+TEST(cold_processes, new_cold_time_reaches_a_copy_although_nothing_else_changed) {
+    upstream_registry copy(codec_, timers_, log_, "u/");
+    copy.apply(registry_.changes_after(copy.revision()));
+    registry_.on_changes({change("a", "100 2000", 6)}, 6);
+    timers_.advance(milliseconds(500));
+    const catalogue_delta delta = registry_.changes_after(copy.revision());
+    LONGS_EQUAL(1, delta.changes.size());
+    follow(copy);
+    reports_.clear();
+    copy.apply(delta);
+    LONGS_EQUAL(1, reports_.size());
+    CHECK_TRUE(left() == milliseconds(1'500));
+}
+
+// Guards against traffic between hosts: entries are written with each heartbeat.
+TEST(cold_processes, heartbeats_of_a_cold_process_are_no_changes) {
+    registry_.on_changes({change("a", "100 3000", 6)}, 6);
+    for (std::int64_t beat = 1; beat <= 2; ++beat) {
+        timers_.advance(seconds(1));
+        const std::string text = "100 " + std::to_string(3'200 - 1'000 * beat);
+        registry_.on_changes({change("a", text, 6 + beat)}, 6 + beat);
+    }
+    LONGS_EQUAL(0, registry_.changes_after(6).changes.size());
+    CHECK_TRUE(left() == milliseconds(1'200));
+}
+
+TEST(cold_processes, longer_cold_time_is_a_change) {
+    registry_.on_changes({change("a", "100 1000", 6)}, 6);
+    registry_.on_changes({change("a", "100 3000", 7)}, 7);
+    LONGS_EQUAL(1, registry_.changes_after(6).changes.size());
+    CHECK_TRUE(left() == seconds(3));
+}
+
+TEST(cold_processes, cold_time_is_reported_when_the_configuration_arrives) {
+    upstream_registry late(codec_, timers_, log_, "u/");
+    late.on_snapshot({{"u/a", "100 2000", 6}}, 6, false);
+    follow(late);
+    LONGS_EQUAL(0, reports_.size());
+    late.report_cold();
+    LONGS_EQUAL(1, reports_.size());
+    CHECK_TRUE(left() == seconds(2));
+}
+
+// Load pattern: an evacuation ends, and the entries have not told yet that the engines are cold.
+TEST(cold_processes, engines_of_a_data_centre_that_returns_count_as_cold) {
+    registry_.on_data_centre_returned("elsewhere");
+    LONGS_EQUAL(0, reports_.size());
+    registry_.on_data_centre_returned("dc1");
+    LONGS_EQUAL(1, reports_.size());
+    CHECK_TRUE(left() == seconds(3));
+}
+
+// Guards the deployments whose services name no limit.
+TEST(cold_processes, cold_time_of_a_service_without_a_limit_changes_nothing) {
+    upstream_registry plain(codec_, timers_, log_, "u/");
+    plain.on_snapshot({{"u/a", "100", 6}}, 6, false);
+    plain.on_changes({change("a", "100 2000", 7), change("b", "200 2000", 8)}, 8);
+    LONGS_EQUAL(1, plain.changes_after(6).changes.size());
+    LONGS_EQUAL(0, log_.count("upstream_cold"));
+}
--- a/tests/servers/relay/relay_fixture.hpp
+++ b/tests/servers/relay/relay_fixture.hpp
@@ -39,7 +39,8 @@
 
 namespace fuchsiaquay::testing {
 
-/// One configuration with a plain service and a service of model engines.
+/// One configuration with a plain service, a service of model engines, and a plain service whose
+/// upstreams tolerate few requests when they are cold.
 class fixed_configuration final : public configuration_codec {
 public:
     std::shared_ptr<const fleet_configuration> decode(const std::string& text) const override {
@@ -50,7 +51,16 @@
         add(*result, "/lookup/", request_semantics::idempotent, 2, "shop");
         add(*result, "/chat/", request_semantics::stream, 2, "llm");
         add(*result, "/talk/", request_semantics::stream, 3, "llm");
-        result->add_service({"shop", 10, std::nullopt});
+        add(*result, "/stock/", request_semantics::idempotent, 2, "depot");
+        service_profile shop;
+        shop.name = "shop";
+        shop.max_connections = 10;
+        result->add_service(shop);
+        service_profile depot = shop;
+        depot.name = "depot";
+        depot.cold_time = std::chrono::seconds(3);
+        depot.cold_requests_per_s = 4.0;
+        result->add_service(depot);
         engine_profile engine;
         engine.slots = 16;
         engine.memory_tokens = 450'000;
@@ -58,7 +68,10 @@
         engine.read_tokens_per_second = 256'000;
         engine.read_ms_per_million_pairs = 0.0917;
         engine.read_tokens_per_step = 2'048;
-        result->add_service({"llm", 10, engine});
+        service_profile llm = shop;
+        llm.name = "llm";
+        llm.engine = engine;
+        result->add_service(llm);
         result->add_key("key", {"kim", std::nullopt});
         return result;
     }
