--- a/core/limits/cold_upstream_budget.cpp
+++ b/core/limits/cold_upstream_budget.cpp
@@ -91,9 +91,12 @@
 
 duration cold_upstream_budget::time_until_accepted(const std::string& upstream,
                                                    double tolerated_per_s, instant now) const {
+    if (tolerated_per_s <= 0.0) {
+        return duration::zero();
+    }
     const auto found = records_.find(upstream);
-    const bool cold = is_cold(upstream, now);
-    if (tolerated_per_s <= 0.0 || (informed_ && !cold)) {
+    const bool cold = found != records_.end() && now < found->second.cold_until;
+    if (informed_ && !cold) {
         return duration::zero();
     }
     const double total =
--- a/core/placement/interference_aware_placement.cpp
+++ b/core/placement/interference_aware_placement.cpp
@@ -364,7 +364,7 @@
     std::copy_if(engines.begin(), engines.end(), std::back_inserter(warm),
                  [](const engine_view& engine) { return !engine.cold; });
     if (!warm.empty() && warm.size() < engines.size()) {
-        const placement_decision decision = choose_among(request, warm, now);
+        placement_decision decision = choose_among(request, warm, now);
         if (decision.outcome == placement_decision::verdict::place &&
             decision.time_to_first_event <= request.first_event_time_left) {
             return decision;
--- a/tests/servers/relay/cold_upstreams_test.cpp
+++ b/tests/servers/relay/cold_upstreams_test.cpp
@@ -30,7 +30,7 @@
         if (host_.attempts() == before) {
             return "";
         }
-        const std::string upstream = host_.connector.last().upstream.id;
+        std::string upstream = host_.connector.last().upstream.id;
         host_.connector.answer(200);
         host_.connector.end();
         return upstream;
