--- a/core/placement/engine_view.hpp
+++ b/core/placement/engine_view.hpp
@@ -16,6 +16,8 @@
     double slowdown = 1.0;
     /// Null if it is not known; empty if the entry of the engine does not name it.
     const std::string* data_centre = nullptr;
+    /// Whether the engine started, or was without work, so shortly ago that it is still cold.
+    bool cold = false;
 };
 
 }  // namespace fuchsiaquay
--- a/servers/relay/upstream_chooser.hpp
+++ b/servers/relay/upstream_chooser.hpp
@@ -41,8 +41,13 @@
     bool accepts(const upstream_entry& entry, instant now) const;
     /// Whether the operator evacuates the data centre of an upstream.
     bool evacuated(const upstream_entry& entry) const;
+    /// Time until the limits of the upstream leave room for another request.
+    duration rate_wait(const upstream_entry& entry, const admission_result& admitted,
+                       instant now) const;
     bool within_rate(const upstream_entry& entry, const admission_result& admitted,
                      instant now) const;
+    /// Why a request waits if no upstream has room within its limits.
+    const char* rate_wait_reason(const admission_result& admitted) const;
     /// Returns the time until an upstream's limit leaves room, if none has room now.
     std::optional<duration> remaining_rate_wait(const admission_result& admitted) const;
     /// Returns the time until an upstream accepts requests again if all of them pause, or zero if
