Fair shares: client accounts share the engine time of a service while engines are short

Cause: rank orders the queue of each host and nothing else; an account that sends many times its usual takes the engines from all others, because every place that becomes free goes to whoever asks first. Change: announced work carries its account, rank and engine time. Every host counts the engine time of all hosts by account in customer_shares, which gained a max-min limit and its windows as an argument. Waiting long prompts are ordered by rank before their target, waiting requests of a host by rank and then by share. All of it applies only where several accounts share a service whose routes differ in rank. The new tests need the new types and fields, so they were not run against the code before.

--- a/core/fleet/fleet_configuration.cpp
+++ b/core/fleet/fleet_configuration.cpp
@@ -29,6 +29,9 @@
     : version_(version), limits_(limits), requires_key_(requires_key) {}
 
 void fleet_configuration::add_route(route item) {
+    for (const weighted_service& target : item.services) {
+        ranks_[target.service].insert(item.rank);
+    }
     std::vector<route>& host_routes = routes_[normalize_host(item.host)];
     const auto position = std::upper_bound(
         host_routes.begin(), host_routes.end(), item,
@@ -43,9 +46,15 @@
 }
 
 void fleet_configuration::add_key(const std::string& key, customer_terms terms) {
+    customers_.insert(terms.customer);
     keys_[key] = std::move(terms);
 }
 
+bool fleet_configuration::accounts_compete_for(const std::string& service) const {
+    const auto ranks = ranks_.find(service);
+    return customers_.size() > 1 && ranks != ranks_.end() && ranks->second.size() > 1;
+}
+
 const route* fleet_configuration::find_route(std::string_view host, std::string_view path) const {
     const auto found = routes_.find(normalize_host(host));
     if (found == routes_.end()) {
--- a/core/fleet/fleet_configuration.hpp
+++ b/core/fleet/fleet_configuration.hpp
@@ -1,9 +1,11 @@
 #pragma once
 
 #include <cstdint>
+#include <set>
 #include <string>
 #include <string_view>
 #include <unordered_map>
+#include <unordered_set>
 #include <vector>
 
 #include "core/fleet/caller_limits.hpp"
@@ -38,6 +40,8 @@
     const customer_terms* find_customer(const std::string& key) const;
     /// Null if the configuration does not contain the service.
     const service_profile* find_service(const std::string& name) const;
+    /// Whether several client accounts share a service whose routes differ in rank.
+    bool accounts_compete_for(const std::string& service) const;
 
 private:
     std::int64_t version_;
@@ -48,6 +52,9 @@
     std::unordered_map<std::string, std::vector<route>> routes_;
     std::unordered_map<std::string, service_profile> services_;
     std::unordered_map<std::string, customer_terms> keys_;
+    std::unordered_set<std::string> customers_;
+    /// Ranks of the routes to each service.
+    std::unordered_map<std::string, std::set<int>> ranks_;
 };
 
 /// Selects a service for the request `id` according to the weights of the route. Deterministic, so
--- a/core/placement/engine_load.cpp
+++ b/core/placement/engine_load.cpp
@@ -20,7 +20,7 @@
 auto waiting_rank(const engine_work& work, instant now) {
     const bool comes_last =
         work.dispatched_at < now || work.prefill_time > very_long_prefill_threshold;
-    return std::make_tuple(comes_last, work.dispatched_at, work.key);
+    return std::make_tuple(comes_last, work.rank, work.dispatched_at, work.key);
 }
 
 }  // namespace
--- a/core/placement/engine_load.hpp
+++ b/core/placement/engine_load.hpp
@@ -36,8 +36,8 @@
     /// Number of requests that generate output and whose `target_gap` is below `pass`.
     int requests_with_gap_below(duration pass) const;
     /// Prompt tokens of the waiting requests that are ahead of `own`, in queue order. Requests that
-    /// can still meet their target come first, by earliest target time. Requests that are late or
-    /// exceed `very_long_prefill_threshold` come last.
+    /// can still meet their target come first, by rank and then by earliest target time. Requests
+    /// that are late or exceed `very_long_prefill_threshold` come last.
     std::vector<std::int64_t> prompts_waiting_before(const engine_work& own, instant now) const;
     /// Whether a request that takes precedence over `own` was dispatched to the engine at the same
     /// time, so that this host did not know of it when it chose the engine for `own`.
--- a/core/placement/engine_work.hpp
+++ b/core/placement/engine_work.hpp
@@ -25,6 +25,13 @@
     duration target_gap{};
     /// Dispatch time. While the request waits, the time at which its first event becomes late.
     instant dispatched_at{};
+    /// `engine_account_key` of the client account; 0 if accounts do not share engines or the host
+    /// that announced the work is of an older version.
+    std::uint64_t account = 0;
+    /// 0 is the most urgent; 0 as well where `account` is 0.
+    int rank = 0;
+    /// Estimated engine time: the prefill and, for a part that generates, its share of the passes.
+    duration engine_time{};
 
     /// False for the part of a prompt that an engine processes for a request that another engine
     /// answers.
--- a/core/placement/pass_timing.cpp
+++ b/core/placement/pass_timing.cpp
@@ -33,6 +33,12 @@
     return from_milliseconds(step * profile.steps_per_pass);
 }
 
+duration answer_engine_time(const engine_profile& profile, std::int64_t answer_tokens) {
+    const std::int64_t tokens = answer_tokens > 0 ? answer_tokens : profile.usual_answer_tokens;
+    return decode_pass_time(profile, profile.slots, 0) * tokens /
+           (static_cast<std::int64_t>(profile.steps_per_pass) * profile.slots);
+}
+
 duration prefill_time_in_pass(const engine_profile& profile, duration pending) {
     const std::int64_t max_tokens = profile.read_tokens_per_step * profile.steps_per_pass;
     return std::min(pending, prefill_time(profile, max_tokens));
--- a/core/placement/pass_timing.hpp
+++ b/core/placement/pass_timing.hpp
@@ -26,6 +26,10 @@
 duration decode_pass_time(const engine_profile& profile, int decoding_requests,
                           std::int64_t context_tokens);
 
+/// Engine time of an answer: its part of the passes of an engine whose slots are all in use.
+/// @param answer_tokens  0 if unknown
+duration answer_engine_time(const engine_profile& profile, std::int64_t answer_tokens);
+
 /// Maximum prefill time that one pass with decoding requests includes when `pending` is queued.
 duration prefill_time_in_pass(const engine_profile& profile, duration pending);
 
--- a/core/placement/placement_decision.hpp
+++ b/core/placement/placement_decision.hpp
@@ -42,6 +42,12 @@
     duration retry_after{};
     /// For `wait`: the limits that the upstreams name leave no room before `retry_after`.
     bool rate_limited = false;
+    /// For `wait` and `refuse`: the client account has used up its share of the engines until
+    /// `retry_after`.
+    bool over_share = false;
+    /// Engines that the client account has recently used, and that it may use now.
+    double share_used = 0.0;
+    double share_limit = 0.0;
     /// Reason for the decision, written to the log.
     const char* reason = "";
 };
--- a/core/scheduling/customer_shares.hpp
+++ b/core/scheduling/customer_shares.hpp
@@ -1,9 +1,11 @@
 #pragma once
 
+#include <cstddef>
 #include <map>
 
 #include "core/identity/names.hpp"
 #include "core/scheduling/decaying_rate.hpp"
+#include "core/scheduling/usage_windows.hpp"
 #include "core/time/clock.hpp"
 
 namespace fuchsiaquay {
@@ -16,7 +18,8 @@
 class customer_shares {
 public:
     /// @param tokens_per_second  speed of the upstream
-    explicit customer_shares(double tokens_per_second);
+    /// @param windows  times over which usage is averaged
+    explicit customer_shares(double tokens_per_second, const usage_windows& windows = {});
 
     /// Records the weight of a customer that has sent a request of this level.
     void set_weight(const customer_id& customer, int level, double weight);
@@ -25,17 +28,36 @@
     /// Returns true if the customer has recently used clearly more than its share.
     bool over_share(const customer_id& customer, int level, bool is_long, instant now) const;
 
+    /// Recent usage by a customer at this and more urgent levels, as a fraction of the upstream.
+    double used(const customer_id& customer, int level, bool is_long, instant now) const;
+    /// Recent usage by all customers together.
+    double total_used(int level, bool is_long, instant now) const;
+    /// The fraction of the upstream that a customer may use while all customers together are held
+    /// to `total`. Usage is taken from those that use most for their weight first, so that a
+    /// customer may use what others leave; nothing is taken from a customer near or below its
+    /// fraction of the weights of those in use.
+    /// @return a fraction of the upstream for each unit of weight
+    double usage_limit(int level, bool is_long, double total, instant now) const;
+    /// Number of customers seen.
+    std::size_t size() const noexcept { return customers_.size(); }
+
 private:
     struct level_usage {
-        decaying_rate short_usage{std::chrono::seconds(30)};
-        decaying_rate long_usage{std::chrono::seconds(300)};
+        explicit level_usage(const usage_windows& windows)
+            : short_usage(windows.short_prompts), long_usage(windows.long_prompts) {}
+
+        decaying_rate short_usage;
+        decaying_rate long_usage;
     };
     struct customer_usage {
         double weight = 0.0;
         std::map<int, level_usage> levels;
     };
 
+    double used(const customer_usage& customer, int level, bool is_long, instant now) const;
+
     double tokens_per_second_;
+    usage_windows windows_;
     std::map<customer_id, customer_usage> customers_;
     /// Weights of the customers by the most urgent level at which they were seen.
     std::map<int, double> weights_;
--- /dev/null
+++ b/core/scheduling/engine_time_shares.hpp
@@ -0,0 +1,51 @@
+#pragma once
+
+#include <cstddef>
+#include <cstdint>
+#include <map>
+#include <utility>
+
+#include "core/scheduling/customer_shares.hpp"
+#include "core/scheduling/share_standing.hpp"
+#include "core/time/clock.hpp"
+
+namespace fuchsiaquay {
+
+struct engine_work;
+
+/// Engine time that the client accounts use at each service, from the work that all hosts
+/// announce. Each request counts when it is dispatched, so that an account whose long prompts wait
+/// gets room as its earlier use is forgotten. A host that hears less of the others knows less use
+/// and limits less.
+class engine_time_shares {
+public:
+    /// Counts work that was sent to an engine. Work without an account does not count.
+    void on_dispatch(const engine_work& work);
+
+    /// @param account  `engine_account_key`
+    /// @param rank  work of this and more urgent ranks counts
+    share_standing standing(std::uint64_t account, int rank, instant now);
+
+    /// Number of accounts that have sent work, over all services.
+    std::size_t accounts() const;
+
+private:
+    struct usage_limit {
+        double value = 0.0;
+        instant computed_at{};
+        /// Greatest use of all accounts in the current and the previous period.
+        double peak = 0.0;
+        double previous_peak = 0.0;
+        instant period_start{};
+    };
+
+    double limit_of(std::uint32_t service, int rank, instant now);
+
+    /// By hash of the service.
+    std::map<std::uint32_t, customer_shares> services_;
+    /// By hash of the service and rank.
+    std::map<std::pair<std::uint32_t, int>, usage_limit> limits_;
+    instant latest_dispatch_{};
+};
+
+}  // namespace fuchsiaquay
--- a/drivers/datagrams/datagram_codec.cpp
+++ b/drivers/datagrams/datagram_codec.cpp
@@ -35,6 +35,9 @@
     result.memory_tokens = item.memory_tokens();
     result.target_gap = duration(item.gap_us());
     result.dispatched_at = now - duration(item.age_us());
+    result.account = item.account();
+    result.rank = item.rank();
+    result.engine_time = duration(item.engine_time_us());
     return result;
 }
 
@@ -287,9 +290,10 @@
             // Omitted fields take no space in the encoded table.
             return wire::Creatework(builder, item.key, engine, phase);
         }
-        return wire::Creatework(builder, item.key, engine, phase, item.prefill_tokens,
-                                item.prefill_time.count(), item.memory_tokens,
-                                item.target_gap.count(), (now - item.dispatched_at).count());
+        return wire::Creatework(
+            builder, item.key, engine, phase, item.prefill_tokens, item.prefill_time.count(),
+            item.memory_tokens, item.target_gap.count(), (now - item.dispatched_at).count(),
+            item.account, static_cast<std::uint8_t>(item.rank), item.engine_time.count());
     }
 
     flatbuffers::Offset<rate_limit_list> write_rate_limits(
--- a/drivers/datagrams/datagram_generated.h
+++ b/drivers/datagrams/datagram_generated.h
@@ -117,7 +117,10 @@
     VT_READ_US = 12,
     VT_MEMORY_TOKENS = 14,
     VT_GAP_US = 16,
-    VT_AGE_US = 18
+    VT_AGE_US = 18,
+    VT_ACCOUNT = 20,
+    VT_RANK = 22,
+    VT_ENGINE_TIME_US = 24
   };
   uint64_t key() const {
     return GetField<uint64_t>(VT_KEY, 0);
@@ -143,6 +146,15 @@
   int64_t age_us() const {
     return GetField<int64_t>(VT_AGE_US, 0);
   }
+  uint64_t account() const {
+    return GetField<uint64_t>(VT_ACCOUNT, 0);
+  }
+  uint8_t rank() const {
+    return GetField<uint8_t>(VT_RANK, 0);
+  }
+  int64_t engine_time_us() const {
+    return GetField<int64_t>(VT_ENGINE_TIME_US, 0);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint64_t>(verifier, VT_KEY, 8) &&
@@ -154,6 +166,9 @@
            VerifyField<int64_t>(verifier, VT_MEMORY_TOKENS, 8) &&
            VerifyField<int64_t>(verifier, VT_GAP_US, 8) &&
            VerifyField<int64_t>(verifier, VT_AGE_US, 8) &&
+           VerifyField<uint64_t>(verifier, VT_ACCOUNT, 8) &&
+           VerifyField<uint8_t>(verifier, VT_RANK, 1) &&
+           VerifyField<int64_t>(verifier, VT_ENGINE_TIME_US, 8) &&
            verifier.EndTable();
   }
 };
@@ -186,6 +201,15 @@
   void add_age_us(int64_t age_us) {
     fbb_.AddElement<int64_t>(work::VT_AGE_US, age_us, 0);
   }
+  void add_account(uint64_t account) {
+    fbb_.AddElement<uint64_t>(work::VT_ACCOUNT, account, 0);
+  }
+  void add_rank(uint8_t rank) {
+    fbb_.AddElement<uint8_t>(work::VT_RANK, rank, 0);
+  }
+  void add_engine_time_us(int64_t engine_time_us) {
+    fbb_.AddElement<int64_t>(work::VT_ENGINE_TIME_US, engine_time_us, 0);
+  }
   explicit workBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -206,8 +230,13 @@
     int64_t read_us = 0,
     int64_t memory_tokens = 0,
     int64_t gap_us = 0,
-    int64_t age_us = 0) {
+    int64_t age_us = 0,
+    uint64_t account = 0,
+    uint8_t rank = 0,
+    int64_t engine_time_us = 0) {
   workBuilder builder_(_fbb);
+  builder_.add_engine_time_us(engine_time_us);
+  builder_.add_account(account);
   builder_.add_age_us(age_us);
   builder_.add_gap_us(gap_us);
   builder_.add_memory_tokens(memory_tokens);
@@ -215,6 +244,7 @@
   builder_.add_read_tokens(read_tokens);
   builder_.add_key(key);
   builder_.add_engine(engine);
+  builder_.add_rank(rank);
   builder_.add_phase(phase);
   return builder_.Finish();
 }
@@ -228,7 +258,10 @@
     int64_t read_us = 0,
     int64_t memory_tokens = 0,
     int64_t gap_us = 0,
-    int64_t age_us = 0) {
+    int64_t age_us = 0,
+    uint64_t account = 0,
+    uint8_t rank = 0,
+    int64_t engine_time_us = 0) {
   auto engine__ = engine ? _fbb.CreateString(engine) : 0;
   return fuchsiaquay::wire::Creatework(
       _fbb,
@@ -239,7 +272,10 @@
       read_us,
       memory_tokens,
       gap_us,
-      age_us);
+      age_us,
+      account,
+      rank,
+      engine_time_us);
 }
 
 struct slow_engine FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
--- a/main/entry_node.cpp
+++ b/main/entry_node.cpp
@@ -262,6 +262,8 @@
         {"store_calls_failed_total", static_cast<double>(configuration_store_.failure_count() +
                                                          catalogue_store_.failure_count())},
         {"upstreams_limited", static_cast<double>(engine_work_.rate_limits().size())},
+        {"engine_accounts", static_cast<double>(engine_work_.shares().accounts())},
+        {"requests_held_by_share_total", static_cast<double>(relay_queue_.held_by_share())},
         {"prompt_parts_quarantined", static_cast<double>(engine_work_.quarantine().size())},
         {"engine_ends_proved", static_cast<double>(engine_work_.quarantine().proved_ends())},
         {"engine_ends_unproved", static_cast<double>(engine_work_.quarantine().unproved_ends())},
--- a/servers/fleet/engine_work_table.hpp
+++ b/servers/fleet/engine_work_table.hpp
@@ -12,6 +12,7 @@
 #include "core/placement/engine_slowdown_tracker.hpp"
 #include "core/placement/engine_work.hpp"
 #include "core/quarantine/prompt_part_quarantine.hpp"
+#include "core/scheduling/engine_time_shares.hpp"
 
 namespace fuchsiaquay {
 
@@ -45,6 +46,9 @@
     /// Limits that the upstreams name, against which the work of all hosts counts.
     upstream_rate_limits& rate_limits() noexcept { return rate_limits_; }
     const upstream_rate_limits& rate_limits() const noexcept { return rate_limits_; }
+    /// Engine time of the client accounts, from the work of all hosts.
+    engine_time_shares& shares() noexcept { return shares_; }
+    const engine_time_shares& shares() const noexcept { return shares_; }
     std::vector<engine_work> own_work_items() const;
 
     void on_own_change(change_handler changed) { own_changed_ = std::move(changed); }
@@ -54,7 +58,8 @@
     }
 
 private:
-    /// Counts work against the limit of its upstream unless it is known.
+    /// Counts work against the limit of its upstream and the share of its account, unless it is
+    /// known.
     void count_if_new(const std::string& host, const engine_work& work);
     void notify_if_capacity_freed(const engine_work& work) const;
     void notify_capacity_freed() const;
@@ -64,6 +69,7 @@
     engine_slowdown_tracker slowdowns_;
     prompt_part_quarantine quarantine_;
     upstream_rate_limits rate_limits_;
+    engine_time_shares shares_;
     /// Work of this host by key and upstream.
     std::map<std::pair<std::uint64_t, std::string>, engine_work> own_work_items_;
     change_handler own_changed_;
--- a/servers/relay/admission.cpp
+++ b/servers/relay/admission.cpp
@@ -3,6 +3,7 @@
 #include <utility>
 
 #include "core/relay/caller_request.hpp"
+#include "core/scheduling/engine_account_key.hpp"
 
 namespace fuchsiaquay {
 
@@ -60,6 +61,10 @@
     if (is_engine && !request.prompt_tokens) {
         return refuse(std::move(result), status_bad_request, "no_token_counts");
     }
+    if (is_engine && !result.customer.empty() &&
+        configuration->accounts_compete_for(result.service_name)) {
+        result.account = engine_account_key(result.service_name, result.customer);
+    }
     return result;
 }
 
--- a/servers/relay/admission_result.hpp
+++ b/servers/relay/admission_result.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <cstdint>
 #include <memory>
 #include <optional>
 #include <string>
@@ -19,6 +20,8 @@
     std::string service_name;
     std::string customer;
     int rank = 0;
+    /// `engine_account_key` if client accounts compete for the engines of the service; otherwise 0.
+    std::uint64_t account = 0;
 };
 
 }  // namespace fuchsiaquay
--- a/servers/relay/relay_queue.cpp
+++ b/servers/relay/relay_queue.cpp
@@ -74,15 +74,18 @@
 }
 
 void relay_queue::place_waiting() {
-    std::vector<request_relay*> waiting;
+    // Shares are equal unless client accounts compete for engines that are short.
+    using queue_position = std::tuple<int, double, instant>;
+    std::vector<std::pair<queue_position, request_relay*>> waiting;
     for (request_relay* relay : relays_) {
         if (relay->waiting()) {
-            waiting.push_back(relay);
+            const double share = chooser_.share_in_use(relay->admitted());
+            waiting.push_back({{relay->rank(), share, relay->received_at()}, relay});
         }
     }
     std::sort(waiting.begin(), waiting.end(),
-              [](const request_relay* a, const request_relay* b) { return goes_before(*a, *b); });
-    for (request_relay* relay : waiting) {
+              [](const auto& a, const auto& b) { return a.first < b.first; });
+    for (const auto& [position, relay] : waiting) {
         // Placing an earlier request may have ended this one, for example when its connection
         // broke.
         if (relays_.count(relay) > 0) {
--- a/servers/relay/relay_queue.hpp
+++ b/servers/relay/relay_queue.hpp
@@ -12,7 +12,8 @@
 class request_relay;
 
 /// All requests in progress on this host. Requests that wait for an upstream are tried again
-/// whenever capacity becomes free, ordered by rank and then by age.
+/// whenever capacity becomes free, ordered by rank, by the share that their client account uses
+/// while engines are short, and by age.
 class relay_queue final : public request_handler {
 public:
     explicit relay_queue(const relay_services& services);
@@ -30,6 +31,10 @@
     /// Number of requests since startup.
     std::uint64_t accepted() const noexcept { return accepted_; }
     std::size_t waiting() const;
+    /// Number of decisions since startup to hold or refuse a request because its client account has
+    /// used up its share.
+    std::uint64_t held_by_share() const noexcept { return held_by_share_; }
+    void count_held_by_share() { ++held_by_share_; }
     /// Number of requests for the same service that wait until the limits of its upstreams leave
     /// room, and go before `relay`.
     std::size_t rate_waiters_ahead(const request_relay& relay) const;
@@ -49,6 +54,7 @@
     upstream_chooser chooser_;
     std::set<request_relay*> relays_;
     std::uint64_t accepted_ = 0;
+    std::uint64_t held_by_share_ = 0;
     instant started_at_{};
     instant last_check_at_{};
     bool retry_planned_ = false;
--- a/servers/relay/request_log.cpp
+++ b/servers/relay/request_log.cpp
@@ -66,6 +66,10 @@
                          {"waits", waits ? "yes" : "no"},
                          {"tokens", std::to_string(request_.prompt_tokens.value_or(0))},
                          {"ahead", std::to_string(decision.prompts_ahead)},
+                         {"customer", admitted.customer},
+                         {"share_used", std::to_string(decision.share_used)},
+                         {"share_limit", std::to_string(decision.share_limit)},
+                         {"retry_ms", ms_text(decision.retry_after)},
                          {"first_ms", ms_text(decision.time_to_first_event)},
                          {"waited_ms", ms_text(services_.timers.now() - request_.received_at)}});
 }
--- a/servers/relay/request_relay.cpp
+++ b/servers/relay/request_relay.cpp
@@ -110,6 +110,7 @@
     }
     const duration limit = std::min(admitted_.matched_route->timeout,
                                     request_.time_limit.value_or(admitted_.matched_route->timeout));
+    work_.set_account(admitted_.account, admitted_.rank);
     deadline_ = request_.received_at + limit;
     const bool callers_left = services_.stopping_time() > callers_leaving_time;
     const duration needed_time = callers_left ? limit : std::min(limit, usual_service_time);
@@ -146,28 +147,6 @@
     }
 }
 
-void request_relay::check_quarantine() {
-    const bool placed_before = admitted_.matched_route != nullptr && !done_;
-    if (placed_before && (waiting_ || !attempt_ || work_.awaiting_first_event()) &&
-        services_.work_table.quarantine().blocks(request_.prompt_parts, services_.timers.now())) {
-        end_quarantined();
-    }
-}
-
-void request_relay::end_quarantined() {
-    constexpr const char* reason = "prompt_part_ends_engines";
-    cancel_attempts("prompt part in quarantine");
-    if (response_started_) {
-        apply_next_step(next_step::abort, reason);
-    } else if (history_.may_have_run()) {
-        send_failure(status_bad_gateway, reason);
-    } else {
-        const duration left = services_.work_table.quarantine().blocked_for(request_.prompt_parts,
-                                                                            services_.timers.now());
-        refuse({status_unavailable, reason, left});
-    }
-}
-
 void request_relay::place() {
     const instant now = services_.timers.now();
     if (services_.work_table.quarantine().blocks(request_.prompt_parts, now)) {
@@ -175,9 +154,12 @@
         return;
     }
     work_key_ = stable_hash(request_.id, static_cast<std::uint64_t>(history_.count()));
-    const placement_decision decision =
+    placement_decision decision =
         chooser_.choose(request_, admitted_, work_key_, excluded_upstreams(history_.last_failed()),
                         current_answer_times());
+    if (history_.count() == 0) {
+        decision = chooser_.limit_to_share(decision, request_, admitted_, work_key_);
+    }
     const bool overtakes = decision.outcome == placement_decision::verdict::place &&
                            queue_.rate_waiters_ahead(*this) > 0;
     waits_for_rate_ = overtakes || decision.rate_limited;
@@ -241,6 +223,7 @@
 
 void request_relay::give_up(const placement_decision& decision) {
     log_.not_placed(admitted_, decision, history_.count(), false);
+    count_if_held(decision);
     if (host_stopping() && !history_.may_have_run() && !response_started_) {
         // Another host may have the time that this one lacks.
         refuse({status_unavailable, "host_stopping", host_stopping_retry_after}, decision.reason);
@@ -258,12 +241,16 @@
 void request_relay::begin_waiting(const placement_decision& decision) {
     if (!waiting_) {
         log_.not_placed(admitted_, decision, history_.count(), true);
+        count_if_held(decision);
         if (decision.max_wait != duration::max()) {
             forecast_wait_until_ = services_.timers.now() + decision.max_wait;
         }
     }
     waiting_ = true;
-    if (const engine_profile* profile = find_engine_profile()) {
+    if (decision.over_share) {
+        // Other prompts need not leave engines for one that may not use them yet.
+        work_.advance(work_phase::ended);
+    } else if (const engine_profile* profile = find_engine_profile()) {
         work_.wait(work_key_, *profile, request_.prompt_tokens.value_or(0),
                    request_.received_at + admitted_.matched_route->target);
     }
--- a/servers/relay/request_relay.hpp
+++ b/servers/relay/request_relay.hpp
@@ -55,6 +55,7 @@
     bool waits_for_rate() const noexcept { return waiting_ && waits_for_rate_; }
     const std::string& service() const noexcept { return admitted_.service_name; }
     int rank() const noexcept { return admitted_.rank; }
+    const admission_result& admitted() const noexcept { return admitted_; }
     instant received_at() const noexcept { return request_.received_at; }
 
 private:
@@ -71,6 +72,8 @@
     /// Decides whether the request waits until the limits of the upstreams leave room for it, or is
     /// given up at once because those ahead of it take the room until too late.
     void wait_for_rate(placement_decision decision);
+    /// Counts a request that does not reach an upstream now because of its account's share.
+    void count_if_held(const placement_decision& decision);
     /// Ends a request that no upstream can take.
     void give_up(const placement_decision& decision);
     void dispatch(const placement_decision& decision);
--- a/servers/relay/request_relay_attempts.cpp
+++ b/servers/relay/request_relay_attempts.cpp
@@ -16,6 +16,7 @@
 #include "servers/fleet/engine_work_table.hpp"
 #include "servers/fleet/upstream_registry.hpp"
 #include "servers/relay/answer_times.hpp"
+#include "servers/relay/relay_queue.hpp"
 #include "servers/relay/request_relay.hpp"
 #include "servers/relay/response_sink.hpp"
 #include "servers/relay/standby_attempt.hpp"
@@ -346,4 +347,32 @@
     standby->work.advance(work_phase::ended);
 }
 
+void request_relay::count_if_held(const placement_decision& decision) {
+    if (decision.over_share) {
+        queue_.count_held_by_share();
+    }
+}
+
+void request_relay::check_quarantine() {
+    const bool placed_before = admitted_.matched_route != nullptr && !done_;
+    if (placed_before && (waiting_ || !attempt_ || work_.awaiting_first_event()) &&
+        services_.work_table.quarantine().blocks(request_.prompt_parts, services_.timers.now())) {
+        end_quarantined();
+    }
+}
+
+void request_relay::end_quarantined() {
+    constexpr const char* reason = "prompt_part_ends_engines";
+    cancel_attempts("prompt part in quarantine");
+    if (response_started_) {
+        apply_next_step(next_step::abort, reason);
+    } else if (history_.may_have_run()) {
+        send_failure(status_bad_gateway, reason);
+    } else {
+        const duration left = services_.work_table.quarantine().blocked_for(request_.prompt_parts,
+                                                                            services_.timers.now());
+        refuse({status_unavailable, reason, left});
+    }
+}
+
 }  // namespace fuchsiaquay
--- a/servers/relay/request_work.cpp
+++ b/servers/relay/request_work.cpp
@@ -10,6 +10,12 @@
 
 namespace fuchsiaquay {
 
+void request_work::set_account(std::uint64_t account, int rank) {
+    account_ = account;
+    // The order of waiting prompts depends on the rank only where accounts compete.
+    rank_ = account == 0 ? 0 : rank;
+}
+
 void request_work::wait(std::uint64_t key, const engine_profile& profile,
                         std::int64_t prompt_tokens, instant late_at) {
     engine_work work;
@@ -18,6 +24,8 @@
     work.prefill_tokens = prompt_tokens;
     work.prefill_time = prefill_time(profile, prompt_tokens);
     work.dispatched_at = late_at;
+    work.account = account_;
+    work.rank = rank_;
     if (work_items_.empty() && work.prefill_time > long_prefill_threshold) {
         work_items_.push_back(work);
         work_table_->apply_own_works(work_items_);
@@ -32,16 +40,23 @@
     work.engine = decision.engine;
     work.dispatched_at = now;
     work.target_gap = matched_route.target_gap;
+    work.account = account_;
+    work.rank = rank_;
+    duration pass_share{};
     if (profile != nullptr) {
         const auto parts = static_cast<std::int64_t>(decision.helpers.size()) + 1;
         const std::int64_t tokens = request.prompt_tokens.value_or(0);
         work.prefill_tokens = tokens / parts;
         work.prefill_time = prefill_time(*profile, tokens) / parts;
+        pass_share = account_ == 0 ? duration::zero()
+                                   : answer_engine_time(*profile, request.max_answer_tokens);
+        work.engine_time = account_ == 0 ? duration::zero() : work.prefill_time + pass_share;
         work.memory_tokens = (decision.reserved_tokens > 0 ? decision.reserved_tokens : tokens) +
                              request.max_answer_tokens;
     }
     work_items_.push_back(work);
     work.target_gap = {};
+    work.engine_time -= pass_share;
     for (const placement_part& part : decision.helpers) {
         work.engine = part.engine;
         work.memory_tokens = part.reserved_tokens;
--- a/servers/relay/request_work.hpp
+++ b/servers/relay/request_work.hpp
@@ -19,6 +19,9 @@
 public:
     explicit request_work(engine_work_table& work_table) : work_table_(&work_table) {}
 
+    /// Sets the client account and the rank that the work counts for.
+    /// @param account  `engine_account_key`; 0 if accounts do not compete for the engines
+    void set_account(std::uint64_t account, int rank);
     /// Registers the request among the waiting long prompts; does nothing for short prompts.
     /// @param late_at  when the first event becomes late
     void wait(std::uint64_t key, const engine_profile& profile, std::int64_t prompt_tokens,
@@ -37,6 +40,8 @@
 private:
     /// Never null.
     engine_work_table* work_table_;
+    std::uint64_t account_ = 0;
+    int rank_ = 0;
     std::vector<engine_work> work_items_;
 };
 
--- a/servers/relay/upstream_chooser.cpp
+++ b/servers/relay/upstream_chooser.cpp
@@ -10,10 +10,12 @@
 #include "core/health/upstream_notices.hpp"
 #include "core/identity/names.hpp"
 #include "core/placement/engine_load.hpp"
+#include "core/placement/engine_room.hpp"
 #include "core/placement/pass_timing.hpp"
 #include "core/placement/placement_policy.hpp"
 #include "core/placement/placement_request.hpp"
 #include "core/relay/caller_request.hpp"
+#include "core/scheduling/share_limit.hpp"
 #include "servers/fleet/engine_work_table.hpp"
 #include "servers/fleet/upstream_registry.hpp"
 #include "servers/relay/admission_result.hpp"
@@ -30,6 +32,9 @@
 /// Number of steps over which the retries of rejected callers are spread.
 constexpr std::int64_t spread_steps = 1'024;
 
+/// Time for which a check of the engines' room holds, within which hosts hear of each other's work.
+constexpr duration room_check_lifetime = std::chrono::milliseconds(20);
+
 /// Every caller accepts this time without data before and within a stream, or these multiples of
 /// the route's target and target gap, whichever is longest. Specified by the users' platform
 /// (requests).
@@ -42,6 +47,12 @@
                      matched_route.target_gap * caller_wait_gaps});
 }
 
+/// Spreads the retries of callers that were rejected at the same time.
+duration spread_over_callers(duration retry_after, std::uint64_t key) {
+    return retry_after +
+           retry_after * static_cast<std::int64_t>(key % spread_steps) / spread_steps / 2;
+}
+
 placement_decision refused(const char* reason) {
     placement_decision result;
     result.outcome = placement_decision::verdict::refuse;
@@ -129,8 +140,71 @@
     if (shortest == duration::max()) {
         return duration::zero();
     }
-    // Spreads the retries of callers that were rejected at the same time.
-    return shortest + shortest * static_cast<std::int64_t>(key % spread_steps) / spread_steps / 2;
+    return spread_over_callers(shortest, key);
+}
+
+std::vector<engine_view> upstream_chooser::accepting_engines(const admission_result& admitted,
+                                                             instant now) const {
+    std::vector<engine_view> engines;
+    for (const upstream_entry& entry : services_.upstreams.ready(admitted.service_name)) {
+        if (accepts(entry, now) && within_rate(entry, admitted, now)) {
+            engines.push_back({entry.id, &*admitted.service->engine,
+                               &services_.work_table.load(entry.id),
+                               services_.work_table.slowdowns().slowdown_of(entry.id, now)});
+        }
+    }
+    return engines;
+}
+
+bool upstream_chooser::shares_bind(const admission_result& admitted, instant now) const {
+    if (admitted.account == 0 || !services_.knows_all_work()) {
+        return false;
+    }
+    const duration target = admitted.matched_route->target;
+    room_check& check = room_checks_[{admitted.service_name, target}];
+    if (check.checked_at == instant{} || now - check.checked_at > room_check_lifetime) {
+        check = {engines_short(accepting_engines(admitted, now), target, now), now};
+    }
+    return check.is_short;
+}
+
+double upstream_chooser::share_in_use(const admission_result& admitted) const {
+    const instant now = services_.timers.now();
+    if (!shares_bind(admitted, now)) {
+        return 0.0;
+    }
+    const share_standing standing =
+        services_.work_table.shares().standing(admitted.account, admitted.rank, now);
+    return standing.limit > 0.0 ? standing.used / standing.limit : 0.0;
+}
+
+placement_decision upstream_chooser::limit_to_share(placement_decision decision,
+                                                    const caller_request& request,
+                                                    const admission_result& admitted,
+                                                    std::uint64_t key) const {
+    const instant now = services_.timers.now();
+    if (!shares_bind(admitted, now)) {
+        return decision;
+    }
+    const share_standing standing =
+        services_.work_table.shares().standing(admitted.account, admitted.rank, now);
+    const duration needed =
+        prefill_time(*admitted.service->engine, request.prompt_tokens.value_or(0));
+    const duration left = request.received_at + admitted.matched_route->target - now;
+    const share_verdict verdict = fuchsiaquay::limit_to_share(standing, needed, left);
+    if (verdict == share_verdict::admit) {
+        return decision;
+    }
+    placement_decision held;
+    held.outcome = verdict == share_verdict::wait ? placement_decision::verdict::wait
+                                                  : placement_decision::verdict::refuse;
+    held.reason = "share_used";
+    held.prompts_ahead = decision.prompts_ahead;
+    held.over_share = true;
+    held.share_used = standing.used;
+    held.share_limit = standing.limit;
+    held.retry_after = spread_over_callers(standing.free_in, key);
+    return held;
 }
 
 placement_decision upstream_chooser::choose_engine(const caller_request& request,
@@ -140,13 +214,7 @@
                                                    const answer_times& times) const {
     const instant now = services_.timers.now();
     const engine_profile& profile = *admitted.service->engine;
-    std::vector<engine_view> engines;
-    for (const upstream_entry& entry : services_.upstreams.ready(admitted.service_name)) {
-        if (accepts(entry, now) && within_rate(entry, admitted, now)) {
-            engines.push_back({entry.id, &profile, &services_.work_table.load(entry.id),
-                               services_.work_table.slowdowns().slowdown_of(entry.id, now)});
-        }
-    }
+    const std::vector<engine_view> engines = accepting_engines(admitted, now);
     placement_request placement;
     placement.key = key;
     placement.prompt_tokens = request.prompt_tokens.value_or(0);
@@ -163,6 +231,7 @@
     queue_entry.key = key;
     queue_entry.prefill_time = prefill_time(profile, placement.prompt_tokens);
     queue_entry.dispatched_at = request.received_at + admitted.matched_route->target;
+    queue_entry.rank = admitted.account == 0 ? 0 : admitted.rank;
     if (queue_entry.prefill_time > long_prefill_threshold) {
         placement.tokens_ahead =
             services_.work_table.load("").prompts_waiting_before(queue_entry, now);
--- a/servers/relay/upstream_chooser.hpp
+++ b/servers/relay/upstream_chooser.hpp
@@ -1,10 +1,14 @@
 #pragma once
 
 #include <cstdint>
+#include <map>
 #include <optional>
 #include <set>
 #include <string>
+#include <utility>
+#include <vector>
 
+#include "core/placement/engine_view.hpp"
 #include "core/placement/placement_decision.hpp"
 #include "core/time/clock.hpp"
 
@@ -26,6 +30,15 @@
                               std::uint64_t key, const std::set<std::string>& excluded,
                               const answer_times& times) const;
 
+    /// While engines are short, holds a request whose client account has used up its share: it
+    /// waits if the share becomes free in time, and is refused otherwise.
+    /// @param decision  the placement of a request that no upstream has seen
+    placement_decision limit_to_share(placement_decision decision, const caller_request& request,
+                                      const admission_result& admitted, std::uint64_t key) const;
+    /// Engines that the account of a request has recently used, as a fraction of what it may use;
+    /// 0 while the engines of its service are not short.
+    double share_in_use(const admission_result& admitted) const;
+
     /// Requests per second that all upstreams of a service take together; absent if one of them
     /// names no limit.
     std::optional<double> total_rate(const std::string& service) const;
@@ -38,6 +51,15 @@
     placement_decision choose_plain(const admission_result& admitted, std::uint64_t key,
                                     const std::set<std::string>& excluded) const;
 
+    struct room_check {
+        bool is_short = false;
+        instant checked_at{};
+    };
+
+    /// Engines that accept work of the service.
+    std::vector<engine_view> accepting_engines(const admission_result& admitted, instant now) const;
+    /// Whether the engines are short for requests like this one, and all hosts' work is known.
+    bool shares_bind(const admission_result& admitted, instant now) const;
     bool accepts(const upstream_entry& entry, instant now) const;
     bool within_rate(const upstream_entry& entry, const admission_result& admitted,
                      instant now) const;
@@ -48,6 +70,8 @@
     std::optional<duration> remaining_pause(const std::string& service, std::uint64_t key) const;
 
     const relay_services& services_;
+    /// Latest checks by service and target.
+    mutable std::map<std::pair<std::string, duration>, room_check> room_checks_;
 };
 
 }  // namespace fuchsiaquay
--- a/tests/core/fleet/fleet_configuration_test.cpp
+++ b/tests/core/fleet/fleet_configuration_test.cpp
@@ -63,3 +63,16 @@
     }
     CHECK_TRUE(counts["one"] > 850 && counts["one"] < 1'150);
 }
+
+TEST(fleet_configuration, accounts_compete_where_there_are_several_and_routes_differ_in_rank) {
+    CHECK_FALSE(configuration_.accounts_compete_for("one"));
+    route urgent = make_route("/u/", "one");
+    urgent.rank = 1;
+    configuration_.add_route(urgent);
+    CHECK_FALSE(configuration_.accounts_compete_for("one"));
+    configuration_.add_key("k2", {"kim", {}});
+    CHECK_FALSE(configuration_.accounts_compete_for("one"));
+    configuration_.add_key("k3", {"lee", {}});
+    CHECK_TRUE(configuration_.accounts_compete_for("one"));
+    CHECK_FALSE(configuration_.accounts_compete_for("two"));
+}
--- a/tests/core/placement/engine_load_test.cpp
+++ b/tests/core/placement/engine_load_test.cpp
@@ -87,6 +87,19 @@
     LONGS_EQUAL(2, load_.prompts_waiting_before(very_long, now_).size());
 }
 
+TEST(engine_load, urgent_prompts_wait_before_less_urgent_ones_with_an_earlier_target) {
+    engine_work less_urgent = work(1, work_phase::waiting);
+    less_urgent.rank = 2;
+    less_urgent.dispatched_at = now_ + seconds(1);
+    engine_work urgent = work(2, work_phase::waiting);
+    urgent.rank = 1;
+    urgent.dispatched_at = now_ + seconds(2);
+    load_.apply("a", less_urgent);
+    load_.apply("b", urgent);
+    LONGS_EQUAL(0, load_.prompts_waiting_before(urgent, now_).size());
+    LONGS_EQUAL(1, load_.prompts_waiting_before(less_urgent, now_).size());
+}
+
 TEST(engine_load, concurrent_prompts_on_one_engine_are_ordered_by_key) {
     const engine_work first = work(1, work_phase::prefill);
     engine_work second = work(2, work_phase::prefill);
--- a/tests/core/scheduling/customer_shares_test.cpp
+++ b/tests/core/scheduling/customer_shares_test.cpp
@@ -49,3 +49,18 @@
     alone.add_usage(large_, 0, false, 600.0 * 30.0, now_);
     CHECK_FALSE(alone.over_share(large_, 0, false, now_));
 }
+
+TEST(customer_shares, limit_takes_from_the_largest_user_only) {
+    const double total = shares_.total_used(0, false, now_);
+    const double limit = shares_.usage_limit(0, false, 0.85 * total, now_);
+    CHECK_TRUE(shares_.used(large_, 0, false, now_) > limit);
+    CHECK_TRUE(shares_.used(small_, 0, false, now_) < limit);
+    DOUBLES_EQUAL(0.85 * total, limit + shares_.used(small_, 0, false, now_), 0.001);
+}
+
+TEST(customer_shares, shorter_window_forgets_use_sooner) {
+    customer_shares recent(1000.0, {std::chrono::seconds(5), std::chrono::seconds(5)});
+    recent.add_usage(small_, 0, false, 5'000.0, now_);
+    DOUBLES_EQUAL(1.0, recent.used(small_, 0, false, now_), 0.001);
+    DOUBLES_EQUAL(0.368, recent.used(small_, 0, false, now_ + std::chrono::seconds(5)), 0.001);
+}
--- a/tests/drivers/datagrams/datagram_codec_test.cpp
+++ b/tests/drivers/datagrams/datagram_codec_test.cpp
@@ -51,6 +51,30 @@
     CHECK_TRUE(message.works.front().target_gap == milliseconds(200));
 }
 
+TEST(datagram_codec, work_keeps_its_account_rank_and_engine_time) {
+    announcement message = sample();
+    engine_work& work = message.works.front();
+    work.account = 0x1234'5678'9abc'def0;
+    work.rank = 2;
+    work.engine_time = milliseconds(700);
+    const auto decoded =
+        std::get<announcement>(decode_datagram(encode_datagram(message, now_), now_));
+    CHECK_TRUE(decoded.works.front().account == work.account);
+    LONGS_EQUAL(2, decoded.works.front().rank);
+    CHECK_TRUE(decoded.works.front().engine_time == milliseconds(700));
+}
+
+// An older build sends no such fields.
+TEST(datagram_codec, work_without_an_account_takes_no_more_space) {
+    announcement with_account = sample();
+    with_account.works.front().account = 7;
+    CHECK_TRUE(encode_datagram(sample(), now_).size() < encode_datagram(with_account, now_).size());
+    const auto decoded =
+        std::get<announcement>(decode_datagram(encode_datagram(sample(), now_), now_));
+    CHECK_TRUE(decoded.works.front().account == 0);
+    CHECK_TRUE(decoded.works.front().engine_time == duration::zero());
+}
+
 TEST(datagram_codec, prompt_parts_keep_their_ages_on_the_receivers_clock) {
     announcement message = sample();
     message.prompt_parts.ends.push_back(
--- a/tests/servers/relay/relay_fixture.hpp
+++ b/tests/servers/relay/relay_fixture.hpp
@@ -50,6 +50,10 @@
         add(*result, "/lookup/", request_semantics::idempotent, 2, "shop");
         add(*result, "/chat/", request_semantics::stream, 2, "llm");
         add(*result, "/talk/", request_semantics::stream, 3, "llm");
+        if (accounts_compete) {
+            add(*result, "/later/", request_semantics::stream, 2, "llm", 1);
+            result->add_key("other key", {"lee", std::nullopt});
+        }
         result->add_service({"shop", 10, std::nullopt});
         engine_profile engine;
         engine.slots = 16;
@@ -63,10 +67,14 @@
         return result;
     }
 
+    /// Adds a less urgent route and a second client account.
+    bool accounts_compete = false;
+
 private:
     static void add(fleet_configuration& to, const std::string& prefix, request_semantics semantics,
-                    int attempts, const std::string& service) {
+                    int attempts, const std::string& service, int rank = 0) {
         route item;
+        item.rank = rank;
         item.name = prefix;
         item.host = "h";
         item.prefix = prefix;
