Placement: the reason names the caller that leaves, with the forecast

request_not_placed said 'not enough time left' with first_ms=0 for prompts with ten seconds left: the earliest engine was beyond the time that the caller waits without an event, not beyond the deadline. The reason now tells the two apart and the decision carries the forecast. The new test failed before ('not enough time left').

--- a/core/placement/interference_aware_placement.cpp
+++ b/core/placement/interference_aware_placement.cpp
@@ -253,9 +253,14 @@
         best = &candidate;
         earliest_first_event = time_to_first_event;
     }
-    if (best == nullptr ||
-        earliest_first_event > std::min(request.time_left, request.abandon_time_left)) {
-        result.reason = best == nullptr ? result.reason : "not enough time left";
+    if (best == nullptr) {
+        return result;
+    }
+    if (earliest_first_event > std::min(request.time_left, request.abandon_time_left)) {
+        result.reason = earliest_first_event > request.time_left
+                            ? "not enough time left"
+                            : "no engine before the caller leaves";
+        result.time_to_first_event = earliest_first_event;
         return result;
     }
     result = place_whole(request, *best);
--- a/tests/core/placement/interference_aware_placement_test.cpp
+++ b/tests/core/placement/interference_aware_placement_test.cpp
@@ -221,6 +221,21 @@
     CHECK_TRUE(engines_with_requests() <= engines / 2);
 }
 
+TEST(interference_aware_placement, reason_tells_a_caller_that_leaves_from_a_deadline) {
+    for (const auto& [id, load] : loads_) {
+        add(id, prompt(900, 200'000, seconds(6), seconds(5)), work_phase::prefill);
+    }
+    placement_request request = short_request(1);
+    request.abandon_time_left = seconds(2);
+    const placement_decision leaves = choose(request);
+    CHECK_TRUE(leaves.outcome == placement_decision::verdict::wait);
+    STRCMP_EQUAL("no engine before the caller leaves", leaves.reason);
+    CHECK_TRUE(leaves.time_to_first_event > seconds(2));
+    request.abandon_time_left = seconds(5);
+    request.time_left = seconds(1);
+    STRCMP_EQUAL("not enough time left", choose(request).reason);
+}
+
 TEST(interference_aware_placement,
      short_prompts_share_one_more_engine_when_first_engines_are_in_prefill) {
     std::vector<std::string> order;
