--- a/core/scheduling/engine_time_shares.cpp
+++ b/core/scheduling/engine_time_shares.cpp
@@ -16,9 +16,16 @@
 /// for the engines now. Ranks keep long prompts apart from short ones where they differ.
 constexpr duration usage_window = std::chrono::seconds(5);
 constexpr usage_windows windows{usage_window, usage_window};
-/// Fraction of the greatest recent use to which the accounts are held together while engines are
-/// short. The rest frees engines for the accounts that use less.
-constexpr double reduction = 0.85;
+/// Fractions of the greatest recent use to which the accounts are held together, when engines
+/// become short and when they stay so. The rest frees engines for the accounts that use less.
+constexpr double first_fraction = 0.85;
+constexpr double min_fraction = 0.4;
+/// Times in which the fraction falls and rises by a factor of e. Prompts that are late anyway take
+/// a few seconds to leave the engines.
+constexpr duration fall_time = std::chrono::seconds(3);
+constexpr duration rise_time = std::chrono::seconds(3);
+/// Engines that were not short for this time count as relieved.
+constexpr duration relief_gap = std::chrono::milliseconds(250);
 /// The greatest use is that of one to two of these periods. It stays above the time that callers
 /// wait before they come back, so that what they were told holds.
 constexpr duration peak_period = std::chrono::seconds(15);
@@ -73,6 +80,17 @@
     return total;
 }
 
+double engine_time_shares::next_fraction(const usage_limit& limit, instant now) {
+    if (limit.computed_at == instant{}) {
+        return first_fraction;
+    }
+    const duration passed = now - limit.computed_at;
+    const bool stayed_short = passed <= relief_gap;
+    const double change = stayed_short ? -to_seconds(passed) / to_seconds(fall_time)
+                                       : to_seconds(passed) / to_seconds(rise_time);
+    return std::clamp(limit.fraction * std::exp(change), min_fraction, first_fraction);
+}
+
 double engine_time_shares::limit_of(std::uint32_t service, int rank, instant now) {
     usage_limit& limit = limits_[{service, rank}];
     if (limit.computed_at != instant{} && now - limit.computed_at <= limit_lifetime) {
@@ -86,7 +104,8 @@
         limit.period_start = now;
     }
     limit.peak = std::max(limit.peak, shares.total_used(rank, false, now));
-    const double total = reduction * std::max(limit.peak, limit.previous_peak);
+    limit.fraction = next_fraction(limit, now);
+    const double total = limit.fraction * std::max(limit.peak, limit.previous_peak);
     limit.value = shares.usage_limit(rank, false, total, now);
     limit.computed_at = now;
     return limit.value;
--- a/core/scheduling/engine_time_shares.hpp
+++ b/core/scheduling/engine_time_shares.hpp
@@ -23,6 +23,8 @@
     void on_dispatch(const engine_work& work);
 
     /// @param account  `engine_account_key`
+    /// To be asked for only while the engines of the service are short: the longer they stay so,
+    /// the lower is the limit.
     /// @param rank  work of this and more urgent ranks counts
     share_standing standing(std::uint64_t account, int rank, instant now);
 
@@ -36,9 +38,13 @@
         /// Greatest use of all accounts in the current and the previous period.
         double peak = 0.0;
         double previous_peak = 0.0;
+        /// Fraction of the greatest use to which the accounts are held together.
+        double fraction = 0.0;
         instant period_start{};
     };
 
+    /// Falls while limits are asked for without a pause, and rises otherwise.
+    static double next_fraction(const usage_limit& limit, instant now);
     double limit_of(std::uint32_t service, int rank, instant now);
 
     /// By hash of the service.
--- a/servers/relay/upstream_chooser.cpp
+++ b/servers/relay/upstream_chooser.cpp
@@ -35,6 +35,9 @@
 /// Time for which a check of the engines' room holds, within which hosts hear of each other's work.
 constexpr duration room_check_lifetime = std::chrono::milliseconds(20);
 
+/// Time after the latest request of a more urgent rank for which others leave it engines.
+constexpr duration urgent_demand_lifetime = std::chrono::seconds(1);
+
 /// Every caller accepts this time without data before and within a stream, or these multiples of
 /// the route's target and target gap, whichever is longest. Specified by the users' platform
 /// (requests).
@@ -161,9 +164,27 @@
         return false;
     }
     const duration target = admitted.matched_route->target;
-    room_check& check = room_checks_[{admitted.service_name, target}];
+    room_checks_[{admitted.service_name, admitted.rank, target}].wanted_at = now;
+    bool binds = false;
+    auto item = room_checks_.lower_bound({admitted.service_name, 0, duration::zero()});
+    for (; item != room_checks_.end(); ++item) {
+        const auto& [service, rank, checked_target] = item->first;
+        const bool concerns = rank < admitted.rank
+                                  ? now - item->second.wanted_at <= urgent_demand_lifetime
+                                  : checked_target == target;
+        if (service != admitted.service_name || rank > admitted.rank) {
+            break;
+        }
+        binds = binds || (concerns && is_short(admitted, checked_target, item->second, now));
+    }
+    return binds;
+}
+
+bool upstream_chooser::is_short(const admission_result& admitted, duration target,
+                                room_check& check, instant now) const {
     if (check.checked_at == instant{} || now - check.checked_at > room_check_lifetime) {
-        check = {engines_short(accepting_engines(admitted, now), target, now), now};
+        check.is_short = engines_short(accepting_engines(admitted, now), target, now);
+        check.checked_at = now;
     }
     return check.is_short;
 }
--- a/servers/relay/upstream_chooser.hpp
+++ b/servers/relay/upstream_chooser.hpp
@@ -5,7 +5,7 @@
 #include <optional>
 #include <set>
 #include <string>
-#include <utility>
+#include <tuple>
 #include <vector>
 
 #include "core/placement/engine_view.hpp"
@@ -54,12 +54,18 @@
     struct room_check {
         bool is_short = false;
         instant checked_at{};
+        /// When a request of this rank and target last asked.
+        instant wanted_at{};
     };
 
     /// Engines that accept work of the service.
     std::vector<engine_view> accepting_engines(const admission_result& admitted, instant now) const;
-    /// Whether the engines are short for requests like this one, and all hosts' work is known.
+    /// Whether the engines are short for requests like this one or for more urgent ones, and all
+    /// hosts' work is known.
     bool shares_bind(const admission_result& admitted, instant now) const;
+    /// Repeats an old check.
+    bool is_short(const admission_result& admitted, duration target, room_check& check,
+                  instant now) const;
     bool accepts(const upstream_entry& entry, instant now) const;
     bool within_rate(const upstream_entry& entry, const admission_result& admitted,
                      instant now) const;
@@ -70,8 +76,8 @@
     std::optional<duration> remaining_pause(const std::string& service, std::uint64_t key) const;
 
     const relay_services& services_;
-    /// Latest checks by service and target.
-    mutable std::map<std::pair<std::string, duration>, room_check> room_checks_;
+    /// Latest checks by service, rank and target.
+    mutable std::map<std::tuple<std::string, int, duration>, room_check> room_checks_;
 };
 
 }  // namespace fuchsiaquay
--- a/tests/core/scheduling/engine_time_shares_test.cpp
+++ b/tests/core/scheduling/engine_time_shares_test.cpp
@@ -90,6 +90,22 @@
     CHECK_FALSE(shares_.standing(accounts_[0], 0, now_ + free_in / 20).over());
 }
 
+TEST(engine_time_shares, limit_falls_while_engines_stay_short_and_rises_after) {
+    play_flood(shares_, milliseconds(100));
+    const double first = shares_.standing(accounts_[0], 0, now_).limit;
+    for (int step = 0; step < 20; ++step) {
+        now_ += milliseconds(100);
+        for (const std::uint64_t account : accounts_) {
+            send(shares_, account, 0, milliseconds(100), now_);
+        }
+        shares_.standing(accounts_[0], 0, now_);
+    }
+    const double later = shares_.standing(accounts_[0], 0, now_).limit;
+    CHECK_TRUE(later < first * 0.7);
+    now_ += seconds(4);
+    CHECK_TRUE(shares_.standing(accounts_[0], 0, now_).limit > later);
+}
+
 // Guards against long prompts of a small account that never get their turn.
 TEST(engine_time_shares, small_account_may_send_its_next_long_prompt_after_a_while) {
     play_flood(shares_, milliseconds(100));
