--- a/servers/fleet/engine_work_table.cpp
+++ b/servers/fleet/engine_work_table.cpp
@@ -62,6 +62,7 @@
     if (sent && !load(work.engine).contains(host, work.key)) {
         rate_limits_.on_dispatch(work.engine, work.dispatched_at);
         cold_budget_.on_dispatch(work.engine, host == self_, work.dispatched_at);
+        shares_.on_dispatch(work);
     }
 }
 
--- a/servers/fleet/engine_work_table.hpp
+++ b/servers/fleet/engine_work_table.hpp
@@ -14,6 +14,7 @@
 #include "core/placement/engine_slowdown_tracker.hpp"
 #include "core/placement/engine_work.hpp"
 #include "core/quarantine/prompt_part_quarantine.hpp"
+#include "core/scheduling/engine_time_shares.hpp"
 
 namespace fuchsiaquay {
 
@@ -53,6 +54,9 @@
     /// Bound of the requests to upstreams that are cold, against which the same work counts.
     cold_upstream_budget& cold_budget() noexcept { return cold_budget_; }
     const cold_upstream_budget& cold_budget() const noexcept { return cold_budget_; }
+    /// Engine time of the client accounts, from the work of all hosts.
+    engine_time_shares& shares() noexcept { return shares_; }
+    const engine_time_shares& shares() const noexcept { return shares_; }
     std::vector<engine_work> own_work_items() const;
 
     void on_own_change(change_handler changed) { own_changed_ = std::move(changed); }
@@ -62,7 +66,8 @@
     }
 
 private:
-    /// Counts work against the limit of its upstream unless it is known.
+    /// Counts work against the limit of its upstream and the share of its account, unless it is
+    /// known.
     void count_if_new(const std::string& host, const engine_work& work);
     void notify_if_capacity_freed(const engine_work& work) const;
     void notify_capacity_freed() const;
@@ -74,6 +79,7 @@
     upstream_rate_limits rate_limits_;
     cold_upstream_budget cold_budget_;
     cold_slowdown_estimate cold_slowdowns_;
+    engine_time_shares shares_;
     /// Work of this host by key and upstream.
     std::map<std::pair<std::uint64_t, std::string>, engine_work> own_work_items_;
     change_handler own_changed_;
--- a/servers/relay/upstream_chooser.cpp
+++ b/servers/relay/upstream_chooser.cpp
@@ -12,10 +12,12 @@
 #include "core/identity/names.hpp"
 #include "core/placement/data_centre_preference.hpp"
 #include "core/placement/engine_load.hpp"
+#include "core/placement/engine_room.hpp"
 #include "core/placement/pass_timing.hpp"
 #include "core/placement/placement_policy.hpp"
 #include "core/placement/placement_request.hpp"
 #include "core/relay/caller_request.hpp"
+#include "core/scheduling/share_limit.hpp"
 #include "servers/fleet/engine_work_table.hpp"
 #include "servers/fleet/evacuation_feed.hpp"
 #include "servers/fleet/upstream_registry.hpp"
@@ -37,6 +39,11 @@
 /// Retry delay for callers while all upstreams of a service are evacuated. The operator does not
 /// say when an evacuation ends; a host learns of the end within a second.
 constexpr duration evacuated_retry_after = std::chrono::milliseconds(2'000);
+/// Time for which a check of the engines' room holds, within which hosts hear of each other's work.
+constexpr duration room_check_lifetime = std::chrono::milliseconds(20);
+
+/// Time after the latest request of a more urgent rank for which others leave it engines.
+constexpr duration urgent_demand_lifetime = std::chrono::seconds(1);
 
 /// Every caller accepts this time without data before and within a stream, or these multiples of
 /// the route's target and target gap, whichever is longest. Specified by the users' platform
@@ -51,7 +58,7 @@
 }
 
 /// Spreads the retries of callers that were rejected at the same time.
-duration spread(duration retry_after, std::uint64_t key) {
+duration spread_over_callers(duration retry_after, std::uint64_t key) {
     return retry_after +
            retry_after * static_cast<std::int64_t>(key % spread_steps) / spread_steps / 2;
 }
@@ -100,7 +107,7 @@
                     [this](const upstream_entry& entry) { return evacuated(entry); })) {
         placement_decision none = refused("data_centres_evacuated");
         none.evacuated = true;
-        none.retry_after = spread(evacuated_retry_after, key);
+        none.retry_after = spread_over_callers(evacuated_retry_after, key);
         return none;
     }
     if (const auto pause = remaining_pause(admitted.service_name, key)) {
@@ -203,16 +210,11 @@
     if (shortest == duration::max()) {
         return duration::zero();
     }
-    return spread(shortest, key);
+    return spread_over_callers(shortest, key);
 }
 
-placement_decision upstream_chooser::choose_engine(const caller_request& request,
-                                                   const admission_result& admitted,
-                                                   std::uint64_t key,
-                                                   const std::set<std::string>& excluded,
-                                                   const answer_times& times) const {
-    const instant now = services_.timers.now();
-    const engine_profile& profile = *admitted.service->engine;
+std::vector<engine_view> upstream_chooser::accepting_engines(const admission_result& admitted,
+                                                             instant now) const {
     const engine_work_table& table = services_.work_table;
     const bool cold_matters = tolerated_when_cold(admitted) > 0.0;
     std::vector<engine_view> engines;
@@ -224,9 +226,89 @@
         const double slowdown = table.slowdowns().slowdown_of(entry.id, now);
         const double when_cold =
             cold ? table.cold_slowdowns().slowdown_of(admitted.service_name) : 1.0;
-        engines.push_back({entry.id, &profile, &table.load(entry.id),
+        engines.push_back({entry.id, &*admitted.service->engine, &table.load(entry.id),
                            std::max(slowdown, when_cold), &entry.data_centre, cold});
     }
+    return engines;
+}
+
+bool upstream_chooser::shares_bind(const admission_result& admitted, instant now) const {
+    if (admitted.account == 0 || !services_.knows_all_work()) {
+        return false;
+    }
+    const duration target = admitted.matched_route->target;
+    room_checks_[{admitted.service_name, admitted.rank, target}].wanted_at = now;
+    bool binds = false;
+    auto item = room_checks_.lower_bound({admitted.service_name, 0, duration::zero()});
+    for (; item != room_checks_.end(); ++item) {
+        const auto& [service, rank, checked_target] = item->first;
+        const bool concerns = rank < admitted.rank
+                                  ? now - item->second.wanted_at <= urgent_demand_lifetime
+                                  : checked_target == target;
+        if (service != admitted.service_name || rank > admitted.rank) {
+            break;
+        }
+        binds = binds || (concerns && is_short(admitted, checked_target, item->second, now));
+    }
+    return binds;
+}
+
+bool upstream_chooser::is_short(const admission_result& admitted, duration target,
+                                room_check& check, instant now) const {
+    if (check.checked_at == instant{} || now - check.checked_at > room_check_lifetime) {
+        check.is_short = engines_short(accepting_engines(admitted, now), target, now);
+        check.checked_at = now;
+    }
+    return check.is_short;
+}
+
+double upstream_chooser::share_in_use(const admission_result& admitted) const {
+    const instant now = services_.timers.now();
+    if (!shares_bind(admitted, now)) {
+        return 0.0;
+    }
+    const share_standing standing =
+        services_.work_table.shares().standing(admitted.account, admitted.rank, now);
+    return standing.limit > 0.0 ? standing.used / standing.limit : 0.0;
+}
+
+placement_decision upstream_chooser::limit_to_share(placement_decision decision,
+                                                    const caller_request& request,
+                                                    const admission_result& admitted,
+                                                    std::uint64_t key) const {
+    const instant now = services_.timers.now();
+    if (!shares_bind(admitted, now)) {
+        return decision;
+    }
+    const share_standing standing =
+        services_.work_table.shares().standing(admitted.account, admitted.rank, now);
+    const duration needed =
+        prefill_time(*admitted.service->engine, request.prompt_tokens.value_or(0));
+    const duration left = request.received_at + admitted.matched_route->target - now;
+    const share_verdict verdict = fuchsiaquay::limit_to_share(standing, needed, left);
+    if (verdict == share_verdict::admit) {
+        return decision;
+    }
+    placement_decision held;
+    held.outcome = verdict == share_verdict::wait ? placement_decision::verdict::wait
+                                                  : placement_decision::verdict::refuse;
+    held.reason = "share_used";
+    held.prompts_ahead = decision.prompts_ahead;
+    held.over_share = true;
+    held.share_used = standing.used;
+    held.share_limit = standing.limit;
+    held.retry_after = spread_over_callers(standing.free_in, key);
+    return held;
+}
+
+placement_decision upstream_chooser::choose_engine(const caller_request& request,
+                                                   const admission_result& admitted,
+                                                   std::uint64_t key,
+                                                   const std::set<std::string>& excluded,
+                                                   const answer_times& times) const {
+    const instant now = services_.timers.now();
+    const engine_profile& profile = *admitted.service->engine;
+    const std::vector<engine_view> engines = accepting_engines(admitted, now);
     placement_request placement;
     placement.key = key;
     placement.prompt_tokens = request.prompt_tokens.value_or(0);
@@ -243,6 +325,7 @@
     queue_entry.key = key;
     queue_entry.prefill_time = prefill_time(profile, placement.prompt_tokens);
     queue_entry.dispatched_at = request.received_at + admitted.matched_route->target;
+    queue_entry.rank = admitted.account == 0 ? 0 : admitted.rank;
     if (queue_entry.prefill_time > long_prefill_threshold) {
         placement.tokens_ahead =
             services_.work_table.load("").prompts_waiting_before(queue_entry, now);
--- a/tests/servers/relay/relay_fixture.hpp
+++ b/tests/servers/relay/relay_fixture.hpp
@@ -64,6 +64,10 @@
         depot.cold_time = std::chrono::seconds(3);
         depot.cold_requests_per_s = 4.0;
         result->add_service(depot);
+        if (accounts_compete) {
+            add(*result, "/later/", request_semantics::stream, 2, "llm", 1);
+            result->add_key("other key", {"lee", std::nullopt});
+        }
         engine_profile engine;
         engine.slots = 16;
         engine.memory_tokens = 450'000;
@@ -79,10 +83,14 @@
         return result;
     }
 
+    /// Adds a less urgent route and a second client account.
+    bool accounts_compete = false;
+
 private:
     static void add(fleet_configuration& to, const std::string& prefix, request_semantics semantics,
-                    int attempts, const std::string& service) {
+                    int attempts, const std::string& service, int rank = 0) {
         route item;
+        item.rank = rank;
         item.name = prefix;
         item.host = "h";
         item.prefix = prefix;
