Callers: one account of memory, a bound of connections and of the time of a body

Cause: a host that refused a body kept what had arrived of it until the connection ended, up to 10 s later, while its part of the body budget was free again, so that the next bodies took it. Buffers counted by their length, not their allocation.

What callers send, requests that wait or are served, and buffered answers now count in core/relay/relay_memory (it replaces answer_memory and body_budget), as allocated, up to half of memory_mb. When it is exceeded, unconfirmed callers give up first, then the caller that holds the most, its largest part first; a request that was not passed on is answered 503, an answer is reset. A refused body is released at once. A body whose key is unknown is refused with 401 before it arrives. Connections are bounded by the descriptors (listen.connections), a request by 120 s (listen.body_timeout_s).

--- a/core/fleet/caller_limits.hpp
+++ b/core/fleet/caller_limits.hpp
@@ -14,6 +14,10 @@
     duration header_timeout = std::chrono::seconds(3);
     /// Maximum time that a connection may stay open without a request.
     duration idle_timeout = std::chrono::seconds(15);
+    /// Maximum time for a caller to send a request, from its first byte to its last.
+    duration body_timeout = std::chrono::seconds(120);
+    /// Connections that may be open at a time.
+    std::size_t connections = 10'000;
 };
 
 }  // namespace fuchsiaquay
--- a/drivers/traffic/caller_server.cpp
+++ b/drivers/traffic/caller_server.cpp
@@ -2,14 +2,18 @@
 
 #include <algorithm>
 #include <boost/asio/ip/tcp.hpp>
+#include <optional>
 #include <set>
+#include <string>
 #include <thread>
+#include <tuple>
 #include <utility>
 #include <vector>
 
 #include "drivers/control/control_loop.hpp"
 #include "drivers/net/socket_setup.hpp"
 #include "drivers/traffic/caller_session.hpp"
+#include "servers/decision_log.hpp"
 
 namespace fuchsiaquay {
 
@@ -22,6 +26,7 @@
 /// Time at the end of the process for callers to receive the last bytes of their answers.
 constexpr duration final_delivery_time = std::chrono::milliseconds(200);
 constexpr duration final_delivery_check_period = std::chrono::milliseconds(5);
+constexpr duration full_note_period = std::chrono::seconds(10);
 /// Period of the check for idle and slow connections.
 constexpr duration timeout_check_period = std::chrono::milliseconds(500);
 
@@ -54,6 +59,7 @@
     }
 
     std::size_t connections() const { return sessions_.size(); }
+    std::uint64_t refused_connections() const noexcept { return refused_; }
 
     std::size_t active_requests() const {
         return static_cast<std::size_t>(
@@ -76,10 +82,51 @@
                     return;
                 }
                 self->accept();
-                self->start_session(std::move(socket));
+                if (self->make_room()) {
+                    self->start_session(std::move(socket));
+                }
             });
     }
 
+    /// Closes an idle connection if there are as many as allowed: of those that never carried a
+    /// request, otherwise of all, the one that has been idle for the longest time. Returns false
+    /// if none is idle.
+    bool make_room() {
+        const std::size_t limit = services_.limits().connections;
+        if (sessions_.size() < limit) {
+            return true;
+        }
+        session_ptr oldest;
+        for (const session_ptr& session : sessions_) {
+            if (session->idle() && (!oldest || closes_before(*session, *oldest))) {
+                oldest = session;
+            }
+        }
+        ++refused_;
+        note_full(limit);
+        if (oldest) {
+            oldest->close(cut_cause::host_ended);
+        }
+        return sessions_.size() < limit;
+    }
+
+    static bool closes_before(const caller_session& a, const caller_session& b) {
+        return std::make_tuple(a.used(), a.idle_since()) <
+               std::make_tuple(b.used(), b.idle_since());
+    }
+
+    void note_full(std::size_t limit) {
+        const instant now = services_.loop.now();
+        if (full_noted_at_ && now - *full_noted_at_ < full_note_period) {
+            return;
+        }
+        full_noted_at_ = now;
+        services_.log.write(decision_log::level::warning, "connections_exhausted",
+                            {{"open", std::to_string(sessions_.size())},
+                             {"limit", std::to_string(limit)},
+                             {"closed_total", std::to_string(refused_)}});
+    }
+
     void start_session(tcp::socket socket) {
         auto session = std::make_shared<caller_session>(
             services_, std::move(socket), [weak = weak_from_this()](const session_ptr& ended) {
@@ -111,6 +158,8 @@
     caller_services services_;
     tcp::acceptor acceptor_;
     std::set<session_ptr> sessions_;
+    std::uint64_t refused_ = 0;
+    std::optional<instant> full_noted_at_;
     timer_service::subscription timer_ = 0;
 };
 
@@ -131,6 +180,10 @@
     return listener_->connections();
 }
 
+std::uint64_t caller_server::refused_connections() const {
+    return listener_->refused_connections();
+}
+
 std::size_t caller_server::active_requests() const {
     return listener_->active_requests();
 }
--- a/drivers/traffic/caller_server.hpp
+++ b/drivers/traffic/caller_server.hpp
@@ -1,5 +1,7 @@
 #pragma once
 
+#include <cstddef>
+#include <cstdint>
 #include <memory>
 
 #include "core/fleet/network_address.hpp"
@@ -20,6 +22,8 @@
     /// Closes connections that have no request and no answer on the way.
     void close_idle();
     std::size_t connections() const;
+    /// Connections that were closed, or not accepted, because there were as many as allowed.
+    std::uint64_t refused_connections() const;
     /// Requests that are being received or served, and answers that callers have not received.
     std::size_t active_requests() const;
 
--- a/drivers/traffic/caller_services.hpp
+++ b/drivers/traffic/caller_services.hpp
@@ -6,10 +6,9 @@
 
 namespace fuchsiaquay {
 
-class answer_memory;
-class body_budget;
 class control_loop;
 class decision_log;
+class relay_memory;
 class request_format;
 class request_handler;
 class request_metrics;
@@ -19,8 +18,7 @@
     control_loop& loop;
     const request_format& format;
     request_handler& handler;
-    body_budget& body_memory;
-    answer_memory& answers;
+    relay_memory& memory;
     /// Returns the current limits.
     std::function<caller_limits()> limits;
     /// Returns true once this host is shutting down; responses then close their connections.
--- a/drivers/traffic/caller_session.cpp
+++ b/drivers/traffic/caller_session.cpp
@@ -2,12 +2,11 @@
 
 #include <utility>
 
-#include "core/relay/answer_memory.hpp"
+#include "core/relay/relay_memory.hpp"
 #include "drivers/control/control_loop.hpp"
 #include "drivers/net/socket_setup.hpp"
 #include "drivers/net/socket_state.hpp"
 #include "drivers/traffic/answer_cut.hpp"
-#include "drivers/traffic/body_budget.hpp"
 #include "servers/decision_log.hpp"
 #include "servers/relay/active_request.hpp"
 #include "servers/relay/request_format.hpp"
@@ -23,15 +22,15 @@
 namespace {
 
 constexpr std::size_t read_size = 16'384;
+/// Bytes that the kernel keeps for a connection that is not read.
+constexpr int receive_buffer_bytes = 131'072;
 /// Bytes of pipelined requests that are buffered while a request is served.
 constexpr std::size_t max_pipelined_bytes = 65'536;
-constexpr duration retry_after = std::chrono::seconds(1);
 
 constexpr int status_bad_request = 400;
 constexpr int status_timeout = 408;
 constexpr int status_too_large = 413;
 constexpr int status_header_too_large = 431;
-constexpr int status_unavailable = 503;
 
 }  // namespace
 
@@ -40,12 +39,13 @@
     : services_(services), socket_(std::move(socket)), on_end_(std::move(on_end)) {}
 
 caller_session::~caller_session() {
-    release_body_memory();
-    release_output_memory();
+    release_memory();
 }
 
 void caller_session::start() {
     set_up_traffic_socket(socket_);
+    error_code ignored;
+    socket_.set_option(asio::socket_base::receive_buffer_size(receive_buffer_bytes), ignored);
     prepare_for_request();
     read();
 }
@@ -58,8 +58,15 @@
     parser_->body_limit(limits.body_bytes);
     head_accepted_ = false;
     head_started_ = false;
+    response_begun_ = false;
     response_complete_ = false;
     request_read_ = false;
+    served_body_bytes_ = 0;
+    caller_checked_ = false;
+    confirmed_ = true;
+    if (giving_up_) {
+        release_memory();
+    }
     accepted_before_ = accepted_bytes_;
     idle_since_ = services_.loop.now();
 }
@@ -87,6 +94,9 @@
     }
     if (closing_) {
         last_input_at_ = services_.loop.now();
+        // Nothing of the input is used any more.
+        input_.clear();
+        input_.shrink_to_fit();
         read();
         return;
     }
@@ -96,6 +106,7 @@
         parse();
     }
     read();
+    record_memory();
 }
 
 void caller_session::on_read_failed(const error_code& error) {
@@ -116,17 +127,18 @@
         passed_on_ = false;
         head_started_at_ = services_.loop.now();
     }
-    while (input_.size() > 0 && !parser_->is_done()) {
+    while (input_.size() > 0 && !parser_->is_done() && !giving_up_) {
         error_code error;
+        if (head_accepted_) {
+            reserve_body_buffer();
+        }
         const std::size_t used = parser_->put(input_.data(), error);
         input_.consume(used);
-        if (parser_->is_header_done() && !head_accepted_ && !accept_head()) {
-            return;
-        }
-        // The size of a chunked body is unknown in advance, so memory is reserved as it grows.
-        if (head_accepted_ && !reserve_body_memory(parser_->get().body().size())) {
-            return;
+        if (parser_->is_header_done() && !head_accepted_) {
+            accept_head();
         }
+        // The size of a chunked body is unknown in advance, so that it counts as it grows.
+        record_memory();
         if (error == http::error::need_more) {
             break;
         }
@@ -134,18 +146,21 @@
             return;
         }
     }
-    if (parser_->is_done() && !closing_) {
+    if (giving_up_ || closing_) {
+        return;
+    }
+    if (parser_->is_done()) {
         serve();
+    } else if (head_accepted_ && !caller_checked_) {
+        check_caller();
     }
 }
 
-bool caller_session::accept_head() {
+void caller_session::accept_head() {
     head_accepted_ = true;
+    error_code ignored;
+    owner_ = socket_.remote_endpoint(ignored).address().to_string();
     const auto& message = parser_->get();
-    const auto length = parser_->content_length();
-    if (!reserve_body_memory(length ? static_cast<std::size_t>(*length) : 0)) {
-        return false;
-    }
     const auto expect = message.find(http::field::expect);
     if (expect != message.end() &&
         same_header_name(std::string_view(expect->value().data(), expect->value().size()),
@@ -153,19 +168,21 @@
         output_ += "HTTP/1.1 100 Continue\r\n\r\n";
         flush();
     }
-    return true;
 }
 
-bool caller_session::reserve_body_memory(std::size_t body_bytes) {
-    if (body_bytes <= body_bytes_) {
-        return true;
+void caller_session::check_caller() {
+    caller_checked_ = true;
+    const caller_request head = read_head();
+    const caller_check result = services_.handler.check_caller(head);
+    if (result.refused) {
+        reject(result.refused->status, result.refused->reason, result.refused->retry_after);
+        return;
     }
-    if (!services_.body_memory.try_reserve(body_bytes - body_bytes_)) {
-        reject(status_unavailable, "body_memory");
-        return false;
+    confirmed_ = result.confirmed;
+    if (!head.api_key.empty()) {
+        owner_ = head.api_key;
     }
-    body_bytes_ = body_bytes;
-    return true;
+    record_memory();
 }
 
 bool caller_session::reject_malformed(const error_code& error) {
@@ -179,15 +196,21 @@
     return true;
 }
 
-void caller_session::reject(int status, const char* reason) {
-    request_id_ = read_head().id;
+void caller_session::reject(int status, const char* reason, duration retry_after) {
+    if (!request_read_) {
+        request_id_ = read_head().id;
+    }
+    // The connection may stay open for seconds until its caller has received the response.
+    std::string().swap(parser_->get().body());
+    served_body_bytes_ = 0;
+    release_memory();
     services_.log.write(
         decision_log::level::info, "request_rejected",
         {{"request", request_id_}, {"status", std::to_string(status)}, {"reason", reason}});
     services_.metrics.refused(reason);
     keep_alive_ = false;
-    const response_head head = services_.format.make_error_response(
-        status, status == status_unavailable ? retry_after : duration::zero(), request_id_);
+    const response_head head =
+        services_.format.make_error_response(status, retry_after, request_id_);
     send(head, R"({"error":")" + head.reason + "\"}");
 }
 
@@ -206,15 +229,24 @@
     auto& message = parser_->get();
     request.body = std::make_shared<const std::string>(std::move(message.body()));
     request.received_at = services_.loop.now();
+    served_body_bytes_ = allocated_bytes(*request.body);
     keep_alive_ = message.keep_alive();
     request_id_ = request.id;
     request_read_ = true;
+    used_ = true;
+    if (!request.api_key.empty()) {
+        owner_ = request.api_key;
+    }
+    record_memory();
     request_ = services_.handler.serve(std::move(request), *this);
 }
 
 void caller_session::check_timeouts(instant now) {
     check_output(now);
     check_linger(now);
+    if (!closed_ && !reading_) {
+        record_memory();
+    }
     if (closed_ || request_ != nullptr || response_complete_) {
         return;
     }
@@ -224,7 +256,8 @@
     const bool idle_too_long = now - idle_since_ > limits.idle_timeout && idle();
     if (slow_head || idle_too_long) {
         close(cut_cause::header_timeout);
-    } else if (head_accepted_ && now - last_input_at_ > limits.idle_timeout) {
+    } else if (head_accepted_ && (now - last_input_at_ > limits.idle_timeout ||
+                                  now - head_started_at_ > limits.body_timeout)) {
         reject(status_timeout, "body_timeout");
     }
 }
@@ -250,8 +283,7 @@
     }
     closed_ = true;
     request_.reset();
-    release_body_memory();
-    release_output_memory();
+    release_memory();
     error_code ignored;
     socket_.close(ignored);
     on_end_(shared_from_this());
@@ -284,10 +316,4 @@
     report(cut, services_);
 }
 
-void caller_session::release_body_memory() {
-    if (body_bytes_ > 0) {
-        services_.body_memory.release(std::exchange(body_bytes_, 0));
-    }
-}
-
 }  // namespace fuchsiaquay
--- a/drivers/traffic/caller_session.hpp
+++ b/drivers/traffic/caller_session.hpp
@@ -10,7 +10,7 @@
 #include <string>
 #include <string_view>
 
-#include "core/relay/answer_holder.hpp"
+#include "core/relay/memory_holder.hpp"
 #include "core/time/clock.hpp"
 #include "drivers/traffic/caller_services.hpp"
 #include "drivers/traffic/cut_cause.hpp"
@@ -25,7 +25,7 @@
 /// Connection of a caller: serves one request at a time. A read is always pending, so that a
 /// disconnect of the caller is detected immediately.
 class caller_session final : public response_sink,
-                             private answer_holder,
+                             private memory_holder,
                              public std::enable_shared_from_this<caller_session> {
 public:
     using end_handler = std::function<void(const std::shared_ptr<caller_session>&)>;
@@ -43,6 +43,11 @@
     /// Closes the connection unless a request is active, has begun to arrive, or its answer is on
     /// the way.
     void close_if_idle();
+    /// Whether the connection could be closed without loss.
+    bool idle();
+    /// Whether a request was served on this connection.
+    bool used() const noexcept { return used_; }
+    instant idle_since() const noexcept { return idle_since_; }
     /// Closes the connection. Reports `cause` if a request on it has no complete answer.
     /// @param reason  error of the socket, or other details; may be empty
     void close(cut_cause cause, const std::string& reason = "");
@@ -58,9 +63,12 @@
     void abort() override;
 
 private:
-    void on_answer_memory_exceeded() override;
+    bool on_memory_exceeded() override;
     using parser_type = boost::beast::http::request_parser<boost::beast::http::string_body>;
 
+    static constexpr int status_unavailable = 503;
+    static constexpr duration body_memory_retry_after = std::chrono::seconds(1);
+
     /// Runs a handler of the socket. An exception closes the connection, on which no operation may
     /// be pending any more, and goes on to the loop.
     template <typename handler>
@@ -77,16 +85,19 @@
     void on_read(const boost::system::error_code& error, std::size_t bytes);
     void on_read_failed(const boost::system::error_code& error);
     void parse();
-    bool accept_head();
-    /// Raises the reservation to `body_bytes`; rejects the request when the budget is used up.
-    bool reserve_body_memory(std::size_t body_bytes);
+    void accept_head();
+    /// Rejects a caller with an unknown key before the rest of its body arrives.
+    void check_caller();
+    bool body_incomplete() const;
+    /// Makes room in the body for the bytes that were read.
+    void reserve_body_buffer();
     /// Responds to a malformed or oversized request. Always returns true.
     bool reject_malformed(const boost::system::error_code& error);
     /// Request line and headers of the request, as far as they were read.
     caller_request read_head() const;
     void serve();
     /// @param reason  for the log
-    void reject(int status, const char* reason);
+    void reject(int status, const char* reason, duration retry_after = {});
     /// Closes the connection with a reset.
     void reset_connection(cut_cause cause);
     void complete_response();
@@ -98,17 +109,23 @@
     /// Ends the output. The connection is closed when its caller has received everything and sends
     /// no more: closing it earlier would send a reset, which destroys data on the way.
     void shut_down_output();
-    /// Counts the buffered output against the memory for answers.
-    void record_output();
-    void release_output_memory();
+    /// Memory that `text` takes, without unused room inside the object.
+    static std::size_t allocated_bytes(const std::string& text);
+    /// Memory of the request, of input that was read ahead, and of buffered output.
+    std::size_t request_bytes() const;
+    std::size_t input_bytes();
+    std::size_t output_bytes() const;
+    /// Counts the memory of this connection against that for all callers.
+    void record_memory();
+    void release_memory();
+    /// Rejects the request if it has not run; otherwise closes the connection.
+    void give_up_memory();
     void check_linger(instant now);
-    bool idle();
     /// Closes the connection if its caller is unreachable or takes no data.
     void check_output(instant now);
     /// Whether a connection that ends for `cause` leaves its caller without a complete answer.
     bool answer_incomplete(cut_cause cause);
     void report_cut(cut_cause cause, const std::string& reason);
-    void release_body_memory();
 
     caller_services services_;
     boost::asio::ip::tcp::socket socket_;
@@ -118,6 +135,8 @@
     bool reading_ = false;
     bool head_accepted_ = false;
     bool keep_alive_ = true;
+    bool used_ = false;
+    bool response_begun_ = false;
     /// The response is complete; once it is written, the connection is reused or closed.
     bool response_complete_ = false;
     /// The output has ended; input is discarded.
@@ -129,11 +148,18 @@
     instant idle_since_{};
     instant head_started_at_{};
     bool head_started_ = false;
-    std::size_t body_bytes_ = 0;
+    /// Memory of the body of the request that is being served.
+    std::size_t served_body_bytes_ = 0;
     std::string output_;
     std::string writing_;
-    /// Whether the buffers count against the memory for answers.
-    bool output_counted_ = false;
+    /// Key or address of the caller.
+    std::string owner_;
+    /// Whether the caller is known to be allowed to send requests.
+    bool confirmed_ = true;
+    bool caller_checked_ = false;
+    bool memory_counted_ = false;
+    /// The memory of this connection is about to be given up.
+    bool giving_up_ = false;
     /// Bytes of `writing_` that the kernel accepted.
     std::size_t written_ = 0;
     /// The same of the whole connection, now and at the start of the response.
--- a/drivers/traffic/caller_session_output.cpp
+++ b/drivers/traffic/caller_session_output.cpp
@@ -4,7 +4,6 @@
 #include <algorithm>
 #include <utility>
 
-#include "core/relay/answer_memory.hpp"
 #include "drivers/control/control_loop.hpp"
 #include "drivers/net/socket_state.hpp"
 #include "drivers/traffic/caller_session.hpp"
@@ -20,9 +19,8 @@
 
 /// Bytes of a response that are buffered for a slow caller.
 constexpr std::size_t max_output_bytes = 4'194'304;
-/// Larger buffers are released once they are written. Two smaller ones are kept for the next
-/// response and do not count against the memory for answers.
-constexpr std::size_t max_kept_bytes = 65'536;
+/// Larger buffers are released once they are written.
+constexpr std::size_t max_kept_bytes = 4'096;
 /// A caller that has received its last response and sends nothing for this time is done.
 constexpr duration linger_quiet = std::chrono::milliseconds(1'000);
 /// Maximum time for a caller that has received its last response to go on sending.
@@ -42,6 +40,7 @@
 }
 
 void caller_session::begin(const response_head& head, std::string_view first) {
+    response_begun_ = true;
     append_head(head, std::nullopt);
     write(first);
 }
@@ -55,27 +54,7 @@
         return;
     }
     flush();
-    record_output();
-}
-
-void caller_session::record_output() {
-    const std::size_t bytes = output_.capacity() + writing_.capacity();
-    if (bytes <= 2 * max_kept_bytes || closed_) {
-        release_output_memory();
-        return;
-    }
-    output_counted_ = true;
-    services_.answers.resize(*this, bytes);
-}
-
-void caller_session::release_output_memory() {
-    if (std::exchange(output_counted_, false)) {
-        services_.answers.remove(*this);
-    }
-}
-
-void caller_session::on_answer_memory_exceeded() {
-    reset_connection(cut_cause::output_limit);
+    record_memory();
 }
 
 void caller_session::finish() {
@@ -105,7 +84,7 @@
     }
     writing_.swap(output_);
     written_ = 0;
-    record_output();
+    record_memory();
     if (!std::exchange(output_pending_, true)) {
         output_monitor_.restart(services_.loop.now());
     }
@@ -137,7 +116,7 @@
         std::string().swap(writing_);
     }
     written_ = 0;
-    record_output();
+    record_memory();
     on_flushed();
 }
 
@@ -151,7 +130,8 @@
     }
     passed_on_ = request_ != nullptr && request_->passed_on();
     request_.reset();
-    release_body_memory();
+    served_body_bytes_ = 0;
+    record_memory();
     if (!keep_alive_) {
         shut_down_output();
         return;
--- a/drivers/traffic/cut_cause.hpp
+++ b/drivers/traffic/cut_cause.hpp
@@ -17,6 +17,8 @@
     answer_broken,
     /// The caller read more slowly than its answer arrived, and the buffer was full.
     output_limit,
+    /// The caller sent further requests while one was served, and the memory was exceeded.
+    input_limit,
     header_timeout,
     /// An unexpected error ended the handling of the connection.
     handler_failed,
@@ -43,6 +45,8 @@
             return "answer_broken";
         case cut_cause::output_limit:
             return "output_limit";
+        case cut_cause::input_limit:
+            return "input_limit";
         case cut_cause::header_timeout:
             return "header_timeout";
         case cut_cause::handler_failed:
--- a/main/entry_node.cpp
+++ b/main/entry_node.cpp
@@ -1,5 +1,8 @@
 #include "main/entry_node.hpp"
 
+#include <sys/resource.h>
+
+#include <algorithm>
 #include <utility>
 #include <variant>
 
@@ -26,10 +29,8 @@
 /// Upstreams report their status continuously. The pause between polls lets one call return several
 /// changes.
 constexpr duration catalogue_poll_pause = std::chrono::milliseconds(500);
-/// Request bodies may take this fraction (1 / divisor) of the process memory.
-constexpr std::size_t body_memory_divisor = 3;
-/// Buffered answers may take this fraction (1 / divisor) of the process memory.
-constexpr std::size_t answer_memory_divisor = 3;
+/// Requests and answers of callers may take this fraction (1 / divisor) of the process memory.
+constexpr std::size_t relay_memory_divisor = 2;
 /// Callers may use a directory response for three times its stated lifetime, according to the
 /// platform's documentation.
 constexpr int directory_staleness_factor = 3;
@@ -43,6 +44,16 @@
 /// Part of the grace period that is reserved for the end of the process.
 constexpr duration exit_margin = std::chrono::milliseconds(600);
 
+/// Callers may take three quarters of the descriptors; upstreams, the store and other hosts share
+/// the rest.
+std::size_t connections_of_descriptors() {
+    rlimit limit{};
+    if (getrlimit(RLIMIT_NOFILE, &limit) != 0 || limit.rlim_cur == RLIM_INFINITY) {
+        return caller_limits().connections;
+    }
+    return std::max<std::size_t>(limit.rlim_cur / 4 * 3, 1);
+}
+
 prefix_mirror_settings configuration_mirror_settings(const entry_settings& settings) {
     prefix_mirror_settings result;
     result.freshness_limit = settings.revocation_bound - revocation_margin;
@@ -72,6 +83,8 @@
     : settings_(settings),
       loop_(loop),
       log_(log),
+      max_connections_(settings.max_connections > 0 ? settings.max_connections
+                                                    : connections_of_descriptors()),
       configuration_store_(loop, log, settings.store, store_timeout),
       catalogue_store_(loop, log, settings.store, store_timeout),
       configuration_(configuration_codec_, log, configuration_key),
@@ -96,7 +109,7 @@
       retry_budget_(settings.retries),
       connector_(loop),
       engine_memory_(loop, log, engine_memory_timeout),
-      answer_memory_(settings.memory_bytes / answer_memory_divisor),
+      relay_memory_(settings.memory_bytes / relay_memory_divisor),
       relay_services_{
           settings.host,
           loop,
@@ -113,12 +126,11 @@
           format_,
           metrics_,
           engine_memory_,
-          answer_memory_,
+          relay_memory_,
           [this] { return serving_time_left(); },
           [this] { return stopping_ ? loop_.now() - stop_requested_at_ : duration::zero(); },
           [this] { return hosts_.knows_all_work(); }},
       relay_queue_(relay_services_),
-      body_memory_(settings.memory_bytes / body_memory_divisor),
       callers_(make_caller_services(), settings.callers),
       readiness_(loop, settings.readiness,
                  [this](const std::string& /*target*/) { return handle_readiness(); }),
@@ -161,17 +173,21 @@
     return {loop_,
             format_,
             relay_queue_,
-            body_memory_,
-            answer_memory_,
-            [this] {
-                const auto& configuration = configuration_.current();
-                return configuration ? configuration->limits() : caller_limits();
-            },
+            relay_memory_,
+            [this] { return current_caller_limits(); },
             [this] { return stopping_; },
             log_,
             metrics_};
 }
 
+caller_limits entry_node::current_caller_limits() const {
+    const auto& configuration = configuration_.current();
+    caller_limits limits = configuration ? configuration->limits() : caller_limits();
+    limits.body_timeout = settings_.body_timeout;
+    limits.connections = max_connections_;
+    return limits;
+}
+
 host_state entry_node::state() const {
     if (stopping_) {
         return host_state::leaving;
@@ -253,8 +269,10 @@
         {"requests_waiting", static_cast<double>(relay_queue_.waiting())},
         {"connections_callers", static_cast<double>(callers_.connections())},
         {"upstream_connections_opened", static_cast<double>(connector_.opened_connections())},
-        {"body_bytes", static_cast<double>(body_memory_.used())},
-        {"answer_bytes", static_cast<double>(answer_memory_.used())},
+        {"connections_refused_total", static_cast<double>(callers_.refused_connections())},
+        {"relay_memory_bytes", static_cast<double>(relay_memory_.used())},
+        {"relay_memory_limit_bytes", static_cast<double>(relay_memory_.limit())},
+        {"relay_memory_cuts_total", static_cast<double>(relay_memory_.cuts())},
         {"retries_granted_total", static_cast<double>(retry_budget_.granted())},
         {"retries_denied_total", static_cast<double>(retry_budget_.denied())},
         {"store_calls_total",
--- a/main/entry_node.hpp
+++ b/main/entry_node.hpp
@@ -9,14 +9,13 @@
 #include "core/health/upstream_health.hpp"
 #include "core/health/upstream_notices.hpp"
 #include "core/placement/interference_aware_placement.hpp"
-#include "core/relay/answer_memory.hpp"
+#include "core/relay/relay_memory.hpp"
 #include "core/retry/fleet_retry_budget.hpp"
 #include "drivers/datagrams/udp_datagram_channel.hpp"
 #include "drivers/metrics/histogram_metrics.hpp"
 #include "drivers/net/http_endpoint.hpp"
 #include "drivers/queries/http_host_queries.hpp"
 #include "drivers/traffic/beast_upstream_connector.hpp"
-#include "drivers/traffic/body_budget.hpp"
 #include "drivers/traffic/caller_server.hpp"
 #include "main/entry_settings.hpp"
 #include "platform/kv_store.hpp"
@@ -65,12 +64,14 @@
     http_endpoint::reply handle_metrics() const;
     void receive(const peer_datagram& message);
     caller_services make_caller_services();
+    caller_limits current_caller_limits() const;
     duration serving_time_left() const;
     void finish_when_idle();
 
     entry_settings settings_;
     control_loop& loop_;
     decision_log& log_;
+    const std::size_t max_connections_;
     std::uint64_t handler_errors_ = 0;
     bool stopping_ = false;
     instant stop_requested_at_{};
@@ -98,11 +99,10 @@
     interference_aware_placement placement_;
     beast_upstream_connector connector_;
     platform_engine_memory_client engine_memory_;
-    answer_memory answer_memory_;
+    relay_memory relay_memory_;
     histogram_metrics metrics_;
     relay_services relay_services_;
     relay_queue relay_queue_;
-    body_budget body_memory_;
     caller_server callers_;
     http_endpoint readiness_;
     http_endpoint directory_;
--- a/main/entry_settings.cpp
+++ b/main/entry_settings.cpp
@@ -20,15 +20,18 @@
             text_setting("node", "host", "", "name of this host, unique in the fleet")),
         required_setting(text_setting("node", "data_centre", "", "data centre of this host")),
         address_setting("node", "address", "IP number for metrics and announcements"),
-        number_setting(
-            "node", "memory_mb", "256", 64, 1'048'576, "MB",
-            "memory of the process; a third may hold bodies of requests, another one answers"),
+        number_setting("node", "memory_mb", "256", 64, 1'048'576, "MB",
+                       "memory of the process; half may hold requests and answers of callers"),
         number_setting("node", "processor_share", "1", 0, 1'024, "cores",
                        "processor time of the process; hosts with more serve callers first"),
         required_setting(text_setting("listen", "callers", "", "IP:PORT for requests")),
         required_setting(text_setting("listen", "readiness", "", "IP:PORT for readiness checks")),
         required_setting(
             text_setting("listen", "directory", "", "IP:PORT for the question which hosts to use")),
+        integer_setting("listen", "connections", 0, 0, 1'000'000, "connections",
+                        "connections of callers; 0: three quarters of the descriptors"),
+        seconds_setting("listen", "body_timeout_s", "120",
+                        "longest time for a caller to send a request"),
         port_setting("listen", "metrics_port", 9'100, "port of the metrics"),
         port_setting("listen", "announcement_port", 9'101, "UDP port between hosts"),
         required_setting(text_setting("store", "address", "", "IP:PORT of the platform's store")),
@@ -110,6 +113,8 @@
         from_seconds(values.number("configuration", "revocation_ms") / milliseconds_per_second);
     result.directory_lifetime = milliseconds_value(values, "directory", "lifetime_ms");
     result.stop_grace = from_seconds(values.number("shutdown", "grace_s"));
+    result.max_connections = static_cast<std::size_t>(values.integer("listen", "connections"));
+    result.body_timeout = from_seconds(values.number("listen", "body_timeout_s"));
     result.memory_bytes =
         static_cast<std::size_t>(values.number("node", "memory_mb") * bytes_per_megabyte);
     result.processor_share = values.number("node", "processor_share");
--- a/main/entry_settings.hpp
+++ b/main/entry_settings.hpp
@@ -29,6 +29,10 @@
     /// How long callers may cache a directory response.
     duration directory_lifetime{};
     std::size_t memory_bytes = 0;
+    /// Connections of callers; 0: derived from the descriptors of the process.
+    std::size_t max_connections = 0;
+    /// Longest time that a caller may take to send a request.
+    duration body_timeout{};
     /// Processor cores that the process may use.
     double processor_share = 1.0;
     serving_settings serving;
--- a/main/main.cpp
+++ b/main/main.cpp
@@ -2,6 +2,7 @@
 /// Entry point of `fuchsiaquay`, the node that runs on every entry host.
 
 #include <getopt.h>
+#include <malloc.h>
 #include <sys/stat.h>
 
 #include <boost/asio/signal_set.hpp>
@@ -187,7 +188,17 @@
     });
 }
 
+/// Returns large blocks, such as bodies, to the system as soon as they are released.
+void return_large_blocks() {
+#ifdef __GLIBC__
+    constexpr int large_block_bytes = 262'144;
+    mallopt(M_MMAP_THRESHOLD, large_block_bytes);
+    mallopt(M_TRIM_THRESHOLD, 2 * large_block_bytes);
+#endif
+}
+
 void run_entry(const command_line& arguments, const fuchsiaquay::entry_settings& settings) {
+    return_large_blocks();
     std::signal(SIGPIPE, SIG_IGN);
     fuchsiaquay::write_line_at_crash(settings.host);
     fuchsiaquay::control_loop loop;
--- a/servers/relay/relay_queue.cpp
+++ b/servers/relay/relay_queue.cpp
@@ -6,14 +6,18 @@
 #include <vector>
 
 #include "servers/decision_log.hpp"
+#include "servers/fleet/configuration_feed.hpp"
 #include "servers/fleet/engine_work_table.hpp"
+#include "servers/relay/admission.hpp"
 #include "servers/relay/request_relay.hpp"
+#include "servers/store/prefix_mirror.hpp"
 #include "servers/timer_service.hpp"
 
 namespace fuchsiaquay {
 
 namespace {
 
+constexpr int status_unauthorized = 401;
 /// Interval between timeout checks.
 constexpr duration check_period = std::chrono::milliseconds(50);
 /// Pause of this process after which responses may be waiting to be read, so that nothing can be
@@ -44,6 +48,17 @@
     return relay;
 }
 
+caller_check relay_queue::check_caller(const caller_request& head) const {
+    const admission_result admitted =
+        admit(head, services_.configuration.current(), services_.configuration_mirror.fresh());
+    caller_check result;
+    if (admitted.refused && admitted.refused->status == status_unauthorized) {
+        result.refused = admitted.refused;
+    }
+    result.confirmed = !admitted.refused;
+    return result;
+}
+
 std::size_t relay_queue::waiting() const {
     return static_cast<std::size_t>(
         std::count_if(relays_.begin(), relays_.end(),
--- a/servers/relay/relay_queue.hpp
+++ b/servers/relay/relay_queue.hpp
@@ -18,6 +18,7 @@
     explicit relay_queue(const relay_services& services);
 
     std::unique_ptr<active_request> serve(caller_request request, response_sink& sink) override;
+    caller_check check_caller(const caller_request& head) const override;
 
     /// Schedules another placement attempt for all waiting requests.
     void retry_waiting();
--- a/servers/relay/relay_services.hpp
+++ b/servers/relay/relay_services.hpp
@@ -7,13 +7,13 @@
 
 namespace fuchsiaquay {
 
-class answer_memory;
 class configuration_feed;
 class decision_log;
 class engine_work_table;
 class engine_memory_client;
 class placement_policy;
 class prefix_mirror;
+class relay_memory;
 class fleet_retry_budget;
 class request_format;
 class request_metrics;
@@ -42,7 +42,7 @@
     const request_format& format;
     request_metrics& metrics;
     engine_memory_client& memory_client;
-    answer_memory& answers;
+    relay_memory& memory;
     /// Time until this host stops serving; `duration::max()` while it is not stopping.
     std::function<duration()> serving_time_left;
     /// Time since this host was asked to stop; zero while it is not stopping.
--- a/servers/relay/request_handler.hpp
+++ b/servers/relay/request_handler.hpp
@@ -3,6 +3,7 @@
 #include <memory>
 
 #include "core/relay/caller_request.hpp"
+#include "servers/relay/caller_check.hpp"
 
 namespace fuchsiaquay {
 
@@ -21,6 +22,8 @@
     /// function returns.
     /// @param sink  must outlive the returned request
     virtual std::unique_ptr<active_request> serve(caller_request request, response_sink& sink) = 0;
+    /// Checks the caller of a request whose body has not arrived.
+    virtual caller_check check_caller(const caller_request& head) const = 0;
 };
 
 }  // namespace fuchsiaquay
--- a/servers/relay/upstream_attempt.cpp
+++ b/servers/relay/upstream_attempt.cpp
@@ -10,9 +10,9 @@
 #include "core/health/upstream_health.hpp"
 #include "core/health/upstream_notices.hpp"
 #include "core/identity/names.hpp"
-#include "core/relay/answer_memory.hpp"
 #include "core/relay/caller_request.hpp"
 #include "core/relay/connect_timeout.hpp"
+#include "core/relay/relay_memory.hpp"
 #include "servers/fleet/engine_work_table.hpp"
 #include "servers/fleet/upstream_registry.hpp"
 #include "servers/relay/admission_result.hpp"
@@ -63,7 +63,7 @@
       progress_at_(sent_at_) {}
 
 upstream_attempt::~upstream_attempt() {
-    services_.answers.remove(*this);
+    services_.memory.remove(*this);
 }
 
 void upstream_attempt::start() {
@@ -271,11 +271,11 @@
 void upstream_attempt::record_buffered(std::size_t bytes) {
     if (bytes != buffered_) {
         buffered_ = bytes;
-        services_.answers.resize(*this, bytes);
+        services_.memory.set(*this, {bytes, request_.api_key});
     }
 }
 
-void upstream_attempt::on_answer_memory_exceeded() {
+bool upstream_attempt::on_memory_exceeded() {
     services_.timers.after(duration::zero(), [this, alive = std::weak_ptr<int>(alive_)] {
         // The response may have become complete meanwhile.
         if (!alive.expired() && exchange_) {
@@ -283,6 +283,7 @@
                                         "memory for answers exceeded");
         }
     });
+    return true;
 }
 
 void upstream_attempt::record_progress() {
--- a/servers/relay/upstream_attempt.hpp
+++ b/servers/relay/upstream_attempt.hpp
@@ -7,8 +7,8 @@
 #include <string_view>
 
 #include "core/fleet/upstream_lifetime.hpp"
-#include "core/relay/answer_holder.hpp"
 #include "core/relay/attempt_outcome.hpp"
+#include "core/relay/memory_holder.hpp"
 #include "servers/relay/attempt_parameters.hpp"
 #include "servers/relay/exchange_listener.hpp"
 #include "servers/relay/memory_reservation.hpp"
@@ -26,7 +26,7 @@
 /// One attempt to process a request at an upstream, or at an engine and its helpers. Reserves
 /// memory if needed, sends the request and reads the response. The destructor closes the exchange
 /// and releases the memory. All referenced objects must outlive the attempt.
-class upstream_attempt final : private exchange_listener, private answer_holder {
+class upstream_attempt final : private exchange_listener, private memory_holder {
 public:
     upstream_attempt(const relay_services& services, const caller_request& request,
                      const admission_result& admitted, const request_log& log,
@@ -76,7 +76,7 @@
     void note_answered();
     /// Records that the connection ended before `note_answered` was called.
     void note_connection_ended(bool looked_complete);
-    void on_answer_memory_exceeded() override;
+    bool on_memory_exceeded() override;
     /// Records the limit that the response names, or that it names none.
     void note_rate_limit();
     /// Records which engine the response reports as the cause of a failure.
--- a/tests/drivers/traffic/caller_fixture.hpp
+++ b/tests/drivers/traffic/caller_fixture.hpp
@@ -8,9 +8,8 @@
 #include <utility>
 #include <vector>
 
-#include "core/relay/answer_memory.hpp"
+#include "core/relay/relay_memory.hpp"
 #include "drivers/metrics/histogram_metrics.hpp"
-#include "drivers/traffic/body_budget.hpp"
 #include "drivers/traffic/caller_server.hpp"
 #include "platform/platform_request_format.hpp"
 #include "servers/relay/active_request.hpp"
@@ -50,6 +49,14 @@
         return std::make_unique<request_handle>(*this);
     }
 
+    caller_check check_caller(const caller_request& head) const override {
+        caller_check result;
+        if (head.api_key == "unknown") {
+            result.refused = rejection{401, "unknown_key", {}};
+        }
+        return result;
+    }
+
     std::vector<caller_request> requests;
     std::vector<response_sink*> sinks;
     std::vector<std::string> lost_connections;
@@ -70,7 +77,7 @@
 public:
     void setup() override {
         server_ = std::make_unique<caller_server>(
-            caller_services{loop_, format_, handler_, bodies_, answers_, [this] { return limits_; },
+            caller_services{loop_, format_, handler_, memory_, [this] { return limits_; },
                             [this] { return stopping_; }, log_, metrics_},
             address_);
         client_ = std::make_unique<raw_client>(loop_, address_);
@@ -83,8 +90,7 @@
     control_loop loop_;
     platform_request_format format_;
     recording_handler handler_;
-    body_budget bodies_{5'000'000};
-    answer_memory answers_{20'000'000};
+    relay_memory memory_{20'000'000};
     recording_log log_;
     histogram_metrics metrics_;
     caller_limits limits_;
--- a/tests/drivers/traffic/caller_server_test.cpp
+++ b/tests/drivers/traffic/caller_server_test.cpp
@@ -73,9 +73,9 @@
 }
 
 TEST(caller_server, body_beyond_the_memory_budget_is_rejected_with_503) {
-    limits_.body_bytes = 10'000'000;
-    CHECK_TRUE(rejected("POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 5000001\r\n\r\n", "503"));
-    LONGS_EQUAL(0, bodies_.used());
+    limits_.body_bytes = 40'000'000;
+    CHECK_TRUE(rejected("POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 20000001\r\n\r\n", "503"));
+    LONGS_EQUAL(0, memory_.used());
 }
 
 TEST(caller_server, chunked_bodies_reserve_memory_as_they_grow_and_release_it) {
@@ -87,11 +87,11 @@
         clients.back()->send(head + "5\r\nhello\r\n0\r\n\r\n");
     }
     CHECK_TRUE(requests_received(callers));
-    LONGS_EQUAL(5 * callers, bodies_.used());
-    limits_.body_bytes = 10'000'000;
-    const std::string large(6'000'000, 'x');
+    LONGS_EQUAL(5 * callers, memory_.used());
+    limits_.body_bytes = 40'000'000;
+    const std::string large(24'000'000, 'x');
     raw_client large_client(loop_, address_);
-    large_client.send(head + "5b8d80\r\n");
+    large_client.send(head + "16e3600\r\n");
     for (std::size_t offset = 0; offset < large.size() && !large_client.closed; offset += 100'000) {
         large_client.send(large.substr(offset, 100'000));
         loop_.context().run_for(std::chrono::milliseconds(1));
@@ -103,7 +103,7 @@
     for (const auto& client : clients) {
         client->close();
     }
-    CHECK_TRUE(run_until(loop_, [&] { return bodies_.used() == 0; }));
+    CHECK_TRUE(run_until(loop_, [&] { return memory_.used() == 0; }));
 }
 
 TEST(caller_server, disconnect_of_the_caller_ends_its_request) {
--- a/tests/drivers/traffic/connection_end_test.cpp
+++ b/tests/drivers/traffic/connection_end_test.cpp
@@ -163,6 +163,6 @@
     client_->send("POST / HTTP/1.1\r\nHost: h\r\nX-Attempt-Id: 42\r\nContent-Length: 9\r\n\r\nhe");
     CHECK_TRUE(client_->expect("408"));
     CHECK_TRUE(client_->expect_close());
-    LONGS_EQUAL(0, bodies_.used());
+    LONGS_EQUAL(0, memory_.used());
     LONGS_EQUAL(1, log_.count("request_rejected request=42 status=408 reason=body_timeout"));
 }
--- a/tests/drivers/traffic/slow_caller_test.cpp
+++ b/tests/drivers/traffic/slow_caller_test.cpp
@@ -191,5 +191,5 @@
     handler_.sinks[1]->send(ok(), std::string(large_answer_bytes, 'x'));
     CHECK_TRUE(run_until(loop_, [&] { return other.received.size() >= large_answer_bytes; }));
     STRCMP_CONTAINS("answer_cut request=42 cause=output_limit", log_.lines.back().c_str());
-    CHECK_TRUE(run_until(loop_, [&] { return answers_.used() == 0; }));
+    CHECK_TRUE(run_until(loop_, [&] { return memory_.used() == 0; }));
 }
--- a/tests/servers/relay/answer_without_end_test.cpp
+++ b/tests/servers/relay/answer_without_end_test.cpp
@@ -37,7 +37,7 @@
     host_.timers.advance(milliseconds(1));
     CHECK_TRUE(host_.connector.attempts[0]->open || host_.connector.attempts[1]->open);
     CHECK_FALSE(host_.connector.attempts[0]->open && host_.connector.attempts[1]->open);
-    CHECK_TRUE(host_.answers.used() < answer_memory_bytes);
+    CHECK_TRUE(host_.memory.used() < relay_memory_bytes);
     CHECK_TRUE(host_.connector.attempts[2]->open);
     host_.connector.attempts[2]->listener->on_end();
     LONGS_EQUAL(200, sinks_[2].status);
@@ -45,18 +45,18 @@
 
 TEST(answer_without_end, events_without_end_count_until_they_are_complete) {
     begin_answer(sinks_[0], "id: 1\ndata: " + std::string(900'000, 'x'), "/chat/x");
-    CHECK_TRUE(host_.answers.used() >= 900'000);
+    CHECK_TRUE(host_.memory.used() >= 900'000);
     host_.connector.body("\n\n");
-    LONGS_EQUAL(0, host_.answers.used());
+    LONGS_EQUAL(0, host_.memory.used());
 }
 
 TEST(answer_without_end, answers_that_end_leave_nothing_behind) {
     begin_answer(sinks_[0], std::string(1'000'000, 'x'));
     begin_answer(sinks_[1], std::string(1'000'000, 'x'));
-    CHECK_TRUE(host_.answers.used() >= 2'000'000);
+    CHECK_TRUE(host_.memory.used() >= 2'000'000);
     host_.connector.end();
     requests_.clear();
-    LONGS_EQUAL(0, host_.answers.used());
+    LONGS_EQUAL(0, host_.memory.used());
 }
 
 // Guards against a second answer to a request whose answer becomes complete before it is dropped.
--- a/tests/servers/relay/relay_fixture.hpp
+++ b/tests/servers/relay/relay_fixture.hpp
@@ -14,7 +14,7 @@
 #include "core/health/upstream_health.hpp"
 #include "core/health/upstream_notices.hpp"
 #include "core/placement/interference_aware_placement.hpp"
-#include "core/relay/answer_memory.hpp"
+#include "core/relay/relay_memory.hpp"
 #include "core/retry/fleet_retry_budget.hpp"
 #include "servers/fleet/configuration_codec.hpp"
 #include "servers/fleet/configuration_feed.hpp"
@@ -294,7 +294,7 @@
     void answer_cut(const std::string&) override {}
 };
 
-constexpr std::size_t answer_memory_bytes = 20'000'000;
+constexpr std::size_t relay_memory_bytes = 20'000'000;
 /// Time that other hosts have to announce their claims before a long prompt is sent.
 constexpr duration claim_settle_time = std::chrono::milliseconds(25);
 
@@ -353,7 +353,7 @@
     interference_aware_placement placement;
     manual_connector connector;
     manual_memory_client memory_client;
-    answer_memory answers{answer_memory_bytes};
+    relay_memory memory{relay_memory_bytes};
     no_metrics metrics;
     duration serving_time = duration::max();
     duration stopping_time = duration::zero();
@@ -373,7 +373,7 @@
                             format,
                             metrics,
                             memory_client,
-                            answers,
+                            memory,
                             [this] { return serving_time; },
                             [this] { return stopping_time; },
                             [this] { return knows_all_work; }};
--- a/tests/servers/relay/request_relay_test.cpp
+++ b/tests/servers/relay/request_relay_test.cpp
@@ -399,7 +399,7 @@
                              host_.format,
                              host_.metrics,
                              host_.memory_client,
-                             host_.answers,
+                             host_.memory,
                              [] { return duration::max(); },
                              [] { return duration::zero(); },
                              [] { return true; }};
