--- a/drivers/traffic/caller_session.cpp
+++ b/drivers/traffic/caller_session.cpp
@@ -175,7 +175,8 @@
     const caller_request head = read_head();
     const caller_check result = services_.handler.check_caller(head);
     if (result.refused) {
-        reject(result.refused->status, result.refused->reason, result.refused->retry_after);
+        reject(result.refused->status, result.refused->reason, result.refused->retry_after,
+               result.refused->reason);
         return;
     }
     confirmed_ = result.confirmed;
@@ -196,7 +197,8 @@
     return true;
 }
 
-void caller_session::reject(int status, const char* reason, duration retry_after) {
+void caller_session::reject(int status, const char* reason, duration retry_after,
+                            const char* error) {
     if (!request_read_) {
         request_id_ = read_head().id;
     }
@@ -211,7 +213,7 @@
     keep_alive_ = false;
     const response_head head =
         services_.format.make_error_response(status, retry_after, request_id_);
-    send(head, R"({"error":")" + head.reason + "\"}");
+    send(head, R"({"error":")" + (error != nullptr ? error : head.reason) + "\"}");
 }
 
 caller_request caller_session::read_head() const {
--- a/drivers/traffic/caller_session.hpp
+++ b/drivers/traffic/caller_session.hpp
@@ -97,7 +97,9 @@
     caller_request read_head() const;
     void serve();
     /// @param reason  for the log
-    void reject(int status, const char* reason, duration retry_after = {});
+    /// @param error  for the caller; by default the reason phrase of the status
+    void reject(int status, const char* reason, duration retry_after = {},
+                const char* error = nullptr);
     /// Closes the connection with a reset.
     void reset_connection(cut_cause cause);
     void complete_response();
--- a/servers/relay/relay_queue.cpp
+++ b/servers/relay/relay_queue.cpp
@@ -50,7 +50,7 @@
 
 caller_check relay_queue::check_caller(const caller_request& head) const {
     const admission_result admitted =
-        admit(head, services_.configuration.current(), services_.configuration_mirror.fresh());
+        admit(head, services_.configuration.current(), services_.configuration_mirror.state());
     caller_check result;
     if (admitted.refused && admitted.refused->status == status_unauthorized) {
         result.refused = admitted.refused;
--- a/tests/drivers/traffic/caller_fixture.hpp
+++ b/tests/drivers/traffic/caller_fixture.hpp
@@ -30,7 +30,7 @@
         request_handle& operator=(const request_handle&) = delete;
         ~request_handle() override { ++owner_.ended; }
 
-        bool passed_on() const override { return true; }
+        bool passed_on() const override { return owner_.passes_on; }
         void on_connection_lost(const std::string& cause, bool by_caller) override {
             owner_.lost_connections.push_back(cause +
                                               " by_caller=" + std::to_string(by_caller ? 1 : 0));
@@ -61,6 +61,8 @@
     std::vector<response_sink*> sinks;
     std::vector<std::string> lost_connections;
     int ended = 0;
+    /// Whether requests are sent to an upstream at once.
+    bool passes_on = true;
     /// Throw instead of serving.
     bool fails = false;
 };
