--- a/tests/core/placement/cold_engines_placement_test.cpp
+++ b/tests/core/placement/cold_engines_placement_test.cpp
@@ -47,7 +47,7 @@
         std::vector<engine_view> result;
         for (const auto& [id, load] : loads_) {
             const bool cold = some_cold && is_cold(id);
-            result.push_back({id, &profile_, &load, cold ? slowdown : 1.0, cold});
+            result.push_back({id, &profile_, &load, cold ? slowdown : 1.0, nullptr, cold});
         }
         return result;
     }
