--- a/tests/servers/fleet/serving_role_test.cpp
+++ b/tests/servers/fleet/serving_role_test.cpp
@@ -22,6 +22,9 @@
 constexpr duration start_time = seconds(5);
 /// Required by users: a change takes effect on every host within this time.
 constexpr duration apply_bound = seconds(4);
+/// Required by users: callers are not directed to a host that ended this long ago. The smallest
+/// stable_window_ms of their deployments and three seconds.
+constexpr duration longest_named_after_the_end = seconds(6);
 
 }  // namespace
 
@@ -204,6 +207,35 @@
     LONGS_EQUAL(1, host(alone).registry.hosts_for_callers().size());
 }
 
+/// Load: all hosts but some on standby are killed, with and without the store.
+TEST(serving_role_in_a_large_fleet, directory_never_names_hosts_gone_for_seconds) {
+    std::set<std::string> left;
+    for (const auto& [name, item] : fleet_.hosts) {
+        if (!item->role.serving() && left.size() < 5) {
+            left.insert(name);
+        }
+    }
+    for (const bool store_down : {true, false}) {
+        fleet_.store.down = store_down;
+        for (const auto& [name, item] : fleet_.hosts) {
+            if (left.count(name) == 0) {
+                disconnect(name);
+            }
+        }
+        fleet_.timers.advance(longest_named_after_the_end);
+        for (int i = 0; i < 12; ++i) {
+            fleet_.timers.advance(milliseconds(250));
+            for (const std::string& name : left) {
+                for (const host_record& named : host(name).registry.hosts_for_callers()) {
+                    CHECK_TRUE(left.count(named.host) > 0);
+                }
+            }
+        }
+        left.erase(left.begin());
+        left.erase(left.begin());
+    }
+}
+
 TEST(serving_role_in_a_large_fleet, callers_stay_with_the_serving_hosts_during_a_store_outage) {
     // A caller uses a directory answer for up to three times its lifetime. If it were directed to a
     // host on standby, it would be served there without knowledge of the load long after the
