--- a/tests/servers/relay/evacuations_test.cpp
+++ b/tests/servers/relay/evacuations_test.cpp
@@ -164,7 +164,7 @@
 TEST(evacuations, engine_chosen_before_its_evacuation_is_not_used_after_the_claim) {
     host_.store.put("config/evacuate/b", "{}");
     host_.timers.advance(poll_time);
-    use_upstreams({"llm-a1", "llm-c1"});
+    use_upstreams({"llm-a1", "llm-c5"});
     host_.serve(next("/chat/1", 40'000));
     LONGS_EQUAL(0, host_.attempts());
     const std::string claimed = host_.work_table.own_work_items().front().engine;
@@ -173,6 +173,8 @@
     host_.timers.advance(4 * claim_settle_time);
     LONGS_EQUAL(1, host_.attempts());
     CHECK_TRUE(upstream_.last().upstream.data_centre != data_centre);
+    const upstream_entry* evacuated = host_.upstreams.find(claimed);
+    LONGS_EQUAL(std::string::npos, upstream_.last().head.find(evacuated->address.text()));
 }
 
 TEST(evacuations, prompt_of_several_engines_is_not_sent_if_one_is_evacuated_meanwhile) {
@@ -238,6 +240,10 @@
     LONGS_EQUAL(0, host_.attempts());
     LONGS_EQUAL(503, caller_.status);
     CHECK_TRUE(caller_.retry_after_ms > 0 && caller_.retry_after_ms <= 1'000);
+    // Requests without a key do not depend on the age of the configuration otherwise.
+    host_.serve(next("/public/1"));
+    LONGS_EQUAL(0, host_.attempts());
+    CHECK_EQUAL(std::string(R"({"error":"evacuations_unknown"})"), caller_.text);
     host_.store.down = false;
     host_.timers.advance(seconds(2));
     host_.serve(next("/order/1"));
@@ -269,4 +275,9 @@
     host_.timers.advance(poll_time);
     host_.serve(host_.request("/order/1"));
     LONGS_EQUAL(1, host_.attempts());
+    // Without them, requests without a key are served from a configuration of any age.
+    host_.store.down = true;
+    host_.timers.advance(seconds(6));
+    host_.serve(host_.request("/public/1"));
+    LONGS_EQUAL(2, host_.attempts());
 }
--- a/tests/servers/relay/relay_fixture.hpp
+++ b/tests/servers/relay/relay_fixture.hpp
@@ -51,6 +51,7 @@
         add(*result, "/order/", request_semantics::non_idempotent, 1, "shop");
         add(*result, "/pay/", request_semantics::non_idempotent, 3, "shop");
         add(*result, "/lookup/", request_semantics::idempotent, 2, "shop");
+        add(*result, "/public/", request_semantics::non_idempotent, 1, "shop", true);
         add(*result, "/chat/", request_semantics::stream, 2, "llm");
         add(*result, "/talk/", request_semantics::stream, 3, "llm");
         result->add_service({"shop", 10, std::nullopt});
@@ -68,7 +69,7 @@
 
 private:
     static void add(fleet_configuration& to, const std::string& prefix, request_semantics semantics,
-                    int attempts, const std::string& service) {
+                    int attempts, const std::string& service, bool is_public = false) {
         route item;
         item.name = prefix;
         item.host = "h";
@@ -78,6 +79,7 @@
         item.target = std::chrono::milliseconds(250);
         item.target_gap = std::chrono::milliseconds(200);
         item.max_attempts = attempts;
+        item.is_public = is_public;
         item.resumable = true;
         item.services = {{service, 1.0}};
         to.add_route(item);
