Evacuation: a host among older ones is not current before it has read the evacuations

Two tests that fail if an answer without evacuations confirms the copy, or if the mirror continues after the revision of a fetched configuration.

--- a/servers/relay/evacuation_guard.cpp
+++ b/servers/relay/evacuation_guard.cpp
@@ -23,7 +23,9 @@
 }  // namespace
 
 std::optional<rejection> evacuation_guard::refusal() const {
-    if (!services_.evacuations.active() || services_.configuration_mirror.fresh()) {
+    const evacuation_feed& evacuations = services_.evacuations;
+    const bool known = evacuations.as_of() > 0 && services_.configuration_mirror.fresh();
+    if (known || !evacuations.active()) {
         return std::nullopt;
     }
     return rejection{status_unavailable, "evacuations_unknown", unknown_retry_after};
--- a/tests/servers/fleet/evacuations_of_hosts_test.cpp
+++ b/tests/servers/fleet/evacuations_of_hosts_test.cpp
@@ -231,6 +231,43 @@
     }
 }
 
+/// Eight hosts of a version that does not know evacuations, and a newer one that starts while the
+/// store is out.
+TEST_GROUP(evacuations_of_hosts_of_two_versions) {
+    virtual_hosts fleet_;
+    virtual_host* newer_ = nullptr;
+
+    void setup() override {
+        fleet_.store.put("config/evacuate/dc0", "{}");
+        fleet_.store.put("config", "1");
+        fleet_.store.put("servers/a", "ready");
+        for (int i = 0; i < 8; ++i) {
+            fleet_.add("h" + std::to_string(i), "dc" + std::to_string(i % 3));
+        }
+        fleet_.timers.advance(seconds(3));
+        fleet_.with_evacuations = true;
+        newer_ = &fleet_.add("newer", "dc1");
+        fleet_.timers.advance(milliseconds(20));
+        fleet_.store.down = true;
+    }
+};
+
+TEST(evacuations_of_hosts_of_two_versions, copy_of_an_older_host_does_not_count_as_current) {
+    for (int i = 0; i < 40; ++i) {
+        fleet_.timers.advance(milliseconds(50));
+        CHECK_FALSE(newer_->configuration_mirror.fresh());
+    }
+    LONGS_EQUAL(1, newer_->version());
+}
+
+TEST(evacuations_of_hosts_of_two_versions, host_reads_evacuations_older_than_its_configuration) {
+    fleet_.timers.advance(seconds(2));
+    fleet_.store.down = false;
+    fleet_.timers.advance(seconds(8));
+    CHECK_TRUE(newer_->configuration_mirror.fresh());
+    CHECK_TRUE(newer_->evacuations.current().data_centres() == names{"dc0"});
+}
+
 TEST_GROUP(evacuations_of_hosts_not_used) {
     virtual_hosts fleet_;
 };
