--- a/core/placement/placement_decision.hpp
+++ b/core/placement/placement_decision.hpp
@@ -44,6 +44,12 @@
     bool rate_limited = false;
     /// For `refuse`: the operator evacuates the data centres of all upstreams.
     bool evacuated = false;
+    /// For `wait` and `refuse`: the client account has used up its share of the engines until
+    /// `retry_after`.
+    bool over_share = false;
+    /// Engines that the client account has recently used, and that it may use now.
+    double share_used = 0.0;
+    double share_limit = 0.0;
     /// Reason for the decision, written to the log.
     const char* reason = "";
 };
--- a/main/entry_node.cpp
+++ b/main/entry_node.cpp
@@ -1,5 +1,7 @@
 #include "main/entry_node.hpp"
 
+#include <sys/resource.h>
+
 #include <algorithm>
 #include <utility>
 #include <variant>
@@ -29,10 +31,8 @@
 /// Upstreams report their status continuously. The pause between polls lets one call return several
 /// changes.
 constexpr duration catalogue_poll_pause = std::chrono::milliseconds(500);
-/// Request bodies may take this fraction (1 / divisor) of the process memory.
-constexpr std::size_t body_memory_divisor = 3;
-/// Buffered answers may take this fraction (1 / divisor) of the process memory.
-constexpr std::size_t answer_memory_divisor = 3;
+/// Requests and answers of callers may take this fraction (1 / divisor) of the process memory.
+constexpr std::size_t relay_memory_divisor = 2;
 /// Callers may use a directory response for three times its stated lifetime, according to the
 /// platform's documentation.
 constexpr int directory_staleness_factor = 3;
@@ -46,9 +46,20 @@
 /// Part of the grace period that is reserved for the end of the process.
 constexpr duration exit_margin = std::chrono::milliseconds(600);
 
+/// Callers may take three quarters of the descriptors; upstreams, the store and other hosts share
+/// the rest.
+std::size_t connections_of_descriptors() {
+    rlimit limit{};
+    if (getrlimit(RLIMIT_NOFILE, &limit) != 0 || limit.rlim_cur == RLIM_INFINITY) {
+        return caller_limits().connections;
+    }
+    return std::max<std::size_t>(limit.rlim_cur / 4 * 3, 1);
+}
+
 prefix_mirror_settings configuration_mirror_settings(const entry_settings& settings) {
     prefix_mirror_settings result;
     result.freshness_limit = settings.revocation_bound - revocation_margin;
+    result.apply_limit = settings.apply_bound;
     if (settings.evacuation_bound) {
         result.freshness_limit =
             std::min(result.freshness_limit, *settings.evacuation_bound - evacuation_margin);
@@ -79,6 +90,8 @@
     : settings_(settings),
       loop_(loop),
       log_(log),
+      max_connections_(settings.max_connections > 0 ? settings.max_connections
+                                                    : connections_of_descriptors()),
       configuration_store_(loop, log, settings.store, store_timeout),
       catalogue_store_(loop, log, settings.store, store_timeout),
       configuration_(configuration_codec_, log, configuration_key),
@@ -111,7 +124,7 @@
       own_data_centre_first_(placement_, settings.data_centre),
       connector_(loop),
       engine_memory_(loop, log, engine_memory_timeout),
-      answer_memory_(settings.memory_bytes / answer_memory_divisor),
+      relay_memory_(settings.memory_bytes / relay_memory_divisor),
       relay_services_{
           settings.host,
           loop,
@@ -129,13 +142,12 @@
           format_,
           metrics_,
           engine_memory_,
-          answer_memory_,
+          relay_memory_,
           [this] { return serving_time_left(); },
           [this] { return stopping_ ? loop_.now() - stop_requested_at_ : duration::zero(); },
           [this] { return hosts_.knows_all_work(); },
           settings.prefer_own_data_centre ? settings.data_centre : ""},
       relay_queue_(relay_services_),
-      body_memory_(settings.memory_bytes / body_memory_divisor),
       callers_(make_caller_services(), settings.callers),
       readiness_(loop, settings.readiness,
                  [this](const std::string& /*target*/) { return handle_readiness(); }),
@@ -157,7 +169,9 @@
         engine_work_.on_upstream_restarted(upstream, loop_.now());
         health_.forget(upstream_id(upstream.id));
     });
+    connect_cold_upstreams();
     configuration_.on_change([this](const fleet_configuration& /*next*/) {
+        upstreams_.report_cold();
         if (view_sync_.watches_store()) {
             hosts_.announce_now();
         }
@@ -190,17 +204,21 @@
     return {loop_,
             format_,
             relay_queue_,
-            body_memory_,
-            answer_memory_,
-            [this] {
-                const auto& configuration = configuration_.current();
-                return configuration ? configuration->limits() : caller_limits();
-            },
+            relay_memory_,
+            [this] { return current_caller_limits(); },
             [this] { return stopping_; },
             log_,
             metrics_};
 }
 
+caller_limits entry_node::current_caller_limits() const {
+    const auto& configuration = configuration_.current();
+    caller_limits limits = configuration ? configuration->limits() : caller_limits();
+    limits.body_timeout = settings_.body_timeout;
+    limits.connections = max_connections_;
+    return limits;
+}
+
 host_state entry_node::state() const {
     if (stopping_) {
         return host_state::leaving;
@@ -225,6 +243,42 @@
     const auto listed = static_cast<double>(hosts_.listed_peers().size()) + 1.0;
     const auto heard = static_cast<double>(hosts_.live_peers().size()) + 1.0;
     engine_work_.rate_limits().set_share((hosts_.knows_all_work() ? heard : 1.0) / listed);
+    update_cold_budget();
+}
+
+void entry_node::connect_cold_upstreams() {
+    engine_work_.cold_budget().set_bounds(settings_.cold_upstreams);
+    upstreams_.set_cold_times([this](const std::string& service) { return cold_time_of(service); });
+    upstreams_.on_cold([this](const upstream_lifetime& upstream, instant until) {
+        engine_work_.cold_budget().on_cold(upstream, until, loop_.now());
+    });
+}
+
+std::optional<duration> entry_node::cold_time_of(const std::string& service) const {
+    const auto& configuration = configuration_.current();
+    const service_profile* profile =
+        configuration == nullptr ? nullptr : configuration->find_service(service);
+    if (profile == nullptr || profile->cold_requests_per_s <= 0.0) {
+        return std::nullopt;
+    }
+    return profile->cold_time;
+}
+
+void entry_node::update_cold_budget() {
+    std::vector<std::string> hosts = {settings_.host};
+    for (const host_record& peer : hosts_.listed_peers()) {
+        hosts.push_back(peer.host);
+    }
+    engine_work_.cold_budget().set_hosts(settings_.host, std::move(hosts));
+    // In a copy of the catalogue that is older than a cold time, an upstream may have become cold
+    // unnoticed.
+    duration shortest = duration::max();
+    if (const auto& configuration = configuration_.current()) {
+        for (const auto& [name, profile] : configuration->services()) {
+            shortest = std::min(shortest, cold_time_of(name).value_or(shortest));
+        }
+    }
+    engine_work_.cold_budget().set_informed(upstream_mirror_.age() <= shortest);
 }
 
 http_endpoint::reply entry_node::handle_readiness() const {
@@ -282,8 +336,10 @@
         {"requests_waiting", static_cast<double>(relay_queue_.waiting())},
         {"connections_callers", static_cast<double>(callers_.connections())},
         {"upstream_connections_opened", static_cast<double>(connector_.opened_connections())},
-        {"body_bytes", static_cast<double>(body_memory_.used())},
-        {"answer_bytes", static_cast<double>(answer_memory_.used())},
+        {"connections_refused_total", static_cast<double>(callers_.refused_connections())},
+        {"relay_memory_bytes", static_cast<double>(relay_memory_.used())},
+        {"relay_memory_limit_bytes", static_cast<double>(relay_memory_.limit())},
+        {"relay_memory_cuts_total", static_cast<double>(relay_memory_.cuts())},
         {"retries_granted_total", static_cast<double>(retry_budget_.granted())},
         {"retries_denied_total", static_cast<double>(retry_budget_.denied())},
         {"store_calls_total",
@@ -291,6 +347,9 @@
         {"store_calls_failed_total", static_cast<double>(configuration_store_.failure_count() +
                                                          catalogue_store_.failure_count())},
         {"upstreams_limited", static_cast<double>(engine_work_.rate_limits().size())},
+        {"upstreams_cold", static_cast<double>(engine_work_.cold_budget().size(loop_.now()))},
+        {"engine_accounts", static_cast<double>(engine_work_.shares().accounts())},
+        {"requests_held_by_share_total", static_cast<double>(relay_queue_.held_by_share())},
         {"prompt_parts_quarantined", static_cast<double>(engine_work_.quarantine().size())},
         {"engine_ends_proved", static_cast<double>(engine_work_.quarantine().proved_ends())},
         {"engine_ends_unproved", static_cast<double>(engine_work_.quarantine().unproved_ends())},
--- a/main/entry_node.hpp
+++ b/main/entry_node.hpp
@@ -10,14 +10,13 @@
 #include "core/health/upstream_notices.hpp"
 #include "core/placement/data_centre_preference.hpp"
 #include "core/placement/interference_aware_placement.hpp"
-#include "core/relay/answer_memory.hpp"
+#include "core/relay/relay_memory.hpp"
 #include "core/retry/fleet_retry_budget.hpp"
 #include "drivers/datagrams/udp_datagram_channel.hpp"
 #include "drivers/metrics/histogram_metrics.hpp"
 #include "drivers/net/http_endpoint.hpp"
 #include "drivers/queries/http_host_queries.hpp"
 #include "drivers/traffic/beast_upstream_connector.hpp"
-#include "drivers/traffic/body_budget.hpp"
 #include "drivers/traffic/caller_server.hpp"
 #include "main/entry_settings.hpp"
 #include "platform/kv_store.hpp"
@@ -62,6 +61,11 @@
     host_state state() const;
     host_load load() const;
     void update_retry_budget();
+    void connect_cold_upstreams();
+    /// Updates what this host may send to upstreams that may be cold.
+    void update_cold_budget();
+    /// Time for which new upstreams are cold; absent if the service limits no requests meanwhile.
+    std::optional<duration> cold_time_of(const std::string& service) const;
     http_endpoint::reply handle_readiness() const;
     http_endpoint::reply handle_directory(const std::string& target) const;
     http_endpoint::reply handle_query(const std::string& target) const;
@@ -69,12 +73,14 @@
     void receive(const peer_datagram& message);
     caller_services make_caller_services();
     const placement_policy& placement_policy_for(const entry_settings& settings) const;
+    caller_limits current_caller_limits() const;
     duration serving_time_left() const;
     void finish_when_idle();
 
     entry_settings settings_;
     control_loop& loop_;
     decision_log& log_;
+    const std::size_t max_connections_;
     std::uint64_t handler_errors_ = 0;
     bool stopping_ = false;
     instant stop_requested_at_{};
@@ -105,11 +111,10 @@
     data_centre_preference own_data_centre_first_;
     beast_upstream_connector connector_;
     platform_engine_memory_client engine_memory_;
-    answer_memory answer_memory_;
+    relay_memory relay_memory_;
     histogram_metrics metrics_;
     relay_services relay_services_;
     relay_queue relay_queue_;
-    body_budget body_memory_;
     caller_server callers_;
     http_endpoint readiness_;
     http_endpoint directory_;
--- a/main/entry_settings.cpp
+++ b/main/entry_settings.cpp
@@ -20,20 +20,26 @@
             text_setting("node", "host", "", "name of this host, unique in the fleet")),
         required_setting(text_setting("node", "data_centre", "", "data centre of this host")),
         address_setting("node", "address", "IP number for metrics and announcements"),
-        number_setting(
-            "node", "memory_mb", "256", 64, 1'048'576, "MB",
-            "memory of the process; a third may hold bodies of requests, another one answers"),
+        number_setting("node", "memory_mb", "256", 64, 1'048'576, "MB",
+                       "memory of the process; half may hold requests and answers of callers"),
         number_setting("node", "processor_share", "1", 0, 1'024, "cores",
                        "processor time of the process; hosts with more serve callers first"),
         required_setting(text_setting("listen", "callers", "", "IP:PORT for requests")),
         required_setting(text_setting("listen", "readiness", "", "IP:PORT for readiness checks")),
         required_setting(
             text_setting("listen", "directory", "", "IP:PORT for the question which hosts to use")),
+        integer_setting("listen", "connections", 0, 0, 1'000'000, "connections",
+                        "connections of callers; 0: three quarters of the descriptors"),
+        seconds_setting("listen", "body_timeout_s", "120",
+                        "longest time for a caller to send a request"),
         port_setting("listen", "metrics_port", 9'100, "port of the metrics"),
         port_setting("listen", "announcement_port", 9'101, "UDP port between hosts"),
         required_setting(text_setting("store", "address", "", "IP:PORT of the platform's store")),
         number_setting("configuration", "revocation_ms", "5000", 1, 3'600'000, "ms",
                        "longest time after which a revoked key may still be served"),
+        number_setting("configuration", "apply_ms", "5000", 1, 3'600'000, "ms",
+                       "time within which a new version is in force; a host whose copy may be "
+                       "older answers 503 in place of 404 and 401"),
         number_setting("configuration", "evacuation_ms", "0", 0, 3'600'000, "ms",
                        "longest time after which an upstream of an evacuated data centre may still "
                        "get a request; 0: evacuations are not read"),
@@ -57,6 +63,11 @@
         integer_setting(
             "retries", "hosts", 16, 1, 10'000, "hosts",
             "hosts that share the allowance at least; a larger fleet divides it further"),
+        number_setting("cold_upstreams", "overage", "1.5", 0, 1'000, "",
+                       "bound of requests to a cold upstream in a second, as a multiple of what "
+                       "its service tolerates"),
+        number_setting("cold_upstreams", "slack", "5", 0, 1'000'000, "requests",
+                       "requests in a second beyond that"),
         text_setting("log", "level", "info", "debug, info, warning or error"),
     };
 }
@@ -113,12 +124,16 @@
     result.announcements = {ip, port_value(values, "listen", "announcement_port")};
     result.revocation_bound =
         from_seconds(values.number("configuration", "revocation_ms") / milliseconds_per_second);
+    result.apply_bound =
+        from_seconds(values.number("configuration", "apply_ms") / milliseconds_per_second);
     const double evacuation_ms = values.number("configuration", "evacuation_ms");
     if (evacuation_ms > 0.0) {
         result.evacuation_bound = from_seconds(evacuation_ms / milliseconds_per_second);
     }
     result.directory_lifetime = milliseconds_value(values, "directory", "lifetime_ms");
     result.stop_grace = from_seconds(values.number("shutdown", "grace_s"));
+    result.max_connections = static_cast<std::size_t>(values.integer("listen", "connections"));
+    result.body_timeout = from_seconds(values.number("listen", "body_timeout_s"));
     result.memory_bytes =
         static_cast<std::size_t>(values.number("node", "memory_mb") * bytes_per_megabyte);
     result.processor_share = values.number("node", "processor_share");
@@ -131,6 +146,9 @@
     result.retries.window = from_seconds(values.number("retries", "window_s"));
     result.retries.allowance = values.number("retries", "allowance");
     result.retries.min_hosts = static_cast<int>(values.integer("retries", "hosts"));
+    result.cold_upstreams.overage = values.number("cold_upstreams", "overage");
+    result.cold_upstreams.slack = values.number("cold_upstreams", "slack");
+    result.cold_upstreams.min_hosts = result.serving.hosts;
     result.log_level = values.text("log", "level");
     if (!reader.faults().empty()) {
         throw settings_error(file, reader.faults());
--- a/main/entry_settings.hpp
+++ b/main/entry_settings.hpp
@@ -6,6 +6,7 @@
 
 #include "core/fleet/network_address.hpp"
 #include "core/fleet/serving_settings.hpp"
+#include "core/limits/cold_upstream_bounds.hpp"
 #include "core/retry/fleet_retry_settings.hpp"
 #include "core/time/clock.hpp"
 
@@ -25,6 +26,8 @@
     network_address store;
     /// Time limit within which a revoked key or a removed route is refused.
     duration revocation_bound{};
+    /// Time within which a new version of the configuration is in force.
+    duration apply_bound{};
     /// Whether requests stay in the host's own data centre while it serves them as well.
     bool prefer_own_data_centre = false;
     /// Absent if evacuations are not read.
@@ -34,10 +37,15 @@
     /// How long callers may cache a directory response.
     duration directory_lifetime{};
     std::size_t memory_bytes = 0;
+    /// Connections of callers; 0: derived from the descriptors of the process.
+    std::size_t max_connections = 0;
+    /// Longest time that a caller may take to send a request.
+    duration body_timeout{};
     /// Processor cores that the process may use.
     double processor_share = 1.0;
     serving_settings serving;
     fleet_retry_settings retries;
+    cold_upstream_bounds cold_upstreams;
     std::string log_level;
 };
 
--- a/servers/relay/relay_queue.cpp
+++ b/servers/relay/relay_queue.cpp
@@ -6,14 +6,18 @@
 #include <vector>
 
 #include "servers/decision_log.hpp"
+#include "servers/fleet/configuration_feed.hpp"
 #include "servers/fleet/engine_work_table.hpp"
+#include "servers/relay/admission.hpp"
 #include "servers/relay/request_relay.hpp"
+#include "servers/store/prefix_mirror.hpp"
 #include "servers/timer_service.hpp"
 
 namespace fuchsiaquay {
 
 namespace {
 
+constexpr int status_unauthorized = 401;
 /// Interval between timeout checks.
 constexpr duration check_period = std::chrono::milliseconds(50);
 /// Pause of this process after which responses may be waiting to be read, so that nothing can be
@@ -44,6 +48,17 @@
     return relay;
 }
 
+caller_check relay_queue::check_caller(const caller_request& head) const {
+    const admission_result admitted =
+        admit(head, services_.configuration.current(), services_.configuration_mirror.state());
+    caller_check result;
+    if (admitted.refused && admitted.refused->status == status_unauthorized) {
+        result.refused = admitted.refused;
+    }
+    result.confirmed = !admitted.refused;
+    return result;
+}
+
 std::size_t relay_queue::waiting() const {
     return static_cast<std::size_t>(
         std::count_if(relays_.begin(), relays_.end(),
@@ -74,15 +89,18 @@
 }
 
 void relay_queue::place_waiting() {
-    std::vector<request_relay*> waiting;
+    // Shares are equal unless client accounts compete for engines that are short.
+    using queue_position = std::tuple<int, double, instant>;
+    std::vector<std::pair<queue_position, request_relay*>> waiting;
     for (request_relay* relay : relays_) {
         if (relay->waiting()) {
-            waiting.push_back(relay);
+            const double share = chooser_.share_in_use(relay->admitted());
+            waiting.push_back({{relay->rank(), share, relay->received_at()}, relay});
         }
     }
     std::sort(waiting.begin(), waiting.end(),
-              [](const request_relay* a, const request_relay* b) { return goes_before(*a, *b); });
-    for (request_relay* relay : waiting) {
+              [](const auto& a, const auto& b) { return a.first < b.first; });
+    for (const auto& [position, relay] : waiting) {
         // Placing an earlier request may have ended this one, for example when its connection
         // broke.
         if (relays_.count(relay) > 0) {
--- a/servers/relay/request_log.cpp
+++ b/servers/relay/request_log.cpp
@@ -66,6 +66,10 @@
                          {"waits", waits ? "yes" : "no"},
                          {"tokens", std::to_string(request_.prompt_tokens.value_or(0))},
                          {"ahead", std::to_string(decision.prompts_ahead)},
+                         {"customer", admitted.customer},
+                         {"share_used", std::to_string(decision.share_used)},
+                         {"share_limit", std::to_string(decision.share_limit)},
+                         {"retry_ms", ms_text(decision.retry_after)},
                          {"first_ms", ms_text(decision.time_to_first_event)},
                          {"waited_ms", ms_text(services_.timers.now() - request_.received_at)}});
 }
@@ -140,6 +144,14 @@
                          {"requests_per_s", limit ? std::to_string(*limit) : "none"}});
 }
 
+void request_log::may_be_cold(const std::string& upstream, duration cold_time) const {
+    services_.log.write(decision_log::level::info, "upstream_cold",
+                        {{"request", request_.id},
+                         {"upstream", upstream},
+                         {"left_ms", std::to_string(to_milliseconds(cold_time))},
+                         {"reason", "answers again after failures"}});
+}
+
 void request_log::ended(const admission_result& admitted, const request_result& result) const {
     services_.log.write(
         decision_log::level::info, "request_ended",
--- a/servers/relay/request_relay_attempts.cpp
+++ b/servers/relay/request_relay_attempts.cpp
@@ -19,6 +19,7 @@
 #include "servers/fleet/upstream_registry.hpp"
 #include "servers/relay/answer_times.hpp"
 #include "servers/relay/evacuation_guard.hpp"
+#include "servers/relay/relay_queue.hpp"
 #include "servers/relay/request_relay.hpp"
 #include "servers/relay/response_sink.hpp"
 #include "servers/relay/standby_attempt.hpp"
@@ -128,6 +129,9 @@
         decode_pass_time(*profile, load.decoding_requests(), load.decoding_context_tokens());
     const double ratio =
         to_seconds(now - last_events_at_) / static_cast<double>(events) / to_seconds(pass);
+    if (services_.work_table.cold_budget().is_cold(upstream_, now)) {
+        services_.work_table.cold_slowdowns().observe(admitted_.service_name, ratio);
+    }
     if (services_.work_table.slowdowns().observe(upstream_, ratio, now)) {
         log_.slowdown_changed(upstream_,
                               services_.work_table.slowdowns().slowdown_of(upstream_, now));
@@ -360,4 +364,32 @@
     standby->work.advance(work_phase::ended);
 }
 
+void request_relay::count_if_held(const placement_decision& decision) {
+    if (decision.over_share) {
+        queue_.count_held_by_share();
+    }
+}
+
+void request_relay::check_quarantine() {
+    const bool placed_before = admitted_.matched_route != nullptr && !done_;
+    if (placed_before && (waiting_ || !attempt_ || work_.awaiting_first_event()) &&
+        services_.work_table.quarantine().blocks(request_.prompt_parts, services_.timers.now())) {
+        end_quarantined();
+    }
+}
+
+void request_relay::end_quarantined() {
+    constexpr const char* reason = "prompt_part_ends_engines";
+    cancel_attempts("prompt part in quarantine");
+    if (response_started_) {
+        apply_next_step(next_step::abort, reason);
+    } else if (history_.may_have_run()) {
+        send_failure(status_bad_gateway, reason);
+    } else {
+        const duration left = services_.work_table.quarantine().blocked_for(request_.prompt_parts,
+                                                                            services_.timers.now());
+        refuse({status_unavailable, reason, left});
+    }
+}
+
 }  // namespace fuchsiaquay
--- a/tests/servers/relay/relay_fixture.hpp
+++ b/tests/servers/relay/relay_fixture.hpp
@@ -15,7 +15,7 @@
 #include "core/health/upstream_health.hpp"
 #include "core/health/upstream_notices.hpp"
 #include "core/placement/interference_aware_placement.hpp"
-#include "core/relay/answer_memory.hpp"
+#include "core/relay/relay_memory.hpp"
 #include "core/retry/fleet_retry_budget.hpp"
 #include "servers/fleet/configuration_codec.hpp"
 #include "servers/fleet/configuration_feed.hpp"
@@ -42,7 +42,8 @@
 
 namespace fuchsiaquay::testing {
 
-/// One configuration with a plain service and a service of model engines.
+/// One configuration with a plain service, a service of model engines, and a plain service whose
+/// upstreams tolerate few requests when they are cold.
 class fixed_configuration final : public configuration_codec {
 public:
     std::shared_ptr<const fleet_configuration> decode(const std::string& text) const override {
@@ -51,10 +52,23 @@
         add(*result, "/order/", request_semantics::non_idempotent, 1, "shop");
         add(*result, "/pay/", request_semantics::non_idempotent, 3, "shop");
         add(*result, "/lookup/", request_semantics::idempotent, 2, "shop");
-        add(*result, "/public/", request_semantics::non_idempotent, 1, "shop", true);
+        add(*result, "/public/", request_semantics::non_idempotent, 1, "shop", 0, true);
         add(*result, "/chat/", request_semantics::stream, 2, "llm");
         add(*result, "/talk/", request_semantics::stream, 3, "llm");
-        result->add_service({"shop", 10, std::nullopt});
+        add(*result, "/stock/", request_semantics::idempotent, 2, "depot");
+        service_profile shop;
+        shop.name = "shop";
+        shop.max_connections = 10;
+        result->add_service(shop);
+        service_profile depot = shop;
+        depot.name = "depot";
+        depot.cold_time = std::chrono::seconds(3);
+        depot.cold_requests_per_s = 4.0;
+        result->add_service(depot);
+        if (accounts_compete) {
+            add(*result, "/later/", request_semantics::stream, 2, "llm", 1);
+            result->add_key("other key", {"lee", std::nullopt});
+        }
         engine_profile engine;
         engine.slots = 16;
         engine.memory_tokens = 450'000;
@@ -62,15 +76,23 @@
         engine.read_tokens_per_second = 256'000;
         engine.read_ms_per_million_pairs = 0.0917;
         engine.read_tokens_per_step = 2'048;
-        result->add_service({"llm", 10, engine});
+        service_profile llm = shop;
+        llm.name = "llm";
+        llm.engine = engine;
+        result->add_service(llm);
         result->add_key("key", {"kim", std::nullopt});
         return result;
     }
 
+    /// Adds a less urgent route and a second client account.
+    bool accounts_compete = false;
+
 private:
     static void add(fleet_configuration& to, const std::string& prefix, request_semantics semantics,
-                    int attempts, const std::string& service, bool is_public = false) {
+                    int attempts, const std::string& service, int rank = 0,
+                    bool is_public = false) {
         route item;
+        item.rank = rank;
         item.name = prefix;
         item.host = "h";
         item.prefix = prefix;
@@ -303,7 +325,7 @@
     void answer_cut(const std::string&) override {}
 };
 
-constexpr std::size_t answer_memory_bytes = 20'000'000;
+constexpr std::size_t relay_memory_bytes = 20'000'000;
 /// Time that other hosts have to announce their claims before a long prompt is sent.
 constexpr duration claim_settle_time = std::chrono::milliseconds(25);
 
@@ -368,7 +390,7 @@
     interference_aware_placement placement;
     manual_connector connector;
     manual_memory_client memory_client;
-    answer_memory answers{answer_memory_bytes};
+    relay_memory memory{relay_memory_bytes};
     no_metrics metrics;
     duration serving_time = duration::max();
     duration stopping_time = duration::zero();
@@ -389,7 +411,7 @@
                             format,
                             metrics,
                             memory_client,
-                            answers,
+                            memory,
                             [this] { return serving_time; },
                             [this] { return stopping_time; },
                             [this] { return knows_all_work; }};
