--- a/tests/servers/relay/relay_fixture.hpp
+++ b/tests/servers/relay/relay_fixture.hpp
@@ -52,6 +52,7 @@
         add(*result, "/order/", request_semantics::non_idempotent, 1, "shop");
         add(*result, "/pay/", request_semantics::non_idempotent, 3, "shop");
         add(*result, "/lookup/", request_semantics::idempotent, 2, "shop");
+        add(*result, "/public/", request_semantics::non_idempotent, 1, "shop", 0, true);
         add(*result, "/chat/", request_semantics::stream, 2, "llm");
         add(*result, "/talk/", request_semantics::stream, 3, "llm");
         add(*result, "/stock/", request_semantics::idempotent, 2, "depot");
@@ -88,7 +89,8 @@
 
 private:
     static void add(fleet_configuration& to, const std::string& prefix, request_semantics semantics,
-                    int attempts, const std::string& service, int rank = 0) {
+                    int attempts, const std::string& service, int rank = 0,
+                    bool is_public = false) {
         route item;
         item.rank = rank;
         item.name = prefix;
@@ -99,6 +101,7 @@
         item.target = std::chrono::milliseconds(250);
         item.target_gap = std::chrono::milliseconds(200);
         item.max_attempts = attempts;
+        item.is_public = is_public;
         item.resumable = true;
         item.services = {{service, 1.0}};
         to.add_route(item);
