Cold upstreams: hosts that cannot know but hear each other share half of the bound

Change: if all hosts are heard, the requests of all count, up to half of nine tenths, with 100 ms between two of one host. Hosts that do not hear all keep to their own part.

--- a/core/limits/cold_upstream_budget.cpp
+++ b/core/limits/cold_upstream_budget.cpp
@@ -14,6 +14,11 @@
 /// Fraction of the bound that is used. The rest is for hosts that begin to serve before the others
 /// know of them.
 constexpr double utilization = 0.9;
+/// Fraction of that which hosts that hear each other share without knowing that the upstream is
+/// cold. The rest is for requests that they have not heard of yet.
+constexpr double shared_part = 0.5;
+/// Time in which the hosts hear of a request. Announcements take some milliseconds.
+constexpr duration hearing_time = std::chrono::milliseconds(100);
 
 void add(std::vector<instant>& sent, instant at) {
     sent.erase(std::remove_if(sent.begin(), sent.end(),
@@ -22,9 +27,12 @@
     sent.insert(std::upper_bound(sent.begin(), sent.end(), at), at);
 }
 
-/// Returns when fewer than `limit` requests of `sent` are in the last second.
-instant room_at(const std::vector<instant>& sent, std::size_t limit) {
-    return sent.size() < limit ? instant() : sent[sent.size() - limit] + window;
+/// Returns the time until fewer than `limit` requests of `sent` are in the last second.
+duration wait_for(const std::vector<instant>& sent, double limit, instant now) {
+    const auto count = static_cast<std::size_t>(limit);
+    return sent.size() < count
+               ? duration::zero()
+               : std::max(duration::zero(), sent[sent.size() - count] + window - now);
 }
 
 }  // namespace
@@ -89,6 +97,13 @@
     return static_cast<double>(own_order(upstream)) + 1.0 <= total ? 1 : 0;
 }
 
+duration cold_upstream_budget::shared_wait(const record& item, double limit, instant now) {
+    // Each host may send one request before it hears the others.
+    const duration pause =
+        item.own_sent.empty() ? duration::zero() : item.own_sent.back() + hearing_time - now;
+    return std::max({duration::zero(), pause, wait_for(item.all_sent, limit, now)});
+}
+
 duration cold_upstream_budget::time_until_accepted(const std::string& upstream,
                                                    double tolerated_per_s, instant now) const {
     if (tolerated_per_s <= 0.0) {
@@ -101,6 +116,10 @@
     }
     const double total =
         std::floor(utilization * (tolerated_per_s * bounds_.overage + bounds_.slack));
+    const double shared = std::floor(total * shared_part);
+    if (!cold && hears_all_ && shared + static_cast<double>(hosts_.size()) <= total) {
+        return found == records_.end() ? duration::zero() : shared_wait(found->second, shared, now);
+    }
     const std::size_t own = own_limit(upstream, total);
     const duration until_warm = cold ? found->second.cold_until - now : window;
     if (own == 0) {
@@ -109,9 +128,8 @@
     if (found == records_.end()) {
         return duration::zero();
     }
-    const instant room = std::max(room_at(found->second.own_sent, own),
-                                  room_at(found->second.all_sent, static_cast<std::size_t>(total)));
-    const duration wait = std::max(duration::zero(), room - now);
+    const duration wait = std::max(wait_for(found->second.own_sent, static_cast<double>(own), now),
+                                   wait_for(found->second.all_sent, total, now));
     return informed_ ? std::min(wait, until_warm) : wait;
 }
 
--- a/core/limits/cold_upstream_budget.hpp
+++ b/core/limits/cold_upstream_budget.hpp
@@ -26,7 +26,13 @@
     void set_hosts(const std::string& self, std::vector<std::string> hosts);
     /// Sets whether this host would know if an upstream became cold. If not, every upstream may be
     /// cold, so the bound applies to all of them.
-    void set_informed(bool informed) { informed_ = informed; }
+    /// @param hears_all  this host hears the dispatches of all hosts, so they may share half of the
+    ///     bound at upstreams that are not known to be cold if the rest has one request for each;
+    ///     otherwise it uses its own part
+    void set_knowledge(bool informed, bool hears_all) {
+        informed_ = informed;
+        hears_all_ = hears_all;
+    }
 
     /// Records that a process is cold until `until`. A shorter time than the known one is ignored,
     /// and so is a process that started before the known one.
@@ -54,6 +60,9 @@
         std::vector<instant> all_sent;
     };
 
+    /// Time until this host may send another request to an upstream that may be cold, if all hosts
+    /// share `limit` requests per second.
+    static duration shared_wait(const record& item, double limit, instant now);
     /// Number of hosts that the hash puts before this one for `upstream`.
     std::size_t own_order(const std::string& upstream) const;
     /// Requests of this host per second, if those of all hosts may be `total`.
@@ -63,6 +72,7 @@
     std::string self_;
     std::vector<std::string> hosts_;
     bool informed_ = true;
+    bool hears_all_ = false;
     /// By upstream id: those that received requests or were cold.
     std::map<std::string, record> records_;
     /// Results of `own_order` for the current hosts.
--- a/main/entry_node.cpp
+++ b/main/entry_node.cpp
@@ -234,7 +234,9 @@
             shortest = std::min(shortest, cold_time_of(name).value_or(shortest));
         }
     }
-    engine_work_.cold_budget().set_informed(upstream_mirror_.age() <= shortest);
+    const bool hears_all =
+        hosts_.knows_all_work() && hosts_.live_peers().size() == hosts_.listed_peers().size();
+    engine_work_.cold_budget().set_knowledge(upstream_mirror_.age() <= shortest, hears_all);
 }
 
 http_endpoint::reply entry_node::handle_readiness() const {
