--- a/core/placement/interference_aware_placement.cpp
+++ b/core/placement/interference_aware_placement.cpp
@@ -360,10 +360,12 @@
 placement_decision interference_aware_placement::choose(const placement_request& request,
                                                         const std::vector<engine_view>& engines,
                                                         instant now) const {
+    const auto cold = [](const engine_view& engine) { return engine.cold; };
     std::vector<engine_view> warm;
-    std::copy_if(engines.begin(), engines.end(), std::back_inserter(warm),
-                 [](const engine_view& engine) { return !engine.cold; });
-    if (!warm.empty() && warm.size() < engines.size()) {
+    if (std::any_of(engines.begin(), engines.end(), cold)) {
+        std::remove_copy_if(engines.begin(), engines.end(), std::back_inserter(warm), cold);
+    }
+    if (!warm.empty()) {
         placement_decision decision = choose_among(request, warm, now);
         if (decision.outcome == placement_decision::verdict::place &&
             decision.time_to_first_event <= request.first_event_time_left) {
