--- a/drivers/traffic/caller_session.cpp
+++ b/drivers/traffic/caller_session.cpp
@@ -76,6 +76,7 @@
         return;
     }
     reading_ = true;
+    unread_bytes_ = 0;
     socket_.async_read_some(
         input_.prepare(read_size),
         [self = shared_from_this()](const error_code& error, std::size_t bytes) {
@@ -246,9 +247,7 @@
 void caller_session::check_timeouts(instant now) {
     check_output(now);
     check_linger(now);
-    if (!closed_ && !reading_) {
-        record_memory();
-    }
+    check_unread();
     if (closed_ || request_ != nullptr || response_complete_) {
         return;
     }
--- a/drivers/traffic/caller_session.hpp
+++ b/drivers/traffic/caller_session.hpp
@@ -115,11 +115,13 @@
     static std::size_t allocated_bytes(const std::string& text);
     /// Memory of the request, of input that was read ahead, and of buffered output.
     std::size_t request_bytes() const;
-    std::size_t input_bytes();
+    std::size_t input_bytes() const;
     std::size_t output_bytes() const;
     /// Counts the memory of this connection against that for all callers.
     void record_memory();
     void release_memory();
+    /// Counts what the kernel keeps of the caller's further requests while nothing is read.
+    void check_unread();
     /// Rejects the request if it has not run; otherwise closes the connection.
     void give_up_memory();
     void check_linger(instant now);
@@ -160,6 +162,7 @@
     bool confirmed_ = true;
     bool caller_checked_ = false;
     bool memory_counted_ = false;
+    std::size_t unread_bytes_ = 0;
     /// The memory of this connection is about to be given up.
     bool giving_up_ = false;
     /// Bytes of `writing_` that the kernel accepted.
--- a/drivers/traffic/caller_session_memory.cpp
+++ b/drivers/traffic/caller_session_memory.cpp
@@ -45,9 +45,15 @@
     return std::max(allocated_bytes(parser_->get().body()), announced);
 }
 
-std::size_t caller_session::input_bytes() {
-    // While nothing is read, the kernel keeps what the caller goes on to send.
-    return beyond(input_.capacity() + (reading_ ? 0 : unread_bytes(socket_)), max_connection_input);
+std::size_t caller_session::input_bytes() const {
+    return beyond(input_.capacity() + (reading_ ? 0 : unread_bytes_), max_connection_input);
+}
+
+void caller_session::check_unread() {
+    if (!closed_ && !reading_) {
+        unread_bytes_ = unread_bytes(socket_);
+        record_memory();
+    }
 }
 
 std::size_t caller_session::output_bytes() const {
--- a/main/entry_node.cpp
+++ b/main/entry_node.cpp
@@ -36,6 +36,8 @@
 constexpr int directory_staleness_factor = 3;
 /// Period of updating this host's share of the fleet's retry budget.
 constexpr duration retry_budget_period = std::chrono::seconds(1);
+/// Descriptors for which neither the settings nor the operating system name a smaller number.
+constexpr std::size_t default_descriptors = 16'384;
 /// Size of the largest supported fleet.
 constexpr std::size_t max_fleet_hosts = 10'000;
 constexpr duration stop_check_period = std::chrono::milliseconds(100);
@@ -46,12 +48,17 @@
 
 /// Callers may take three quarters of the descriptors; upstreams, the store and other hosts share
 /// the rest.
-std::size_t connections_of_descriptors() {
+std::size_t max_connections(const entry_settings& settings) {
+    if (settings.max_connections > 0) {
+        return settings.max_connections;
+    }
+    std::size_t descriptors =
+        settings.max_descriptors > 0 ? settings.max_descriptors : default_descriptors;
     rlimit limit{};
-    if (getrlimit(RLIMIT_NOFILE, &limit) != 0 || limit.rlim_cur == RLIM_INFINITY) {
-        return caller_limits().connections;
+    if (getrlimit(RLIMIT_NOFILE, &limit) == 0) {
+        descriptors = std::min<std::size_t>(descriptors, limit.rlim_cur);
     }
-    return std::max<std::size_t>(limit.rlim_cur / 4 * 3, 1);
+    return std::max<std::size_t>(descriptors / 4 * 3, 1);
 }
 
 prefix_mirror_settings configuration_mirror_settings(const entry_settings& settings) {
@@ -84,8 +91,7 @@
     : settings_(settings),
       loop_(loop),
       log_(log),
-      max_connections_(settings.max_connections > 0 ? settings.max_connections
-                                                    : connections_of_descriptors()),
+      max_connections_(max_connections(settings)),
       configuration_store_(loop, log, settings.store, store_timeout),
       catalogue_store_(loop, log, settings.store, store_timeout),
       configuration_(configuration_codec_, log, configuration_key),
--- a/main/entry_settings.cpp
+++ b/main/entry_settings.cpp
@@ -22,6 +22,8 @@
         address_setting("node", "address", "IP number for metrics and announcements"),
         number_setting("node", "memory_mb", "256", 64, 1'048'576, "MB",
                        "memory of the process; half may hold requests and answers of callers"),
+        integer_setting("node", "descriptors", 0, 0, 1'000'000'000, "descriptors",
+                        "descriptors of the process; 0: the limit of the operating system"),
         number_setting("node", "processor_share", "1", 0, 1'024, "cores",
                        "processor time of the process; hosts with more serve callers first"),
         required_setting(text_setting("listen", "callers", "", "IP:PORT for requests")),
@@ -118,6 +120,7 @@
         from_seconds(values.number("configuration", "apply_ms") / milliseconds_per_second);
     result.directory_lifetime = milliseconds_value(values, "directory", "lifetime_ms");
     result.stop_grace = from_seconds(values.number("shutdown", "grace_s"));
+    result.max_descriptors = static_cast<std::size_t>(values.integer("node", "descriptors"));
     result.max_connections = static_cast<std::size_t>(values.integer("listen", "connections"));
     result.body_timeout = from_seconds(values.number("listen", "body_timeout_s"));
     result.memory_bytes =
--- a/main/entry_settings.hpp
+++ b/main/entry_settings.hpp
@@ -31,7 +31,9 @@
     /// How long callers may cache a directory response.
     duration directory_lifetime{};
     std::size_t memory_bytes = 0;
-    /// Connections of callers; 0: derived from the descriptors of the process.
+    /// Descriptors that the process may open; 0: the limit of the operating system.
+    std::size_t max_descriptors = 0;
+    /// Connections of callers; 0: derived from the descriptors.
     std::size_t max_connections = 0;
     /// Longest time that a caller may take to send a request.
     duration body_timeout{};
