--- a/ctl/console/request_trace.cpp
+++ b/ctl/console/request_trace.cpp
@@ -38,9 +38,12 @@
      "first_ms of the dispatch compared with the actual time, and waited_ms"},
     {"upstream_failed", "Every attempt that the route allows failed at an upstream.",
      "attempt_failed of the same upstreams from other nodes"},
-    {"body_memory", "The bodies of other requests took the memory for bodies.",
-     "body_bytes in the metrics"},
-    {"body_timeout", "The body stopped arriving.", "the caller, and the network to it"},
+    {"body_memory", "The node's memory for callers was exceeded while the body arrived.",
+     "memory_exceeded at that time, and relay_memory_bytes in the metrics"},
+    {"request_memory", "The node's memory for callers was exceeded while the request waited.",
+     "memory_exceeded at that time, and relay_memory_bytes in the metrics"},
+    {"body_timeout", "The body stopped arriving, or took too long.",
+     "the caller, the network to it, and listen.body_timeout_s"},
 };
 
 /// Explanation of the cause in an `answer_cut` event.
@@ -58,6 +61,8 @@
      "attempt_failed and request_ended of this request"},
     {"output_limit", "The caller read more slowly than its answer arrived.",
      "buffered_bytes, and whether other callers of that node were slow"},
+    {"input_limit", "The caller sent further requests, and the node's memory was exceeded.",
+     "memory_exceeded at that time"},
     {"header_timeout", "The head of the request did not arrive in time.", "the caller"},
     {"handler_failed", "An unexpected error ended the handling of the connection.",
      "handler_failed at that time: a defect of the node"},
--- a/drivers/traffic/caller_session.hpp
+++ b/drivers/traffic/caller_session.hpp
@@ -124,6 +124,7 @@
     void check_unread();
     /// Rejects the request if it has not run; otherwise closes the connection.
     void give_up_memory();
+    void log_memory_exceeded();
     void check_linger(instant now);
     /// Closes the connection if its caller is unreachable or takes no data.
     void check_output(instant now);
--- a/drivers/traffic/caller_session_memory.cpp
+++ b/drivers/traffic/caller_session_memory.cpp
@@ -14,6 +14,8 @@
 
 namespace fuchsiaquay {
 
+using boost::system::error_code;
+
 namespace {
 
 /// Buffers up to this size belong to a connection, whose number is limited.
@@ -111,8 +113,21 @@
     return true;
 }
 
+void caller_session::log_memory_exceeded() {
+    error_code ignored;
+    services_.log.write(decision_log::level::warning, "memory_exceeded",
+                        {{"caller", socket_.remote_endpoint(ignored).address().to_string()},
+                         {"confirmed", confirmed_ ? "yes" : "no"},
+                         {"request_bytes", std::to_string(request_bytes())},
+                         {"input_bytes", std::to_string(input_bytes())},
+                         {"output_bytes", std::to_string(output_bytes())},
+                         {"used", std::to_string(services_.memory.used())},
+                         {"limit", std::to_string(services_.memory.limit())}});
+}
+
 void caller_session::give_up_memory() {
     giving_up_ = false;
+    log_memory_exceeded();
     if (body_incomplete()) {
         reject(status_unavailable, "body_memory", body_memory_retry_after);
         return;
--- a/main/entry_node.cpp
+++ b/main/entry_node.cpp
@@ -36,6 +36,11 @@
 constexpr int directory_staleness_factor = 3;
 /// Period of updating this host's share of the fleet's retry budget.
 constexpr duration retry_budget_period = std::chrono::seconds(1);
+/// Connections may take this fraction (1 / divisor) of the process memory, apart from the requests
+/// and answers on them.
+constexpr std::size_t connections_memory_divisor = 4;
+/// Memory of a connection: its buffers for input and output.
+constexpr std::size_t connection_bytes = 32'768;
 /// Descriptors for which neither the settings nor the operating system name a smaller number.
 constexpr std::size_t default_descriptors = 16'384;
 /// Size of the largest supported fleet.
@@ -58,7 +63,10 @@
     if (getrlimit(RLIMIT_NOFILE, &limit) == 0) {
         descriptors = std::min<std::size_t>(descriptors, limit.rlim_cur);
     }
-    return std::max<std::size_t>(descriptors / 4 * 3, 1);
+    return std::max<std::size_t>(
+        std::min(descriptors / 4 * 3,
+                 settings.memory_bytes / connections_memory_divisor / connection_bytes),
+        1);
 }
 
 prefix_mirror_settings configuration_mirror_settings(const entry_settings& settings) {
--- a/main/entry_settings.cpp
+++ b/main/entry_settings.cpp
@@ -30,8 +30,9 @@
         required_setting(text_setting("listen", "readiness", "", "IP:PORT for readiness checks")),
         required_setting(
             text_setting("listen", "directory", "", "IP:PORT for the question which hosts to use")),
-        integer_setting("listen", "connections", 0, 0, 1'000'000, "connections",
-                        "connections of callers; 0: three quarters of the descriptors"),
+        integer_setting(
+            "listen", "connections", 0, 0, 1'000'000, "connections",
+            "connections of callers; 0: three quarters of the descriptors, at most 8 for each MB"),
         seconds_setting("listen", "body_timeout_s", "120",
                         "longest time for a caller to send a request"),
         port_setting("listen", "metrics_port", 9'100, "port of the metrics"),
