--- a/core/placement/engine_room.hpp
+++ b/core/placement/engine_room.hpp
@@ -8,9 +8,11 @@
 namespace fuchsiaquay {
 
 /// Whether the engines of a service are short for prompts with a given target: so few could begin
-/// another one in time that the prompts which arrive before hosts hear of each other's work may
-/// find none.
+/// another one in time, without delaying the streams there, that the prompts which arrive before
+/// hosts hear of each other's work may find none.
 /// @param target  response-time goal of the first event
-bool engines_short(const std::vector<engine_view>& engines, duration target, instant now);
+/// @param usual_prefill  prefill time of a usual prompt with this target, on one engine
+bool engines_short(const std::vector<engine_view>& engines, duration target, duration usual_prefill,
+                   instant now);
 
 }  // namespace fuchsiaquay
--- a/servers/relay/upstream_chooser.cpp
+++ b/servers/relay/upstream_chooser.cpp
@@ -35,6 +35,9 @@
 /// Time for which a check of the engines' room holds, within which hosts hear of each other's work.
 constexpr duration room_check_lifetime = std::chrono::milliseconds(20);
 
+/// Number of requests over which the usual prefill time is averaged.
+constexpr int prefill_mean_requests = 16;
+
 /// Time after the latest request of a more urgent rank for which others leave it engines.
 constexpr duration urgent_demand_lifetime = std::chrono::seconds(1);
 
@@ -183,7 +186,8 @@
 bool upstream_chooser::is_short(const admission_result& admitted, duration target,
                                 room_check& check, instant now) const {
     if (check.checked_at == instant{} || now - check.checked_at > room_check_lifetime) {
-        check.is_short = engines_short(accepting_engines(admitted, now), target, now);
+        check.is_short =
+            engines_short(accepting_engines(admitted, now), target, check.usual_prefill, now);
         check.checked_at = now;
     }
     return check.is_short;
@@ -204,6 +208,13 @@
                                                     const admission_result& admitted,
                                                     std::uint64_t key) const {
     const instant now = services_.timers.now();
+    if (admitted.account != 0) {
+        room_check& check =
+            room_checks_[{admitted.service_name, admitted.rank, admitted.matched_route->target}];
+        const duration prefill =
+            prefill_time(*admitted.service->engine, request.prompt_tokens.value_or(0));
+        check.usual_prefill += (prefill - check.usual_prefill) / prefill_mean_requests;
+    }
     if (!shares_bind(admitted, now)) {
         return decision;
     }
--- a/servers/relay/upstream_chooser.hpp
+++ b/servers/relay/upstream_chooser.hpp
@@ -56,6 +56,8 @@
         instant checked_at{};
         /// When a request of this rank and target last asked.
         instant wanted_at{};
+        /// Running mean of the prefill times of such requests.
+        duration usual_prefill{};
     };
 
     /// Engines that accept work of the service.
