Fair shares: the reserve of engines follows the rate of prompts, and Retry-After is bounded

The engines are now short if fewer have room than prompts of the rank come in 50 ms, and callers come back after 5 s at most, when the shortage shows anew.

--- a/core/placement/engine_room.cpp
+++ b/core/placement/engine_room.cpp
@@ -14,8 +14,10 @@
 
 /// Prompts whose prefill takes more than this fraction of the target are split over engines.
 constexpr double max_prefill_fraction = 0.5;
-/// The engines are short if fewer than this fraction of them have room.
-constexpr double min_engines_with_room = 0.125;
+/// Time within which hosts hear of each other's work and try waiting prompts again.
+constexpr duration unheard_time = std::chrono::milliseconds(50);
+/// Greatest fraction of the engines that is kept for prompts within this time.
+constexpr double max_reserve = 0.125;
 
 bool has_room(const engine_view& engine, duration target, duration prefill, instant now) {
     const interference_aware_settings settings;
@@ -37,14 +39,15 @@
 }  // namespace
 
 bool engines_short(const std::vector<engine_view>& engines, duration target, duration usual_prefill,
-                   instant now) {
+                   double prompts_per_s, instant now) {
     const duration prefill = std::min(usual_prefill, scaled(target, max_prefill_fraction));
     const auto with_room =
         std::count_if(engines.begin(), engines.end(), [&](const engine_view& engine) {
             return has_room(engine, target, scaled(prefill, engine.slowdown), now);
         });
-    return static_cast<double>(with_room) <
-           min_engines_with_room * static_cast<double>(engines.size());
+    const double reserve = std::min(prompts_per_s * to_seconds(unheard_time),
+                                    max_reserve * static_cast<double>(engines.size()));
+    return static_cast<double>(with_room) < std::max(reserve, 1.0);
 }
 
 }  // namespace fuchsiaquay
--- a/core/placement/engine_room.hpp
+++ b/core/placement/engine_room.hpp
@@ -12,7 +12,8 @@
 /// hosts hear of each other's work may find none.
 /// @param target  response-time goal of the first event
 /// @param usual_prefill  prefill time of a usual prompt with this target, on one engine
+/// @param prompts_per_s  prompts of this rank that all hosts dispatch
 bool engines_short(const std::vector<engine_view>& engines, duration target, duration usual_prefill,
-                   instant now);
+                   double prompts_per_s, instant now);
 
 }  // namespace fuchsiaquay
--- a/core/scheduling/engine_time_shares.cpp
+++ b/core/scheduling/engine_time_shares.cpp
@@ -29,6 +29,8 @@
 /// The greatest use is that of one to two of these periods. It stays above the time that callers
 /// wait before they come back, so that what they were told holds.
 constexpr duration peak_period = std::chrono::seconds(15);
+/// A burst shows within this time.
+constexpr duration request_rate_window = std::chrono::seconds(1);
 /// The configuration has no weights of accounts.
 constexpr double account_weight = 1.0;
 /// Limits are computed again after this time, within which hosts hear of each other's work.
@@ -48,11 +50,15 @@
                                   .try_emplace(service_of(work.account),
                                                customer_shares(engine_seconds_per_second, windows))
                                   .first->second;
-    const customer_id account = account_id(work.account);
-    shares.set_weight(account, work.rank, account_weight);
     // Bounds the weight of work that is announced much later than it was sent.
     latest_dispatch_ = std::max(latest_dispatch_, work.dispatched_at);
     const instant counted_at = std::max(work.dispatched_at, latest_dispatch_ - usage_window);
+    if (work.generates()) {
+        request_rates_.try_emplace({service_of(work.account), work.rank}, request_rate_window)
+            .first->second.add(1.0, counted_at);
+    }
+    const customer_id account = account_id(work.account);
+    shares.set_weight(account, work.rank, account_weight);
     shares.add_usage(account, work.rank, false, to_seconds(work.engine_time), counted_at);
 }
 
@@ -72,6 +78,11 @@
     return result;
 }
 
+double engine_time_shares::requests_per_s(std::uint64_t account, int rank, instant now) const {
+    const auto rate = request_rates_.find({service_of(account), rank});
+    return rate == request_rates_.end() ? 0.0 : rate->second.at(now);
+}
+
 std::size_t engine_time_shares::accounts() const {
     std::size_t total = 0;
     for (const auto& [service, shares] : services_) {
--- a/core/scheduling/engine_time_shares.hpp
+++ b/core/scheduling/engine_time_shares.hpp
@@ -6,6 +6,7 @@
 #include <utility>
 
 #include "core/scheduling/customer_shares.hpp"
+#include "core/scheduling/decaying_rate.hpp"
 #include "core/scheduling/share_standing.hpp"
 #include "core/time/clock.hpp"
 
@@ -28,6 +29,9 @@
     /// @param rank  work of this and more urgent ranks counts
     share_standing standing(std::uint64_t account, int rank, instant now);
 
+    /// Requests of a rank that all hosts have recently dispatched to a service.
+    double requests_per_s(std::uint64_t account, int rank, instant now) const;
+
     /// Number of accounts that have sent work, over all services.
     std::size_t accounts() const;
 
@@ -51,6 +55,8 @@
     std::map<std::uint32_t, customer_shares> services_;
     /// By hash of the service and rank.
     std::map<std::pair<std::uint32_t, int>, usage_limit> limits_;
+    /// Requests by hash of the service and rank.
+    std::map<std::pair<std::uint32_t, int>, decaying_rate> request_rates_;
     instant latest_dispatch_{};
 };
 
--- a/servers/relay/upstream_chooser.cpp
+++ b/servers/relay/upstream_chooser.cpp
@@ -35,6 +35,9 @@
 /// Time for which a check of the engines' room holds, within which hosts hear of each other's work.
 constexpr duration room_check_lifetime = std::chrono::milliseconds(20);
 
+/// Within this time it shows whether the engines are still short.
+constexpr duration max_share_retry_after = std::chrono::seconds(5);
+
 /// Number of requests over which the usual prefill time is averaged.
 constexpr int prefill_mean_requests = 16;
 
@@ -178,16 +181,18 @@
         if (service != admitted.service_name || rank > admitted.rank) {
             break;
         }
-        binds = binds || (concerns && is_short(admitted, checked_target, item->second, now));
+        binds = binds || (concerns && is_short(admitted, rank, checked_target, item->second, now));
     }
     return binds;
 }
 
-bool upstream_chooser::is_short(const admission_result& admitted, duration target,
+bool upstream_chooser::is_short(const admission_result& admitted, int rank, duration target,
                                 room_check& check, instant now) const {
     if (check.checked_at == instant{} || now - check.checked_at > room_check_lifetime) {
-        check.is_short =
-            engines_short(accepting_engines(admitted, now), target, check.usual_prefill, now);
+        const double prompts_per_s =
+            services_.work_table.shares().requests_per_s(admitted.account, rank, now);
+        check.is_short = engines_short(accepting_engines(admitted, now), target,
+                                       check.usual_prefill, prompts_per_s, now);
         check.checked_at = now;
     }
     return check.is_short;
@@ -235,7 +240,7 @@
     held.over_share = true;
     held.share_used = standing.used;
     held.share_limit = standing.limit;
-    held.retry_after = spread_over_callers(standing.free_in, key);
+    held.retry_after = spread_over_callers(std::min(standing.free_in, max_share_retry_after), key);
     return held;
 }
 
--- a/servers/relay/upstream_chooser.hpp
+++ b/servers/relay/upstream_chooser.hpp
@@ -66,7 +66,7 @@
     /// hosts' work is known.
     bool shares_bind(const admission_result& admitted, instant now) const;
     /// Repeats an old check.
-    bool is_short(const admission_result& admitted, duration target, room_check& check,
+    bool is_short(const admission_result& admitted, int rank, duration target, room_check& check,
                   instant now) const;
     bool accepts(const upstream_entry& entry, instant now) const;
     bool within_rate(const upstream_entry& entry, const admission_result& admitted,
--- a/tests/core/placement/engine_room_test.cpp
+++ b/tests/core/placement/engine_room_test.cpp
@@ -17,6 +17,7 @@
     engine_profile profile_;
     std::vector<engine_load> loads_{10};
     duration usual_prefill_ = milliseconds(30);
+    double prompts_per_s_ = 40.0;
     instant now_{seconds(10)};
 
     void setup() override {
@@ -35,7 +36,7 @@
         for (std::size_t index = 0; index < loads_.size(); ++index) {
             engines.push_back({std::to_string(index), &profile_, &loads_[index], 1.0});
         }
-        return engines_short(engines, target, usual_prefill_, now_);
+        return engines_short(engines, target, usual_prefill_, prompts_per_s_, now_);
     }
 };
 
@@ -53,6 +54,18 @@
     CHECK_FALSE(is_short(seconds(2)));
 }
 
+TEST(engine_room, a_burst_keeps_more_engines_but_no_more_than_an_eighth) {
+    for (std::size_t engine = 0; engine < 9; ++engine) {
+        start_prefill(engine, seconds(1));
+    }
+    prompts_per_s_ = 2.0;
+    CHECK_FALSE(is_short(milliseconds(250)));
+    prompts_per_s_ = 1'000.0;
+    CHECK_TRUE(is_short(milliseconds(250)));
+    loads_[8] = engine_load();
+    CHECK_FALSE(is_short(milliseconds(250)));
+}
+
 TEST(engine_room, engines_without_a_free_slot_are_short) {
     for (engine_load& load : loads_) {
         for (std::uint64_t key = 1; key <= 2; ++key) {
--- a/tests/core/scheduling/engine_time_shares_test.cpp
+++ b/tests/core/scheduling/engine_time_shares_test.cpp
@@ -167,3 +167,20 @@
     CHECK_TRUE(limit_to_share(over_, milliseconds(101), milliseconds(400)) ==
                share_verdict::refuse);
 }
+
+TEST(engine_time_shares, dispatched_requests_are_counted_by_rank) {
+    play_flood(shares_, milliseconds(100));
+    LONGS_EQUAL(0, shares_.requests_per_s(accounts_[0], 0, now_));
+    engine_work work;
+    work.account = accounts_[0];
+    work.rank = 1;
+    work.engine_time = milliseconds(100);
+    work.target_gap = milliseconds(250);
+    for (int step = 0; step < 100; ++step) {
+        now_ += milliseconds(50);
+        work.dispatched_at = now_;
+        shares_.on_dispatch(work);
+    }
+    DOUBLES_EQUAL(20.0, shares_.requests_per_s(accounts_[1], 1, now_), 1.0);
+    DOUBLES_EQUAL(0.0, shares_.requests_per_s(accounts_[1], 0, now_), 1.0);
+}
