--- a/servers/relay/upstream_chooser.cpp
+++ b/servers/relay/upstream_chooser.cpp
@@ -220,7 +220,9 @@
             prefill_time(*admitted.service->engine, request.prompt_tokens.value_or(0));
         check.usual_prefill += (prefill - check.usual_prefill) / prefill_mean_requests;
     }
-    if (!shares_bind(admitted, now)) {
+    const bool has_other_cause =
+        decision.outcome == placement_decision::verdict::refuse || decision.rate_limited;
+    if (has_other_cause || !shares_bind(admitted, now)) {
         return decision;
     }
     const share_standing standing =
--- a/tests/servers/relay/fair_shares_test.cpp
+++ b/tests/servers/relay/fair_shares_test.cpp
@@ -150,3 +150,14 @@
     LONGS_EQUAL(1, host_.attempts());
     STRCMP_EQUAL("r1", host_.connector.last().head.substr(0, 2).c_str());
 }
+
+TEST(fair_shares, request_without_any_engine_keeps_that_reason) {
+    let_accounts_compete();
+    flood();
+    for (const char* engine : {"u/llm-1", "u/llm-2", "u/llm-3"}) {
+        host_.upstreams.on_changes({{{engine, "", 3}, true}}, 3);
+    }
+    host_.serve(request_of("other key"));
+    LONGS_EQUAL(503, host_.sink.status);
+    LONGS_EQUAL(0, host_.queue.held_by_share());
+}
