--- a/servers/relay/upstream_chooser.cpp
+++ b/servers/relay/upstream_chooser.cpp
@@ -41,6 +41,9 @@
 /// Number of requests over which the usual prefill time is averaged.
 constexpr int prefill_mean_requests = 16;
 
+/// A shortage that lasts a few passes only passes by itself before callers notice.
+constexpr duration min_shortage_time = std::chrono::milliseconds(150);
+
 /// Time after the latest request of a more urgent rank for which others leave it engines.
 constexpr duration urgent_demand_lifetime = std::chrono::seconds(1);
 
@@ -191,11 +194,15 @@
     if (check.checked_at == instant{} || now - check.checked_at > room_check_lifetime) {
         const double prompts_per_s =
             services_.work_table.shares().requests_per_s(admitted.account, rank, now);
-        check.is_short = engines_short(accepting_engines(admitted, now), target,
-                                       check.usual_prefill, prompts_per_s, now);
+        if (engines_short(accepting_engines(admitted, now), target, check.usual_prefill,
+                          prompts_per_s, now)) {
+            check.short_since = check.short_since.value_or(now);
+        } else {
+            check.short_since.reset();
+        }
         check.checked_at = now;
     }
-    return check.is_short;
+    return check.short_since && now - *check.short_since >= min_shortage_time;
 }
 
 double upstream_chooser::share_in_use(const admission_result& admitted) const {
@@ -227,9 +234,11 @@
     }
     const share_standing standing =
         services_.work_table.shares().standing(admitted.account, admitted.rank, now);
-    const duration needed =
-        prefill_time(*admitted.service->engine, request.prompt_tokens.value_or(0));
-    const duration left = request.received_at + admitted.matched_route->target - now;
+    const duration target = admitted.matched_route->target;
+    // A prompt that takes longer is split over engines.
+    const duration needed = std::min(
+        prefill_time(*admitted.service->engine, request.prompt_tokens.value_or(0)), target / 2);
+    const duration left = request.received_at + target - now;
     const share_verdict verdict = fuchsiaquay::limit_to_share(standing, needed, left);
     if (verdict == share_verdict::admit) {
         return decision;
--- a/servers/relay/upstream_chooser.hpp
+++ b/servers/relay/upstream_chooser.hpp
@@ -52,7 +52,8 @@
                                     const std::set<std::string>& excluded) const;
 
     struct room_check {
-        bool is_short = false;
+        /// Since when the engines are short; absent if they are not.
+        std::optional<instant> short_since;
         instant checked_at{};
         /// When a request of this rank and target last asked.
         instant wanted_at{};
