--- a/servers/relay/upstream_chooser.cpp
+++ b/servers/relay/upstream_chooser.cpp
@@ -194,15 +194,16 @@
     if (check.checked_at == instant{} || now - check.checked_at > room_check_lifetime) {
         const double prompts_per_s =
             services_.work_table.shares().requests_per_s(admitted.account, rank, now);
-        if (engines_short(accepting_engines(admitted, now), target, check.usual_prefill,
-                          prompts_per_s, now)) {
-            check.short_since = check.short_since.value_or(now);
-        } else {
-            check.short_since.reset();
+        check.is_short = engines_short(accepting_engines(admitted, now), target,
+                                       check.usual_prefill, prompts_per_s, now);
+        if (check.is_short) {
+            const bool goes_on = now - check.last_short_at < min_shortage_time;
+            check.short_since = goes_on ? check.short_since : now;
+            check.last_short_at = now;
         }
         check.checked_at = now;
     }
-    return check.short_since && now - *check.short_since >= min_shortage_time;
+    return check.is_short && now - check.short_since >= min_shortage_time;
 }
 
 double upstream_chooser::share_in_use(const admission_result& admitted) const {
--- a/servers/relay/upstream_chooser.hpp
+++ b/servers/relay/upstream_chooser.hpp
@@ -52,8 +52,11 @@
                                     const std::set<std::string>& excluded) const;
 
     struct room_check {
-        /// Since when the engines are short; absent if they are not.
-        std::optional<instant> short_since;
+        bool is_short = false;
+        /// Begin of the shortage, and when the engines were last short. Interruptions below
+        /// `min_shortage_time` do not end a shortage.
+        instant short_since{};
+        instant last_short_at{};
         instant checked_at{};
         /// When a request of this rank and target last asked.
         instant wanted_at{};
