--- a/servers/relay/upstream_chooser.cpp
+++ b/servers/relay/upstream_chooser.cpp
@@ -41,9 +41,6 @@
 /// Number of requests over which the usual prefill time is averaged.
 constexpr int prefill_mean_requests = 16;
 
-/// A shortage that lasts a few passes only passes by itself before callers notice.
-constexpr duration min_shortage_time = std::chrono::milliseconds(150);
-
 /// Time after the latest request of a more urgent rank for which others leave it engines.
 constexpr duration urgent_demand_lifetime = std::chrono::seconds(1);
 
@@ -196,14 +193,9 @@
             services_.work_table.shares().requests_per_s(admitted.account, rank, now);
         check.is_short = engines_short(accepting_engines(admitted, now), target,
                                        check.usual_prefill, prompts_per_s, now);
-        if (check.is_short) {
-            const bool goes_on = now - check.last_short_at < min_shortage_time;
-            check.short_since = goes_on ? check.short_since : now;
-            check.last_short_at = now;
-        }
         check.checked_at = now;
     }
-    return check.is_short && now - check.short_since >= min_shortage_time;
+    return check.is_short;
 }
 
 double upstream_chooser::share_in_use(const admission_result& admitted) const {
--- a/servers/relay/upstream_chooser.hpp
+++ b/servers/relay/upstream_chooser.hpp
@@ -53,10 +53,6 @@
 
     struct room_check {
         bool is_short = false;
-        /// Begin of the shortage, and when the engines were last short. Interruptions below
-        /// `min_shortage_time` do not end a shortage.
-        instant short_since{};
-        instant last_short_at{};
         instant checked_at{};
         /// When a request of this rank and target last asked.
         instant wanted_at{};
