--- a/servers/relay/upstream_chooser.cpp
+++ b/servers/relay/upstream_chooser.cpp
@@ -42,6 +42,12 @@
 /// Time for which a check of the engines' room holds, within which hosts hear of each other's work.
 constexpr duration room_check_lifetime = std::chrono::milliseconds(20);
 
+/// Within this time it shows whether the engines are still short.
+constexpr duration max_share_retry_after = std::chrono::seconds(5);
+
+/// Number of requests over which the usual prefill time is averaged.
+constexpr int prefill_mean_requests = 16;
+
 /// Time after the latest request of a more urgent rank for which others leave it engines.
 constexpr duration urgent_demand_lifetime = std::chrono::seconds(1);
 
@@ -248,15 +254,18 @@
         if (service != admitted.service_name || rank > admitted.rank) {
             break;
         }
-        binds = binds || (concerns && is_short(admitted, checked_target, item->second, now));
+        binds = binds || (concerns && is_short(admitted, rank, checked_target, item->second, now));
     }
     return binds;
 }
 
-bool upstream_chooser::is_short(const admission_result& admitted, duration target,
+bool upstream_chooser::is_short(const admission_result& admitted, int rank, duration target,
                                 room_check& check, instant now) const {
     if (check.checked_at == instant{} || now - check.checked_at > room_check_lifetime) {
-        check.is_short = engines_short(accepting_engines(admitted, now), target, now);
+        const double prompts_per_s =
+            services_.work_table.shares().requests_per_s(admitted.account, rank, now);
+        check.is_short = engines_short(accepting_engines(admitted, now), target,
+                                       check.usual_prefill, prompts_per_s, now);
         check.checked_at = now;
     }
     return check.is_short;
@@ -277,14 +286,25 @@
                                                     const admission_result& admitted,
                                                     std::uint64_t key) const {
     const instant now = services_.timers.now();
-    if (!shares_bind(admitted, now)) {
+    if (admitted.account != 0) {
+        room_check& check =
+            room_checks_[{admitted.service_name, admitted.rank, admitted.matched_route->target}];
+        const duration prefill =
+            prefill_time(*admitted.service->engine, request.prompt_tokens.value_or(0));
+        check.usual_prefill += (prefill - check.usual_prefill) / prefill_mean_requests;
+    }
+    const bool has_other_cause =
+        decision.outcome == placement_decision::verdict::refuse || decision.rate_limited;
+    if (has_other_cause || !shares_bind(admitted, now)) {
         return decision;
     }
     const share_standing standing =
         services_.work_table.shares().standing(admitted.account, admitted.rank, now);
-    const duration needed =
-        prefill_time(*admitted.service->engine, request.prompt_tokens.value_or(0));
-    const duration left = request.received_at + admitted.matched_route->target - now;
+    const duration target = admitted.matched_route->target;
+    // A prompt that takes longer is split over engines.
+    const duration needed = std::min(
+        prefill_time(*admitted.service->engine, request.prompt_tokens.value_or(0)), target / 2);
+    const duration left = request.received_at + target - now;
     const share_verdict verdict = fuchsiaquay::limit_to_share(standing, needed, left);
     if (verdict == share_verdict::admit) {
         return decision;
@@ -297,7 +317,7 @@
     held.over_share = true;
     held.share_used = standing.used;
     held.share_limit = standing.limit;
-    held.retry_after = spread_over_callers(standing.free_in, key);
+    held.retry_after = spread_over_callers(std::min(standing.free_in, max_share_retry_after), key);
     return held;
 }
 
--- a/servers/relay/upstream_chooser.hpp
+++ b/servers/relay/upstream_chooser.hpp
@@ -56,6 +56,8 @@
         instant checked_at{};
         /// When a request of this rank and target last asked.
         instant wanted_at{};
+        /// Running mean of the prefill times of such requests.
+        duration usual_prefill{};
     };
 
     /// Engines that accept work of the service.
@@ -64,7 +66,7 @@
     /// hosts' work is known.
     bool shares_bind(const admission_result& admitted, instant now) const;
     /// Repeats an old check.
-    bool is_short(const admission_result& admitted, duration target, room_check& check,
+    bool is_short(const admission_result& admitted, int rank, duration target, room_check& check,
                   instant now) const;
     bool accepts(const upstream_entry& entry, instant now) const;
     /// Whether the operator evacuates the data centre of an upstream.
