--- a/core/placement/interference_aware_placement.cpp
+++ b/core/placement/interference_aware_placement.cpp
@@ -88,10 +88,19 @@
     if (!request.all_work_known) {
         return candidates.size();
     }
-    const double needed = engines_for_streams(candidates, request.target_gap);
+    const double needed = std::max(engines_for_streams(candidates, request.target_gap),
+                                   engines_for_burst(request, candidates));
     return std::min(static_cast<std::size_t>(needed) + 1, candidates.size());
 }
 
+double interference_aware_placement::engines_for_burst(
+    const placement_request& request, const std::vector<placement_candidate>& candidates) const {
+    const engine_profile& profile = *candidates.front().engine->profile;
+    const duration stream = request.first_event_time_left + usual_decode_time(profile);
+    return request.burst_rate * std::max(0.0, to_seconds(stream)) /
+           (settings_.slot_utilization * profile.slots);
+}
+
 double interference_aware_placement::engines_for_streams(
     const std::vector<placement_candidate>& candidates, duration max_target_gap) const {
     double needed = 0.0;
@@ -228,37 +237,58 @@
     return request.prompt_tokens + request.answer_tokens > total_memory;
 }
 
+const placement_candidate* interference_aware_placement::late_choice(
+    const placement_request& request,
+    const std::vector<const placement_candidate*>& candidates) const {
+    const auto first_event = [&request](const placement_candidate& candidate) {
+        return candidate.time_to_first_event(
+            candidate.estimated_prefill_time(request.prompt_tokens));
+    };
+    duration earliest = duration::max();
+    for (const placement_candidate* candidate : candidates) {
+        earliest = std::min(earliest, first_event(*candidate) + candidate->pass);
+    }
+    const placement_candidate* best = nullptr;
+    for (const placement_candidate* candidate : candidates) {
+        if (first_event(*candidate) <= earliest &&
+            (best == nullptr || spread_hash(request, *candidate->engine) <
+                                    spread_hash(request, *best->engine))) {
+            best = candidate;
+        }
+    }
+    return best;
+}
+
 placement_decision interference_aware_placement::place_late(
     const placement_request& request, const std::vector<placement_candidate>& candidates,
     duration max_pending_prefill, std::size_t shared_count) const {
     placement_decision result;
     result.reason = "no engine without delaying other requests";
-    const placement_candidate* best = nullptr;
-    duration earliest_first_event = duration::max();
+    std::vector<const placement_candidate*> suitable;
     std::size_t examined = 0;
     for (const placement_candidate& candidate : candidates) {
         if (candidate.pending_prefill > max_pending_prefill) {
             continue;
         }
-        if (best != nullptr && examined >= shared_count) {
+        if (!suitable.empty() && examined >= shared_count) {
             break;
         }
         ++examined;
         const duration prefill = candidate.estimated_prefill_time(request.prompt_tokens);
-        const duration time_to_first_event = candidate.time_to_first_event(prefill);
-        if (!candidate.can_answer || time_to_first_event >= earliest_first_event ||
-            candidate.would_delay_streams(prefill, settings_)) {
-            continue;
+        if (candidate.can_answer && !candidate.would_delay_streams(prefill, settings_)) {
+            suitable.push_back(&candidate);
         }
-        best = &candidate;
-        earliest_first_event = time_to_first_event;
     }
-    if (best == nullptr ||
-        earliest_first_event > std::min(request.time_left, request.abandon_time_left)) {
-        result.reason = best == nullptr ? result.reason : "not enough time left";
+    const placement_candidate* best = late_choice(request, suitable);
+    if (best == nullptr) {
+        return result;
+    }
+    const placement_decision placed = place_whole(request, *best);
+    if (placed.time_to_first_event > std::min(request.time_left, request.abandon_time_left)) {
+        result.reason = "first event later than the caller waits";
         return result;
     }
-    result = place_whole(request, *best);
+    result = placed;
     result.reason = "late";
     return result;
 }
@@ -356,6 +386,40 @@
     return decision;
 }
 
+double interference_aware_placement::room(const placement_request& request,
+                                          const std::vector<placement_candidate>& engines) const {
+    const bool late = request.first_event_time_left <= duration::zero();
+    const duration limit = scaled(request.first_event_time_left, settings_.target_utilization);
+    double total = 0.0;
+    for (const placement_candidate& engine : engines) {
+        const duration prefill = engine.estimated_prefill_time(request.prompt_tokens);
+        if (!engine.can_answer || engine.would_delay_streams(prefill, settings_)) {
+            continue;
+        }
+        const duration spare = limit - engine.time_to_first_event(prefill);
+        const double in_time = spare < duration::zero() || prefill <= duration::zero()
+                                   ? 0.0
+                                   : 1.0 + std::floor(to_seconds(spare) / to_seconds(prefill));
+        const double free_slots = engine.engine->profile->slots - engine.requests;
+        total += std::min(free_slots, late ? 1.0 : in_time);
+    }
+    return total;
+}
+
+placement_decision interference_aware_placement::within_share(
+    const placement_request& request, const std::vector<placement_candidate>& engines,
+    placement_decision decision) const {
+    if (decision.outcome != placement_decision::verdict::place ||
+        request.share.allows(room(request, engines))) {
+        return decision;
+    }
+    placement_decision result;
+    result.reason = "room is left to other hosts";
+    result.time_to_first_event = decision.time_to_first_event;
+    result.answer_expected = true;
+    return result;
+}
+
 placement_decision interference_aware_placement::choose(const placement_request& request,
                                                         const std::vector<engine_view>& engines,
                                                         instant now) const {
@@ -367,7 +431,7 @@
     }
     const duration prefill = prefill_time(*all.front().engine->profile, request.prompt_tokens);
     if (prefill <= long_prefill_threshold) {
-        return place_short(request, all);
+        return within_share(request, all, place_short(request, all));
     }
     placement_decision decision = place_long(request, all);
     decision.prompts_ahead = request.tokens_ahead.size();
--- a/core/placement/interference_aware_placement.hpp
+++ b/core/placement/interference_aware_placement.hpp
@@ -38,6 +38,14 @@
     /// Places a long prompt on as few engines as meet its target.
     placement_decision place_on_fewest_engines(const placement_request& request,
                                                std::vector<placement_candidate> candidates) const;
+    /// Number of prompts like `request` that the engines can take until the next first events. A
+    /// late prompt counts one place for each engine.
+    double room(const placement_request& request,
+                const std::vector<placement_candidate>& engines) const;
+    /// Lets a prompt wait whose place belongs to the share of another host.
+    placement_decision within_share(const placement_request& request,
+                                    const std::vector<placement_candidate>& engines,
+                                    placement_decision decision) const;
     /// Decides whether a long prompt without an engine waits or is refused because the forecast
     /// misses its deadline.
     placement_decision wait_or_refuse(const placement_request& request,
@@ -59,9 +67,18 @@
     placement_decision place_late(const placement_request& request,
                                   const std::vector<placement_candidate>& candidates,
                                   duration max_pending_prefill, std::size_t shared_count) const;
+    /// One of the engines whose first event is expected within a pass of the earliest; null without
+    /// candidates. Differs between prompts, so that hosts that decide at the same time do not
+    /// choose the same engine.
+    const placement_candidate* late_choice(
+        const placement_request& request,
+        const std::vector<const placement_candidate*>& candidates) const;
     /// Number of engines at the front of `candidates` that short prompts share.
     std::size_t engines_for_short_prompts(const placement_request& request,
                                           const std::vector<placement_candidate>& candidates) const;
+    /// Number of engines that the streams of a burst will need, by its rate and their usual length.
+    double engines_for_burst(const placement_request& request,
+                             const std::vector<placement_candidate>& candidates) const;
     /// Number of engines that the streams with a target gap of at most `max_target_gap` need.
     double engines_for_streams(const std::vector<placement_candidate>& candidates,
                                duration max_target_gap) const;
--- a/core/placement/placement_request.hpp
+++ b/core/placement/placement_request.hpp
@@ -5,6 +5,7 @@
 #include <string>
 #include <vector>
 
+#include "core/placement/room_share.hpp"
 #include "core/time/clock.hpp"
 
 namespace fuchsiaquay {
@@ -25,6 +26,10 @@
     /// Prompt tokens of the long prompts of all hosts that are ahead in the queue. The engines that
     /// they need are not used for this prompt.
     std::vector<std::int64_t> tokens_ahead;
+    /// Prompts per second of all hosts during a burst of short prompts; 0 without one.
+    double burst_rate = 0.0;
+    /// Part of the engines' room that this host may use.
+    room_share share;
     /// Whether this host knows the work of all other hosts.
     bool all_work_known = true;
     /// Upstream ids of engines that must not be chosen.
--- a/main/entry_node.cpp
+++ b/main/entry_node.cpp
@@ -194,6 +194,7 @@
                                                          : max_fleet_hosts);
     // A host that is not heard may be cut off from this one and still send requests.
     const auto listed = static_cast<double>(hosts_.listed_peers().size()) + 1.0;
+    engine_work_.set_hosts(hosts_.live_peers().size() + 1);
     const auto heard = static_cast<double>(hosts_.live_peers().size()) + 1.0;
     engine_work_.rate_limits().set_share((hosts_.knows_all_work() ? heard : 1.0) / listed);
 }
--- a/servers/fleet/engine_work_table.cpp
+++ b/servers/fleet/engine_work_table.cpp
@@ -1,5 +1,9 @@
 #include "servers/fleet/engine_work_table.hpp"
 
+#include <algorithm>
+
+#include "core/placement/pass_timing.hpp"
+
 namespace fuchsiaquay {
 
 void engine_work_table::apply_own_works(const std::vector<engine_work>& works) {
@@ -60,6 +64,10 @@
     const bool sent = work.phase == work_phase::prefill || work.phase == work_phase::decode;
     if (sent && !load(work.engine).contains(host, work.key)) {
         rate_limits_.on_dispatch(work.engine, work.dispatched_at);
+        if (work.generates() && work.prefill_time > duration::zero() &&
+            work.prefill_time <= long_prefill_threshold) {
+            short_prompts_.on_prompt(work.dispatched_at);
+        }
     }
 }
 
@@ -69,6 +77,15 @@
     return found == loads_.end() ? none : found->second;
 }
 
+std::size_t engine_work_table::own_dispatched_after(instant since) const {
+    return static_cast<std::size_t>(
+        std::count_if(own_work_items_.begin(), own_work_items_.end(), [since](const auto& item) {
+            const engine_work& work = item.second;
+            return work.generates() && work.phase == work_phase::prefill &&
+                   work.prefill_time <= long_prefill_threshold && work.dispatched_at > since;
+        }));
+}
+
 std::vector<engine_work> engine_work_table::own_work_items() const {
     std::vector<engine_work> works;
     for (const auto& [key, work] : own_work_items_) {
--- a/servers/fleet/engine_work_table.hpp
+++ b/servers/fleet/engine_work_table.hpp
@@ -11,6 +11,7 @@
 #include "core/placement/engine_load.hpp"
 #include "core/placement/engine_slowdown_tracker.hpp"
 #include "core/placement/engine_work.hpp"
+#include "core/placement/short_prompt_demand.hpp"
 #include "core/quarantine/prompt_part_quarantine.hpp"
 
 namespace fuchsiaquay {
@@ -45,6 +46,13 @@
     /// Limits that the upstreams name, against which the work of all hosts counts.
     upstream_rate_limits& rate_limits() noexcept { return rate_limits_; }
     const upstream_rate_limits& rate_limits() const noexcept { return rate_limits_; }
+    /// Short prompts that all hosts dispatch.
+    const short_prompt_demand& short_prompts() const noexcept { return short_prompts_; }
+    /// Hosts that place prompts, including this one.
+    void set_hosts(std::size_t hosts) { hosts_ = hosts; }
+    std::size_t hosts() const noexcept { return hosts_; }
+    /// Short prompts that this host dispatched after `since` and that have not been answered.
+    std::size_t own_dispatched_after(instant since) const;
     std::vector<engine_work> own_work_items() const;
 
     void on_own_change(change_handler changed) { own_changed_ = std::move(changed); }
@@ -64,6 +72,8 @@
     engine_slowdown_tracker slowdowns_;
     prompt_part_quarantine quarantine_;
     upstream_rate_limits rate_limits_;
+    short_prompt_demand short_prompts_;
+    std::size_t hosts_ = 1;
     /// Work of this host by key and upstream.
     std::map<std::pair<std::uint64_t, std::string>, engine_work> own_work_items_;
     change_handler own_changed_;
--- a/servers/relay/relay_queue.cpp
+++ b/servers/relay/relay_queue.cpp
@@ -24,7 +24,14 @@
 /// Time after startup within which a host finds out whether it can serve requests.
 constexpr duration startup_time = std::chrono::milliseconds(2'000);
 
-/// Order of the requests that wait.
+/// Order of the requests that wait for an engine: among equally urgent ones, those that can still
+/// meet their target go before late ones.
+bool placed_before(const request_relay& a, const request_relay& b, instant now) {
+    return std::make_tuple(a.rank(), a.late_at() <= now, a.received_at()) <
+           std::make_tuple(b.rank(), b.late_at() <= now, b.received_at());
+}
+
+/// Order of the requests that wait until the limits of their upstreams leave room.
 bool goes_before(const request_relay& a, const request_relay& b) {
     return std::make_tuple(a.rank(), a.received_at()) < std::make_tuple(b.rank(), b.received_at());
 }
@@ -74,6 +81,7 @@
 }
 
 void relay_queue::place_waiting() {
+    const instant now = services_.timers.now();
     std::vector<request_relay*> waiting;
     for (request_relay* relay : relays_) {
         if (relay->waiting()) {
@@ -81,7 +89,9 @@
         }
     }
     std::sort(waiting.begin(), waiting.end(),
-              [](const request_relay* a, const request_relay* b) { return goes_before(*a, *b); });
+              [now](const request_relay* a, const request_relay* b) {
+                  return placed_before(*a, *b, now);
+              });
     for (request_relay* relay : waiting) {
         // Placing an earlier request may have ended this one, for example when its connection
         // broke.
--- a/servers/relay/request_relay.cpp
+++ b/servers/relay/request_relay.cpp
@@ -7,6 +7,7 @@
 #include "core/hashing/hash.hpp"
 #include "core/placement/pass_timing.hpp"
 #include "core/placement/placement_decision.hpp"
+#include "core/placement/room_share.hpp"
 #include "core/retry/fleet_retry_budget.hpp"
 #include "servers/fleet/configuration_feed.hpp"
 #include "servers/fleet/engine_work_table.hpp"
@@ -45,7 +46,7 @@
 /// Number of steps over which the retries of rejected callers are spread.
 constexpr std::int64_t spread_steps = 1'024;
 /// Time within which a host's claim reaches the other hosts.
-constexpr duration claim_propagation_time = std::chrono::milliseconds(20);
+constexpr duration claim_propagation_time = placement_news_time;
 /// Age above which a claim is no longer valid.
 constexpr duration max_claim_age = std::chrono::milliseconds(200);
 
@@ -77,6 +78,12 @@
     return history_.may_have_run() || (attempt_ && attempt_->sent());
 }
 
+instant request_relay::late_at() const {
+    return admitted_.matched_route == nullptr
+               ? instant::max()
+               : request_.received_at + admitted_.matched_route->target;
+}
+
 void request_relay::note_execution() {
     if (passed_on()) {
         history_.note_execution();
--- a/servers/relay/request_relay.hpp
+++ b/servers/relay/request_relay.hpp
@@ -56,6 +56,8 @@
     const std::string& service() const noexcept { return admitted_.service_name; }
     int rank() const noexcept { return admitted_.rank; }
     instant received_at() const noexcept { return request_.received_at; }
+    /// Time from which the first event is late; `instant::max()` before admission.
+    instant late_at() const;
 
 private:
     void on_stream_bytes(upstream_attempt& from, std::string_view bytes) override;
