--- a/core/placement/interference_aware_placement.cpp
+++ b/core/placement/interference_aware_placement.cpp
@@ -88,19 +88,10 @@
     if (!request.all_work_known) {
         return candidates.size();
     }
-    const double needed = std::max(engines_for_streams(candidates, request.target_gap),
-                                   engines_for_burst(request, candidates));
+    const double needed = engines_for_streams(candidates, request.target_gap);
     return std::min(static_cast<std::size_t>(needed) + 1, candidates.size());
 }
 
-double interference_aware_placement::engines_for_burst(
-    const placement_request& request, const std::vector<placement_candidate>& candidates) const {
-    const engine_profile& profile = *candidates.front().engine->profile;
-    const duration stream = request.first_event_time_left + usual_decode_time(profile);
-    return request.burst_rate * std::max(0.0, to_seconds(stream)) /
-           (settings_.slot_utilization * profile.slots);
-}
-
 double interference_aware_placement::engines_for_streams(
     const std::vector<placement_candidate>& candidates, duration max_target_gap) const {
     double needed = 0.0;
@@ -293,6 +284,17 @@
     return result;
 }
 
+std::size_t interference_aware_placement::leave_room_for_prompts_in_time(
+    std::vector<placement_candidate>& candidates, std::size_t shared_count) const {
+    const auto full = [this](const placement_candidate& candidate) {
+        return candidate.requests >= settings_.slot_utilization * candidate.engine->profile->slots;
+    };
+    const auto shared_end = candidates.begin() + static_cast<std::ptrdiff_t>(shared_count);
+    shared_count -= static_cast<std::size_t>(std::count_if(candidates.begin(), shared_end, full));
+    candidates.erase(std::remove_if(candidates.begin(), candidates.end(), full), candidates.end());
+    return shared_count;
+}
+
 placement_decision interference_aware_placement::place_short(
     const placement_request& request, std::vector<placement_candidate> candidates) const {
     const std::size_t shared_count = engines_for_short_prompts(request, candidates);
@@ -326,7 +328,8 @@
         return *split;
     }
     // A late short prompt does not get an engine of its own, because it is late in any case.
-    return place_late(request, candidates, duration::max(), shared_count);
+    return place_late(request, candidates, duration::max(),
+                      leave_room_for_prompts_in_time(candidates, shared_count));
 }
 
 placement_decision interference_aware_placement::place_long(
--- a/core/placement/pass_timing.cpp
+++ b/core/placement/pass_timing.cpp
@@ -33,10 +33,6 @@
     return from_milliseconds(step * profile.steps_per_pass);
 }
 
-duration usual_decode_time(const engine_profile& profile) {
-    return decode_pass_time(profile, 1, 0) * profile.usual_answer_tokens / profile.steps_per_pass;
-}
-
 duration prefill_time_in_pass(const engine_profile& profile, duration pending) {
     const std::int64_t max_tokens = profile.read_tokens_per_step * profile.steps_per_pass;
     return std::min(pending, prefill_time(profile, max_tokens));
--- a/core/placement/pass_timing.hpp
+++ b/core/placement/pass_timing.hpp
@@ -26,9 +26,6 @@
 duration decode_pass_time(const engine_profile& profile, int decoding_requests,
                           std::int64_t context_tokens);
 
-/// Time to generate an answer of the usual length on an engine without other requests.
-duration usual_decode_time(const engine_profile& profile);
-
 /// Maximum prefill time that one pass with decoding requests includes when `pending` is queued.
 duration prefill_time_in_pass(const engine_profile& profile, duration pending);
 
--- a/core/placement/waiting_forecast.cpp
+++ b/core/placement/waiting_forecast.cpp
@@ -12,6 +12,11 @@
 
 namespace {
 
+/// Time to generate an answer of the usual length.
+duration answer_time(const engine_profile& profile) {
+    return decode_pass_time(profile, 1, 0) * profile.usual_answer_tokens / profile.steps_per_pass;
+}
+
 /// Assigns a prompt to the `parts` engines that become available first and updates their times.
 void assign_prompt(std::vector<duration>& available, std::size_t parts, duration prefill,
                    duration decode) {
@@ -40,7 +45,7 @@
             continue;
         }
         const duration decode =
-            candidate.requests > 0 ? usual_decode_time(*candidate.engine->profile) : duration::zero();
+            candidate.requests > 0 ? answer_time(*candidate.engine->profile) : duration::zero();
         available.push_back(candidate.pending_prefill + decode);
     }
     // Requests with a smaller target gap keep as many engines as they need; the other engines
@@ -55,7 +60,7 @@
     }
     for (; kept < shared.size(); ++kept) {
         available.push_back(shared[kept]->pending_prefill +
-                            usual_decode_time(*shared[kept]->engine->profile));
+                            answer_time(*shared[kept]->engine->profile));
     }
     std::sort(available.begin(), available.end());
     return available;
@@ -69,7 +74,7 @@
     const engine_profile& profile = *engines.front().engine->profile;
     const std::size_t min_engines = engines_needed(profile, request.prompt_tokens, settings_);
     std::vector<duration> available = available_times(request, engines, min_engines);
-    const duration decode = usual_decode_time(profile);
+    const duration decode = answer_time(profile);
     for (const std::int64_t tokens : request.tokens_ahead) {
         assign_prompt(available, engines_needed(profile, tokens, settings_),
                       prefill_time(profile, tokens), decode);
--- a/servers/fleet/engine_work_table.cpp
+++ b/servers/fleet/engine_work_table.cpp
@@ -64,10 +64,6 @@
     const bool sent = work.phase == work_phase::prefill || work.phase == work_phase::decode;
     if (sent && !load(work.engine).contains(host, work.key)) {
         rate_limits_.on_dispatch(work.engine, work.dispatched_at);
-        if (work.generates() && work.prefill_time > duration::zero() &&
-            work.prefill_time <= long_prefill_threshold) {
-            short_prompts_.on_prompt(work.dispatched_at);
-        }
     }
 }
 
--- a/servers/fleet/engine_work_table.hpp
+++ b/servers/fleet/engine_work_table.hpp
@@ -11,7 +11,6 @@
 #include "core/placement/engine_load.hpp"
 #include "core/placement/engine_slowdown_tracker.hpp"
 #include "core/placement/engine_work.hpp"
-#include "core/placement/short_prompt_demand.hpp"
 #include "core/quarantine/prompt_part_quarantine.hpp"
 
 namespace fuchsiaquay {
@@ -46,8 +45,6 @@
     /// Limits that the upstreams name, against which the work of all hosts counts.
     upstream_rate_limits& rate_limits() noexcept { return rate_limits_; }
     const upstream_rate_limits& rate_limits() const noexcept { return rate_limits_; }
-    /// Short prompts that all hosts dispatch.
-    const short_prompt_demand& short_prompts() const noexcept { return short_prompts_; }
     /// Hosts that place prompts, including this one.
     void set_hosts(std::size_t hosts) { hosts_ = hosts; }
     std::size_t hosts() const noexcept { return hosts_; }
@@ -72,7 +69,6 @@
     engine_slowdown_tracker slowdowns_;
     prompt_part_quarantine quarantine_;
     upstream_rate_limits rate_limits_;
-    short_prompt_demand short_prompts_;
     std::size_t hosts_ = 1;
     /// Work of this host by key and upstream.
     std::map<std::pair<std::uint64_t, std::string>, engine_work> own_work_items_;
--- a/servers/relay/upstream_chooser.cpp
+++ b/servers/relay/upstream_chooser.cpp
@@ -159,7 +159,6 @@
         times.silent_since + caller_wait_limit(*admitted.matched_route) - now;
     placement.excluded_engines = excluded;
     placement.all_work_known = services_.knows_all_work();
-    placement.burst_rate = services_.work_table.short_prompts().burst_rate(now);
     placement.share = room_share(services_.work_table.hosts(),
                                  services_.work_table.own_dispatched_after(now - placement_news_time),
                                  room_share_draw(services_.host, now));
