--- a/core/placement/interference_aware_placement.cpp
+++ b/core/placement/interference_aware_placement.cpp
@@ -31,8 +31,13 @@
                           });
 }
 
-placement_decision place_whole(const placement_request& request,
-                               const placement_candidate& candidate) {
+}  // namespace
+
+interference_aware_placement::interference_aware_placement(interference_aware_settings settings)
+    : settings_(settings), splitter_(settings), forecast_(settings) {}
+
+placement_decision interference_aware_placement::place_whole(const placement_request& request,
+                                                             const placement_candidate& candidate) {
     placement_decision result;
     result.outcome = placement_decision::verdict::place;
     result.engine = candidate.engine->id;
@@ -42,11 +47,6 @@
     return result;
 }
 
-}  // namespace
-
-interference_aware_placement::interference_aware_placement(interference_aware_settings settings)
-    : settings_(settings), splitter_(settings), forecast_(settings) {}
-
 std::vector<placement_candidate> interference_aware_placement::make_candidates(
     const placement_request& request, const std::vector<engine_view>& engines, instant now) const {
     std::vector<placement_candidate> result;
@@ -228,73 +228,6 @@
     return request.prompt_tokens + request.answer_tokens > total_memory;
 }
 
-const placement_candidate* interference_aware_placement::late_choice(
-    const placement_request& request,
-    const std::vector<const placement_candidate*>& candidates) const {
-    const auto first_event = [&request](const placement_candidate& candidate) {
-        return candidate.time_to_first_event(
-            candidate.estimated_prefill_time(request.prompt_tokens));
-    };
-    duration earliest = duration::max();
-    for (const placement_candidate* candidate : candidates) {
-        earliest = std::min(earliest, first_event(*candidate) + candidate->pass);
-    }
-    const placement_candidate* best = nullptr;
-    for (const placement_candidate* candidate : candidates) {
-        if (first_event(*candidate) <= earliest &&
-            (best == nullptr || spread_hash(request, *candidate->engine) <
-                                    spread_hash(request, *best->engine))) {
-            best = candidate;
-        }
-    }
-    return best;
-}
-
-placement_decision interference_aware_placement::place_late(
-    const placement_request& request, const std::vector<placement_candidate>& candidates,
-    duration max_pending_prefill, std::size_t shared_count) const {
-    placement_decision result;
-    result.reason = "no engine without delaying other requests";
-    std::vector<const placement_candidate*> suitable;
-    std::size_t examined = 0;
-    for (const placement_candidate& candidate : candidates) {
-        if (candidate.pending_prefill > max_pending_prefill) {
-            continue;
-        }
-        if (!suitable.empty() && examined >= shared_count) {
-            break;
-        }
-        ++examined;
-        const duration prefill = candidate.estimated_prefill_time(request.prompt_tokens);
-        if (candidate.can_answer && !candidate.would_delay_streams(prefill, settings_)) {
-            suitable.push_back(&candidate);
-        }
-    }
-    const placement_candidate* best = late_choice(request, suitable);
-    if (best == nullptr) {
-        return result;
-    }
-    const placement_decision placed = place_whole(request, *best);
-    if (placed.time_to_first_event > std::min(request.time_left, request.abandon_time_left)) {
-        result.reason = "first event later than the caller waits";
-        return result;
-    }
-    result = placed;
-    result.reason = "late";
-    return result;
-}
-
-std::size_t interference_aware_placement::leave_room_for_prompts_in_time(
-    std::vector<placement_candidate>& candidates, std::size_t shared_count) const {
-    const auto full = [this](const placement_candidate& candidate) {
-        return candidate.requests >= settings_.slot_utilization * candidate.engine->profile->slots;
-    };
-    const auto shared_end = candidates.begin() + static_cast<std::ptrdiff_t>(shared_count);
-    shared_count -= static_cast<std::size_t>(std::count_if(candidates.begin(), shared_end, full));
-    candidates.erase(std::remove_if(candidates.begin(), candidates.end(), full), candidates.end());
-    return shared_count;
-}
-
 placement_decision interference_aware_placement::place_short(
     const placement_request& request, std::vector<placement_candidate> candidates) const {
     const std::size_t shared_count = engines_for_short_prompts(request, candidates);
@@ -328,8 +261,7 @@
         return *split;
     }
     // A late short prompt does not get an engine of its own, because it is late in any case.
-    return place_late(request, candidates, duration::max(),
-                      leave_room_for_prompts_in_time(candidates, shared_count));
+    return place_late_short(request, std::move(candidates), shared_count);
 }
 
 placement_decision interference_aware_placement::place_long(
@@ -389,40 +321,6 @@
     return decision;
 }
 
-double interference_aware_placement::room(const placement_request& request,
-                                          const std::vector<placement_candidate>& engines) const {
-    const bool late = request.first_event_time_left <= duration::zero();
-    const duration limit = scaled(request.first_event_time_left, settings_.target_utilization);
-    double total = 0.0;
-    for (const placement_candidate& engine : engines) {
-        const duration prefill = engine.estimated_prefill_time(request.prompt_tokens);
-        if (!engine.can_answer || engine.would_delay_streams(prefill, settings_)) {
-            continue;
-        }
-        const duration spare = limit - engine.time_to_first_event(prefill);
-        const double in_time = spare < duration::zero() || prefill <= duration::zero()
-                                   ? 0.0
-                                   : 1.0 + std::floor(to_seconds(spare) / to_seconds(prefill));
-        const double free_slots = engine.engine->profile->slots - engine.requests;
-        total += std::min(free_slots, late ? 1.0 : in_time);
-    }
-    return total;
-}
-
-placement_decision interference_aware_placement::within_share(
-    const placement_request& request, const std::vector<placement_candidate>& engines,
-    placement_decision decision) const {
-    if (decision.outcome != placement_decision::verdict::place ||
-        request.share.allows(room(request, engines))) {
-        return decision;
-    }
-    placement_decision result;
-    result.reason = "room is left to other hosts";
-    result.time_to_first_event = decision.time_to_first_event;
-    result.answer_expected = true;
-    return result;
-}
-
 placement_decision interference_aware_placement::choose(const placement_request& request,
                                                         const std::vector<engine_view>& engines,
                                                         instant now) const {
--- a/core/placement/interference_aware_placement.hpp
+++ b/core/placement/interference_aware_placement.hpp
@@ -31,6 +31,8 @@
     std::vector<placement_candidate> make_candidates(const placement_request& request,
                                                      const std::vector<engine_view>& engines,
                                                      instant now) const;
+    static placement_decision place_whole(const placement_request& request,
+                                          const placement_candidate& candidate);
     placement_decision place_short(const placement_request& request,
                                    std::vector<placement_candidate> candidates) const;
     placement_decision place_long(const placement_request& request,
@@ -67,6 +69,17 @@
     placement_decision place_late(const placement_request& request,
                                   const std::vector<placement_candidate>& candidates,
                                   duration max_pending_prefill, std::size_t shared_count) const;
+    /// Places a short prompt that misses its target where prompts that can still meet theirs leave
+    /// room, or lets it wait for such room while its caller does.
+    placement_decision place_late_short(const placement_request& request,
+                                        std::vector<placement_candidate> candidates,
+                                        std::size_t shared_count) const;
+    bool has_idle_engine(const std::vector<placement_candidate>& candidates) const;
+    /// Removes the engines on which a late prompt would take a slot that prompts need which can
+    /// still meet their target.
+    /// @return  how many of the first `shared_count` engines remain
+    std::size_t leave_room_for_prompts_in_time(std::vector<placement_candidate>& candidates,
+                                               std::size_t shared_count) const;
     /// One of the engines whose first event is expected within a pass of the earliest; null without
     /// candidates. Differs between prompts, so that hosts that decide at the same time do not
     /// choose the same engine.
@@ -76,9 +89,6 @@
     /// Number of engines at the front of `candidates` that short prompts share.
     std::size_t engines_for_short_prompts(const placement_request& request,
                                           const std::vector<placement_candidate>& candidates) const;
-    /// Number of engines that the streams of a burst will need, by its rate and their usual length.
-    double engines_for_burst(const placement_request& request,
-                             const std::vector<placement_candidate>& candidates) const;
     /// Number of engines that the streams with a target gap of at most `max_target_gap` need.
     double engines_for_streams(const std::vector<placement_candidate>& candidates,
                                duration max_target_gap) const;
--- a/core/placement/placement_request.hpp
+++ b/core/placement/placement_request.hpp
@@ -26,8 +26,6 @@
     /// Prompt tokens of the long prompts of all hosts that are ahead in the queue. The engines that
     /// they need are not used for this prompt.
     std::vector<std::int64_t> tokens_ahead;
-    /// Prompts per second of all hosts during a burst of short prompts; 0 without one.
-    double burst_rate = 0.0;
     /// Part of the engines' room that this host may use.
     room_share share;
     /// Whether this host knows the work of all other hosts.
--- a/core/placement/room_share.hpp
+++ b/core/placement/room_share.hpp
@@ -28,6 +28,9 @@
     /// @param room  prompts that the engines have room for, beside those that this host placed
     bool allows(double room) const;
 
+    /// Hosts that place prompts, including this one.
+    std::size_t hosts() const noexcept { return hosts_; }
+
     friend bool operator==(const room_share& a, const room_share& b) {
         return a.hosts_ == b.hosts_ && a.own_recent_ == b.own_recent_ && a.draw_ == b.draw_;
     }
--- a/servers/relay/upstream_chooser.cpp
+++ b/servers/relay/upstream_chooser.cpp
@@ -159,9 +159,10 @@
         times.silent_since + caller_wait_limit(*admitted.matched_route) - now;
     placement.excluded_engines = excluded;
     placement.all_work_known = services_.knows_all_work();
-    placement.share = room_share(services_.work_table.hosts(),
-                                 services_.work_table.own_dispatched_after(now - placement_news_time),
-                                 room_share_draw(services_.host, now));
+    placement.share =
+        room_share(services_.work_table.hosts(),
+                   services_.work_table.own_dispatched_after(now - placement_news_time),
+                   room_share_draw(services_.host, now));
     engine_work queue_entry;
     queue_entry.key = key;
     queue_entry.prefill_time = prefill_time(profile, placement.prompt_tokens);
