--- a/core/placement/interference_aware_placement_scarce.cpp
+++ b/core/placement/interference_aware_placement_scarce.cpp
@@ -153,6 +153,7 @@
     }
     placement_decision result;
     result.reason = "room is left to other hosts";
+    result.share_used_up = true;
     result.time_to_first_event = decision.time_to_first_event;
     result.answer_expected = true;
     return result;
--- a/core/placement/placement_decision.hpp
+++ b/core/placement/placement_decision.hpp
@@ -42,6 +42,8 @@
     duration retry_after{};
     /// For `wait`: the limits that the upstreams name leave no room before `retry_after`.
     bool rate_limited = false;
+    /// For `wait`: the engines' room belongs to the shares of other hosts.
+    bool share_used_up = false;
     /// Reason for the decision, written to the log.
     const char* reason = "";
 };
--- a/main/entry_node.cpp
+++ b/main/entry_node.cpp
@@ -253,6 +253,10 @@
     const histogram_metrics::gauge_values gauges = {
         {"requests_active", static_cast<double>(relay_queue_.active())},
         {"requests_waiting", static_cast<double>(relay_queue_.waiting())},
+        {"placing_hosts", static_cast<double>(engine_work_.hosts())},
+        {"requests_left_to_other_hosts_total", static_cast<double>(relay_queue_.share_waits())},
+        {"first_events_forecast_seconds_total", to_seconds(relay_queue_.first_events_forecast())},
+        {"first_events_observed_seconds_total", to_seconds(relay_queue_.first_events_observed())},
         {"connections_callers", static_cast<double>(callers_.connections())},
         {"upstream_connections_opened", static_cast<double>(connector_.opened_connections())},
         {"body_bytes", static_cast<double>(body_memory_.used())},
--- a/servers/relay/relay_queue.hpp
+++ b/servers/relay/relay_queue.hpp
@@ -30,6 +30,16 @@
     /// Number of requests since startup.
     std::uint64_t accepted() const noexcept { return accepted_; }
     std::size_t waiting() const;
+    /// Counts a request that waits because the engines' room belongs to the shares of other hosts.
+    void add_share_wait() { ++share_waits_; }
+    std::uint64_t share_waits() const noexcept { return share_waits_; }
+    /// Adds a first event to the sums of the forecasts and of the times that were observed.
+    void add_first_event(duration forecast, duration observed) {
+        first_events_forecast_ += forecast;
+        first_events_observed_ += observed;
+    }
+    duration first_events_forecast() const noexcept { return first_events_forecast_; }
+    duration first_events_observed() const noexcept { return first_events_observed_; }
     /// Number of requests for the same service that wait until the limits of its upstreams leave
     /// room, and go before `relay`.
     std::size_t rate_waiters_ahead(const request_relay& relay) const;
@@ -49,6 +59,9 @@
     upstream_chooser chooser_;
     std::set<request_relay*> relays_;
     std::uint64_t accepted_ = 0;
+    std::uint64_t share_waits_ = 0;
+    duration first_events_forecast_{};
+    duration first_events_observed_{};
     instant started_at_{};
     instant last_check_at_{};
     bool retry_planned_ = false;
--- a/servers/relay/request_relay.cpp
+++ b/servers/relay/request_relay.cpp
@@ -78,12 +78,6 @@
     return history_.may_have_run() || (attempt_ && attempt_->sent());
 }
 
-instant request_relay::late_at() const {
-    return admitted_.matched_route == nullptr
-               ? instant::max()
-               : request_.received_at + admitted_.matched_route->target;
-}
-
 void request_relay::note_execution() {
     if (passed_on()) {
         history_.note_execution();
@@ -265,6 +259,9 @@
 void request_relay::begin_waiting(const placement_decision& decision) {
     if (!waiting_) {
         log_.not_placed(admitted_, decision, history_.count(), true);
+        if (decision.share_used_up) {
+            queue_.add_share_wait();
+        }
         if (decision.max_wait != duration::max()) {
             forecast_wait_until_ = services_.timers.now() + decision.max_wait;
         }
--- a/servers/relay/request_relay_attempts.cpp
+++ b/servers/relay/request_relay_attempts.cpp
@@ -16,6 +16,7 @@
 #include "servers/fleet/engine_work_table.hpp"
 #include "servers/fleet/upstream_registry.hpp"
 #include "servers/relay/answer_times.hpp"
+#include "servers/relay/relay_queue.hpp"
 #include "servers/relay/request_relay.hpp"
 #include "servers/relay/response_sink.hpp"
 #include "servers/relay/standby_attempt.hpp"
@@ -37,6 +38,12 @@
 
 }  // namespace
 
+instant request_relay::late_at() const {
+    return admitted_.matched_route == nullptr
+               ? instant::max()
+               : request_.received_at + admitted_.matched_route->target;
+}
+
 void request_relay::begin_attempt() {
     history_.begin();
     if (history_.count() == 1) {
@@ -98,6 +105,7 @@
     last_events_at_ = now;
     if (work_.awaiting_first_event()) {
         log_.first_event(upstream_, now - attempt_->sent_at(), decision_.time_to_first_event);
+        queue_.add_first_event(decision_.time_to_first_event, now - attempt_->sent_at());
         work_.advance(work_phase::decode);
     }
 }
