--- a/core/placement/interference_aware_settings.hpp
+++ b/core/placement/interference_aware_settings.hpp
@@ -24,8 +24,9 @@
     duration max_idle_prefill = std::chrono::milliseconds(150);
     /// Minimum free memory of an engine that keeps a part of a prompt, in tokens.
     std::int64_t min_group_memory_tokens = 20'000;
-    /// Maximum number of engines that process parts of a prompt in addition to the one that
-    /// answers. The limit is given by the interface of the engines.
+    /// Maximum number of engines that a request lists: those that process parts of its prompt in
+    /// addition to the one that answers, and the latter too if it keeps its part in reserved
+    /// memory. The limit is given by the interface of the engines.
     int max_helpers = 16;
     /// Tolerated error of the forecast before a very long prompt stops waiting.
     duration forecast_margin = std::chrono::milliseconds(500);
--- a/core/placement/prompt_splitter.cpp
+++ b/core/placement/prompt_splitter.cpp
@@ -84,7 +84,10 @@
     const double prefill = to_seconds(prefill_time(profile, request.prompt_tokens));
     const double pass = to_seconds(decode_pass_time(profile, 1, 0));
     // Engine n + 1 saves about prefill / n^2, which is a pass for n = sqrt(prefill / pass).
-    const auto parts = std::min({idle.size(), static_cast<std::size_t>(settings_.max_helpers) + 1,
+    // The engine that answers lists a reservation of its own like those of the helpers.
+    const int max_parts =
+        idle.front().can_answer ? settings_.max_helpers + 1 : settings_.max_helpers;
+    const auto parts = std::min({idle.size(), static_cast<std::size_t>(max_parts),
                                  static_cast<std::size_t>(std::sqrt(prefill / pass))});
     if (parts < 2) {
         return std::nullopt;
@@ -175,8 +178,9 @@
     const duration full_prefill =
         prefill_time(*candidates.front().engine->profile, request.prompt_tokens);
     const duration target = scaled(request.first_event_time_left, settings_.target_utilization);
+    // The engine that answers lists a reservation of its own like those of the helpers.
     const auto max_parts =
-        std::min(candidates.size(), static_cast<std::size_t>(settings_.max_helpers) + 1);
+        std::min(candidates.size(), static_cast<std::size_t>(settings_.max_helpers));
     std::vector<placement_candidate> best;
     duration earliest_first_event = request.time_left;
     for (std::size_t parts = 1; parts <= max_parts; ++parts) {
--- a/tests/core/placement/uneven_demand_test.cpp
+++ b/tests/core/placement/uneven_demand_test.cpp
@@ -36,6 +36,7 @@
         profile_.steps_per_pass = 38;
         profile_.step_ms = 1.31;
         profile_.read_tokens_per_second = 154'000;
+        profile_.read_ms_per_million_pairs = 0.162;
         profile_.read_tokens_per_step = 2'048;
         for (int i = 0; i < engines; ++i) {
             loads_["engine-" + std::to_string(i)];
@@ -195,3 +196,26 @@
     }
     CHECK_TRUE(chosen.size() >= 5);
 }
+
+/// Long prompts after short ones: all engines are idle, and the prompts need the memory of several.
+TEST_GROUP_BASE(burst_of_long_prompts_after_short_ones,
+                TEST_GROUP_CppUTestGroupburst_of_short_prompts_after_long_ones) {
+    static constexpr std::size_t max_listed = 16;
+
+    placement_request group_request() {
+        placement_request result = request(seconds(4));
+        result.prompt_tokens = 536'000;
+        result.abandon_time_left = seconds(16);
+        result.time_left = seconds(15);
+        result.target_gap = seconds(1);
+        return result;
+    }
+};
+
+TEST(burst_of_long_prompts_after_short_ones, group_lists_no_more_reservations_than_engines_accept) {
+    const placement_decision spread = choose(group_request());
+    CHECK_TRUE(spread.outcome == placement_decision::verdict::place);
+    STRCMP_EQUAL("group", spread.reason);
+    CHECK_TRUE(spread.reserved_tokens > 0);
+    CHECK_TRUE(spread.helpers.size() + 1 <= max_listed);
+}
