--- a/core/placement/interference_aware_placement.cpp
+++ b/core/placement/interference_aware_placement.cpp
@@ -32,8 +32,13 @@
                           });
 }
 
-placement_decision place_whole(const placement_request& request,
-                               const placement_candidate& candidate) {
+}  // namespace
+
+interference_aware_placement::interference_aware_placement(interference_aware_settings settings)
+    : settings_(settings), splitter_(settings), forecast_(settings) {}
+
+placement_decision interference_aware_placement::place_whole(const placement_request& request,
+                                                             const placement_candidate& candidate) {
     placement_decision result;
     result.outcome = placement_decision::verdict::place;
     result.engine = candidate.engine->id;
@@ -43,11 +48,6 @@
     return result;
 }
 
-}  // namespace
-
-interference_aware_placement::interference_aware_placement(interference_aware_settings settings)
-    : settings_(settings), splitter_(settings), forecast_(settings) {}
-
 std::vector<placement_candidate> interference_aware_placement::make_candidates(
     const placement_request& request, const std::vector<engine_view>& engines, instant now) const {
     std::vector<placement_candidate> result;
@@ -229,46 +229,6 @@
     return request.prompt_tokens + request.answer_tokens > total_memory;
 }
 
-placement_decision interference_aware_placement::place_late(
-    const placement_request& request, const std::vector<placement_candidate>& candidates,
-    duration max_pending_prefill, std::size_t shared_count) const {
-    placement_decision result;
-    result.reason = "no engine without delaying other requests";
-    const placement_candidate* best = nullptr;
-    duration earliest_first_event = duration::max();
-    std::size_t examined = 0;
-    for (const placement_candidate& candidate : candidates) {
-        if (candidate.pending_prefill > max_pending_prefill) {
-            continue;
-        }
-        if (best != nullptr && examined >= shared_count) {
-            break;
-        }
-        ++examined;
-        const duration prefill = candidate.estimated_prefill_time(request.prompt_tokens);
-        const duration time_to_first_event = candidate.time_to_first_event(prefill);
-        if (!candidate.can_answer || time_to_first_event >= earliest_first_event ||
-            candidate.would_delay_streams(prefill, settings_)) {
-            continue;
-        }
-        best = &candidate;
-        earliest_first_event = time_to_first_event;
-    }
-    if (best == nullptr) {
-        return result;
-    }
-    if (earliest_first_event > std::min(request.time_left, request.abandon_time_left)) {
-        result.reason = earliest_first_event > request.time_left
-                            ? "not enough time left"
-                            : "no engine before the caller leaves";
-        result.time_to_first_event = earliest_first_event;
-        return result;
-    }
-    result = place_whole(request, *best);
-    result.reason = "late";
-    return result;
-}
-
 placement_decision interference_aware_placement::place_short(
     const placement_request& request, std::vector<placement_candidate> candidates) const {
     const std::size_t shared_count = engines_for_short_prompts(request, candidates);
@@ -302,7 +262,7 @@
         return *split;
     }
     // A late short prompt does not get an engine of its own, because it is late in any case.
-    return place_late(request, candidates, duration::max(), shared_count);
+    return place_late_short(request, std::move(candidates), shared_count);
 }
 
 placement_decision interference_aware_placement::place_long(
@@ -390,7 +350,7 @@
     }
     const duration prefill = prefill_time(*all.front().engine->profile, request.prompt_tokens);
     if (prefill <= long_prefill_threshold) {
-        return place_short(request, all);
+        return within_share(request, all, place_short(request, all));
     }
     placement_decision decision = place_long(request, all);
     decision.prompts_ahead = request.tokens_ahead.size();
--- a/core/placement/interference_aware_placement.hpp
+++ b/core/placement/interference_aware_placement.hpp
@@ -33,6 +33,8 @@
     std::vector<placement_candidate> make_candidates(const placement_request& request,
                                                      const std::vector<engine_view>& engines,
                                                      instant now) const;
+    static placement_decision place_whole(const placement_request& request,
+                                          const placement_candidate& candidate);
     placement_decision place_short(const placement_request& request,
                                    std::vector<placement_candidate> candidates) const;
     placement_decision place_long(const placement_request& request,
@@ -40,6 +42,14 @@
     /// Places a long prompt on as few engines as meet its target.
     placement_decision place_on_fewest_engines(const placement_request& request,
                                                std::vector<placement_candidate> candidates) const;
+    /// Number of prompts like `request` that the engines can take until the next first events. A
+    /// late prompt counts one place for each engine.
+    double room(const placement_request& request,
+                const std::vector<placement_candidate>& engines) const;
+    /// Lets a prompt wait whose place belongs to the share of another host.
+    placement_decision within_share(const placement_request& request,
+                                    const std::vector<placement_candidate>& engines,
+                                    placement_decision decision) const;
     /// Decides whether a long prompt without an engine waits or is refused because the forecast
     /// misses its deadline.
     placement_decision wait_or_refuse(const placement_request& request,
@@ -61,6 +71,23 @@
     placement_decision place_late(const placement_request& request,
                                   const std::vector<placement_candidate>& candidates,
                                   duration max_pending_prefill, std::size_t shared_count) const;
+    /// Places a short prompt that misses its target where prompts that can still meet theirs leave
+    /// room, or lets it wait for such room while its caller does.
+    placement_decision place_late_short(const placement_request& request,
+                                        std::vector<placement_candidate> candidates,
+                                        std::size_t shared_count) const;
+    bool has_idle_engine(const std::vector<placement_candidate>& candidates) const;
+    /// Removes the engines on which a late prompt would take a slot that prompts need which can
+    /// still meet their target.
+    /// @return  how many of the first `shared_count` engines remain
+    std::size_t leave_room_for_prompts_in_time(std::vector<placement_candidate>& candidates,
+                                               std::size_t shared_count) const;
+    /// One of the engines whose first event is expected within a pass of the earliest; null without
+    /// candidates. Differs between prompts, so that hosts that decide at the same time do not
+    /// choose the same engine.
+    const placement_candidate* late_choice(
+        const placement_request& request,
+        const std::vector<const placement_candidate*>& candidates) const;
     /// Number of engines at the front of `candidates` that short prompts share.
     std::size_t engines_for_short_prompts(const placement_request& request,
                                           const std::vector<placement_candidate>& candidates) const;
--- a/core/placement/placement_decision.hpp
+++ b/core/placement/placement_decision.hpp
@@ -50,6 +50,8 @@
     /// Engines that the client account has recently used, and that it may use now.
     double share_used = 0.0;
     double share_limit = 0.0;
+    /// For `wait`: the engines' room belongs to the shares of other hosts.
+    bool share_used_up = false;
     /// Reason for the decision, written to the log.
     const char* reason = "";
 };
--- a/core/placement/placement_request.hpp
+++ b/core/placement/placement_request.hpp
@@ -5,6 +5,7 @@
 #include <string>
 #include <vector>
 
+#include "core/placement/room_share.hpp"
 #include "core/time/clock.hpp"
 
 namespace fuchsiaquay {
@@ -25,6 +26,8 @@
     /// Prompt tokens of the long prompts of all hosts that are ahead in the queue. The engines that
     /// they need are not used for this prompt.
     std::vector<std::int64_t> tokens_ahead;
+    /// Part of the engines' room that this host may use.
+    room_share share;
     /// Whether this host knows the work of all other hosts.
     bool all_work_known = true;
     /// Upstream ids of engines that must not be chosen.
--- a/servers/fleet/engine_work_table.hpp
+++ b/servers/fleet/engine_work_table.hpp
@@ -57,6 +57,11 @@
     /// Engine time of the client accounts, from the work of all hosts.
     engine_time_shares& shares() noexcept { return shares_; }
     const engine_time_shares& shares() const noexcept { return shares_; }
+    /// Hosts that place prompts, including this one.
+    void set_hosts(std::size_t hosts) { hosts_ = hosts; }
+    std::size_t hosts() const noexcept { return hosts_; }
+    /// Short prompts that this host dispatched after `since` and that have not been answered.
+    std::size_t own_dispatched_after(instant since) const;
     std::vector<engine_work> own_work_items() const;
 
     void on_own_change(change_handler changed) { own_changed_ = std::move(changed); }
@@ -80,6 +85,7 @@
     cold_upstream_budget cold_budget_;
     cold_slowdown_estimate cold_slowdowns_;
     engine_time_shares shares_;
+    std::size_t hosts_ = 1;
     /// Work of this host by key and upstream.
     std::map<std::pair<std::uint64_t, std::string>, engine_work> own_work_items_;
     change_handler own_changed_;
--- a/servers/relay/relay_queue.cpp
+++ b/servers/relay/relay_queue.cpp
@@ -28,7 +28,7 @@
 /// Time after startup within which a host finds out whether it can serve requests.
 constexpr duration startup_time = std::chrono::milliseconds(2'000);
 
-/// Order of the requests that wait.
+/// Order of the requests that wait until the limits of their upstreams leave room.
 bool goes_before(const request_relay& a, const request_relay& b) {
     return std::make_tuple(a.rank(), a.received_at()) < std::make_tuple(b.rank(), b.received_at());
 }
@@ -89,13 +89,16 @@
 }
 
 void relay_queue::place_waiting() {
+    // Among equally urgent requests, those that can still meet their target go before late ones.
     // Shares are equal unless client accounts compete for engines that are short.
-    using queue_position = std::tuple<int, double, instant>;
+    using queue_position = std::tuple<int, bool, double, instant>;
+    const instant now = services_.timers.now();
     std::vector<std::pair<queue_position, request_relay*>> waiting;
     for (request_relay* relay : relays_) {
         if (relay->waiting()) {
             const double share = chooser_.share_in_use(relay->admitted());
-            waiting.push_back({{relay->rank(), share, relay->received_at()}, relay});
+            waiting.push_back(
+                {{relay->rank(), relay->late_at() <= now, share, relay->received_at()}, relay});
         }
     }
     std::sort(waiting.begin(), waiting.end(),
--- a/servers/relay/relay_queue.hpp
+++ b/servers/relay/relay_queue.hpp
@@ -36,6 +36,16 @@
     /// used up its share.
     std::uint64_t held_by_share() const noexcept { return held_by_share_; }
     void count_held_by_share() { ++held_by_share_; }
+    /// Counts a request that waits because the engines' room belongs to the shares of other hosts.
+    void add_share_wait() { ++share_waits_; }
+    std::uint64_t share_waits() const noexcept { return share_waits_; }
+    /// Adds a first event to the sums of the forecasts and of the times that were observed.
+    void add_first_event(duration forecast, duration observed) {
+        first_events_forecast_ += forecast;
+        first_events_observed_ += observed;
+    }
+    duration first_events_forecast() const noexcept { return first_events_forecast_; }
+    duration first_events_observed() const noexcept { return first_events_observed_; }
     /// Number of requests for the same service that wait until the limits of its upstreams leave
     /// room, and go before `relay`.
     std::size_t rate_waiters_ahead(const request_relay& relay) const;
@@ -56,6 +66,9 @@
     std::set<request_relay*> relays_;
     std::uint64_t accepted_ = 0;
     std::uint64_t held_by_share_ = 0;
+    std::uint64_t share_waits_ = 0;
+    duration first_events_forecast_{};
+    duration first_events_observed_{};
     instant started_at_{};
     instant last_check_at_{};
     bool retry_planned_ = false;
--- a/servers/relay/request_relay.cpp
+++ b/servers/relay/request_relay.cpp
@@ -7,6 +7,7 @@
 #include "core/hashing/hash.hpp"
 #include "core/placement/pass_timing.hpp"
 #include "core/placement/placement_decision.hpp"
+#include "core/placement/room_share.hpp"
 #include "core/retry/fleet_retry_budget.hpp"
 #include "servers/fleet/configuration_feed.hpp"
 #include "servers/fleet/engine_work_table.hpp"
@@ -46,7 +47,7 @@
 /// Number of steps over which the retries of rejected callers are spread.
 constexpr std::int64_t spread_steps = 1'024;
 /// Time within which a host's claim reaches the other hosts.
-constexpr duration claim_propagation_time = std::chrono::milliseconds(20);
+constexpr duration claim_propagation_time = placement_news_time;
 /// Age above which a claim is no longer valid.
 constexpr duration max_claim_age = std::chrono::milliseconds(200);
 
@@ -251,6 +252,9 @@
     if (!waiting_) {
         log_.not_placed(admitted_, decision, history_.count(), true);
         count_if_held(decision);
+        if (decision.share_used_up) {
+            queue_.add_share_wait();
+        }
         if (decision.max_wait != duration::max()) {
             forecast_wait_until_ = services_.timers.now() + decision.max_wait;
         }
--- a/servers/relay/request_relay.hpp
+++ b/servers/relay/request_relay.hpp
@@ -57,6 +57,8 @@
     int rank() const noexcept { return admitted_.rank; }
     const admission_result& admitted() const noexcept { return admitted_; }
     instant received_at() const noexcept { return request_.received_at; }
+    /// Time from which the first event is late; `instant::max()` before admission.
+    instant late_at() const;
 
 private:
     void on_stream_bytes(upstream_attempt& from, std::string_view bytes) override;
--- a/servers/relay/request_relay_attempts.cpp
+++ b/servers/relay/request_relay_attempts.cpp
@@ -51,6 +51,12 @@
                        [&listed](const placement_part& part) { return listed(part.engine); });
 }
 
+instant request_relay::late_at() const {
+    return admitted_.matched_route == nullptr
+               ? instant::max()
+               : request_.received_at + admitted_.matched_route->target;
+}
+
 void request_relay::begin_attempt() {
     history_.begin();
     if (history_.count() == 1) {
@@ -112,6 +118,7 @@
     last_events_at_ = now;
     if (work_.awaiting_first_event()) {
         log_.first_event(upstream_, now - attempt_->sent_at(), decision_.time_to_first_event);
+        queue_.add_first_event(decision_.time_to_first_event, now - attempt_->sent_at());
         work_.advance(work_phase::decode);
     }
 }
