--- a/servers/fleet/evacuation_feed.cpp
+++ b/servers/fleet/evacuation_feed.cpp
@@ -95,6 +95,9 @@
     for (const std::string& data_centre : previous.data_centres()) {
         if (current_.data_centres().count(data_centre) == 0) {
             log_change("evacuation_ended", data_centre, revision, source);
+            if (end_handler_) {
+                end_handler_(data_centre);
+            }
         }
     }
     if (previous != current_ && change_handler_) {
--- a/servers/fleet/evacuation_feed.hpp
+++ b/servers/fleet/evacuation_feed.hpp
@@ -21,6 +21,7 @@
 class evacuation_feed final : public mirror_listener {
 public:
     using change_handler = std::function<void()>;
+    using end_handler = std::function<void(const std::string& data_centre)>;
 
     /// @param prefix  store prefix of the keys; the rest of a key is the data centre
     /// @param active  whether the deployment uses evacuations; the set stays empty if not
@@ -31,6 +32,9 @@
     /// Store revision at which the set was read or changed; 0 before it was received.
     std::int64_t as_of() const noexcept { return as_of_; }
     void on_change(change_handler changed) { change_handler_ = std::move(changed); }
+    /// Sets the handler that is called for each data centre whose evacuation has ended, before
+    /// anything is sent there.
+    void on_ended(end_handler ended) { end_handler_ = std::move(ended); }
 
     /// Takes over the set of another host unless this host's own one is more recent.
     /// @param as_of  store revision at which `received` was read or changed; 0 if not known
@@ -54,6 +58,7 @@
     evacuation_set current_;
     std::int64_t as_of_ = 0;
     change_handler change_handler_;
+    end_handler end_handler_;
 };
 
 }  // namespace fuchsiaquay
--- a/tests/servers/fleet/evacuation_feed_test.cpp
+++ b/tests/servers/fleet/evacuation_feed_test.cpp
@@ -44,6 +44,17 @@
     LONGS_EQUAL(1, log_.count("evacuation_ended data_centre=b revision=20 source=store"));
 }
 
+// Guards against requests to upstreams that became cold while nothing was sent to them.
+TEST(evacuation_feed, end_of_an_evacuation_is_told_once_for_each_data_centre) {
+    std::vector<std::string> returned;
+    feed_.on_ended([&returned](const std::string& name) { returned.push_back(name); });
+    feed_.on_snapshot({{"e/a", "{}", 5}, {"e/b", "{}", 6}}, 9, false);
+    feed_.on_changes({ended("a", 11)}, 11);
+    feed_.merge(evacuation_set({}, 12), 12, "h2");
+    feed_.on_snapshot({}, 20, false);
+    CHECK_TRUE((returned == std::vector<std::string>{"a", "b"}));
+}
+
 TEST(evacuation_feed, empty_snapshot_makes_the_set_known) {
     LONGS_EQUAL(0, feed_.as_of());
     feed_.on_snapshot({}, 4, false);
