Placement: parts of prompts keep off engines that read another long prompt, and a long prompt waits for enough engines

An engine processes a part before everything else that it reads, and engines counted as free by the forecast, up to 150 ms before the first event. A group of six parts that came 0.13 s early held up a prompt that five engines had nearly read: first event after 4.8 s in place of 0.9 s; nine prompts of 80 in ten seconds like that. And a prompt that found too few free engines was placed at once on one or two, to be answered after 5 to 11 s (target 4 s), while the next engines became free 0.1 s later.

Change: engine_load tells whether an engine reads a part or a long prompt that has no event yet; only parts below max_idle_prefill go there. A long prompt that would miss its target waits if the forecast with all prompts ahead meets it on engines that become available.

Ruled out: capacity alone (66.8 of 78 engines busy with long prompts in that burst).

--- a/core/placement/engine_load.cpp
+++ b/core/placement/engine_load.cpp
@@ -88,6 +88,14 @@
     return std::max(duration::zero(), finished_at - now) + not_started;
 }
 
+bool engine_load::reads_long_prompt() const {
+    return std::any_of(work_items_.begin(), work_items_.end(), [](const auto& item) {
+        const engine_work& work = item.second;
+        return work.phase == work_phase::prefill &&
+               (!work.generates() || work.prefill_time > long_prefill_threshold);
+    });
+}
+
 duration engine_load::overdue(instant now) const {
     instant last_answered = instant::min();
     for (const auto& [key, work] : work_items_) {
--- a/core/placement/engine_load.hpp
+++ b/core/placement/engine_load.hpp
@@ -28,6 +28,9 @@
     std::int64_t memory_tokens() const;
     /// Time until the prefill of all dispatched prompts is complete.
     duration pending_prefill(instant now) const;
+    /// Whether the engine processes a part of a prompt, or a long prompt, that has no event yet. It
+    /// processes a part that is added before all of that.
+    bool reads_long_prompt() const;
     /// Time since the first event of a prompt was expected. Prompts that were dispatched before one
     /// that the engine has answered do not count: their host may have failed to announce progress.
     duration overdue(instant now) const;
--- a/core/placement/interference_aware_placement.cpp
+++ b/core/placement/interference_aware_placement.cpp
@@ -67,6 +67,7 @@
         candidate.pending_prefill = scaled(load.pending_prefill(now), engine.slowdown) +
                                     std::max(duration::zero(), overdue);
         candidate.min_target_gap = load.min_target_gap();
+        candidate.reads_long_prompt = load.reads_long_prompt();
         const auto usable_memory =
             static_cast<std::int64_t>(usable_memory_tokens(*engine.profile, settings_));
         candidate.free_memory_tokens = usable_memory - load.memory_tokens();
@@ -203,7 +204,8 @@
         candidates.size(), static_cast<std::size_t>(needed * settings_.short_prompt_growth) + 1);
     for (std::size_t index = reserved; index < candidates.size(); ++index) {
         const placement_candidate& candidate = candidates[index];
-        if (candidate.requests == 0 && candidate.pending_prefill == duration::zero()) {
+        if (candidate.requests == 0 && candidate.pending_prefill == duration::zero() &&
+            !candidate.reads_long_prompt) {
             spare.push_back(candidate);
         }
     }
@@ -353,6 +355,11 @@
         return within_share(request, all, place_short(request, all));
     }
     placement_decision decision = place_long(request, all);
+    if (decision.outcome == placement_decision::verdict::place &&
+        gains_by_waiting(request, all, decision)) {
+        decision = placement_decision();
+        decision.reason = "enough engines expected in time";
+    }
     decision.prompts_ahead = request.tokens_ahead.size();
     return decision.outcome == placement_decision::verdict::wait
                ? wait_or_refuse(request, all, std::move(decision))
--- a/core/placement/interference_aware_placement_scarce.cpp
+++ b/core/placement/interference_aware_placement_scarce.cpp
@@ -63,6 +63,17 @@
     return shared_count;
 }
 
+bool interference_aware_placement::gains_by_waiting(const placement_request& request,
+                                                    const std::vector<placement_candidate>& engines,
+                                                    const placement_decision& decision) const {
+    if (decision.time_to_first_event <= request.first_event_time_left) {
+        return false;
+    }
+    const auto prediction = forecast_.predict(request, engines);
+    return prediction && prediction->time_to_first_event <=
+                             scaled(request.first_event_time_left, settings_.target_utilization);
+}
+
 placement_decision interference_aware_placement::place_late(
     const placement_request& request, const std::vector<placement_candidate>& candidates,
     duration max_pending_prefill, std::size_t shared_count) const {
--- a/core/placement/placement_candidate.cpp
+++ b/core/placement/placement_candidate.cpp
@@ -29,6 +29,11 @@
     return requests > 0 && lengthened_pass > scaled(min_target_gap, settings.gap_utilization);
 }
 
+bool placement_candidate::would_delay_prompt(duration prefill,
+                                             const interference_aware_settings& settings) const {
+    return reads_long_prompt && prefill > settings.max_idle_prefill;
+}
+
 double usable_memory_tokens(const engine_profile& profile,
                             const interference_aware_settings& settings) {
     return settings.memory_utilization * static_cast<double>(profile.memory_tokens);
--- a/core/placement/placement_candidate.hpp
+++ b/core/placement/placement_candidate.hpp
@@ -22,6 +22,8 @@
     duration min_target_gap{};
     std::int64_t free_memory_tokens = 0;
     bool has_slot = false;
+    /// The engine processes a part of a prompt, or a long prompt, that has no event yet.
+    bool reads_long_prompt = false;
     /// The engine has a slot, and memory for the whole prompt and its answer.
     bool can_answer = false;
     /// Sort key of the engine order that all hosts share.
@@ -33,6 +35,9 @@
     duration time_to_first_event(duration prefill) const;
     /// True if `prefill` would lengthen a pass beyond the `target_gap` of a stream on the engine.
     bool would_delay_streams(duration prefill, const interference_aware_settings& settings) const;
+    /// True if a part of a prompt with the prefill time `prefill` would hold up another prompt that
+    /// the engine processes, because engines process parts before everything else.
+    bool would_delay_prompt(duration prefill, const interference_aware_settings& settings) const;
 };
 
 /// Memory of an engine that may be allocated, in tokens.
--- a/core/placement/prompt_splitter.cpp
+++ b/core/placement/prompt_splitter.cpp
@@ -42,7 +42,8 @@
         for (const placement_candidate& candidate : candidates) {
             const duration part_prefill = candidate.estimated_prefill_time(request.prompt_tokens) /
                                           static_cast<std::int64_t>(parts);
-            if (candidate.would_delay_streams(part_prefill, settings_)) {
+            if (candidate.would_delay_streams(part_prefill, settings_) ||
+                candidate.would_delay_prompt(part_prefill, settings_)) {
                 continue;
             }
             if (answering == nullptr && candidate.can_answer) {
@@ -145,7 +146,8 @@
     bool has_answering_engine = false;
     for (const placement_candidate& candidate : candidates) {
         const bool idle = candidate.requests == 0;
-        if (!idle && candidate.would_delay_streams(part_prefill, settings_)) {
+        if (candidate.would_delay_prompt(part_prefill, settings_) ||
+            (!idle && candidate.would_delay_streams(part_prefill, settings_))) {
             continue;
         }
         const bool can_generate =
