Traffic test: a body that the kernel cannot take whole

It needs a body of which a part is still to be sent when the response comes. Here a loopback connection takes up to 33.5 MB at the receiver and 4 MB at the sender (tcp_rmem, tcp_wmem) once its window has grown, so that 8 MB were sent whole and the connection was rightly used again.

Change: 48 MB in place of 8 MB; the checks are the same.

--- a/tests/drivers/traffic/beast_upstream_connector_test.cpp
+++ b/tests/drivers/traffic/beast_upstream_connector_test.cpp
@@ -192,7 +192,9 @@
 
 TEST(beast_upstream_connector,
      response_before_the_body_is_read_is_delivered_and_connection_is_not_reused) {
-    constexpr std::size_t large = 8'000'000;
+    // More than the kernel buffers of a connection (38 MB on some machines), so that a part of the
+    // body is left to be sent.
+    constexpr std::size_t large = 48'000'000;
     open(large);
     CHECK_TRUE(server_.expect("\r\n\r\n"));
     server_.send("HTTP/1.1 429 Busy\r\nContent-Length: 2\r\n\r\nno");
