--- a/core/placement/interference_aware_placement.hpp
+++ b/core/placement/interference_aware_placement.hpp
@@ -50,8 +50,8 @@
     placement_decision within_share(const placement_request& request,
                                     const std::vector<placement_candidate>& engines,
                                     placement_decision decision) const;
-    /// Whether a long prompt that `decision` places on too few engines for its target is expected to
-    /// meet it on more engines that become available soon.
+    /// Whether a long prompt that `decision` places on too few engines for its target is expected
+    /// to meet it on more engines that become available soon.
     bool gains_by_waiting(const placement_request& request,
                           const std::vector<placement_candidate>& engines,
                           const placement_decision& decision) const;
--- a/main/entry_node.cpp
+++ b/main/entry_node.cpp
@@ -265,8 +265,9 @@
     engine_work_.cold_budget().set_bounds(settings_.cold_upstreams);
     upstreams_.set_cold_times([this](const std::string& service) { return cold_time_of(service); });
     // The upstreams there were without work, and may be cold before their entries say so.
-    evacuations_.on_ended(
-        [this](const std::string& data_centre) { upstreams_.on_data_centre_returned(data_centre); });
+    evacuations_.on_ended([this](const std::string& data_centre) {
+        upstreams_.on_data_centre_returned(data_centre);
+    });
     upstreams_.on_cold([this](const upstream_lifetime& upstream, instant until) {
         engine_work_.cold_budget().on_cold(upstream, until, loop_.now());
     });
--- a/servers/relay/request_relay.cpp
+++ b/servers/relay/request_relay.cpp
@@ -132,6 +132,12 @@
     place();
 }
 
+instant request_relay::late_at() const {
+    return admitted_.matched_route == nullptr
+               ? instant::max()
+               : request_.received_at + admitted_.matched_route->target;
+}
+
 bool request_relay::host_ready() const {
     if (services_.configuration.current() == nullptr) {
         return false;
--- a/servers/relay/request_relay_attempts.cpp
+++ b/servers/relay/request_relay_attempts.cpp
@@ -51,12 +51,6 @@
                        [&listed](const placement_part& part) { return listed(part.engine); });
 }
 
-instant request_relay::late_at() const {
-    return admitted_.matched_route == nullptr
-               ? instant::max()
-               : request_.received_at + admitted_.matched_route->target;
-}
-
 void request_relay::begin_attempt() {
     history_.begin();
     if (history_.count() == 1) {
