--- a/tests/core/placement/cold_engines_placement_test.cpp
+++ b/tests/core/placement/cold_engines_placement_test.cpp
@@ -5,15 +5,16 @@
 #include <string>
 #include <vector>
 
-#include "core/fleet/engine_profile.hpp"
 #include "core/placement/engine_load.hpp"
 #include "core/placement/engine_view.hpp"
 #include "core/placement/engine_work.hpp"
 #include "core/placement/interference_aware_placement.hpp"
 #include "core/placement/pass_timing.hpp"
 #include "core/placement/placement_request.hpp"
+#include "tests/core/placement/engine_profiles.hpp"
 
 using namespace fuchsiaquay;
+using namespace fuchsiaquay::testing;
 using std::chrono::milliseconds;
 using std::chrono::seconds;
 
@@ -21,21 +22,12 @@
 TEST_GROUP(cold_engines_placement) {
     static constexpr int engines = 9;
     static constexpr int cold_engines = 3;
-    engine_profile profile_;
+    engine_profile profile_ = wide_engine_profile();
     std::map<std::string, engine_load> loads_;
     interference_aware_placement policy_;
     instant now_ = instant(seconds(100));
 
     void setup() override {
-        profile_.slots = 16;
-        profile_.memory_tokens = 450'000;
-        profile_.steps_per_pass = 46;
-        profile_.step_ms = 0.925;
-        profile_.step_ms_per_writer = 0.00483;
-        profile_.step_ms_per_context_k = 0.00254;
-        profile_.read_tokens_per_second = 256'000;
-        profile_.read_ms_per_million_pairs = 0.0917;
-        profile_.read_tokens_per_step = 2'048;
         for (int i = 0; i < engines; ++i) {
             loads_["engine-" + std::to_string(i)];
         }
--- a/tests/core/placement/data_centre_preference_test.cpp
+++ b/tests/core/placement/data_centre_preference_test.cpp
@@ -7,15 +7,16 @@
 #include <string>
 #include <vector>
 
-#include "core/fleet/engine_profile.hpp"
 #include "core/placement/engine_load.hpp"
 #include "core/placement/engine_work.hpp"
 #include "core/placement/interference_aware_placement.hpp"
 #include "core/placement/pass_timing.hpp"
 #include "core/placement/placement_candidate.hpp"
 #include "core/placement/placement_request.hpp"
+#include "tests/core/placement/engine_profiles.hpp"
 
 using namespace fuchsiaquay;
+using namespace fuchsiaquay::testing;
 using std::chrono::milliseconds;
 using std::chrono::seconds;
 
@@ -25,22 +26,6 @@
 constexpr double on_time = 0.85;
 constexpr int engines_per_data_centre = 4;
 
-/// Profile of the users' model engines.
-engine_profile users_engine_profile() {
-    engine_profile profile;
-    profile.slots = 12;
-    profile.memory_tokens = 344'250;
-    profile.memory_bytes_per_token = 163'840;
-    profile.steps_per_pass = 38;
-    profile.step_ms = 1.31;
-    profile.step_ms_per_writer = 0.000917;
-    profile.step_ms_per_context_k = 0.00213;
-    profile.read_tokens_per_second = 154'000;
-    profile.read_ms_per_million_pairs = 0.162;
-    profile.read_tokens_per_step = 2'048;
-    return profile;
-}
-
 placement_request prompt(std::uint64_t key, std::int64_t tokens, duration target, duration gap) {
     placement_request request;
     request.key = key;
@@ -65,7 +50,7 @@
 /// A host in the data centre `home` of three with four engines each.
 TEST_GROUP(data_centre_preference) {
     const std::vector<std::string> data_centres_ = {"far", "home", "near"};
-    engine_profile profile_ = users_engine_profile();
+    engine_profile profile_ = narrow_engine_profile();
     std::map<std::string, engine_load> loads_;
     std::map<std::string, const std::string*> homes_;
     interference_aware_placement placement_;
--- a/tests/core/placement/interference_aware_placement_test.cpp
+++ b/tests/core/placement/interference_aware_placement_test.cpp
@@ -8,14 +8,15 @@
 #include <string>
 #include <vector>
 
-#include "core/fleet/engine_profile.hpp"
 #include "core/hashing/hash.hpp"
 #include "core/placement/engine_load.hpp"
 #include "core/placement/engine_work.hpp"
 #include "core/placement/pass_timing.hpp"
 #include "core/placement/placement_request.hpp"
+#include "tests/core/placement/engine_profiles.hpp"
 
 using namespace fuchsiaquay;
+using namespace fuchsiaquay::testing;
 using std::chrono::milliseconds;
 using std::chrono::seconds;
 
@@ -27,21 +28,6 @@
 constexpr std::int64_t medium_prompt = 45'000;
 constexpr std::int64_t long_prompt = 210'000;
 
-/// Profile of the users' model engines.
-engine_profile users_engine_profile() {
-    engine_profile profile;
-    profile.slots = 16;
-    profile.memory_tokens = 450'000;
-    profile.steps_per_pass = 46;
-    profile.step_ms = 0.925;
-    profile.step_ms_per_writer = 0.00483;
-    profile.step_ms_per_context_k = 0.00254;
-    profile.read_tokens_per_second = 256'000;
-    profile.read_ms_per_million_pairs = 0.0917;
-    profile.read_tokens_per_step = 2'048;
-    return profile;
-}
-
 placement_request prompt(std::uint64_t key, std::int64_t tokens, duration target, duration gap) {
     placement_request request;
     request.key = key;
@@ -65,7 +51,7 @@
 
 TEST_GROUP(interference_aware_placement) {
     static constexpr int engines = 14;
-    engine_profile profile_ = users_engine_profile();
+    engine_profile profile_ = wide_engine_profile();
     std::map<std::string, engine_load> loads_;
     std::map<std::string, double> slowdowns_;
     interference_aware_placement policy_;
@@ -148,7 +134,7 @@
     }
     CHECK_TRUE(taken.size() >= loads_.size() - 1);
     for (const auto& [engine, count] : taken) {
-        CHECK_TRUE(count <= users_engine_profile().slots);
+        CHECK_TRUE(count <= wide_engine_profile().slots);
     }
 }
 
--- a/tests/core/placement/long_prompt_burst_test.cpp
+++ b/tests/core/placement/long_prompt_burst_test.cpp
@@ -5,14 +5,15 @@
 #include <string>
 #include <vector>
 
-#include "core/fleet/engine_profile.hpp"
 #include "core/placement/engine_load.hpp"
 #include "core/placement/engine_view.hpp"
 #include "core/placement/interference_aware_placement.hpp"
 #include "core/placement/pass_timing.hpp"
 #include "core/placement/placement_request.hpp"
+#include "tests/core/placement/engine_profiles.hpp"
 
 using namespace fuchsiaquay;
+using namespace fuchsiaquay::testing;
 using std::chrono::milliseconds;
 using std::chrono::seconds;
 
@@ -21,19 +22,12 @@
 TEST_GROUP(burst_of_long_prompts) {
     static constexpr int engines = 12;
     static constexpr std::int64_t long_prompt = 260'000;
-    engine_profile profile_;
+    engine_profile profile_ = narrow_engine_profile();
     std::map<std::string, engine_load> loads_;
     interference_aware_placement policy_;
     instant now_ = instant(seconds(100));
 
     void setup() override {
-        profile_.slots = 12;
-        profile_.memory_tokens = 344'250;
-        profile_.steps_per_pass = 38;
-        profile_.step_ms = 1.31;
-        profile_.read_tokens_per_second = 154'000;
-        profile_.read_ms_per_million_pairs = 0.162;
-        profile_.read_tokens_per_step = 2'048;
         for (int i = 0; i < engines; ++i) {
             loads_["engine-" + std::to_string(i)];
         }
