--- a/core/placement/placement_candidate.hpp
+++ b/core/placement/placement_candidate.hpp
@@ -38,6 +38,11 @@
     /// True if a part of a prompt with the prefill time `prefill` would hold up another prompt that
     /// the engine processes, because engines process parts before everything else.
     bool would_delay_prompt(duration prefill, const interference_aware_settings& settings) const;
+    /// The same for streams or another prompt.
+    bool part_would_delay_others(duration prefill,
+                                 const interference_aware_settings& settings) const {
+        return would_delay_streams(prefill, settings) || would_delay_prompt(prefill, settings);
+    }
 };
 
 /// Memory of an engine that may be allocated, in tokens.
--- a/core/placement/prompt_splitter.cpp
+++ b/core/placement/prompt_splitter.cpp
@@ -42,8 +42,7 @@
         for (const placement_candidate& candidate : candidates) {
             const duration part_prefill = candidate.estimated_prefill_time(request.prompt_tokens) /
                                           static_cast<std::int64_t>(parts);
-            if (candidate.would_delay_streams(part_prefill, settings_) ||
-                candidate.would_delay_prompt(part_prefill, settings_)) {
+            if (candidate.part_would_delay_others(part_prefill, settings_)) {
                 continue;
             }
             if (answering == nullptr && candidate.can_answer) {
