--- a/core/fleet/customer_terms.hpp
+++ b/core/fleet/customer_terms.hpp
@@ -2,7 +2,6 @@
 
 #include <optional>
 #include <string>
-#include <vector>
 
 namespace fuchsiaquay {
 
@@ -11,8 +10,6 @@
     std::string customer;
     /// Overrides the rank of the route.
     std::optional<int> rank;
-    /// Regions in which the customer may be served; any region if empty.
-    std::vector<std::string> allowed_regions = {};
 };
 
 }  // namespace fuchsiaquay
--- a/core/fleet/route.hpp
+++ b/core/fleet/route.hpp
@@ -31,8 +31,6 @@
     bool is_public = false;
     bool resumable = false;
     std::vector<weighted_service> services;
-    /// Regions in which the route may be served; any region if empty.
-    std::vector<std::string> allowed_regions;
 
     /// Whether a request can be repeated after an attempt with an unknown result.
     bool repeatable() const {
