Log: a lost report of dropped lines is no dropped line, and is written again

After each line the log reports what was dropped so far; a report that is lost too was counted as a line, and never written again. The test writes ten lines and passes if the thread that writes them to the pipe is slower than the caller.

Change: log_output tells lost reports from lost lines; after a lost report the next one covers its lines.

--- a/drivers/log/log4cxx_decision_log.cpp
+++ b/drivers/log/log4cxx_decision_log.cpp
@@ -79,6 +79,8 @@
     std::shared_ptr<log_output> output_;
     /// Number of dropped lines that a line has reported.
     std::atomic<std::uint64_t> reported_ = 0;
+    /// The same before the latest report.
+    std::atomic<std::uint64_t> reported_before_ = 0;
     log4cxx::LoggerPtr logger_ = log4cxx::Logger::getLogger("fuchsiaquay");
 };
 
@@ -129,15 +131,20 @@
 }
 
 void log4cxx_decision_log::report_dropped_lines() {
+    if (impl_->output_->take_lost_report()) {
+        // The next report covers the lines of the lost one too.
+        impl_->reported_ = impl_->reported_before_.load();
+    }
     const std::uint64_t dropped = impl_->output_->dropped();
     if (dropped == impl_->reported_ || impl_->output_->waiting() > log_output::essential_reserve ||
         !impl_->output_->reserve(true)) {
         return;
     }
+    impl_->reported_before_ = impl_->reported_.load();
     const std::uint64_t lines = dropped - impl_->reported_.exchange(dropped);
-    impl_->append(log4cxx::Level::getWarn(), "event=log_lines_dropped host=" + host_ +
-                                                 " lines=" + std::to_string(lines) +
-                                                 " total=" + std::to_string(dropped));
+    impl_->append(log4cxx::Level::getWarn(),
+                  std::string(log_output::report_event) + "host=" + host_ +
+                      " lines=" + std::to_string(lines) + " total=" + std::to_string(dropped));
 }
 
 std::uint64_t log4cxx_decision_log::lines_dropped() const {
--- a/drivers/log/log_output.cpp
+++ b/drivers/log/log_output.cpp
@@ -41,7 +41,11 @@
         line_open_ = !write_all("\n");
     }
     if (line_open_ || !write_all(line)) {
-        ++dropped_;
+        if (line.find(report_event) != log4cxx::LogString::npos) {
+            report_lost_ = true;
+        } else {
+            ++dropped_;
+        }
     }
     --waiting_;
 }
--- a/drivers/log/log_output.hpp
+++ b/drivers/log/log_output.hpp
@@ -20,6 +20,9 @@
     /// Part of the capacity that only essential lines may use.
     static constexpr std::size_t essential_reserve = 1'024;
 
+    /// Begin of the lines that report dropped lines.
+    static constexpr const char* report_event = "event=log_lines_dropped ";
+
     explicit log_output(int descriptor) : descriptor_(descriptor) {}
     log_output(const log_output&) = delete;
     log_output& operator=(const log_output&) = delete;
@@ -28,7 +31,10 @@
     /// Reserves room for a line. Returns false, and counts the line as dropped, if there is none.
     bool reserve(bool essential);
     std::size_t waiting() const noexcept { return waiting_; }
+    /// Dropped lines without reports of dropped lines.
     std::uint64_t dropped() const noexcept { return dropped_; }
+    /// Whether a report of dropped lines was dropped since the last call.
+    bool take_lost_report() { return report_lost_.exchange(false); }
     /// From now on, waits only for a bounded time for the reader of the log.
     void begin_closing();
 
@@ -45,6 +51,7 @@
     int descriptor_;
     std::atomic<std::size_t> waiting_ = 0;
     std::atomic<std::uint64_t> dropped_ = 0;
+    std::atomic<bool> report_lost_ = false;
     std::atomic<std::chrono::steady_clock::time_point> closing_since_ =
         std::chrono::steady_clock::time_point::max();
     std::chrono::steady_clock::time_point progress_at_{};
--- a/tests/drivers/log/log4cxx_decision_log_test.cpp
+++ b/tests/drivers/log/log4cxx_decision_log_test.cpp
@@ -118,3 +118,15 @@
     std::this_thread::sleep_for(std::chrono::milliseconds(300));
     LONGS_EQUAL(10, log_->lines_dropped());
 }
+
+// Guards against reports of dropped lines that are dropped themselves and counted as lines.
+TEST(decision_log, lost_reports_of_dropped_lines_do_not_count_as_lines) {
+    close(read_end_);
+    read_end_ = -1;
+    for (int i = 0; i < 10; ++i) {
+        write_lines("request_ended", 1);
+        std::this_thread::sleep_for(std::chrono::milliseconds(20));
+    }
+    std::this_thread::sleep_for(std::chrono::milliseconds(300));
+    LONGS_EQUAL(10, log_->lines_dropped());
+}
