--- a/core/freshness/copy_state.hpp
+++ b/core/freshness/copy_state.hpp
@@ -10,6 +10,8 @@
     late,
     /// Too old to be used for requests with a key.
     expired,
+    /// Lacks a change that is known to exist and may have to be in force. Must not be used.
+    replaced,
 };
 
 }  // namespace fuchsiaquay
--- a/servers/fleet/store_view_sync.cpp
+++ b/servers/fleet/store_view_sync.cpp
@@ -98,6 +98,7 @@
 
 void store_view_sync::tick() {
     const instant now = services_.timers.now();
+    update_behind();
     if (!settled_at_) {
         const bool discovered =
             services_.hosts.directory_loaded() && now - started_at_ >= settle_time;
@@ -123,6 +124,11 @@
     }
 }
 
+void store_view_sync::update_behind() {
+    services_.configuration_mirror.set_behind(newest_configuration_ >
+                                              services_.configuration.revision());
+}
+
 void store_view_sync::update_watching(instant now) {
     const bool should_watch = is_watcher();
     if (should_watch != watcher_) {
@@ -284,6 +290,8 @@
         apply_catalogue(reply.catalogue, catalogue_as_of);
     }
     services_.evacuations.merge(reply.evacuations, reply.evacuations_as_of, reply.sender);
+    newest_configuration_ = std::max(newest_configuration_, reply.configuration_revision);
+    update_behind();
     const std::int64_t known_revision = services_.configuration.revision();
     const operator_state state = {reply.configuration_revision, reply.evacuations_as_of > 0,
                                   requested_at - reply.configuration_age};
--- a/servers/fleet/store_view_sync.hpp
+++ b/servers/fleet/store_view_sync.hpp
@@ -49,6 +49,8 @@
 
     void tick();
     void update_watching(instant now);
+    /// Notes whether another host has a newer configuration than this one.
+    void update_behind();
     /// Live serving hosts of this data centre, including this one if it serves.
     std::vector<host_id> local_hosts() const;
     bool is_watcher() const;
@@ -83,6 +85,8 @@
     instant watching_updated_at_{};
     instant pulled_at_{};
     std::uint64_t nonce_ = 0;
+    /// Greatest revision of a configuration that another host has told of.
+    std::int64_t newest_configuration_ = 0;
     std::optional<sent_request> pending_request_;
     /// Hosts to which requests are sent, in order of preference.
     std::vector<host_record> candidates_;
--- a/servers/relay/admission.cpp
+++ b/servers/relay/admission.cpp
@@ -42,6 +42,10 @@
         return refuse({}, status_unavailable, "no_configuration", configuration_retry_after);
     }
     admission_result result;
+    if (state == copy_state::replaced) {
+        return refuse({}, status_unavailable, "configuration_out_of_date",
+                      configuration_retry_after);
+    }
     result.configuration = configuration;
     result.matched_route = configuration->find_route(request.host, request.path());
     if (result.matched_route == nullptr) {
--- a/servers/store/prefix_mirror.cpp
+++ b/servers/store/prefix_mirror.cpp
@@ -64,6 +64,9 @@
 }
 
 copy_state prefix_mirror::state() const {
+    if (behind_ && age() > settings_.apply_limit) {
+        return copy_state::replaced;
+    }
     if (!fresh()) {
         return copy_state::expired;
     }
--- a/servers/store/prefix_mirror.hpp
+++ b/servers/store/prefix_mirror.hpp
@@ -36,6 +36,8 @@
     void advance(std::int64_t revision);
     /// True while the last confirmation of the copy is within the freshness limit.
     bool fresh() const;
+    /// Sets whether another host is known to have a later change.
+    void set_behind(bool behind) { behind_ = behind; }
     copy_state state() const;
     /// True once the copy has been fresh at least once since the start.
     bool was_fresh() const noexcept { return was_fresh_; }
@@ -64,6 +66,7 @@
     prefix_mirror_settings settings_;
     freshness freshness_;
     bool was_fresh_ = false;
+    bool behind_ = false;
     std::int64_t revision_ = 0;
     bool active_ = false;
     bool call_pending_ = false;
--- a/tests/servers/relay/admission_test.cpp
+++ b/tests/servers/relay/admission_test.cpp
@@ -44,3 +44,10 @@
     LONGS_EQUAL(0, refusal(request("/order/1", "key"), copy_state::late));
     LONGS_EQUAL(503, refusal(request("/order/1", "key"), copy_state::expired));
 }
+
+// Guards against requests that are handled as an older version says, at a host that fetches a large
+// configuration over a slow link for longer than a version may take to be in force.
+TEST(admission, nothing_is_admitted_if_a_newer_version_may_have_to_be_in_force) {
+    LONGS_EQUAL(503, refusal(request("/order/1", "key"), copy_state::replaced));
+    LONGS_EQUAL(503, refusal(request("/none/1", "key"), copy_state::replaced));
+}
--- a/tests/servers/store/prefix_mirror_test.cpp
+++ b/tests/servers/store/prefix_mirror_test.cpp
@@ -104,6 +104,20 @@
     CHECK_TRUE(limited.state() == copy_state::expired);
 }
 
+TEST(prefix_mirror, copy_is_replaced_if_another_host_has_a_later_change_for_the_apply_limit) {
+    settings_.apply_limit = seconds(2);
+    prefix_mirror limited(store_, timers_, log_, copy_, "k/", settings_);
+    limited.follow(true, retry);
+    timers_.advance(milliseconds(50));
+    limited.set_behind(true);
+    CHECK_TRUE(limited.state() == copy_state::current);
+    store_.down = true;
+    timers_.advance(settings_.apply_limit + retry);
+    CHECK_TRUE(limited.state() == copy_state::replaced);
+    limited.set_behind(false);
+    CHECK_TRUE(limited.state() == copy_state::current);
+}
+
 TEST(prefix_mirror, outage_not_seen_by_another_host_expires_no_entry) {
     timers_.advance(seconds(3));
     store_.down = true;
