--- a/servers/fleet/store_view_sync.cpp
+++ b/servers/fleet/store_view_sync.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <utility>
 
+#include "core/fleet/view_sources.hpp"
 #include "core/hashing/rendezvous.hpp"
 #include "core/hashing/stagger_delay.hpp"
 #include "core/identity/names.hpp"
@@ -68,20 +69,8 @@
 constexpr std::size_t large_catalogue_size = 400;
 /// Maximum number of changes in a reply datagram. If there are more, the receiver fetches them.
 constexpr std::size_t max_changes_per_reply = 300;
-/// Number of hosts of the same data centre that are used as sources.
-constexpr std::size_t local_sources = 2;
 constexpr const char* watch_key = "watch";
 
-std::vector<host_id> ids_of(const std::vector<host_record>& hosts, const std::string& data_centre) {
-    std::vector<host_id> ids;
-    for (const host_record& host : hosts) {
-        if (host.data_centre == data_centre) {
-            ids.emplace_back(host.host);
-        }
-    }
-    return ids;
-}
-
 }  // namespace
 
 store_view_sync::store_view_sync(host_record self, const store_view_sync_services& services)
@@ -151,11 +140,11 @@
 }
 
 std::vector<host_id> store_view_sync::local_hosts() const {
-    std::vector<host_id> local = ids_of(services_.hosts.live_peers(), self_.data_centre);
+    std::vector<host_record> live = services_.hosts.live_peers();
     if (services_.role.serving()) {
-        local.emplace_back(self_.host);
+        live.push_back(self_);
     }
-    return local;
+    return view_sources(live, self_.data_centre);
 }
 
 bool store_view_sync::is_watcher() const {
@@ -174,15 +163,15 @@
     if (live.empty()) {
         return listed_by_latest_start();
     }
-    // There are many hosts on standby, so they are spread over the serving hosts.
+    // There are many hosts on standby, so they are spread over the sources.
     const std::string key = services_.role.serving() ? watch_key : self_.host;
     std::vector<host_id> chosen =
-        rendezvous_order(key, ids_of(live, self_.data_centre), local_sources);
+        rendezvous_order(key, view_sources(live, self_.data_centre), min_view_sources);
     for (const host_record& host : live) {
         if (host.data_centre == self_.data_centre) {
             continue;
         }
-        const host_id owner = rendezvous_owner(watch_key, ids_of(live, host.data_centre));
+        const host_id owner = rendezvous_owner(watch_key, view_sources(live, host.data_centre));
         if (std::find(chosen.begin(), chosen.end(), owner) == chosen.end()) {
             chosen.push_back(owner);
         }
