--- a/drivers/traffic/caller_session_memory.cpp
+++ b/drivers/traffic/caller_session_memory.cpp
@@ -2,6 +2,7 @@
 /// The part of `caller_session` that accounts for its memory and gives it up.
 
 #include <algorithm>
+#include <charconv>
 #include <utility>
 
 #include "core/relay/relay_memory.hpp"
@@ -43,7 +44,12 @@
         return 0;
     }
     // The buffer is allocated at once if the length is known.
-    const std::size_t announced = static_cast<std::size_t>(parser_->content_length().value_or(0));
+    std::size_t announced = 0;
+    const auto length = parser_->get().find(boost::beast::http::field::content_length);
+    if (length != parser_->get().end()) {
+        const auto text = length->value();
+        std::from_chars(text.data(), text.data() + text.size(), announced);
+    }
     return std::max(allocated_bytes(parser_->get().body()), announced);
 }
 
