Caller server test: the large body is resized, which the linter accepts

clang-tidy takes a constructor with more than 8 MB for swapped arguments (bugprone-string-constructor). The whole linter over found this one place. traffic_test, group caller_server, passes.

--- a/tests/drivers/traffic/caller_server_test.cpp
+++ b/tests/drivers/traffic/caller_server_test.cpp
@@ -89,7 +89,8 @@
     CHECK_TRUE(requests_received(callers));
     LONGS_EQUAL(5 * callers, memory_.used());
     limits_.body_bytes = 40'000'000;
-    const std::string large(24'000'000, 'x');
+    std::string large;
+    large.resize(24'000'000, 'x');
     raw_client large_client(loop_, address_);
     large_client.send(head + "16e3600\r\n");
     for (std::size_t offset = 0; offset < large.size() && !large_client.closed; offset += 100'000) {
