--- a/review/lib-2/fleet.py
+++ b/review/lib-2/fleet.py
@@ -2,6 +2,7 @@
 and the entry program as the deploy file runs it. Figures are those of `sites/sporebox-kr.toml`."""
 
 import asyncio
+import ctypes
 import json
 import os
 import random
@@ -24,6 +25,7 @@
 LIMITS = {"header_bytes": 16384, "max_body_bytes": 4194304, "header_timeout_ms": 3000,
           "idle_timeout_ms": 15000}
 HELD, BROKEN, NOT_RUN = 0, 1, 2
+LIBC, PR_SET_PDEATHSIG = ctypes.CDLL(None), 1
 
 
 def free_ports(count):
@@ -139,11 +141,15 @@
         with open(path, "w") as file:
             file.write(self.settings())
         limit = (self.descriptors, self.descriptors)
+
+        def prepare():
+            resource.setrlimit(resource.RLIMIT_NOFILE, limit)
+            LIBC.prctl(PR_SET_PDEATHSIG, signal.SIGKILL)    # no host outlives the case
         self.log = os.path.join(self.fleet.folder, f"{self.name}.log")
         with open(self.log, "ab") as log:
             self.process = await asyncio.create_subprocess_exec(
                 PROGRAM, "entry", "--config", path, stdout=log, stderr=log, cwd=ROOT,
-                preexec_fn=lambda: resource.setrlimit(resource.RLIMIT_NOFILE, limit))
+                preexec_fn=prepare)
         self.fleet.record(f"{self.name} started")
 
     def signal(self, number):
@@ -292,13 +298,13 @@
 
 
 def run_case(main, case_folder):
-    """Runs `main(fleet)`-like coroutine `main()`; exits with 0, 1 or 2."""
+    """Runs the coroutine `main()`; exits with 0, 1 or 2."""
     try:
         code = asyncio.run(asyncio.wait_for(main(), 115))
     except NotRun as error:
         print("not run:", error)
         code = NOT_RUN
-    except (OSError, asyncio.TimeoutError) as error:
+    except BaseException as error:  # an error of the case itself is no broken rule
         print("not run:", repr(error))
         code = NOT_RUN
     sys.exit(code)
