Answers with an invalid status are failures

What callers saw: an engine in trouble sent an answer with status 000, and the caller got it as the answer to its request, whatever the route.

Cause: the parser of Boost.Beast takes any three digits as a status. Neither reader of answers looked at them. The relay then compared the status with ranges that it knows (success, refusal, server error), and what lay outside of all of them was passed on. Calls to the store, to other hosts and orders to engines compare with the statuses they know, so none took such an answer for a success; but it was logged as "status 0" without a reason, left out of store_calls_failed_total below 500, and its connection was used again.

Why the fix works: both readers accept the codes from 200 to 599 only, before anything of the answer is delivered. Such an answer ends its exchange as a failure that may have run, like any other bytes that are no answer: repeatable requests go to another upstream, others get 502. 101 is no interim status, since no request asks for another protocol.

Ruled out: a check in the relay alone, since the other readers share the cause.

--- a/drivers/net/http_channel.cpp
+++ b/drivers/net/http_channel.cpp
@@ -7,6 +7,7 @@
 #include <optional>
 #include <utility>
 
+#include "core/relay/response_status.hpp"
 #include "drivers/control/control_loop.hpp"
 #include "drivers/net/socket_setup.hpp"
 
@@ -138,6 +139,10 @@
     void succeed() {
         http_result result;
         result.status = static_cast<int>(parser_->get().result_int());
+        if (!is_final_status(result.status)) {
+            fail("receive: " + describe_invalid_status(result.status));
+            return;
+        }
         result.body = std::move(parser_->get().body());
         if (!parser_->get().keep_alive() || buffer_.size() > 0) {
             close();
--- a/drivers/traffic/beast_exchange.cpp
+++ b/drivers/traffic/beast_exchange.cpp
@@ -4,6 +4,7 @@
 #include <charconv>
 #include <utility>
 
+#include "core/relay/response_status.hpp"
 #include "drivers/control/control_loop.hpp"
 #include "drivers/net/socket_setup.hpp"
 #include "servers/relay/exchange_listener.hpp"
@@ -26,9 +27,15 @@
 /// Bytes buffered while a line of the response's framing is incomplete.
 constexpr std::size_t max_unparsed_bytes = 131'072;
 constexpr int status_class_divisor = 100;
+constexpr int status_switching_protocols = 101;
 /// Bytes of the interim responses before the final one. They carry nothing for the caller.
 constexpr std::size_t max_interim_bytes = 262'144;
 
+/// No request asks for another protocol, so a change of the protocol precedes no response.
+bool is_interim_status(unsigned status) {
+    return status / status_class_divisor == 1 && status != status_switching_protocols;
+}
+
 }  // namespace
 
 beast_exchange::beast_exchange(control_loop& loop, std::shared_ptr<upstream_connection_pool> pool,
@@ -146,8 +153,7 @@
             fail("answer: " + error.message());
             return false;
         }
-        const bool interim =
-            parser_->is_done() && parser_->get().result_int() / status_class_divisor == 1;
+        const bool interim = parser_->is_done() && is_interim_status(parser_->get().result_int());
         if (interim) {
             reset_parser();
         }
@@ -161,6 +167,11 @@
 
 bool beast_exchange::deliver() {
     if (parser_->is_header_done() && !head_delivered_) {
+        const int status = static_cast<int>(parser_->get().result_int());
+        if (!is_final_status(status)) {
+            fail("answer: " + describe_invalid_status(status));
+            return false;
+        }
         head_delivered_ = true;
         deliver_head();
     }
--- a/tests/drivers/traffic/raw_server.hpp
+++ b/tests/drivers/traffic/raw_server.hpp
@@ -32,6 +32,12 @@
         connection_->close(ignored);
     }
 
+    /// Ends the sending direction, so that the peer reads the end of the stream.
+    void shut_down() {
+        boost::system::error_code ignored;
+        connection_->shutdown(tcp::socket::shutdown_send, ignored);
+    }
+
     /// Stops reading; what arrives fills the buffers of the kernel.
     void pause_reading() { paused_ = true; }
     void resume_reading() {
--- a/tests/platform/kv_store_test.cpp
+++ b/tests/platform/kv_store_test.cpp
@@ -4,9 +4,11 @@
 
 #include <optional>
 #include <string>
+#include <vector>
 
 #include "servers/store/change_batch.hpp"
 #include "servers/store/read_result.hpp"
+#include "tests/drivers/traffic/broken_heads.hpp"
 #include "tests/drivers/traffic/raw_server.hpp"
 #include "tests/servers/recording_log.hpp"
 
@@ -27,10 +29,13 @@
     raw_server server_{loop_};
     kv_store store_{loop_, log_, server_.address(), std::chrono::seconds(3)};
 
+    /// Status and further fields of the next answers.
+    std::string start_ = "200 OK";
+
     void answer(const std::string& body) {
         server_.received.clear();
         CHECK_TRUE(server_.expect("\r\n\r\n"));
-        server_.send("HTTP/1.1 200 OK\r\nConnection: close\r\nContent-Length: " +
+        server_.send("HTTP/1.1 " + start_ + "\r\nConnection: close\r\nContent-Length: " +
                      std::to_string(body.size()) + "\r\n\r\n" + body);
     }
     read_result read(const std::string& body) {
@@ -73,6 +78,22 @@
     CHECK_TRUE(is_decode_error(poll("7").failure));
 }
 
+TEST(kv_store, answer_with_a_broken_head_fails) {
+    std::vector<std::string> starts;
+    for (const std::string& status : invalid_statuses) {
+        starts.push_back(status + " X");
+    }
+    for (const std::string& line : malformed_field_lines) {
+        starts.push_back("200 OK\r\n" + line);
+    }
+    for (const std::string& start : starts) {
+        start_ = start;
+        CHECK_FALSE(read(R"({"store_revision":7,"items":[]})").ok());
+        CHECK_FALSE(poll(R"({"store_revision":8,"events":[]})").ok());
+    }
+    LONGS_EQUAL(2 * starts.size(), store_.failure_count());
+}
+
 TEST(kv_store, value_that_is_no_base64_reads_as_empty) {
     for (const char* const value : {"!!!!", "e", "eA", "====x", "e A=", "\\u0000\\u0000"}) {
         const read_result page =
--- a/tests/platform/platform_engine_memory_client_test.cpp
+++ b/tests/platform/platform_engine_memory_client_test.cpp
@@ -5,6 +5,7 @@
 #include <optional>
 #include <string>
 
+#include "tests/drivers/traffic/broken_heads.hpp"
 #include "tests/drivers/traffic/raw_server.hpp"
 #include "tests/servers/recording_log.hpp"
 
@@ -40,3 +41,14 @@
     CHECK_FALSE(reserve("HTTP/1.1 200 OK\r\nContent-Length: 9000000\r\n\r\n"));
     CHECK_FALSE(reserve("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n11170\r\n" + bytes));
 }
+
+TEST(platform_engine_memory_client, answer_with_a_broken_head_carries_nothing_out) {
+    const std::string end = "\r\nContent-Length: 12\r\n\r\n{\"free\":100}";
+    for (const std::string& status : invalid_statuses) {
+        CHECK_FALSE(reserve("HTTP/1.1 " + status + " X" + end));
+        STRCMP_CONTAINS("invalid status", log_.lines.back().c_str());
+    }
+    for (const std::string& line : malformed_field_lines) {
+        CHECK_FALSE(reserve("HTTP/1.1 200 OK\r\n" + line + end));
+    }
+}
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -109,6 +109,7 @@
     """All processes and callers of a run, and the findings."""
 
     events = 12
+    max_body_bytes = 2_000_000
     node_type, upstream_type = Node, Upstream
 
     def __init__(self, options, folder):
@@ -197,7 +198,7 @@
                        route("chat", "stream", 2, "llm"), route("season", "stream", 2, "llm")],
             "services": [{"name": "llm", "max_conns": 400, "engine": engine},
                          {"name": "shop", "max_conns": 100}],
-            "limits": {"idle_timeout_ms": 15000, "max_body_bytes": 2000000},
+            "limits": {"idle_timeout_ms": 15000, "max_body_bytes": self.max_body_bytes},
             "tenants": [{"name": "kim", "api_keys": self.keys}]}))
 
     async def add_upstream(self, service):
