Upstream exchange: a reset during the upload does not complete the answer

What callers saw: an engine answered a long upload at once with a 200 without a length, sent a part of the body and reset the connection. Callers got the part as a complete answer, on all kinds of routes.

Cause: the exchange writes and reads at the same time. The kernel reports a reset once, as ECONNRESET to the operation that comes first. If that is the write, the read that follows returns the end of the stream, which completes an answer that ends with its connection. The result of the write was not looked at.

The event loop may find the socket readable before the handler of the write's last part runs; that write then takes the error, and the end of the stream is handled before the write's failure.

Why the fix works: the end of the stream is handled behind all handlers that are queued, hence after that of a write that took the error. If the write failed with anything but EPIPE, the connection was lost and the answer fails. After an orderly end of the answer the kernel reports EPIPE to writes, so that an upstream may still end its answer and then reset the rest of the upload.

--- a/drivers/traffic/beast_exchange.cpp
+++ b/drivers/traffic/beast_exchange.cpp
@@ -1,5 +1,6 @@
 #include "drivers/traffic/beast_exchange.hpp"
 
+#include <boost/asio/post.hpp>
 #include <boost/asio/write.hpp>
 #include <charconv>
 #include <utility>
@@ -106,6 +107,7 @@
                           // A failed write also fails the pending read, which may still deliver
                           // a response that the upstream sent before.
                           self->written_ = !error;
+                          self->write_error_ = error;
                       });
 }
 
@@ -198,8 +200,24 @@
 }
 
 void beast_exchange::on_read_error(const error_code& error) {
-    const bool closed_cleanly = error == asio::error::eof;
-    if (closed_cleanly && parser_->is_header_done()) {
+    if (error != asio::error::eof) {
+        fail("answer: " + error.message());
+        return;
+    }
+    // The handler of a write that has failed already may be queued behind this one.
+    asio::post(loop_.context(), [self = shared_from_this()] {
+        if (self->listener_ != nullptr) {
+            self->on_end_of_stream();
+        }
+    });
+}
+
+void beast_exchange::on_end_of_stream() {
+    if (connection_lost_during_write()) {
+        fail("answer: " + write_error_.message() + " while the request was sent");
+        return;
+    }
+    if (parser_->is_header_done()) {
         error_code incomplete;
         parser_->put_eof(incomplete);
         if (!incomplete && parser_->is_done()) {
@@ -207,7 +225,13 @@
             return;
         }
     }
-    fail("answer: " + error.message());
+    fail("answer: " + error_code(asio::error::eof).message());
+}
+
+bool beast_exchange::connection_lost_during_write() const {
+    // The kernel reports a lost connection once, to the write if that is pending, and reads then
+    // return the end of the stream. After an orderly end of the answer, writes fail with EPIPE.
+    return write_error_ && write_error_ != asio::error::broken_pipe;
 }
 
 void beast_exchange::complete() {
--- a/drivers/traffic/beast_exchange.hpp
+++ b/drivers/traffic/beast_exchange.hpp
@@ -45,6 +45,8 @@
     bool deliver();
     void deliver_head();
     void on_read_error(const boost::system::error_code& error);
+    void on_end_of_stream();
+    bool connection_lost_during_write() const;
     void complete();
     void fail(const std::string& reason, bool refused = false);
     void close();
@@ -66,6 +68,8 @@
     bool head_delivered_ = false;
     bool sent_ = false;
     bool written_ = false;
+    /// Set once the request was not written completely.
+    boost::system::error_code write_error_;
     bool reused_ = false;
 };
 
--- a/tests/drivers/traffic/broken_answers_test.cpp
+++ b/tests/drivers/traffic/broken_answers_test.cpp
@@ -14,7 +14,24 @@
 namespace {
 
 struct broken_answers_fixture : upstream_connector_fixture {
-    /// Fails unless the exchange fails before anything of the answer is delivered.
+    /// Opens an exchange with a body that does not fit into the kernel, and waits
+    /// until its head has arrived.
+    void begin_upload() {
+        listener_.clear();
+        server_.received.clear();
+        server_.pause_reading();
+        open(unsendable_body_bytes, true);
+        CHECK_TRUE(server_.expect("\r\n\r\n"));
+    }
+    void check_failed(const char* reason) {
+        CHECK_TRUE(ended());
+        CHECK_FALSE(listener_.ended);
+        CHECK_TRUE(listener_.failure.has_value());
+        CHECK_TRUE(listener_.failure->sent);
+        STRCMP_CONTAINS(reason, listener_.failure->reason.c_str());
+    }
+    /// Fails unless the exchange fails before anything of the answer is
+    /// delivered.
     void check_nothing_delivered(const std::string& answer) {
         listener_.clear();
         open_and_respond(answer);
@@ -37,13 +54,16 @@
 
 TEST(broken_answers, invalid_status_after_an_interim_response_is_a_failure) {
     check_nothing_delivered(
-        "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 000 X\r\nContent-Length: 2\r\n\r\nok");
+        "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 000 "
+        "X\r\nContent-Length: 2\r\n\r\nok");
 }
 
-// No request asks for another protocol, so the bytes after such a response have no known meaning.
+// No request asks for another protocol, so the bytes after such a response have
+// no known meaning.
 TEST(broken_answers, change_of_the_protocol_is_a_failure) {
     check_nothing_delivered(
-        "HTTP/1.1 101 Switching Protocols\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok");
+        "HTTP/1.1 101 Switching Protocols\r\n\r\nHTTP/1.1 "
+        "200 OK\r\nContent-Length: 2\r\n\r\nok");
 }
 
 TEST(broken_answers, invalid_status_on_a_reused_connection_is_a_failure) {
@@ -56,3 +76,85 @@
     open();
     CHECK_TRUE(run_until(loop_, [&] { return server_.connections == 2; }));
 }
+
+// In the tests below everything arrives before the client looks at its socket again, so that the
+// order of the events is fixed.
+TEST(broken_answers, answer_without_length_that_is_reset_during_the_upload_is_a_failure) {
+    begin_upload();
+    server_.send("HTTP/1.1 200 OK\r\n\r\nhalf of");
+    server_.close(true);
+    check_failed("reset");
+}
+
+TEST(broken_answers, partly_read_answer_without_length_that_is_reset_during_the_upload_fails) {
+    begin_upload();
+    server_.send("HTTP/1.1 200 OK\r\n\r\nhalf of");
+    CHECK_TRUE(run_until(loop_, [&] { return listener_.body == "half of"; }));
+    server_.close(true);
+    check_failed("reset");
+}
+
+TEST(broken_answers, answer_that_is_reset_during_the_upload_before_its_body_is_a_failure) {
+    begin_upload();
+    server_.send("HTTP/1.1 200 OK\r\n\r\n");
+    server_.close(true);
+    check_failed("reset");
+    CHECK_EQUAL(std::string(), listener_.body);
+}
+
+// The write of the upload's next part finds the reset after the event loop has found that the
+// socket is readable, so that the end of the stream is handled before the failure of the write.
+TEST(broken_answers, answer_that_is_reset_between_two_parts_of_the_upload_is_a_failure) {
+    begin_upload();
+    server_.send("HTTP/1.1 200 OK\r\n\r\nhalf of");
+    CHECK_TRUE(run_until(loop_, [&] { return listener_.body == "half of"; }));
+    loop_.context().run_for(std::chrono::milliseconds(50));
+    // One step finds the bytes that move up at the server, and a further one writes again.
+    do {
+        server_.drain(65'536);
+        loop_.context().poll_one();
+    } while (loop_.context().poll_one() == 0);
+    server_.close(true);
+    check_failed("reset");
+}
+
+TEST(broken_answers, framed_answer_that_is_reset_during_the_upload_is_a_failure) {
+    for (const char* start :
+         {"HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nhalf of",
+          "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n9\r\nhalf of"}) {
+        begin_upload();
+        server_.send(start);
+        server_.close(true);
+        check_failed("answer: ");
+    }
+}
+
+TEST(broken_answers, whole_answer_with_length_that_is_reset_during_the_upload_is_delivered) {
+    begin_upload();
+    server_.send("HTTP/1.1 413 Too Large\r\nContent-Length: 2\r\n\r\nno");
+    server_.close(true);
+    CHECK_TRUE(ended());
+    CHECK_TRUE(listener_.ended);
+    CHECK_EQUAL(std::string("no"), listener_.body);
+}
+
+TEST(broken_answers, answer_without_length_that_ends_during_the_upload_is_delivered) {
+    begin_upload();
+    server_.send("HTTP/1.1 200 OK\r\n\r\nall of it");
+    server_.shut_down();
+    CHECK_TRUE(ended());
+    CHECK_TRUE(listener_.ended);
+    CHECK_EQUAL(std::string("all of it"), listener_.body);
+}
+
+// An upstream that closes its connection with unread bytes of the upload sends
+// the end of the answer first, and a reset when the rest of the upload arrives.
+TEST(broken_answers, answer_without_length_that_ends_before_a_reset_is_delivered) {
+    begin_upload();
+    server_.send("HTTP/1.1 200 OK\r\n\r\nall of it");
+    server_.shut_down();
+    server_.close(true);
+    CHECK_TRUE(ended());
+    CHECK_TRUE(listener_.ended);
+    CHECK_EQUAL(std::string("all of it"), listener_.body);
+}
--- a/tests/drivers/traffic/raw_server.hpp
+++ b/tests/drivers/traffic/raw_server.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/read.hpp>
 #include <boost/asio/write.hpp>
 #include <memory>
 #include <string>
@@ -45,6 +46,12 @@
         read(connection_);
     }
 
+    /// Reads `bytes` bytes without the loop, while reading is paused.
+    void drain(std::size_t bytes) {
+        std::string ignored(bytes, '\0');
+        boost::asio::read(*connection_, boost::asio::buffer(ignored));
+    }
+
     std::string received;
     int connections = 0;
     bool closed = false;
