Tests: answers with a malformed field name are failures

Result: the entry role rejects such answers already, no code is changed. The parser of Boost.Beast takes no name that is not a token, in the head and in the trailer of a chunked body, so that both readers (exchanges with upstreams; calls to the store and other hosts, orders) fail.

--- a/tests/drivers/traffic/broken_answers_test.cpp
+++ b/tests/drivers/traffic/broken_answers_test.cpp
@@ -77,6 +77,24 @@
     CHECK_TRUE(run_until(loop_, [&] { return server_.connections == 2; }));
 }
 
+TEST(broken_answers, malformed_field_name_is_a_failure) {
+    for (const std::string& line : malformed_field_lines) {
+        check_nothing_delivered("HTTP/1.1 200 OK\r\n" + line +
+                                "\r\nContent-Length: 2\r\nX-B: c\r\n\r\nok");
+    }
+}
+
+TEST(broken_answers, malformed_field_name_in_a_trailer_is_a_failure) {
+    for (const std::string& line : malformed_field_lines) {
+        listener_.clear();
+        open_and_respond(
+            "HTTP/1.1 200 OK\r\nTransfer-Encoding: "
+            "chunked\r\n\r\n2\r\nok\r\n0\r\n" +
+            line + "\r\n\r\n");
+        check_failed("answer: ");
+    }
+}
+
 // In the tests below everything arrives before the client looks at its socket again, so that the
 // order of the events is fixed.
 TEST(broken_answers, answer_without_length_that_is_reset_during_the_upload_is_a_failure) {
