HTTP clients of the library: an invalid status is a failure

What callers would see: a plain service behind our own interface that answers with status 000 has its answer passed on and recorded as the call's result, so that a repeated call gets it again. Found while looking at all readers of answers for the cause of the first fault; no report of users.

Cause: the HTTP library passes on any number as a status, 65500 for "-36" too. Clients were made in four places, none of which looked at it. The list of hosts and the list of an engine's streams were read whatever the status.

Why the fix works: all clients of the node and of the operators' calls are made by make_http_client, whose request stage rejects a response with a status outside of 200 to 599 before its body is read. Callers of the client see the same exception as for any other broken answer: calls may have run, the operators' command reports them in doubt.

Not in this commit: field names, which the library trims and does not check.

--- a/ctl/console/http_admin_channel.cpp
+++ b/ctl/console/http_admin_channel.cpp
@@ -5,6 +5,8 @@
 #include <system_error>
 #include <utility>
 
+#include "drivers/http/make_http_client.hpp"
+
 namespace fuchsiaquay {
 namespace {
 
@@ -43,7 +45,7 @@
     try {
         web::http::client::http_client_config config;
         config.set_timeout(std::chrono::seconds(timeout_s_));
-        web::http::client::http_client client("http://" + node, config);
+        const auto client = make_http_client("http://" + node, config);
         web::http::http_request request(call.method);
         request.set_request_uri("/admin/v1" + call.path);
         request.headers().add("Authorization", "Bearer " + token_);
@@ -53,7 +55,7 @@
         if (!call.body.empty()) {
             request.set_body(call.body, "application/json");
         }
-        const web::http::http_response response = client.request(request).get();
+        const web::http::http_response response = client->request(request).get();
         result.status = response.status_code();
         result.body = response.extract_utf8string(true).get();
         const auto etag = response.headers().find("ETag");
--- a/drivers/http/client_pool.cpp
+++ b/drivers/http/client_pool.cpp
@@ -1,6 +1,6 @@
 #include "drivers/http/client_pool.hpp"
 
-#include <cpprest/http_client.h>
+#include "drivers/http/make_http_client.hpp"
 
 namespace fuchsiaquay {
 
@@ -30,8 +30,7 @@
     web::http::client::http_client_config config;
     config.set_timeout(library_timeout);
     config.set_chunksize(1 << 16);
-    return std::make_shared<web::http::client::http_client>(
-        "http://" + address + ":" + std::to_string(port), config);
+    return make_http_client("http://" + address + ":" + std::to_string(port), config);
 }
 
 void client_pool::drop(const std::string& address, std::uint16_t port) {
--- a/drivers/platform/host_list_client.cpp
+++ b/drivers/platform/host_list_client.cpp
@@ -5,6 +5,7 @@
 #include <utility>
 
 #include "drivers/control/control_loop.hpp"
+#include "drivers/http/make_http_client.hpp"
 
 namespace fuchsiaquay {
 
@@ -60,7 +61,7 @@
 void host_list_client::read(list_handler done) {
     http::client::http_client_config config;
     config.set_timeout(timeout_);
-    auto client = std::make_shared<http::client::http_client>(base_uri_, config);
+    auto client = make_http_client(base_uri_, config);
     control_loop& loop = loop_;
     client->request(http::methods::GET, "/platform/v1/hosts")
         .then([client](const http::http_response& response) { return response.extract_json(true); })
--- a/drivers/store/etcd_store.cpp
+++ b/drivers/store/etcd_store.cpp
@@ -9,6 +9,7 @@
 
 #include "drivers/control/control_loop.hpp"
 #include "drivers/http/body_reader.hpp"
+#include "drivers/http/make_http_client.hpp"
 #include "drivers/store/etcd_json.hpp"
 
 namespace fuchsiaquay {
@@ -133,7 +134,7 @@
     std::shared_ptr<http_client> make_client() const { return make_client(call_timeout_); }
 
     std::shared_ptr<http_client> make_client(duration timeout) const {
-        return std::make_shared<http_client>(base_uri_, client_config(timeout));
+        return make_http_client(base_uri_, client_config(timeout));
     }
 
     void read_events(watch_id id, const std::shared_ptr<http_client>& client,
