Rejected answers of upstreams are counted by their fault

attempt_failed names the real reason already ("answer: invalid status 000", "answer: bad field", "answer: Connection reset by peer while the request was sent"). A counter was missing: a broken answer could not be told from an upstream that could not be reached.

fuchsiaquay_upstream_answers_rejected_total has a label `fault`: invalid_status, malformed, or incomplete for a connection that ended after the answer had begun. A connection that ends before an answer is not counted.

Tests: rejected_answers checks counter and log line, and what follows such an answer: another upstream for a repeatable request, 502 after the second one and for an order, no end of a stream that is being resumed. broken_answers checks the fault of each answer.

--- a/drivers/traffic/beast_exchange.cpp
+++ b/drivers/traffic/beast_exchange.cpp
@@ -77,7 +77,7 @@
     connect_timer_.emplace(loop_.context(), timeout);
     connect_timer_->async_wait([self = shared_from_this()](const error_code& error) {
         if (!error && !self->sent_) {
-            self->fail("connect: no answer in time");
+            self->fail({self->sent_, self->reused_, "connect: no answer in time"});
         }
     });
     socket_->async_connect(endpoint, [self = shared_from_this()](const error_code& error) {
@@ -86,7 +86,8 @@
         }
         self->connect_timer_.reset();
         if (error) {
-            self->fail("connect: " + error.message(), error == asio::error::connection_refused);
+            const bool refused = error == asio::error::connection_refused;
+            self->fail({self->sent_, self->reused_, "connect: " + error.message(), refused});
             return;
         }
         set_up_traffic_socket(*self->socket_);
@@ -132,7 +133,7 @@
         return;
     }
     if (buffer_.size() > max_unparsed_bytes && !parser_->is_done()) {
-        fail("answer: framing without end");
+        reject(answer_fault::malformed, "framing without end");
         return;
     }
     if (parser_->is_done()) {
@@ -152,7 +153,7 @@
             return true;
         }
         if (error) {
-            fail("answer: " + error.message());
+            reject(answer_fault::malformed, error.message());
             return false;
         }
         const bool interim = parser_->is_done() && is_interim_status(parser_->get().result_int());
@@ -160,7 +161,7 @@
             reset_parser();
         }
         if (interim && parsed_bytes_ > max_interim_bytes) {
-            fail("answer: interim responses without end");
+            reject(answer_fault::malformed, "interim responses without end");
             return false;
         }
     }
@@ -171,7 +172,7 @@
     if (parser_->is_header_done() && !head_delivered_) {
         const int status = static_cast<int>(parser_->get().result_int());
         if (!is_final_status(status)) {
-            fail("answer: " + describe_invalid_status(status));
+            reject(answer_fault::invalid_status, describe_invalid_status(status));
             return false;
         }
         head_delivered_ = true;
@@ -201,7 +202,7 @@
 
 void beast_exchange::on_read_error(const error_code& error) {
     if (error != asio::error::eof) {
-        fail("answer: " + error.message());
+        fail_early(error.message());
         return;
     }
     // The handler of a write that has failed already may be queued behind this one.
@@ -214,7 +215,7 @@
 
 void beast_exchange::on_end_of_stream() {
     if (connection_lost_during_write()) {
-        fail("answer: " + write_error_.message() + " while the request was sent");
+        fail_early(write_error_.message() + " while the request was sent");
         return;
     }
     if (parser_->is_header_done()) {
@@ -225,7 +226,7 @@
             return;
         }
     }
-    fail("answer: " + error_code(asio::error::eof).message());
+    fail_early(error_code(asio::error::eof).message());
 }
 
 bool beast_exchange::connection_lost_during_write() const {
@@ -261,11 +262,22 @@
                               std::chrono::seconds(seconds) - idle_lifetime_margin);
 }
 
-void beast_exchange::fail(const std::string& reason, bool refused) {
+void beast_exchange::fail_early(const std::string& reason) {
+    const bool begun = head_delivered_ || buffer_.size() > 0;
+    reject(begun ? answer_fault::incomplete : answer_fault::none, reason);
+}
+
+void beast_exchange::reject(answer_fault fault, const std::string& reason) {
+    exchange_failure failure{sent_, reused_, "answer: " + reason};
+    failure.fault = fault;
+    fail(failure);
+}
+
+void beast_exchange::fail(const exchange_failure& failure) {
     exchange_listener* listener = std::exchange(listener_, nullptr);
     close();
     if (listener != nullptr) {
-        listener->on_failure({sent_, reused_, reason, refused});
+        listener->on_failure(failure);
     }
 }
 
--- a/drivers/traffic/beast_exchange.hpp
+++ b/drivers/traffic/beast_exchange.hpp
@@ -48,7 +48,10 @@
     void on_end_of_stream();
     bool connection_lost_during_write() const;
     void complete();
-    void fail(const std::string& reason, bool refused = false);
+    /// Fails because the connection ended.
+    void fail_early(const std::string& reason);
+    void reject(answer_fault fault, const std::string& reason);
+    void fail(const exchange_failure& failure);
     void close();
     duration idle_lifetime() const;
 
--- a/servers/relay/exchange_failure.hpp
+++ b/servers/relay/exchange_failure.hpp
@@ -2,6 +2,8 @@
 
 #include <string>
 
+#include "servers/relay/answer_fault.hpp"
+
 namespace fuchsiaquay {
 
 /// Describes why an exchange with an upstream failed.
@@ -13,6 +15,8 @@
     std::string reason;
     /// Nothing listens at the address of the upstream.
     bool refused = false;
+    /// Set if an answer had begun.
+    answer_fault fault = answer_fault::none;
 };
 
 }  // namespace fuchsiaquay
--- a/servers/relay/upstream_attempt.cpp
+++ b/servers/relay/upstream_attempt.cpp
@@ -26,6 +26,7 @@
 #include "servers/relay/request_log.hpp"
 #include "servers/relay/upstream_connector.hpp"
 #include "servers/relay/upstream_request_metadata.hpp"
+#include "servers/request_metrics.hpp"
 #include "servers/timer_service.hpp"
 
 namespace fuchsiaquay {
@@ -354,6 +355,9 @@
     const attempt_evidence evidence = failure.refused ? attempt_evidence::refused : broken;
     const instant now = services_.timers.now();
     services_.health.on_result(upstream_id(upstream()), evidence, now);
+    if (failure.fault != answer_fault::none) {
+        services_.metrics.answer_rejected(name_of(failure.fault));
+    }
     if (failure.refused) {
         services_.work_table.quarantine().on_engine_gone(lifetime_, now);
     } else if (failure.sent) {
--- a/servers/request_metrics.hpp
+++ b/servers/request_metrics.hpp
@@ -27,6 +27,8 @@
     virtual void refused(const std::string& code) = 0;
     virtual void retried(const std::string& failure) = 0;
     virtual void answered() = 0;
+    /// An upstream's answer began and was not accepted.
+    virtual void answer_rejected(const std::string& fault) = 0;
     /// The connection ended before the answer was complete.
     virtual void answer_cut(const std::string& cause) = 0;
 };
--- a/tests/servers/relay/relay_fixture.hpp
+++ b/tests/servers/relay/relay_fixture.hpp
@@ -241,8 +241,8 @@
     }
     void body(const std::string& bytes) { last().listener->on_body(bytes); }
     void end() { last().listener->on_end(); }
-    void fail(bool sent, const char* reason = "reset") {
-        last().listener->on_failure({sent, false, reason});
+    void fail(bool sent, const char* reason = "reset", answer_fault fault = answer_fault::none) {
+        last().listener->on_failure({sent, false, reason, false, fault});
     }
 
     std::vector<std::shared_ptr<attempt>> attempts;
@@ -314,7 +314,7 @@
     bool silent = false;
 };
 
-class no_metrics final : public request_metrics {
+class recording_metrics final : public request_metrics {
 public:
     void first_token(int, std::int64_t, duration) override {}
     void placed(int, duration) override {}
@@ -322,7 +322,10 @@
     void refused(const std::string&) override {}
     void retried(const std::string&) override {}
     void answered() override {}
+    void answer_rejected(const std::string& fault) override { rejected_answers.push_back(fault); }
     void answer_cut(const std::string&) override {}
+
+    std::vector<std::string> rejected_answers;
 };
 
 constexpr std::size_t relay_memory_bytes = 20'000'000;
@@ -391,7 +394,7 @@
     manual_connector connector;
     manual_memory_client memory_client;
     relay_memory memory{relay_memory_bytes};
-    no_metrics metrics;
+    recording_metrics metrics;
     duration serving_time = duration::max();
     duration stopping_time = duration::zero();
     bool knows_all_work = true;
--- a/tests/soak/broken_answers.py
+++ b/tests/soak/broken_answers.py
@@ -7,8 +7,10 @@
 """
 
 import asyncio
+import re
 import sys
 import time
+import urllib.request
 
 from callers import Connection, ConnectionEnded
 from engine_ends import run_series
@@ -24,11 +26,12 @@
     "field": ["X A: b", "X-A : b", "X-A\t: b", "X-\x01A: b", "X-\x7fA: b", "X-\0A: b", "X-\xffA: b",
               "Content-Length : 1", "Transfer-Encoding : chunked"],
 }
-# `broken`: no caller may get 200; `upload`: the request has a body that stays partly unread.
+# `broken`: no caller may get 200; `fault`: the label of the counter that tells why; `upload`: the
+# request has a body that stays partly unread.
 SERIES = {
-    "status": {"broken": True},
-    "field": {"broken": True},
-    "upload_reset": {"broken": True, "upload": True},
+    "status": {"broken": True, "fault": "invalid_status"},
+    "field": {"broken": True, "fault": "malformed"},
+    "upload_reset": {"broken": True, "fault": "incomplete", "upload": True},
     "upload_end": {"broken": False, "upload": True},
 }
 
@@ -156,8 +159,17 @@
             self.finding(f"{request} got {status} instead of a whole answer")
         return status
 
+    def rejected_answers(self, node):
+        """The counter of answers that the node did not accept, by fault."""
+        with urllib.request.urlopen(f"http://127.0.0.1:{node.metrics}/metrics", timeout=2) as page:
+            rows = re.findall(r'upstream_answers_rejected_total{fault="(\w+)"} (\d+)', page.read().decode())
+        return {fault: int(count) for fault, count in rows}
+
     async def finish(self):
         for node in self.nodes:
+            counted, fault = await asyncio.to_thread(self.rejected_answers, node), self.series.get("fault")
+            if set(counted) != ({fault} if fault else set()):
+                self.finding(f"{node.name} counted {counted}, not {fault}")
             if node.process.returncode is not None:
                 self.finding(f"{node.name} ended with {node.process.returncode}")
         await asyncio.gather(*(node.end(9, 2.0) for node in self.nodes))
