--- a/tests/platform/kv_store_test.cpp
+++ b/tests/platform/kv_store_test.cpp
@@ -80,6 +80,7 @@
 
 TEST(kv_store, answer_with_a_broken_head_fails) {
     std::vector<std::string> starts;
+    starts.reserve(invalid_statuses.size() + malformed_field_lines.size());
     for (const std::string& status : invalid_statuses) {
         starts.push_back(status + " X");
     }
--- a/tests/platform/platform_engine_memory_client_test.cpp
+++ b/tests/platform/platform_engine_memory_client_test.cpp
@@ -29,6 +29,10 @@
         CHECK_TRUE(run_until(loop_, [&result] { return result.has_value(); }));
         return *result;
     }
+    /// @param head  status and further fields of an answer that carries the order out
+    bool reserve_with_head(const std::string& head) {
+        return reserve("HTTP/1.1 " + head + "\r\nContent-Length: 12\r\n\r\n{\"free\":100}");
+    }
 };
 
 TEST(platform_engine_memory_client, order_that_is_carried_out_is_held) {
@@ -43,12 +47,11 @@
 }
 
 TEST(platform_engine_memory_client, answer_with_a_broken_head_carries_nothing_out) {
-    const std::string end = "\r\nContent-Length: 12\r\n\r\n{\"free\":100}";
     for (const std::string& status : invalid_statuses) {
-        CHECK_FALSE(reserve("HTTP/1.1 " + status + " X" + end));
+        CHECK_FALSE(reserve_with_head(status + " X"));
         STRCMP_CONTAINS("invalid status", log_.lines.back().c_str());
     }
     for (const std::string& line : malformed_field_lines) {
-        CHECK_FALSE(reserve("HTTP/1.1 200 OK\r\n" + line + end));
+        CHECK_FALSE(reserve_with_head("200 OK\r\n" + line));
     }
 }
