Service calls: an ended call releases its owner

Seen when reading the diff: a call kept its handler, the handler its session, and the session the call, so that each service call left these three in memory.

Cause: the handler was no longer taken out when it was called. It is now null once the call has ended or was cancelled, which replaces the separate mark; a session that has ended keeps no call.

Evidence: ended_call_releases_what_its_handler_refers_to failed before.

--- a/drivers/api/service_call.cpp
+++ b/drivers/api/service_call.cpp
@@ -48,20 +48,19 @@
 }
 
 void service_call::resolve() {
-    if (cancelled_) {
+    if (!done_) {
         return;
     }
     resolver_.async_resolve(address_, std::to_string(port_),
                             [self = shared_from_this()](const error_code& error,
                                                         const tcp::resolver::results_type& found) {
-                                if (self->cancelled_) {
-                                    return;
-                                }
                                 if (error) {
                                     self->fail("connect");
                                     return;
                                 }
-                                self->connect(found);
+                                if (self->done_) {
+                                    self->connect(found);
+                                }
                             });
 }
 
@@ -128,14 +127,14 @@
 void service_call::finish(const result& outcome) {
     error_code ignored;
     socket_.close(ignored);
-    if (!cancelled_) {
-        done_(outcome);
+    if (const handler done = std::exchange(done_, nullptr)) {
+        done(outcome);
     }
 }
 
 void service_call::cancel() {
     asio::dispatch(strand_, [self = shared_from_this()] {
-        self->cancelled_ = true;
+        self->done_ = nullptr;
         self->resolver_.cancel();
         error_code ignored;
         self->socket_.close(ignored);
--- a/drivers/api/service_call.hpp
+++ b/drivers/api/service_call.hpp
@@ -46,13 +46,13 @@
     std::string address_;
     std::uint16_t port_;
     request message_;
+    /// Null once the call has ended or was cancelled. What it refers to may own the call.
     handler done_;
     boost::asio::strand<boost::asio::io_context::executor_type> strand_;
     boost::asio::ip::tcp::resolver resolver_;
     boost::asio::ip::tcp::socket socket_;
     boost::beast::flat_buffer buffer_;
     std::optional<boost::beast::http::response_parser<boost::beast::http::string_body>> parser_;
-    bool cancelled_ = false;
 };
 
 }  // namespace fuchsiaquay
--- a/drivers/api/service_session.cpp
+++ b/drivers/api/service_session.cpp
@@ -67,8 +67,11 @@
 
 bool service_session::keep_call(const std::shared_ptr<service_call>& started) {
     const std::lock_guard<std::mutex> lock(mutex_);
+    if (ended_) {
+        return false;
+    }
     call_ = started;
-    return !ended_;
+    return true;
 }
 
 void service_session::on_answer(const service_call::result& answer) {
--- a/tests/drivers/api/service_call_test.cpp
+++ b/tests/drivers/api/service_call_test.cpp
@@ -147,3 +147,17 @@
     CHECK_TRUE(run_until(loop_, [this] { return server_.closed; }));
     CHECK_FALSE(outcome_->done);
 }
+
+// Guards against a call and its owner that keep each other.
+TEST(service_call, ended_call_releases_what_its_handler_refers_to) {
+    for (const bool cancelled : {false, true}) {
+        start(server_.address());
+        CHECK_TRUE(server_.expect("\r\n\r\n"));
+        if (cancelled) {
+            call_->cancel();
+        } else {
+            server_.send("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n");
+        }
+        CHECK_TRUE(run_until(loop_, [this] { return outcome_.use_count() == 1; }));
+    }
+}
