Review of the diff: one definition of interim statuses, clearer names

beast_exchange and service_call each had the rule that 101 precedes no response; it stands beside is_final_status now, with a test. fail_early becomes report_lost_connection, and the comment at the write says where its failure counts.

--- a/drivers/api/service_call.cpp
+++ b/drivers/api/service_call.cpp
@@ -25,12 +25,6 @@
            error != http::error::end_of_stream && error != http::error::partial_message;
 }
 
-/// No request asks for another protocol, so a change of the protocol precedes no answer.
-bool is_interim(const http::response<http::string_body>& answer) {
-    return http::to_status_class(answer.result_int()) == http::status_class::informational &&
-           answer.result() != http::status::switching_protocols;
-}
-
 }  // namespace
 
 service_call::service_call(const std::string& address, std::uint16_t port, request message,
@@ -103,12 +97,12 @@
 
 void service_call::on_read() {
     auto& answer = parser_->get();
-    if (is_interim(answer)) {
+    result outcome;
+    outcome.status = static_cast<int>(answer.result_int());
+    if (is_interim_status(outcome.status)) {
         read();
         return;
     }
-    result outcome;
-    outcome.status = static_cast<int>(answer.result_int());
     if (!is_final_status(outcome.status)) {
         fail("invalid_status");
         return;
--- a/drivers/traffic/beast_exchange.cpp
+++ b/drivers/traffic/beast_exchange.cpp
@@ -27,16 +27,9 @@
 constexpr std::uint32_t max_response_header_bytes = 65'536;
 /// Bytes buffered while a line of the response's framing is incomplete.
 constexpr std::size_t max_unparsed_bytes = 131'072;
-constexpr int status_class_divisor = 100;
-constexpr int status_switching_protocols = 101;
 /// Bytes of the interim responses before the final one. They carry nothing for the caller.
 constexpr std::size_t max_interim_bytes = 262'144;
 
-/// No request asks for another protocol, so a change of the protocol precedes no response.
-bool is_interim_status(unsigned status) {
-    return status / status_class_divisor == 1 && status != status_switching_protocols;
-}
-
 }  // namespace
 
 beast_exchange::beast_exchange(control_loop& loop, std::shared_ptr<upstream_connection_pool> pool,
@@ -105,8 +98,8 @@
     asio::async_write(*socket_, parts,
                       [self = shared_from_this(), socket = socket_](const error_code& error,
                                                                     std::size_t /*bytes*/) {
-                          // A failed write also fails the pending read, which may still deliver
-                          // a response that the upstream sent before.
+                          // The pending read may still deliver a response that the upstream
+                          // sent before; the failure counts when the stream ends.
                           self->written_ = !error;
                           self->write_error_ = error;
                       });
@@ -156,7 +149,8 @@
             reject(answer_fault::malformed, error.message());
             return false;
         }
-        const bool interim = parser_->is_done() && is_interim_status(parser_->get().result_int());
+        const bool interim =
+            parser_->is_done() && is_interim_status(static_cast<int>(parser_->get().result_int()));
         if (interim) {
             reset_parser();
         }
@@ -202,7 +196,7 @@
 
 void beast_exchange::on_read_error(const error_code& error) {
     if (error != asio::error::eof) {
-        fail_early(error.message());
+        report_lost_connection(error.message());
         return;
     }
     // The handler of a write that has failed already may be queued behind this one.
@@ -215,7 +209,7 @@
 
 void beast_exchange::on_end_of_stream() {
     if (connection_lost_during_write()) {
-        fail_early(write_error_.message() + " while the request was sent");
+        report_lost_connection(write_error_.message() + " while the request was sent");
         return;
     }
     if (parser_->is_header_done()) {
@@ -226,7 +220,7 @@
             return;
         }
     }
-    fail_early(error_code(asio::error::eof).message());
+    report_lost_connection(error_code(asio::error::eof).message());
 }
 
 bool beast_exchange::connection_lost_during_write() const {
@@ -262,7 +256,7 @@
                               std::chrono::seconds(seconds) - idle_lifetime_margin);
 }
 
-void beast_exchange::fail_early(const std::string& reason) {
+void beast_exchange::report_lost_connection(const std::string& reason) {
     const bool begun = head_delivered_ || buffer_.size() > 0;
     reject(begun ? answer_fault::incomplete : answer_fault::none, reason);
 }
--- a/drivers/traffic/beast_exchange.hpp
+++ b/drivers/traffic/beast_exchange.hpp
@@ -48,8 +48,9 @@
     void on_end_of_stream();
     bool connection_lost_during_write() const;
     void complete();
-    /// Fails because the connection ended.
-    void fail_early(const std::string& reason);
+    /// Fails because the connection ended before the answer was complete.
+    void report_lost_connection(const std::string& reason);
+    /// Fails because of the answer.
     void reject(answer_fault fault, const std::string& reason);
     void fail(const exchange_failure& failure);
     void close();
@@ -71,7 +72,7 @@
     bool head_delivered_ = false;
     bool sent_ = false;
     bool written_ = false;
-    /// Set once the request was not written completely.
+    /// Why the request was not written completely.
     boost::system::error_code write_error_;
     bool reused_ = false;
 };
--- a/tests/core/relay/response_status_test.cpp
+++ b/tests/core/relay/response_status_test.cpp
@@ -15,6 +15,15 @@
     }
 }
 
+TEST(response_status, codes_from_100_to_199_but_101_precede_a_response) {
+    for (const int status : {100, 102, 103, 199}) {
+        CHECK_TRUE(is_interim_status(status));
+    }
+    for (const int status : {0, 99, 101, 200, 999}) {
+        CHECK_FALSE(is_interim_status(status));
+    }
+}
+
 TEST(response_status, invalid_status_is_described_with_three_digits) {
     CHECK_EQUAL(std::string("invalid status 000"), describe_invalid_status(0));
     CHECK_EQUAL(std::string("invalid status 099"), describe_invalid_status(99));
