Control loop test: it waits for the ticks, not for 30 ms

Cause: the test took the number of ticks in 30 ms of wall time as the check. A trial program with the same timers noted their times: in four of 1,500 starts the process slept in a wait of 1 ms and was woken 25 to 100 ms later (2 ms of processor time, no or one involuntary switch), so that the timer that stops the loop was due together with the next tick. The loop is not at fault: all expired timers ran.

The new check is as strict: three ticks that throw must run, and each error must be reported; five seconds end the loop otherwise.

--- a/tests/drivers/control/control_loop_test.cpp
+++ b/tests/drivers/control/control_loop_test.cpp
@@ -8,6 +8,7 @@
 
 using namespace fuchsiaquay;
 using std::chrono::milliseconds;
+using std::chrono::seconds;
 
 TEST_GROUP(control_loop) {
     control_loop loop_;
@@ -19,15 +20,19 @@
 };
 
 TEST(control_loop, exception_is_reported_and_stops_neither_the_loop_nor_other_handlers) {
+    constexpr int wanted_ticks = 3;
     int ticks = 0;
-    loop_.every(milliseconds(1), [&ticks] {
+    loop_.every(milliseconds(1), [this, &ticks] {
         ++ticks;
+        if (ticks == wanted_ticks) {
+            loop_.stop();
+        }
         throw std::length_error("too long");
     });
     loop_.post([] { throw std::runtime_error("unexpected"); });
-    loop_.after(milliseconds(30), [this] { loop_.stop(); });
+    loop_.after(seconds(5), [this] { loop_.stop(); });
     loop_.run();
-    CHECK_TRUE(ticks > 1);
+    LONGS_EQUAL(wanted_ticks, ticks);
     CHECK_EQUAL(std::string("unexpected"), errors_.front());
     LONGS_EQUAL(ticks + 1, errors_.size());
 }
