Configuration feed: an ignored configuration is logged; soak of a store that comes back from a copy

The stand-in store names its era in all answers, gives 410 for a revision that it does not have, and can return to a copy.

--- a/servers/fleet/configuration_feed.cpp
+++ b/servers/fleet/configuration_feed.cpp
@@ -45,6 +45,11 @@
 
 void configuration_feed::apply(const stored_value& value) {
     if (value.revision <= revision_) {
+        if (value.revision < revision_) {
+            log_.write(decision_log::level::warning, "configuration_ignored",
+                       {{"revision", std::to_string(value.revision)},
+                        {"known_revision", std::to_string(revision_)}});
+        }
         return;
     }
     std::shared_ptr<const fleet_configuration> decoded;
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -111,6 +111,7 @@
     events = 12
     max_body_bytes = 2_000_000
     node_type, upstream_type = Node, Upstream
+    added_routes = ()
 
     def __init__(self, options, folder):
         self.options, self.folder = options, folder
@@ -195,7 +196,9 @@
             "version": self.version,
             "routes": [route("order", "non_idempotent", 1, "shop"),
                        route("lookup", "idempotent", 2, "shop"),
-                       route("chat", "stream", 2, "llm"), route("season", "stream", 2, "llm")],
+                       route("chat", "stream", 2, "llm"), route("season", "stream", 2, "llm"),
+                       *(dict(route("lookup", "idempotent", 2, "shop"), name=name, prefix=f"/{name}/")
+                         for name in self.added_routes)],
             "services": [{"name": "llm", "max_conns": 400, "engine": engine},
                          {"name": "shop", "max_conns": 100}],
             "limits": {"idle_timeout_ms": 15000, "max_body_bytes": self.max_body_bytes},
--- a/tests/soak/stand_ins.py
+++ b/tests/soak/stand_ins.py
@@ -80,6 +80,7 @@
     def __init__(self, rng):
         self.rng = rng
         self.mode = "well"
+        self.era = 1
         self.revision = 1
         self.items = {}
         self.history = []
@@ -94,6 +95,10 @@
         self.items[key] = item
         self.note(item)
 
+    def put_again(self, key, item):
+        """Writes a value that was lost once more, at a revision of now."""
+        self.put(key, base64.b64decode(item["value"]).decode(), item["lease"])
+
     def remove(self, key):
         if self.items.pop(key, None):
             self.revision += 1
@@ -107,6 +112,15 @@
     def compact(self):
         self.dropped = self.revision
 
+    def copy(self):
+        return self.revision, dict(self.items), list(self.history), dict(self.leases), self.dropped
+
+    def restore(self, copy):
+        """Continues from an earlier `copy`: what came after it is gone, and its revisions are given out again."""
+        self.revision, items, history, leases, self.dropped = copy
+        self.items, self.history, self.leases = dict(items), list(history), dict(leases)
+        self.era += 1
+
     def expire(self):
         now = time.monotonic()
         for lease in [l for l, (_, end) in self.leases.items() if end < now]:
@@ -125,14 +139,14 @@
             await asyncio.sleep(30)
             raise ConnectionError
         if self.mode == "busy":
-            writer.write(message(503))
+            writer.write(message(503, headers=[("Store-Era", self.era)]))
             return
         await asyncio.sleep(0.4 if self.mode == "slow" else 0.002)
         self.expire()
         status, reply = await self.call(method, path, query, json.loads(body or b"{}"))
         if self.mode == "lost" and method == "POST" and self.rng.random() < 0.4:
             await asyncio.sleep(30)
-        writer.write(message(status, json.dumps(reply).encode()))
+        writer.write(message(status, json.dumps(reply).encode(), [("Store-Era", self.era)]))
 
     async def call(self, method, path, query, body):
         if path == "/kv-key":
@@ -168,7 +182,7 @@
     async def watch(self, prefix, after, wait_ms):
         end = time.monotonic() + wait_ms / 1000
         while True:
-            if after < self.dropped:
+            if after < self.dropped or after > self.revision:
                 return 410, {}
             events = [e for e in self.history
                       if e["revision"] > after and e["key"].startswith(prefix)]
