Store revisions: they rise across restorations from an older copy

Cause: the store may come back from a copy some seconds old and give out the same revisions again. Hosts compared them as one rising sequence: a configuration whose revision lay below the known one was dropped, catalogue deltas and the hosts' copies likewise, and copies were confirmed as current by comparing numbers of different histories.

Change: platform/kv_store adds the era that the store names (Store-Era) to every revision, so that all comparisons order eras first. An answer of an earlier era, or without one, fails; a poll from an earlier era counts as lost history; copies of another era confirm nothing and get the whole catalogue. Configurations are also ordered by version, since a restored store may hold an older one. Hosts register again within 1.5 s, and an entry that the copy holds does not replace a host that is heard.

Why it works: each revision of an era is greater than all of earlier ones, which is what every comparison assumed.

--- a/drivers/net/http_channel.cpp
+++ b/drivers/net/http_channel.cpp
@@ -143,6 +143,10 @@
             fail("receive: " + describe_invalid_status(result.status));
             return;
         }
+        for (const auto& field : parser_->get()) {
+            result.headers.push_back(
+                {std::string(field.name_string()), std::string(field.value())});
+        }
         result.body = std::move(parser_->get().body());
         if (!parser_->get().keep_alive() || buffer_.size() > 0) {
             close();
--- a/main/entry_node_queries.cpp
+++ b/main/entry_node_queries.cpp
@@ -1,6 +1,7 @@
 /// @file
 /// The part of `entry_node` that answers queries of other hosts and reports metrics.
 
+#include <algorithm>
 #include <string>
 
 #include "core/fleet/fleet_configuration.hpp"
@@ -42,6 +43,8 @@
          static_cast<double>(configuration_store_.call_count() + catalogue_store_.call_count())},
         {"store_calls_failed_total", static_cast<double>(configuration_store_.failure_count() +
                                                          catalogue_store_.failure_count())},
+        {"store_era",
+         static_cast<double>(std::max(configuration_store_.era(), catalogue_store_.era()))},
         {"upstreams_limited", static_cast<double>(engine_work_.rate_limits().size())},
         {"upstreams_cold", static_cast<double>(engine_work_.cold_budget().size(loop_.now()))},
         {"engine_accounts", static_cast<double>(engine_work_.shares().accounts())},
--- a/servers/fleet/configuration_feed.cpp
+++ b/servers/fleet/configuration_feed.cpp
@@ -61,10 +61,19 @@
         return;
     }
     revision_ = value.revision;
-    texts_.push_back({value.revision, value.value});
+    const bool older = current_ && decoded->version() < current_->version();
+    // A store that was restored may hold an older version for a while. Other hosts then receive the
+    // newest one under the revision of the older.
+    texts_.push_back({value.revision, older ? texts_.back().text : value.value});
     if (texts_.size() > max_kept_texts) {
         texts_.pop_front();
     }
+    if (older) {
+        log_.write(decision_log::level::warning, "configuration_older_in_store",
+                   {{"version", std::to_string(decoded->version())},
+                    {"known_version", std::to_string(current_->version())},
+                    {"revision", std::to_string(value.revision)}});
+    }
     if (current_ && decoded->version() <= current_->version()) {
         return;
     }
--- a/servers/fleet/host_registration.cpp
+++ b/servers/fleet/host_registration.cpp
@@ -39,6 +39,13 @@
     }
 }
 
+void host_registration::register_again() {
+    if (lease_ != 0) {
+        lease_ = 0;
+        register_entry();
+    }
+}
+
 void host_registration::register_entry() {
     registering_ = enabled_;
     if (!enabled_) {
@@ -92,9 +99,7 @@
         if (!still_held && lease == lease_) {
             log_.write(decision_log::level::warning, "host_entry_lapsed",
                        {{"lease", std::to_string(lease)}});
-            lease_ = 0;
-            registering_ = true;
-            register_entry();
+            register_again();
         }
     });
 }
--- a/servers/fleet/host_registration.hpp
+++ b/servers/fleet/host_registration.hpp
@@ -23,6 +23,8 @@
     /// Writes the entry and renews its lease until `stop`. Writes it again if the lease expires.
     void start(std::string value, written_handler on_written);
     void stop();
+    /// Writes the entry again, with a new lease.
+    void register_again();
 
 private:
     void register_entry();
--- a/servers/fleet/host_registry.cpp
+++ b/servers/fleet/host_registry.cpp
@@ -5,6 +5,8 @@
 
 #include "core/error/operation_error.hpp"
 #include "core/fleet/announcement_routes.hpp"
+#include "core/freshness/store_revision.hpp"
+#include "core/hashing/stagger_delay.hpp"
 #include "servers/decision_log.hpp"
 #include "servers/fleet/datagram_channel.hpp"
 #include "servers/fleet/engine_work_table.hpp"
@@ -38,6 +40,13 @@
 constexpr duration left_removal_time = std::chrono::seconds(10);
 /// Changes within this time are batched into one announcement.
 constexpr duration batch_delay = std::chrono::milliseconds(10);
+/// The hosts spread their registrations over this time after a restoration of the store.
+constexpr duration restoration_spread = std::chrono::milliseconds(1'500);
+
+/// Incarnations are revisions of the store.
+bool of_same_era(std::uint64_t a, std::uint64_t b) {
+    return same_era(static_cast<std::int64_t>(a), static_cast<std::int64_t>(b));
+}
 
 }  // namespace
 
@@ -63,6 +72,7 @@
     work_table_.rate_limits().on_change([this] { plan_report(); });
     timers_.every(announce_period, [this] {
         expire_silent_peers();
+        restore_registration();
         const bool complete = ++heartbeat_count_ % complete_interval == 0;
         announce(complete,
                  complete ? work_table_.own_work_items() : recent_changes_.announce(timers_.now()));
@@ -86,6 +96,7 @@
     serving_since_ = timers_.now();
     registration_.start(write_host_record(self_), [this](std::uint64_t revision) {
         self_.incarnation = revision;
+        restoration_planned_ = false;
         // If two hosts start at the same time, at least the one that writes later reads the entry
         // of the other.
         read_directory({});
@@ -119,7 +130,7 @@
                 record.incarnation = static_cast<std::uint64_t>(value.revision);
                 directory.has_own_entry = directory.has_own_entry || record.host == self_.host;
                 peer& known = peers_[record.host];
-                if (record.host != self_.host && known.record.incarnation < record.incarnation) {
+                if (record.host != self_.host && is_new_entry(known, record.incarnation)) {
                     ++directory.new_entries;
                     known = {};
                     known.record = record;
@@ -139,6 +150,18 @@
     });
 }
 
+void host_registry::restore_registration() {
+    const bool registered = serving_ && !left_ && self_.incarnation != 0;
+    if (!registered ||
+        era_of(configuration_revision_()) <= era_of(static_cast<std::int64_t>(self_.incarnation))) {
+        return;
+    }
+    if (!std::exchange(restoration_planned_, true)) {
+        timers_.after(stagger_delay(self_.host, restoration_spread),
+                      [this] { registration_.register_again(); });
+    }
+}
+
 void host_registry::leave() {
     left_ = true;
     announce(true, work_table_.own_work_items());
@@ -244,17 +267,18 @@
         return;
     }
     peer& known = peers_[host];
-    const bool restarted = known.record.incarnation < message.sender.incarnation;
-    const bool outdated = known.record.incarnation > message.sender.incarnation ||
-                          (!restarted && message.sequence <= known.sequence);
-    const bool addresses_unknown = restarted && !message.complete;
+    const std::uint64_t incarnation = message.sender.incarnation;
+    const bool same_process = known.record.incarnation == incarnation;
+    const bool outdated =
+        same_process ? message.sequence <= known.sequence : known.replaces(incarnation);
+    const bool addresses_unknown = !same_process && !message.complete;
     if (outdated || addresses_unknown) {
         return;
     }
     if (message.forward) {
         forward_announcement(message);
     }
-    if (restarted || !known.heard || known.state != message.state) {
+    if (!same_process || !known.heard || known.state != message.state) {
         log_.write(decision_log::level::info, "host_heard",
                    {{"peer", host},
                     {"state", name_of(message.state)},
@@ -309,6 +333,18 @@
     }
 }
 
+bool host_registry::peer::replaces(std::uint64_t incarnation) const {
+    return record.incarnation > incarnation &&
+           (heard || of_same_era(record.incarnation, incarnation));
+}
+
+bool host_registry::is_new_entry(const peer& known, std::uint64_t incarnation) const {
+    const std::uint64_t known_incarnation = known.record.incarnation;
+    const bool runs_since_an_earlier_era =
+        is_alive(known, timers_.now()) && !of_same_era(known_incarnation, incarnation);
+    return known_incarnation < incarnation && !runs_since_an_earlier_era;
+}
+
 bool host_registry::is_alive(const peer& item, instant now) const {
     return item.heard && now - item.last_heard_at < silence_limit;
 }
--- a/servers/fleet/host_registry.hpp
+++ b/servers/fleet/host_registry.hpp
@@ -92,6 +92,11 @@
         instant last_heard_at{};
         bool heard = false;
         double requests_per_s = 0.0;
+
+        /// Whether `incarnation` is of an earlier process than the known one. An entry that the
+        /// store has kept through a restoration bears a later era than its process, so an entry
+        /// alone does not make a process of an earlier era outdated.
+        bool replaces(std::uint64_t incarnation) const;
     };
 
     void queue_works(const std::vector<engine_work>& works);
@@ -105,7 +110,12 @@
     void forward_announcement(announcement message);
     std::vector<announcement_peer> announcement_peers() const;
     void expire_silent_peers();
+    /// Registers again once the store has been restored from a copy, which may lack the entry or
+    /// its lease.
+    void restore_registration();
     bool is_alive(const peer& item, instant now) const;
+    /// Whether an entry of the directory is of a later process than the known one.
+    bool is_new_entry(const peer& known, std::uint64_t incarnation) const;
 
     host_record self_;
     polled_store& store_;
@@ -124,6 +134,8 @@
     bool serving_ = false;
     instant serving_since_{};
     bool left_ = false;
+    /// Whether this host is about to register again in a later era of the store.
+    bool restoration_planned_ = false;
     double requests_per_s_ = 0.0;
     std::uint64_t sequence_ = 0;
     std::uint64_t heartbeat_count_ = 0;
--- a/servers/fleet/host_registry_lists.cpp
+++ b/servers/fleet/host_registry_lists.cpp
@@ -95,7 +95,7 @@
     for (const reported_host& host : hosts) {
         const instant last_heard_at = asked_at - host.age;
         peer& known = peers_[host.record.host];
-        const bool older = known.record.incarnation > host.record.incarnation ||
+        const bool older = known.replaces(host.record.incarnation) ||
                            (known.heard && known.last_heard_at >= last_heard_at);
         if (older || host.record.host == self_.host) {
             continue;
--- a/servers/fleet/store_view_sync.cpp
+++ b/servers/fleet/store_view_sync.cpp
@@ -4,6 +4,7 @@
 #include <utility>
 
 #include "core/fleet/view_sources.hpp"
+#include "core/freshness/store_revision.hpp"
 #include "core/hashing/rendezvous.hpp"
 #include "core/hashing/stagger_delay.hpp"
 #include "core/identity/names.hpp"
@@ -288,7 +289,7 @@
         if (const host_record* host = services_.hosts.find(reply.sender)) {
             fetch_configuration(*host, state, false);
         }
-    } else if (known_revision > 0) {
+    } else if (known_revision > 0 && same_era(known_revision, state.configuration_revision)) {
         confirm(state);
     }
     if (std::max(reply.configuration_age, reply.catalogue_age) > stale_age) {
@@ -304,7 +305,9 @@
 
 void store_view_sync::apply_catalogue(const catalogue_delta& delta, instant as_of) {
     services_.upstreams.apply(delta);
-    if (services_.upstreams.loaded() && services_.upstreams.revision() >= delta.revision) {
+    const std::int64_t known_revision = services_.upstreams.revision();
+    if (services_.upstreams.loaded() && known_revision >= delta.revision &&
+        same_era(known_revision, delta.revision)) {
         services_.upstream_mirror.advance(services_.upstreams.revision());
         services_.upstream_mirror.confirm(as_of);
     }
--- a/servers/fleet/upstream_registry.cpp
+++ b/servers/fleet/upstream_registry.cpp
@@ -4,6 +4,7 @@
 #include <utility>
 
 #include "core/error/operation_error.hpp"
+#include "core/freshness/store_revision.hpp"
 #include "servers/decision_log.hpp"
 #include "servers/fleet/upstream_codec.hpp"
 #include "servers/timer_service.hpp"
@@ -43,7 +44,9 @@
 catalogue_delta upstream_registry::changes_after(std::int64_t revision) const {
     catalogue_delta delta;
     delta.revision = revision_;
-    delta.complete = revision < last_dropped_removal_ || revision == 0;
+    // A copy of an earlier era may hold changes that the store has lost and this host never had.
+    delta.complete =
+        revision < last_dropped_removal_ || revision == 0 || !same_era(revision, revision_);
     for (const auto& [id, item] : entries_) {
         if (delta.complete || item.revision > revision) {
             delta.changes.push_back({item.entry, false, item.revision});
--- a/servers/store/prefix_mirror.cpp
+++ b/servers/store/prefix_mirror.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <utility>
 
+#include "core/freshness/store_revision.hpp"
 #include "servers/decision_log.hpp"
 #include "servers/store/mirror_listener.hpp"
 #include "servers/store/polled_store.hpp"
@@ -107,7 +108,16 @@
         log_.write(decision_log::level::info, "store_regained",
                    {{"prefix", prefix_}, {"revision", std::to_string(result.store_revision)}});
     }
-    const bool after_outage = leases_may_have_expired();
+    const bool restored = revision_ != 0 && !same_era(revision_, result.store_revision);
+    if (restored) {
+        log_.write(decision_log::level::warning, "store_restored",
+                   {{"prefix", prefix_},
+                    {"known_revision", std::to_string(revision_)},
+                    {"revision", std::to_string(result.store_revision)}});
+    }
+    // The entries of leases that were granted after the copy are missing until they are written
+    // again.
+    const bool after_outage = restored || leases_may_have_expired();
     failed_since_read_ = false;
     revision_ = result.store_revision;
     confirm(sent_at);
--- a/tests/platform/kv_store_test.cpp
+++ b/tests/platform/kv_store_test.cpp
@@ -6,6 +6,7 @@
 #include <string>
 #include <vector>
 
+#include "core/freshness/store_revision.hpp"
 #include "servers/store/change_batch.hpp"
 #include "servers/store/read_result.hpp"
 #include "tests/drivers/traffic/broken_heads.hpp"
@@ -45,9 +46,9 @@
         CHECK_TRUE(run_until(loop_, [&result] { return result.has_value(); }));
         return *result;
     }
-    change_batch poll(const std::string& body) {
+    change_batch poll(const std::string& body, std::int64_t after = 5) {
         std::optional<change_batch> result;
-        store_.poll("servers/", 5, std::chrono::seconds(1),
+        store_.poll("servers/", after, std::chrono::seconds(1),
                     [&result](const change_batch& value) { result = value; });
         answer(body);
         CHECK_TRUE(run_until(loop_, [&result] { return result.has_value(); }));
@@ -104,3 +105,87 @@
         CHECK_EQUAL(std::string(), page.values.front().value);
     }
 }
+
+TEST_GROUP_BASE(restored_store, TEST_GROUP_CppUTestGroupkv_store) {
+    static constexpr const char* page = R"({"store_revision":7,"items":[)"
+                                        R"({"key":"servers/a","value":"eA==","revision":6}]})";
+    static constexpr const char* changes =
+        R"({"store_revision":8,"events":[{"key":"servers/a","deleted":true,"revision":8}]})";
+
+    void set_era(const std::string& era) {
+        start_ = "200 OK\r\nStore-Era: " + era;
+    }
+};
+
+// Guards against copies that stay as they are because a restored store gives out lower revisions.
+TEST(restored_store, revisions_of_a_later_era_are_greater) {
+    set_era("1");
+    const std::int64_t before = read(page).store_revision;
+    set_era("2");
+    const read_result after = read(R"({"store_revision":3,"items":[{"key":"a","revision":2}]})");
+    CHECK_TRUE(after.store_revision > before);
+    CHECK_TRUE(after.values.front().revision > before);
+    LONGS_EQUAL(3, revision_number(after.store_revision));
+    LONGS_EQUAL(2, store_.era());
+}
+
+TEST(restored_store, poll_names_the_number_of_its_revision) {
+    set_era("2");
+    const change_batch batch = poll(changes, make_store_revision(2, 5));
+    CHECK_TRUE(server_.received.find("&after=5&") != std::string::npos);
+    LONGS_EQUAL(make_store_revision(2, 8), batch.store_revision);
+    LONGS_EQUAL(make_store_revision(2, 8), batch.events.front().value.revision);
+}
+
+// Guards against a poll that continues from a revision that was given out again.
+TEST(restored_store, history_of_an_earlier_era_is_not_available) {
+    set_era("2");
+    for (const std::int64_t after : {std::int64_t{5}, make_store_revision(1, 5)}) {
+        const change_batch batch = poll(changes, after);
+        CHECK_TRUE(batch.compacted);
+        CHECK_TRUE(batch.events.empty());
+    }
+}
+
+TEST(restored_store, answer_of_an_earlier_or_unknown_era_fails) {
+    set_era("2");
+    CHECK_TRUE(read(page).ok());
+    for (const char* const era : {"1", "0", "-3", "x", "2x", "", "99999999999999999999"}) {
+        set_era(era);
+        CHECK_FALSE(read(page).ok());
+        CHECK_FALSE(poll(changes, make_store_revision(2, 5)).ok());
+    }
+    start_ = "200 OK";
+    CHECK_FALSE(read(page).ok());
+    set_era("2");
+    CHECK_TRUE(read(page).ok());
+    CHECK_FALSE(poll(changes, make_store_revision(3, 5)).ok());
+}
+
+TEST(restored_store, pages_of_two_eras_are_no_snapshot) {
+    std::optional<read_result> result;
+    store_.read_prefix("servers/", [&result](const read_result& value) { result = value; });
+    set_era("1");
+    answer(R"({"store_revision":7,"has_more":true,"items":[{"key":"servers/a","revision":6}]})");
+    set_era("2");
+    answer(page);
+    CHECK_TRUE(run_until(loop_, [&result] { return result.has_value(); }));
+    CHECK_FALSE(result->ok());
+}
+
+TEST(restored_store, condition_of_an_earlier_era_does_not_hold) {
+    set_era("2");
+    CHECK_TRUE(read(page).ok());
+    std::optional<write_result> result;
+    store_.commit(compare_and_swap("hosts/a", make_store_revision(1, 6), "x"),
+                  [&result](const write_result& value) { result = value; });
+    CHECK_TRUE(run_until(loop_, [&result] { return result.has_value(); }));
+    CHECK_TRUE(result->outcome == write_outcome::conflict);
+}
+
+TEST(restored_store, revision_out_of_range_fails) {
+    for (const char* const number : {"-1", "1000000000000"}) {
+        CHECK_TRUE(is_decode_error(
+            read(R"({"store_revision":)" + std::string(number) + R"(,"items":[]})").failure));
+    }
+}
--- a/tests/servers/fleet/configuration_feed_test.cpp
+++ b/tests/servers/fleet/configuration_feed_test.cpp
@@ -3,6 +3,7 @@
 #include <CppUTest/TestHarness.h>
 
 #include "core/fleet/fleet_configuration.hpp"
+#include "core/freshness/store_revision.hpp"
 #include "servers/fleet/configuration_codec.hpp"
 #include "tests/servers/recording_log.hpp"
 
@@ -75,3 +76,29 @@
     LONGS_EQUAL(1, receiver_.current()->version());
     LONGS_EQUAL(2, log_.count("configuration_delta_unusable"));
 }
+
+// Guards against an older version that a restored store holds for a while.
+TEST(configuration_feed, older_version_of_a_later_era_is_not_handed_to_other_hosts) {
+    add_version(4);
+    receiver_.apply({"config", text(4), 40});
+    sender_.apply({"config", text(3), make_store_revision(1, 30)});
+    LONGS_EQUAL(4, sender_.current()->version());
+    LONGS_EQUAL(1, log_.count("configuration_older_in_store"));
+    const configuration_answer answer = sender_.answer_for(receiver_.revision());
+    CHECK_TRUE(answer.body.size() < 200);
+    CHECK_TRUE(receiver_.apply_answer(answer));
+    LONGS_EQUAL(4, receiver_.current()->version());
+    configuration_feed started{codec_, log_, "config"};
+    CHECK_TRUE(started.apply_answer(sender_.answer_for(0)));
+    LONGS_EQUAL(4, started.current()->version());
+    sender_.apply({"config", text(5), make_store_revision(1, 32)});
+    CHECK_TRUE(receiver_.apply_answer(sender_.answer_for(receiver_.revision())));
+    LONGS_EQUAL(5, receiver_.current()->version());
+}
+
+TEST(configuration_feed, value_of_a_lower_revision_is_ignored_and_logged) {
+    add_version(4);
+    sender_.apply({"config", text(5), 39});
+    LONGS_EQUAL(4, sender_.current()->version());
+    LONGS_EQUAL(1, log_.count("configuration_ignored"));
+}
--- a/tests/servers/fleet/upstream_registry_test.cpp
+++ b/tests/servers/fleet/upstream_registry_test.cpp
@@ -9,6 +9,7 @@
 #include <vector>
 
 #include "core/error/operation_error.hpp"
+#include "core/freshness/store_revision.hpp"
 #include "servers/fleet/upstream_codec.hpp"
 #include "tests/servers/recording_log.hpp"
 #include "tests/servers/virtual_timer_service.hpp"
@@ -287,3 +288,18 @@
     LONGS_EQUAL(1, plain.changes_after(6).changes.size());
     LONGS_EQUAL(0, log_.count("upstream_cold"));
 }
+
+TEST_GROUP_BASE(upstreams_of_a_restored_store, TEST_GROUP_CppUTestGroupupstream_registry){};
+
+TEST(upstreams_of_a_restored_store, copy_of_an_earlier_era_receives_the_whole_catalogue) {
+    upstream_registry other(codec_, timers_, log_, "u/");
+    other.on_snapshot({{"u/a", "ready", 2}, {"u/b", "ready", 3}, {"u/lost", "ready", 9}}, 9, false);
+    registry_.on_snapshot(
+        {{"u/a", "ready", make_store_revision(1, 2)}, {"u/c", "ready", make_store_revision(1, 4)}},
+        make_store_revision(1, 4), false);
+    const catalogue_delta delta = registry_.changes_after(other.revision());
+    CHECK_TRUE(delta.complete);
+    other.apply(delta);
+    LONGS_EQUAL(2, other.ready("s").size());
+    CHECK_TRUE(other.find("lost") == nullptr);
+}
--- a/tests/servers/store/prefix_mirror_test.cpp
+++ b/tests/servers/store/prefix_mirror_test.cpp
@@ -187,3 +187,21 @@
     timers_.advance(seconds(5));
     LONGS_EQUAL(calls, store_.calls);
 }
+
+TEST(prefix_mirror, restored_store_is_read_again_and_counts_as_an_outage) {
+    store_.copy();
+    store_.put("k/b", "2");
+    timers_.advance(seconds(1));
+    store_.restore();
+    store_.put("k/a", "3");
+    store_.put("k/c", "4");
+    timers_.advance(seconds(1));
+    CHECK_EQUAL(std::string("3"), copy_.content["k/a"]);
+    LONGS_EQUAL(0, copy_.content.count("k/b"));
+    LONGS_EQUAL(1, copy_.outages);
+    LONGS_EQUAL(1, log_.count("store_restored"));
+    store_.put("k/a", "5");
+    timers_.advance(seconds(1));
+    CHECK_EQUAL(std::string("5"), copy_.content["k/a"]);
+    LONGS_EQUAL(2, copy_.snapshots);
+}
