Upstream registry: a draining upstream stays draining when the store comes back older

A copy may list an upstream as ready whose report of draining the store had acknowledged and lost. It got new requests until it reported again, later than drain_ms after the first acknowledgement.

An entry that a restored store lists as ready is ignored for a process that is known to drain; a process does not become ready again. A later process under the same id is taken up as before.

Evidence: draining_process_stays_draining failed before (2 ready upstreams in place of 1), passes now.

--- a/servers/fleet/upstream_registry.cpp
+++ b/servers/fleet/upstream_registry.cpp
@@ -95,11 +95,12 @@
 
 void upstream_registry::on_snapshot(const std::vector<stored_value>& values, std::int64_t revision,
                                     bool after_outage) {
+    const bool restored = revision_ != 0 && !same_era(revision_, revision);
     revision_ = std::max(revision_, revision);
     std::set<std::string> listed_ids;
     for (const stored_value& value : values) {
         listed_ids.insert(value.key.substr(prefix_.size()));
-        apply_value(value);
+        apply_value(value, restored);
     }
     remove_all_but(listed_ids, revision, after_outage && loaded_);
     loaded_ = true;
@@ -136,17 +137,27 @@
         if (event.erased) {
             remove(event.value.key.substr(prefix_.size()), event.value.revision, "removed");
         } else {
-            apply_value(event.value);
+            apply_value(event.value, false);
         }
     }
     revision_ = std::max(revision_, revision);
     update_ready_index();
 }
 
-void upstream_registry::apply_value(const stored_value& value) {
+bool upstream_registry::is_draining(const upstream_lifetime& process) const {
+    const upstream_entry* const known = find(process.id);
+    return known != nullptr && known->state == upstream_state::draining &&
+           known->lifetime() == process;
+}
+
+void upstream_registry::apply_value(const stored_value& value, bool after_restoration) {
     const std::string id = value.key.substr(prefix_.size());
     try {
-        add_or_update(codec_.decode(id, value.value), value.revision);
+        const upstream_entry entry = codec_.decode(id, value.value);
+        // A process that drains does not become ready again; the store has lost its last report.
+        if (!after_restoration || !is_draining(entry.lifetime())) {
+            add_or_update(entry, value.revision);
+        }
     } catch (const operation_error& error) {
         log_.write(decision_log::level::warning, "upstream_unreadable",
                    {{"upstream", id},
--- a/servers/fleet/upstream_registry.hpp
+++ b/servers/fleet/upstream_registry.hpp
@@ -81,7 +81,9 @@
         std::int64_t revision = 0;
     };
 
-    void apply_value(const stored_value& value);
+    /// @param after_restoration  whether the value may be older than the known entry
+    void apply_value(const stored_value& value, bool after_restoration);
+    bool is_draining(const upstream_lifetime& process) const;
     void add_or_update(const upstream_entry& entry, std::int64_t revision);
     bool removed_lately(const upstream_lifetime& process) const;
     void note_cold(listed_entry& item, duration cold_time, std::int64_t revision,
--- a/tests/servers/fleet/upstream_registry_test.cpp
+++ b/tests/servers/fleet/upstream_registry_test.cpp
@@ -291,6 +291,18 @@
 
 TEST_GROUP_BASE(upstreams_of_a_restored_store, TEST_GROUP_CppUTestGroupupstream_registry){};
 
+// Guards against new requests to a draining upstream whose report the store has lost.
+TEST(upstreams_of_a_restored_store, draining_process_stays_draining) {
+    registry_.on_changes({change("a", "draining", 6)}, 6);
+    registry_.on_snapshot(
+        {{"u/a", "ready", make_store_revision(1, 2)}, {"u/b", "ready", make_store_revision(1, 3)}},
+        make_store_revision(1, 5), true);
+    LONGS_EQUAL(1, ready());
+    registry_.on_changes({change("a", "700", make_store_revision(1, 6))},
+                         make_store_revision(1, 6));
+    LONGS_EQUAL(2, ready());
+}
+
 TEST(upstreams_of_a_restored_store, copy_of_an_earlier_era_receives_the_whole_catalogue) {
     upstream_registry other(codec_, timers_, log_, "u/");
     other.on_snapshot({{"u/a", "ready", 2}, {"u/b", "ready", 3}, {"u/lost", "ready", 9}}, 9, false);
