Upstream connections: a host without a path reaches upstreams through other hosts

Cause: a host kept a verdict for each upstream and none for its own path, so that a lost path was read as 24 failed upstreams without room, and its own connections were its only way to them, although other hosts that reached them were heard all the while.

Change: connections to six different upstreams (all, if fewer) that fail in a row, without one that is established, mean a blocked path; three of them start probes of others. Connections, of orders too, then lead through another host (CONNECT on the TCP port of announcement_port, listed upstreams only, one hop) until a probe reaches an upstream. All decisions stay with the host that has the caller, so at most once, budgets and placement are as before. Ruled out: to call the host unready (callers keep their answer of the directory for up to three lifetimes), and hung kept connections (136 of 143 failed attempts ended with "connect: no answer in time").

Why it works: the path is told from the upstreams by what their failures have in common, and a host that callers still reach has peers that reach the upstreams. Tunnels pass on the end of a stream and a reset as they are.

--- a/core/health/upstream_health.hpp
+++ b/core/health/upstream_health.hpp
@@ -21,6 +21,8 @@
     void on_result(const upstream_id& upstream, attempt_evidence evidence, instant now);
     /// Removes the entry of an upstream that no longer exists.
     void forget(const upstream_id& upstream);
+    /// Removes all entries, because the path to the upstreams has changed.
+    void forget_all() { breakers_.clear(); }
     /// Number of upstreams with an entry.
     std::size_t size() const noexcept { return breakers_.size(); }
 
--- a/drivers/net/http_channel.cpp
+++ b/drivers/net/http_channel.cpp
@@ -9,7 +9,10 @@
 
 #include "core/relay/response_status.hpp"
 #include "drivers/control/control_loop.hpp"
+#include "drivers/net/dial_result.hpp"
 #include "drivers/net/socket_setup.hpp"
+#include "drivers/net/upstream_dial.hpp"
+#include "drivers/net/upstream_dialer.hpp"
 
 namespace fuchsiaquay {
 
@@ -28,8 +31,10 @@
 
 class http_channel::connection : public std::enable_shared_from_this<connection> {
 public:
-    connection(control_loop& loop, network_address server, std::size_t max_response_bytes)
+    connection(control_loop& loop, network_address server, std::size_t max_response_bytes,
+               upstream_dialer* dialer)
         : context_(loop.context()),
+          dialer_(dialer),
           server_(std::move(server)),
           max_response_bytes_(max_response_bytes),
           timer_(context_),
@@ -77,6 +82,10 @@
 
     void connect() {
         close();
+        if (dialer_ != nullptr) {
+            dial();
+            return;
+        }
         socket_ = std::make_shared<tcp::socket>(context_);
         socket_->async_connect(
             to_endpoint(server_),
@@ -93,6 +102,23 @@
             });
     }
 
+    void dial() {
+        dial_ = dialer_->dial(
+            server_, active_->call.timeout / 2,
+            [self = shared_from_this(), sequence = sequence_](const dial_result& result) {
+                if (sequence != self->sequence_) {
+                    return;
+                }
+                if (!result.socket) {
+                    self->fail(result.failure);
+                    return;
+                }
+                self->socket_ = result.socket;
+                set_up_socket(*self->socket_);
+                self->write();
+            });
+    }
+
     void write() {
         request_ = {};
         request_.version(http_1_1);
@@ -173,6 +199,10 @@
     }
 
     void close() {
+        if (dial_) {
+            dial_->cancel();
+            dial_.reset();
+        }
         if (socket_) {
             error_code ignored;
             socket_->close(ignored);
@@ -181,6 +211,8 @@
     }
 
     asio::io_context& context_;
+    upstream_dialer* dialer_;
+    std::shared_ptr<upstream_dial> dial_;
     network_address server_;
     std::size_t max_response_bytes_;
     asio::steady_timer timer_;
@@ -196,8 +228,9 @@
 };
 
 http_channel::http_channel(control_loop& loop, network_address server,
-                           std::size_t max_response_bytes)
-    : connection_(std::make_shared<connection>(loop, std::move(server), max_response_bytes)) {}
+                           std::size_t max_response_bytes, upstream_dialer* dialer)
+    : connection_(
+          std::make_shared<connection>(loop, std::move(server), max_response_bytes, dialer)) {}
 
 http_channel::~http_channel() {
     connection_->shut_down();
--- a/drivers/net/http_channel.hpp
+++ b/drivers/net/http_channel.hpp
@@ -11,6 +11,7 @@
 namespace fuchsiaquay {
 
 class control_loop;
+class upstream_dialer;
 
 /// Persistent connection to one HTTP server. Calls are sent one at a time, in order. A call that
 /// times out closes the connection; the next call opens a new one.
@@ -22,8 +23,10 @@
     static constexpr std::size_t default_max_response_bytes = 16'777'216;
 
     /// @param max_response_bytes  a longer response body fails its call
+    /// @param dialer  opens the connections to an upstream; null for other servers
     http_channel(control_loop& loop, network_address server,
-                 std::size_t max_response_bytes = default_max_response_bytes);
+                 std::size_t max_response_bytes = default_max_response_bytes,
+                 upstream_dialer* dialer = nullptr);
     http_channel(const http_channel&) = delete;
     http_channel& operator=(const http_channel&) = delete;
     ~http_channel();
--- /dev/null
+++ b/drivers/net/upstream_dial.cpp
@@ -0,0 +1,202 @@
+#include "drivers/net/upstream_dial.hpp"
+
+#include <utility>
+
+#include "drivers/control/control_loop.hpp"
+#include "drivers/net/socket_setup.hpp"
+
+namespace fuchsiaquay {
+
+namespace asio = boost::asio;
+namespace http = boost::beast::http;
+using asio::ip::tcp;
+using boost::system::error_code;
+
+namespace {
+
+constexpr int http_1_1 = 11;
+constexpr std::uint32_t max_answer_bytes = 1'024;
+/// Hosts that are asked for a tunnel before the upstream is tried directly.
+constexpr std::size_t max_peers_asked = 8;
+
+}  // namespace
+
+upstream_dial::upstream_dial(upstream_dialer& owner, network_address upstream,
+                             upstream_dialer::handler done)
+    : owner_(owner),
+      owner_alive_(owner.alive_),
+      upstream_(std::move(upstream)),
+      done_(std::move(done)),
+      timer_(owner.loop_.context()),
+      buffer_(max_answer_bytes) {}
+
+void upstream_dial::start(duration timeout, bool direct) {
+    // Throws for an address that is no IP number, which must not leave a running timer behind.
+    (void)to_endpoint(upstream_);
+    timer_.expires_after(timeout);
+    timer_.async_wait([self = shared_from_this()](const error_code& error) {
+        if (!error) {
+            self->on_timeout();
+        }
+    });
+    may_use_peers_ = !direct;
+    if (!start_with_peers()) {
+        connect_directly();
+    }
+}
+
+bool upstream_dial::start_with_peers() {
+    if (!may_use_peers_ || !owner_.blocked()) {
+        return false;
+    }
+    may_use_peers_ = false;
+    peers_ = owner_.usable_peers();
+    if (peers_.size() > max_peers_asked) {
+        peers_.resize(max_peers_asked);
+    }
+    try_next_peer();
+    return true;
+}
+
+void upstream_dial::connect_directly() {
+    peer_.reset();
+    socket_ = std::make_shared<tcp::socket>(timer_.get_executor());
+    socket_->async_connect(to_endpoint(upstream_),
+                           [self = shared_from_this(), socket = socket_](const error_code& error) {
+                               if (!self->done_ || self->owner_alive_.expired()) {
+                                   return;
+                               }
+                               self->owner_.record_direct(self->upstream_, !error);
+                               if (error) {
+                                   self->on_direct_failure(error);
+                               } else {
+                                   self->succeed();
+                               }
+                           });
+}
+
+void upstream_dial::on_direct_failure(const error_code& error) {
+    if (!start_with_peers()) {
+        // On a path in doubt, a refusal need not come from the upstream's host.
+        const bool refused = error == asio::error::connection_refused && !owner_.in_doubt();
+        fail(error.message(), refused);
+    }
+}
+
+void upstream_dial::try_next_peer() {
+    if (peers_.empty()) {
+        // The upstreams may be reachable again.
+        connect_directly();
+        return;
+    }
+    peer_ = peers_.front();
+    peers_.erase(peers_.begin());
+    socket_ = std::make_shared<tcp::socket>(timer_.get_executor());
+    socket_->async_connect(to_endpoint(*peer_),
+                           [self = shared_from_this(), socket = socket_](const error_code& error) {
+                               if (!self->done_ || self->owner_alive_.expired()) {
+                                   return;
+                               }
+                               if (error) {
+                                   self->owner_.avoid_peer(*self->peer_);
+                                   self->try_next_peer();
+                                   return;
+                               }
+                               self->ask_for_tunnel();
+                           });
+}
+
+void upstream_dial::ask_for_tunnel() {
+    request_ = {};
+    request_.version(http_1_1);
+    request_.method(http::verb::connect);
+    request_.target(upstream_.text());
+    request_.set(http::field::host, upstream_.text());
+    http::async_write(*socket_, request_,
+                      [self = shared_from_this(), socket = socket_](const error_code& error,
+                                                                    std::size_t /*bytes*/) {
+                          if (!self->done_ || self->owner_alive_.expired()) {
+                              return;
+                          }
+                          if (error) {
+                              self->owner_.avoid_peer(*self->peer_);
+                              self->try_next_peer();
+                              return;
+                          }
+                          self->read_answer();
+                      });
+}
+
+void upstream_dial::read_answer() {
+    buffer_.clear();
+    answer_.emplace();
+    answer_->skip(true);
+    http::async_read_header(
+        *socket_, buffer_, *answer_,
+        [self = shared_from_this(), socket = socket_](const error_code& error,
+                                                      std::size_t /*bytes*/) {
+            if (!self->done_ || self->owner_alive_.expired()) {
+                return;
+            }
+            const bool complete = !error && self->buffer_.size() == 0;
+            self->on_answer(complete ? static_cast<int>(self->answer_->get().result_int()) : 0);
+        });
+}
+
+void upstream_dial::on_answer(int status) {
+    if (status == static_cast<int>(http::status::ok)) {
+        owner_.record_tunnel(*peer_);
+        succeed();
+        return;
+    }
+    if (status == static_cast<int>(http::status::bad_gateway)) {
+        fail(error_code(asio::error::connection_refused).message(), true);
+        return;
+    }
+    owner_.avoid_peer(*peer_);
+    try_next_peer();
+}
+
+void upstream_dial::on_timeout() {
+    if (!done_ || owner_alive_.expired()) {
+        return;
+    }
+    if (peer_) {
+        owner_.avoid_peer(*peer_);
+    } else {
+        owner_.record_direct(upstream_, false);
+    }
+    fail("no answer in time", false);
+}
+
+void upstream_dial::succeed() {
+    set_up_traffic_socket(*socket_);
+    dial_result result;
+    result.socket = std::move(socket_);
+    finish(std::move(result));
+}
+
+void upstream_dial::fail(const std::string& reason, bool refused) {
+    dial_result result;
+    result.failure = "connect" + (peer_ ? " through " + peer_->text() : "") + ": " + reason;
+    result.refused = refused;
+    finish(std::move(result));
+}
+
+void upstream_dial::finish(dial_result result) {
+    const upstream_dialer::handler done = std::exchange(done_, {});
+    cancel();
+    done(std::move(result));
+}
+
+void upstream_dial::cancel() {
+    done_ = {};
+    timer_.cancel();
+    if (socket_) {
+        error_code ignored;
+        socket_->close(ignored);
+        socket_.reset();
+    }
+}
+
+}  // namespace fuchsiaquay
--- a/drivers/traffic/beast_exchange.cpp
+++ b/drivers/traffic/beast_exchange.cpp
@@ -7,7 +7,9 @@
 
 #include "core/relay/response_status.hpp"
 #include "drivers/control/control_loop.hpp"
-#include "drivers/net/socket_setup.hpp"
+#include "drivers/net/dial_result.hpp"
+#include "drivers/net/upstream_dial.hpp"
+#include "drivers/net/upstream_dialer.hpp"
 #include "servers/relay/exchange_listener.hpp"
 
 namespace fuchsiaquay {
@@ -32,10 +34,12 @@
 
 }  // namespace
 
-beast_exchange::beast_exchange(control_loop& loop, std::shared_ptr<upstream_connection_pool> pool,
+beast_exchange::beast_exchange(control_loop& loop, upstream_dialer& dialer,
+                               std::shared_ptr<upstream_connection_pool> pool,
                                const upstream_entry& upstream, std::string head,
                                std::shared_ptr<const std::string> body, exchange_listener& listener)
     : loop_(loop),
+      dialer_(dialer),
       pool_(std::move(pool)),
       upstream_(upstream.lifetime()),
       address_(upstream.address),
@@ -64,31 +68,23 @@
 }
 
 void beast_exchange::connect(duration timeout) {
-    // Throws for an address that is no IP number, which must not leave a running timer behind.
-    const tcp::endpoint endpoint = to_endpoint(address_);
-    socket_ = std::make_shared<tcp::socket>(loop_.context());
-    connect_timer_.emplace(loop_.context(), timeout);
-    connect_timer_->async_wait([self = shared_from_this()](const error_code& error) {
-        if (!error && !self->sent_) {
-            self->fail({self->sent_, self->reused_, "connect: no answer in time"});
-        }
-    });
-    socket_->async_connect(endpoint, [self = shared_from_this()](const error_code& error) {
-        if (self->listener_ == nullptr) {
-            return;
-        }
-        self->connect_timer_.reset();
-        if (error) {
-            const bool refused = error == asio::error::connection_refused;
-            self->fail({self->sent_, self->reused_, "connect: " + error.message(), refused});
-            return;
+    dial_ = dialer_.dial(address_, timeout, [self = shared_from_this()](dial_result result) {
+        if (self->listener_ != nullptr) {
+            self->on_connected(std::move(result));
         }
-        set_up_traffic_socket(*self->socket_);
-        self->write();
-        self->read();
     });
 }
 
+void beast_exchange::on_connected(dial_result result) {
+    if (!result.socket) {
+        fail({sent_, reused_, result.failure, result.refused});
+        return;
+    }
+    socket_ = std::move(result.socket);
+    write();
+    read();
+}
+
 void beast_exchange::write() {
     sent_ = true;
     std::array<asio::const_buffer, 2> parts{asio::buffer(head_), asio::const_buffer()};
@@ -281,7 +277,10 @@
 }
 
 void beast_exchange::close() {
-    connect_timer_.reset();
+    if (dial_) {
+        dial_->cancel();
+        dial_.reset();
+    }
     if (socket_) {
         error_code ignored;
         socket_->close(ignored);
--- a/drivers/traffic/beast_exchange.hpp
+++ b/drivers/traffic/beast_exchange.hpp
@@ -2,7 +2,6 @@
 
 #include <array>
 #include <boost/asio/ip/tcp.hpp>
-#include <boost/asio/steady_timer.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http.hpp>
 #include <memory>
@@ -17,14 +16,18 @@
 
 class control_loop;
 class exchange_listener;
+class upstream_dial;
+class upstream_dialer;
+struct dial_result;
 
 /// One request to an upstream. Reads while it writes, because an upstream may respond before it has
 /// read a long body; such a connection is not reused.
 class beast_exchange : public std::enable_shared_from_this<beast_exchange> {
 public:
-    beast_exchange(control_loop& loop, std::shared_ptr<upstream_connection_pool> pool,
-                   const upstream_entry& upstream, std::string head,
-                   std::shared_ptr<const std::string> body, exchange_listener& listener);
+    beast_exchange(control_loop& loop, upstream_dialer& dialer,
+                   std::shared_ptr<upstream_connection_pool> pool, const upstream_entry& upstream,
+                   std::string head, std::shared_ptr<const std::string> body,
+                   exchange_listener& listener);
 
     /// Sends the request on `idle_socket`, or on a new connection when it is null.
     /// @param connect_timeout  time limit for a new connection
@@ -38,6 +41,7 @@
 
     void reset_parser();
     void connect(duration timeout);
+    void on_connected(dial_result result);
     void write();
     void read();
     void on_read(std::size_t bytes);
@@ -57,6 +61,7 @@
     duration idle_lifetime() const;
 
     control_loop& loop_;
+    upstream_dialer& dialer_;
     std::shared_ptr<upstream_connection_pool> pool_;
     upstream_lifetime upstream_;
     network_address address_;
@@ -65,7 +70,7 @@
     /// Null once the exchange has ended.
     exchange_listener* listener_;
     upstream_connection_pool::socket_ptr socket_;
-    std::optional<boost::asio::steady_timer> connect_timer_;
+    std::shared_ptr<upstream_dial> dial_;
     boost::beast::flat_buffer buffer_;
     std::optional<parser_type> parser_;
     std::size_t parsed_bytes_ = 0;
--- a/drivers/traffic/beast_upstream_connector.cpp
+++ b/drivers/traffic/beast_upstream_connector.cpp
@@ -29,8 +29,8 @@
 
 }  // namespace
 
-beast_upstream_connector::beast_upstream_connector(control_loop& loop)
-    : loop_(loop), pool_(std::make_shared<upstream_connection_pool>()) {
+beast_upstream_connector::beast_upstream_connector(control_loop& loop, upstream_dialer& dialer)
+    : loop_(loop), dialer_(dialer), pool_(std::make_shared<upstream_connection_pool>()) {
     loop_.every(pool_cleanup_period, [this, pool = pool_] { pool->remove_expired(loop_.now()); });
 }
 
@@ -42,10 +42,14 @@
         idle_socket = pool_->acquire(upstream.lifetime(), loop_.now());
     }
     opened_connections_ += idle_socket ? 0 : 1;
-    auto exchange = std::make_shared<beast_exchange>(loop_, pool_, upstream, std::move(head),
-                                                     std::move(body), listener);
+    auto exchange = std::make_shared<beast_exchange>(loop_, dialer_, pool_, upstream,
+                                                     std::move(head), std::move(body), listener);
     exchange->start(std::move(idle_socket), options.connect_timeout);
     return std::make_unique<exchange_handle>(std::move(exchange));
 }
 
+void beast_upstream_connector::close_idle() {
+    pool_->clear();
+}
+
 }  // namespace fuchsiaquay
--- a/drivers/traffic/beast_upstream_connector.hpp
+++ b/drivers/traffic/beast_upstream_connector.hpp
@@ -8,23 +8,27 @@
 namespace fuchsiaquay {
 
 class control_loop;
+class upstream_dialer;
 
 /// Sends requests to upstreams with Boost.Beast over pooled connections.
 class beast_upstream_connector final : public upstream_connector {
 public:
-    /// @param loop  outlives the connector and its exchanges
-    explicit beast_upstream_connector(control_loop& loop);
+    /// The referenced objects must outlive the connector and its exchanges.
+    beast_upstream_connector(control_loop& loop, upstream_dialer& dialer);
 
     std::unique_ptr<upstream_exchange> open(const upstream_entry& upstream, std::string head,
                                             std::shared_ptr<const std::string> body,
                                             const connection_options& options,
                                             exchange_listener& listener) override;
 
+    /// Closes the idle connections.
+    void close_idle();
     /// Connections opened so far.
     std::uint64_t opened_connections() const noexcept { return opened_connections_; }
 
 private:
     control_loop& loop_;
+    upstream_dialer& dialer_;
     std::shared_ptr<upstream_connection_pool> pool_;
     std::uint64_t opened_connections_ = 0;
 };
--- a/drivers/traffic/upstream_connection_pool.hpp
+++ b/drivers/traffic/upstream_connection_pool.hpp
@@ -23,6 +23,7 @@
                  duration usable_for);
     /// Closes connections that the upstream may be about to close.
     void remove_expired(instant now);
+    void clear() { idle_.clear(); }
     std::size_t size() const;
 
 private:
--- a/main/entry_node.cpp
+++ b/main/entry_node.cpp
@@ -136,8 +136,9 @@
       health_(breaker_settings()),
       retry_budget_(settings.retries),
       own_data_centre_first_(placement_, settings.data_centre),
-      connector_(loop),
-      engine_memory_(loop, log, engine_memory_timeout),
+      dialer_(loop, log),
+      connector_(loop, dialer_),
+      engine_memory_(loop, log, dialer_, engine_memory_timeout),
       relay_memory_(settings.memory_bytes / relay_memory_divisor),
       relay_services_{
           settings.host,
@@ -162,6 +163,8 @@
           [this] { return hosts_.knows_all_work(); },
           settings.prefer_own_data_centre ? settings.data_centre : ""},
       relay_queue_(relay_services_),
+      tunnels_(loop, dialer_, settings.announcements,
+               [this](const network_address& upstream) { return tunnel_permission(upstream); }),
       callers_(make_caller_services(), settings.callers),
       readiness_(loop, settings.readiness,
                  [this](const std::string& /*target*/) { return handle_readiness(); }),
@@ -184,6 +187,7 @@
         health_.forget(upstream_id(upstream.id));
     });
     connect_cold_upstreams();
+    connect_upstream_paths();
     configuration_.on_change([this](const fleet_configuration& /*next*/) {
         upstreams_.report_cold();
         if (view_sync_.watches_store()) {
@@ -370,7 +374,8 @@
     const bool caller_caches_expired =
         elapsed >= std::min(settings_.directory_lifetime * directory_staleness_factor,
                             settings_.stop_grace - stop_margin);
-    if ((!caller_caches_expired || callers_.active_requests() > 0) && elapsed < max_elapsed) {
+    const bool needed = callers_.active_requests() > 0 || tunnels_.open_tunnels() > 0;
+    if ((!caller_caches_expired || needed) && elapsed < max_elapsed) {
         return;
     }
     log_.write(decision_log::level::info, "stopped",
--- a/main/entry_node.hpp
+++ b/main/entry_node.hpp
@@ -15,6 +15,8 @@
 #include "drivers/datagrams/udp_datagram_channel.hpp"
 #include "drivers/metrics/histogram_metrics.hpp"
 #include "drivers/net/http_endpoint.hpp"
+#include "drivers/net/tunnel_server.hpp"
+#include "drivers/net/upstream_dialer.hpp"
 #include "drivers/queries/http_host_queries.hpp"
 #include "drivers/traffic/beast_upstream_connector.hpp"
 #include "drivers/traffic/caller_server.hpp"
@@ -62,6 +64,12 @@
     host_load load() const;
     void update_retry_budget();
     void connect_cold_upstreams();
+    void connect_upstream_paths();
+    /// Tunnel addresses of the other hosts. Hosts of this data centre alternate with others, since
+    /// a whole data centre may have lost its paths.
+    std::vector<network_address> tunnel_addresses() const;
+    /// Whether another host may reach `upstream` through this one, as an HTTP status.
+    int tunnel_permission(const network_address& upstream) const;
     /// Updates what this host may send to upstreams that may be cold.
     void update_cold_budget();
     /// Time for which new upstreams are cold; absent if the service limits no requests meanwhile.
@@ -109,12 +117,14 @@
     fleet_retry_budget retry_budget_;
     interference_aware_placement placement_;
     data_centre_preference own_data_centre_first_;
+    upstream_dialer dialer_;
     beast_upstream_connector connector_;
     platform_engine_memory_client engine_memory_;
     relay_memory relay_memory_;
     histogram_metrics metrics_;
     relay_services relay_services_;
     relay_queue relay_queue_;
+    tunnel_server tunnels_;
     caller_server callers_;
     http_endpoint readiness_;
     http_endpoint directory_;
--- a/main/entry_settings.cpp
+++ b/main/entry_settings.cpp
@@ -36,7 +36,7 @@
         seconds_setting("listen", "body_timeout_s", "120",
                         "longest time for a caller to send a request"),
         port_setting("listen", "metrics_port", 9'100, "port of the metrics"),
-        port_setting("listen", "announcement_port", 9'101, "UDP port between hosts"),
+        port_setting("listen", "announcement_port", 9'101, "UDP and TCP port between hosts"),
         required_setting(text_setting("store", "address", "", "IP:PORT of the platform's store")),
         number_setting("configuration", "revocation_ms", "5000", 1, 3'600'000, "ms",
                        "longest time after which a revoked key may still be served"),
--- a/servers/fleet/upstream_registry.cpp
+++ b/servers/fleet/upstream_registry.cpp
@@ -41,6 +41,15 @@
     return found == entries_.end() ? nullptr : &found->second.entry;
 }
 
+std::vector<network_address> upstream_registry::addresses() const {
+    std::vector<network_address> result;
+    result.reserve(entries_.size());
+    for (const auto& [id, item] : entries_) {
+        result.push_back(item.entry.address);
+    }
+    return result;
+}
+
 catalogue_delta upstream_registry::changes_after(std::int64_t revision) const {
     catalogue_delta delta;
     delta.revision = revision_;
--- a/servers/fleet/upstream_registry.hpp
+++ b/servers/fleet/upstream_registry.hpp
@@ -40,6 +40,8 @@
     /// Whether the catalogue has been read at least once.
     bool loaded() const noexcept { return loaded_; }
     std::size_t size() const noexcept { return entries_.size(); }
+    /// Addresses of all listed upstreams.
+    std::vector<network_address> addresses() const;
     /// Sets the handler that is called for each upstream that is no longer listed.
     void on_removed(lifetime_handler handler) { removed_handler_ = std::move(handler); }
     /// Sets the handler that is called with each process that replaces an earlier one in its entry.
--- a/tests/drivers/traffic/upstream_connector_fixture.hpp
+++ b/tests/drivers/traffic/upstream_connector_fixture.hpp
@@ -8,11 +8,13 @@
 #include <string>
 #include <utility>
 
+#include "drivers/net/upstream_dialer.hpp"
 #include "drivers/traffic/beast_upstream_connector.hpp"
 #include "servers/relay/connection_options.hpp"
 #include "servers/relay/exchange_listener.hpp"
 #include "servers/relay/upstream_exchange.hpp"
 #include "tests/drivers/traffic/raw_server.hpp"
+#include "tests/servers/recording_log.hpp"
 
 namespace fuchsiaquay::testing {
 
@@ -44,7 +46,9 @@
 struct upstream_connector_fixture : Utest {
     control_loop loop_;
     raw_server server_{loop_};
-    beast_upstream_connector connector_{loop_};
+    recording_log log_;
+    upstream_dialer dialer_{loop_, log_};
+    beast_upstream_connector connector_{loop_, dialer_};
     recording_listener listener_;
     std::unique_ptr<upstream_exchange> exchange_;
     std::int64_t started_at_ms_ = 0;
--- a/tests/platform/platform_engine_memory_client_test.cpp
+++ b/tests/platform/platform_engine_memory_client_test.cpp
@@ -5,6 +5,7 @@
 #include <optional>
 #include <string>
 
+#include "drivers/net/upstream_dialer.hpp"
 #include "tests/drivers/traffic/broken_heads.hpp"
 #include "tests/drivers/traffic/raw_server.hpp"
 #include "tests/servers/recording_log.hpp"
@@ -16,7 +17,8 @@
     control_loop loop_;
     recording_log log_;
     raw_server server_{loop_};
-    platform_engine_memory_client client_{loop_, log_, std::chrono::seconds(3)};
+    upstream_dialer dialer_{loop_, log_};
+    platform_engine_memory_client client_{loop_, log_, dialer_, std::chrono::seconds(3)};
 
     /// Whether an order is taken as carried out when the engine answers it with `response`.
     bool reserve(const std::string& response) {
