Tunnels: only listed hosts may ask for them; no timer while the path is free

Found when reading the change afresh: the tunnel port connected everybody who reaches it to the upstreams, past the API keys, and the dialer woke up ten times a second for nothing. The address of a listed host is now required (403 otherwise), and probes are planned only while the path is blocked.

--- a/drivers/net/tunnel_server.cpp
+++ b/drivers/net/tunnel_server.cpp
@@ -109,7 +109,9 @@
             answer(static_cast<int>(http::status::bad_request));
             return;
         }
-        const int status = owner_->permit_(upstream_address_);
+        error_code ignored;
+        const std::string from = host_->remote_endpoint(ignored).address().to_string();
+        const int status = owner_->permit_(from, upstream_address_);
         if (status != static_cast<int>(http::status::ok)) {
             answer(status);
             return;
--- a/drivers/net/tunnel_server.hpp
+++ b/drivers/net/tunnel_server.hpp
@@ -4,6 +4,7 @@
 #include <cstdint>
 #include <functional>
 #include <memory>
+#include <string>
 
 #include "core/fleet/network_address.hpp"
 
@@ -17,8 +18,8 @@
 /// did not answer, 403 if it may not be reached from here, and 503 if this host cannot help.
 class tunnel_server {
 public:
-    /// Decides on a request: the status that refuses it, or 200.
-    using permission = std::function<int(const network_address& upstream)>;
+    /// Decides on a request from the IP address `from`: the status that refuses it, or 200.
+    using permission = std::function<int(const std::string& from, const network_address& upstream)>;
 
     /// Starts to listen.
     /// @throws operation_error  `address` cannot be bound
--- a/drivers/net/upstream_dialer.cpp
+++ b/drivers/net/upstream_dialer.cpp
@@ -11,7 +11,6 @@
 
 namespace {
 
-constexpr duration tick_period = std::chrono::milliseconds(100);
 /// Period of connections that show whether a blocked path is free again.
 constexpr duration probe_period = std::chrono::milliseconds(500);
 constexpr duration probe_timeout = std::chrono::milliseconds(400);
@@ -22,13 +21,7 @@
 
 }  // namespace
 
-upstream_dialer::upstream_dialer(control_loop& loop, decision_log& log) : loop_(loop), log_(log) {
-    loop_.every(tick_period, [this, alive = std::weak_ptr<int>(alive_)] {
-        if (!alive.expired()) {
-            tick();
-        }
-    });
-}
+upstream_dialer::upstream_dialer(control_loop& loop, decision_log& log) : loop_(loop), log_(log) {}
 
 upstream_dialer::~upstream_dialer() = default;
 
@@ -61,12 +54,16 @@
     return path_.blocked() || path_.in_doubt(loop_.now());
 }
 
-void upstream_dialer::tick() {
-    const instant now = loop_.now();
-    if (!path_.blocked() || now - probed_at_ < probe_period) {
-        return;
-    }
-    probed_at_ = now;
+void upstream_dialer::plan_probe() {
+    loop_.after(probe_period, [this, alive = std::weak_ptr<int>(alive_)] {
+        if (!alive.expired() && path_.blocked()) {
+            probe_next();
+            plan_probe();
+        }
+    });
+}
+
+void upstream_dialer::probe_next() {
     const std::vector<network_address> upstreams = upstreams_();
     if (!upstreams.empty()) {
         probe(upstreams[next_probe_++ % upstreams.size()]);
@@ -116,6 +113,7 @@
         log_.write(decision_log::level::warning, "upstreams_unreachable",
                    {{"upstreams", std::to_string(upstreams_ ? upstreams_().size() : 0)},
                     {"peers", std::to_string(usable_peers().size())}});
+        plan_probe();
     } else {
         log_.write(decision_log::level::info, "upstreams_reachable",
                    {{"after_ms", std::to_string(to_milliseconds(now - blocked_since_))},
--- a/drivers/net/upstream_dialer.hpp
+++ b/drivers/net/upstream_dialer.hpp
@@ -57,8 +57,10 @@
 private:
     friend class upstream_dial;
 
-    void tick();
     void probe_doubtful();
+    /// Plans the next connection that shows whether the blocked path is free again.
+    void plan_probe();
+    void probe_next();
     void probe(const network_address& upstream);
     void report_change();
     void record_tunnel(const network_address& peer);
@@ -75,7 +77,6 @@
     upstream_path path_;
     bool reported_blocked_ = false;
     instant blocked_since_{};
-    instant probed_at_{};
     std::size_t next_probe_ = 0;
     std::map<network_address, std::shared_ptr<upstream_dial>> probes_;
     /// Hosts whose tunnels are not used until the given time.
--- a/main/entry_node.cpp
+++ b/main/entry_node.cpp
@@ -164,7 +164,9 @@
           settings.prefer_own_data_centre ? settings.data_centre : ""},
       relay_queue_(relay_services_),
       tunnels_(loop, dialer_, settings.announcements,
-               [this](const network_address& upstream) { return tunnel_permission(upstream); }),
+               [this](const std::string& from, const network_address& upstream) {
+                   return tunnel_permission(from, upstream);
+               }),
       callers_(make_caller_services(), settings.callers),
       readiness_(loop, settings.readiness,
                  [this](const std::string& /*target*/) { return handle_readiness(); }),
--- a/main/entry_node.hpp
+++ b/main/entry_node.hpp
@@ -68,8 +68,9 @@
     /// Tunnel addresses of the other hosts. Hosts of this data centre alternate with others, since
     /// a whole data centre may have lost its paths.
     std::vector<network_address> tunnel_addresses() const;
-    /// Whether another host may reach `upstream` through this one, as an HTTP status.
-    int tunnel_permission(const network_address& upstream) const;
+    /// Whether the host at the IP address `from` may reach `upstream` through this one, as an HTTP
+    /// status.
+    int tunnel_permission(const std::string& from, const network_address& upstream) const;
     /// Updates what this host may send to upstreams that may be cold.
     void update_cold_budget();
     /// Time for which new upstreams are cold; absent if the service limits no requests meanwhile.
--- a/main/entry_node_paths.cpp
+++ b/main/entry_node_paths.cpp
@@ -2,6 +2,7 @@
 /// The part of `entry_node` that reaches upstreams through other hosts, and others through it.
 
 #include <algorithm>
+#include <string>
 #include <vector>
 
 #include "core/hashing/hash.hpp"
@@ -51,13 +52,17 @@
     return result;
 }
 
-int entry_node::tunnel_permission(const network_address& upstream) const {
+int entry_node::tunnel_permission(const std::string& from, const network_address& upstream) const {
     if (stopping_ || dialer_.blocked()) {
         return status_unavailable;
     }
+    const std::vector<host_record> hosts = hosts_.listed_peers();
+    const bool from_host =
+        std::any_of(hosts.begin(), hosts.end(),
+                    [&from](const host_record& host) { return host.datagram_address.ip == from; });
     const std::vector<network_address> listed = upstreams_.addresses();
-    return std::find(listed.begin(), listed.end(), upstream) == listed.end() ? status_forbidden
-                                                                             : status_ok;
+    const bool to_upstream = std::find(listed.begin(), listed.end(), upstream) != listed.end();
+    return from_host && to_upstream ? status_ok : status_forbidden;
 }
 
 }  // namespace fuchsiaquay
--- a/tests/drivers/traffic/stranded_host_fixture.hpp
+++ b/tests/drivers/traffic/stranded_host_fixture.hpp
@@ -16,8 +16,13 @@
     upstream_dialer peer_dialer_{loop_, log_};
     network_address tunnel_address_ = free_address();
     int permission_ = status_ok;
+    /// IP address of the last host that asked for a tunnel.
+    std::string asked_from_;
     tunnel_server tunnels_{loop_, peer_dialer_, tunnel_address_,
-                           [this](const network_address& /*upstream*/) { return permission_; }};
+                           [this](const std::string& from, const network_address& /*upstream*/) {
+                               asked_from_ = from;
+                               return permission_;
+                           }};
     std::vector<network_address> upstreams_ = dead_;
     std::vector<network_address> peers_{tunnel_address_};
     int path_changes_ = 0;
--- a/tests/drivers/traffic/stranded_host_test.cpp
+++ b/tests/drivers/traffic/stranded_host_test.cpp
@@ -24,6 +24,7 @@
     CHECK_EQUAL(std::string("whole"), listener_.body);
     LONGS_EQUAL(1, dialer_.tunnelled());
     LONGS_EQUAL(1, tunnels_.opened());
+    CHECK_EQUAL(std::string("127.0.0.1"), asked_from_);
     CHECK_TRUE(dialer_.blocked());
 }
 
@@ -43,10 +44,12 @@
     upstream_dialer other_dialer(loop_, log_);
     int asked = 0;
     const network_address other = free_address();
-    tunnel_server other_tunnels(loop_, other_dialer, other, [&asked](const network_address&) {
-        ++asked;
-        return status_unavailable;
-    });
+    tunnel_server other_tunnels(
+        loop_, other_dialer, other,
+        [&asked](const std::string& /*from*/, const network_address& /*upstream*/) {
+            ++asked;
+            return status_unavailable;
+        });
     peers_ = {free_address(), other, tunnel_address_};
     for (int i = 0; i < 3; ++i) {
         listener_.clear();
@@ -63,10 +66,12 @@
     upstream_dialer other_dialer(loop_, log_);
     int asked = 0;
     const network_address other = free_address();
-    tunnel_server other_tunnels(loop_, other_dialer, other, [&asked](const network_address&) {
-        ++asked;
-        return status_unavailable;
-    });
+    tunnel_server other_tunnels(
+        loop_, other_dialer, other,
+        [&asked](const std::string& /*from*/, const network_address& /*upstream*/) {
+            ++asked;
+            return status_unavailable;
+        });
     peers_ = {other, tunnel_address_};
     for (int i = 0; i < 4; ++i) {
         listener_.clear();
