Host messages: number and era of a revision are separate fields

Cause: revisions were sent to other hosts with the era inside, so that a host of the earlier version knew a configuration of revision and ignored those that it read from the store as 13 and 14.

Change: datagrams and queries carry the number in the fields that they always had, and the era in new ones, which earlier versions skip. A number without an era in a question is one of the present era.

Why it works: the earlier version reads what it always read and compares it with the store's own numbers; this one orders eras first, as before.

--- a/drivers/datagrams/datagram_codec.cpp
+++ b/drivers/datagrams/datagram_codec.cpp
@@ -4,6 +4,7 @@
 #include <vector>
 
 #include "core/error/operation_error.hpp"
+#include "core/freshness/store_revision.hpp"
 #include "drivers/datagrams/datagram_generated.h"
 
 namespace fuchsiaquay {
@@ -23,6 +24,15 @@
     return static_cast<enumeration>(std::min(value, static_cast<std::uint8_t>(last)));
 }
 
+std::int64_t read_revision(std::int64_t era, std::int64_t number) {
+    if (!is_store_revision(era, number)) {
+        throw operation_error(
+            "decode datagram", "",
+            "no revision: era " + std::to_string(era) + ", number " + std::to_string(number));
+    }
+    return make_store_revision(era, number);
+}
+
 engine_work read_work(const wire::work& item, instant now) {
     engine_work result;
     result.key = item.key();
@@ -49,7 +59,8 @@
     result.datagram_address = parse_network_address(read_string(item.datagrams()));
     result.query_address = parse_network_address(read_string(item.queries()));
     result.processor_share = item.processor_share();
-    result.incarnation = item.incarnation();
+    result.incarnation = static_cast<std::uint64_t>(
+        read_revision(item.incarnation_era(), static_cast<std::int64_t>(item.incarnation())));
     return result;
 }
 
@@ -121,7 +132,8 @@
     result.state = read_enumeration(root.state(), host_state::standby);
     result.requests_per_s = root.requests_per_s();
     result.sequence = root.sequence();
-    result.configuration_revision = root.configuration_revision();
+    result.configuration_revision =
+        read_revision(root.configuration_era(), root.configuration_revision());
     result.complete = root.complete();
     result.forward = root.forward();
     result.works =
@@ -147,7 +159,7 @@
     // A host of another version may pass on an entry that this one cannot use.
     const bool usable = !result.entry.address.empty() && result.entry.slots > 0;
     result.removed = item.removed() || !usable;
-    result.revision = item.revision();
+    result.revision = read_revision(item.era(), item.revision());
     return result;
 }
 
@@ -167,11 +179,12 @@
     view_reply result;
     result.sender = read_string(root.sender());
     result.nonce = root.nonce();
-    result.configuration_revision = root.configuration_revision();
+    result.configuration_revision =
+        read_revision(root.configuration_era(), root.configuration_revision());
     result.configuration_age = duration(root.configuration_age_us());
     result.catalogue_age = duration(root.catalogue_age_us());
     result.catalogue.complete = root.complete();
-    result.catalogue.revision = root.catalogue_revision();
+    result.catalogue.revision = read_revision(root.catalogue_era(), root.catalogue_revision());
     result.catalogue.changes = read_list(
         root.changes(), [](const wire::upstream_change* item) { return read_change(*item); });
     result.serving_hosts =
@@ -179,8 +192,10 @@
     result.quarantined_parts = read_quarantined(root.quarantined_parts(), now);
     result.rate_limits = read_rate_limits(root.rate_limits(), now);
     const std::vector<std::string> evacuated = read_strings(root.evacuated());
-    result.evacuations = {{evacuated.begin(), evacuated.end()}, root.evacuations_revision()};
-    result.evacuations_as_of = root.evacuations_as_of();
+    result.evacuations = {{evacuated.begin(), evacuated.end()},
+                          read_revision(root.evacuations_era(), root.evacuations_revision())};
+    result.evacuations_as_of =
+        read_revision(root.evacuations_as_of_era(), root.evacuations_as_of());
     result.invitation = root.invitation();
     result.catalogue_left_out = root.catalogue_left_out();
     return result;
@@ -194,7 +209,7 @@
     result.sender.processor_share = root.processor_share();
     result.standby = root.standby();
     result.nonce = root.nonce();
-    result.catalogue_revision = root.catalogue_revision();
+    result.catalogue_revision = read_revision(root.catalogue_era(), root.catalogue_revision());
     if (result.sender.host.empty() || result.sender.datagram_address.empty()) {
         throw operation_error("decode datagram", result.sender.host,
                               "the host or its address is missing");
--- a/drivers/datagrams/datagram_encoding.cpp
+++ b/drivers/datagrams/datagram_encoding.cpp
@@ -3,6 +3,7 @@
 
 #include <vector>
 
+#include "core/freshness/store_revision.hpp"
 #include "drivers/datagrams/datagram_codec.hpp"
 #include "drivers/datagrams/datagram_generated.h"
 
@@ -15,6 +16,14 @@
 using quarantined_list = flatbuffers::Vector<flatbuffers::Offset<wire::quarantined_part>>;
 using rate_limit_list = flatbuffers::Vector<flatbuffers::Offset<wire::rate_limit>>;
 
+std::uint64_t incarnation_number(const host_record& host) {
+    return static_cast<std::uint64_t>(revision_number(static_cast<std::int64_t>(host.incarnation)));
+}
+
+std::int64_t incarnation_era(const host_record& host) {
+    return era_of(static_cast<std::int64_t>(host.incarnation));
+}
+
 /// Visitor that encodes each type of message.
 struct message_writer {
     builder_type& builder;
@@ -49,14 +58,16 @@
         const auto answered = write_strings(prompt_parts.answered);
         const auto quarantined = write_quarantined(prompt_parts.quarantined);
         const auto rate_limits = write_rate_limits(message.rate_limits);
-        finish(wire::message_announcement,
-               wire::Createannouncement(
-                   builder, host, data_centre, callers, datagrams, queries,
-                   message.sender.incarnation, static_cast<std::uint8_t>(message.state),
-                   message.sequence, message.configuration_revision, message.complete, work_list,
-                   slow_list, message.forward, message.sender.processor_share,
-                   message.requests_per_s, ends, answered, quarantined, rate_limits, gone)
-                   .Union());
+        finish(
+            wire::message_announcement,
+            wire::Createannouncement(
+                builder, host, data_centre, callers, datagrams, queries,
+                incarnation_number(message.sender), static_cast<std::uint8_t>(message.state),
+                message.sequence, revision_number(message.configuration_revision), message.complete,
+                work_list, slow_list, message.forward, message.sender.processor_share,
+                message.requests_per_s, ends, answered, quarantined, rate_limits, gone,
+                incarnation_era(message.sender), era_of(message.configuration_revision))
+                .Union());
     }
 
     /// Empty lists are omitted.
@@ -127,9 +138,10 @@
         const auto data_centre = builder.CreateString(message.sender.data_centre);
         const auto datagrams = builder.CreateString(message.sender.datagram_address.text());
         finish(wire::message_view_request,
-               wire::Createview_request(builder, sender, message.nonce, message.catalogue_revision,
-                                        data_centre, datagrams, message.sender.processor_share,
-                                        message.standby)
+               wire::Createview_request(builder, sender, message.nonce,
+                                        revision_number(message.catalogue_revision), data_centre,
+                                        datagrams, message.sender.processor_share, message.standby,
+                                        era_of(message.catalogue_revision))
                    .Union());
     }
 
@@ -141,8 +153,9 @@
         const auto datagrams = builder.CreateString(record.datagram_address.text());
         const auto queries = builder.CreateString(record.query_address.text());
         return wire::Createhost(builder, name, data_centre, callers, datagrams, queries,
-                                record.processor_share, record.incarnation,
-                                static_cast<std::uint8_t>(item.state), item.age.count());
+                                record.processor_share, incarnation_number(record),
+                                static_cast<std::uint8_t>(item.state), item.age.count(),
+                                incarnation_era(record));
     }
 
     void operator()(const view_reply& message) const {
@@ -158,8 +171,9 @@
             const auto data_centre = builder.CreateSharedString(item.entry.data_centre);
             changes.push_back(wire::Createupstream_change(
                 builder, id, service, address, item.entry.slots,
-                static_cast<std::uint8_t>(item.entry.state), item.removed, item.revision,
-                item.entry.started_at_ms, data_centre, item.entry.cold_time.count()));
+                static_cast<std::uint8_t>(item.entry.state), item.removed,
+                revision_number(item.revision), item.entry.started_at_ms, data_centre,
+                item.entry.cold_time.count(), era_of(item.revision)));
         }
         const auto sender = builder.CreateString(message.sender);
         const auto change_list = builder.CreateVector(changes);
@@ -168,14 +182,18 @@
         const auto rate_limits = write_rate_limits(message.rate_limits);
         const auto& names = message.evacuations.data_centres();
         const auto evacuated = write_strings({names.begin(), names.end()});
-        finish(wire::message_view_reply,
-               wire::Createview_reply(
-                   builder, sender, message.nonce, message.configuration_revision,
-                   message.configuration_age.count(), message.catalogue_age.count(),
-                   message.catalogue.complete, message.catalogue.revision, change_list, serving,
-                   message.invitation, message.catalogue_left_out, quarantined, rate_limits,
-                   evacuated, message.evacuations.revision(), message.evacuations_as_of)
-                   .Union());
+        finish(
+            wire::message_view_reply,
+            wire::Createview_reply(
+                builder, sender, message.nonce, revision_number(message.configuration_revision),
+                message.configuration_age.count(), message.catalogue_age.count(),
+                message.catalogue.complete, revision_number(message.catalogue.revision),
+                change_list, serving, message.invitation, message.catalogue_left_out, quarantined,
+                rate_limits, evacuated, revision_number(message.evacuations.revision()),
+                revision_number(message.evacuations_as_of), era_of(message.configuration_revision),
+                era_of(message.catalogue.revision), era_of(message.evacuations.revision()),
+                era_of(message.evacuations_as_of))
+                .Union());
     }
 
 private:
--- a/drivers/datagrams/datagram_generated.h
+++ b/drivers/datagrams/datagram_generated.h
@@ -702,7 +702,9 @@
     VT_ANSWERED_PARTS = 36,
     VT_QUARANTINED_PARTS = 38,
     VT_RATE_LIMITS = 40,
-    VT_GONE_LIFETIMES = 44
+    VT_GONE_LIFETIMES = 44,
+    VT_INCARNATION_ERA = 46,
+    VT_CONFIGURATION_ERA = 48
   };
   const flatbuffers::String *host() const {
     return GetPointer<const flatbuffers::String *>(VT_HOST);
@@ -764,6 +766,12 @@
   const flatbuffers::Vector<flatbuffers::Offset<fuchsiaquay::wire::upstream_lifetime>> *gone_lifetimes() const {
     return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<fuchsiaquay::wire::upstream_lifetime>> *>(VT_GONE_LIFETIMES);
   }
+  int64_t incarnation_era() const {
+    return GetField<int64_t>(VT_INCARNATION_ERA, 0);
+  }
+  int64_t configuration_era() const {
+    return GetField<int64_t>(VT_CONFIGURATION_ERA, 0);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffset(verifier, VT_HOST) &&
@@ -805,6 +813,8 @@
            VerifyOffset(verifier, VT_GONE_LIFETIMES) &&
            verifier.VerifyVector(gone_lifetimes()) &&
            verifier.VerifyVectorOfTables(gone_lifetimes()) &&
+           VerifyField<int64_t>(verifier, VT_INCARNATION_ERA, 8) &&
+           VerifyField<int64_t>(verifier, VT_CONFIGURATION_ERA, 8) &&
            verifier.EndTable();
   }
 };
@@ -873,6 +883,12 @@
   void add_gone_lifetimes(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<fuchsiaquay::wire::upstream_lifetime>>> gone_lifetimes) {
     fbb_.AddOffset(announcement::VT_GONE_LIFETIMES, gone_lifetimes);
   }
+  void add_incarnation_era(int64_t incarnation_era) {
+    fbb_.AddElement<int64_t>(announcement::VT_INCARNATION_ERA, incarnation_era, 0);
+  }
+  void add_configuration_era(int64_t configuration_era) {
+    fbb_.AddElement<int64_t>(announcement::VT_CONFIGURATION_ERA, configuration_era, 0);
+  }
   explicit announcementBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -905,8 +921,12 @@
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>>> answered_parts = 0,
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<fuchsiaquay::wire::quarantined_part>>> quarantined_parts = 0,
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<fuchsiaquay::wire::rate_limit>>> rate_limits = 0,
-    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<fuchsiaquay::wire::upstream_lifetime>>> gone_lifetimes = 0) {
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<fuchsiaquay::wire::upstream_lifetime>>> gone_lifetimes = 0,
+    int64_t incarnation_era = 0,
+    int64_t configuration_era = 0) {
   announcementBuilder builder_(_fbb);
+  builder_.add_configuration_era(configuration_era);
+  builder_.add_incarnation_era(incarnation_era);
   builder_.add_requests_per_s(requests_per_s);
   builder_.add_processor_share(processor_share);
   builder_.add_configuration_revision(configuration_revision);
@@ -951,7 +971,9 @@
     const std::vector<flatbuffers::Offset<flatbuffers::String>> *answered_parts = nullptr,
     const std::vector<flatbuffers::Offset<fuchsiaquay::wire::quarantined_part>> *quarantined_parts = nullptr,
     const std::vector<flatbuffers::Offset<fuchsiaquay::wire::rate_limit>> *rate_limits = nullptr,
-    const std::vector<flatbuffers::Offset<fuchsiaquay::wire::upstream_lifetime>> *gone_lifetimes = nullptr) {
+    const std::vector<flatbuffers::Offset<fuchsiaquay::wire::upstream_lifetime>> *gone_lifetimes = nullptr,
+    int64_t incarnation_era = 0,
+    int64_t configuration_era = 0) {
   auto host__ = host ? _fbb.CreateString(host) : 0;
   auto data_centre__ = data_centre ? _fbb.CreateString(data_centre) : 0;
   auto callers__ = callers ? _fbb.CreateString(callers) : 0;
@@ -985,7 +1007,9 @@
       answered_parts__,
       quarantined_parts__,
       rate_limits__,
-      gone_lifetimes__);
+      gone_lifetimes__,
+      incarnation_era,
+      configuration_era);
 }
 
 struct host FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
@@ -999,7 +1023,8 @@
     VT_PROCESSOR_SHARE = 14,
     VT_INCARNATION = 16,
     VT_STATE = 18,
-    VT_AGE_US = 20
+    VT_AGE_US = 20,
+    VT_INCARNATION_ERA = 22
   };
   const flatbuffers::String *name() const {
     return GetPointer<const flatbuffers::String *>(VT_NAME);
@@ -1028,6 +1053,9 @@
   int64_t age_us() const {
     return GetField<int64_t>(VT_AGE_US, 0);
   }
+  int64_t incarnation_era() const {
+    return GetField<int64_t>(VT_INCARNATION_ERA, 0);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffset(verifier, VT_NAME) &&
@@ -1044,6 +1072,7 @@
            VerifyField<uint64_t>(verifier, VT_INCARNATION, 8) &&
            VerifyField<uint8_t>(verifier, VT_STATE, 1) &&
            VerifyField<int64_t>(verifier, VT_AGE_US, 8) &&
+           VerifyField<int64_t>(verifier, VT_INCARNATION_ERA, 8) &&
            verifier.EndTable();
   }
 };
@@ -1079,6 +1108,9 @@
   void add_age_us(int64_t age_us) {
     fbb_.AddElement<int64_t>(host::VT_AGE_US, age_us, 0);
   }
+  void add_incarnation_era(int64_t incarnation_era) {
+    fbb_.AddElement<int64_t>(host::VT_INCARNATION_ERA, incarnation_era, 0);
+  }
   explicit hostBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -1100,8 +1132,10 @@
     double processor_share = 0.0,
     uint64_t incarnation = 0,
     uint8_t state = 0,
-    int64_t age_us = 0) {
+    int64_t age_us = 0,
+    int64_t incarnation_era = 0) {
   hostBuilder builder_(_fbb);
+  builder_.add_incarnation_era(incarnation_era);
   builder_.add_age_us(age_us);
   builder_.add_incarnation(incarnation);
   builder_.add_processor_share(processor_share);
@@ -1124,7 +1158,8 @@
     double processor_share = 0.0,
     uint64_t incarnation = 0,
     uint8_t state = 0,
-    int64_t age_us = 0) {
+    int64_t age_us = 0,
+    int64_t incarnation_era = 0) {
   auto name__ = name ? _fbb.CreateString(name) : 0;
   auto data_centre__ = data_centre ? _fbb.CreateString(data_centre) : 0;
   auto callers__ = callers ? _fbb.CreateString(callers) : 0;
@@ -1140,7 +1175,8 @@
       processor_share,
       incarnation,
       state,
-      age_us);
+      age_us,
+      incarnation_era);
 }
 
 struct view_request FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
@@ -1152,7 +1188,8 @@
     VT_DATA_CENTRE = 10,
     VT_DATAGRAMS = 12,
     VT_PROCESSOR_SHARE = 14,
-    VT_STANDBY = 16
+    VT_STANDBY = 16,
+    VT_CATALOGUE_ERA = 18
   };
   const flatbuffers::String *sender() const {
     return GetPointer<const flatbuffers::String *>(VT_SENDER);
@@ -1175,6 +1212,9 @@
   bool standby() const {
     return GetField<uint8_t>(VT_STANDBY, 0) != 0;
   }
+  int64_t catalogue_era() const {
+    return GetField<int64_t>(VT_CATALOGUE_ERA, 0);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffset(verifier, VT_SENDER) &&
@@ -1187,6 +1227,7 @@
            verifier.VerifyString(datagrams()) &&
            VerifyField<double>(verifier, VT_PROCESSOR_SHARE, 8) &&
            VerifyField<uint8_t>(verifier, VT_STANDBY, 1) &&
+           VerifyField<int64_t>(verifier, VT_CATALOGUE_ERA, 8) &&
            verifier.EndTable();
   }
 };
@@ -1216,6 +1257,9 @@
   void add_standby(bool standby) {
     fbb_.AddElement<uint8_t>(view_request::VT_STANDBY, static_cast<uint8_t>(standby), 0);
   }
+  void add_catalogue_era(int64_t catalogue_era) {
+    fbb_.AddElement<int64_t>(view_request::VT_CATALOGUE_ERA, catalogue_era, 0);
+  }
   explicit view_requestBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -1235,8 +1279,10 @@
     flatbuffers::Offset<flatbuffers::String> data_centre = 0,
     flatbuffers::Offset<flatbuffers::String> datagrams = 0,
     double processor_share = 0.0,
-    bool standby = false) {
+    bool standby = false,
+    int64_t catalogue_era = 0) {
   view_requestBuilder builder_(_fbb);
+  builder_.add_catalogue_era(catalogue_era);
   builder_.add_processor_share(processor_share);
   builder_.add_catalogue_revision(catalogue_revision);
   builder_.add_nonce(nonce);
@@ -1255,7 +1301,8 @@
     const char *data_centre = nullptr,
     const char *datagrams = nullptr,
     double processor_share = 0.0,
-    bool standby = false) {
+    bool standby = false,
+    int64_t catalogue_era = 0) {
   auto sender__ = sender ? _fbb.CreateString(sender) : 0;
   auto data_centre__ = data_centre ? _fbb.CreateString(data_centre) : 0;
   auto datagrams__ = datagrams ? _fbb.CreateString(datagrams) : 0;
@@ -1267,7 +1314,8 @@
       data_centre__,
       datagrams__,
       processor_share,
-      standby);
+      standby,
+      catalogue_era);
 }
 
 struct upstream_change FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
@@ -1282,7 +1330,8 @@
     VT_REVISION = 16,
     VT_STARTED_AT_MS = 18,
     VT_DATA_CENTRE = 20,
-    VT_COLD_US = 22
+    VT_COLD_US = 22,
+    VT_ERA = 24
   };
   const flatbuffers::String *id() const {
     return GetPointer<const flatbuffers::String *>(VT_ID);
@@ -1314,6 +1363,9 @@
   int64_t cold_us() const {
     return GetField<int64_t>(VT_COLD_US, 0);
   }
+  int64_t era() const {
+    return GetField<int64_t>(VT_ERA, 0);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffset(verifier, VT_ID) &&
@@ -1330,6 +1382,7 @@
            VerifyOffset(verifier, VT_DATA_CENTRE) &&
            verifier.VerifyString(data_centre()) &&
            VerifyField<int64_t>(verifier, VT_COLD_US, 8) &&
+           VerifyField<int64_t>(verifier, VT_ERA, 8) &&
            verifier.EndTable();
   }
 };
@@ -1368,6 +1421,9 @@
   void add_cold_us(int64_t cold_us) {
     fbb_.AddElement<int64_t>(upstream_change::VT_COLD_US, cold_us, 0);
   }
+  void add_era(int64_t era) {
+    fbb_.AddElement<int64_t>(upstream_change::VT_ERA, era, 0);
+  }
   explicit upstream_changeBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -1390,8 +1446,10 @@
     int64_t revision = 0,
     int64_t started_at_ms = 0,
     flatbuffers::Offset<flatbuffers::String> data_centre = 0,
-    int64_t cold_us = 0) {
+    int64_t cold_us = 0,
+    int64_t era = 0) {
   upstream_changeBuilder builder_(_fbb);
+  builder_.add_era(era);
   builder_.add_cold_us(cold_us);
   builder_.add_started_at_ms(started_at_ms);
   builder_.add_revision(revision);
@@ -1416,7 +1474,8 @@
     int64_t revision = 0,
     int64_t started_at_ms = 0,
     const char *data_centre = nullptr,
-    int64_t cold_us = 0) {
+    int64_t cold_us = 0,
+    int64_t era = 0) {
   auto id__ = id ? _fbb.CreateString(id) : 0;
   auto service__ = service ? _fbb.CreateString(service) : 0;
   auto address__ = address ? _fbb.CreateString(address) : 0;
@@ -1432,7 +1491,8 @@
       revision,
       started_at_ms,
       data_centre__,
-      cold_us);
+      cold_us,
+      era);
 }
 
 struct view_reply FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
@@ -1453,7 +1513,11 @@
     VT_RATE_LIMITS = 28,
     VT_EVACUATED = 30,
     VT_EVACUATIONS_REVISION = 32,
-    VT_EVACUATIONS_AS_OF = 34
+    VT_EVACUATIONS_AS_OF = 34,
+    VT_CONFIGURATION_ERA = 36,
+    VT_CATALOGUE_ERA = 38,
+    VT_EVACUATIONS_ERA = 40,
+    VT_EVACUATIONS_AS_OF_ERA = 42
   };
   const flatbuffers::String *sender() const {
     return GetPointer<const flatbuffers::String *>(VT_SENDER);
@@ -1503,6 +1567,18 @@
   int64_t evacuations_as_of() const {
     return GetField<int64_t>(VT_EVACUATIONS_AS_OF, 0);
   }
+  int64_t configuration_era() const {
+    return GetField<int64_t>(VT_CONFIGURATION_ERA, 0);
+  }
+  int64_t catalogue_era() const {
+    return GetField<int64_t>(VT_CATALOGUE_ERA, 0);
+  }
+  int64_t evacuations_era() const {
+    return GetField<int64_t>(VT_EVACUATIONS_ERA, 0);
+  }
+  int64_t evacuations_as_of_era() const {
+    return GetField<int64_t>(VT_EVACUATIONS_AS_OF_ERA, 0);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffset(verifier, VT_SENDER) &&
@@ -1532,6 +1608,10 @@
            verifier.VerifyVectorOfStrings(evacuated()) &&
            VerifyField<int64_t>(verifier, VT_EVACUATIONS_REVISION, 8) &&
            VerifyField<int64_t>(verifier, VT_EVACUATIONS_AS_OF, 8) &&
+           VerifyField<int64_t>(verifier, VT_CONFIGURATION_ERA, 8) &&
+           VerifyField<int64_t>(verifier, VT_CATALOGUE_ERA, 8) &&
+           VerifyField<int64_t>(verifier, VT_EVACUATIONS_ERA, 8) &&
+           VerifyField<int64_t>(verifier, VT_EVACUATIONS_AS_OF_ERA, 8) &&
            verifier.EndTable();
   }
 };
@@ -1588,6 +1668,18 @@
   void add_evacuations_as_of(int64_t evacuations_as_of) {
     fbb_.AddElement<int64_t>(view_reply::VT_EVACUATIONS_AS_OF, evacuations_as_of, 0);
   }
+  void add_configuration_era(int64_t configuration_era) {
+    fbb_.AddElement<int64_t>(view_reply::VT_CONFIGURATION_ERA, configuration_era, 0);
+  }
+  void add_catalogue_era(int64_t catalogue_era) {
+    fbb_.AddElement<int64_t>(view_reply::VT_CATALOGUE_ERA, catalogue_era, 0);
+  }
+  void add_evacuations_era(int64_t evacuations_era) {
+    fbb_.AddElement<int64_t>(view_reply::VT_EVACUATIONS_ERA, evacuations_era, 0);
+  }
+  void add_evacuations_as_of_era(int64_t evacuations_as_of_era) {
+    fbb_.AddElement<int64_t>(view_reply::VT_EVACUATIONS_AS_OF_ERA, evacuations_as_of_era, 0);
+  }
   explicit view_replyBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -1616,8 +1708,16 @@
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<fuchsiaquay::wire::rate_limit>>> rate_limits = 0,
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>>> evacuated = 0,
     int64_t evacuations_revision = 0,
-    int64_t evacuations_as_of = 0) {
+    int64_t evacuations_as_of = 0,
+    int64_t configuration_era = 0,
+    int64_t catalogue_era = 0,
+    int64_t evacuations_era = 0,
+    int64_t evacuations_as_of_era = 0) {
   view_replyBuilder builder_(_fbb);
+  builder_.add_evacuations_as_of_era(evacuations_as_of_era);
+  builder_.add_evacuations_era(evacuations_era);
+  builder_.add_catalogue_era(catalogue_era);
+  builder_.add_configuration_era(configuration_era);
   builder_.add_evacuations_as_of(evacuations_as_of);
   builder_.add_evacuations_revision(evacuations_revision);
   builder_.add_catalogue_revision(catalogue_revision);
@@ -1654,7 +1754,11 @@
     const std::vector<flatbuffers::Offset<fuchsiaquay::wire::rate_limit>> *rate_limits = nullptr,
     const std::vector<flatbuffers::Offset<flatbuffers::String>> *evacuated = nullptr,
     int64_t evacuations_revision = 0,
-    int64_t evacuations_as_of = 0) {
+    int64_t evacuations_as_of = 0,
+    int64_t configuration_era = 0,
+    int64_t catalogue_era = 0,
+    int64_t evacuations_era = 0,
+    int64_t evacuations_as_of_era = 0) {
   auto sender__ = sender ? _fbb.CreateString(sender) : 0;
   auto changes__ = changes ? _fbb.CreateVector<flatbuffers::Offset<fuchsiaquay::wire::upstream_change>>(*changes) : 0;
   auto serving__ = serving ? _fbb.CreateVector<flatbuffers::Offset<fuchsiaquay::wire::host>>(*serving) : 0;
@@ -1678,7 +1782,11 @@
       rate_limits__,
       evacuated__,
       evacuations_revision,
-      evacuations_as_of);
+      evacuations_as_of,
+      configuration_era,
+      catalogue_era,
+      evacuations_era,
+      evacuations_as_of_era);
 }
 
 struct datagram FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
--- a/drivers/queries/http_host_queries.cpp
+++ b/drivers/queries/http_host_queries.cpp
@@ -6,6 +6,7 @@
 
 #include "core/error/operation_error.hpp"
 #include "core/fleet/view_reply.hpp"
+#include "core/freshness/store_revision.hpp"
 #include "drivers/control/control_loop.hpp"
 #include "drivers/datagrams/datagram_codec.hpp"
 #include "drivers/net/http_channel.hpp"
@@ -25,7 +26,19 @@
 constexpr std::size_t max_channels = 8;
 
 std::string make_target(const char* path, std::int64_t known) {
-    return std::string(path) + "?known=" + std::to_string(known);
+    return std::string(path) + "?known=" + std::to_string(revision_number(known)) +
+           "&known_era=" + std::to_string(era_of(known));
+}
+
+/// Returns 0 if the two are no revision.
+std::int64_t read_revision(std::int64_t era, std::int64_t number) {
+    return is_store_revision(era, number) ? make_store_revision(era, number) : 0;
+}
+
+std::int64_t integer_parameter(const std::string& target, const char* name) {
+    std::istringstream text(query_value(target, name));
+    std::int64_t value = 0;
+    return text >> value ? value : 0;
 }
 
 configuration_answer parse_configuration(const http_result& result) {
@@ -35,9 +48,20 @@
         return response;
     }
     std::istringstream head(result.body.substr(0, line));
-    if (!(head >> response.revision >> response.base)) {
+    std::int64_t number = 0;
+    std::int64_t base_number = 0;
+    if (!(head >> number >> base_number)) {
         return {};
     }
+    std::int64_t era = 0;
+    std::int64_t base_era = 0;
+    if (!(head >> era >> base_era)) {
+        // A host of an earlier version sends no eras.
+        era = 0;
+        base_era = 0;
+    }
+    response.revision = read_revision(era, number);
+    response.base = read_revision(base_era, base_number);
     response.body = result.body.substr(line + 1);
     return response;
 }
@@ -97,9 +121,8 @@
 }
 
 std::int64_t known_revision(const std::string& target) {
-    std::istringstream text(query_value(target, "known"));
-    std::int64_t revision = 0;
-    return text >> revision ? revision : 0;
+    return read_revision(integer_parameter(target, "known_era"),
+                         integer_parameter(target, "known"));
 }
 
 bool accepts_any_size(const std::string& target) {
@@ -113,8 +136,10 @@
         reply.status = status_too_large;
         return reply;
     }
-    reply.body = std::to_string(configuration.revision) + " " + std::to_string(configuration.base) +
-                 "\n" + configuration.body;
+    reply.body = std::to_string(revision_number(configuration.revision)) + " " +
+                 std::to_string(revision_number(configuration.base)) + " " +
+                 std::to_string(era_of(configuration.revision)) + " " +
+                 std::to_string(era_of(configuration.base)) + "\n" + configuration.body;
     return reply;
 }
 
--- a/drivers/queries/http_host_queries.hpp
+++ b/drivers/queries/http_host_queries.hpp
@@ -14,13 +14,14 @@
 class http_channel;
 struct http_result;
 
-/// Path of a host's configuration. The parameter `known` is the revision that the requester has;
-/// `any_size=1` accepts a large response. The response is a line `REVISION BASE`, followed by the
-/// whole configuration when BASE is 0, otherwise by the delta to revision BASE.
+/// Path of a host's configuration. The parameters `known` and `known_era` are number and era of the
+/// revision that the requester has; `any_size=1` accepts a large response. The response is a line
+/// `REVISION BASE ERA BASE_ERA`, followed by the whole configuration when BASE is 0, otherwise by
+/// the delta to revision BASE. Hosts of earlier versions leave the eras out.
 constexpr const char* configuration_query_path = "/configuration";
 
-/// Path of a host's catalogue. The response holds the changes after the revision `known`, encoded
-/// as a datagram of any length.
+/// Path of a host's catalogue, with `known` and `known_era` as above. The response holds the
+/// changes after that revision, encoded as a datagram of any length.
 constexpr const char* catalogue_query_path = "/catalogue";
 
 /// Queries other hosts over persistent HTTP connections.
--- a/servers/fleet/configuration_feed.cpp
+++ b/servers/fleet/configuration_feed.cpp
@@ -7,6 +7,7 @@
 #include "core/error/operation_error.hpp"
 #include "core/fleet/fleet_configuration.hpp"
 #include "core/fleet/text_delta.hpp"
+#include "core/freshness/store_revision.hpp"
 #include "servers/decision_log.hpp"
 #include "servers/fleet/configuration_codec.hpp"
 
@@ -94,7 +95,8 @@
     return found == texts_.end() ? nullptr : &*found;
 }
 
-configuration_answer configuration_feed::answer_for(std::int64_t known_revision) const {
+configuration_answer configuration_feed::answer_for(std::int64_t known) const {
+    const std::int64_t known_revision = with_era_of(revision_, known);
     if (texts_.empty()) {
         return {};
     }
--- a/servers/fleet/upstream_registry.cpp
+++ b/servers/fleet/upstream_registry.cpp
@@ -50,7 +50,8 @@
     return result;
 }
 
-catalogue_delta upstream_registry::changes_after(std::int64_t revision) const {
+catalogue_delta upstream_registry::changes_after(std::int64_t known) const {
+    const std::int64_t revision = with_era_of(revision_, known);
     catalogue_delta delta;
     delta.revision = revision_;
     // A copy of an earlier era may hold changes that the store has lost and this host never had.
--- a/tests/drivers/datagrams/datagram_codec_test.cpp
+++ b/tests/drivers/datagrams/datagram_codec_test.cpp
@@ -7,6 +7,8 @@
 #include <variant>
 
 #include "core/error/operation_error.hpp"
+#include "core/freshness/store_revision.hpp"
+#include "drivers/datagrams/datagram_generated.h"
 
 using namespace fuchsiaquay;
 using std::chrono::milliseconds;
@@ -206,3 +208,43 @@
     }
     CHECK_TRUE(rejected > attempts / 2);
 }
+
+// A host of an earlier version reads the numbers and compares them with those of the store.
+TEST(datagram_codec, revisions_are_sent_as_numbers_beside_their_eras) {
+    announcement message = sample();
+    message.configuration_revision = make_store_revision(3, 192);
+    message.sender.incarnation = static_cast<std::uint64_t>(make_store_revision(2, 7));
+    const std::string bytes = encode_datagram(message, now_);
+    const auto* wire = wire::Getdatagram(bytes.data())->message_as_announcement();
+    LONGS_EQUAL(192, wire->configuration_revision());
+    LONGS_EQUAL(7, wire->incarnation());
+    const auto decoded = std::get<announcement>(decode_datagram(bytes, now_));
+    CHECK_TRUE(decoded.configuration_revision == message.configuration_revision);
+    CHECK_TRUE(decoded.sender == message.sender);
+}
+
+TEST(datagram_codec, view_messages_keep_the_eras_of_their_revisions) {
+    view_reply reply;
+    reply.configuration_revision = make_store_revision(1, 5);
+    reply.catalogue.revision = make_store_revision(2, 6);
+    upstream_change change;
+    change.entry.id = "e1";
+    change.entry.address = {"10.0.0.9", 80};
+    change.entry.slots = 1;
+    change.revision = make_store_revision(1, 4);
+    reply.catalogue.changes.push_back(change);
+    reply.evacuations = evacuation_set({}, make_store_revision(1, 2));
+    reply.evacuations_as_of = make_store_revision(2, 3);
+    const auto decoded = std::get<view_reply>(decode_datagram(encode_datagram(reply, now_), now_));
+    CHECK_TRUE(decoded.configuration_revision == reply.configuration_revision);
+    CHECK_TRUE(decoded.catalogue.revision == reply.catalogue.revision);
+    CHECK_TRUE(decoded.catalogue.changes == reply.catalogue.changes);
+    CHECK_TRUE(decoded.evacuations == reply.evacuations);
+    CHECK_TRUE(decoded.evacuations_as_of == reply.evacuations_as_of);
+    view_request request;
+    request.sender = sample().sender;
+    request.catalogue_revision = make_store_revision(2, 6);
+    const auto asked =
+        std::get<view_request>(decode_datagram(encode_datagram(request, now_), now_));
+    CHECK_TRUE(asked.catalogue_revision == request.catalogue_revision);
+}
--- a/tests/servers/fleet/restored_store_test.cpp
+++ b/tests/servers/fleet/restored_store_test.cpp
@@ -22,6 +22,7 @@
     virtual_hosts fleet_;
 
     void setup() override {
+        fleet_.store.name_eras();
         fleet_.store.put("config", "1");
         fleet_.store.put("servers/a", "ready");
         for (int i = 0; i < host_count; ++i) {
--- a/tests/servers/store/prefix_mirror_test.cpp
+++ b/tests/servers/store/prefix_mirror_test.cpp
@@ -55,6 +55,7 @@
     prefix_mirror mirror_{store_, timers_, log_, copy_, "k/", settings_};
 
     void setup() override {
+        store_.name_eras();
         store_.put("k/a", "1");
         mirror_.follow(true, retry);
         timers_.advance(milliseconds(50));
--- a/tests/servers/store/scripted_store.hpp
+++ b/tests/servers/store/scripted_store.hpp
@@ -23,6 +23,8 @@
     /// Discards the history, so that a poll from an older revision must read all keys again.
     void compact() { compacted_ = content_.revision; }
 
+    /// Makes the store name its era. Call this before anything else.
+    void name_eras() { era_ = 1; }
     /// Keeps a copy to which `restore` returns.
     void copy() { copy_ = content_; }
     /// Continues from the copy in a new era: later changes are lost, and their numbers are given
