Upstream dialer: own errors and silent upstreams do not blame path or hosts

A connection that fails for a lack of descriptors counted as evidence of a blocked path; only refusals, resets, time-outs and unreachable networks do now. A host whose tunnel met a silent upstream was left out for a second, so that a few dark upstreams could take all helping hosts away from a stranded one; a host that has helped within the last second stays.

Test: host_that_has_helped_lately_is_asked_again_after_a_silent_upstream (new with doubt_peer; not run on the code before).

--- a/drivers/net/upstream_dial.cpp
+++ b/drivers/net/upstream_dial.cpp
@@ -19,6 +19,13 @@
 /// Hosts that are asked for a tunnel before the upstream is tried directly.
 constexpr std::size_t max_peers_asked = 8;
 
+/// Other errors, such as a lack of descriptors, are this host's own.
+bool tells_of_path(const error_code& error) {
+    return error == asio::error::connection_refused || error == asio::error::connection_reset ||
+           error == asio::error::timed_out || error == asio::error::host_unreachable ||
+           error == asio::error::network_unreachable;
+}
+
 }  // namespace
 
 upstream_dial::upstream_dial(upstream_dialer& owner, network_address upstream,
@@ -58,24 +65,30 @@
     return true;
 }
 
+bool upstream_dial::ended() const {
+    return !done_ || owner_alive_.expired();
+}
+
 void upstream_dial::connect_directly() {
     peer_.reset();
     socket_ = std::make_shared<tcp::socket>(timer_.get_executor());
     socket_->async_connect(to_endpoint(upstream_),
                            [self = shared_from_this(), socket = socket_](const error_code& error) {
-                               if (!self->done_ || self->owner_alive_.expired()) {
+                               if (self->ended()) {
                                    return;
                                }
-                               self->owner_.record_direct(self->upstream_, !error);
-                               if (error) {
-                                   self->on_direct_failure(error);
-                               } else {
-                                   self->succeed();
-                               }
+                               self->on_direct_result(error);
                            });
 }
 
-void upstream_dial::on_direct_failure(const error_code& error) {
+void upstream_dial::on_direct_result(const error_code& error) {
+    if (!error || tells_of_path(error)) {
+        owner_.record_direct(upstream_, !error);
+    }
+    if (!error) {
+        succeed();
+        return;
+    }
     if (!start_with_peers()) {
         // On a path in doubt, a refusal need not come from the upstream's host.
         const bool refused = error == asio::error::connection_refused && !owner_.in_doubt();
@@ -94,15 +107,14 @@
     socket_ = std::make_shared<tcp::socket>(timer_.get_executor());
     socket_->async_connect(to_endpoint(*peer_),
                            [self = shared_from_this(), socket = socket_](const error_code& error) {
-                               if (!self->done_ || self->owner_alive_.expired()) {
+                               if (self->ended()) {
                                    return;
                                }
                                if (error) {
-                                   self->owner_.avoid_peer(*self->peer_);
-                                   self->try_next_peer();
-                                   return;
+                                   self->leave_out_peer();
+                               } else {
+                                   self->ask_for_tunnel();
                                }
-                               self->ask_for_tunnel();
                            });
 }
 
@@ -115,15 +127,14 @@
     http::async_write(*socket_, request_,
                       [self = shared_from_this(), socket = socket_](const error_code& error,
                                                                     std::size_t /*bytes*/) {
-                          if (!self->done_ || self->owner_alive_.expired()) {
+                          if (self->ended()) {
                               return;
                           }
                           if (error) {
-                              self->owner_.avoid_peer(*self->peer_);
-                              self->try_next_peer();
-                              return;
+                              self->leave_out_peer();
+                          } else {
+                              self->read_answer();
                           }
-                          self->read_answer();
                       });
 }
 
@@ -135,7 +146,7 @@
         *socket_, buffer_, *answer_,
         [self = shared_from_this(), socket = socket_](const error_code& error,
                                                       std::size_t /*bytes*/) {
-            if (!self->done_ || self->owner_alive_.expired()) {
+            if (self->ended()) {
                 return;
             }
             const bool complete = !error && self->buffer_.size() == 0;
@@ -153,16 +164,25 @@
         fail(error_code(asio::error::connection_refused).message(), true);
         return;
     }
+    if (status == static_cast<int>(http::status::gateway_timeout)) {
+        owner_.doubt_peer(*peer_);
+        try_next_peer();
+        return;
+    }
+    leave_out_peer();
+}
+
+void upstream_dial::leave_out_peer() {
     owner_.avoid_peer(*peer_);
     try_next_peer();
 }
 
 void upstream_dial::on_timeout() {
-    if (!done_ || owner_alive_.expired()) {
+    if (ended()) {
         return;
     }
     if (peer_) {
-        owner_.avoid_peer(*peer_);
+        owner_.doubt_peer(*peer_);
     } else {
         owner_.record_direct(upstream_, false);
     }
--- a/drivers/net/upstream_dial.hpp
+++ b/drivers/net/upstream_dial.hpp
@@ -25,14 +25,18 @@
 private:
     using empty_body = boost::beast::http::empty_body;
 
+    /// Whether the handler has been called or must not be any more.
+    bool ended() const;
     /// False if this host reaches the upstreams itself, or other hosts were asked before.
     bool start_with_peers();
     void connect_directly();
-    void on_direct_failure(const boost::system::error_code& error);
+    void on_direct_result(const boost::system::error_code& error);
     void try_next_peer();
     void ask_for_tunnel();
     void read_answer();
     void on_answer(int status);
+    /// Does not ask this host for a while, and tries the next one.
+    void leave_out_peer();
     void on_timeout();
     void succeed();
     void fail(const std::string& reason, bool refused);
--- a/drivers/net/upstream_dialer.cpp
+++ b/drivers/net/upstream_dialer.cpp
@@ -143,6 +143,7 @@
 
 void upstream_dialer::record_tunnel(const network_address& peer) {
     last_peer_ = peer;
+    helped_at_ = loop_.now();
     ++tunnelled_;
 }
 
@@ -150,4 +151,10 @@
     avoided_peers_[peer] = loop_.now() + peer_pause;
 }
 
+void upstream_dialer::doubt_peer(const network_address& peer) {
+    if (last_peer_ != peer || loop_.now() - helped_at_ >= peer_pause) {
+        avoid_peer(peer);
+    }
+}
+
 }  // namespace fuchsiaquay
--- a/drivers/net/upstream_dialer.hpp
+++ b/drivers/net/upstream_dialer.hpp
@@ -66,8 +66,11 @@
     void record_tunnel(const network_address& peer);
     /// The hosts whose tunnels may be tried now, first the one whose tunnel was used last.
     std::vector<network_address> usable_peers() const;
-    /// Records that a host did not reach the upstream either.
+    /// Records that a host does not help.
     void avoid_peer(const network_address& peer);
+    /// Records that an upstream did not answer through a host. The fault is the upstream's if the
+    /// host has helped lately.
+    void doubt_peer(const network_address& peer);
 
     control_loop& loop_;
     decision_log& log_;
@@ -82,6 +85,7 @@
     /// Hosts whose tunnels are not used until the given time.
     std::map<network_address, instant> avoided_peers_;
     std::optional<network_address> last_peer_;
+    instant helped_at_{};
     std::uint64_t tunnelled_ = 0;
     std::shared_ptr<int> alive_ = std::make_shared<int>(0);
 };
--- a/tests/drivers/traffic/stranded_host_test.cpp
+++ b/tests/drivers/traffic/stranded_host_test.cpp
@@ -83,6 +83,24 @@
     LONGS_EQUAL(4, dialer_.tunnelled());
 }
 
+// Guards against a silent upstream for which all hosts that help are left out.
+TEST(stranded_host, host_that_has_helped_lately_is_asked_again_after_a_silent_upstream) {
+    raw_server peer(loop_);
+    peers_ = {peer.address()};
+    for (const std::string answer : {"200 OK", "504 X", "504 X"}) {
+        peer.received.clear();
+        open();
+        CHECK_TRUE(peer.expect("\r\n\r\n"));
+        CHECK_EQUAL(std::string("CONNECT " + server_.address().text()),
+                    peer.received.substr(0, peer.received.find(" HTTP")));
+        peer.send("HTTP/1.1 " + answer + "\r\n\r\n");
+        run_for(milliseconds(50));
+        exchange_.reset();
+        connector_.close_idle();
+        block_path();
+    }
+}
+
 TEST(stranded_host, host_without_help_tries_the_upstream_itself) {
     permission_ = status_forbidden;
     open_and_respond("HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nwhole");
