Soak of a restored store: the check of new upstreams does not depend on chance

So the check was wrong, not the host.

In its place: at the bound each host must list exactly as many upstreams as the store has (fuchsiaquay_upstreams), which is strict about time, and it must use the new one within 200 further requests.

--- a/tests/soak/store_restored.py
+++ b/tests/soak/store_restored.py
@@ -8,8 +8,10 @@
 
 import asyncio
 import itertools
+import re
 import sys
 import time
+import urllib.request
 
 from callers import Connection, ConnectionEnded
 from engine_ends import run_series
@@ -20,6 +22,7 @@
 STRETCH_S = 5.0           # max_stretch_ms: for changes while the store is disturbed
 STABLE_S = 3.0            # stable_window_ms
 CHECK_S = 2.0             # each state is looked at for so long
+USE_REQUESTS = 200        # within so many further requests a host uses a new upstream
 
 # `lost`: writes after the copy that the store loses; `overtaking`: writes that follow each change at once, so
 # that its revisions pass those from before; `restorations`: how often; `away`: for how long, in seconds;
@@ -95,13 +98,31 @@
         for number in range(self.series["overtaking"]):
             self.store.put("other/key", str(number))
         await asyncio.sleep(bound)
+        await asyncio.gather(*(self.check_catalogue(node, when) for node in self.nodes))
         self.served_by.clear()
         await self.check_for(CHECK_S, when, time.monotonic())
-        for node in self.nodes:
-            if new not in self.served_by.get(node.name, set()):
-                self.finding(f"{when}: {node.name} sends nothing to {new}, a new upstream")
+        await asyncio.gather(*(self.check_use(node, new, when) for node in self.nodes))
         self.store.remove(f"servers/{leaving.name}")
 
+    async def check_catalogue(self, node, when):
+        """Each host must list the upstreams that the store has, neither fewer nor more."""
+        listed = await asyncio.to_thread(self.listed_upstreams, node)
+        stored = sum(key.startswith("servers/") for key in self.store.items)
+        if listed != stored:
+            self.finding(f"{when}: {node.name} lists {listed} upstreams, the store has {stored}")
+
+    def listed_upstreams(self, node):
+        with urllib.request.urlopen(f"http://127.0.0.1:{node.metrics}/metrics", timeout=2) as page:
+            return int(re.search(r"^fuchsiaquay_upstreams (\d+)$", page.read().decode(), re.M)[1])
+
+    async def check_use(self, node, new, when):
+        """An upstream is chosen by chance among those with the least work, so a few requests may miss it."""
+        for _ in range(USE_REQUESTS):
+            if new in self.served_by.get(node.name, set()):
+                return
+            await self.ask_once(node, self.added_routes[0])
+        self.finding(f"{when}: {node.name} sends nothing to {new}, a new upstream")
+
     async def check_for(self, seconds, when, since):
         await asyncio.gather(*(self.check(node, when, since + seconds) for node in self.nodes))
 
