--- a/drivers/net/socket_state.cpp
+++ b/drivers/net/socket_state.cpp
@@ -3,6 +3,8 @@
 #include <linux/sockios.h>
 #include <sys/ioctl.h>
 
+#include <boost/asio/error.hpp>
+
 namespace fuchsiaquay {
 
 using boost::asio::ip::tcp;
@@ -22,4 +24,10 @@
     return error ? 0 : bytes;
 }
 
+bool is_lost_connection(const boost::system::error_code& write_error) {
+    // The kernel reports a lost connection once, to the write if that is pending, and reads then
+    // return the end of the stream. After an orderly end of the answer, writes fail with EPIPE.
+    return write_error && write_error != boost::asio::error::broken_pipe;
+}
+
 }  // namespace fuchsiaquay
--- a/drivers/net/socket_state.hpp
+++ b/drivers/net/socket_state.hpp
@@ -12,4 +12,8 @@
 /// Bytes that the kernel received and that were not read.
 std::size_t unread_bytes(boost::asio::ip::tcp::socket& socket);
 
+/// Whether a connection was lost although its stream seems to have ended, as told by the error of
+/// the last write.
+bool is_lost_connection(const boost::system::error_code& write_error);
+
 }  // namespace fuchsiaquay
--- a/drivers/net/tunnel.cpp
+++ b/drivers/net/tunnel.cpp
@@ -5,6 +5,7 @@
 #include <utility>
 
 #include "drivers/control/control_loop.hpp"
+#include "drivers/net/socket_state.hpp"
 
 namespace fuchsiaquay {
 
@@ -79,7 +80,7 @@
 }
 
 void tunnel::on_upstream_end() {
-    if (upstream_lost()) {
+    if (is_lost_connection(upstream_write_error_)) {
         reset();
         return;
     }
@@ -87,12 +88,6 @@
     host_->shutdown(tcp::socket::shutdown_send, ignored);
 }
 
-bool tunnel::upstream_lost() const {
-    // The kernel reports a lost connection once, to the write if that is pending, and reads then
-    // return the end of the stream. After an orderly end of the answer, writes fail with EPIPE.
-    return upstream_write_error_ && upstream_write_error_ != asio::error::broken_pipe;
-}
-
 void tunnel::reset() {
     error_code ignored;
     host_->set_option(asio::socket_base::linger(true, 0), ignored);
--- a/drivers/net/tunnel.hpp
+++ b/drivers/net/tunnel.hpp
@@ -34,7 +34,6 @@
     void read_upstream();
     void on_upstream_bytes(std::size_t bytes);
     void on_upstream_end();
-    bool upstream_lost() const;
     /// Closes both connections, that of the host with a reset.
     void reset();
 
--- a/drivers/traffic/beast_exchange.cpp
+++ b/drivers/traffic/beast_exchange.cpp
@@ -8,6 +8,7 @@
 #include "core/relay/response_status.hpp"
 #include "drivers/control/control_loop.hpp"
 #include "drivers/net/dial_result.hpp"
+#include "drivers/net/socket_state.hpp"
 #include "drivers/net/upstream_dial.hpp"
 #include "drivers/net/upstream_dialer.hpp"
 #include "servers/relay/exchange_listener.hpp"
@@ -204,7 +205,7 @@
 }
 
 void beast_exchange::on_end_of_stream() {
-    if (connection_lost_during_write()) {
+    if (is_lost_connection(write_error_)) {
         report_lost_connection(write_error_.message() + " while the request was sent");
         return;
     }
@@ -219,12 +220,6 @@
     report_lost_connection(error_code(asio::error::eof).message());
 }
 
-bool beast_exchange::connection_lost_during_write() const {
-    // The kernel reports a lost connection once, to the write if that is pending, and reads then
-    // return the end of the stream. After an orderly end of the answer, writes fail with EPIPE.
-    return write_error_ && write_error_ != asio::error::broken_pipe;
-}
-
 void beast_exchange::complete() {
     exchange_listener* listener = std::exchange(listener_, nullptr);
     const bool reusable = written_ && parser_->keep_alive() && buffer_.size() == 0 &&
--- a/drivers/traffic/beast_exchange.hpp
+++ b/drivers/traffic/beast_exchange.hpp
@@ -50,7 +50,6 @@
     void deliver_head();
     void on_read_error(const boost::system::error_code& error);
     void on_end_of_stream();
-    bool connection_lost_during_write() const;
     void complete();
     /// Fails because the connection ended before the answer was complete.
     void report_lost_connection(const std::string& reason);
