--- a/core/relay/response_head.hpp
+++ b/core/relay/response_head.hpp
@@ -13,6 +13,11 @@
     header_list headers;
     /// The body has neither a length nor chunks and ends with the connection.
     bool ends_with_connection = false;
+
+    /// What tells the end of the body, for logs and metrics.
+    const char* ended_by() const noexcept {
+        return ends_with_connection ? "connection" : "framing";
+    }
 };
 
 }  // namespace fuchsiaquay
--- a/drivers/metrics/histogram_metrics.cpp
+++ b/drivers/metrics/histogram_metrics.cpp
@@ -96,6 +96,11 @@
     ++answered_;
 }
 
+void histogram_metrics::answer_received(const std::string& end) {
+    const std::lock_guard<std::mutex> lock(mutex_);
+    ++received_answers_[end];
+}
+
 void histogram_metrics::answer_rejected(const std::string& fault) {
     const std::lock_guard<std::mutex> lock(mutex_);
     ++rejected_answers_[fault];
@@ -129,6 +134,7 @@
                  [&](int i) { return static_cast<double>(histograms_->gap_.at(i)); });
     write_counters(out, "fuchsiaquay_refusals_total", "code", refusals_);
     write_counters(out, "fuchsiaquay_retries_total", "failure", retries_);
+    write_counters(out, "fuchsiaquay_upstream_answers_total", "end", received_answers_);
     write_counters(out, "fuchsiaquay_upstream_answers_rejected_total", "fault", rejected_answers_);
     write_counters(out, "fuchsiaquay_answers_cut_total", "cause", cuts_);
     out << "# TYPE fuchsiaquay_answers_total counter\nfuchsiaquay_answers_total " << answered_
--- a/drivers/metrics/histogram_metrics.hpp
+++ b/drivers/metrics/histogram_metrics.hpp
@@ -29,6 +29,7 @@
     void refused(const std::string& code) override;
     void retried(const std::string& failure) override;
     void answered() override;
+    void answer_received(const std::string& end) override;
     void answer_rejected(const std::string& fault) override;
     void answer_cut(const std::string& cause) override;
 
@@ -43,6 +44,7 @@
     std::unique_ptr<histograms> histograms_;
     std::map<std::string, std::uint64_t> refusals_;
     std::map<std::string, std::uint64_t> retries_;
+    std::map<std::string, std::uint64_t> received_answers_;
     std::map<std::string, std::uint64_t> rejected_answers_;
     std::map<std::string, std::uint64_t> cuts_;
     std::uint64_t answered_ = 0;
--- a/servers/relay/request_log.cpp
+++ b/servers/relay/request_log.cpp
@@ -165,6 +165,7 @@
          {"attempts", std::to_string(result.attempts)},
          {"may_have_run", result.may_have_run ? "yes" : "no"},
          {"events", std::to_string(result.events)},
+         {"answer_end", result.answer_end},
          {"configuration_age_ms", ms_text(services_.configuration_mirror.age())},
          {"took_ms", ms_text(services_.timers.now() - request_.received_at)}});
 }
--- a/servers/relay/request_relay.cpp
+++ b/servers/relay/request_relay.cpp
@@ -384,8 +384,10 @@
                                     const std::string& detail) {
     done_ = true;
     end_waiting();
+    const bool answer_begun = attempt_ && attempt_->head().status != 0;
     log_.ended(admitted_, {outcome, status, reason, detail, upstream_, history_.count(),
-                           history_.may_have_run(), events_.count()});
+                           history_.may_have_run(), events_.count(),
+                           answer_begun ? attempt_->head().ended_by() : ""});
 }
 
 }  // namespace fuchsiaquay
--- a/servers/relay/request_result.hpp
+++ b/servers/relay/request_result.hpp
@@ -18,6 +18,8 @@
     int attempts = 0;
     bool may_have_run = false;
     std::int64_t events = 0;
+    /// What tells the end of the upstream's answer; empty if none began.
+    const char* answer_end = "";
 };
 
 }  // namespace fuchsiaquay
--- a/servers/relay/upstream_attempt.cpp
+++ b/servers/relay/upstream_attempt.cpp
@@ -337,6 +337,7 @@
 void upstream_attempt::on_end() {
     const instant now = services_.timers.now();
     note_return(now);
+    services_.metrics.answer_received(response_.head.ended_by());
     services_.health.on_result(upstream_id(upstream()), attempt_evidence::answered, now);
     if (response_.head.ends_with_connection) {
         note_connection_ended(first_event_at_.has_value());
--- a/servers/request_metrics.hpp
+++ b/servers/request_metrics.hpp
@@ -27,6 +27,9 @@
     virtual void refused(const std::string& code) = 0;
     virtual void retried(const std::string& failure) = 0;
     virtual void answered() = 0;
+    /// An upstream's answer was taken for complete.
+    /// @param end  what its end was told by: `framing` or `connection`
+    virtual void answer_received(const std::string& end) = 0;
     /// An upstream's answer began and was not accepted.
     virtual void answer_rejected(const std::string& fault) = 0;
     /// The connection ended before the answer was complete.
--- a/tests/servers/relay/relay_fixture.hpp
+++ b/tests/servers/relay/relay_fixture.hpp
@@ -322,9 +322,11 @@
     void refused(const std::string&) override {}
     void retried(const std::string&) override {}
     void answered() override {}
+    void answer_received(const std::string& end) override { received_answers.push_back(end); }
     void answer_rejected(const std::string& fault) override { rejected_answers.push_back(fault); }
     void answer_cut(const std::string&) override {}
 
+    std::vector<std::string> received_answers;
     std::vector<std::string> rejected_answers;
 };
 
