Upstream connections: an answer that ends with its connection needs a running upstream

Cause: an answer with neither a length nor chunks ends with its connection, and the end of the stream alone was taken for its end. The kernel ends the connections of a process that was killed or has crashed in the same way, unless unread bytes are left. Class: an event with two causes is read as the wanted one.

Fix: such an answer is complete only if the upstream takes another connection after all sockets of an ended process are closed. Events of a stream do not wait, only its end does. The new connection goes to the idle ones, in place of the one that ended.

--- a/drivers/traffic/beast_exchange.cpp
+++ b/drivers/traffic/beast_exchange.cpp
@@ -26,6 +26,8 @@
 constexpr duration default_idle_lifetime = std::chrono::seconds(4);
 /// An idle connection is discarded this long before the upstream would close it.
 constexpr duration idle_lifetime_margin = std::chrono::milliseconds(1'200);
+/// Time within which the kernel closes all sockets of a process that has ended.
+constexpr duration process_end_time = std::chrono::milliseconds(10);
 constexpr std::size_t read_size = 16'384;
 constexpr std::uint32_t max_response_header_bytes = 65'536;
 /// Bytes buffered while a line of the response's framing is incomplete.
@@ -50,6 +52,7 @@
 
 void beast_exchange::start(upstream_connection_pool::socket_ptr idle_socket,
                            duration connect_timeout) {
+    connect_timeout_ = connect_timeout;
     reset_parser();
     if (idle_socket) {
         reused_ = true;
@@ -57,7 +60,7 @@
         write();
         read();
     } else {
-        connect(connect_timeout);
+        connect();
     }
 }
 
@@ -68,12 +71,13 @@
     parser_->body_limit(boost::none);
 }
 
-void beast_exchange::connect(duration timeout) {
-    dial_ = dialer_.dial(address_, timeout, [self = shared_from_this()](dial_result result) {
-        if (self->listener_ != nullptr) {
-            self->on_connected(std::move(result));
-        }
-    });
+void beast_exchange::connect() {
+    dial_ =
+        dialer_.dial(address_, connect_timeout_, [self = shared_from_this()](dial_result result) {
+            if (self->listener_ != nullptr) {
+                self->on_connected(std::move(result));
+            }
+        });
 }
 
 void beast_exchange::on_connected(dial_result result) {
@@ -213,17 +217,44 @@
         error_code incomplete;
         parser_->put_eof(incomplete);
         if (!incomplete && parser_->is_done()) {
-            complete();
+            confirm_end();
             return;
         }
     }
     report_lost_connection(error_code(asio::error::eof).message());
 }
 
+void beast_exchange::confirm_end() {
+    // The upstream may limit its connections.
+    close();
+    loop_.after(process_end_time, [self = shared_from_this()] {
+        if (self->listener_ == nullptr) {
+            return;
+        }
+        self->dial_ =
+            self->dialer_.dial(self->address_, self->connect_timeout_, [self](dial_result result) {
+                if (self->listener_ != nullptr) {
+                    self->on_end_confirmed(std::move(result));
+                }
+            });
+    });
+}
+
+void beast_exchange::on_end_confirmed(dial_result result) {
+    if (!result.socket) {
+        reject(answer_fault::unconfirmed, "end not confirmed: " + result.failure);
+        return;
+    }
+    pool_->release(upstream_, std::move(result.socket), loop_.now(), idle_lifetime());
+    exchange_listener* listener = std::exchange(listener_, nullptr);
+    close();
+    listener->on_end();
+}
+
 void beast_exchange::complete() {
     exchange_listener* listener = std::exchange(listener_, nullptr);
-    const bool reusable = written_ && parser_->keep_alive() && buffer_.size() == 0 &&
-                          socket_->is_open() && !parser_->need_eof();
+    const bool reusable =
+        written_ && parser_->keep_alive() && buffer_.size() == 0 && socket_->is_open();
     if (reusable) {
         pool_->release(upstream_, std::move(socket_), loop_.now(), idle_lifetime());
     }
--- a/drivers/traffic/beast_exchange.hpp
+++ b/drivers/traffic/beast_exchange.hpp
@@ -21,7 +21,9 @@
 struct dial_result;
 
 /// One request to an upstream. Reads while it writes, because an upstream may respond before it has
-/// read a long body; such a connection is not reused.
+/// read a long body; such a connection is not reused. An answer that ends with its connection is
+/// complete only if the upstream takes another connection afterwards, since the kernel closes the
+/// connections of a process that has crashed or was killed in the same way.
 class beast_exchange : public std::enable_shared_from_this<beast_exchange> {
 public:
     beast_exchange(control_loop& loop, upstream_dialer& dialer,
@@ -40,7 +42,7 @@
     using parser_type = boost::beast::http::response_parser<boost::beast::http::string_body>;
 
     void reset_parser();
-    void connect(duration timeout);
+    void connect();
     void on_connected(dial_result result);
     void write();
     void read();
@@ -50,6 +52,9 @@
     void deliver_head();
     void on_read_error(const boost::system::error_code& error);
     void on_end_of_stream();
+    /// Finds out whether the upstream still runs after an answer that ended with its connection.
+    void confirm_end();
+    void on_end_confirmed(dial_result result);
     void complete();
     /// Fails because the connection ended before the answer was complete.
     void report_lost_connection(const std::string& reason);
@@ -64,6 +69,7 @@
     std::shared_ptr<upstream_connection_pool> pool_;
     upstream_lifetime upstream_;
     network_address address_;
+    duration connect_timeout_{};
     std::string head_;
     std::shared_ptr<const std::string> body_;
     /// Null once the exchange has ended.
--- a/servers/relay/answer_fault.cpp
+++ b/servers/relay/answer_fault.cpp
@@ -10,6 +10,8 @@
             return "malformed";
         case answer_fault::incomplete:
             return "incomplete";
+        case answer_fault::unconfirmed:
+            return "unconfirmed";
         case answer_fault::none:
             break;
     }
--- a/servers/relay/answer_fault.hpp
+++ b/servers/relay/answer_fault.hpp
@@ -11,6 +11,8 @@
     malformed,
     /// The connection ended or was lost before the answer was complete.
     incomplete,
+    /// The answer ended with its connection, and the upstream took no other one afterwards.
+    unconfirmed,
 };
 
 /// Name in metrics.
--- a/tests/drivers/traffic/raw_server.hpp
+++ b/tests/drivers/traffic/raw_server.hpp
@@ -33,6 +33,13 @@
         connection_->close(ignored);
     }
 
+    /// Closes the connection and takes no other one, as the kernel does for a process that was
+    /// killed.
+    void end() {
+        acceptor_.close();
+        close(false);
+    }
+
     /// Ends the sending direction, so that the peer reads the end of the stream.
     void shut_down() {
         boost::system::error_code ignored;
