Tunnels: the end of an answer is confirmed on the way that the answer took

Not in the users' record, which has no host without a path; found by looking for the same cause elsewhere.

Cause: the kernel of the host that leads a tunnel ends the tunnel with a FIN when that host's process is killed. The connection that confirms the end of the answer was then opened through any other host, which proves that the upstream runs and nothing of the tunnel.

Fix: connections know the host through whose tunnel they lead, and the end is confirmed by another connection through the same host, or directly if the answer came directly.

Evidence: tunnelled_answer, answer_without_length_whose_leading_host_has_ended_is_not_complete failed with the confirmation over any way.

--- a/drivers/net/dial_result.hpp
+++ b/drivers/net/dial_result.hpp
@@ -1,14 +1,14 @@
 #pragma once
 
-#include <boost/asio/ip/tcp.hpp>
-#include <memory>
 #include <string>
 
+#include "drivers/net/upstream_connection.hpp"
+
 namespace fuchsiaquay {
 
-/// Outcome of opening a connection to an upstream. `socket` is null on failure.
+/// Outcome of opening a connection to an upstream, which has no socket on failure.
 struct dial_result {
-    std::shared_ptr<boost::asio::ip::tcp::socket> socket;
+    upstream_connection connection;
     std::string failure;
     /// Nothing listens at the address of the upstream.
     bool refused = false;
--- a/drivers/net/http_channel.cpp
+++ b/drivers/net/http_channel.cpp
@@ -109,11 +109,11 @@
                 if (sequence != self->sequence_) {
                     return;
                 }
-                if (!result.socket) {
+                if (!result.connection.socket) {
                     self->fail(result.failure);
                     return;
                 }
-                self->socket_ = result.socket;
+                self->socket_ = result.connection.socket;
                 set_up_socket(*self->socket_);
                 self->write();
             });
--- a/drivers/net/tunnel_server.cpp
+++ b/drivers/net/tunnel_server.cpp
@@ -31,7 +31,7 @@
 constexpr duration accept_retry_delay = std::chrono::milliseconds(50);
 
 int status_of(const dial_result& result) {
-    if (result.socket) {
+    if (result.connection.socket) {
         return static_cast<int>(http::status::ok);
     }
     return static_cast<int>(result.refused ? http::status::bad_gateway
@@ -120,7 +120,7 @@
         dial_ = owner_->dialer_.dial_directly(upstream_address_, opening_timeout,
                                               [weak = weak_from_this()](const dial_result& result) {
                                                   if (const auto self = weak.lock()) {
-                                                      self->upstream_ = result.socket;
+                                                      self->upstream_ = result.connection.socket;
                                                       self->answer(status_of(result));
                                                   }
                                               });
--- a/drivers/net/upstream_dial.cpp
+++ b/drivers/net/upstream_dial.cpp
@@ -38,6 +38,22 @@
       buffer_(max_answer_bytes) {}
 
 void upstream_dial::start(duration timeout, bool direct) {
+    start_timer(timeout);
+    may_use_peers_ = !direct;
+    if (!start_with_peers()) {
+        connect_directly();
+    }
+}
+
+void upstream_dial::start_through(const network_address& peer, duration timeout) {
+    start_timer(timeout);
+    may_use_peers_ = false;
+    may_connect_directly_ = false;
+    peers_ = {peer};
+    try_next_peer();
+}
+
+void upstream_dial::start_timer(duration timeout) {
     // Throws for an address that is no IP number, which must not leave a running timer behind.
     (void)to_endpoint(upstream_);
     timer_.expires_after(timeout);
@@ -46,10 +62,6 @@
             self->on_timeout();
         }
     });
-    may_use_peers_ = !direct;
-    if (!start_with_peers()) {
-        connect_directly();
-    }
 }
 
 bool upstream_dial::start_with_peers() {
@@ -97,6 +109,10 @@
 }
 
 void upstream_dial::try_next_peer() {
+    if (peers_.empty() && !may_connect_directly_) {
+        fail("the host does not help", false);
+        return;
+    }
     if (peers_.empty()) {
         // The upstreams may be reachable again.
         connect_directly();
@@ -192,7 +208,7 @@
 void upstream_dial::succeed() {
     set_up_traffic_socket(*socket_);
     dial_result result;
-    result.socket = std::move(socket_);
+    result.connection = {std::move(socket_), peer_};
     finish(std::move(result));
 }
 
--- a/drivers/net/upstream_dial.hpp
+++ b/drivers/net/upstream_dial.hpp
@@ -19,12 +19,15 @@
 
     /// @param direct  do not use tunnels
     void start(duration timeout, bool direct);
+    /// Opens the connection through the tunnel of one host or not at all.
+    void start_through(const network_address& peer, duration timeout);
     /// Ends the dial; the handler is not called any more.
     void cancel();
 
 private:
     using empty_body = boost::beast::http::empty_body;
 
+    void start_timer(duration timeout);
     /// Whether the handler has been called or must not be any more.
     bool ended() const;
     /// False if this host reaches the upstreams itself, or other hosts were asked before.
@@ -52,6 +55,7 @@
     std::vector<network_address> peers_;
     /// Whether other hosts may be asked for a tunnel; they are asked once.
     bool may_use_peers_ = true;
+    bool may_connect_directly_ = true;
     /// The host whose tunnel is being tried.
     std::optional<network_address> peer_;
     boost::beast::http::request<empty_body> request_;
--- a/drivers/net/upstream_dialer.cpp
+++ b/drivers/net/upstream_dialer.cpp
@@ -39,6 +39,17 @@
     return result;
 }
 
+std::shared_ptr<upstream_dial> upstream_dialer::dial_same_way(
+    const network_address& upstream, const std::optional<network_address>& peer, duration timeout,
+    handler done) {
+    if (!peer) {
+        return dial_directly(upstream, timeout, std::move(done));
+    }
+    auto result = std::make_shared<upstream_dial>(*this, upstream, std::move(done));
+    result->start_through(*peer, timeout);
+    return result;
+}
+
 void upstream_dialer::record_direct(const network_address& upstream, bool connected) {
     if (connected) {
         path_.on_connected();
--- a/drivers/net/upstream_dialer.hpp
+++ b/drivers/net/upstream_dialer.hpp
@@ -45,6 +45,12 @@
     std::shared_ptr<upstream_dial> dial_directly(const network_address& upstream, duration timeout,
                                                  handler done);
 
+    /// The same on the way that an earlier connection took: without tunnels, or through that of
+    /// `peer`.
+    std::shared_ptr<upstream_dial> dial_same_way(const network_address& upstream,
+                                                 const std::optional<network_address>& peer,
+                                                 duration timeout, handler done);
+
     bool blocked() const noexcept { return path_.blocked(); }
     /// Whether the path is blocked or may be.
     bool in_doubt() const;
--- a/drivers/traffic/beast_exchange.cpp
+++ b/drivers/traffic/beast_exchange.cpp
@@ -50,13 +50,12 @@
       body_(std::move(body)),
       listener_(&listener) {}
 
-void beast_exchange::start(upstream_connection_pool::socket_ptr idle_socket,
-                           duration connect_timeout) {
+void beast_exchange::start(upstream_connection idle, duration connect_timeout) {
     connect_timeout_ = connect_timeout;
     reset_parser();
-    if (idle_socket) {
+    if (idle.socket) {
         reused_ = true;
-        socket_ = std::move(idle_socket);
+        use(std::move(idle));
         write();
         read();
     } else {
@@ -81,15 +80,20 @@
 }
 
 void beast_exchange::on_connected(dial_result result) {
-    if (!result.socket) {
+    if (!result.connection.socket) {
         fail({sent_, reused_, result.failure, result.refused});
         return;
     }
-    socket_ = std::move(result.socket);
+    use(std::move(result.connection));
     write();
     read();
 }
 
+void beast_exchange::use(upstream_connection connection) {
+    socket_ = std::move(connection.socket);
+    peer_ = std::move(connection.peer);
+}
+
 void beast_exchange::write() {
     sent_ = true;
     std::array<asio::const_buffer, 2> parts{asio::buffer(head_), asio::const_buffer()};
@@ -231,8 +235,8 @@
         if (self->listener_ == nullptr) {
             return;
         }
-        self->dial_ =
-            self->dialer_.dial(self->address_, self->connect_timeout_, [self](dial_result result) {
+        self->dial_ = self->dialer_.dial_same_way(
+            self->address_, self->peer_, self->connect_timeout_, [self](dial_result result) {
                 if (self->listener_ != nullptr) {
                     self->on_end_confirmed(std::move(result));
                 }
@@ -241,11 +245,11 @@
 }
 
 void beast_exchange::on_end_confirmed(dial_result result) {
-    if (!result.socket) {
+    if (!result.connection.socket) {
         reject(answer_fault::unconfirmed, "end not confirmed: " + result.failure);
         return;
     }
-    pool_->release(upstream_, std::move(result.socket), loop_.now(), idle_lifetime());
+    pool_->release(upstream_, std::move(result.connection), loop_.now(), idle_lifetime());
     exchange_listener* listener = std::exchange(listener_, nullptr);
     close();
     listener->on_end();
@@ -256,7 +260,7 @@
     const bool reusable =
         written_ && parser_->keep_alive() && buffer_.size() == 0 && socket_->is_open();
     if (reusable) {
-        pool_->release(upstream_, std::move(socket_), loop_.now(), idle_lifetime());
+        pool_->release(upstream_, {std::move(socket_), peer_}, loop_.now(), idle_lifetime());
     }
     close();
     listener->on_end();
--- a/drivers/traffic/beast_exchange.hpp
+++ b/drivers/traffic/beast_exchange.hpp
@@ -22,8 +22,8 @@
 
 /// One request to an upstream. Reads while it writes, because an upstream may respond before it has
 /// read a long body; such a connection is not reused. An answer that ends with its connection is
-/// complete only if the upstream takes another connection afterwards, since the kernel closes the
-/// connections of a process that has crashed or was killed in the same way.
+/// complete only if the upstream takes another connection on the same way afterwards, since the
+/// kernel closes the connections of a process that has crashed or was killed in the same way.
 class beast_exchange : public std::enable_shared_from_this<beast_exchange> {
 public:
     beast_exchange(control_loop& loop, upstream_dialer& dialer,
@@ -31,9 +31,9 @@
                    std::string head, std::shared_ptr<const std::string> body,
                    exchange_listener& listener);
 
-    /// Sends the request on `idle_socket`, or on a new connection when it is null.
+    /// Sends the request on `idle`, or on a new connection when it has no socket.
     /// @param connect_timeout  time limit for a new connection
-    void start(upstream_connection_pool::socket_ptr idle_socket, duration connect_timeout);
+    void start(upstream_connection idle, duration connect_timeout);
     /// Closes the connection; the listener is not called any more.
     void cancel();
     bool reused_connection() const noexcept { return reused_; }
@@ -44,6 +44,7 @@
     void reset_parser();
     void connect();
     void on_connected(dial_result result);
+    void use(upstream_connection connection);
     void write();
     void read();
     void on_read(std::size_t bytes);
@@ -74,7 +75,9 @@
     std::shared_ptr<const std::string> body_;
     /// Null once the exchange has ended.
     exchange_listener* listener_;
-    upstream_connection_pool::socket_ptr socket_;
+    std::shared_ptr<boost::asio::ip::tcp::socket> socket_;
+    /// The host through whose tunnel the connection leads; absent if it is direct.
+    std::optional<network_address> peer_;
     std::shared_ptr<upstream_dial> dial_;
     boost::beast::flat_buffer buffer_;
     std::optional<parser_type> parser_;
--- a/drivers/traffic/beast_upstream_connector.cpp
+++ b/drivers/traffic/beast_upstream_connector.cpp
@@ -37,14 +37,14 @@
 std::unique_ptr<upstream_exchange> beast_upstream_connector::open(
     const upstream_entry& upstream, std::string head, std::shared_ptr<const std::string> body,
     const connection_options& options, exchange_listener& listener) {
-    upstream_connection_pool::socket_ptr idle_socket;
+    upstream_connection idle;
     if (!options.new_connection) {
-        idle_socket = pool_->acquire(upstream.lifetime(), loop_.now());
+        idle = pool_->acquire(upstream.lifetime(), loop_.now());
     }
-    opened_connections_ += idle_socket ? 0 : 1;
+    opened_connections_ += idle.socket ? 0 : 1;
     auto exchange = std::make_shared<beast_exchange>(loop_, dialer_, pool_, upstream,
                                                      std::move(head), std::move(body), listener);
-    exchange->start(std::move(idle_socket), options.connect_timeout);
+    exchange->start(std::move(idle), options.connect_timeout);
     return std::make_unique<exchange_handle>(std::move(exchange));
 }
 
--- a/drivers/traffic/upstream_connection_pool.cpp
+++ b/drivers/traffic/upstream_connection_pool.cpp
@@ -14,27 +14,28 @@
 
 }  // namespace
 
-upstream_connection_pool::socket_ptr upstream_connection_pool::acquire(
-    const upstream_lifetime& upstream, instant now) {
+upstream_connection upstream_connection_pool::acquire(const upstream_lifetime& upstream,
+                                                      instant now) {
     const auto found = idle_.find(upstream);
     if (found == idle_.end()) {
-        return nullptr;
+        return {};
     }
     while (!found->second.empty()) {
-        const idle_connection connection = std::move(found->second.back());
+        const idle_connection idle = std::move(found->second.back());
         found->second.pop_back();
-        if (connection.usable_until > now && is_idle_connection_usable(*connection.socket)) {
-            return connection.socket;
+        if (idle.usable_until > now && is_idle_connection_usable(*idle.connection.socket)) {
+            return idle.connection;
         }
     }
-    return nullptr;
+    return {};
 }
 
-void upstream_connection_pool::release(const upstream_lifetime& upstream, socket_ptr socket,
-                                       instant now, duration usable_for) {
+void upstream_connection_pool::release(const upstream_lifetime& upstream,
+                                       upstream_connection connection, instant now,
+                                       duration usable_for) {
     std::vector<idle_connection>& connections = idle_[upstream];
     if (connections.size() < max_idle_connections && usable_for > duration::zero()) {
-        connections.push_back({std::move(socket), now + usable_for});
+        connections.push_back({std::move(connection), now + usable_for});
     }
 }
 
--- a/drivers/traffic/upstream_connection_pool.hpp
+++ b/drivers/traffic/upstream_connection_pool.hpp
@@ -1,25 +1,22 @@
 #pragma once
 
-#include <boost/asio/ip/tcp.hpp>
 #include <map>
-#include <memory>
 #include <vector>
 
 #include "core/fleet/upstream_lifetime.hpp"
 #include "core/time/clock.hpp"
+#include "drivers/net/upstream_connection.hpp"
 
 namespace fuchsiaquay {
 
 /// Pool of idle connections to upstreams, by process.
 class upstream_connection_pool {
 public:
-    using socket_ptr = std::shared_ptr<boost::asio::ip::tcp::socket>;
-
-    /// Returns an open connection without unread data, or null.
-    socket_ptr acquire(const upstream_lifetime& upstream, instant now);
+    /// Returns an open connection without unread data, or one without a socket.
+    upstream_connection acquire(const upstream_lifetime& upstream, instant now);
     /// Adds an idle connection to the pool, or closes it when the pool is full.
     /// @param usable_for  time before the upstream may close the idle connection
-    void release(const upstream_lifetime& upstream, socket_ptr socket, instant now,
+    void release(const upstream_lifetime& upstream, upstream_connection connection, instant now,
                  duration usable_for);
     /// Closes connections that the upstream may be about to close.
     void remove_expired(instant now);
@@ -28,7 +25,7 @@
 
 private:
     struct idle_connection {
-        socket_ptr socket;
+        upstream_connection connection;
         instant usable_until{};
     };
 
--- a/tests/drivers/traffic/stranded_host_test.cpp
+++ b/tests/drivers/traffic/stranded_host_test.cpp
@@ -203,6 +203,33 @@
     CHECK_EQUAL(std::string("whole"), listener_.body);
 }
 
+// Guards against a part of an answer that looks complete because the host that led the tunnel was
+// killed, while another host reaches the upstream.
+TEST(tunnelled_answer, answer_without_length_whose_leading_host_has_ended_is_not_complete) {
+    raw_server leading(loop_);
+    peers_ = {leading.address(), tunnel_address_};
+    open();
+    CHECK_TRUE(leading.expect("CONNECT " + server_.address().text()));
+    leading.send("HTTP/1.1 200 OK\r\n\r\n");
+    CHECK_TRUE(leading.expect("POST "));
+    leading.send("HTTP/1.1 200 OK\r\n\r\npart");
+    CHECK_TRUE(run_until(loop_, [this] { return listener_.body == "part"; }));
+    leading.end();
+    CHECK_TRUE(ended());
+    CHECK_FALSE(listener_.ended);
+    STRCMP_EQUAL("unconfirmed", name_of(listener_.failure->fault));
+    LONGS_EQUAL(0, tunnels_.opened());
+}
+
+TEST(tunnelled_answer, answer_without_length_whose_upstream_has_ended_is_not_complete) {
+    open_and_respond("HTTP/1.1 200 OK\r\n\r\npart");
+    CHECK_TRUE(run_until(loop_, [this] { return listener_.body == "part"; }));
+    server_.end();
+    CHECK_TRUE(ended());
+    CHECK_FALSE(listener_.ended);
+    STRCMP_EQUAL("unconfirmed", name_of(listener_.failure->fault));
+}
+
 TEST(tunnelled_answer, cancelled_exchange_closes_the_connection_of_the_upstream) {
     open();
     CHECK_TRUE(server_.expect("\r\n\r\n"));
