Upstream connections: an unframed answer that ends together with other connections is not complete

That is suspected to be a cut of the host's connections, not shown.

Cause: something between host and upstream, such as a proxy that is stopped or loses its path, may close its connections in order while the upstream runs. The upstream then takes another connection, and the end of the answer was confirmed.

Fix: a connection that ends in order at a point that cannot be the end of an answer (within a framed answer, or before one) is remembered for a moment. Resets do not count: an upstream in trouble resets single answers.

What is left: nothing tells a cut that hits only unframed answers of an upstream that runs.

--- a/drivers/traffic/beast_exchange.cpp
+++ b/drivers/traffic/beast_exchange.cpp
@@ -5,6 +5,7 @@
 #include <charconv>
 #include <utility>
 
+#include "core/relay/connection_losses.hpp"
 #include "core/relay/response_status.hpp"
 #include "drivers/control/control_loop.hpp"
 #include "drivers/net/dial_result.hpp"
@@ -39,11 +40,13 @@
 
 beast_exchange::beast_exchange(control_loop& loop, upstream_dialer& dialer,
                                std::shared_ptr<upstream_connection_pool> pool,
+                               std::shared_ptr<connection_losses> losses,
                                const upstream_entry& upstream, std::string head,
                                std::shared_ptr<const std::string> body, exchange_listener& listener)
     : loop_(loop),
       dialer_(dialer),
       pool_(std::move(pool)),
+      losses_(std::move(losses)),
       upstream_(upstream.lifetime()),
       address_(upstream.address),
       head_(std::move(head)),
@@ -213,6 +216,7 @@
 }
 
 void beast_exchange::on_end_of_stream() {
+    ended_at_ = loop_.now();
     if (is_lost_connection(write_error_)) {
         report_lost_connection(write_error_.message() + " while the request was sent");
         return;
@@ -225,6 +229,9 @@
             return;
         }
     }
+    if (!reused_ || answer_begun()) {
+        losses_->on_lost(upstream_, ended_at_);
+    }
     report_lost_connection(error_code(asio::error::eof).message());
 }
 
@@ -250,6 +257,10 @@
         return;
     }
     pool_->release(upstream_, std::move(result.connection), loop_.now(), idle_lifetime());
+    if (losses_->suggest_loss(upstream_, ended_at_)) {
+        reject(answer_fault::unconfirmed, "end not confirmed: other connections were lost with it");
+        return;
+    }
     exchange_listener* listener = std::exchange(listener_, nullptr);
     close();
     listener->on_end();
@@ -282,9 +293,12 @@
                               std::chrono::seconds(seconds) - idle_lifetime_margin);
 }
 
+bool beast_exchange::answer_begun() const {
+    return head_delivered_ || buffer_.size() > 0;
+}
+
 void beast_exchange::report_lost_connection(const std::string& reason) {
-    const bool begun = head_delivered_ || buffer_.size() > 0;
-    reject(begun ? answer_fault::incomplete : answer_fault::none, reason);
+    reject(answer_begun() ? answer_fault::incomplete : answer_fault::none, reason);
 }
 
 void beast_exchange::reject(answer_fault fault, const std::string& reason) {
--- a/drivers/traffic/beast_exchange.hpp
+++ b/drivers/traffic/beast_exchange.hpp
@@ -14,6 +14,7 @@
 
 namespace fuchsiaquay {
 
+class connection_losses;
 class control_loop;
 class exchange_listener;
 class upstream_dial;
@@ -21,13 +22,17 @@
 struct dial_result;
 
 /// One request to an upstream. Reads while it writes, because an upstream may respond before it has
-/// read a long body; such a connection is not reused. An answer that ends with its connection is
-/// complete only if the upstream takes another connection on the same way afterwards, since the
-/// kernel closes the connections of a process that has crashed or was killed in the same way.
+/// read a long body; such a connection is not reused.
+///
+/// The end of an answer that ends with its connection needs a confirmation, since the kernel closes
+/// the connections of a process that was killed in the same way, and a proxy those that it has
+/// lost: the upstream takes another connection on the same way, and no other connections were lost
+/// at that moment.
 class beast_exchange : public std::enable_shared_from_this<beast_exchange> {
 public:
     beast_exchange(control_loop& loop, upstream_dialer& dialer,
-                   std::shared_ptr<upstream_connection_pool> pool, const upstream_entry& upstream,
+                   std::shared_ptr<upstream_connection_pool> pool,
+                   std::shared_ptr<connection_losses> losses, const upstream_entry& upstream,
                    std::string head, std::shared_ptr<const std::string> body,
                    exchange_listener& listener);
 
@@ -57,6 +62,7 @@
     void confirm_end();
     void on_end_confirmed(dial_result result);
     void complete();
+    bool answer_begun() const;
     /// Fails because the connection ended before the answer was complete.
     void report_lost_connection(const std::string& reason);
     /// Fails because of the answer.
@@ -68,6 +74,7 @@
     control_loop& loop_;
     upstream_dialer& dialer_;
     std::shared_ptr<upstream_connection_pool> pool_;
+    std::shared_ptr<connection_losses> losses_;
     upstream_lifetime upstream_;
     network_address address_;
     duration connect_timeout_{};
@@ -82,6 +89,8 @@
     boost::beast::flat_buffer buffer_;
     std::optional<parser_type> parser_;
     std::size_t parsed_bytes_ = 0;
+    /// When the connection ended.
+    instant ended_at_{};
     bool head_delivered_ = false;
     bool sent_ = false;
     bool written_ = false;
--- a/drivers/traffic/beast_upstream_connector.cpp
+++ b/drivers/traffic/beast_upstream_connector.cpp
@@ -2,6 +2,7 @@
 
 #include <utility>
 
+#include "core/relay/connection_losses.hpp"
 #include "drivers/control/control_loop.hpp"
 #include "drivers/traffic/beast_exchange.hpp"
 #include "servers/relay/connection_options.hpp"
@@ -30,7 +31,10 @@
 }  // namespace
 
 beast_upstream_connector::beast_upstream_connector(control_loop& loop, upstream_dialer& dialer)
-    : loop_(loop), dialer_(dialer), pool_(std::make_shared<upstream_connection_pool>()) {
+    : loop_(loop),
+      dialer_(dialer),
+      pool_(std::make_shared<upstream_connection_pool>()),
+      losses_(std::make_shared<connection_losses>()) {
     loop_.every(pool_cleanup_period, [this, pool = pool_] { pool->remove_expired(loop_.now()); });
 }
 
@@ -42,7 +46,7 @@
         idle = pool_->acquire(upstream.lifetime(), loop_.now());
     }
     opened_connections_ += idle.socket ? 0 : 1;
-    auto exchange = std::make_shared<beast_exchange>(loop_, dialer_, pool_, upstream,
+    auto exchange = std::make_shared<beast_exchange>(loop_, dialer_, pool_, losses_, upstream,
                                                      std::move(head), std::move(body), listener);
     exchange->start(std::move(idle), options.connect_timeout);
     return std::make_unique<exchange_handle>(std::move(exchange));
--- a/tests/drivers/traffic/raw_server.hpp
+++ b/tests/drivers/traffic/raw_server.hpp
@@ -5,6 +5,7 @@
 #include <boost/asio/write.hpp>
 #include <memory>
 #include <string>
+#include <vector>
 
 #include "tests/drivers/traffic/loopback.hpp"
 
@@ -40,6 +41,15 @@
         close(false);
     }
 
+    /// Closes all connections in order and goes on listening, as a proxy does that loses its path.
+    void close_all() {
+        for (const auto& connection : accepted_) {
+            boost::system::error_code ignored;
+            connection->close(ignored);
+        }
+        accepted_.clear();
+    }
+
     /// Ends the sending direction, so that the peer reads the end of the stream.
     void shut_down() {
         boost::system::error_code ignored;
@@ -71,6 +81,7 @@
             }
             ++connections;
             connection_ = std::make_shared<tcp::socket>(std::move(socket));
+            accepted_.push_back(connection_);
             read(connection_);
             accept();
         });
@@ -90,7 +101,9 @@
 
     control_loop& loop_;
     tcp::acceptor acceptor_;
+    /// The latest connection.
     std::shared_ptr<tcp::socket> connection_;
+    std::vector<std::shared_ptr<tcp::socket>> accepted_;
     bool paused_ = false;
     char buffer_[65536] = {};
 };
--- a/tests/drivers/traffic/unframed_answers_test.cpp
+++ b/tests/drivers/traffic/unframed_answers_test.cpp
@@ -3,7 +3,9 @@
 
 #include <CppUTest/TestHarness.h>
 
+#include <memory>
 #include <string>
+#include <vector>
 
 #include "tests/drivers/traffic/upstream_connector_fixture.hpp"
 
@@ -12,15 +14,34 @@
 
 namespace {
 
+constexpr const char* other_connections = "other connections were lost with it";
+constexpr const char* half_of_a_framed_answer =
+    "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nhalf of";
+
 struct unframed_answers_fixture : upstream_connector_fixture {
+    recording_listener other_listener_;
+    std::vector<std::unique_ptr<upstream_exchange>> other_exchanges_;
+
     void begin_answer(const std::string& body) {
         open_and_respond("HTTP/1.1 200 OK\r\n\r\n" + body);
         CHECK_TRUE(run_until(loop_, [&] { return listener_.body == body; }));
     }
-    void check_unconfirmed() {
+    /// Begins an answer to another request on a connection of its own.
+    void begin_other_answer(raw_server& server, const std::string& id, const std::string& answer) {
+        upstream_entry upstream;
+        upstream.id = id;
+        upstream.address = server.address();
+        server.received.clear();
+        other_exchanges_.push_back(connector_.open(upstream, "POST / HTTP/1.1\r\n\r\n", nullptr,
+                                                   {true, connect_limit}, other_listener_));
+        CHECK_TRUE(server.expect("POST "));
+        server.send(answer);
+    }
+    void check_unconfirmed(const char* reason = "connect: ") {
         CHECK_TRUE(ended());
         CHECK_FALSE(listener_.ended);
-        STRCMP_CONTAINS("answer: end not confirmed: connect: ", listener_.failure->reason.c_str());
+        STRCMP_CONTAINS((std::string("answer: end not confirmed: ") + reason).c_str(),
+                        listener_.failure->reason.c_str());
         STRCMP_EQUAL("unconfirmed", name_of(listener_.failure->fault));
         CHECK_TRUE(listener_.failure->sent);
         CHECK_FALSE(listener_.failure->refused);
@@ -58,6 +79,45 @@
     LONGS_EQUAL(2, server_.connections);
 }
 
+// Guards against a part of an answer that looks complete because a proxy on the way has closed its
+// connections, while the upstream still runs.
+TEST(unframed_answers, answer_that_ends_with_a_part_of_a_framed_one_is_not_complete) {
+    begin_answer("half of");
+    begin_other_answer(server_, "i-1", half_of_a_framed_answer);
+    server_.close_all();
+    check_unconfirmed(other_connections);
+}
+
+TEST(unframed_answers, answer_that_ends_with_the_connection_of_a_waiting_request_is_not_complete) {
+    begin_answer("half of");
+    begin_other_answer(server_, "i-1", "");
+    server_.close_all();
+    check_unconfirmed(other_connections);
+}
+
+TEST(unframed_answers, answer_that_ends_with_answers_of_two_other_upstreams_is_not_complete) {
+    raw_server second(loop_);
+    raw_server third(loop_);
+    begin_answer("half of");
+    begin_other_answer(second, "i-2", half_of_a_framed_answer);
+    begin_other_answer(third, "i-3", half_of_a_framed_answer);
+    for (raw_server* server : {&second, &server_, &third}) {
+        server->close_all();
+    }
+    check_unconfirmed(other_connections);
+}
+
+// An upstream in trouble may reset some of its answers; that tells nothing of the others.
+TEST(unframed_answers, answer_is_complete_although_another_one_of_its_upstream_was_reset) {
+    begin_answer("all of it");
+    begin_other_answer(server_, "i-1", half_of_a_framed_answer);
+    server_.close(true);
+    server_.close_all();
+    CHECK_TRUE(ended());
+    CHECK_TRUE(listener_.ended);
+    CHECK_TRUE(other_listener_.failure.has_value());
+}
+
 TEST(unframed_answers, connection_that_confirmed_an_end_is_reused) {
     begin_answer("one");
     server_.close(false);
