Service calls: an answer that ends with its connection needs a running service

Cause and fix as in the entry role: an answer with neither a length nor chunks is complete only if the service takes another connection after all sockets of an ended process are closed. Streams of engines end with a marker there and need nothing.

Evidence: service_call, answer_without_length_of_a_service_that_has_ended_is_a_failure failed before. answer_without_length_ends_at_close_and_fails_on_reset holds that a whole answer still gets through.

--- a/drivers/api/service_call.cpp
+++ b/drivers/api/service_call.cpp
@@ -6,6 +6,7 @@
 #include <boost/asio/dispatch.hpp>
 #include <utility>
 
+#include "core/relay/process_end_time.hpp"
 #include "core/relay/response_status.hpp"
 
 namespace fuchsiaquay {
@@ -35,7 +36,8 @@
       done_(std::move(done)),
       strand_(asio::make_strand(crossplat::threadpool::shared_instance().service())),
       resolver_(strand_),
-      socket_(strand_) {}
+      socket_(strand_),
+      timer_(strand_) {}
 
 void service_call::start() {
     asio::dispatch(strand_, [self = shared_from_this()] { self->resolve(); });
@@ -59,14 +61,16 @@
 }
 
 void service_call::connect(const tcp::resolver::results_type& endpoints) {
-    asio::async_connect(socket_, endpoints,
-                        [self = shared_from_this()](const error_code& error, const tcp::endpoint&) {
-                            if (error) {
-                                self->fail("connect");
-                                return;
-                            }
-                            self->write();
-                        });
+    asio::async_connect(
+        socket_, endpoints,
+        [self = shared_from_this()](const error_code& error, const tcp::endpoint& connected) {
+            if (error) {
+                self->fail("connect");
+                return;
+            }
+            self->service_ = connected;
+            self->write();
+        });
 }
 
 void service_call::write() {
@@ -97,16 +101,44 @@
 
 void service_call::on_read() {
     auto& answer = parser_->get();
-    result outcome;
-    outcome.status = static_cast<int>(answer.result_int());
-    if (is_interim_status(outcome.status)) {
+    const int status = static_cast<int>(answer.result_int());
+    if (is_interim_status(status)) {
         read();
         return;
     }
-    if (!is_final_status(outcome.status)) {
+    if (!is_final_status(status)) {
         fail("invalid_status");
         return;
     }
+    if (parser_->need_eof()) {
+        confirm_end();
+        return;
+    }
+    succeed();
+}
+
+void service_call::confirm_end() {
+    error_code ignored;
+    socket_.close(ignored);
+    timer_.expires_after(process_end_time);
+    timer_.async_wait([self = shared_from_this()](const error_code& /*error*/) {
+        if (!self->done_) {
+            return;
+        }
+        self->socket_.async_connect(self->service_, [self](const error_code& error) {
+            if (error) {
+                self->fail("broken");
+            } else {
+                self->succeed();
+            }
+        });
+    });
+}
+
+void service_call::succeed() {
+    auto& answer = parser_->get();
+    result outcome;
+    outcome.status = static_cast<int>(answer.result_int());
     outcome.content_type = std::string(answer[http::field::content_type]);
     outcome.body = std::move(answer.body());
     finish(outcome);
@@ -130,6 +162,7 @@
     asio::dispatch(strand_, [self = shared_from_this()] {
         self->done_ = nullptr;
         self->resolver_.cancel();
+        self->timer_.cancel();
         error_code ignored;
         self->socket_.close(ignored);
     });
--- a/drivers/api/service_call.hpp
+++ b/drivers/api/service_call.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
 #include <boost/asio/strand.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http.hpp>
@@ -12,7 +13,9 @@
 namespace fuchsiaquay {
 
 /// One call of a plain service, on a connection of its own and on threads of the HTTP library. That
-/// library's own client takes answers whose fields are malformed.
+/// library's own client takes answers whose fields are malformed. An answer that ends with its
+/// connection is complete only if the service takes another one afterwards, since the kernel closes
+/// the connections of a process that was killed in the same way.
 class service_call : public std::enable_shared_from_this<service_call> {
 public:
     using request = boost::beast::http::request<boost::beast::http::string_body>;
@@ -40,6 +43,8 @@
     void write();
     void read();
     void on_read();
+    void confirm_end();
+    void succeed();
     void fail(const char* failure);
     void finish(const result& outcome);
 
@@ -51,6 +56,9 @@
     boost::asio::strand<boost::asio::io_context::executor_type> strand_;
     boost::asio::ip::tcp::resolver resolver_;
     boost::asio::ip::tcp::socket socket_;
+    /// The service that answers, of those that the address names.
+    boost::asio::ip::tcp::endpoint service_;
+    boost::asio::steady_timer timer_;
     boost::beast::flat_buffer buffer_;
     std::optional<boost::beast::http::response_parser<boost::beast::http::string_body>> parser_;
 };
--- a/drivers/traffic/beast_exchange.cpp
+++ b/drivers/traffic/beast_exchange.cpp
@@ -6,6 +6,7 @@
 #include <utility>
 
 #include "core/relay/connection_losses.hpp"
+#include "core/relay/process_end_time.hpp"
 #include "core/relay/response_status.hpp"
 #include "drivers/control/control_loop.hpp"
 #include "drivers/net/dial_result.hpp"
@@ -27,8 +28,6 @@
 constexpr duration default_idle_lifetime = std::chrono::seconds(4);
 /// An idle connection is discarded this long before the upstream would close it.
 constexpr duration idle_lifetime_margin = std::chrono::milliseconds(1'200);
-/// Time within which the kernel closes all sockets of a process that has ended.
-constexpr duration process_end_time = std::chrono::milliseconds(10);
 constexpr std::size_t read_size = 16'384;
 constexpr std::uint32_t max_response_header_bytes = 65'536;
 /// Bytes buffered while a line of the response's framing is incomplete.
--- a/tests/drivers/api/service_call_test.cpp
+++ b/tests/drivers/api/service_call_test.cpp
@@ -125,6 +125,16 @@
     CHECK_EQUAL(std::string("broken"), answer("HTTP/1.1 200 OK\r\n\r\nhalf of", true).failure);
 }
 
+// Guards against a part of an answer that looks complete because its service was killed.
+TEST(service_call, answer_without_length_of_a_service_that_has_ended_is_a_failure) {
+    start(server_.address());
+    CHECK_TRUE(server_.expect("\r\n\r\n"));
+    server_.send("HTTP/1.1 200 OK\r\n\r\nhalf of");
+    server_.end();
+    CHECK_EQUAL(std::string("broken"), wait().failure);
+    CHECK_EQUAL(std::string(), wait().body);
+}
+
 TEST(service_call, answer_that_ends_early_is_a_failure) {
     check_rejected("broken", "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nhalf of");
     check_rejected("broken", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n9\r\nhalf of");
