--- a/core/relay/connection_losses.cpp
+++ b/core/relay/connection_end_evidence.cpp
@@ -1,4 +1,4 @@
-#include "core/relay/connection_losses.hpp"
+#include "core/relay/connection_end_evidence.hpp"
 
 #include <cstddef>
 #include <set>
@@ -16,14 +16,14 @@
 
 }  // namespace
 
-void connection_losses::on_lost(const upstream_lifetime& upstream, instant now) {
+void connection_end_evidence::on_lost(const upstream_lifetime& upstream, instant now) {
     while (!losses_.empty() && now - losses_.front().at > memory_time) {
         losses_.pop_front();
     }
     losses_.push_back({upstream, now});
 }
 
-bool connection_losses::suggest_loss(const upstream_lifetime& upstream, instant ended_at) const {
+bool connection_end_evidence::suggest_loss(const upstream_lifetime& upstream, instant ended_at) const {
     std::set<upstream_lifetime> others;
     for (const loss& item : losses_) {
         const duration distance = item.at - ended_at;
--- a/core/relay/connection_losses.hpp
+++ b/core/relay/connection_end_evidence.hpp
@@ -10,7 +10,7 @@
 /// Remembers for a moment which connections to upstreams ended in order, but at a point that cannot
 /// be the end of an answer. Whatever ends one connection so, such as a proxy on the way, often ends
 /// others at the same moment.
-class connection_losses {
+class connection_end_evidence {
 public:
     /// Records that a connection to `upstream` ended before its answer was complete.
     void on_lost(const upstream_lifetime& upstream, instant now);
--- a/drivers/traffic/beast_exchange.cpp
+++ b/drivers/traffic/beast_exchange.cpp
@@ -5,7 +5,7 @@
 #include <charconv>
 #include <utility>
 
-#include "core/relay/connection_losses.hpp"
+#include "core/relay/connection_end_evidence.hpp"
 #include "core/relay/process_end_time.hpp"
 #include "core/relay/response_status.hpp"
 #include "drivers/control/control_loop.hpp"
@@ -39,7 +39,7 @@
 
 beast_exchange::beast_exchange(control_loop& loop, upstream_dialer& dialer,
                                std::shared_ptr<upstream_connection_pool> pool,
-                               std::shared_ptr<connection_losses> losses,
+                               std::shared_ptr<connection_end_evidence> losses,
                                const upstream_entry& upstream, std::string head,
                                std::shared_ptr<const std::string> body, exchange_listener& listener)
     : loop_(loop),
--- a/drivers/traffic/beast_exchange.hpp
+++ b/drivers/traffic/beast_exchange.hpp
@@ -14,7 +14,7 @@
 
 namespace fuchsiaquay {
 
-class connection_losses;
+class connection_end_evidence;
 class control_loop;
 class exchange_listener;
 class upstream_dial;
@@ -32,7 +32,7 @@
 public:
     beast_exchange(control_loop& loop, upstream_dialer& dialer,
                    std::shared_ptr<upstream_connection_pool> pool,
-                   std::shared_ptr<connection_losses> losses, const upstream_entry& upstream,
+                   std::shared_ptr<connection_end_evidence> losses, const upstream_entry& upstream,
                    std::string head, std::shared_ptr<const std::string> body,
                    exchange_listener& listener);
 
@@ -74,7 +74,7 @@
     control_loop& loop_;
     upstream_dialer& dialer_;
     std::shared_ptr<upstream_connection_pool> pool_;
-    std::shared_ptr<connection_losses> losses_;
+    std::shared_ptr<connection_end_evidence> losses_;
     upstream_lifetime upstream_;
     network_address address_;
     duration connect_timeout_{};
--- a/drivers/traffic/beast_upstream_connector.cpp
+++ b/drivers/traffic/beast_upstream_connector.cpp
@@ -2,7 +2,7 @@
 
 #include <utility>
 
-#include "core/relay/connection_losses.hpp"
+#include "core/relay/connection_end_evidence.hpp"
 #include "drivers/control/control_loop.hpp"
 #include "drivers/traffic/beast_exchange.hpp"
 #include "servers/relay/connection_options.hpp"
@@ -34,7 +34,7 @@
     : loop_(loop),
       dialer_(dialer),
       pool_(std::make_shared<upstream_connection_pool>()),
-      losses_(std::make_shared<connection_losses>()) {
+      losses_(std::make_shared<connection_end_evidence>()) {
     loop_.every(pool_cleanup_period, [this, pool = pool_] { pool->remove_expired(loop_.now()); });
 }
 
--- a/tests/core/relay/connection_losses_test.cpp
+++ b/tests/core/relay/connection_end_evidence_test.cpp
@@ -1,12 +1,12 @@
-#include "core/relay/connection_losses.hpp"
+#include "core/relay/connection_end_evidence.hpp"
 
 #include <CppUTest/TestHarness.h>
 
 using namespace fuchsiaquay;
 using std::chrono::milliseconds;
 
-TEST_GROUP(connection_losses) {
-    connection_losses losses_;
+TEST_GROUP(connection_end_evidence) {
+    connection_end_evidence losses_;
     const instant end_ = instant(std::chrono::seconds(100));
 
     static upstream_lifetime upstream(const char* id) {
@@ -17,21 +17,21 @@
     }
 };
 
-TEST(connection_losses, end_without_losses_is_an_end) {
+TEST(connection_end_evidence, end_without_losses_is_an_end) {
     CHECK_FALSE(suggest_loss());
 }
 
-TEST(connection_losses, loss_at_the_same_upstream_makes_an_end_a_loss) {
+TEST(connection_end_evidence, loss_at_the_same_upstream_makes_an_end_a_loss) {
     losses_.on_lost(upstream("i-1"), end_ - milliseconds(2));
     CHECK_TRUE(suggest_loss());
 }
 
-TEST(connection_losses, loss_just_after_an_end_counts) {
+TEST(connection_end_evidence, loss_just_after_an_end_counts) {
     losses_.on_lost(upstream("i-1"), end_ + milliseconds(8));
     CHECK_TRUE(suggest_loss());
 }
 
-TEST(connection_losses, losses_of_several_other_upstreams_make_an_end_a_loss) {
+TEST(connection_end_evidence, losses_of_several_other_upstreams_make_an_end_a_loss) {
     losses_.on_lost(upstream("i-2"), end_);
     losses_.on_lost(upstream("i-2"), end_);
     CHECK_FALSE(suggest_loss());
@@ -39,7 +39,7 @@
     CHECK_TRUE(suggest_loss());
 }
 
-TEST(connection_losses, losses_at_another_time_do_not_count) {
+TEST(connection_end_evidence, losses_at_another_time_do_not_count) {
     losses_.on_lost(upstream("i-1"), end_ - milliseconds(20));
     losses_.on_lost(upstream("i-1"), end_ + milliseconds(20));
     CHECK_FALSE(suggest_loss());
