Upstream connections: an unframed answer that ends while this host is suspended is not complete

What callers saw: not in the record; found by asking what the confirmation of an end proves.

Cause: the connection that confirms the end of an answer is opened when the end is read. A host that was suspended for longer than it takes to use the address of an upstream again (2 s) reaches another process there.

Fix: an end that is read just after a suspension of about 2 s or more proves nothing. The connector's tick of 1 s tells suspensions; ends that are read before the tick that is due are covered by its delay.

--- a/drivers/traffic/beast_exchange.cpp
+++ b/drivers/traffic/beast_exchange.cpp
@@ -39,13 +39,13 @@
 
 beast_exchange::beast_exchange(control_loop& loop, upstream_dialer& dialer,
                                std::shared_ptr<upstream_connection_pool> pool,
-                               std::shared_ptr<connection_end_evidence> losses,
+                               std::shared_ptr<connection_end_evidence> evidence,
                                const upstream_entry& upstream, std::string head,
                                std::shared_ptr<const std::string> body, exchange_listener& listener)
     : loop_(loop),
       dialer_(dialer),
       pool_(std::move(pool)),
-      losses_(std::move(losses)),
+      evidence_(std::move(evidence)),
       upstream_(upstream.lifetime()),
       address_(upstream.address),
       head_(std::move(head)),
@@ -229,7 +229,7 @@
         }
     }
     if (!reused_ || answer_begun()) {
-        losses_->on_lost(upstream_, ended_at_);
+        evidence_->on_lost(upstream_, ended_at_);
     }
     report_lost_connection(error_code(asio::error::eof).message());
 }
@@ -256,8 +256,8 @@
         return;
     }
     pool_->release(upstream_, std::move(result.connection), loop_.now(), idle_lifetime());
-    if (losses_->suggest_loss(upstream_, ended_at_)) {
-        reject(answer_fault::unconfirmed, "end not confirmed: other connections were lost with it");
+    if (const char* objection = evidence_->objection(upstream_, ended_at_)) {
+        reject(answer_fault::unconfirmed, std::string("end not confirmed: ") + objection);
         return;
     }
     exchange_listener* listener = std::exchange(listener_, nullptr);
--- a/drivers/traffic/beast_exchange.hpp
+++ b/drivers/traffic/beast_exchange.hpp
@@ -32,9 +32,9 @@
 public:
     beast_exchange(control_loop& loop, upstream_dialer& dialer,
                    std::shared_ptr<upstream_connection_pool> pool,
-                   std::shared_ptr<connection_end_evidence> losses, const upstream_entry& upstream,
-                   std::string head, std::shared_ptr<const std::string> body,
-                   exchange_listener& listener);
+                   std::shared_ptr<connection_end_evidence> evidence,
+                   const upstream_entry& upstream, std::string head,
+                   std::shared_ptr<const std::string> body, exchange_listener& listener);
 
     /// Sends the request on `idle`, or on a new connection when it has no socket.
     /// @param connect_timeout  time limit for a new connection
@@ -74,7 +74,7 @@
     control_loop& loop_;
     upstream_dialer& dialer_;
     std::shared_ptr<upstream_connection_pool> pool_;
-    std::shared_ptr<connection_end_evidence> losses_;
+    std::shared_ptr<connection_end_evidence> evidence_;
     upstream_lifetime upstream_;
     network_address address_;
     duration connect_timeout_{};
--- a/drivers/traffic/beast_upstream_connector.cpp
+++ b/drivers/traffic/beast_upstream_connector.cpp
@@ -12,8 +12,6 @@
 
 namespace {
 
-constexpr duration pool_cleanup_period = std::chrono::seconds(1);
-
 class exchange_handle final : public upstream_exchange {
 public:
     explicit exchange_handle(std::shared_ptr<beast_exchange> exchange)
@@ -34,8 +32,11 @@
     : loop_(loop),
       dialer_(dialer),
       pool_(std::make_shared<upstream_connection_pool>()),
-      losses_(std::make_shared<connection_end_evidence>()) {
-    loop_.every(pool_cleanup_period, [this, pool = pool_] { pool->remove_expired(loop_.now()); });
+      evidence_(std::make_shared<connection_end_evidence>()) {
+    loop_.every(connection_end_evidence::tick_period, [this, pool = pool_, evidence = evidence_] {
+        pool->remove_expired(loop_.now());
+        evidence->on_tick(loop_.now());
+    });
 }
 
 std::unique_ptr<upstream_exchange> beast_upstream_connector::open(
@@ -46,7 +47,7 @@
         idle = pool_->acquire(upstream.lifetime(), loop_.now());
     }
     opened_connections_ += idle.socket ? 0 : 1;
-    auto exchange = std::make_shared<beast_exchange>(loop_, dialer_, pool_, losses_, upstream,
+    auto exchange = std::make_shared<beast_exchange>(loop_, dialer_, pool_, evidence_, upstream,
                                                      std::move(head), std::move(body), listener);
     exchange->start(std::move(idle), options.connect_timeout);
     return std::make_unique<exchange_handle>(std::move(exchange));
--- a/drivers/traffic/beast_upstream_connector.hpp
+++ b/drivers/traffic/beast_upstream_connector.hpp
@@ -31,7 +31,7 @@
     control_loop& loop_;
     upstream_dialer& dialer_;
     std::shared_ptr<upstream_connection_pool> pool_;
-    std::shared_ptr<connection_end_evidence> losses_;
+    std::shared_ptr<connection_end_evidence> evidence_;
     std::uint64_t opened_connections_ = 0;
 };
 
--- a/tests/drivers/traffic/unframed_answers_test.cpp
+++ b/tests/drivers/traffic/unframed_answers_test.cpp
@@ -5,6 +5,7 @@
 
 #include <memory>
 #include <string>
+#include <thread>
 #include <vector>
 
 #include "tests/drivers/traffic/upstream_connector_fixture.hpp"
@@ -118,6 +119,22 @@
     CHECK_TRUE(other_listener_.failure.has_value());
 }
 
+// Guards against a part of an answer that looks complete because its upstream ended, and another
+// process got its address, while this host was suspended.
+TEST(unframed_answers, answer_that_ends_while_the_host_is_suspended_is_not_complete) {
+    loop_.context().run_for(std::chrono::milliseconds(1'100));
+    begin_answer("half of");
+    server_.close(false);
+    std::this_thread::sleep_for(std::chrono::milliseconds(2'000));
+    check_unconfirmed("this host was suspended");
+    loop_.context().run_for(std::chrono::milliseconds(200));
+    listener_.clear();
+    begin_answer("all of it");
+    server_.close(false);
+    CHECK_TRUE(ended());
+    CHECK_TRUE(listener_.ended);
+}
+
 TEST(unframed_answers, connection_that_confirmed_an_end_is_reused) {
     begin_answer("one");
     server_.close(false);
