Relay: an unframed answer of a process that has restarted meanwhile is not complete

What callers saw: not in the record; found with the suspension of a host.

Cause: an upstream that ends behind a cut and starts again at its address with its id takes the connection that confirms the end of an answer, while the end itself arrived late.

Fix: the upstream's entry names the start of its process. If it is another one when an unframed answer ends, the attempt fails.

Evidence: answer_end, answer_of_an_earlier_process_that_is_told_by_its_connection_is_not_complete failed before (200 with half of the answer).

--- a/servers/relay/upstream_attempt.cpp
+++ b/servers/relay/upstream_attempt.cpp
@@ -335,6 +335,16 @@
 }
 
 void upstream_attempt::on_end() {
+    const upstream_entry* entry = services_.upstreams.find(upstream());
+    const bool restarted = entry != nullptr && entry->lifetime() != lifetime_;
+    if (response_.head.ends_with_connection && restarted) {
+        // The process that the connector has reached after the end is another one.
+        exchange_failure failure{true, exchange_->reused_connection(),
+                                 "answer: end not confirmed: the upstream has restarted"};
+        failure.fault = answer_fault::unconfirmed;
+        on_failure(failure);
+        return;
+    }
     const instant now = services_.timers.now();
     note_return(now);
     services_.metrics.answer_received(response_.head.ended_by());
--- a/tests/servers/relay/answer_end_test.cpp
+++ b/tests/servers/relay/answer_end_test.cpp
@@ -46,3 +46,27 @@
     check_logged("");
     check_counted({});
 }
+
+// Guards against a part of an answer that looks complete because the upstream has restarted at its
+// address.
+TEST(answer_end, answer_of_an_earlier_process_that_is_told_by_its_connection_is_not_complete) {
+    host_.serve(host_.request("/order/1"));
+    host_.connector.answer(200, {{"until-close", ""}});
+    host_.connector.body("half of");
+    const std::string key = "u/" + host_.connector.last().upstream.id;
+    host_.upstreams.on_changes({{{key, "shop 7", 3}, false}}, 3);
+    host_.connector.end();
+    LONGS_EQUAL(502, host_.sink.status);
+    check_counted({});
+    CHECK_TRUE(host_.metrics.rejected_answers == std::vector<std::string>{"unconfirmed"});
+}
+
+TEST(answer_end, framed_answer_of_an_earlier_process_is_complete) {
+    host_.serve(host_.request("/order/1"));
+    host_.connector.answer(200);
+    host_.connector.body("all of it");
+    const std::string key = "u/" + host_.connector.last().upstream.id;
+    host_.upstreams.on_changes({{{key, "shop 7", 3}, false}}, 3);
+    host_.connector.end();
+    LONGS_EQUAL(200, host_.sink.status);
+}
