Upstream connections: a stream that the upstream did not end is lost, whoever took the error

Cause: that a connection was lost was asked of the last write only. The end of the stream is also read after a reset whose error any other operation on the socket has taken, and after the socket was shut down at this host.

Fix: the state of the connection tells whether the peer has ended the stream (CLOSE_WAIT, or a reset after that, which is reported as EPIPE). Exchanges and tunnels ask for it. A kernel that does not tell the state leaves it as before.

Evidence: unframed_answers, answer_whose_reset_was_reported_elsewhere_is_not_complete and answer_whose_connection_was_shut_down_at_this_host_is_not_complete failed before; answer_that_is_reset_after_its_end_is_complete holds. That such an operation or shutdown is behind the record is not shown.

--- a/drivers/net/socket_state.hpp
+++ b/drivers/net/socket_state.hpp
@@ -12,8 +12,10 @@
 /// Bytes that the kernel received and that were not read.
 std::size_t unread_bytes(boost::asio::ip::tcp::socket& socket);
 
-/// Whether a connection was lost although its stream seems to have ended, as told by the error of
-/// the last write.
-bool is_lost_connection(const boost::system::error_code& write_error);
+/// Whether the peer ended a stream that was read to its end. It did not if the connection was reset
+/// and another operation took the error, or if something else has shut down the socket.
+/// @param write_error  error of the last write; it may have taken the reset
+bool is_ended_by_peer(boost::asio::ip::tcp::socket& socket,
+                      const boost::system::error_code& write_error);
 
 }  // namespace fuchsiaquay
--- a/drivers/net/tunnel.cpp
+++ b/drivers/net/tunnel.cpp
@@ -80,7 +80,7 @@
 }
 
 void tunnel::on_upstream_end() {
-    if (is_lost_connection(upstream_write_error_)) {
+    if (!is_ended_by_peer(*upstream_, upstream_write_error_)) {
         reset();
         return;
     }
--- a/drivers/traffic/beast_exchange.cpp
+++ b/drivers/traffic/beast_exchange.cpp
@@ -216,8 +216,9 @@
 
 void beast_exchange::on_end_of_stream() {
     ended_at_ = loop_.now();
-    if (is_lost_connection(write_error_)) {
-        report_lost_connection(write_error_.message() + " while the request was sent");
+    if (!is_ended_by_peer(*socket_, write_error_)) {
+        report_lost_connection(write_error_ ? write_error_.message() + " while the request was sent"
+                                            : "connection ended on the way");
         return;
     }
     if (parser_->is_header_done()) {
--- a/tests/drivers/traffic/unframed_answers_test.cpp
+++ b/tests/drivers/traffic/unframed_answers_test.cpp
@@ -2,7 +2,10 @@
 /// Answers with neither a length nor chunks, which end with their connections.
 
 #include <CppUTest/TestHarness.h>
+#include <netinet/in.h>
+#include <sys/socket.h>
 
+#include <cerrno>
 #include <memory>
 #include <string>
 #include <thread>
@@ -19,6 +22,8 @@
 constexpr const char* half_of_a_framed_answer =
     "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nhalf of";
 
+constexpr int max_descriptors = 1'024;
+
 struct unframed_answers_fixture : upstream_connector_fixture {
     recording_listener other_listener_;
     std::vector<std::unique_ptr<upstream_exchange>> other_exchanges_;
@@ -38,6 +43,23 @@
         CHECK_TRUE(server.expect("POST "));
         server.send(answer);
     }
+    /// File descriptor of the connection's end at this host.
+    int connection_of_exchange() const {
+        for (int fd = 0; fd < max_descriptors; ++fd) {
+            sockaddr_in peer{};
+            socklen_t size = sizeof peer;
+            const bool connected = getpeername(fd, reinterpret_cast<sockaddr*>(&peer), &size) == 0;
+            if (connected && ntohs(peer.sin_port) == server_.address().port) {
+                return fd;
+            }
+        }
+        return -1;
+    }
+    void check_lost() {
+        CHECK_TRUE(ended());
+        CHECK_FALSE(listener_.ended);
+        STRCMP_EQUAL("incomplete", name_of(listener_.failure->fault));
+    }
     void check_unconfirmed(const char* reason = "connect: ") {
         CHECK_TRUE(ended());
         CHECK_FALSE(listener_.ended);
@@ -135,6 +157,34 @@
     CHECK_TRUE(listener_.ended);
 }
 
+// Guards against a reset that looks like the end of an answer because another operation has taken
+// its error.
+TEST(unframed_answers, answer_whose_reset_was_reported_elsewhere_is_not_complete) {
+    begin_answer("half of");
+    const int connection = connection_of_exchange();
+    server_.close(true);
+    int error = 0;
+    socklen_t size = sizeof error;
+    LONGS_EQUAL(0, getsockopt(connection, SOL_SOCKET, SO_ERROR, &error, &size));
+    LONGS_EQUAL(ECONNRESET, error);
+    check_lost();
+}
+
+// Guards against an end that the upstream did not send.
+TEST(unframed_answers, answer_whose_connection_was_shut_down_at_this_host_is_not_complete) {
+    begin_answer("half of");
+    LONGS_EQUAL(0, shutdown(connection_of_exchange(), SHUT_RDWR));
+    check_lost();
+}
+
+TEST(unframed_answers, answer_that_is_reset_after_its_end_is_complete) {
+    begin_answer("all of it");
+    server_.shut_down();
+    server_.close(true);
+    CHECK_TRUE(ended());
+    CHECK_TRUE(listener_.ended);
+}
+
 TEST(unframed_answers, connection_that_confirmed_an_end_is_reused) {
     begin_answer("one");
     server_.close(false);
