--- a/drivers/traffic/beast_exchange.cpp
+++ b/drivers/traffic/beast_exchange.cpp
@@ -271,7 +271,8 @@
     const bool reusable =
         written_ && parser_->keep_alive() && buffer_.size() == 0 && socket_->is_open();
     if (reusable) {
-        pool_->release(upstream_, {std::move(socket_), peer_}, loop_.now(), idle_lifetime());
+        pool_->release(upstream_, {std::exchange(socket_, nullptr), peer_}, loop_.now(),
+                       idle_lifetime());
     }
     close();
     listener->on_end();
