Relay: an unframed answer from an address that another process has by now is not complete

Cause: the connection that confirms an end proves that something serves at the upstream's address. An upstream that ends behind a cut is mostly followed by a process with another id, so the check of the entry of the same id said nothing: the old entry was gone, or still unchanged.

Fix: the registry keeps which process was listed last at each address, and when. An unframed answer fails if another one was listed there after the request was sent. An entry that is only gone proves nothing, since some upstreams leave the catalogue before they end.

--- a/servers/fleet/upstream_registry.cpp
+++ b/servers/fleet/upstream_registry.cpp
@@ -50,6 +50,13 @@
     return result;
 }
 
+bool upstream_registry::reassigned_since(instant since, const network_address& address,
+                                         const upstream_lifetime& process) const {
+    const auto found = occupants_.find(address);
+    return found != occupants_.end() && found->second.process != process &&
+           found->second.listed_at >= since;
+}
+
 catalogue_delta upstream_registry::changes_after(std::int64_t known) const {
     const std::int64_t revision = with_era_of(revision_, known);
     catalogue_delta delta;
@@ -198,6 +205,10 @@
         known == entries_.end() ? loaded_ && !removed_lately(entry.lifetime()) : restarted;
     listed_entry& item = entries_[entry.id];
     const bool same_process = item.entry.lifetime() == entry.lifetime();
+    if (!same_process || item.entry.address != entry.address) {
+        vacate(item.entry);
+        occupants_[entry.address] = {entry.lifetime(), timers_.now()};
+    }
     if (!same_process) {
         item = {};
     }
@@ -221,6 +232,7 @@
         return;
     }
     const upstream_lifetime lifetime = known->second.entry.lifetime();
+    vacate(known->second.entry);
     entries_.erase(known);
     ready_index_outdated_ = true;
     removals_.push_back({lifetime, revision});
@@ -235,6 +247,13 @@
     }
 }
 
+void upstream_registry::vacate(const upstream_entry& entry) {
+    const auto found = occupants_.find(entry.address);
+    if (found != occupants_.end() && found->second.process == entry.lifetime()) {
+        occupants_.erase(found);
+    }
+}
+
 void upstream_registry::remove_expired() {
     const instant now = timers_.now();
     std::vector<std::string> lapsed;
--- a/servers/fleet/upstream_registry.hpp
+++ b/servers/fleet/upstream_registry.hpp
@@ -42,6 +42,9 @@
     std::size_t size() const noexcept { return entries_.size(); }
     /// Addresses of all listed upstreams.
     std::vector<network_address> addresses() const;
+    /// Whether another process than `process` was listed at `address` at `since` or later.
+    bool reassigned_since(instant since, const network_address& address,
+                          const upstream_lifetime& process) const;
     /// Sets the handler that is called for each upstream that is no longer listed.
     void on_removed(lifetime_handler handler) { removed_handler_ = std::move(handler); }
     /// Sets the handler that is called with each process that replaces an earlier one in its entry.
@@ -78,6 +81,11 @@
         /// Whether the process was reported to be cold, and not to be warm since.
         bool cold = false;
     };
+    /// The process that was listed last at an address.
+    struct occupant {
+        upstream_lifetime process;
+        instant listed_at{};
+    };
     struct removal {
         upstream_lifetime process;
         std::int64_t revision = 0;
@@ -95,6 +103,8 @@
     void note_if_warm(const upstream_lifetime& process);
     std::optional<duration> cold_time_of(const std::string& service) const;
     void remove(const std::string& id, std::int64_t revision, const char* reason);
+    /// Records that the process of `entry` is no longer listed at its address.
+    void vacate(const upstream_entry& entry);
     void remove_all_but(const std::set<std::string>& kept, std::int64_t as_of, bool after_outage);
     void remove_expired();
     void update_ready_index();
@@ -108,6 +118,8 @@
     bool ready_index_outdated_ = false;
     std::int64_t revision_ = 0;
     std::map<std::string, listed_entry> entries_;
+    /// By address.
+    std::map<network_address, occupant> occupants_;
     /// The most recent removals, oldest first.
     std::deque<removal> removals_;
     /// Revision of the last removal that was dropped from `removals_`.
--- a/servers/relay/upstream_attempt.cpp
+++ b/servers/relay/upstream_attempt.cpp
@@ -120,6 +120,7 @@
     const upstream_entry* entry = services_.upstreams.find(upstream());
     const instant now = services_.timers.now();
     lifetime_ = entry->lifetime();
+    address_ = entry->address;
     upstream_request_metadata metadata;
     metadata.upstream = entry->id;
     metadata.customer = admitted_.customer;
@@ -334,13 +335,17 @@
     }
 }
 
-void upstream_attempt::on_end() {
+bool upstream_attempt::was_replaced() const {
     const upstream_entry* entry = services_.upstreams.find(upstream());
     const bool restarted = entry != nullptr && entry->lifetime() != lifetime_;
-    if (response_.head.ends_with_connection && restarted) {
+    return restarted || services_.upstreams.reassigned_since(sent_at_, address_, lifetime_);
+}
+
+void upstream_attempt::on_end() {
+    if (response_.head.ends_with_connection && was_replaced()) {
         // The process that the connector has reached after the end is another one.
         exchange_failure failure{true, exchange_->reused_connection(),
-                                 "answer: end not confirmed: the upstream has restarted"};
+                                 "answer: end not confirmed: another process has its address"};
         failure.fault = answer_fault::unconfirmed;
         on_failure(failure);
         return;
--- a/servers/relay/upstream_attempt.hpp
+++ b/servers/relay/upstream_attempt.hpp
@@ -6,6 +6,7 @@
 #include <string>
 #include <string_view>
 
+#include "core/fleet/network_address.hpp"
 #include "core/fleet/upstream_lifetime.hpp"
 #include "core/relay/attempt_outcome.hpp"
 #include "core/relay/memory_holder.hpp"
@@ -78,6 +79,8 @@
     void note_return(instant now);
     /// Records that the connection ended before `note_answered` was called.
     void note_connection_ended(bool looked_complete);
+    /// Whether another process may serve at the address to which the request was sent.
+    bool was_replaced() const;
     bool on_memory_exceeded() override;
     /// Records the limit that the response names, or that it names none.
     void note_rate_limit();
@@ -100,6 +103,7 @@
     std::string at_fault_;
     /// The process to which the request is sent.
     upstream_lifetime lifetime_;
+    network_address address_;
     instant sent_at_{};
     instant progress_at_{};
     upstream_response response_;
--- a/tests/servers/fleet/upstream_registry_test.cpp
+++ b/tests/servers/fleet/upstream_registry_test.cpp
@@ -76,6 +76,23 @@
     CHECK_TRUE(registry_.find("a") != nullptr);
 }
 
+// All entries of `word_codec` have the same address.
+TEST(upstream_registry, address_is_reassigned_when_another_process_is_listed_there) {
+    const network_address address = registry_.find("a")->address;
+    const upstream_lifetime process = registry_.find("a")->lifetime();
+    const instant sent_at = timers_.now() + milliseconds(1);
+    timers_.advance(milliseconds(10));
+    CHECK_FALSE(registry_.reassigned_since(sent_at, address, process));
+    registry_.on_changes({change("a", "draining", 6), change("a", "", 7), change("a", "ready", 8)},
+                         8);
+    CHECK_FALSE(registry_.reassigned_since(sent_at, address, process));
+    registry_.on_changes({change("c", "ready", 9)}, 9);
+    CHECK_TRUE(registry_.reassigned_since(sent_at, address, process));
+    CHECK_FALSE(registry_.reassigned_since(timers_.now() + milliseconds(1), address, process));
+    CHECK_FALSE(registry_.reassigned_since(sent_at, address, registry_.find("c")->lifetime()));
+    CHECK_FALSE(registry_.reassigned_since(sent_at, {"10.0.0.2", 80}, process));
+}
+
 TEST(upstream_registry, unreadable_entry_is_removed_and_affects_no_other) {
     registry_.on_changes({change("a", "\x01garbage", 6), change("c", "ready", 7)}, 7);
     LONGS_EQUAL(2, ready());
