Tests of unframed ends at the other readers: parts of the store's answers, silent and resumed attempts

Both hold on's readers as they are: no proper part of a page or of changes is accepted when it ends with its connection, and an end that is not confirmed ends neither a stream whose upstream was silent nor the one that resumed it.

--- a/tests/platform/kv_store_test.cpp
+++ b/tests/platform/kv_store_test.cpp
@@ -39,6 +39,28 @@
         server_.send("HTTP/1.1 " + start_ + "\r\nConnection: close\r\nContent-Length: " +
                      std::to_string(body.size()) + "\r\n\r\n" + body);
     }
+    /// Sends an answer without a length and ends the connection in order.
+    void answer_until_close(const std::string& body) {
+        server_.received.clear();
+        CHECK_TRUE(server_.expect("\r\n\r\n"));
+        server_.send("HTTP/1.1 200 OK\r\n\r\n" + body);
+        server_.close(false);
+    }
+    bool read_until_close(const std::string& body) {
+        std::optional<read_result> result;
+        store_.read_prefix("servers/", [&result](const read_result& value) { result = value; });
+        answer_until_close(body);
+        CHECK_TRUE(run_until(loop_, [&result] { return result.has_value(); }));
+        return result->ok();
+    }
+    bool poll_until_close(const std::string& body) {
+        std::optional<change_batch> result;
+        store_.poll("servers/", 5, std::chrono::seconds(1),
+                    [&result](const change_batch& value) { result = value; });
+        answer_until_close(body);
+        CHECK_TRUE(run_until(loop_, [&result] { return result.has_value(); }));
+        return result->ok();
+    }
     read_result read(const std::string& body) {
         std::optional<read_result> result;
         store_.read_prefix("servers/", [&result](const read_result& value) { result = value; });
@@ -66,6 +88,23 @@
     CHECK_TRUE(changes.ok() && changes.events.front().erased);
 }
 
+// Guards against a part of an answer that is taken for all of it because its end is that of the
+// connection.
+TEST(kv_store, no_part_of_an_answer_that_ends_with_its_connection_is_accepted) {
+    const std::string page =
+        R"({"store_revision":7,"items":[{"key":"servers/a","value":"eA==","revision":6}]})";
+    const std::string changes =
+        R"({"store_revision":8,"events":[{"key":"servers/a","deleted":true,"revision":8}]})";
+    for (std::size_t size = 0; size < page.size(); ++size) {
+        CHECK_FALSE_TEXT(read_until_close(page.substr(0, size)), std::to_string(size).c_str());
+    }
+    for (std::size_t size = 0; size < changes.size(); ++size) {
+        CHECK_FALSE_TEXT(poll_until_close(changes.substr(0, size)), std::to_string(size).c_str());
+    }
+    CHECK_TRUE(read_until_close(page));
+    CHECK_TRUE(poll_until_close(changes));
+}
+
 // Guards against an abort of the process by an answer whose lists have another type.
 TEST(kv_store, answer_with_values_of_other_types_fails) {
     for (const char* const list :
--- a/tests/servers/relay/silent_upstream_test.cpp
+++ b/tests/servers/relay/silent_upstream_test.cpp
@@ -135,6 +135,23 @@
     LONGS_EQUAL(1, caller_.answers);
 }
 
+// Guards against a stream that ends early and looks complete because one of several upstreams of it
+// was killed.
+TEST(request_relay_with_silent_upstream, end_that_is_not_confirmed_ends_no_stream) {
+    exchange_failure unconfirmed{true, false, "answer: end not confirmed"};
+    unconfirmed.fault = answer_fault::unconfirmed;
+    stream(3);
+    host_.timers.advance(milliseconds(1'200));
+    LONGS_EQUAL(2, host_.attempts());
+    first().on_failure(unconfirmed);
+    upstream_.answer(200, {{"until-close", ""}});
+    upstream_.body(event(4));
+    upstream_.last().listener->on_failure(unconfirmed);
+    LONGS_EQUAL(0, caller_.answers);
+    LONGS_EQUAL(1, caller_.aborted);
+    CHECK_EQUAL(events(1, 4), caller_.text);
+}
+
 TEST(request_relay_with_silent_upstream, only_the_first_to_deliver_is_forwarded) {
     stream(3);
     host_.timers.advance(milliseconds(1'200));
