Soak of killed upstreams: series with frozen upstreams and with hosts that are stopped at times

frozen: an upstream is stopped in the middle of its answers, other attempts begin beside it, and it is killed 0.5 to 3 s later. host_pauses: hosts are stopped for up to 3 s while upstreams are killed.

--- a/tests/soak/upstream_kills.py
+++ b/tests/soak/upstream_kills.py
@@ -21,16 +21,20 @@
 
 CALLERS = 24
 LAPSE_S = 2.5             # the entry of an upstream that was killed stays so long
-# `gap`: seconds between two kills; `whole`: share of answers that must arrive whole.
+# `gap`: seconds between two kills; `frozen`: seconds for which an upstream is stopped before it is
+# killed; `host_pause`: seconds for which a host is stopped at a time; `whole`: share of answers that
+# must arrive whole.
 SERIES = {
-    "killed": {"gap": (0.1, 0.5), "whole": 0.3},
-    "calm": {"gap": None, "whole": 1.0},
+    "killed": {"gap": (0.1, 0.5), "frozen": None, "host_pause": None, "whole": 0.3},
+    "frozen": {"gap": (0.3, 0.8), "frozen": (0.5, 3.0), "host_pause": None, "whole": 0.3},
+    "host_pauses": {"gap": (0.1, 0.5), "frozen": None, "host_pause": (0.05, 3.0), "whole": 0.1},
+    "calm": {"gap": None, "frozen": None, "host_pause": None, "whole": 1.0},
 }
 
 
 class UpstreamProcess:
     def __init__(self, name, service, world):
-        self.name, self.service, self.world = name, service, world
+        self.name, self.service, self.world, self.serving = name, service, world, True
 
     async def open(self):
         script = os.path.join(os.path.dirname(os.path.abspath(__file__)), "unframed_upstream.py")
@@ -61,6 +65,7 @@
     def __init__(self, options, folder):
         super().__init__(options, folder)
         self.series, self.answers, self.kills, self.tasks = SERIES[options.series], {}, 0, set()
+        self.closing = False
 
     async def add_upstream(self, service):
         self.number += 1
@@ -72,27 +77,46 @@
         try:
             await self.open()
             end = time.monotonic() + self.options.seconds
-            await asyncio.gather(self.kill_upstreams(end), *(self.caller(i, end) for i in range(CALLERS)))
+            await asyncio.gather(self.kill_upstreams(end), self.pause_hosts(end),
+                                 *(self.caller(i, end) for i in range(CALLERS)))
             await self.finish()
         finally:
+            self.closing = True
+            await asyncio.gather(*self.tasks)
             await asyncio.gather(*(upstream.kill() for upstream in self.upstreams))
 
     async def kill_upstreams(self, end):
         rng = seeded(self.options.seed, "kills")
         while self.series["gap"] and time.monotonic() < end:
             await asyncio.sleep(rng.uniform(*self.series["gap"]))
-            upstream = rng.choice([u for u in self.upstreams if u.process.returncode is None])
+            upstream = rng.choice([u for u in self.upstreams if u.serving])
+            upstream.serving = False
             self.kills += 1
-            await upstream.kill()
-            await self.add_upstream(upstream.service)
-            task = asyncio.create_task(self.lapse(upstream))
+            frozen_s = rng.uniform(*self.series["frozen"]) if self.series["frozen"] else None
+            task = asyncio.create_task(self.replace(upstream, frozen_s))
             self.tasks.add(task)
             task.add_done_callback(self.tasks.discard)
 
-    async def lapse(self, upstream):
+    async def replace(self, upstream, frozen_s):
+        if frozen_s:
+            upstream.process.send_signal(signal.SIGSTOP)
+            await asyncio.sleep(frozen_s)
+        await upstream.kill()
+        if self.closing:
+            return
+        await self.add_upstream(upstream.service)
         await asyncio.sleep(LAPSE_S)
         self.store.remove(f"servers/{upstream.name}")
 
+    async def pause_hosts(self, end):
+        rng = seeded(self.options.seed, "host pauses")
+        while self.series["host_pause"] and time.monotonic() < end:
+            await asyncio.sleep(rng.uniform(0.2, 1.0))
+            node = rng.choice(self.nodes)
+            node.process.send_signal(signal.SIGSTOP)
+            await asyncio.sleep(rng.uniform(*self.series["host_pause"]))
+            node.process.send_signal(signal.SIGCONT)
+
     async def caller(self, index, end):
         rng, count = seeded(self.options.seed, f"caller {index}"), 0
         kind = ["order", "lookup", "chat"][index % 3]
