Console: an answer of the administration API that ends early is no answer

Cause: the status was taken from the head before the body was read, and an answer with neither a length nor chunks counted as whole when its connection ended after the head.

Fix: an answer is taken over once its body has been read, and only with a length or chunks, which the administration API always sends. Otherwise a read goes to the next node and a change is in doubt.

--- a/ctl/console/http_admin_channel.cpp
+++ b/ctl/console/http_admin_channel.cpp
@@ -16,6 +16,11 @@
            code == std::errc::network_unreachable;
 }
 
+bool is_framed(const web::http::http_response& answer) {
+    return answer.headers().has(web::http::header_names::content_length) ||
+           answer.headers().has(web::http::header_names::transfer_encoding);
+}
+
 }  // namespace
 
 http_admin_channel::http_admin_channel(std::vector<std::string> nodes, std::string token,
@@ -55,11 +60,16 @@
         if (!call.body.empty()) {
             request.set_body(call.body, "application/json");
         }
-        const web::http::http_response response = client->request(request).get();
-        result.status = response.status_code();
-        result.body = response.extract_utf8string(true).get();
-        const auto etag = response.headers().find("ETag");
-        result.etag = etag == response.headers().end() ? "" : etag->second;
+        const web::http::http_response answer = client->request(request).get();
+        const std::string body = answer.extract_utf8string(true).get();
+        if (!is_framed(answer)) {
+            // The connection may have ended before the answer did.
+            throw web::http::http_exception("answer without a length");
+        }
+        result.status = answer.status_code();
+        result.body = body;
+        const auto etag = answer.headers().find("ETag");
+        result.etag = etag == answer.headers().end() ? "" : etag->second;
     } catch (const web::http::http_exception& error) {
         result.failure = node + ": " + error.what();
         result.in_doubt = call.method != "GET" && !never_sent(error.error_code());
