--- a/tests/soak/upstream_kills.py
+++ b/tests/soak/upstream_kills.py
@@ -65,7 +65,7 @@
     def __init__(self, options, folder):
         super().__init__(options, folder)
         self.series, self.answers, self.kills, self.tasks = SERIES[options.series], {}, 0, set()
-        self.closing = False
+        self.closing, self.longest_pause_s = False, 0.0
 
     async def add_upstream(self, service):
         self.number += 1
@@ -114,8 +114,10 @@
             await asyncio.sleep(rng.uniform(0.2, 1.0))
             node = rng.choice(self.nodes)
             node.process.send_signal(signal.SIGSTOP)
+            began = time.monotonic()
             await asyncio.sleep(rng.uniform(*self.series["host_pause"]))
             node.process.send_signal(signal.SIGCONT)
+            self.longest_pause_s = max(self.longest_pause_s, time.monotonic() - began)
 
     async def caller(self, index, end):
         rng, count = seeded(self.options.seed, f"caller {index}"), 0
@@ -151,7 +153,7 @@
                 self.finding(f"{statuses.count(200)} of {len(statuses)} answers to {kind} were whole")
         counts = {kind: {str(status): statuses.count(status) for status in set(statuses)}
                   for kind, statuses in sorted(self.answers.items())}
-        self.summary = f"{self.kills} kills, answers {counts}"
+        self.summary = f"{self.kills} kills, longest pause {self.longest_pause_s:.2f} s, answers {counts}"
 
 
 if __name__ == "__main__":
