Tunnels: the end of an answer is confirmed by the same process of the host that led there

Cause: the confirming connection was bound to the address of the leading host, not to its process. A host that was killed and is back at its address before its end is read led the confirmation to the upstream.

Fix: the answer that opens a tunnel names the process, a random text; the confirmation accepts the same one only. A host of an earlier version names none, which differs from any name.

--- a/drivers/net/tunnel_server.cpp
+++ b/drivers/net/tunnel_server.cpp
@@ -3,6 +3,7 @@
 #include <boost/asio/steady_timer.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http.hpp>
+#include <random>
 #include <string>
 #include <utility>
 
@@ -10,6 +11,7 @@
 #include "drivers/net/dial_result.hpp"
 #include "drivers/net/socket_setup.hpp"
 #include "drivers/net/tunnel.hpp"
+#include "drivers/net/tunnel_process_field.hpp"
 #include "drivers/net/upstream_dial.hpp"
 #include "drivers/net/upstream_dialer.hpp"
 
@@ -38,6 +40,11 @@
                                            : http::status::gateway_timeout);
 }
 
+std::string make_process_token() {
+    std::random_device source;
+    return std::to_string(source()) + "-" + std::to_string(source());
+}
+
 }  // namespace
 
 class tunnel_server::listener : public std::enable_shared_from_this<listener> {
@@ -61,6 +68,7 @@
     upstream_dialer& dialer_;
     tcp::acceptor acceptor_;
     permission permit_;
+    const std::string process_ = make_process_token();
     /// Tunnels that are open or being opened.
     std::size_t tunnels_ = 0;
     std::uint64_t opened_ = 0;
@@ -143,6 +151,9 @@
         host_->cancel(ignored);
         answer_.version(http_1_1);
         answer_.result(static_cast<unsigned>(status));
+        if (upstream_) {
+            answer_.set(tunnel_process_field, owner_->process_);
+        }
         http::async_write(*host_, answer_,
                           [self = shared_from_this()](const error_code& error, std::size_t) {
                               if (!error && self->upstream_) {
--- a/drivers/net/tunnel_server.hpp
+++ b/drivers/net/tunnel_server.hpp
@@ -15,7 +15,8 @@
 
 /// Connects other hosts to upstreams that they do not reach themselves. Speaks the CONNECT method
 /// of HTTP/1.1: 200 and then the bytes of the connection, 502 if the upstream refused it, 504 if it
-/// did not answer, 403 if it may not be reached from here, and 503 if this host cannot help.
+/// did not answer, 403 if it may not be reached from here, and 503 if this host cannot help. An
+/// answer with 200 names the process of this host.
 class tunnel_server {
 public:
     /// Decides on a request from the IP address `from`: the status that refuses it, or 200.
--- a/drivers/net/upstream_connection.hpp
+++ b/drivers/net/upstream_connection.hpp
@@ -4,15 +4,15 @@
 #include <memory>
 #include <optional>
 
-#include "core/fleet/network_address.hpp"
+#include "drivers/net/leading_host.hpp"
 
 namespace fuchsiaquay {
 
 /// A connection to an upstream. `socket` is null if there is none.
 struct upstream_connection {
     std::shared_ptr<boost::asio::ip::tcp::socket> socket;
-    /// The host through whose tunnel the connection leads; absent if it is direct.
-    std::optional<network_address> peer;
+    /// Absent if the connection is direct.
+    std::optional<leading_host> peer;
 };
 
 }  // namespace fuchsiaquay
--- a/drivers/net/upstream_dial.cpp
+++ b/drivers/net/upstream_dial.cpp
@@ -4,6 +4,7 @@
 
 #include "drivers/control/control_loop.hpp"
 #include "drivers/net/socket_setup.hpp"
+#include "drivers/net/tunnel_process_field.hpp"
 
 namespace fuchsiaquay {
 
@@ -45,11 +46,12 @@
     }
 }
 
-void upstream_dial::start_through(const network_address& peer, duration timeout) {
+void upstream_dial::start_through(const leading_host& peer, duration timeout) {
     start_timer(timeout);
     may_use_peers_ = false;
     may_connect_directly_ = false;
-    peers_ = {peer};
+    required_process_ = peer.process;
+    peers_ = {peer.address};
     try_next_peer();
 }
 
@@ -173,6 +175,11 @@
 void upstream_dial::on_answer(int status) {
     if (status == static_cast<int>(http::status::ok)) {
         owner_.record_tunnel(*peer_);
+        process_ = std::string(answer_->get()[tunnel_process_field]);
+        if (process_ != required_process_.value_or(process_)) {
+            fail("the host has restarted", false);
+            return;
+        }
         succeed();
         return;
     }
@@ -208,7 +215,10 @@
 void upstream_dial::succeed() {
     set_up_traffic_socket(*socket_);
     dial_result result;
-    result.connection = {std::move(socket_), peer_};
+    result.connection.socket = std::move(socket_);
+    if (peer_) {
+        result.connection.peer = leading_host{*peer_, process_};
+    }
     finish(std::move(result));
 }
 
--- a/drivers/net/upstream_dial.hpp
+++ b/drivers/net/upstream_dial.hpp
@@ -19,8 +19,8 @@
 
     /// @param direct  do not use tunnels
     void start(duration timeout, bool direct);
-    /// Opens the connection through the tunnel of one host or not at all.
-    void start_through(const network_address& peer, duration timeout);
+    /// Opens the connection through the tunnel of one process of a host or not at all.
+    void start_through(const leading_host& peer, duration timeout);
     /// Ends the dial; the handler is not called any more.
     void cancel();
 
@@ -58,6 +58,10 @@
     bool may_connect_directly_ = true;
     /// The host whose tunnel is being tried.
     std::optional<network_address> peer_;
+    /// The only process whose tunnel may be used; absent if any may.
+    std::optional<std::string> required_process_;
+    /// The process that opened the tunnel.
+    std::string process_;
     boost::beast::http::request<empty_body> request_;
     boost::beast::flat_buffer buffer_;
     std::optional<boost::beast::http::response_parser<empty_body>> answer_;
--- a/drivers/net/upstream_dialer.cpp
+++ b/drivers/net/upstream_dialer.cpp
@@ -40,7 +40,7 @@
 }
 
 std::shared_ptr<upstream_dial> upstream_dialer::dial_same_way(
-    const network_address& upstream, const std::optional<network_address>& peer, duration timeout,
+    const network_address& upstream, const std::optional<leading_host>& peer, duration timeout,
     handler done) {
     if (!peer) {
         return dial_directly(upstream, timeout, std::move(done));
--- a/drivers/net/upstream_dialer.hpp
+++ b/drivers/net/upstream_dialer.hpp
@@ -11,6 +11,7 @@
 #include "core/relay/upstream_path.hpp"
 #include "core/time/clock.hpp"
 #include "drivers/net/dial_result.hpp"
+#include "drivers/net/leading_host.hpp"
 
 namespace fuchsiaquay {
 
@@ -46,9 +47,9 @@
                                                  handler done);
 
     /// The same on the way that an earlier connection took: without tunnels, or through that of
-    /// `peer`.
+    /// the same process of `peer`.
     std::shared_ptr<upstream_dial> dial_same_way(const network_address& upstream,
-                                                 const std::optional<network_address>& peer,
+                                                 const std::optional<leading_host>& peer,
                                                  duration timeout, handler done);
 
     bool blocked() const noexcept { return path_.blocked(); }
--- a/drivers/traffic/beast_exchange.hpp
+++ b/drivers/traffic/beast_exchange.hpp
@@ -83,8 +83,8 @@
     /// Null once the exchange has ended.
     exchange_listener* listener_;
     std::shared_ptr<boost::asio::ip::tcp::socket> socket_;
-    /// The host through whose tunnel the connection leads; absent if it is direct.
-    std::optional<network_address> peer_;
+    /// Absent if the connection is direct.
+    std::optional<leading_host> peer_;
     std::shared_ptr<upstream_dial> dial_;
     boost::beast::flat_buffer buffer_;
     std::optional<parser_type> parser_;
--- a/tests/drivers/traffic/stranded_host_test.cpp
+++ b/tests/drivers/traffic/stranded_host_test.cpp
@@ -221,6 +221,25 @@
     LONGS_EQUAL(0, tunnels_.opened());
 }
 
+// As above, with another process of the host at its address by the time the end is read.
+TEST(tunnelled_answer, answer_without_length_whose_leading_host_has_restarted_is_not_complete) {
+    raw_server leading(loop_);
+    const network_address leading_address = leading.address();
+    peers_ = {leading_address};
+    open();
+    CHECK_TRUE(leading.expect("CONNECT " + server_.address().text()));
+    leading.send("HTTP/1.1 200 OK\r\nHost-Process: 1\r\n\r\n");
+    CHECK_TRUE(leading.expect("POST "));
+    leading.send("HTTP/1.1 200 OK\r\n\r\npart");
+    CHECK_TRUE(run_until(loop_, [this] { return listener_.body == "part"; }));
+    leading.end();
+    tunnel_server restarted(loop_, peer_dialer_, leading_address,
+                            [](const std::string&, const network_address&) { return status_ok; });
+    CHECK_TRUE(ended());
+    CHECK_FALSE(listener_.ended);
+    STRCMP_EQUAL("unconfirmed", name_of(listener_.failure->fault));
+}
+
 TEST(tunnelled_answer, answer_without_length_whose_upstream_has_ended_is_not_complete) {
     open_and_respond("HTTP/1.1 200 OK\r\n\r\npart");
     CHECK_TRUE(run_until(loop_, [this] { return listener_.body == "part"; }));
