Tunnels: the end of a stream that is read after a suspension is no end

Cause: the host that leads a tunnel passed the end of the upstream's stream on, also if it had been suspended while the upstream ended and another process got its address, which then confirmed the end.

Fix: the leading host looks at its own suspensions, as each host does for its own connections, and resets the tunnel instead.

Evidence: tunnelled_answer, answer_that_ends_while_the_leading_host_is_suspended_is_not_complete failed before (ended); tunnelled_answer 8 of 8 with the fix.

--- a/core/relay/connection_end_evidence.hpp
+++ b/core/relay/connection_end_evidence.hpp
@@ -19,6 +19,9 @@
     /// Returns why a connection to `upstream` that was read to its end at `ended_at` may have been
     /// lost; null if nothing suggests that.
     const char* objection(const upstream_lifetime& upstream, instant ended_at) const;
+    /// Whether this process did not run for a while before it read the end of a stream at
+    /// `ended_at`.
+    bool suspended_before(instant ended_at) const;
 
     static constexpr duration tick_period = std::chrono::seconds(1);
 
@@ -28,7 +31,6 @@
         instant at{};
     };
 
-    bool suspended_before(instant ended_at) const;
     bool suggest_loss(const upstream_lifetime& upstream, instant ended_at) const;
 
     std::deque<loss> losses_;
--- a/drivers/net/tunnel.cpp
+++ b/drivers/net/tunnel.cpp
@@ -4,6 +4,7 @@
 #include <boost/asio/write.hpp>
 #include <utility>
 
+#include "core/relay/connection_end_evidence.hpp"
 #include "drivers/control/control_loop.hpp"
 #include "drivers/net/socket_state.hpp"
 
@@ -13,9 +14,10 @@
 using asio::ip::tcp;
 using boost::system::error_code;
 
-tunnel::tunnel(control_loop& loop, socket_ptr host, socket_ptr upstream,
-               std::function<void()> ended)
+tunnel::tunnel(control_loop& loop, std::shared_ptr<const connection_end_evidence> evidence,
+               socket_ptr host, socket_ptr upstream, std::function<void()> ended)
     : loop_(loop),
+      evidence_(std::move(evidence)),
       host_(std::move(host)),
       upstream_(std::move(upstream)),
       ended_(std::move(ended)) {}
@@ -80,7 +82,9 @@
 }
 
 void tunnel::on_upstream_end() {
-    if (!is_ended_by_peer(*upstream_, upstream_write_error_)) {
+    // After a suspension, another process may confirm the end to the host.
+    if (!is_ended_by_peer(*upstream_, upstream_write_error_) ||
+        evidence_->suspended_before(loop_.now())) {
         reset();
         return;
     }
--- a/drivers/net/tunnel.hpp
+++ b/drivers/net/tunnel.hpp
@@ -7,6 +7,7 @@
 
 namespace fuchsiaquay {
 
+class connection_end_evidence;
 class control_loop;
 
 /// Forwards the bytes between a host and an upstream. The end of the upstream's stream and a reset
@@ -17,7 +18,8 @@
     using socket_ptr = std::shared_ptr<boost::asio::ip::tcp::socket>;
 
     /// @param ended  called once, after both connections are closed
-    tunnel(control_loop& loop, socket_ptr host, socket_ptr upstream, std::function<void()> ended);
+    tunnel(control_loop& loop, std::shared_ptr<const connection_end_evidence> evidence,
+           socket_ptr host, socket_ptr upstream, std::function<void()> ended);
     tunnel(const tunnel&) = delete;
     tunnel& operator=(const tunnel&) = delete;
     ~tunnel();
@@ -38,6 +40,7 @@
     void reset();
 
     control_loop& loop_;
+    std::shared_ptr<const connection_end_evidence> evidence_;
     socket_ptr host_;
     socket_ptr upstream_;
     std::function<void()> ended_;
--- a/drivers/net/tunnel_server.cpp
+++ b/drivers/net/tunnel_server.cpp
@@ -7,6 +7,7 @@
 #include <string>
 #include <utility>
 
+#include "core/relay/connection_end_evidence.hpp"
 #include "drivers/control/control_loop.hpp"
 #include "drivers/net/dial_result.hpp"
 #include "drivers/net/socket_setup.hpp"
@@ -56,10 +57,15 @@
         : loop_(loop),
           dialer_(dialer),
           acceptor_(listen_at(loop.context(), address)),
-          permit_(std::move(permit)) {}
+          permit_(std::move(permit)),
+          ticks_(loop.every(connection_end_evidence::tick_period,
+                            [this] { evidence_->on_tick(loop_.now()); })) {
+        evidence_->on_tick(loop_.now());
+    }
 
     void accept();
     void close() {
+        loop_.cancel(ticks_);
         error_code ignored;
         acceptor_.close(ignored);
     }
@@ -69,6 +75,9 @@
     tcp::acceptor acceptor_;
     permission permit_;
     const std::string process_ = make_process_token();
+    std::shared_ptr<connection_end_evidence> evidence_ =
+        std::make_shared<connection_end_evidence>();
+    timer_service::subscription ticks_;
     /// Tunnels that are open or being opened.
     std::size_t tunnels_ = 0;
     std::uint64_t opened_ = 0;
@@ -166,9 +175,9 @@
         timer_.cancel();
         handed_over_ = true;
         ++owner_->opened_;
-        std::make_shared<tunnel>(owner_->loop_, host_, upstream_, [owner = owner_] {
-            --owner->tunnels_;
-        })->start();
+        std::make_shared<tunnel>(owner_->loop_, owner_->evidence_, host_, upstream_,
+                                 [owner = owner_] { --owner->tunnels_; })
+            ->start();
     }
 
     void give_up() {
--- a/tests/drivers/traffic/stranded_host_test.cpp
+++ b/tests/drivers/traffic/stranded_host_test.cpp
@@ -249,6 +249,34 @@
     STRCMP_EQUAL("unconfirmed", name_of(listener_.failure->fault));
 }
 
+// Guards against a part of an answer that looks complete because its upstream was killed, and
+// another process got its address, while the host that leads the tunnel was suspended.
+TEST(tunnelled_answer, answer_that_ends_while_the_leading_host_is_suspended_is_not_complete) {
+    control_loop leading_loop;
+    upstream_dialer leading_dialer(leading_loop, log_);
+    const network_address leading_address = free_address();
+    tunnel_server leading(leading_loop, leading_dialer, leading_address,
+                          [](const std::string&, const network_address&) { return status_ok; });
+    peers_ = {leading_address};
+    const auto run_both = [&](const std::function<bool()>& done) {
+        constexpr int rounds = 1'000;
+        for (int i = 0; i < rounds && !done(); ++i) {
+            run_for(milliseconds(1));
+            leading_loop.context().run_for(milliseconds(1));
+        }
+        return done();
+    };
+    open();
+    CHECK_TRUE(run_both([&] { return server_.received.find("POST ") != std::string::npos; }));
+    server_.send("HTTP/1.1 200 OK\r\n\r\npart");
+    CHECK_TRUE(run_both([&] { return listener_.body == "part"; }));
+    server_.close(false);
+    run_for(milliseconds(2'500));
+    CHECK_FALSE(listener_.ended);
+    CHECK_TRUE(run_both([&] { return listener_.ended || listener_.failure.has_value(); }));
+    CHECK_FALSE(listener_.ended);
+}
+
 TEST(tunnelled_answer, cancelled_exchange_closes_the_connection_of_the_upstream) {
     open();
     CHECK_TRUE(server_.expect("\r\n\r\n"));
