Upstream connections: an unframed answer whose connection is reset after its end is not complete

Cause: the exchange closed its connection before it confirmed the end, so that a reset after the end went unseen, and one that came before the end was read counted as the end. A test held that as right; "one that is reset on the way isn't complete" (MIXED) says otherwise. Resets after the end are expected only where the request was not sent whole, since a server that answers early resets the rest of the upload; the tests of that stay.

If the request was sent whole, a reset by then fails the answer.

--- a/drivers/net/socket_state.cpp
+++ b/drivers/net/socket_state.cpp
@@ -60,4 +60,8 @@
     return state == TCP_CLOSE_WAIT || state == unknown_state;
 }
 
+bool is_reset(tcp::socket& socket) {
+    return connection_state(socket) == TCP_CLOSE;
+}
+
 }  // namespace fuchsiaquay
--- a/drivers/net/socket_state.hpp
+++ b/drivers/net/socket_state.hpp
@@ -18,4 +18,7 @@
 bool is_ended_by_peer(boost::asio::ip::tcp::socket& socket,
                       const boost::system::error_code& write_error);
 
+/// Whether the connection was reset, before or after the end of the stream.
+bool is_reset(boost::asio::ip::tcp::socket& socket);
+
 }  // namespace fuchsiaquay
--- a/drivers/traffic/beast_exchange.cpp
+++ b/drivers/traffic/beast_exchange.cpp
@@ -236,21 +236,29 @@
 }
 
 void beast_exchange::confirm_end() {
-    // The upstream may limit its connections.
-    close();
     loop_.after(process_end_time, [self = shared_from_this()] {
-        if (self->listener_ == nullptr) {
-            return;
+        if (self->listener_ != nullptr) {
+            self->confirm_upstream_runs();
         }
-        self->dial_ = self->dialer_.dial_same_way(
-            self->address_, self->peer_, self->connect_timeout_, [self](dial_result result) {
-                if (self->listener_ != nullptr) {
-                    self->on_end_confirmed(std::move(result));
-                }
-            });
     });
 }
 
+void beast_exchange::confirm_upstream_runs() {
+    // A server that answers before it has read the request resets the rest of the upload.
+    if (written_ && is_reset(*socket_)) {
+        report_lost_connection("reset after its end");
+        return;
+    }
+    // The upstream may limit its connections.
+    close();
+    dial_ = dialer_.dial_same_way(address_, peer_, connect_timeout_,
+                                  [self = shared_from_this()](dial_result result) {
+                                      if (self->listener_ != nullptr) {
+                                          self->on_end_confirmed(std::move(result));
+                                      }
+                                  });
+}
+
 void beast_exchange::on_end_confirmed(dial_result result) {
     if (!result.connection.socket) {
         reject(answer_fault::unconfirmed, "end not confirmed: " + result.failure);
--- a/drivers/traffic/beast_exchange.hpp
+++ b/drivers/traffic/beast_exchange.hpp
@@ -60,6 +60,7 @@
     void on_end_of_stream();
     /// Finds out whether the upstream still runs after an answer that ended with its connection.
     void confirm_end();
+    void confirm_upstream_runs();
     void on_end_confirmed(dial_result result);
     void complete();
     bool answer_begun() const;
