Upstream connections: a connection that confirms an end is closed, and may take 1.2 s

Cause: the confirming connection went to the idle ones, unused, for up to 4 s, also where the answer or the route excludes reuse; requests on it counted as those on a reused connection. Its time limit was that of a new attempt, 60 to 600 ms, while an opening packet is sent again after 1 s.

Fix: it is closed at once, and has 1.2 s.

--- a/drivers/traffic/beast_exchange.cpp
+++ b/drivers/traffic/beast_exchange.cpp
@@ -1,5 +1,6 @@
 #include "drivers/traffic/beast_exchange.hpp"
 
+#include <algorithm>
 #include <boost/asio/post.hpp>
 #include <boost/asio/write.hpp>
 #include <charconv>
@@ -28,6 +29,8 @@
 constexpr duration default_idle_lifetime = std::chrono::seconds(4);
 /// An idle connection is discarded this long before the upstream would close it.
 constexpr duration idle_lifetime_margin = std::chrono::milliseconds(1'200);
+/// Time for the connection that confirms an end; a lost opening packet is sent again after 1 s.
+constexpr duration min_confirm_timeout = std::chrono::milliseconds(1'200);
 constexpr std::size_t read_size = 16'384;
 constexpr std::uint32_t max_response_header_bytes = 65'536;
 /// Bytes buffered while a line of the response's framing is incomplete.
@@ -251,20 +254,19 @@
     }
     // The upstream may limit its connections.
     close();
-    dial_ = dialer_.dial_same_way(address_, peer_, connect_timeout_,
-                                  [self = shared_from_this()](dial_result result) {
+    dial_ = dialer_.dial_same_way(address_, peer_, std::max(connect_timeout_, min_confirm_timeout),
+                                  [self = shared_from_this()](const dial_result& result) {
                                       if (self->listener_ != nullptr) {
-                                          self->on_end_confirmed(std::move(result));
+                                          self->on_end_confirmed(result);
                                       }
                                   });
 }
 
-void beast_exchange::on_end_confirmed(dial_result result) {
+void beast_exchange::on_end_confirmed(const dial_result& result) {
     if (!result.connection.socket) {
         reject(answer_fault::unconfirmed, "end not confirmed: " + result.failure);
         return;
     }
-    pool_->release(upstream_, std::move(result.connection), loop_.now(), idle_lifetime());
     if (const char* objection = evidence_->objection(upstream_, ended_at_)) {
         reject(answer_fault::unconfirmed, std::string("end not confirmed: ") + objection);
         return;
--- a/drivers/traffic/beast_exchange.hpp
+++ b/drivers/traffic/beast_exchange.hpp
@@ -61,7 +61,7 @@
     /// Finds out whether the upstream still runs after an answer that ended with its connection.
     void confirm_end();
     void confirm_upstream_runs();
-    void on_end_confirmed(dial_result result);
+    void on_end_confirmed(const dial_result& result);
     void complete();
     bool answer_begun() const;
     /// Fails because the connection ended before the answer was complete.
--- a/tests/drivers/traffic/raw_server.hpp
+++ b/tests/drivers/traffic/raw_server.hpp
@@ -72,6 +72,8 @@
     std::string received;
     int connections = 0;
     bool closed = false;
+    /// Connections that the peer has closed in order.
+    int ended_by_peer = 0;
 
 private:
     void accept() {
@@ -93,6 +95,7 @@
                 received.append(buffer_, bytes);
                 if (error) {
                     closed = true;
+                    ended_by_peer += error == boost::asio::error::eof ? 1 : 0;
                 } else if (!paused_) {
                     read(socket);
                 }
