Upstream connections: a suspension right after the start of a host is noticed

Cause: the first tick came 1 s after the start, so that a suspension before it was none.

Fix: the first tick is at the start.

Evidence: unframed_answers, answer_that_ends_while_a_new_host_is_suspended_is_not_complete failed before (ended).

--- a/drivers/traffic/beast_upstream_connector.cpp
+++ b/drivers/traffic/beast_upstream_connector.cpp
@@ -33,6 +33,7 @@
       dialer_(dialer),
       pool_(std::make_shared<upstream_connection_pool>()),
       evidence_(std::make_shared<connection_end_evidence>()) {
+    evidence_->on_tick(loop_.now());
     loop_.every(connection_end_evidence::tick_period, [this, pool = pool_, evidence = evidence_] {
         pool->remove_expired(loop_.now());
         evidence->on_tick(loop_.now());
--- a/tests/drivers/traffic/unframed_answers_test.cpp
+++ b/tests/drivers/traffic/unframed_answers_test.cpp
@@ -242,6 +242,14 @@
     CHECK_EQUAL(std::string("all of it"), listener_.body);
 }
 
+// As above, right after the start of this host.
+TEST(unframed_answers, answer_that_ends_while_a_new_host_is_suspended_is_not_complete) {
+    begin_answer("half of");
+    server_.close(false);
+    std::this_thread::sleep_for(std::chrono::milliseconds(2'000));
+    check_unconfirmed("this host was suspended");
+}
+
 TEST(unframed_answers, cancelled_exchange_confirms_nothing) {
     begin_answer("all of it");
     server_.close(false);
