Upstream connections: a confirmed end completes like any other

on_end_confirmed repeated the end of complete(). An answer that ends with its connection is never kept alive, so that complete() does not look at the socket, which is closed by then.

--- a/drivers/traffic/beast_exchange.cpp
+++ b/drivers/traffic/beast_exchange.cpp
@@ -271,9 +271,7 @@
         reject(answer_fault::unconfirmed, std::string("end not confirmed: ") + objection);
         return;
     }
-    exchange_listener* listener = std::exchange(listener_, nullptr);
-    close();
-    listener->on_end();
+    complete();
 }
 
 void beast_exchange::complete() {
