--- a/tests/ctl/console/http_admin_channel_test.cpp
+++ b/tests/ctl/console/http_admin_channel_test.cpp
@@ -1,28 +1,24 @@
+#include "ctl/console/http_admin_channel.hpp"
+
 #include <CppUTest/TestHarness.h>
-// Needs the header above.
-#include <CppUTest/MemoryLeakWarningPlugin.h>
 #include <unistd.h>
 
 #include <atomic>
-#include <cstdlib>
 #include <filesystem>
 #include <fstream>
+#include <functional>
 #include <sstream>
 #include <thread>
 
 #include "ctl/console/command_registry.hpp"
 #include "ctl/console/ctl_options.hpp"
-#include "ctl/console/http_admin_channel.hpp"
 #include "tests/drivers/traffic/raw_server.hpp"
+#include "tests/leak_detection_off.hpp"
 
 using namespace fuchsiaquay;
 using namespace fuchsiaquay::testing;
 
 namespace {
-const bool leak_detection_off = [] {
-    MemoryLeakWarningPlugin::turnOffNewDeleteOverloads();
-    return true;
-}();
 /// A part of an answer that announces its length.
 constexpr const char* part =
     "HTTP/1.1 200 OK\r\nETag: \"7\"\r\nContent-Length: 100\r\n\r\n{\"customer\":\"a\"";
@@ -55,52 +51,45 @@
         std::filesystem::remove(path_);
     }
 
-    /// Runs a command; answers its calls with `answers`, ending the connection after each.
-    int run(std::vector<std::string> words, const std::vector<std::string>& answers) {
-        options_.words = std::move(words);
-        std::ostringstream out;
+    /// Runs `work`, which sends one call, on a thread of its own; answers the call with `answer`
+    /// and ends the connection.
+    void answer_while(const std::string& answer, const std::function<void()>& work) {
         std::atomic<bool> done{false};
-        int code = -1;
+        server_.received.clear();
         std::thread thread([&] {
-            try {
-                code = static_cast<int>(registry_.run(options_, channel_, out, out));
-            } catch (const std::exception& error) {
-                out << "exception: " << error.what();
-                code = 2;
-            }
+            work();
             done = true;
         });
-        for (const std::string& answer : answers) {
-            server_.received.clear();
-            const bool got = run_until(loop_, [&] {
-                return done || server_.received.find("\r\n\r\n") != std::string::npos;
-            });
-            if (!got || done) {
-                break;
-            }
+        const auto called = [&] {
+            return done || server_.received.find("\r\n\r\n") != std::string::npos;
+        };
+        if (run_until(loop_, called) && !done) {
             server_.send(answer);
             server_.close(false);
         }
         run_until(loop_, [&] { return done.load(); });
         thread.join();
+    }
+    /// Returns the exit code of a command whose call is answered with `answer`.
+    int run(std::vector<std::string> words, const std::string& answer) {
+        options_.words = std::move(words);
+        std::ostringstream out;
+        int code = static_cast<int>(exit_code::usage);
+        answer_while(answer, [&] {
+            try {
+                code = static_cast<int>(registry_.run(options_, channel_, out, out));
+            } catch (const std::exception& error) {
+                out << "exception: " << error.what();
+            }
+        });
         return code;
     }
     admin_channel::response call(const std::string& method, const std::string& answer) {
-        std::atomic<bool> done{false};
+        admin_channel::call call;
+        call.method = method;
+        call.path = "/x";
         admin_channel::response result;
-        std::thread thread([&] {
-            admin_channel::call call;
-            call.method = method;
-            call.path = "/x";
-            result = channel_.send(call);
-            done = true;
-        });
-        server_.received.clear();
-        run_until(loop_, [&] { return server_.received.find("\r\n\r\n") != std::string::npos; });
-        server_.send(answer);
-        server_.close(false);
-        run_until(loop_, [&] { return done.load(); });
-        thread.join();
+        answer_while(answer, [&] { result = channel_.send(call); });
         return result;
     }
 };
@@ -127,14 +116,14 @@
 }
 
 TEST(admin_channel_end, key_whose_answer_ends_early_is_in_doubt) {
-    LONGS_EQUAL(exit_code::unknown, run({"key", "issue", "a"}, {part}));
-    LONGS_EQUAL(exit_code::unknown, run({"key", "issue", "a"}, {unframed_part}));
+    LONGS_EQUAL(exit_code::unknown, run({"key", "issue", "a"}, part));
+    LONGS_EQUAL(exit_code::unknown, run({"key", "issue", "a"}, unframed_part));
 }
 
 // Guards against a contract that looks entirely new.
 TEST(admin_channel_end, diff_against_an_answer_that_ends_early_fails) {
-    LONGS_EQUAL(exit_code::unreachable, run({"contract", "diff", path_}, {part}));
-    LONGS_EQUAL(exit_code::unreachable, run({"contract", "diff", path_}, {unframed_part}));
+    LONGS_EQUAL(exit_code::unreachable, run({"contract", "diff", path_}, part));
+    LONGS_EQUAL(exit_code::unreachable, run({"contract", "diff", path_}, unframed_part));
 }
 
 // Guards against a contract that is applied without the keys that it has.
@@ -142,7 +131,7 @@
     options_.values["revision"] = "7";
     for (const char* const answer : {part, unframed_part}) {
         server_.received.clear();
-        LONGS_EQUAL(exit_code::unreachable, run({"contract", "apply", path_}, {answer}));
+        LONGS_EQUAL(exit_code::unreachable, run({"contract", "apply", path_}, answer));
         CHECK_TRUE(server_.received.find("PUT") == std::string::npos);
     }
 }
--- a/tests/drivers/api/service_call_test.cpp
+++ b/tests/drivers/api/service_call_test.cpp
@@ -1,8 +1,6 @@
 #include "drivers/api/service_call.hpp"
 
 #include <CppUTest/TestHarness.h>
-// Needs the header above.
-#include <CppUTest/MemoryLeakWarningPlugin.h>
 
 #include <atomic>
 #include <memory>
@@ -10,19 +8,13 @@
 
 #include "tests/drivers/traffic/broken_heads.hpp"
 #include "tests/drivers/traffic/raw_server.hpp"
+#include "tests/leak_detection_off.hpp"
 
 using namespace fuchsiaquay;
 using namespace fuchsiaquay::testing;
 
 namespace {
 
-/// Calls run on threads of the HTTP library, which CppUTest's leak detection cannot handle. Leaks
-/// are looked for by the address sanitizer.
-const bool leak_detection_off = [] {
-    MemoryLeakWarningPlugin::turnOffNewDeleteOverloads();
-    return true;
-}();
-
 struct call_outcome {
     service_call::result result;
     std::atomic<bool> done{false};
--- a/tests/drivers/http/http_client_fixture.hpp
+++ b/tests/drivers/http/http_client_fixture.hpp
@@ -1,8 +1,6 @@
 #pragma once
 
 #include <CppUTest/TestHarness.h>
-// Needs the header above.
-#include <CppUTest/MemoryLeakWarningPlugin.h>
 
 #include <atomic>
 #include <memory>
@@ -10,16 +8,10 @@
 
 #include "drivers/http/make_http_client.hpp"
 #include "tests/drivers/traffic/raw_server.hpp"
+#include "tests/leak_detection_off.hpp"
 
 namespace fuchsiaquay::testing {
 
-/// The library allocates from its own threads, which CppUTest's leak detection cannot handle. Leaks
-/// are looked for by the address sanitizer.
-inline const bool leak_detection_off = [] {
-    MemoryLeakWarningPlugin::turnOffNewDeleteOverloads();
-    return true;
-}();
-
 struct call_outcome {
     std::atomic<bool> done{false};
     std::string failure;
--- a/tests/drivers/log/log4cxx_decision_log_test.cpp
+++ b/tests/drivers/log/log4cxx_decision_log_test.cpp
@@ -1,8 +1,6 @@
 #include "drivers/log/log4cxx_decision_log.hpp"
 
 #include <CppUTest/TestHarness.h>
-// Needs the header above.
-#include <CppUTest/MemoryLeakWarningPlugin.h>
 #include <fcntl.h>
 #include <unistd.h>
 
@@ -12,7 +10,10 @@
 #include <string>
 #include <thread>
 
+#include "tests/leak_detection_off.hpp"
+
 using namespace fuchsiaquay;
+using namespace fuchsiaquay::testing;
 
 namespace {
 
@@ -20,13 +21,6 @@
 constexpr int many_lines = 20'000;
 constexpr auto closing_bound = std::chrono::seconds(2);
 
-/// log4cxx allocates from its own thread and keeps global objects, which CppUTest's leak detection
-/// cannot handle. Leaks are looked for by the address sanitizer.
-const bool leak_detection_off = [] {
-    MemoryLeakWarningPlugin::turnOffNewDeleteOverloads();
-    return true;
-}();
-
 }  // namespace
 
 /// A log that writes into a pipe.
--- a/tests/soak/broken_answers.py
+++ b/tests/soak/broken_answers.py
@@ -12,9 +12,8 @@
 import time
 import urllib.request
 
-from callers import Connection, ConnectionEnded
 from engine_ends import run_series
-from soak import TIMEOUT_S, World
+from soak import World
 from stand_ins import Upstream, abort_with_reset, read_message, seeded
 
 UPLOAD_BYTES = 12_000_000     # more than the kernel buffers of the connection to an upstream
@@ -136,20 +135,9 @@
         self.finding(f"no sound answer to {kind} within {RECOVERY_S:.0f} s")
 
     async def ask_once(self, rng, kind, request):
-        began, connection = time.monotonic(), None
         long = self.series.get("upload") and "-broken-" in request
         body = b"b" * (UPLOAD_BYTES if long else 4)
-        try:
-            connection = await Connection(request).open(rng.choice(self.nodes).callers)
-            await connection.send(self.head(kind, request, "k0", "1,1", len(body)), body)
-            status, headers, text = await asyncio.wait_for(connection.receive(), TIMEOUT_S[kind] + 1.5)
-        except asyncio.TimeoutError:
-            status, headers, text = "late", {}, b""
-        except (ConnectionEnded, OSError):
-            status, headers, text = "cut", {}, b""
-        if connection:
-            connection.close()
-        self.judge(kind, request, "k0", began, (status, text, headers, True))
+        status = await self.ask_apart(rng.choice(self.nodes), kind, request, "1,1", body)
         ran = bool(self.runs.get(request))
         if isinstance(status, int) and not 200 <= status <= 599:
             self.finding(f"{request} was answered with the status {status}")
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -265,6 +265,23 @@
             request, connection.host, connection.began, connection.sent, now, TIMEOUT_S[kind],
             error.how, error.received, connection.served > 0))
 
+    async def ask_apart(self, node, kind, request, tokens, body):
+        """Sends one request on a connection of its own, judges the answer and returns its status."""
+        began, connection = time.monotonic(), None
+        try:
+            connection = await Connection(request).open(node.callers)
+            await connection.send(self.head(kind, request, "k0", tokens, len(body)), body)
+            status, headers, text = await asyncio.wait_for(connection.receive(),
+                                                           TIMEOUT_S[kind] + ANSWER_SLACK_S)
+        except asyncio.TimeoutError:
+            status, headers, text = "late", {}, b""
+        except (ConnectionEnded, OSError):
+            status, headers, text = "cut", {}, b""
+        if connection:
+            connection.close()
+        self.judge(kind, request, "k0", began, (status, text, headers, True))
+        return status
+
     def judge(self, kind, request, key, sent, answer):
         status, body, headers, _ = answer
         if status == "late":
--- a/tests/soak/upstream_kills.py
+++ b/tests/soak/upstream_kills.py
@@ -14,9 +14,8 @@
 import sys
 import time
 
-from callers import Connection, ConnectionEnded
 from engine_ends import run_series
-from soak import TIMEOUT_S, World
+from soak import World
 from stand_ins import seeded
 
 CALLERS = 24
@@ -122,27 +121,13 @@
     async def caller(self, index, end):
         rng, count = seeded(self.options.seed, f"caller {index}"), 0
         kind = ["order", "lookup", "chat"][index % 3]
+        tokens = "2000,500" if kind == "chat" else "1,1"
         while time.monotonic() < end:
             count += 1
-            await self.ask_once(rng, kind, f"{kind}-{index}-{count}")
+            status = await self.ask_apart(rng.choice(self.nodes), kind, f"{kind}-{index}-{count}", tokens, b"body")
+            self.answers.setdefault(kind, []).append(status)
             await asyncio.sleep(rng.uniform(0.01, 0.1))
 
-    async def ask_once(self, rng, kind, request):
-        began, connection = time.monotonic(), None
-        tokens = "2000,500" if kind == "chat" else "1,1"
-        try:
-            connection = await Connection(request).open(rng.choice(self.nodes).callers)
-            await connection.send(self.head(kind, request, "k0", tokens, 4), b"body")
-            status, headers, body = await asyncio.wait_for(connection.receive(), TIMEOUT_S[kind] + 1.5)
-        except asyncio.TimeoutError:
-            status, headers, body = "late", {}, b""
-        except (ConnectionEnded, OSError):
-            status, headers, body = "cut", {}, b""
-        if connection:
-            connection.close()
-        self.judge(kind, request, "k0", began, (status, body, headers, True))
-        self.answers.setdefault(kind, []).append(status)
-
     async def finish(self):
         for node in self.nodes:
             if node.process.returncode is not None:
